The thin whole path: three daemons, targets, platform stand-in, client

Cause: nothing stood.

Change: quartzhoistd (traffic and control tasks on a loop each), quartzhoist (check, show, edit, plan, drain, cancel, status, dump), the packages under them, stand-ins of the platform and of workers, a load tool, a demonstration.

--- /dev/null
+++ b/base/event_log.h
@@ -0,0 +1,116 @@
+// Numbered events on standard error, one line each:
+//   2026-12-02T10:00:00.123Z INFO QH0101 daemon_started box=entry-1 ...
+// docs/LOG-EVENTS.md lists every number; a test holds the two equal.
+
+#ifndef BASE_EVENT_LOG_H_
+#define BASE_EVENT_LOG_H_
+
+#include <array>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+#include <fmt/format.h>
+
+#include "base/enum_names.h"
+
+namespace quartzhoist::base {
+
+enum class Level { kInfo, kWarning, kError };
+
+inline constexpr EnumNames<Level, 3> kLevelNames{{
+    {Level::kInfo, "INFO"},
+    {Level::kWarning, "WARN"},
+    {Level::kError, "ERROR"},
+}};
+
+enum class Event {
+  kDaemonStarted,
+  kDaemonStopping,
+  kDaemonStopped,
+  kSettingsRejected,
+  kDaemonFailed,
+  kSnapshotInstalled,
+  kSnapshotRejected,
+  kPlatformLost,
+  kPlatformBack,
+  kPlatformAnswerBad,
+  kMemberJoined,
+  kMemberLost,
+  kPeerMessageBad,
+  kResumedAfterPause,
+  kEditAccepted,
+  kEditConflict,
+  kEditUnsettled,
+  kTargetEjected,
+  kTargetProbed,
+  kTargetRestored,
+  kClaimUnsettled,
+  kBoxDraining,
+  kBoxDrained,
+  kBoxAway,
+  kBoxReturned,
+  kWaveHalted,
+  kWaveResumed,
+  kWaveConflict,
+  kTargetWithoutPool,
+};
+
+struct EventInfo {
+  Event event;
+  int number;
+  Level level;
+  std::string_view name;
+};
+
+inline constexpr std::array<EventInfo, 29> kEvents{{
+    {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
+    {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
+    {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
+    {Event::kSettingsRejected, 104, Level::kError, "settings_rejected"},
+    {Event::kDaemonFailed, 105, Level::kError, "daemon_failed"},
+    {Event::kSnapshotInstalled, 201, Level::kInfo, "snapshot_installed"},
+    {Event::kSnapshotRejected, 202, Level::kWarning, "snapshot_rejected"},
+    {Event::kPlatformLost, 301, Level::kWarning, "platform_lost"},
+    {Event::kPlatformBack, 302, Level::kInfo, "platform_back"},
+    {Event::kPlatformAnswerBad, 303, Level::kWarning, "platform_answer_bad"},
+    {Event::kMemberJoined, 401, Level::kInfo, "member_joined"},
+    {Event::kMemberLost, 402, Level::kWarning, "member_lost"},
+    {Event::kPeerMessageBad, 403, Level::kWarning, "peer_message_bad"},
+    {Event::kResumedAfterPause, 404, Level::kWarning, "resumed_after_pause"},
+    {Event::kEditAccepted, 501, Level::kInfo, "edit_accepted"},
+    {Event::kEditConflict, 502, Level::kInfo, "edit_conflict"},
+    {Event::kEditUnsettled, 503, Level::kWarning, "edit_unsettled"},
+    {Event::kTargetEjected, 601, Level::kWarning, "target_ejected"},
+    {Event::kTargetProbed, 602, Level::kInfo, "target_probed"},
+    {Event::kTargetRestored, 603, Level::kInfo, "target_restored"},
+    {Event::kClaimUnsettled, 604, Level::kWarning, "claim_unsettled"},
+    {Event::kBoxDraining, 701, Level::kInfo, "box_draining"},
+    {Event::kBoxDrained, 702, Level::kInfo, "box_drained"},
+    {Event::kBoxAway, 703, Level::kInfo, "box_away"},
+    {Event::kBoxReturned, 704, Level::kInfo, "box_returned"},
+    {Event::kWaveHalted, 705, Level::kWarning, "wave_halted"},
+    {Event::kWaveResumed, 706, Level::kInfo, "wave_resumed"},
+    {Event::kWaveConflict, 707, Level::kInfo, "wave_conflict"},
+    {Event::kTargetWithoutPool, 708, Level::kWarning, "target_without_pool"},
+}};
+
+// One `key=value` of a line. Strings are quoted where they hold spaces.
+struct Field {
+  template <typename T>
+  Field(std::string_view key_name, const T& content)
+      : key(key_name), value(fmt::format("{}", content)) {}
+
+  std::string_view key;
+  std::string value;
+};
+
+// The line as it is written, without time and line feed.
+std::string FormatEvent(Event event, std::initializer_list<Field> fields);
+
+void Log(Event event, std::initializer_list<Field> fields = {});
+
+}  // namespace quartzhoist::base
+
+#endif  // BASE_EVENT_LOG_H_
--- /dev/null
+++ b/daemon/daemon_main.cc
@@ -0,0 +1,120 @@
+// quartzhoistd: one process of the system, the same on every entry box.
+
+#include <csignal>
+#include <cstdio>
+#include <exception>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include <fmt/format.h>
+#include <cxxopts.hpp>
+
+#include <curl/curl.h>
+
+#include "base/event_log.h"
+#include "base/ini_file.h"
+#include "daemon/control.h"
+#include "daemon/gateway.h"
+#include "daemon/settings.h"
+
+namespace quartzhoist::daemon {
+
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+
+Settings LoadSettings(const std::string& file) {
+  std::ifstream in(file);
+  if (!in)
+    throw base::TextError(file, 0, "", "cannot be opened");
+  return ReadSettings(in, file);
+}
+
+void RunDaemon(const Settings& settings) {
+  base::Counters counters;
+  // Each task tells the other by its mailbox; both exist before either runs.
+  std::unique_ptr<Gateway> gateway;
+  Control control(settings, counters, [&gateway](ToTraffic message) {
+    gateway->Post(std::move(message));
+  });
+  gateway = std::make_unique<Gateway>(
+      settings, counters,
+      [&control](ToControl message) { control.Post(std::move(message)); });
+  base::Log(base::Event::kDaemonStarted,
+            {{"id", settings.id},
+             {"zone", settings.zone},
+             {"callers_port", gateway->port()},
+             {"operators_port", control.operators_port()},
+             {"peers", control.peers_address()}});
+  std::thread traffic([&gateway] { gateway->Run(); });
+  control.Run();
+  traffic.join();
+  // What it still tells the control task must find it alive.
+  gateway.reset();
+  base::Log(base::Event::kDaemonStopped, {});
+}
+
+int Main(int argc, char** argv) {
+  cxxopts::Options options(
+      "quartzhoistd",
+      "The daemon of an entry box: carries callers' requests to targets, and "
+      "moves boxes between pools as the operators' table says.");
+  options.add_options()("settings", "INI file with the settings",
+                        cxxopts::value<std::string>(), "FILE")(
+      "check", "Check the settings and end")("h,help", "Show this help");
+  std::string file;
+  bool only_check = false;
+  try {
+    const cxxopts::ParseResult given = options.parse(argc, argv);
+    if (given.count("help") > 0) {
+      fmt::print(
+          "{}\nExample:\n  quartzhoistd --settings "
+          "/etc/quartzhoist/quartzhoistd.ini\n",
+          options.help());
+      return kExitOk;
+    }
+    if (given.count("settings") == 0) {
+      fmt::print(stderr,
+                 "quartzhoistd: --settings FILE is needed; see "
+                 "--help\n");
+      return kExitUsage;
+    }
+    file = given["settings"].as<std::string>();
+    only_check = given.count("check") > 0;
+  } catch (const cxxopts::exceptions::exception& error) {
+    fmt::print(stderr, "quartzhoistd: {}; see --help\n", error.what());
+    return kExitUsage;
+  }
+  Settings settings;
+  try {
+    settings = LoadSettings(file);
+  } catch (const base::TextError& error) {
+    base::Log(base::Event::kSettingsRejected, {{"problem", error.what()}});
+    return kExitUsage;
+  }
+  if (only_check) {
+    fmt::print("{}: ok\n", file);
+    return kExitOk;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  curl_global_init(CURL_GLOBAL_ALL);
+  try {
+    RunDaemon(settings);
+  } catch (const std::exception& error) {
+    base::Log(base::Event::kDaemonFailed, {{"problem", error.what()}});
+    return kExitFailed;
+  }
+  return kExitOk;
+}
+
+}  // namespace
+
+}  // namespace quartzhoist::daemon
+
+int main(int argc, char** argv) {
+  return quartzhoist::daemon::Main(argc, argv);
+}
--- /dev/null
+++ b/http/client.h
@@ -0,0 +1,89 @@
+// HTTP/1.1 requests on a loop, by libcurl's multi interface. One request at a
+// time on a connection; one whose request was not answered whole is closed.
+
+#ifndef HTTP_CLIENT_H_
+#define HTTP_CLIENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/loop.h"
+#include "base/verdict.h"
+#include "http/message.h"
+
+namespace quartzhoist::http {
+
+struct ClientRequest {
+  std::string method = "GET";
+  std::string url;
+  Headers headers;
+  std::string body;
+  base::Micros timeout{1'000'000};
+  // Never on a connection that was used before. The library repeats a request
+  // by itself when a used connection turns out to be closed; what must run at
+  // most once cannot allow that.
+  bool fresh_connection = false;
+};
+
+// What came of a request.
+struct ClientResult {
+  // kRan: `response` is the whole answer. kNotRun: no byte was sent.
+  base::Verdict verdict = base::Verdict::kNotRun;
+  Response response;
+  std::string error;  // for people; empty with a whole answer
+};
+
+using RequestId = std::uint64_t;
+
+class Client {
+ public:
+  struct Options {
+    std::size_t max_answer = 8u << 20;  // bytes; a longer answer is an error
+    long max_idle_connections = 1024;
+  };
+
+  Client(base::Loop& loop, const Options& options);
+  explicit Client(base::Loop& loop);
+  ~Client();
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  // `done` is called once, later, unless the request is cancelled first.
+  RequestId Send(ClientRequest request, std::function<void(ClientResult)> done);
+  // Closes the request's connection; `done` is not called.
+  void Cancel(RequestId id);
+
+  std::size_t in_flight() const { return this->calls.size(); }
+  std::uint64_t bytes_sent() const { return this->total_sent; }
+  std::uint64_t bytes_received() const { return this->total_received; }
+
+ private:
+  struct Call;
+  struct Callbacks;
+  struct Watched;
+
+  void Act(int fd, int events);
+  void Finish();
+  void Complete(Call& call, int curl_code);
+  void Release(RequestId id);
+
+  base::Loop& loop;
+  Options options;
+  void* multi;
+  base::Timer timer;
+  std::unordered_map<RequestId, std::unique_ptr<Call>> calls;
+  std::unordered_map<int, std::unique_ptr<Watched>> sockets;
+  std::vector<void*> idle_handles;
+  std::vector<std::unique_ptr<Watched>> retired;
+  RequestId last_id = 0;
+  std::uint64_t total_sent = 0;
+  std::uint64_t total_received = 0;
+};
+
+}  // namespace quartzhoist::http
+
+#endif  // HTTP_CLIENT_H_
--- /dev/null
+++ b/http/server.cc
@@ -0,0 +1,327 @@
+#include "http/server.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstring>
+#include <stdexcept>
+#include <utility>
+
+#include <fmt/format.h>
+#include <microhttpd.h>
+
+#include "base/ip_address.h"
+
+namespace quartzhoist::http {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A suspended connection is not polled by the library, so callers that hang
+// up are found by a sweep over the requests that have waited for a while.
+constexpr base::Micros kSweepPeriod = milliseconds(50);
+constexpr base::Micros kSweepAge = milliseconds(50);
+
+// The library may leave connections ready after one run; this many runs are
+// made before the loop gets its turn.
+constexpr int kMaxRunsATurn = 64;
+
+constexpr unsigned kIdleSeconds = 60;
+constexpr std::size_t kConnectionMemory = 32 * 1024;
+constexpr int kBacklog = 1024;
+
+int ListenOn(const ServerOptions& options, std::uint16_t* bound_port) {
+  sockaddr_in address =
+      base::ToKernel({.ip = options.address, .port = options.port});
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  if (fd < 0 || bind(fd, generic, sizeof address) != 0 ||
+      listen(fd, kBacklog) != 0) {
+    const std::string why = std::strerror(errno);
+    if (fd >= 0)
+      close(fd);
+    throw std::runtime_error(fmt::format("cannot listen on {}:{}: {}",
+                                         options.address, options.port, why));
+  }
+  socklen_t size = sizeof address;
+  getsockname(fd, generic, &size);
+  *bound_port = base::FromKernel(address).port;
+  return fd;
+}
+
+// Has the other side closed its connection?
+bool HungUp(int fd) {
+  char byte;
+  const ssize_t got = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (got == 0)
+    return true;
+  return got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+}
+
+MHD_Result CollectHeader(void* cls,
+                         MHD_ValueKind,
+                         const char* key,
+                         const char* value) {
+  auto* headers = static_cast<Headers*>(cls);
+  headers->push_back({.name = key, .value = value ? value : ""});
+  return MHD_YES;
+}
+
+MHD_Result Queue(MHD_Connection* connection, const Response& response) {
+  MHD_Response* raw = MHD_create_response_from_buffer(
+      response.body.size(), const_cast<char*>(response.body.data()),
+      MHD_RESPMEM_MUST_COPY);
+  if (!raw)
+    return MHD_NO;
+  for (const Header& header : response.headers)
+    MHD_add_response_header(raw, header.name.c_str(), header.value.c_str());
+  const MHD_Result result = MHD_queue_response(
+      connection, static_cast<unsigned>(response.status), raw);
+  MHD_destroy_response(raw);
+  return result;
+}
+
+Response TooLarge(std::size_t limit) {
+  Response response{.status = 413, .headers = {}, .body = {}};
+  response.headers.push_back(
+      {.name = "Content-Type", .value = std::string(kProblemJson)});
+  response.body = fmt::format(
+      R"({{"title":"request too large","status":413,"verdict":"not_run",)"
+      R"("detail":"the body is over {} bytes"}})",
+      limit);
+  return response;
+}
+
+}  // namespace
+
+// The library's callbacks, apart so that its types stay out of the header.
+struct Server::Callbacks {
+  // What the library keeps for one request.
+  struct Slot {
+    std::string path;
+    ExchangePtr exchange;
+  };
+
+  static void* BeginUri(void*, const char* uri, MHD_Connection*) {
+    return new Slot{.path = uri, .exchange = nullptr};
+  }
+
+  static MHD_Result Access(void* cls,
+                           MHD_Connection* connection,
+                           const char* /*url*/,
+                           const char* method,
+                           const char* /*version*/,
+                           const char* upload,
+                           std::size_t* upload_size,
+                           void** state) {
+    auto* server = static_cast<Server*>(cls);
+    auto* slot = static_cast<Slot*>(*state);
+    // 1. The first call for a request: only its head has been read.
+    if (!slot->exchange) {
+      Begin(*server, *slot, connection, method);
+      return MHD_YES;
+    }
+    Exchange& exchange = *slot->exchange;
+    // 2. A piece of the body.
+    if (*upload_size > 0) {
+      TakeBody(*server, exchange, upload, *upload_size);
+      *upload_size = 0;
+      return MHD_YES;
+    }
+    // 3. The request is whole: hand it over, once.
+    if (!exchange.handed_over)
+      HandOver(*server, slot->exchange);
+    // 4. Answer, or wait for the answer with the connection suspended.
+    if (exchange.answered) {
+      if (exchange.queued)
+        return MHD_YES;
+      exchange.queued = true;
+      // The library closes a connection whose callback says no.
+      if (exchange.cut)
+        return MHD_NO;
+      return Queue(connection, exchange.answer);
+    }
+    if (!exchange.suspended) {
+      exchange.suspended = true;
+      MHD_suspend_connection(connection);
+      server->waiting.push_back(slot->exchange);
+    }
+    return MHD_YES;
+  }
+
+  static void Completed(void*,
+                        MHD_Connection*,
+                        void** state,
+                        MHD_RequestTerminationCode) {
+    auto* slot = static_cast<Slot*>(*state);
+    if (!slot)
+      return;
+    if (slot->exchange) {
+      Exchange& exchange = *slot->exchange;
+      exchange.suspended = false;
+      exchange.Abandon();
+      if (exchange.handed_over)
+        --exchange.server->open;
+      exchange.server = nullptr;
+    }
+    delete slot;
+    *state = nullptr;
+  }
+
+  static void Begin(Server& server,
+                    Slot& slot,
+                    MHD_Connection* connection,
+                    const char* method) {
+    slot.exchange = std::make_shared<Exchange>(server);
+    Exchange& exchange = *slot.exchange;
+    exchange.connection = connection;
+    exchange.received.method = method;
+    exchange.received.path = std::move(slot.path);
+    exchange.received.headers.reserve(8);
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, CollectHeader,
+                              &exchange.received.headers);
+  }
+
+  static void TakeBody(const Server& server,
+                       Exchange& exchange,
+                       const char* data,
+                       std::size_t size) {
+    std::string& body = exchange.received.body;
+    if (body.size() + size > server.max_body) {
+      exchange.too_large = true;
+      body.clear();
+    }
+    if (!exchange.too_large)
+      body.append(data, size);
+  }
+
+  static void HandOver(Server& server, const ExchangePtr& exchange) {
+    exchange->handed_over = true;
+    exchange->since = base::MonotonicNow();
+    ++server.open;
+    if (exchange->too_large) {
+      exchange->Reply(TooLarge(server.max_body));
+      return;
+    }
+    server.handler(exchange);
+  }
+};
+
+Exchange::Exchange(Server& of) : server(&of) {}
+
+void Exchange::Reply(Response response) {
+  if (this->answered)
+    return;
+  this->answered = true;
+  // The action may hold this exchange: keeping it would keep both for ever.
+  this->on_abandoned = nullptr;
+  if (!this->server)
+    return;
+  this->answer = std::move(response);
+  if (this->suspended)
+    MHD_resume_connection(this->connection);
+}
+
+void Exchange::Cut() {
+  this->cut = true;
+  this->Reply({});
+}
+
+void Exchange::OnAbandoned(std::function<void()> action) {
+  this->on_abandoned = std::move(action);
+}
+
+void Exchange::Abandon() {
+  if (this->answered || !this->handed_over)
+    return;
+  this->caller_gone = true;
+  if (this->on_abandoned)
+    std::exchange(this->on_abandoned, nullptr)();
+  // Ends the exchange; the connection is closed under the answer.
+  this->Reply({.status = 499, .headers = {}, .body = {}});
+}
+
+Server::Server(base::Loop& loop,
+               const ServerOptions& options,
+               std::function<void(ExchangePtr)> on_request)
+    : handler(std::move(on_request)), max_body(options.max_body) {
+  const int fd = ListenOn(options, &this->bound_port);
+  this->daemon = MHD_start_daemon(
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr,
+      &Callbacks::Access, this, MHD_OPTION_LISTEN_SOCKET, fd,
+      MHD_OPTION_URI_LOG_CALLBACK, &Callbacks::BeginUri, nullptr,
+      MHD_OPTION_NOTIFY_COMPLETED, &Callbacks::Completed, nullptr,
+      MHD_OPTION_CONNECTION_LIMIT, options.max_connections,
+      MHD_OPTION_CONNECTION_TIMEOUT, kIdleSeconds,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemory, MHD_OPTION_END);
+  if (!this->daemon) {
+    close(fd);
+    throw std::runtime_error("cannot start the HTTP server");
+  }
+  const MHD_DaemonInfo* info =
+      MHD_get_daemon_info(this->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  this->readiness = std::make_unique<base::IoWatcher>(
+      loop, info->epoll_fd, EV_READ, [this](int) { MHD_run(this->daemon); });
+  // A connection resumed from another library's callback does not make the
+  // epoll descriptor ready: run before each wait, or the answer never leaves.
+  this->prepare = std::make_unique<base::PrepareWatcher>(
+      loop, [this] { this->RunPending(); });
+  this->sweep = std::make_unique<base::Timer>(loop, [this] {
+    this->FindAbandoned();
+    MHD_run(this->daemon);
+  });
+  this->sweep->StartEvery(kSweepPeriod);
+}
+
+Server::~Server() {
+  for (const ExchangePtr& exchange : this->waiting)
+    exchange->Reply({.status = 503, .headers = {}, .body = {}});
+  MHD_run(this->daemon);
+  this->sweep.reset();
+  this->prepare.reset();
+  this->readiness.reset();
+  MHD_stop_daemon(this->daemon);
+}
+
+void Server::StopListening() {
+  const MHD_socket fd = MHD_quiesce_daemon(this->daemon);
+  if (fd != MHD_INVALID_SOCKET)
+    close(fd);
+}
+
+void Server::RunPending() {
+  for (int runs = 0; runs < kMaxRunsATurn; ++runs) {
+    MHD_UNSIGNED_LONG_LONG wait_millis = 0;
+    const MHD_Result has_timeout = MHD_get_timeout(this->daemon, &wait_millis);
+    if (has_timeout != MHD_YES || wait_millis > 0)
+      return;
+    MHD_run(this->daemon);
+  }
+}
+
+void Server::FindAbandoned() {
+  const base::Micros now = base::MonotonicNow();
+  std::erase_if(this->waiting,
+                [](const ExchangePtr& exchange) { return exchange->answered; });
+  // Arrival order: the first young one ends the sweep. A copy, since an
+  // abandoned request's handler may start others.
+  const std::vector<ExchangePtr> old(
+      this->waiting.begin(),
+      std::find_if(this->waiting.begin(), this->waiting.end(),
+                   [now](const ExchangePtr& exchange) {
+                     return now - exchange->since < kSweepAge;
+                   }));
+  for (const ExchangePtr& exchange : old) {
+    const MHD_ConnectionInfo* info = MHD_get_connection_info(
+        exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    if (info && HungUp(info->connect_fd))
+      exchange->Abandon();
+  }
+}
+
+}  // namespace quartzhoist::http
