Answers leave at once; connections used once are closed

Change: a flag runs the library before the loop waits. Cause 2: requests that must run once went over fresh connections that curl then kept; at 72 a worker accepted no more and hung (8 of 8 slots stuck). Ruled out: the worker's timer, the dispatcher's counts. Change: such a connection is closed after its request.

--- a/dispatch/routes.cc
+++ b/dispatch/routes.cc
@@ -50,8 +50,10 @@
     if (const auto* service = std::get_if<table::ServiceRow>(&row))
       routes->services.push_back(*service);
   }
-  for (const auto& [name, box] : snapshot.boxes())
-    routes->targets.push_back(MakeTarget(box, sharers));
+  for (const auto& [name, box] : snapshot.boxes()) {
+    if (box.state != table::BoxState::kAway)
+      routes->targets.push_back(MakeTarget(box, sharers));
+  }
   return routes;
 }
 
--- a/http/client.cc
+++ b/http/client.cc
@@ -188,8 +188,11 @@
     curl_easy_setopt(
         easy, CURLOPT_TIMEOUT_MS,
         static_cast<long>(std::max<std::int64_t>(1, millis.count())));
-    if (call.request.fresh_connection)
+    if (call.request.fresh_connection) {
       curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+      // Kept, each would stay open until the server has no room for more.
+      curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
   }
 };
 
--- a/http/client.h
+++ b/http/client.h
@@ -23,9 +23,9 @@
   Headers headers;
   std::string body;
   base::Micros timeout{1'000'000};
-  // Never on a connection that was used before. The library repeats a request
-  // by itself when a used connection turns out to be closed; what must run at
-  // most once cannot allow that.
+  // On a connection of its own, closed afterwards. The library repeats a
+  // request by itself when a used connection turns out to be closed; what must
+  // run at most once cannot allow that.
   bool fresh_connection = false;
 };
 
--- a/http/server.cc
+++ b/http/server.cc
@@ -223,8 +223,10 @@
   if (!this->server)
     return;
   this->answer = std::move(response);
-  if (this->suspended)
-    MHD_resume_connection(this->connection);
+  if (!this->suspended)
+    return;
+  MHD_resume_connection(this->connection);
+  this->server->resumed = true;
 }
 
 void Exchange::Cut() {
@@ -294,12 +296,18 @@
     close(fd);
 }
 
+// A resumed connection shows neither in the epoll descriptor nor in the
+// library's own time-out: without the flag its answer leaves with the next
+// sweep.
 void Server::RunPending() {
+  bool pending = std::exchange(this->resumed, false);
   for (int runs = 0; runs < kMaxRunsATurn; ++runs) {
     MHD_UNSIGNED_LONG_LONG wait_millis = 0;
-    const MHD_Result has_timeout = MHD_get_timeout(this->daemon, &wait_millis);
-    if (has_timeout != MHD_YES || wait_millis > 0)
+    const bool has_timeout =
+        MHD_get_timeout(this->daemon, &wait_millis) == MHD_YES;
+    if (!pending && (!has_timeout || wait_millis > 0))
       return;
+    pending = false;
     MHD_run(this->daemon);
   }
 }
