Properties of the decisions; a request past its deadline is not sent

Cause: the dispatcher's property found a queued request sent after its deadline (time left -99 ms): the queue was pumped before it was swept. Change: what is first in a queue and too late is refused before a target is chosen. The property failed before and passes after.

--- /dev/null
+++ b/base/base_test.cc
@@ -0,0 +1,117 @@
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <string>
+
+#include <rapidcheck/boost_test.h>
+#include <boost/test/unit_test.hpp>
+
+#include "base/event_log.h"
+#include "base/ini_file.h"
+#include "base/ip_address.h"
+#include "base/mailbox.h"
+#include "base/rendezvous.h"
+
+namespace quartzhoist::base {
+namespace {
+
+struct Named {
+  std::string id;
+};
+
+BOOST_AUTO_TEST_CASE(EventCatalogueEqualsTheCode) {
+  std::set<std::string> in_code;
+  for (const EventInfo& info : kEvents)
+    in_code.insert(fmt::format("QH{:04} {} {}", info.number,
+                               NameOf(kLevelNames, info.level), info.name));
+  BOOST_TEST(in_code.size() == kEvents.size());
+  std::set<std::string> in_docs;
+  std::ifstream docs(QUARTZHOIST_SOURCE_DIR "/docs/LOG-EVENTS.md");
+  std::string line;
+  while (std::getline(docs, line)) {
+    if (!line.starts_with("| QH"))
+      continue;
+    std::istringstream cells(line);
+    std::string bar, number, level, name;
+    cells >> bar >> number >> bar >> level >> bar >> name;
+    in_docs.insert(number + " " + level + " " + name);
+  }
+  BOOST_TEST(in_code == in_docs, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(EventLineQuotesWhatNeedsIt) {
+  const std::string line =
+      FormatEvent(Event::kPlatformAnswerBad, {{"problem", "a \"b\"\nc"}});
+  BOOST_TEST(line ==
+             "WARN QH0303 platform_answer_bad problem=\"a \\\"b\\\" c\"");
+}
+
+BOOST_AUTO_TEST_CASE(IniErrorsNameTheLine) {
+  std::istringstream good("[a]\n# comment\nx = 1\n\n[b]\ny = 2\n");
+  const std::vector<IniEntry> entries = ReadIni(good, "f.ini");
+  BOOST_REQUIRE(entries.size() == 2);
+  BOOST_TEST(entries[0].line == 3);
+  BOOST_TEST(entries[1].section == "b");
+  BOOST_TEST(entries[1].line == 6);
+  std::istringstream bad("[a]\nx = 1\nnonsense\n");
+  BOOST_CHECK_EXCEPTION(
+      ReadIni(bad, "f.ini"), TextError, [](const TextError& error) {
+        return std::string(error.what()).starts_with("f.ini:3:");
+      });
+}
+
+RC_BOOST_PROP(AnyIniTextIsReadOrRefused, ()) {
+  std::istringstream in(*rc::gen::container<std::string>(
+      rc::gen::element('[', ']', '=', '\n', 'a', ' ', ';', '#', '\0', ':')));
+  try {
+    ReadIni(in, "f");
+  } catch (const TextError&) {
+  }
+}
+
+RC_BOOST_PROP(AddressTextRoundTrips, (std::uint16_t port)) {
+  const IpAddress address{.ip = "10.1.2.3", .port = port};
+  const auto parsed = ParseIpAddress(ToText(address));
+  RC_ASSERT(parsed.has_value());
+  RC_ASSERT(parsed->ip == address.ip && parsed->port == port);
+}
+
+BOOST_AUTO_TEST_CASE(AddressesThatAreNone) {
+  for (const char* text : {"", "10.0.0.1", "10.0.0.1:", "host:80",
+                           "10.0.0.1:70000", "10.0.0.1:8x", "1.2.3.4.5:6"})
+    BOOST_TEST(!ParseIpAddress(text).has_value());
+}
+
+RC_BOOST_PROP(LosingAMemberMovesOnlyItsOwnKeys, ()) {
+  const int count = *rc::gen::inRange(2, 9);
+  const int gone = *rc::gen::inRange(0, count);
+  std::vector<Named> all;
+  std::vector<Named> rest;
+  for (int i = 0; i < count; ++i) {
+    all.push_back({fmt::format("m{}", i)});
+    if (i != gone)
+      rest.push_back(all.back());
+  }
+  const std::string key = fmt::format("key/{}", *rc::gen::inRange(0, 10'000));
+  const std::string before = RendezvousOwner(key, all)->id;
+  if (before != fmt::format("m{}", gone))
+    RC_ASSERT(RendezvousOwner(key, rest)->id == before);
+}
+
+BOOST_AUTO_TEST_CASE(MailboxKeepsTheOrder) {
+  Loop loop;
+  std::vector<int> received;
+  Mailbox<int> mailbox(loop, [&](int number) {
+    received.push_back(number);
+    if (received.size() == 3)
+      loop.Stop();
+  });
+  for (const int number : {1, 2, 3})
+    mailbox.Post(number);
+  loop.Run();
+  BOOST_TEST(received == std::vector<int>({1, 2, 3}),
+             boost::test_tools::per_element());
+}
+
+}  // namespace
+}  // namespace quartzhoist::base
--- a/base/event_log.h
+++ b/base/event_log.h
@@ -54,7 +54,6 @@
   kWaveHalted,
   kWaveResumed,
   kWaveConflict,
-  kTargetWithoutPool,
 };
 
 struct EventInfo {
@@ -64,7 +63,7 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 29> kEvents{{
+inline constexpr std::array<EventInfo, 28> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
@@ -93,7 +92,6 @@
     {Event::kWaveHalted, 705, Level::kWarning, "wave_halted"},
     {Event::kWaveResumed, 706, Level::kInfo, "wave_resumed"},
     {Event::kWaveConflict, 707, Level::kInfo, "wave_conflict"},
-    {Event::kTargetWithoutPool, 708, Level::kWarning, "target_without_pool"},
 }};
 
 // One `key=value` of a line. Strings are quoted where they hold spaces.
--- a/daemon/claims.cc
+++ b/daemon/claims.cc
@@ -26,7 +26,7 @@
 constexpr std::size_t kMaxBatch = 256;
 constexpr std::size_t kMaxLater = 10'000;
 // A longer answer is not kept: a repeat is told that the request ran.
-constexpr std::size_t kMaxKeptAnswer = 64 * 1024;
+constexpr std::size_t kMaxKeptAnswer = 65'536;
 constexpr int kAnswerNotKept = 409;
 
 std::string RowOf(const ClaimKey& key) {
--- a/daemon/gateway.cc
+++ b/daemon/gateway.cc
@@ -22,7 +22,7 @@
 constexpr std::string_view kIdempotencyKey = "Idempotency-Key";
 // A caller's own deadline, in milliseconds from now.
 constexpr std::string_view kTimeoutHeader = "X-Request-Timeout-Ms";
-constexpr std::int64_t kMaxTimeoutMs = 24 * 3600 * 1000;
+constexpr std::int64_t kMaxTimeoutMs = 86'400'000;
 constexpr std::size_t kMaxIdempotencyKey = 255;
 
 constexpr int kTooManyRequests = 429;
@@ -411,6 +411,16 @@
                       .epoch = action.epoch}});
 }
 
+void Gateway::Act(const dispatch::ReportHealth& action) {
+  using dispatch::HealthState;
+  base::Event event = base::Event::kTargetRestored;
+  if (action.health == HealthState::kEjected)
+    event = base::Event::kTargetEjected;
+  if (action.health == HealthState::kProbing)
+    event = base::Event::kTargetProbed;
+  base::Log(event, {{"target", this->dispatcher.TargetAt(action.target).name}});
+}
+
 void Gateway::Reply(Call& call, http::Response response) {
   // At a stop the caller is told to take its next request elsewhere.
   if (this->stopping)
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -78,6 +78,7 @@
   void Act(const dispatch::PassAnswer& action);
   void Act(const dispatch::Refuse& action);
   void Act(const dispatch::ReportDrained& action);
+  void Act(const dispatch::ReportHealth& action);
   void TakeResult(CallId id, http::ClientResult result);
 
   void Reply(Call& call, http::Response response);
--- a/dispatch/choice.cc
+++ b/dispatch/choice.cc
@@ -27,13 +27,20 @@
     if (service_index == kNone)
       return;
     ServiceEntry& service = this->services[service_index];
-    // 2. Where it goes; not where it just failed, if there is a choice.
     const Index request = service.head;
+    // 2. Too late: the answer is due at once.
+    if (this->requests[request].deadline <= now) {
+      this->Unlink(request);
+      this->RefuseNow(request, Reason::kDeadline,
+                      RetryAfter(this->ExpectedWait(service)), actions);
+      continue;
+    }
+    // 3. Where it goes; not where it just failed, if there is a choice.
     const TargetIndex target =
         this->ChooseTarget(pool, this->requests[request].target, now);
     if (target == kNoTargetIndex)
       return;
-    // 3. Send it.
+    // 4. Send it.
     this->Charge(pool, service);
     this->Send(request, target, now, actions);
   }
--- a/dispatch/dispatcher.cc
+++ b/dispatch/dispatcher.cc
@@ -24,15 +24,6 @@
 // Gain of the moving average of a service's time at its targets.
 constexpr double kTimeGain = 0.1;
 
-// Times to come back: never so short that callers spin, never so long that a
-// recovered pool stays idle.
-constexpr base::Micros kMinRetryAfter = milliseconds(200);
-constexpr base::Micros kMaxRetryAfter = seconds(30);
-
-base::Micros ClampRetryAfter(base::Micros wait) {
-  return std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
-}
-
 }  // namespace
 
 RequestId Dispatcher::Arrive(const Arrival& arrival,
@@ -61,7 +52,7 @@
   const auto found = this->service_by_name.find(std::string(arrival.service));
   if (found == this->service_by_name.end()) {
     refusal.reason = Reason::kUnknownService;
-    refusal.retry_after = ClampRetryAfter(seconds(1));
+    refusal.retry_after = RetryAfter(seconds(1));
     return refusal;
   }
   const ServiceEntry& service = this->services[found->second];
@@ -69,7 +60,7 @@
   // 1. Nobody to send it to.
   if (this->UsableSlots(pool) == 0) {
     refusal.reason = Reason::kNoTarget;
-    refusal.retry_after = ClampRetryAfter(this->UntilProbe(pool, now));
+    refusal.retry_after = RetryAfter(this->UntilProbe(pool, now));
     return refusal;
   }
   // 2. A slot is free and nobody waits: take it, whatever was learned before.
@@ -80,14 +71,14 @@
   const base::Micros wait = this->ExpectedWait(service);
   if (service.queued >= static_cast<std::size_t>(service.row.queue)) {
     refusal.reason = Reason::kQueueFull;
-    refusal.retry_after = ClampRetryAfter(wait);
+    refusal.retry_after = RetryAfter(wait);
     return refusal;
   }
   const base::Micros late =
       now + wait + service.typical_time - arrival.deadline;
   if (late.count() > 0) {
     refusal.reason = Reason::kDeadline;
-    refusal.retry_after = ClampRetryAfter(late);
+    refusal.retry_after = RetryAfter(late);
     return refusal;
   }
   return std::nullopt;
@@ -130,8 +121,11 @@
   const base::Micros elapsed =
       this->last_tick.count() == 0 ? base::Micros{} : now - this->last_tick;
   this->last_tick = now;
-  for (TargetEntry& target : this->targets) {
-    target.health.Advance(now);
+  for (TargetIndex index = 0; index < this->targets.size(); ++index) {
+    TargetEntry& target = this->targets[index];
+    if (target.health.Advance(now))
+      actions.emplace_back(
+          ReportHealth{.target = index, .health = target.health.state});
     target.limit = std::min<double>(
         target.target.share,
         target.limit + kLimitRecovery * base::Seconds(elapsed));
@@ -180,7 +174,7 @@
     typical = typical.count() == 0 ? took : typical + base::Micros(step);
   }
   // 2. Learn how the target is.
-  this->NoteHealth(target, outcome, now);
+  this->NoteHealth(request.target, outcome, now, actions);
   if (outcome == TryOutcome::kRefused) {
     target.limit =
         std::max(1.0, std::min<double>(target.limit, target.in_flight));
@@ -189,17 +183,23 @@
   this->ReportIfDrained(request.target, actions);
 }
 
-void Dispatcher::NoteHealth(TargetEntry& target,
+void Dispatcher::NoteHealth(TargetIndex index,
                             TryOutcome outcome,
-                            base::Micros now) {
+                            base::Micros now,
+                            Actions& actions) {
+  TargetEntry& target = this->targets[index];
+  const HealthState before = target.health.state;
   // A refusal says that the target is full, not that it is ill.
   if (outcome == TryOutcome::kAnswered || outcome == TryOutcome::kRefused) {
     target.health.NoteSuccess();
-    return;
+  } else {
+    target.health.NoteFailure(outcome == TryOutcome::kNotSent);
+    if (target.health.WantsEjection() && this->MayEject(target))
+      target.health.Eject(now);
   }
-  target.health.NoteFailure(outcome == TryOutcome::kNotSent);
-  if (target.health.WantsEjection() && this->MayEject(target))
-    target.health.Eject(now);
+  if (target.health.state != before)
+    actions.emplace_back(
+        ReportHealth{.target = index, .health = target.health.state});
 }
 
 void Dispatcher::Resolve(Index request,
@@ -234,7 +234,7 @@
   const base::Micros wait =
       std::max(this->ExpectedWait(service),
                this->UntilProbe(this->pools[service.pool], now));
-  this->RefuseNow(request, reason, ClampRetryAfter(wait), actions);
+  this->RefuseNow(request, reason, RetryAfter(wait), actions);
 }
 
 bool Dispatcher::MayRetry(const RequestEntry& request, base::Micros now) {
@@ -276,7 +276,7 @@
   const PoolEntry& pool = this->pools[service.pool];
   if (this->UsableSlots(pool) == 0) {
     this->RefuseQueue(service, Reason::kNoTarget,
-                      ClampRetryAfter(this->UntilProbe(pool, now)), actions);
+                      RetryAfter(this->UntilProbe(pool, now)), actions);
     return;
   }
   Index request = service.head;
@@ -286,7 +286,7 @@
     if (now + service.typical_time >= entry.deadline) {
       this->Unlink(request);
       this->RefuseNow(request, Reason::kDeadline,
-                      ClampRetryAfter(this->ExpectedWait(service)), actions);
+                      RetryAfter(this->ExpectedWait(service)), actions);
     }
     request = next;
   }
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -153,7 +153,10 @@
               TryOutcome outcome,
               base::Micros now,
               Actions& actions);
-  void NoteHealth(TargetEntry& target, TryOutcome outcome, base::Micros now);
+  void NoteHealth(TargetIndex index,
+                  TryOutcome outcome,
+                  base::Micros now,
+                  Actions& actions);
   bool MayEject(const TargetEntry& target) const;
   void Resolve(Index request,
                TryOutcome outcome,
--- a/dispatch/events.h
+++ b/dispatch/events.h
@@ -3,6 +3,7 @@
 #ifndef DISPATCH_EVENTS_H_
 #define DISPATCH_EVENTS_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <string_view>
 #include <variant>
@@ -11,6 +12,7 @@
 #include "base/clock.h"
 #include "base/enum_names.h"
 #include "base/verdict.h"
+#include "dispatch/target_health.h"
 #include "table/stored_row.h"
 
 namespace quartzhoist::dispatch {
@@ -52,6 +54,14 @@
     {Reason::kStopping, "stopping"},
 }};
 
+// When to come back after an expected wait: never so soon that callers spin,
+// never so late that a recovered pool stays idle.
+constexpr base::Micros RetryAfter(base::Micros wait) {
+  constexpr base::Micros kSoonest = std::chrono::milliseconds(200);
+  constexpr base::Micros kLatest = std::chrono::seconds(30);
+  return std::clamp(wait, kSoonest, kLatest);
+}
+
 struct Arrival {
   std::string_view service;
   base::Micros deadline{};  // an instant
@@ -89,7 +99,14 @@
   table::Version epoch = 0;
 };
 
-using Action = std::variant<SendTry, PassAnswer, Refuse, ReportDrained>;
+// A target was ejected, may be tried again, or works again.
+struct ReportHealth {
+  TargetIndex target = kNoTargetIndex;
+  HealthState health = HealthState::kHealthy;
+};
+
+using Action =
+    std::variant<SendTry, PassAnswer, Refuse, ReportDrained, ReportHealth>;
 using Actions = std::vector<Action>;
 
 }  // namespace quartzhoist::dispatch
--- a/dispatch/target_health.cc
+++ b/dispatch/target_health.cc
@@ -52,9 +52,11 @@
   this->ejected_until = now + this->backoff;
 }
 
-void TargetHealth::Advance(base::Micros now) {
-  if (this->state == HealthState::kEjected && now >= this->ejected_until)
-    this->state = HealthState::kProbing;
+bool TargetHealth::Advance(base::Micros now) {
+  if (this->state != HealthState::kEjected || now < this->ejected_until)
+    return false;
+  this->state = HealthState::kProbing;
+  return true;
 }
 
 }  // namespace quartzhoist::dispatch
--- a/dispatch/target_health.h
+++ b/dispatch/target_health.h
@@ -33,8 +33,8 @@
   void NoteFailure(bool nothing_sent);
   bool WantsEjection() const;
   void Eject(base::Micros now);
-  // Moves an ejected target whose time is up to probing.
-  void Advance(base::Micros now);
+  // Moves an ejected target whose time is up to probing; true if it did.
+  bool Advance(base::Micros now);
 };
 
 }  // namespace quartzhoist::dispatch
--- /dev/null
+++ b/http/http_test.cc
@@ -0,0 +1,209 @@
+// The HTTP adapters over real sockets: whole answers, own answers, and nothing
+// sent twice behind the product's back.
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <rapidcheck/boost_test.h>
+#include <boost/test/unit_test.hpp>
+
+#include "base/ip_address.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "testing/raw_server.h"
+
+namespace quartzhoist::http {
+namespace {
+
+using base::Verdict;
+using testing::RawServer;
+
+// A sweep that never comes, so that nothing else flushes an answer.
+constexpr base::Micros kNever = std::chrono::hours(1);
+constexpr base::Micros kLimit = std::chrono::seconds(10);
+
+std::string Url(std::uint16_t port, const std::string& path = "/") {
+  return "http://127.0.0.1:" + std::to_string(port) + path;
+}
+
+// Runs the loop until the request has ended, within a generous limit.
+ClientResult Call(base::Loop& loop, Client& client, ClientRequest request) {
+  std::optional<ClientResult> result;
+  request.timeout = kLimit;
+  client.Send(std::move(request), [&](ClientResult got) {
+    result = std::move(got);
+    loop.Stop();
+  });
+  loop.Run();
+  BOOST_REQUIRE(result.has_value());
+  return *result;
+}
+
+BOOST_AUTO_TEST_CASE(AnswerGivenFromATimerLeavesWithoutTheSweep) {
+  base::Loop loop;
+  ExchangePtr waiting;
+  base::Timer later(loop, [&] { waiting->Reply({.body = "late"}); });
+  Server server(loop, {.sweep_period = kNever}, [&](const ExchangePtr& got) {
+    waiting = got;
+    later.StartOnce(std::chrono::milliseconds(5));
+  });
+  Client client(loop);
+  const ClientResult result = Call(loop, client, {.url = Url(server.port())});
+  BOOST_TEST(result.response.body == "late");
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionsUsedOnceDoNotPileUp) {
+  base::Loop loop;
+  Server server(loop, {.max_connections = 4}, [](const ExchangePtr& exchange) {
+    exchange->Reply({.body = "ok"});
+  });
+  Client client(loop);
+  for (int i = 0; i < 20; ++i) {
+    const ClientResult result = Call(
+        loop, client, {.url = Url(server.port()), .fresh_connection = true});
+    BOOST_TEST(result.response.status == 200);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnswerCutShortIsNotWhole) {
+  base::Loop loop;
+  RawServer server(loop, [](int) {
+    return RawServer::Answer{
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort", true};
+  });
+  Client client(loop);
+  const ClientResult result =
+      Call(loop, client, {.url = Url(server.port()), .fresh_connection = true});
+  BOOST_CHECK(result.verdict == Verdict::kMayHaveRun);
+}
+
+BOOST_AUTO_TEST_CASE(AnswerThatDoesNotTellItsEndIsNotWhole) {
+  base::Loop loop;
+  RawServer server(loop, [](int) {
+    return RawServer::Answer{"HTTP/1.1 200 OK\r\n\r\nperhaps all of it", true};
+  });
+  Client client(loop);
+  const ClientResult result = Call(loop, client, {.url = Url(server.port())});
+  BOOST_CHECK(result.verdict == Verdict::kMayHaveRun);
+}
+
+BOOST_AUTO_TEST_CASE(UnsafeRequestIsSentOnceWhenItsConnectionDies) {
+  base::Loop loop;
+  // The first request is answered and its connection kept; any later one
+  // reaches the server, runs, and gets no answer.
+  RawServer server(loop, [](int number) {
+    if (number == 1)
+      return RawServer::Answer{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                               false};
+    return RawServer::Answer{"", true};
+  });
+  Client client(loop);
+  Call(loop, client, {.url = Url(server.port())});
+  const ClientResult result =
+      Call(loop, client, {.url = Url(server.port()), .fresh_connection = true});
+  BOOST_CHECK(result.verdict == Verdict::kMayHaveRun);
+  BOOST_TEST(server.requests() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(RefusedConnectionDidNotRun) {
+  base::Loop loop;
+  std::uint16_t port = 0;
+  {
+    Server gone(loop, {}, [](const ExchangePtr&) {});
+    port = gone.port();
+  }
+  Client client(loop);
+  const ClientResult result = Call(loop, client, {.url = Url(port)});
+  BOOST_CHECK(result.verdict == Verdict::kNotRun);
+}
+
+BOOST_AUTO_TEST_CASE(AnswerOverTheLimitIsNotWhole) {
+  base::Loop loop;
+  Server server(loop, {}, [](const ExchangePtr& exchange) {
+    exchange->Reply({.body = std::string(5000, 'x')});
+  });
+  Client client(loop, {.max_answer = 1000});
+  const ClientResult result = Call(loop, client, {.url = Url(server.port())});
+  BOOST_CHECK(result.verdict == Verdict::kMayHaveRun);
+}
+
+BOOST_AUTO_TEST_CASE(BodyOverTheLimitIsRefusedAsNotRun) {
+  base::Loop loop;
+  int handled = 0;
+  Server server(loop, {.max_body = 100}, [&](const ExchangePtr& exchange) {
+    ++handled;
+    exchange->Reply({});
+  });
+  Client client(loop);
+  const ClientResult result = Call(loop, client,
+                                   {.method = "POST",
+                                    .url = Url(server.port()),
+                                    .body = std::string(500, 'x')});
+  BOOST_TEST(result.response.status == 413);
+  BOOST_TEST(result.response.body.find("not_run") != std::string::npos);
+  BOOST_TEST(handled == 0);
+}
+
+BOOST_AUTO_TEST_CASE(CallerThatHangsUpIsNoticed) {
+  base::Loop loop;
+  bool abandoned = false;
+  Client client(loop);
+  RequestId id = 0;
+  base::Timer hang_up(loop, [&] { client.Cancel(id); });
+  Server server(loop, {}, [&](const ExchangePtr& exchange) {
+    exchange->OnAbandoned([&] {
+      abandoned = true;
+      loop.Stop();
+    });
+    hang_up.StartOnce(std::chrono::milliseconds(1));
+  });
+  id = client.Send({.url = Url(server.port()), .timeout = kLimit},
+                   [](const ClientResult&) {});
+  base::Timer limit(loop, [&] { loop.Stop(); });
+  limit.StartOnce(kLimit);
+  loop.Run();
+  BOOST_TEST(abandoned);
+}
+
+// Sends bytes, closes its side, and waits until the server does the same.
+void SendRaw(base::Loop& loop, std::uint16_t port, const std::string& bytes) {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  const sockaddr_in kernel = base::ToKernel({.ip = "127.0.0.1", .port = port});
+  connect(fd, reinterpret_cast<const sockaddr*>(&kernel), sizeof kernel);
+  send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  shutdown(fd, SHUT_WR);
+  base::IoWatcher watcher(loop, fd, EV_READ, [&](int) {
+    char buffer[512];
+    if (recv(fd, buffer, sizeof buffer, MSG_DONTWAIT) <= 0)
+      loop.Stop();
+  });
+  // The server may rightly wait for more; the test does not.
+  base::Timer limit(loop, [&] { loop.Stop(); });
+  limit.StartOnce(std::chrono::milliseconds(10));
+  loop.Run();
+  close(fd);
+}
+
+RC_BOOST_PROP(MalformedRequestsLeaveTheServerStanding, ()) {
+  base::Loop loop;
+  Server server(
+      loop, {.sweep_period = std::chrono::milliseconds(1)},
+      [](const ExchangePtr& exchange) { exchange->Reply({.body = "ok"}); });
+  const auto method = *rc::gen::element<std::string>(
+      "GET / HTTP/1.1\r\n", "POST /x HTTP/1.1\r\nContent-Length: 9\r\n",
+      "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n", "");
+  const auto junk = *rc::gen::container<std::string>(
+      rc::gen::element('\r', '\n', ':', ' ', 'a', '\0', '\xff', '9', '/'));
+  SendRaw(loop, server.port(), method + junk + "\r\n\r\n");
+  Client client(loop);
+  const ClientResult result = Call(loop, client, {.url = Url(server.port())});
+  RC_ASSERT(result.response.body == "ok");
+}
+
+}  // namespace
+}  // namespace quartzhoist::http
--- a/http/server.cc
+++ b/http/server.cc
@@ -22,7 +22,6 @@
 
 // A suspended connection is not polled by the library, so callers that hang
 // up are found by a sweep over the requests that have waited for a while.
-constexpr base::Micros kSweepPeriod = milliseconds(50);
 constexpr base::Micros kSweepAge = milliseconds(50);
 
 // The library may leave connections ready after one run; this many runs are
@@ -30,7 +29,7 @@
 constexpr int kMaxRunsATurn = 64;
 
 constexpr unsigned kIdleSeconds = 60;
-constexpr std::size_t kConnectionMemory = 32 * 1024;
+constexpr std::size_t kConnectionMemory = 32'768;
 constexpr int kBacklog = 1024;
 
 int ListenOn(const ServerOptions& options, std::uint16_t* bound_port) {
@@ -277,7 +276,7 @@
     this->FindAbandoned();
     MHD_run(this->daemon);
   });
-  this->sweep->StartEvery(kSweepPeriod);
+  this->sweep->StartEvery(options.sweep_period);
 }
 
 Server::~Server() {
--- a/http/server.h
+++ b/http/server.h
@@ -63,6 +63,8 @@
   std::uint16_t port = 0;             // 0: the kernel chooses
   std::size_t max_body = 1 << 20;     // bytes; more is answered with 413
   unsigned max_connections = 4096;
+  // How often callers that hung up are looked for.
+  base::Micros sweep_period = std::chrono::milliseconds(50);
 };
 
 class Server {
--- a/table/cells.cc
+++ b/table/cells.cc
@@ -15,7 +15,7 @@
 constexpr std::int64_t kMaxBoxes = 100'000;
 constexpr std::int64_t kMaxOrder = 1'000;
 constexpr std::int64_t kMaxWeight = 1'000;
-constexpr std::int64_t kMaxDeadlineMs = 24 * 3600 * 1000;
+constexpr std::int64_t kMaxDeadlineMs = 86'400'000;
 constexpr std::int64_t kMaxQueue = 100'000;
 constexpr std::int64_t kMaxGeneration = 1'000'000'000;
 constexpr std::int64_t kMaxQuota = 1'000'000;
--- a/testing/load.cc
+++ b/testing/load.cc
@@ -90,12 +90,12 @@
   message.body.assign(this->options.body_bytes, 'x');
   message.timeout = this->options.timeout;
   this->client.Send(std::move(message), [this, request = std::move(request)](
-                                            http::ClientResult result) {
-    this->Take(request, std::move(result));
+                                            const http::ClientResult& result) {
+    this->Take(request, result);
   });
 }
 
-void Load::Take(Request request, http::ClientResult result) {
+void Load::Take(Request request, const http::ClientResult& result) {
   const int most_tries =
       kTriesAnAddress * static_cast<int>(this->options.addresses.size());
   const bool repeatable = this->options.keyed || this->options.method == "GET";
--- a/testing/load.h
+++ b/testing/load.h
@@ -66,7 +66,7 @@
   void Fill();
   bool MayBegin() const;
   void Send(Request request);
-  void Take(Request request, http::ClientResult result);
+  void Take(Request request, const http::ClientResult& result);
   void Count(const Request& request, const http::ClientResult& result);
   void End();
 
