--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -46,9 +46,13 @@
     quartzhoist_program(${name}_tests SOURCES ${tests} LIBRARIES
       quartzhoist_${name} rapidcheck Boost::unit_test_framework)
     target_compile_definitions(${name}_tests PRIVATE
-      BOOST_TEST_DYN_LINK BOOST_TEST_MODULE=${name}
+      BOOST_TEST_DYN_LINK
       QUARTZHOIST_SOURCE_DIR="${PROJECT_SOURCE_DIR}"
       QUARTZHOIST_BINARY_DIR="${PROJECT_BINARY_DIR}")
+    # The file that defines the module gets the test program's main().
+    list(GET tests 0 first_test)
+    set_source_files_properties(${first_test} PROPERTIES
+      COMPILE_DEFINITIONS BOOST_TEST_MODULE=${name})
     add_test(NAME ${name} COMMAND ${name}_tests)
     # Properties draw their cases from a fixed seed: the same verdict each run.
     set_tests_properties(${name} PROPERTIES
