--- a/waves/planner.cc
+++ b/waves/planner.cc
@@ -1,6 +1,8 @@
 #include "waves/planner.h"
 
 #include <algorithm>
+#include <map>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -47,22 +49,16 @@
   return deficits;
 }
 
-const BoxFacts& FactsOf(const Facts& facts, const std::string& box) {
-  static const BoxFacts kUnlisted;
-  const auto found = facts.find(box);
-  return found == facts.end() ? kUnlisted : found->second;
-}
-
 // Boxes of the largest failure domain among those serving.
-std::int64_t LargestDomain(const std::vector<const Box*>& serving,
+std::int64_t LargestDomain(const std::vector<BoxView>& serving,
                            Reserve reserve) {
   if (reserve == Reserve::kNone)
     return 0;
-  std::map<std::string, std::int64_t> count;
+  std::map<std::string_view, std::int64_t> count;
   std::int64_t largest = 0;
-  for (const Box* box : serving) {
+  for (const BoxView& view : serving) {
     const std::string& domain =
-        reserve == Reserve::kRack ? box->rack : box->zone;
+        reserve == Reserve::kRack ? view.box->rack : view.box->zone;
     largest = std::max(largest, ++count[domain]);
   }
   return largest;
@@ -84,42 +80,40 @@
   }
 
  private:
+  // Smaller goes first.
+  using Rank = std::tuple<bool, std::int64_t>;
+
   struct Candidate {
     const Box* box;
-    std::string next_pool;
+    Rank rank;
+    std::string next_pool = {};
   };
 
   // 1. What state each box is in.
   void SortBoxes() {
-    for (const Box* box : this->fleet.BoxesOf(this->row.name)) {
-      if (box->state != BoxState::kServing) {
-        this->on_way.push_back(box);
-        ++this->racks_away[box->rack];
-      } else if (this->fleet.IsLive(*box)) {
-        this->serving.push_back(box);
-      } else {
-        this->CountFailure(*box);
+    for (const BoxView& view : this->fleet.BoxesOf(this->row.name)) {
+      const bool is_serving = view.box->state == BoxState::kServing;
+      if (is_serving && view.facts->live) {
+        this->serving.push_back(view);
+        continue;
       }
+      ++this->racks_away[view.box->rack];
+      if (!is_serving)
+        this->on_way.push_back(view);
+      else if (view.facts->gone_for < kBurstSeconds)
+        ++this->recent_failures;
     }
     this->plan.serving = static_cast<std::int64_t>(this->serving.size());
     this->may_be_away = this->fleet.MayBeAway(this->row.name);
     this->plan.need = this->row.boxes - this->may_be_away;
   }
 
-  void CountFailure(const Box& box) {
-    ++this->racks_away[box.rack];
-    const BoxFacts& facts = FactsOf(this->fleet.facts(), box.name);
-    if (facts.gone_for < kBurstSeconds)
-      ++this->recent_failures;
-  }
-
   // 2. Boxes on their way go on; what ends a trip needs no allowance.
   void FinishTrips() {
-    for (const Box* box : this->on_way) {
-      const BoxFacts& facts = FactsOf(this->fleet.facts(), box->name);
-      const bool dead = !facts.live && facts.gone_for > kDeadSeconds;
-      const bool drained = facts.drained_epoch >= box->epoch || dead;
-      const bool ready = facts.ready_epoch >= box->epoch && facts.live;
+    for (const auto& [box, facts] : this->on_way) {
+      const bool dead = !facts->live && facts->gone_for > kDeadSeconds;
+      const bool drained = facts->drained_epoch >= box->epoch || dead;
+      const bool ready = facts->ready_epoch >= box->epoch && facts->live;
       if (box->state == BoxState::kDraining && drained)
         this->plan.steps.push_back({StepKind::kEmpty, box->name, ""});
       if (box->state == BoxState::kAway && ready)
@@ -130,28 +124,29 @@
   // 3. Who has to go: surplus boxes to pools that want them, then boxes due
   //    for maintenance. A surplus box that is also due makes one trip of two.
   void FindCandidates() {
-    std::vector<const Box*> order = this->serving;
-    std::stable_sort(order.begin(), order.end(),
-                     [this](const Box* a, const Box* b) {
-                       return this->Rank(*a) < this->Rank(*b);
-                     });
+    std::vector<Candidate> order;
+    for (const BoxView& view : this->serving)
+      order.push_back({.box = view.box, .rank = this->RankOf(*view.box)});
+    std::stable_sort(
+        order.begin(), order.end(),
+        [](const Candidate& a, const Candidate& b) { return a.rank < b.rank; });
     std::int64_t surplus =
         this->fleet.Committed(this->row.name) - this->row.boxes;
-    for (const Box* box : order) {
-      const std::string next = surplus > 0 ? this->FirstDeficit() : "";
-      if (!next.empty()) {
+    for (Candidate& candidate : order) {
+      candidate.next_pool = surplus > 0 ? this->FirstDeficit() : "";
+      if (!candidate.next_pool.empty())
         --surplus;
-        this->candidates.push_back({box, next});
-      } else if (box->maintained < this->row.maintain) {
-        this->candidates.push_back({box, this->row.name});
-      }
+      else if (candidate.box->maintained < this->row.maintain)
+        candidate.next_pool = this->row.name;
+      if (!candidate.next_pool.empty())
+        this->candidates.push_back(candidate);
     }
     this->plan.waiting = static_cast<std::int64_t>(this->candidates.size());
   }
 
   // Boxes due first; then from racks that have boxes away already, so that the
   // loss of a rack takes fewer of those that still serve.
-  std::tuple<bool, std::int64_t> Rank(const Box& box) const {
+  Rank RankOf(const Box& box) const {
     const auto found = this->racks_away.find(box.rack);
     const std::int64_t away =
         found == this->racks_away.end() ? 0 : found->second;
@@ -212,10 +207,10 @@
   const PoolRow& row;
   Deficits& deficits;
   PoolPlan plan;
-  std::vector<const Box*> serving;
-  std::vector<const Box*> on_way;
+  std::vector<BoxView> serving;
+  std::vector<BoxView> on_way;
   std::vector<Candidate> candidates;
-  std::map<std::string, std::int64_t> racks_away;
+  std::map<std::string_view, std::int64_t> racks_away;
   std::int64_t recent_failures = 0;
   std::int64_t may_be_away = 0;
   std::int64_t departed = 0;
@@ -224,45 +219,45 @@
 }  // namespace
 
 Fleet::Fleet(table::SnapshotPtr snapshot, const Facts& facts)
-    : current(std::move(snapshot)), known(&facts) {
+    : current(std::move(snapshot)) {
+  static const BoxFacts kUnlisted;
   for (const auto& [name, box] : this->current->boxes()) {
-    this->by_pool[box.pool].push_back(&box);
+    const auto found = facts.find(name);
+    const BoxFacts* of_box = found == facts.end() ? &kUnlisted : &found->second;
+    this->pools[box.pool].boxes.push_back({.box = &box, .facts = of_box});
     const bool leaves = box.state != BoxState::kServing;
-    ++this->committed[leaves ? box.next_pool : box.pool];
+    ++this->pools[leaves ? box.next_pool : box.pool].committed;
   }
   for (const auto& [id, row] : this->current->rows()) {
     const auto* service = std::get_if<table::ServiceRow>(&row);
     if (!service)
       continue;
-    const auto [found, is_new] =
-        this->away_percent.try_emplace(service->pool, service->away);
-    found->second = std::min(found->second, service->away);
+    std::int64_t& percent = this->pools[service->pool].away_percent;
+    percent = std::min(percent, service->away);
   }
 }
 
-const std::vector<const Box*>& Fleet::BoxesOf(const std::string& pool) const {
-  static const std::vector<const Box*> kNoBoxes;
-  const auto found = this->by_pool.find(pool);
-  return found == this->by_pool.end() ? kNoBoxes : found->second;
+const Fleet::PoolView* Fleet::Find(const std::string& pool) const {
+  const auto found = this->pools.find(pool);
+  return found == this->pools.end() ? nullptr : &found->second;
+}
+
+const std::vector<BoxView>& Fleet::BoxesOf(const std::string& pool) const {
+  static const std::vector<BoxView> kNoBoxes;
+  const PoolView* view = this->Find(pool);
+  return view ? view->boxes : kNoBoxes;
 }
 
 std::int64_t Fleet::Committed(const std::string& pool) const {
-  const auto found = this->committed.find(pool);
-  return found == this->committed.end() ? 0 : found->second;
+  const PoolView* view = this->Find(pool);
+  return view ? view->committed : 0;
 }
 
 std::int64_t Fleet::MayBeAway(const std::string& pool) const {
   const PoolRow* row = this->current->FindPool(pool);
-  if (!row)
-    return 0;
-  const auto found = this->away_percent.find(pool);
-  const std::int64_t percent =
-      found == this->away_percent.end() ? 100 : found->second;
-  return row->boxes * percent / 100;
-}
-
-bool Fleet::IsLive(const Box& box) const {
-  return FactsOf(*this->known, box.name).live;
+  const PoolView* view = this->Find(pool);
+  const std::int64_t percent = view ? view->away_percent : 100;
+  return row ? row->boxes * percent / 100 : 0;
 }
 
 PoolPlan PlanPool(const Fleet& fleet, const std::string& pool) {
--- a/waves/planner.h
+++ b/waves/planner.h
@@ -9,8 +9,8 @@
 #define WAVES_PLANNER_H_
 
 #include <cstdint>
-#include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "base/enum_names.h"
@@ -63,26 +63,36 @@
   std::int64_t waiting = 0;  // boxes that are still to move or be maintained
 };
 
+// A box's row beside what else is known of it.
+struct BoxView {
+  const table::Box* box;
+  const BoxFacts* facts;
+};
+
 // The fleet by pools, so that one pool's plan need not read the others' boxes.
 class Fleet {
  public:
   Fleet(table::SnapshotPtr snapshot, const Facts& facts);
 
   const table::Snapshot& snapshot() const { return *this->current; }
-  const Facts& facts() const { return *this->known; }
   // The boxes whose row names the pool; none for an unknown pool.
-  const std::vector<const table::Box*>& BoxesOf(const std::string& pool) const;
+  const std::vector<BoxView>& BoxesOf(const std::string& pool) const;
   // Boxes that the pool has, less those leaving it, with those coming.
   std::int64_t Committed(const std::string& pool) const;
   std::int64_t MayBeAway(const std::string& pool) const;
-  bool IsLive(const table::Box& box) const;
 
  private:
+  // What the fleet holds of one pool.
+  struct PoolView {
+    std::vector<BoxView> boxes;
+    std::int64_t committed = 0;
+    std::int64_t away_percent = 100;
+  };
+
+  const PoolView* Find(const std::string& pool) const;
+
   table::SnapshotPtr current;
-  const Facts* known;
-  std::map<std::string, std::vector<const table::Box*>> by_pool;
-  std::map<std::string, std::int64_t> committed;
-  std::map<std::string, std::int64_t> away_percent;
+  std::unordered_map<std::string, PoolView> pools;
 };
 
 // The steps that may be taken now, for one pool. `fleet` must not hold plans
