--- a/client/commands.cc
+++ b/client/commands.cc
@@ -125,7 +125,7 @@
   const base::Micros began = base::MonotonicNow();
   int shown = -1;
   while (true) {
-    const Spread spread = SpreadOf(daemon.Get("/v1/status"), revision);
+    const Spread spread = SpreadOf(daemon.Get("/v1/members"), revision);
     const double took = base::Seconds(base::MonotonicNow() - began);
     if (spread.in_force != shown && isatty(STDERR_FILENO) != 0)
       fmt::print(stderr, "in force on {} of {} daemons after {:.1f} s\n",
--- a/daemon/box_watch.h
+++ b/daemon/box_watch.h
@@ -19,6 +19,7 @@
   // Asks the platform for what changed.
   void Poll();
 
+  std::uint64_t version() const { return this->list_version; }
   // Has the list been read at least once?
   bool known() const { return this->list_version > 0; }
   // What is known now; drained_epoch is left for the caller to fill.
--- a/daemon/control.cc
+++ b/daemon/control.cc
@@ -31,6 +31,8 @@
 // The others ask every so many ticks, in case the reader is frozen.
 constexpr int kIdleReaderTicks = 10;
 constexpr base::Micros kWavesTick = milliseconds(1000);
+// Ticks between two plans while nothing changes.
+constexpr int kIdleWaveTicks = 30;
 // The zone's reader changes after this many seconds.
 constexpr std::int64_t kReaderTermSeconds = 60;
 
@@ -321,13 +323,12 @@
 }
 
 void Control::InstallRoutes() {
-  this->sharers = this->members.LiveIn(this->settings.zone);
-  // One that is stopping gives its share to the others.
   this->tell_traffic(daemon::InstallRoutes{
-      .routes = dispatch::BuildRoutes(*this->follower.current(),
-                                      {.self = this->settings.id,
-                                       .zone = this->settings.zone,
-                                       .zone_members = this->sharers})});
+      .routes = dispatch::BuildRoutes(
+          *this->follower.current(),
+          {.self = this->settings.id,
+           .zone = this->settings.zone,
+           .zone_members = this->members.LiveIn(this->settings.zone)})});
 }
 
 // How long the latest commit took until every live member had it.
@@ -346,6 +347,17 @@
   if (!this->platform.reachable() || !this->box_watch.known() || this->stopping)
     return;
   const std::vector<std::string> live = this->members.LiveEverywhere();
+  // The same rows, boxes and members make the same plan. Acknowledgements and
+  // the age of failures change without them: they are looked at while boxes
+  // are on their way, and now and then.
+  const WaveInputs inputs{.revision = this->follower.current()->revision(),
+                          .box_list = this->box_watch.version(),
+                          .live = live.size()};
+  const bool idle = !this->wave_driver.busy() && inputs == this->planned_with;
+  if (idle && ++this->wave_ticks < kIdleWaveTicks)
+    return;
+  this->wave_ticks = 0;
+  this->planned_with = inputs;
   this->wave_driver.Drive(this->FactsNow(), [&](const std::string& pool) {
     return this->members.Answers("pool/" + pool, live);
   });
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -102,7 +102,17 @@
   WaveDriver wave_driver;
   Editor editor;
   peer::Socket socket;
-  std::vector<std::string> sharers;  // of the routes that are installed
+  // What the last wave plan was made from.
+  struct WaveInputs {
+    table::Version revision = 0;
+    std::uint64_t box_list = 0;
+    std::size_t live = 0;
+
+    bool operator==(const WaveInputs&) const = default;
+  };
+
+  WaveInputs planned_with;
+  int wave_ticks = 0;
   std::map<std::string, table::Version> drained;  // acknowledged here
   int follower_ticks = 0;
   bool stopping = false;
--- a/daemon/operators.cc
+++ b/daemon/operators.cc
@@ -99,6 +99,8 @@
     return exchange->Reply(this->Table());
   if (is_get && path == "/v1/status")
     return exchange->Reply(this->Status());
+  if (is_get && path == "/v1/members")
+    return exchange->Reply(this->Members());
   if (is_get && path == "/v1/state")
     return this->Dump(exchange);
   if (request.method == "POST" && path == "/v1/plan")
@@ -189,6 +191,17 @@
   return http::JsonResponse(200, status.dump());
 }
 
+// The part of the status that does not grow with the fleet.
+http::Response Operators::Members() const {
+  const Control& c = this->control;
+  const table::Version revision = c.follower.current()->revision();
+  return http::JsonResponse(200,
+                            json{{"ready", c.ready()},
+                                 {"revision", revision},
+                                 {"members", MembersJson(c.members, revision)}}
+                                .dump());
+}
+
 void Operators::Dump(const http::ExchangePtr& exchange) {
   Control& c = this->control;
   const std::uint64_t ticket = ++c.last_ticket;
--- a/daemon/operators.h
+++ b/daemon/operators.h
@@ -24,6 +24,7 @@
   http::Response Metrics() const;
   http::Response Table() const;
   http::Response Status() const;
+  http::Response Members() const;
   void Dump(const http::ExchangePtr& exchange);
   http::Response Plan(const std::string& body) const;
   // Commands.
--- a/daemon/wave_driver.cc
+++ b/daemon/wave_driver.cc
@@ -55,9 +55,11 @@
     const std::function<bool(const std::string& pool)>& answers) {
   const waves::Fleet fleet(this->follower.current(), facts);
   std::map<std::string, waves::PoolPlan> plans;
+  this->is_busy = false;
   for (waves::PoolPlan& plan : waves::PlanAll(fleet)) {
     if (!answers(plan.pool))
       continue;
+    this->is_busy = this->is_busy || plan.on_way > 0 || plan.waiting > 0;
     this->NoteHold(plan);
     if (!plan.steps.empty() && !this->writing.contains(plan.pool))
       this->Write(plan, {});
--- a/daemon/wave_driver.h
+++ b/daemon/wave_driver.h
@@ -32,6 +32,8 @@
   void Write(const waves::PoolPlan& plan,
              std::function<void(const platform::CommitOutcome&)> done);
 
+  // Did the last plans hold steps, or boxes that wait to go?
+  bool busy() const { return this->is_busy; }
   // The last plan of each pool that this daemon answers for.
   const std::map<std::string, waves::PoolPlan>& plans() const {
     return this->last_plans;
@@ -45,6 +47,7 @@
   base::Counters& counters;
   std::string writer_prefix;
   std::uint64_t last_writer = 0;
+  bool is_busy = true;
   std::set<std::string> writing;  // pools with a write on its way
   std::map<std::string, waves::PoolPlan> last_plans;
 };
--- a/dispatch/routes.cc
+++ b/dispatch/routes.cc
@@ -1,6 +1,9 @@
 #include "dispatch/routes.h"
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
 
 #include "base/rendezvous.h"
 
@@ -13,6 +16,10 @@
 // little is taken on top, and a full target refuses it as not run.
 constexpr int kRemoteShare = 1;
 
+// Remote targets that are kept of each pool: enough to get by on when a zone
+// has lost all of its own, at a ninth of the memory of keeping every one.
+constexpr std::size_t kRemoteTargets = 8;
+
 Target MakeTarget(const table::Box& box, const Sharers& sharers) {
   Target target{.name = box.name,
                 .address = box.address,
@@ -26,6 +33,27 @@
   return target;
 }
 
+// The remote targets of one pool that this process may fall back on: those
+// with the largest weights, so that every process picks others.
+class RemotePick {
+ public:
+  void Offer(const table::Box& box, std::uint64_t weight) {
+    const auto at = std::find_if(
+        this->picked.begin(), this->picked.end(),
+        [weight](const auto& entry) { return entry.first < weight; });
+    this->picked.insert(at, {weight, &box});
+    if (this->picked.size() > kRemoteTargets)
+      this->picked.pop_back();
+  }
+  const std::vector<std::pair<std::uint64_t, const table::Box*>>& boxes()
+      const {
+    return this->picked;
+  }
+
+ private:
+  std::vector<std::pair<std::uint64_t, const table::Box*>> picked;
+};
+
 }  // namespace
 
 int ShareOfSlots(const std::string& target, int slots, const Sharers& sharers) {
@@ -50,10 +78,21 @@
     if (const auto* service = std::get_if<table::ServiceRow>(&row))
       routes->services.push_back(*service);
   }
+  std::unordered_map<std::string_view, RemotePick> remote;
   for (const auto& [name, box] : snapshot.boxes()) {
-    if (box.state != table::BoxState::kAway)
+    if (box.state == table::BoxState::kAway)
+      continue;
+    if (box.zone == sharers.zone)
       routes->targets.push_back(MakeTarget(box, sharers));
+    else
+      remote[box.pool].Offer(box, base::RendezvousWeight(name, sharers.self));
+  }
+  for (const auto& [pool, pick] : remote) {
+    for (const auto& [weight, box] : pick.boxes())
+      routes->targets.push_back(MakeTarget(*box, sharers));
   }
+  std::sort(routes->targets.begin(), routes->targets.end(),
+            [](const Target& a, const Target& b) { return a.name < b.name; });
   return routes;
 }
 
--- a/table/snapshot.h
+++ b/table/snapshot.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "table/box.h"
@@ -39,6 +40,8 @@
 
 class Snapshot {
  public:
+  Snapshot();
+
   // The empty snapshot, revision 0: it serves nothing.
   static SnapshotPtr Empty();
 
@@ -47,9 +50,13 @@
   static Applied Apply(const SnapshotPtr& before, const Delta& delta);
 
   Version revision() const { return this->at; }
-  const Rows& rows() const { return this->table_rows; }
-  const std::map<std::string, Box>& boxes() const { return this->box_rows; }
-  const std::map<std::string, Wave>& waves() const { return this->wave_rows; }
+  const Rows& rows() const { return this->table_rows->typed; }
+  const std::map<std::string, Box>& boxes() const {
+    return this->box_rows->typed;
+  }
+  const std::map<std::string, Wave>& waves() const {
+    return this->wave_rows->typed;
+  }
   // The version of any followed row by its key; 0 if there is none.
   Version VersionOf(const std::string& key) const;
   // What a follower at `after` lacks.
@@ -60,16 +67,32 @@
   const Box* FindBox(const std::string& name) const;
 
  private:
-  using StoredPtr = std::shared_ptr<const StoredRow>;
-
-  void Take(const StoredRow& row, std::vector<BadRow>& bad_rows);
-  void TakeTyped(const StoredRow& row);
+  using Stored = std::map<std::string, std::shared_ptr<const StoredRow>>;
+
+  // The rows of one prefix, typed by name and stored by key (erased ones
+  // included). Snapshots share a group until one of its rows changes: an edit
+  // of the table does not copy the fleet.
+  template <typename T>
+  struct Group {
+    std::map<std::string, T> typed;
+    Stored stored;
+  };
+  template <typename T>
+  using GroupPtr = std::shared_ptr<const Group<T>>;
+
+  template <typename T>
+  static void Merge(GroupPtr<T>& group,
+                    std::string_view prefix,
+                    T (*decode)(const StoredRow&),
+                    const Delta& delta,
+                    std::vector<BadRow>& bad_rows);
+  const Stored& StoredWith(std::string_view key) const;
 
   Version at = 0;
-  Rows table_rows;
-  std::map<std::string, Box> box_rows;
-  std::map<std::string, Wave> wave_rows;
-  std::map<std::string, StoredPtr> stored;  // by key, erased rows included
+  GroupPtr<Row> table_rows;
+  GroupPtr<Box> box_rows;
+  GroupPtr<Wave> wave_rows;
+  GroupPtr<Version> other_rows;  // the table's head: only its version counts
 };
 
 }  // namespace quartzhoist::table
--- a/testing/cluster.cc
+++ b/testing/cluster.cc
@@ -24,20 +24,28 @@
 constexpr const char* kLoopback = "127.0.0.1:";
 constexpr const char* kAnyPort = "127.0.0.1:0";
 constexpr double kFormSeconds = 30;
+constexpr int kSeeds = 3;
 
-json CallJson(http::ClientRequest request) {
+// The body of a 200, or nothing.
+std::string Call(http::ClientRequest request) {
   base::Loop loop;
   http::Client client(loop);
-  json answer;
+  std::string body;
   request.fresh_connection = true;
   request.timeout = std::chrono::seconds(5);
   client.Send(std::move(request), [&](const http::ClientResult& result) {
     if (result.verdict == base::Verdict::kRan && result.response.status == 200)
-      answer = json::parse(result.response.body, nullptr, false);
+      body = result.response.body;
     loop.Stop();
   });
   loop.Run();
-  return answer;
+  return body;
+}
+
+// Null unless the answer was JSON.
+json CallJson(http::ClientRequest request) {
+  json value = json::parse(Call(std::move(request)), nullptr, false);
+  return value.is_discarded() ? json() : value;
 }
 
 void WriteFile(const std::string& file, const std::string& text) {
@@ -87,6 +95,8 @@
   json boxes = json::object();
   for (const auto& [name, target] : this->by_box)
     boxes[name] = json::parse(table::EncodeBox(target.box));
+  for (const table::Box& box : this->rows_only)
+    boxes[box.name] = json::parse(table::EncodeBox(box));
   const std::string boxes_file = this->NewFile("boxes.json");
   const std::string table_file = this->NewFile("table");
   WriteFile(boxes_file, boxes.dump());
@@ -101,8 +111,12 @@
 DaemonProcess& Cluster::StartDaemon(const std::string& id,
                                     const std::string& zone) {
   std::string seeds;
-  for (const auto& [other, daemon] : this->by_id)
-    seeds += (seeds.empty() ? "" : ", ") + daemon.peers;
+  // A few are enough: the others are learned from the platform's list.
+  int count = 0;
+  for (const auto& [other, daemon] : this->by_id) {
+    if (++count <= kSeeds)
+      seeds += (seeds.empty() ? "" : ", ") + daemon.peers;
+  }
   const std::string file = this->NewFile("settings.ini");
   WriteFile(file, fmt::format("[daemon]\nid = {}\nzone = {}\ncluster = test\n"
                               "[listen]\ncallers = {}\noperators = {}\n"
@@ -138,6 +152,11 @@
   return CallJson({.method = "GET", .url = "http://" + address + path});
 }
 
+std::string Cluster::GetText(const std::string& address,
+                             const std::string& path) {
+  return Call({.method = "GET", .url = "http://" + address + path});
+}
+
 json Cluster::Platform(const std::string& path, const json& body) {
   http::ClientRequest request{.method = "POST",
                               .url = "http://" + this->platform_address + path};
@@ -173,7 +192,7 @@
 bool Cluster::WaitUntilFormed() {
   return WaitUntil(kFormSeconds, [this] {
     for (const auto& [id, daemon] : this->by_id) {
-      const json status = this->Status(id);
+      const json status = Get(daemon.operators, "/v1/members");
       if (!status.is_object() || !status.value("ready", false))
         return false;
       std::size_t live = 0;
--- a/testing/cluster.h
+++ b/testing/cluster.h
@@ -47,6 +47,8 @@
 
   // First the targets, then the platform, then the daemons.
   void AddTarget(table::Box box, const std::vector<std::string>& arguments);
+  // A box that no process stands for: rows only.
+  void AddBoxRow(table::Box box) { this->rows_only.push_back(std::move(box)); }
   void StartPlatform();
   DaemonProcess& StartDaemon(const std::string& id, const std::string& zone);
 
@@ -57,6 +59,8 @@
   // JSON from any part; null if it does not answer 200.
   static nlohmann::json Get(const std::string& address,
                             const std::string& path);
+  static std::string GetText(const std::string& address,
+                             const std::string& path);
   nlohmann::json Platform(const std::string& path, const nlohmann::json& body);
   nlohmann::json Status(const std::string& id);
   // Runs the operators' client to its end.
@@ -88,6 +92,7 @@
   std::string platform_address;
   std::unique_ptr<Process> platform;
   std::map<std::string, TargetProcess> by_box;
+  std::vector<table::Box> rows_only;
   std::map<std::string, DaemonProcess> by_id;
 };
 
--- a/waves/planner.cc
+++ b/waves/planner.cc
@@ -104,6 +104,7 @@
         ++this->recent_failures;
     }
     this->plan.serving = static_cast<std::int64_t>(this->serving.size());
+    this->plan.on_way = static_cast<std::int64_t>(this->on_way.size());
     this->may_be_away = this->fleet.MayBeAway(this->row.name);
     this->plan.need = this->row.boxes - this->may_be_away;
   }
--- a/waves/planner.h
+++ b/waves/planner.h
@@ -60,6 +60,7 @@
   Hold hold = Hold::kNone;
   std::int64_t serving = 0;  // live and serving now
   std::int64_t need = 0;     // must stay serving through every planned step
+  std::int64_t on_way = 0;   // boxes that are draining or away
   std::int64_t waiting = 0;  // boxes that are still to move or be maintained
 };
 
