--- a/base/base_test.cc
+++ b/base/base_test.cc
@@ -34,7 +34,7 @@
     std::istringstream cells(line);
     std::string bar, number, level, name;
     cells >> bar >> number >> bar >> level >> bar >> name;
-    in_docs.insert(number + " " + level + " " + name);
+    in_docs.insert(fmt::format("{} {} {}", number, level, name));
   }
   BOOST_TEST(in_code == in_docs, boost::test_tools::per_element());
 }
--- a/bench/dispatch_sim.cc
+++ b/bench/dispatch_sim.cc
@@ -1,6 +1,7 @@
 #include "bench/dispatch_sim.h"
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <memory>
 #include <queue>
@@ -199,12 +200,14 @@
       return static_cast<std::size_t>(
           std::min_element(this->in_flight.begin(), this->in_flight.end()) -
           this->in_flight.begin());
+    std::size_t target = this->next;
     for (std::size_t i = 0; i < count; ++i) {
-      const std::size_t target = this->next++ % count;
+      target = this->next;
+      this->next = target + 1 < count ? target + 1 : 0;
       if (this->in_flight[target] < this->slots)
-        return target;
+        break;
     }
-    return this->next % count;
+    return target;
   }
 
   bool by_load;
@@ -261,7 +264,8 @@
 
  private:
   int Failing() const {
-    return static_cast<int>(this->shape.failing * this->shape.targets + 0.5);
+    return static_cast<int>(
+        std::lround(this->shape.failing * this->shape.targets));
   }
 
   // Requests a microsecond that the working targets can run.
--- a/daemon/process_test.cc
+++ b/daemon/process_test.cc
@@ -352,5 +352,79 @@
   }
 }
 
+// Every box serves again and was maintained once, as far as `id` knows.
+bool WaveIsDone(Bench& bench, const std::string& id) {
+  const json status = bench.cluster.Status(id);
+  if (!status.is_object())
+    return false;
+  for (const json& box : status.at("boxes")) {
+    if (box.at("state") != "serving" || box.at("maintained") != 1)
+      return false;
+  }
+  return true;
+}
+
+bool SomeBoxHasLeft(Bench& bench, const std::string& id) {
+  return bench.cluster.BoxState(id, "b1") != "serving in press" ||
+         bench.cluster.BoxState(id, "b2") != "serving in press";
+}
+
+constexpr double kWaveTime = 90;
+
+BOOST_AUTO_TEST_CASE(WaveFinishesThoughDaemonsDieAndRepliesAreLost) {
+  Bench bench(2);
+  bench.cluster.RunClient("e1", {"edit", "pool/press", "maintain=1"});
+  bench.Fault({{"lose_commit_replies", 3}});
+  BOOST_TEST(
+      Cluster::WaitUntil(kSoon, [&] { return SomeBoxHasLeft(bench, "e2"); }));
+  // Each dies once, whichever of them drives, and is replaced.
+  for (const char* id : {"e1", "e2"}) {
+    bench.Daemon(id).process->Signal(SIGKILL);
+    bench.Daemon(id).process->Wait(kSoon);
+    bench.cluster.StartDaemon(id, "z1");
+    BOOST_TEST(bench.cluster.WaitUntilFormed());
+  }
+  BOOST_TEST(
+      Cluster::WaitUntil(kWaveTime, [&] { return WaveIsDone(bench, "e2"); }));
+}
+
+BOOST_AUTO_TEST_CASE(HalfTheDaemonsFrozenAndResumedHarmNothing) {
+  Bench bench(4);
+  bench.cluster.RunClient("e1", {"edit", "pool/press", "maintain=1"});
+  BOOST_TEST(
+      Cluster::WaitUntil(kSoon, [&] { return SomeBoxHasLeft(bench, "e1"); }));
+  for (const char* id : {"e3", "e4"})
+    bench.Daemon(id).process->Signal(SIGSTOP);
+  const auto edit =
+      bench.cluster.RunClient("e1", {"edit", "service/quotes", "queue=15"});
+  BOOST_TEST(edit.exit_code == 0);
+  const table::Version accepted = bench.Revision("e1");
+  BOOST_TEST(bench.Get("e1").status == 200);
+  for (const char* id : {"e3", "e4"})
+    bench.Daemon(id).process->Signal(SIGCONT);
+  BOOST_TEST(
+      Cluster::WaitUntil(kWaveTime, [&] { return WaveIsDone(bench, "e4"); }));
+  for (const char* id : {"e1", "e2", "e3", "e4"})
+    BOOST_TEST(bench.Revision(id) >= accepted);
+}
+
+BOOST_AUTO_TEST_CASE(AllRestartedInAnOutageRefuseAndRecover) {
+  Bench bench(3);
+  const table::Version known = bench.Revision("e1");
+  bench.Fault({{"silent", true}});
+  for (const char* id : {"e1", "e2", "e3"})
+    bench.Daemon(id).process->Signal(SIGKILL);
+  for (const char* id : {"e1", "e2", "e3"})
+    bench.cluster.StartDaemon(id, "z1");
+  for (const char* id : {"e1", "e2", "e3"})
+    BOOST_TEST(bench.Get(id).verdict == "not_run");
+  bench.Fault(json::object());
+  BOOST_TEST(bench.cluster.WaitUntilFormed());
+  for (const char* id : {"e1", "e2", "e3"}) {
+    BOOST_TEST(bench.Revision(id) == known);
+    BOOST_TEST(bench.Get(id).status == 200);
+  }
+}
+
 }  // namespace
 }  // namespace quartzhoist::testing
--- a/http/http_test.cc
+++ b/http/http_test.cc
@@ -196,7 +196,8 @@
 void SendRaw(base::Loop& loop, std::uint16_t port, const std::string& bytes) {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
   const sockaddr_in kernel = base::ToKernel({.ip = "127.0.0.1", .port = port});
-  connect(fd, reinterpret_cast<const sockaddr*>(&kernel), sizeof kernel);
+  BOOST_REQUIRE(connect(fd, reinterpret_cast<const sockaddr*>(&kernel),
+                        sizeof kernel) == 0);
   send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   shutdown(fd, SHUT_WR);
   base::IoWatcher watcher(loop, fd, EV_READ, [&](int) {
--- a/http/server.cc
+++ b/http/server.cc
@@ -5,14 +5,13 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstring>
 #include <stdexcept>
 #include <utility>
 
 #include <fmt/format.h>
 #include <microhttpd.h>
 
-#include "base/ip_address.h"
+#include "base/bound_socket.h"
 
 namespace quartzhoist::http {
 
@@ -30,28 +29,6 @@
 
 constexpr unsigned kIdleSeconds = 60;
 constexpr std::size_t kConnectionMemory = 32'768;
-constexpr int kBacklog = 1024;
-
-int ListenOn(const ServerOptions& options, std::uint16_t* bound_port) {
-  sockaddr_in address =
-      base::ToKernel({.ip = options.address, .port = options.port});
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const int on = 1;
-  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  auto* generic = reinterpret_cast<sockaddr*>(&address);
-  if (fd < 0 || bind(fd, generic, sizeof address) != 0 ||
-      listen(fd, kBacklog) != 0) {
-    const std::string why = std::strerror(errno);
-    if (fd >= 0)
-      close(fd);
-    throw std::runtime_error(fmt::format("cannot listen on {}:{}: {}",
-                                         options.address, options.port, why));
-  }
-  socklen_t size = sizeof address;
-  getsockname(fd, generic, &size);
-  *bound_port = base::FromKernel(address).port;
-  return fd;
-}
 
 // Has the other side closed its connection?
 bool HungUp(int fd) {
@@ -251,7 +228,10 @@
                const ServerOptions& options,
                std::function<void(ExchangePtr)> on_request)
     : handler(std::move(on_request)), max_body(options.max_body) {
-  const int fd = ListenOn(options, &this->bound_port);
+  const base::BoundSocket listener =
+      base::OpenListener({.ip = options.address, .port = options.port});
+  const int fd = listener.fd;
+  this->bound_port = listener.address.port;
   this->daemon = MHD_start_daemon(
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr,
       &Callbacks::Access, this, MHD_OPTION_LISTEN_SOCKET, fd,
--- a/peer/socket.cc
+++ b/peer/socket.cc
@@ -3,14 +3,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <cstring>
 #include <optional>
 #include <stdexcept>
 #include <utility>
 #include <vector>
 
-#include <fmt/format.h>
-
+#include "base/bound_socket.h"
 #include "base/ip_address.h"
 
 namespace quartzhoist::peer {
@@ -28,18 +26,9 @@
   const std::optional<base::IpAddress> parsed = base::ParseIpAddress(address);
   if (!parsed)
     throw std::runtime_error(address + " is not an IP number and port");
-  this->fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  sockaddr_in kernel = base::ToKernel(*parsed);
-  auto* generic = reinterpret_cast<sockaddr*>(&kernel);
-  if (this->fd < 0 || bind(this->fd, generic, sizeof kernel) != 0) {
-    const std::string why = std::strerror(errno);
-    if (this->fd >= 0)
-      close(this->fd);
-    throw std::runtime_error(fmt::format("cannot bind {}: {}", address, why));
-  }
-  socklen_t size = sizeof kernel;
-  getsockname(this->fd, generic, &size);
-  this->bound = base::ToText(base::FromKernel(kernel));
+  const base::BoundSocket opened = base::OpenDatagram(*parsed);
+  this->fd = opened.fd;
+  this->bound = base::ToText(opened.address);
   this->watcher = std::make_unique<base::IoWatcher>(
       loop, this->fd, EV_READ, [this](int) { this->ReceiveAll(); });
 }
--- a/table/table_test.cc
+++ b/table/table_test.cc
@@ -163,8 +163,7 @@
 // Not even a peer that claims to know more can bring an old row back.
 BOOST_AUTO_TEST_CASE(OlderRowNeverReplacesANewer) {
   const auto pool = [](Version version) {
-    const PoolRow row{.name = "p",
-                      .boxes = static_cast<std::int64_t>(version)};
+    const PoolRow row{.name = "p", .boxes = static_cast<std::int64_t>(version)};
     return StoredRow{RowKey("pool/p"), version, "w", EncodeRow(row)};
   };
   const SnapshotPtr known =
--- a/testing/raw_server.cc
+++ b/testing/raw_server.cc
@@ -6,27 +6,22 @@
 #include <array>
 #include <utility>
 
-#include "base/ip_address.h"
+#include "base/bound_socket.h"
 
 namespace quartzhoist::testing {
 
 namespace {
 
-constexpr int kBacklog = 64;
 constexpr std::size_t kReadBytes = 4096;
 
 }  // namespace
 
 RawServer::RawServer(base::Loop& on, std::function<Answer(int)> with)
     : loop(on), answer(std::move(with)) {
-  this->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-  sockaddr_in kernel = base::ToKernel({.ip = "127.0.0.1", .port = 0});
-  auto* generic = reinterpret_cast<sockaddr*>(&kernel);
-  bind(this->listener, generic, sizeof kernel);
-  listen(this->listener, kBacklog);
-  socklen_t size = sizeof kernel;
-  getsockname(this->listener, generic, &size);
-  this->bound_port = base::FromKernel(kernel).port;
+  const base::BoundSocket opened =
+      base::OpenListener({.ip = "127.0.0.1", .port = 0});
+  this->listener = opened.fd;
+  this->bound_port = opened.address.port;
   this->acceptor = std::make_unique<base::IoWatcher>(
       loop, this->listener, EV_READ, [this](int) { this->Accept(); });
 }
