--- a/client/client_main.cc
+++ b/client/client_main.cc
@@ -26,8 +26,9 @@
 Commands:
   check FILE                     check a table file, without any daemon
   show [ROW]                     the table in force, or one row of it
-  edit ROW CELL=VALUE ...        change cells of a row, or make a new row
-  edit --file FILE               make the table as the file says
+  edit ROW CELL=VALUE ...        change cells of a row; --new makes one
+  edit --file FILE               make the table as the file says; rows that
+                                 it lacks are erased
   plan ROW CELL=VALUE ...        what an edit would do; also with --file
   drain BOX [--to POOL]          drain a box now, ready it, bring it back
   cancel BOX                     let a draining box serve again
@@ -75,8 +76,9 @@
                         "A daemon's operators' address; or set "
                         "QUARTZHOIST_DAEMON",
                         cxxopts::value<std::string>(), "IP:PORT")(
-      "json", "Print JSON")("file", "Table file, for edit and plan",
-                            cxxopts::value<std::string>(), "FILE")(
+      "json", "Print JSON")("new", "Let edit make a row that is not there")(
+      "file", "Table file, for edit and plan", cxxopts::value<std::string>(),
+      "FILE")(
       "base",
       "Refuse if the row was changed after this revision; by default the one "
       "just read, or the one that the file names",
@@ -96,6 +98,7 @@
   invocation.words = given["words"].as<std::vector<std::string>>();
   invocation.words.erase(invocation.words.begin());
   invocation.json = given.count("json") > 0;
+  invocation.new_row = given.count("new") > 0;
   if (given.count("file") > 0)
     invocation.file = given["file"].as<std::string>();
   if (given.count("base") > 0)
--- a/client/commands.cc
+++ b/client/commands.cc
@@ -70,7 +70,7 @@
     row = table::RowFromId(change.row);
     for (std::size_t i = 1; i < words.size(); ++i) {
       const std::size_t equals = words[i].find('=');
-      if (words[i] == "--erase" || equals == std::string::npos)
+      if (equals == std::string::npos)
         Usage(fmt::format("'{}' is not CELL=VALUE", words[i]));
       const std::string cell = words[i].substr(0, equals);
       const std::string text = words[i].substr(equals + 1);
@@ -90,6 +90,9 @@
                    .changes = {}};
   if (!invocation.file) {
     edit.changes.push_back(ChangeOf(invocation.words));
+    const std::string& row = edit.changes.front().row;
+    if (!invocation.new_row && !RowsOf(shown).contains(row))
+      Usage(fmt::format("there is no {}; add --new to make it", row));
   } else {
     const TableFile file = ReadTableFile(*invocation.file);
     edit.changes = table::Difference(RowsOf(shown), file.rows);
--- a/client/commands.h
+++ b/client/commands.h
@@ -17,6 +17,7 @@
 struct Invocation {
   std::vector<std::string> words;  // after the command
   bool json = false;
+  bool new_row = false;
   std::optional<std::string> file;
   std::optional<table::Version> base;
   std::optional<double> wait_seconds;
--- a/daemon/control.cc
+++ b/daemon/control.cc
@@ -175,7 +175,6 @@
 }
 
 void Control::Take(const TrafficStopped&) {
-  this->traffic_stopped = true;
   this->loop.Stop();
 }
 
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -117,7 +117,6 @@
   std::map<std::string, table::Version> drained;  // acknowledged here
   int follower_ticks = 0;
   bool stopping = false;
-  bool traffic_stopped = false;
   // The latest commit whose spread is being timed, and when it was installed.
   table::Version spreading = 0;
   base::Micros spreading_since{};
--- a/daemon/process_test.cc
+++ b/daemon/process_test.cc
@@ -167,6 +167,17 @@
   BOOST_TEST(second.error.find("queue=12") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(MistypedRowIsNotMade) {
+  Bench bench(1);
+  const auto typo =
+      bench.cluster.RunClient("e1", {"edit", "pool/pres", "boxes=1"});
+  BOOST_TEST(typo.exit_code == 2);
+  BOOST_TEST(typo.error.find("--new") != std::string::npos);
+  const auto meant =
+      bench.cluster.RunClient("e1", {"edit", "pool/pres", "boxes=1", "--new"});
+  BOOST_TEST(meant.exit_code == 0);
+}
+
 BOOST_AUTO_TEST_CASE(LostReplyOfAnEditIsSettled) {
   Bench bench(2);
   bench.Fault({{"lose_commit_replies", 1}});
