bench: slopes of the platform's client, status and counters

Change: quartzhoist-slopes measures decoding rows and the box list, a status answer and the counters' text.

--- a/bench/slopes_main.cc
+++ b/bench/slopes_main.cc
@@ -9,11 +9,13 @@
 #include <fmt/format.h>
 
 #include "bench/fleet_sim.h"
+#include "daemon/state_json.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/routes.h"
 #include "membership/membership.h"
 #include "peer/message.h"
 #include "placement/placer.h"
+#include "platform/wire.h"
 #include "table/codec.h"
 #include "testing/program.h"
 #include "waves/planner.h"
@@ -202,6 +204,36 @@
                                  .size());
 }
 
+double DecodeRows(double rows) {
+  const std::string text = platform::EncodeDelta(FleetOf(rows)->Since(0));
+  return MedianMicros([&] { platform::DecodeDelta(text); });
+}
+
+double DecodeBoxList(double boxes) {
+  platform::BoxList list{.version = 1};
+  const table::SnapshotPtr snapshot = FleetOf(boxes);
+  for (const auto& [name, box] : snapshot->boxes())
+    list.boxes.push_back({.name = name, .zone = box.zone});
+  const std::string text = platform::EncodeBoxes(list);
+  return MedianMicros([&] { platform::DecodeBoxes(text); });
+}
+
+// What a status answer costs; a dump's targets are made the same way.
+double StatusText(double boxes) {
+  const table::SnapshotPtr snapshot = FleetOf(boxes);
+  return MedianMicros([&] {
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto& [name, box] : snapshot->boxes())
+      list.push_back(daemon::BoxJson(box));
+    const std::string text = list.dump();
+  });
+}
+
+double CountersText(double /*boxes*/) {
+  const base::Counters counters;
+  return MedianMicros([&] { base::PrometheusText(counters); });
+}
+
 double PlaceRound(double boxes) {
   const table::SnapshotPtr snapshot = FleetOf(boxes);
   placement::SizeModel sizes;
@@ -241,6 +273,11 @@
         Report("membership: one second", "us/daem.", daemons, MembershipSecond);
         Report("membership: a heartbeat", "B/acks", {0, 2, 8, 32},
                HeartbeatBytes);
+        Report("platform client: decode rows", "us/rows", boxes, DecodeRows);
+        Report("platform client: decode box list", "us/boxes", boxes,
+               DecodeBoxList);
+        Report("operators: status", "us/boxes", boxes, StatusText);
+        Report("counters: metrics", "us/boxes", boxes, CountersText);
         Report("placement: a round of one pool", "us/boxes", boxes, PlaceRound);
         return 0;
       });
--- a/daemon/control.cc
+++ b/daemon/control.cc
@@ -306,7 +306,6 @@
   const table::Snapshot& snapshot = *this->follower.current();
   base::Log(Event::kSnapshotInstalled,
             {{"revision", snapshot.revision()},
-             {"rows", delta.rows.size()},
              {"source", fresh ? "platform" : "peer"}});
   // 1. Acknowledgements of drains that are over are not repeated any more.
   std::erase_if(this->drained, [&snapshot](const auto& entry) {
