--- a/daemon/process_test.cc
+++ b/daemon/process_test.cc
@@ -287,7 +287,7 @@
   BOOST_TEST(report.at("abandoned") == 0);
 }
 
-BOOST_AUTO_TEST_CASE(WaveSurvivesTheDeathOfItsDriver) {
+BOOST_AUTO_TEST_CASE(ServingGoesOnWhenTheWavesDriversDie) {
   Bench bench(3);
   const auto edit =
       bench.cluster.RunClient("e1", {"edit", "pool/press", "maintain=1"});
