--- a/base/event_log.h
+++ b/base/event_log.h
@@ -54,6 +54,21 @@
   kWaveHalted,
   kWaveResumed,
   kWaveConflict,
+  kOwnershipGained,
+  kOwnershipLost,
+  kOwnershipReady,
+  kJobAccepted,
+  kJobRefused,
+  kJobCancelled,
+  kRunStarted,
+  kRunUnsettled,
+  kDecision,
+  kBoxMoved,
+  kUpkeepBegun,
+  kWaveReported,
+  kRowMalformed,
+  kConfigInstalled,
+  kLinesLeftOut,
 };
 
 struct EventInfo {
@@ -63,7 +78,7 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 28> kEvents{{
+inline constexpr std::array<EventInfo, 43> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
@@ -92,6 +107,21 @@
     {Event::kWaveHalted, 705, Level::kWarning, "wave_halted"},
     {Event::kWaveResumed, 706, Level::kInfo, "wave_resumed"},
     {Event::kWaveConflict, 707, Level::kInfo, "wave_conflict"},
+    {Event::kOwnershipGained, 801, Level::kInfo, "ownership_gained"},
+    {Event::kOwnershipLost, 802, Level::kWarning, "ownership_lost"},
+    {Event::kOwnershipReady, 803, Level::kInfo, "ownership_ready"},
+    {Event::kJobAccepted, 811, Level::kInfo, "job_accepted"},
+    {Event::kJobRefused, 812, Level::kInfo, "job_refused"},
+    {Event::kJobCancelled, 813, Level::kInfo, "job_cancelled"},
+    {Event::kRunStarted, 821, Level::kInfo, "run_started"},
+    {Event::kRunUnsettled, 822, Level::kWarning, "run_unsettled"},
+    {Event::kDecision, 823, Level::kInfo, "decision"},
+    {Event::kBoxMoved, 831, Level::kInfo, "box_moved"},
+    {Event::kUpkeepBegun, 832, Level::kInfo, "upkeep_begun"},
+    {Event::kWaveReported, 833, Level::kInfo, "wave_reported"},
+    {Event::kRowMalformed, 841, Level::kWarning, "row_malformed"},
+    {Event::kConfigInstalled, 842, Level::kInfo, "config_installed"},
+    {Event::kLinesLeftOut, 851, Level::kWarning, "lines_left_out"},
 }};
 
 // One `key=value` of a line. Strings are quoted where they hold spaces.
--- a/daemon/daemon_main.cc
+++ b/daemon/daemon_main.cc
@@ -1,5 +1,6 @@
 // quartzhoistd: one process of the system, the same on every entry box.
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <exception>
@@ -7,6 +8,8 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <variant>
+#include <vector>
 
 #include <fmt/format.h>
 #include <cxxopts.hpp>
@@ -18,6 +21,8 @@
 #include "daemon/control.h"
 #include "daemon/gateway.h"
 #include "daemon/settings.h"
+#include "entry/job_daemon.h"
+#include "entry/settings.h"
 
 namespace quartzhoist::daemon {
 
@@ -27,10 +32,27 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
 
-Settings LoadSettings(const std::string& file) {
+// A daemon for requests, or one for jobs: the settings say which.
+using AnySettings = std::variant<Settings, entry::Settings>;
+
+std::ifstream Open(const std::string& file) {
   std::ifstream in(file);
   if (!in)
     throw base::TextError(file, 0, "", "cannot be opened");
+  return in;
+}
+
+AnySettings LoadSettings(const std::string& file) {
+  std::ifstream first = Open(file);
+  const std::vector<base::IniEntry> entries = base::ReadIni(first, file);
+  const bool has_store =
+      std::any_of(entries.begin(), entries.end(),
+                  [](const base::IniEntry& entry) {
+                    return entry.section == "store";
+                  });
+  std::ifstream in = Open(file);
+  if (has_store)
+    return entry::ReadSettings(in, file);
   return ReadSettings(in, file);
 }
 
@@ -58,6 +80,10 @@
   base::Log(base::Event::kDaemonStopped, {});
 }
 
+void RunDaemon(const entry::Settings& settings) {
+  entry::JobDaemon(settings).Run();
+}
+
 int Main(int argc, char** argv) {
   cxxopts::Options options(
       "quartzhoistd",
@@ -89,7 +115,7 @@
     fmt::print(stderr, "quartzhoistd: {}; see --help\n", error.what());
     return kExitUsage;
   }
-  Settings settings;
+  AnySettings settings;
   try {
     settings = LoadSettings(file);
   } catch (const base::TextError& error) {
@@ -103,7 +129,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   curl_global_init(CURL_GLOBAL_ALL);
   try {
-    RunDaemon(settings);
+    std::visit([](const auto& chosen) { RunDaemon(chosen); }, settings);
   } catch (const std::exception& error) {
     base::Log(base::Event::kDaemonFailed, {{"problem", error.what()}});
     return kExitFailed;
--- a/daemon/settings.cc
+++ b/daemon/settings.cc
@@ -1,20 +1,20 @@
 #include "daemon/settings.h"
 
 #include <array>
-#include <charconv>
 #include <set>
 #include <string_view>
 
 #include <fmt/format.h>
 
 #include "base/ini_file.h"
-#include "base/ip_address.h"
+#include "base/setting_values.h"
 
 namespace quartzhoist::daemon {
 
 namespace {
 
-constexpr std::size_t kMaxIdentifier = 63;
+using base::TakeAddress;
+using base::TakeIdentifier;
 
 // How one key is read; `take` throws a text that says what would fit.
 struct Key {
@@ -24,26 +24,6 @@
   void (*take)(Settings& settings, const std::string& value);
 };
 
-std::string TakeIdentifier(const std::string& value) {
-  const bool fits =
-      !value.empty() && value.size() <= kMaxIdentifier &&
-      value.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-_./") ==
-          std::string::npos;
-  if (!fits)
-    throw fmt::format("'{}' must be 1 to {} of a-z, 0-9 and -_./", value,
-                      kMaxIdentifier);
-  return value;
-}
-
-std::string TakeAddress(const std::string& value) {
-  if (!base::ParseIpAddress(value))
-    throw fmt::format(
-        "'{}' is not an IP number and port, such as "
-        "10.0.0.1:8080",
-        value);
-  return value;
-}
-
 std::vector<std::string> TakeAddresses(const std::string& value) {
   std::vector<std::string> addresses;
   std::string_view rest = value;
@@ -62,13 +42,7 @@
 
 template <std::int64_t Min, std::int64_t Max>
 std::int64_t TakeWhole(const std::string& value) {
-  std::int64_t number = 0;
-  const char* end = value.data() + value.size();
-  const auto [rest, error] = std::from_chars(value.data(), end, number);
-  if (error != std::errc() || rest != end || number < Min || number > Max)
-    throw fmt::format("'{}' is not a whole number from {} to {}", value, Min,
-                      Max);
-  return number;
+  return base::TakeWhole(value, Min, Max);
 }
 
 constexpr std::array<Key, 13> kKeys{{
--- /dev/null
+++ b/entry/caller_api.cc
@@ -0,0 +1,345 @@
+#include "entry/caller_api.h"
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "base/event_log.h"
+#include "jobs/progress.h"
+#include "platform/records.h"
+
+namespace quartzhoist::entry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A write takes a condition and two rows for each job.
+constexpr std::size_t kEntriesAJob = 3;
+constexpr std::size_t kMaxJobsAWrite =
+    platform::kMaxBatchEntries / kEntriesAJob;
+// Bytes of rows in one write; the store takes 1 MB, base64 adds a third.
+constexpr std::size_t kMaxBytesAWrite = 500'000;
+// A write whose fate is open is tried again after this.
+constexpr base::Micros kWriteAgain = milliseconds(200);
+// An answer is to leave this long before the caller gives up.
+constexpr base::Micros kAnswerMargin = milliseconds(150);
+constexpr int kCancelTries = 3;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNoQueue = 404;
+constexpr int kNoMethod = 405;
+constexpr int kNoJob = 410;
+constexpr int kTooLarge = 413;
+constexpr int kUnavailable = 503;
+constexpr int kUnknownFate = 504;
+
+std::int64_t NowMillis() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+std::string_view WithoutPort(std::string_view host) {
+  return host.substr(0, host.find(':'));
+}
+
+// A job's id: 16 hex digits.
+bool IsJobId(std::string_view text) {
+  constexpr std::size_t kDigits = 16;
+  return text.size() == kDigits &&
+         text.find_first_not_of("0123456789abcdefABCDEF") ==
+             std::string_view::npos;
+}
+
+}  // namespace
+
+CallerApi::CallerApi(base::Loop& loop,
+                     platform::Store& on,
+                     base::Counters& count)
+    : store(on), counters(count), retry(loop, [this] {
+        for (auto& [part, queue] : this->parts)
+          this->WritePart(part);
+      }) {}
+
+void CallerApi::SetConfig(const jobs::Config& next) {
+  this->config = next;
+}
+
+void CallerApi::Stop() {
+  this->stopping = true;
+}
+
+void CallerApi::Reply(const http::ExchangePtr& exchange,
+                      http::Response response) const {
+  if (this->stopping)
+    response.headers.push_back({.name = "Connection", .value = "close"});
+  exchange->Reply(std::move(response));
+}
+
+void CallerApi::Refuse(const http::ExchangePtr& exchange,
+                       int status,
+                       std::string_view job,
+                       std::string_view reason) const {
+  http::Response response = http::JsonResponse(
+      status, platform::ProblemBody(reason));
+  if (status == kUnavailable)
+    response.headers.push_back({.name = "Retry-After", .value = "1"});
+  this->counters.Add(status == kUnknownFate
+                         ? base::Counter::kRefusedMayHaveRun
+                         : base::Counter::kRefusedNotRun);
+  base::Log(base::Event::kJobRefused,
+            {{"job", job}, {"status", status}, {"reason", reason}});
+  this->Reply(exchange, std::move(response));
+}
+
+void CallerApi::Handle(const http::ExchangePtr& exchange) {
+  const http::Request& request = exchange->request();
+  this->counters.Add(base::Counter::kRequests);
+  // 1. The queue, by host and path.
+  if (!this->config) {
+    this->Refuse(exchange, kUnavailable, "", "no configuration yet");
+    return;
+  }
+  const std::string_view path =
+      std::string_view(request.path).substr(0, request.path.find('?'));
+  const std::string* host = http::FindHeader(request.headers, "Host");
+  const jobs::Queue* queue =
+      this->config->Route(host ? WithoutPort(*host) : "", path);
+  if (!queue) {
+    this->Refuse(exchange, kNoQueue, "", "there is no such queue");
+    return;
+  }
+  // 2. The queue itself, or one of its jobs.
+  const std::string job(path.substr(queue->path_prefix.size()));
+  if (job.empty() && request.method == "GET") {
+    this->AnswerCount(exchange, queue->name);
+    return;
+  }
+  if (!IsJobId(job)) {
+    this->Refuse(exchange, kBadRequest, job, "a job's id is 16 hex digits");
+    return;
+  }
+  if (request.method == "POST")
+    this->Submit(exchange, *queue, job);
+  else if (request.method == "GET")
+    this->AnswerState(exchange, job);
+  else if (request.method == "DELETE")
+    this->Cancel(exchange, job);
+  else
+    this->Refuse(exchange, kNoMethod, job, "POST, GET or DELETE");
+}
+
+// --- Handing in -----------------------------------------------------------------
+
+void CallerApi::Submit(const http::ExchangePtr& exchange,
+                       const jobs::Queue& queue,
+                       const std::string& job) {
+  const http::Request& request = exchange->request();
+  if (request.body.size() > this->config->max_body) {
+    this->Refuse(exchange, kTooLarge, job, "the body is too large");
+    return;
+  }
+  try {
+    static_cast<void>(platform::ParseJob(request.body));
+  } catch (const platform::BadInput& problem) {
+    this->Refuse(exchange, kBadRequest, job, problem.what());
+    return;
+  }
+  const base::Micros now = base::MonotonicNow();
+  Submission submission;
+  submission.exchange = exchange;
+  submission.job = job;
+  submission.row = EncodeAccepted(
+      {.queue = queue, .accepted_ms = NowMillis(), .body = request.body});
+  submission.arrived = now;
+  submission.deadline =
+      now + platform::CallerPatience(request.headers) - kAnswerMargin;
+  const std::string part = JobRow(job).part;
+  this->parts[part].waiting.push_back(std::move(submission));
+  this->WritePart(part);
+}
+
+// Jobs that come while a write is on its way share the next one.
+void CallerApi::WritePart(const std::string& part) {
+  PartQueue& queue = this->parts[part];
+  if (queue.in_flight || queue.waiting.empty())
+    return;
+  std::vector<Submission> batch;
+  std::set<std::string> taken;
+  std::vector<Submission> later;
+  platform::WriteBatch write;
+  std::size_t bytes = 0;
+  const std::string queued = jobs::EncodeProgress({});
+  while (!queue.waiting.empty() && batch.size() < kMaxJobsAWrite &&
+         bytes < kMaxBytesAWrite) {
+    Submission next = std::move(queue.waiting.front());
+    queue.waiting.pop_front();
+    // The same job twice: the second finds the row of the first.
+    if (!taken.insert(next.job).second) {
+      later.push_back(std::move(next));
+      continue;
+    }
+    bytes += next.row.size();
+    write.conditions.push_back({.at = JobRow(next.job), .version = 0});
+    write.puts.push_back({.at = JobRow(next.job), .value = next.row});
+    write.puts.push_back({.at = ProgressRow(next.job), .value = queued});
+    batch.push_back(std::move(next));
+  }
+  for (Submission& submission : later)
+    queue.waiting.push_front(std::move(submission));
+  queue.in_flight = true;
+  auto sent = std::make_shared<std::vector<Submission>>(std::move(batch));
+  this->store.Write(write,
+                    [this, part, sent](const platform::WriteResult& result) {
+                      this->parts[part].in_flight = false;
+                      this->TakeWritten(part, std::move(*sent), result);
+                      this->WritePart(part);
+                    });
+}
+
+void CallerApi::TakeWritten(const std::string& part,
+                            std::vector<Submission> batch,
+                            const platform::WriteResult& result) {
+  std::set<std::string> there;
+  for (const platform::Row& row : result.rows) {
+    if (row.version > 0)
+      there.insert(row.at.key);
+  }
+  for (Submission& submission : batch) {
+    const bool written = result.outcome == platform::WriteOutcome::kDone;
+    const bool known = result.outcome == platform::WriteOutcome::kConflict &&
+                       there.contains(submission.job);
+    if (written || known) {
+      this->counters.Add(base::Counter::kAnswered);
+      base::Log(base::Event::kJobAccepted,
+                {{"job", submission.job}, {"again", known}});
+      this->Reply(submission.exchange, http::JsonResponse(kOk, "{}"));
+      continue;
+    }
+    if (result.outcome == platform::WriteOutcome::kUnknown)
+      submission.uncertain = true;
+    const bool refused = result.outcome == platform::WriteOutcome::kNotDone;
+    if (refused && !submission.uncertain) {
+      this->Refuse(submission.exchange, kUnavailable, submission.job,
+                   "the store does not take writes now");
+      continue;
+    }
+    this->Again(part, std::move(submission));
+  }
+}
+
+void CallerApi::Again(const std::string& part, Submission submission) {
+  if (base::MonotonicNow() + kWriteAgain > submission.deadline) {
+    this->Refuse(submission.exchange, kUnknownFate, submission.job,
+                 "it is not known whether the job was taken: ask again");
+    return;
+  }
+  this->parts[part].waiting.push_back(std::move(submission));
+  this->retry.StartOnce(kWriteAgain);
+}
+
+// --- Asking, cancelling, counting -------------------------------------------------
+
+void CallerApi::AnswerState(const http::ExchangePtr& exchange,
+                            const std::string& job) {
+  const platform::RowKey at = ProgressRow(job);
+  const platform::ReadQuery query{.table = at.table,
+                                  .part = at.part,
+                                  .from = job,
+                                  .to = {},
+                                  .limit = 1};
+  this->store.Read(query, [this, exchange, job](
+                              std::optional<platform::ReadResult> result) {
+    if (!result) {
+      this->Refuse(exchange, kUnavailable, job, "the store does not answer");
+      return;
+    }
+    if (result->rows.empty() || result->rows.front().at.key != job) {
+      this->Refuse(exchange, kNoJob, job, "there is no such job");
+      return;
+    }
+    const auto progress = jobs::DecodeProgress(result->rows.front().value);
+    if (!progress) {
+      base::Log(base::Event::kRowMalformed, {{"row", job}});
+      this->Refuse(exchange, kUnavailable, job, "its state cannot be read");
+      return;
+    }
+    this->Reply(exchange,
+                http::JsonResponse(kOk, platform::StateBody(progress->state)));
+  });
+}
+
+void CallerApi::Cancel(const http::ExchangePtr& exchange,
+                       const std::string& job) {
+  const platform::RowKey at = ProgressRow(job);
+  const platform::ReadQuery query{.table = at.table,
+                                  .part = at.part,
+                                  .from = job,
+                                  .to = {},
+                                  .limit = 1};
+  this->store.Read(query, [this, exchange, job](
+                              std::optional<platform::ReadResult> result) {
+    if (!result) {
+      this->Refuse(exchange, kUnavailable, job, "the store does not answer");
+      return;
+    }
+    if (result->rows.empty() || result->rows.front().at.key != job) {
+      this->Refuse(exchange, kNoJob, job, "there is no such job");
+      return;
+    }
+    this->WriteCancel(exchange, job, kCancelTries);
+  });
+}
+
+void CallerApi::WriteCancel(const http::ExchangePtr& exchange,
+                            const std::string& job,
+                            int tries) {
+  // The job's row stands for good, so that this can be done twice or late.
+  const platform::WriteBatch write{
+      .conditions = {}, .puts = {{.at = CancelRow(job), .value = "1"}},
+      .removes = {}};
+  this->store.Write(write, [this, exchange, job,
+                            tries](const platform::WriteResult& result) {
+    if (result.outcome == platform::WriteOutcome::kDone) {
+      base::Log(base::Event::kJobCancelled, {{"job", job}});
+      this->Reply(exchange, http::JsonResponse(kOk, "{}"));
+      return;
+    }
+    if (tries > 1) {
+      this->WriteCancel(exchange, job, tries - 1);
+      return;
+    }
+    const bool refused = result.outcome == platform::WriteOutcome::kNotDone;
+    this->Refuse(exchange, refused ? kUnavailable : kUnknownFate, job,
+                 "the store does not take writes now");
+  });
+}
+
+void CallerApi::AnswerCount(const http::ExchangePtr& exchange,
+                            const std::string& queue) {
+  const platform::ReadQuery query{.table = std::string(kCountTable),
+                                  .part = "",
+                                  .from = std::string(kCountKey),
+                                  .to = {},
+                                  .limit = 1};
+  this->store.Read(query, [this, exchange, queue](
+                              std::optional<platform::ReadResult> result) {
+    if (!result) {
+      this->Refuse(exchange, kUnavailable, "", "the store does not answer");
+      return;
+    }
+    // A queue that is new has no count yet.
+    const std::int64_t count =
+        result->rows.empty() ? 0
+                             : CountOf(result->rows.front().value, queue);
+    this->Reply(exchange, http::JsonResponse(
+                              kOk, platform::CountBody(count)));
+  });
+}
+
+}  // namespace quartzhoist::entry
--- /dev/null
+++ b/entry/caller_api.h
@@ -0,0 +1,79 @@
+// Callers' interface: jobs are handed in, asked for, cancelled and counted.
+// Any daemon answers from the store; nothing is kept here.
+
+#ifndef ENTRY_CALLER_API_H_
+#define ENTRY_CALLER_API_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/counters.h"
+#include "base/loop.h"
+#include "entry/tables.h"
+#include "http/server.h"
+#include "jobs/queue.h"
+#include "platform/store.h"
+
+namespace quartzhoist::entry {
+
+class CallerApi {
+ public:
+  CallerApi(base::Loop& loop, platform::Store& store, base::Counters& counters);
+
+  void SetConfig(const jobs::Config& config);
+  // From now on answers end their connections: the process is to stop.
+  void Stop();
+  void Handle(const http::ExchangePtr& exchange);
+
+ private:
+  // A job that waits to be written.
+  struct Submission {
+    http::ExchangePtr exchange;
+    std::string job;
+    std::string row;
+    base::Micros arrived{};
+    base::Micros deadline{};
+    bool uncertain = false;  // an earlier try may have been written
+  };
+  struct PartQueue {
+    std::deque<Submission> waiting;
+    bool in_flight = false;
+  };
+
+  void Submit(const http::ExchangePtr& exchange,
+              const jobs::Queue& queue,
+              const std::string& job);
+  void WritePart(const std::string& part);
+  void TakeWritten(const std::string& part,
+                   std::vector<Submission> batch,
+                   const platform::WriteResult& result);
+  void Again(const std::string& part, Submission submission);
+  void AnswerState(const http::ExchangePtr& exchange, const std::string& job);
+  void Cancel(const http::ExchangePtr& exchange, const std::string& job);
+  void WriteCancel(const http::ExchangePtr& exchange,
+                   const std::string& job,
+                   int tries);
+  void AnswerCount(const http::ExchangePtr& exchange, const std::string& queue);
+  void Reply(const http::ExchangePtr& exchange, http::Response response) const;
+  void Refuse(const http::ExchangePtr& exchange,
+              int status,
+              std::string_view job,
+              std::string_view reason) const;
+
+  platform::Store& store;
+  base::Counters& counters;
+  std::optional<jobs::Config> config;
+  std::map<std::string, PartQueue> parts;
+  base::Timer retry;
+  bool stopping = false;
+};
+
+}  // namespace quartzhoist::entry
+
+#endif  // ENTRY_CALLER_API_H_
--- /dev/null
+++ b/entry/job_daemon.cc
@@ -0,0 +1,215 @@
+#include "entry/job_daemon.h"
+
+#include <unistd.h>
+
+#include <csignal>
+#include <functional>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "base/event_log.h"
+#include "base/ip_address.h"
+#include "platform/records.h"
+
+namespace quartzhoist::entry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Without an answer of the store for this long the daemon is not ready. It
+// follows the owner's row, which answers each 0.7 to 1.5 s.
+constexpr base::Micros kStoreSilent = milliseconds(2600);
+// After a stop signal new connections may come until the balancer has missed
+// the readiness twice, a second apart.
+constexpr base::Micros kStayAfterStop = milliseconds(3000);
+// The process leaves this long before the platform kills it.
+constexpr base::Micros kLeaveBeforeKill = milliseconds(500);
+constexpr base::Micros kStopTick = milliseconds(50);
+
+http::ServerOptions OptionsFor(const std::string& address,
+                               std::int64_t max_connections) {
+  const auto at = base::ParseIpAddress(address);
+  http::ServerOptions options;
+  options.address = at->ip;
+  options.port = at->port;
+  options.max_connections = static_cast<unsigned>(max_connections);
+  return options;
+}
+
+// Few connections: the balancer's, and a scraper's.
+constexpr std::int64_t kFewConnections = 64;
+
+std::uint64_t SeedOf(const std::string& id) {
+  const auto now = std::chrono::system_clock::now().time_since_epoch().count();
+  return std::hash<std::string>()(id) ^ static_cast<std::uint64_t>(now) ^
+         (static_cast<std::uint64_t>(getpid()) << 32U);
+}
+
+}  // namespace
+
+JobDaemon::JobDaemon(const Settings& chosen)
+    : settings(chosen),
+      client(this->loop),
+      store(this->client, chosen.store, this->counters),
+      callers(this->loop, this->store, this->counters),
+      caller_server(this->loop,
+                    OptionsFor(chosen.callers, chosen.max_connections),
+                    [this](const http::ExchangePtr& exchange) {
+                      this->callers.Handle(exchange);
+                    }),
+      readiness_server(this->loop,
+                       OptionsFor(chosen.readiness, kFewConnections),
+                       [this](const http::ExchangePtr& exchange) {
+                         this->AnswerReadiness(exchange);
+                       }),
+      manager_end(this->loop, [this] { this->manager.reset(); }),
+      stop_timer(this->loop, [this] { this->TryToEnd(); }),
+      stop_signal(this->loop, SIGTERM, [this] { this->Stop(); }),
+      interrupt_signal(this->loop, SIGINT, [this] { this->Stop(); }),
+      reload_signal(this->loop, SIGHUP, [] {}) {
+  if (!chosen.metrics.empty()) {
+    this->metrics_server = std::make_unique<http::Server>(
+        this->loop, OptionsFor(chosen.metrics, kFewConnections),
+        [this](const http::ExchangePtr& exchange) {
+          this->AnswerMetrics(exchange);
+        });
+  }
+  const std::uint64_t seed = SeedOf(chosen.id);
+  base::Log(base::Event::kDaemonStarted, {{"id", chosen.id},
+                                          {"zone", chosen.zone},
+                                          {"callers", chosen.callers},
+                                          {"seed", seed}});
+  this->operators = std::make_unique<platform::TableFollower>(
+      this->loop, this->store, std::string(platform::kOperatorTable),
+      std::vector<std::string>{""},
+      platform::TableFollower::Events{
+          .on_all =
+              [this](const std::vector<platform::Row>& rows) {
+                for (const platform::Row& row : rows)
+                  this->TakeOperatorRow(row);
+              },
+          .on_changes =
+              [this](const std::vector<platform::ChangedRow>& rows) {
+                for (const platform::ChangedRow& changed : rows) {
+                  if (!changed.removed)
+                    this->TakeOperatorRow(changed.row);
+                }
+              },
+          .on_contact = [](base::Micros) {},
+          .on_lost = [] {}});
+  this->ownership = std::make_unique<Ownership>(
+      this->loop, this->store, chosen.id, seed,
+      Ownership::Events{
+          .on_gained = [this](std::uint64_t epoch,
+                              base::Micros) { this->Gained(epoch); },
+          .on_lost = [this] { this->Lost(); },
+          .on_confirmed =
+              [this](base::Micros asked) {
+                if (this->manager)
+                  this->manager->Confirmed(asked);
+              },
+          .on_store_answered =
+              [this] { this->store_answered = base::MonotonicNow(); },
+          .on_store_silent = [] {}});
+}
+
+void JobDaemon::TakeOperatorRow(const platform::Row& row) {
+  try {
+    if (row.at.key == platform::kConfigKey) {
+      jobs::Config next = platform::ParseConfig(row.value);
+      // A configuration never goes back.
+      if (this->has_config && next.version <= this->config.version)
+        return;
+      this->has_config = true;
+      this->config = std::move(next);
+      this->callers.SetConfig(this->config);
+      if (this->manager)
+        this->manager->SetConfig(this->config);
+      base::Log(base::Event::kConfigInstalled,
+                {{"version", this->config.version},
+                 {"queues", this->config.queues.size()}});
+      return;
+    }
+    if (row.at.key.starts_with(platform::kWavePrefix)) {
+      const scheduler::Wave wave = platform::ParseWave(row.value);
+      this->waves[wave.number] = wave;
+      if (this->manager)
+        this->manager->SetWave(wave);
+    }
+  } catch (const platform::BadInput& problem) {
+    base::Log(base::Event::kRowMalformed,
+              {{"row", row.at.key}, {"problem", problem.what()}});
+  }
+}
+
+void JobDaemon::Gained(std::uint64_t epoch) {
+  this->manager_end.Stop();
+  this->manager = std::make_unique<Manager>(
+      this->loop, this->store, this->client, this->counters, this->settings,
+      epoch, [this] { this->ownership->Fenced(); });
+  for (const auto& [number, wave] : this->waves)
+    this->manager->SetWave(wave);
+  if (this->has_config)
+    this->manager->SetConfig(this->config);
+}
+
+void JobDaemon::Lost() {
+  this->manager_end.StartOnce(base::Micros(1));
+}
+
+bool JobDaemon::IsReady() const {
+  return this->has_config && this->stop_asked == base::Micros::zero() &&
+         base::MonotonicNow() - this->store_answered < kStoreSilent;
+}
+
+void JobDaemon::AnswerReadiness(const http::ExchangePtr& exchange) const {
+  constexpr int kReady = 200;
+  constexpr int kNotReady = 503;
+  exchange->Reply(
+      http::JsonResponse(this->IsReady() ? kReady : kNotReady, "{}"));
+}
+
+void JobDaemon::AnswerMetrics(const http::ExchangePtr& exchange) const {
+  if (exchange->request().path == "/dump" && this->manager) {
+    exchange->Reply(http::JsonResponse(200, this->manager->Dump()));
+    return;
+  }
+  http::Response response;
+  response.headers.push_back(
+      {.name = "Content-Type", .value = "text/plain; version=0.0.4"});
+  response.body = base::PrometheusText(this->counters);
+  response.body += fmt::format(
+      "# HELP quartzhoist_owner Whether this daemon schedules\n"
+      "# TYPE quartzhoist_owner gauge\nquartzhoist_owner {}\n",
+      this->ownership->holds() ? 1 : 0);
+  exchange->Reply(std::move(response));
+}
+
+// Others take over at once; callers that are still sent here are answered.
+void JobDaemon::Stop() {
+  if (this->stop_asked > base::Micros::zero())
+    return;
+  this->stop_asked = base::MonotonicNow();
+  base::Log(base::Event::kDaemonStopping, {});
+  this->callers.Stop();
+  this->ownership->Release();
+  this->stop_timer.StartEvery(kStopTick);
+}
+
+void JobDaemon::TryToEnd() {
+  const base::Micros since = base::MonotonicNow() - this->stop_asked;
+  const bool quiet =
+      since > kStayAfterStop && this->caller_server.open_exchanges() == 0;
+  const bool over = since > this->settings.grace - kLeaveBeforeKill;
+  if (quiet || over)
+    this->loop.Stop();
+}
+
+void JobDaemon::Run() {
+  this->loop.Run();
+  base::Log(base::Event::kDaemonStopped, {});
+}
+
+}  // namespace quartzhoist::entry
--- /dev/null
+++ b/entry/manager.cc
@@ -0,0 +1,577 @@
+#include "entry/manager.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "base/event_log.h"
+#include "platform/records.h"
+
+namespace quartzhoist::entry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr base::Micros kTick = milliseconds(50);
+// News is acted on after this, so that what comes together is placed together.
+constexpr base::Micros kSoon = milliseconds(2);
+constexpr base::Micros kReadAgain = milliseconds(200);
+// What a lease is granted for: past the time in which another owner takes over
+// (2.3 s and its looks), short enough that a dead worker's tasks start again.
+constexpr base::Micros kLease = milliseconds(5000);
+// No lease lasts longer than this after the store confirmed the ownership: a
+// store that is away for less interrupts nothing (sites: up to 9 s).
+constexpr base::Micros kGrantBound = milliseconds(10'000);
+// Clocks of boxes and workers, when another owner's grants are waited out.
+constexpr double kClockSlack = 1.05;
+constexpr base::Micros kReportAgain = milliseconds(500);
+constexpr base::Micros kListPeriod = milliseconds(1500);
+
+// The monotonic clock's reading at 1970.
+base::Micros TimeOfDayOffset() {
+  const auto since_1970 = std::chrono::duration_cast<base::Micros>(
+      std::chrono::system_clock::now().time_since_epoch());
+  return base::MonotonicNow() - since_1970;
+}
+
+scheduler::Limits LimitsOf(const Settings& settings, std::uint64_t epoch) {
+  scheduler::Limits limits;
+  limits.lease = std::min(kLease, settings.longest_lease);
+  limits.grant_bound = kGrantBound;
+  limits.stop_time = settings.stop_time;
+  limits.gang_wait = settings.gang_wait;
+  limits.time_of_day_offset = TimeOfDayOffset();
+  limits.epoch = epoch;
+  limits.fleet = {.move_time = settings.move_time,
+                  .upkeep_time = settings.upkeep_time};
+  return limits;
+}
+
+}  // namespace
+
+Manager::Manager(base::Loop& on,
+                 platform::Store& from,
+                 http::Client& client,
+                 base::Counters& count,
+                 const Settings& chosen,
+                 std::uint64_t own_epoch,
+                 std::function<void()> when_fenced)
+    : loop(on),
+      store(from),
+      counters(count),
+      settings(chosen),
+      epoch(own_epoch),
+      on_fenced(std::move(when_fenced)),
+      workers(client),
+      boxes(client, chosen.boxes, chosen.id),
+      scheduler(LimitsOf(chosen, own_epoch)),
+      timer(on, [this] { this->Act(); }),
+      soon(on, [this] { this->Act(); }),
+      alive(std::make_shared<bool>(true)) {
+  this->ReadKept();
+}
+
+Manager::~Manager() {
+  *this->alive = false;
+}
+
+// --- Taking over --------------------------------------------------------------
+
+// Jobs first: progress that is read later belongs to jobs that are known, and
+// later jobs come by the feed.
+void Manager::ReadKept() {
+  this->job_follower = std::make_unique<platform::TableFollower>(
+      this->loop, this->store, std::string(kJobTable), JobParts(),
+      platform::TableFollower::Events{
+          .on_all =
+              [this](std::vector<platform::Row> rows) {
+                if (this->begun) {
+                  for (const platform::Row& row : rows)
+                    this->TakeJobRow(row);
+                  this->soon.StartOnce(kSoon);
+                  return;
+                }
+                this->kept_jobs = std::move(rows);
+                this->ReadRest();
+              },
+          .on_changes =
+              [this](const std::vector<platform::ChangedRow>& rows) {
+                for (const platform::ChangedRow& changed : rows) {
+                  if (changed.removed)
+                    continue;
+                  if (this->begun)
+                    this->TakeJobRow(changed.row);
+                  else
+                    this->kept_jobs->push_back(changed.row);
+                }
+                this->soon.StartOnce(kSoon);
+              },
+          .on_contact = [](base::Micros) {},
+          .on_lost = [] {}});
+  this->worker_follower = std::make_unique<platform::TableFollower>(
+      this->loop, this->store, std::string(platform::kWorkerTable),
+      std::vector<std::string>{""},
+      platform::TableFollower::Events{
+          .on_all =
+              [this](const std::vector<platform::Row>& rows) {
+                std::set<std::string> there;
+                if (!this->announced)
+                  this->announced.emplace();
+                for (const platform::Row& row : rows) {
+                  there.insert(row.at.key);
+                  this->TakeWorkerRow({.row = row, .removed = false});
+                }
+                std::vector<std::string> gone;
+                for (const auto& [id, info] : *this->announced) {
+                  if (!there.contains(id))
+                    gone.push_back(id);
+                }
+                for (const std::string& id : gone) {
+                  platform::Row row;
+                  row.at.key = id;
+                  this->TakeWorkerRow({.row = row, .removed = true});
+                }
+                this->Begin();
+              },
+          .on_changes =
+              [this](const std::vector<platform::ChangedRow>& rows) {
+                for (const platform::ChangedRow& changed : rows)
+                  this->TakeWorkerRow(changed);
+                this->soon.StartOnce(kSoon);
+              },
+          .on_contact = [](base::Micros) {},
+          .on_lost = [] {}});
+}
+
+void Manager::ReadRest() {
+  const auto read = [this](std::string_view table,
+                           const std::vector<std::string>& parts,
+                           std::optional<std::vector<platform::Row>>& into) {
+    if (into)
+      return;
+    platform::ReadTable(
+        this->store, std::string(table), parts,
+        [this, &into, lives = this->alive](
+            std::optional<platform::TableContent> content) {
+          if (!*lives)
+            return;
+          if (content)
+            into = std::move(content->rows);
+          this->Begin();
+        });
+  };
+  const std::vector<std::string> whole = {""};
+  read(kProgressTable, JobParts(), this->kept_progress);
+  read(kLeaseTable, whole, this->kept_leases);
+  read(kWaveTable, whole, this->kept_waves);
+  this->timer.StartOnce(kReadAgain);
+}
+
+void Manager::Begin() {
+  const bool complete = this->has_config && this->kept_jobs &&
+                        this->kept_progress && this->kept_leases &&
+                        this->kept_waves && this->announced;
+  if (this->begun || !complete)
+    return;
+  this->begun = true;
+  this->AddWorkers();
+  this->scheduler.SetConfig(this->config, base::MonotonicNow());
+  this->AddKeptJobs();
+  for (const auto& [number, wave] : this->waves)
+    this->SetWave(wave);
+  base::Log(base::Event::kOwnershipReady,
+            {{"epoch", this->epoch},
+             {"jobs", this->scheduler.all_jobs().size()},
+             {"workers", this->scheduler.all_workers().size()}});
+  this->timer.StartEvery(kTick);
+  this->soon.StartOnce(kSoon);
+}
+
+void Manager::AddWorkers() {
+  const base::Micros now = base::MonotonicNow();
+  for (const platform::Row& row : *this->kept_leases) {
+    if (row.at.key == kLeaseKey)
+      this->TakeLeases(row);
+  }
+  for (const auto& [id, info] : *this->announced)
+    this->scheduler.PutWorker(info, now);
+}
+
+void Manager::AddKeptJobs() {
+  const base::Micros now = base::MonotonicNow();
+  std::map<std::string, const platform::Row*> progress;
+  for (const platform::Row& row : *this->kept_progress)
+    progress[row.at.key] = &row;
+  for (const platform::Row& row : *this->kept_jobs) {
+    const JobKey key = ParseJobKey(row.at.key);
+    if (key.is_cancel) {
+      this->cancels.insert(key.job);
+      continue;
+    }
+    const auto found = progress.find(key.job);
+    const bool is_kept = found != progress.end();
+    const auto accepted = DecodeAccepted(row.value);
+    auto kept = is_kept ? jobs::DecodeProgress(found->second->value)
+                        : std::optional<jobs::Progress>(jobs::Progress{});
+    if (!accepted || !kept) {
+      base::Log(base::Event::kRowMalformed, {{"row", row.at.key}});
+      continue;
+    }
+    if (jobs::IsFinal(kept->state))
+      continue;
+    auto job = this->MakeJob(key.job, *accepted, std::move(*kept),
+                             is_kept ? found->second->version : row.version);
+    if (!job)
+      continue;
+    job->inherited = true;
+    this->scheduler.AddJob(std::move(*job), now);
+  }
+  for (const std::string& id : this->cancels)
+    this->scheduler.CancelJob(id, now);
+  this->kept_jobs->clear();
+  this->kept_progress->clear();
+}
+
+// Workers that an earlier owner may have granted a lease; false if the row is a
+// later owner's.
+bool Manager::TakeLeases(const platform::Row& row) {
+  const auto record = DecodeLeases(row.value);
+  if (!record) {
+    base::Log(base::Event::kRowMalformed, {{"row", row.at.key}});
+    return true;
+  }
+  if (record->epoch > this->epoch)
+    return false;
+  const auto bound = base::Micros(static_cast<std::int64_t>(
+      static_cast<double>(kGrantBound.count()) * kClockSlack));
+  this->lease_version = row.version;
+  if (record->epoch == this->epoch)
+    return true;
+  for (const scheduler::WorkerInfo& info : record->workers)
+    this->scheduler.InheritWorker(info, base::MonotonicNow() + bound);
+  return true;
+}
+
+std::optional<scheduler::Job> Manager::MakeJob(const std::string& id,
+                                               const AcceptedJob& accepted,
+                                               jobs::Progress progress,
+                                               std::uint64_t version) const {
+  const base::Micros offset = TimeOfDayOffset();
+  try {
+    scheduler::Job job = scheduler::MakeJob(
+        id, accepted.queue, platform::ParseJob(accepted.body),
+        std::move(progress), milliseconds(accepted.accepted_ms) + offset,
+        offset);
+    job.version = version;
+    return job;
+  } catch (const platform::BadInput& problem) {
+    base::Log(base::Event::kRowMalformed,
+              {{"row", id}, {"problem", problem.what()}});
+    return std::nullopt;
+  }
+}
+
+// --- The store's news ------------------------------------------------------------
+
+void Manager::TakeJobRow(const platform::Row& row) {
+  const base::Micros now = base::MonotonicNow();
+  const JobKey key = ParseJobKey(row.at.key);
+  if (key.is_cancel) {
+    this->cancels.insert(key.job);
+    this->scheduler.CancelJob(key.job, now);
+    return;
+  }
+  const auto accepted = DecodeAccepted(row.value);
+  if (!accepted) {
+    base::Log(base::Event::kRowMalformed, {{"row", row.at.key}});
+    return;
+  }
+  // Its progress was written with it, under the same version.
+  auto job = this->MakeJob(key.job, *accepted, {}, row.version);
+  if (job)
+    this->scheduler.AddJob(std::move(*job), now);
+  if (this->cancels.contains(key.job))
+    this->scheduler.CancelJob(key.job, now);
+}
+
+void Manager::TakeWorkerRow(const platform::ChangedRow& changed) {
+  const base::Micros now = base::MonotonicNow();
+  const std::string& id = changed.row.at.key;
+  if (!this->announced)
+    this->announced.emplace();
+  if (changed.removed) {
+    this->announced->erase(id);
+    if (this->begun)
+      this->scheduler.WorkerUnlisted(id, now);
+    return;
+  }
+  try {
+    const scheduler::WorkerInfo info =
+        platform::ParseWorker(id, changed.row.value);
+    (*this->announced)[id] = info;
+    if (this->begun)
+      this->scheduler.PutWorker(info, now);
+  } catch (const platform::BadInput& problem) {
+    base::Log(base::Event::kRowMalformed,
+              {{"row", id}, {"problem", problem.what()}});
+  }
+}
+
+void Manager::SetConfig(const jobs::Config& next) {
+  this->config = next;
+  this->has_config = true;
+  if (this->begun)
+    this->scheduler.SetConfig(next, base::MonotonicNow());
+  else
+    this->Begin();
+}
+
+void Manager::SetWave(const scheduler::Wave& wave) {
+  this->waves[wave.number] = wave;
+  if (!this->begun)
+    return;
+  std::vector<std::string> begun_boxes;
+  for (const platform::Row& row : *this->kept_waves) {
+    if (row.at.key == std::to_string(wave.number))
+      begun_boxes = DecodeNames(row.value);
+  }
+  this->scheduler.SetWave(wave, begun_boxes, base::MonotonicNow());
+}
+
+void Manager::Confirmed(base::Micros asked) {
+  this->scheduler.Confirmed(asked);
+}
+
+// --- Actions ----------------------------------------------------------------------
+
+void Manager::Act() {
+  if (!this->begun) {
+    if (this->kept_jobs)
+      this->ReadRest();
+    return;
+  }
+  this->scheduler.Advance(base::MonotonicNow());
+  for (scheduler::Action& action : this->scheduler.TakeActions())
+    this->Carry(std::move(action));
+  this->SaveAll();
+  this->RecordWorkers();
+  this->WriteCounts();
+  const base::Micros now = base::MonotonicNow();
+  if (now >= this->next_report && !this->unreported.empty()) {
+    this->next_report = now + kReportAgain;
+    for (const scheduler::ReportWave& report :
+         std::exchange(this->unreported, {}))
+      this->Report(report);
+  }
+  if (now >= this->next_list && !this->listing_boxes &&
+      this->scheduler.wants_boxes() && !this->settings.boxes.empty()) {
+    this->listing_boxes = true;
+    this->next_list = now + kListPeriod;
+    this->ListBoxes("", {});
+  }
+  if (this->scheduler.fenced())
+    this->on_fenced();
+}
+
+void Manager::Carry(scheduler::Action action) {
+  struct Visitor {
+    Manager& manager;
+
+    void operator()(scheduler::StartRun& order) const {
+      manager.Enqueue(order.worker, std::move(order));
+    }
+    void operator()(scheduler::StopRun& order) const {
+      manager.Enqueue(order.worker, std::move(order));
+    }
+    void operator()(scheduler::PaceRun& order) const {
+      manager.Enqueue(order.worker, std::move(order));
+    }
+    void operator()(const scheduler::LookAt& order) const {
+      manager.SendLook(order);
+    }
+    void operator()(scheduler::SaveProgress& save) const {
+      manager.saves.push_back(std::move(save));
+    }
+    void operator()(const scheduler::MoveBox& order) const {
+      manager.SendBox(order);
+    }
+    void operator()(const scheduler::UpkeepBox& order) const {
+      manager.SendBox(order);
+    }
+    void operator()(const scheduler::ReportWave& report) const {
+      manager.Report(report);
+    }
+    void operator()(const scheduler::Note& note) const {
+      base::Log(base::Event::kDecision,
+                {{"subject", note.subject}, {"text", note.text}});
+    }
+  };
+  std::visit(Visitor{*this}, action);
+}
+
+platform::OrderTo Manager::To(const std::string& worker) const {
+  const scheduler::Worker* known = this->scheduler.FindWorker(worker);
+  return {.worker = worker,
+          .address = known ? known->info.address : std::string(),
+          .epoch = this->epoch};
+}
+
+void Manager::Enqueue(const std::string& worker, Order order) {
+  const std::string to = worker;
+  this->orders[to].waiting.push_back(std::move(order));
+  this->SendNext(to);
+}
+
+void Manager::SendNext(const std::string& worker) {
+  WorkerOrders& queue = this->orders[worker];
+  if (queue.in_flight || queue.waiting.empty())
+    return;
+  if (!this->scheduler.FindWorker(worker)) {
+    this->orders.erase(worker);
+    return;
+  }
+  const Order order = std::move(queue.waiting.front());
+  queue.waiting.pop_front();
+  queue.in_flight = true;
+  std::visit([this, &worker](const auto& one) { this->Send(worker, one); },
+             order);
+}
+
+void Manager::OrderAnswered(const std::string& worker, bool silent) {
+  WorkerOrders& queue = this->orders[worker];
+  queue.in_flight = false;
+  // A worker that does not answer holds nothing up: starts that have not left
+  // go elsewhere.
+  std::deque<Order> waiting;
+  if (silent)
+    waiting.swap(queue.waiting);
+  for (Order& order : waiting) {
+    if (const auto* start = std::get_if<scheduler::StartRun>(&order)) {
+      this->scheduler.Started(*start, scheduler::OrderOutcome::kNotSent,
+                              base::MonotonicNow());
+    } else {
+      queue.waiting.push_back(std::move(order));
+    }
+  }
+  this->SendNext(worker);
+  this->soon.StartOnce(kSoon);
+}
+
+void Manager::Send(const std::string& worker,
+                   const scheduler::StartRun& order) {
+  const base::Micros now = base::MonotonicNow();
+  const base::Micros end = this->scheduler.LeaseEnd(now);
+  const std::int64_t deadline = this->scheduler.Deadline(worker, end);
+  const scheduler::Worker* known = this->scheduler.FindWorker(worker);
+  const auto run = known->runs.find(order.task);
+  const bool wanted = run != known->runs.end() &&
+                      run->second.number == order.run &&
+                      run->second.state == scheduler::RunState::kStarting;
+  if (deadline <= 0 || end <= now || !wanted) {
+    this->scheduler.Started(order, scheduler::OrderOutcome::kNotSent, now);
+    this->orders[worker].in_flight = false;
+    this->SendNext(worker);
+    return;
+  }
+  this->scheduler.Granted(worker, end);
+  this->workers.Start(
+      this->To(worker), order, deadline, "",
+      [this, worker, order,
+       lives = this->alive](scheduler::OrderOutcome outcome) {
+        if (!*lives)
+          return;
+        const bool unknown = outcome == scheduler::OrderOutcome::kUnknown;
+        if (unknown) {
+          base::Log(base::Event::kRunUnsettled,
+                    {{"task", platform::TaskName(order.task)},
+                     {"run", order.run},
+                     {"worker", worker}});
+        }
+        this->scheduler.Started(order, outcome, base::MonotonicNow());
+        this->OrderAnswered(worker, unknown);
+      });
+}
+
+void Manager::Send(const std::string& worker, const scheduler::StopRun& order) {
+  this->workers.Stop(
+      this->To(worker), order,
+      [this, worker, order,
+       lives = this->alive](scheduler::OrderOutcome outcome) {
+        if (!*lives)
+          return;
+        this->scheduler.Stopped(order, outcome, base::MonotonicNow());
+        this->OrderAnswered(worker,
+                            outcome == scheduler::OrderOutcome::kUnknown);
+      });
+}
+
+void Manager::Send(const std::string& worker, const scheduler::PaceRun& order) {
+  this->workers.Pace(this->To(worker), order,
+                     [this, worker, lives = this->alive](
+                         scheduler::OrderOutcome outcome) {
+                       if (!*lives)
+                         return;
+                       this->OrderAnswered(
+                           worker,
+                           outcome == scheduler::OrderOutcome::kUnknown);
+                     });
+}
+
+void Manager::SendLook(const scheduler::LookAt& order) {
+  const base::Micros now = base::MonotonicNow();
+  const base::Micros end = this->scheduler.LeaseEnd(now);
+  const std::string worker = order.worker;
+  const std::int64_t deadline = this->scheduler.Deadline(worker, end);
+  this->scheduler.LookSent(worker, now);
+  if (deadline > 0)
+    this->scheduler.Granted(worker, end);
+  this->workers.Look(
+      this->To(worker), order, deadline,
+      [this, worker, lives = this->alive](const platform::LookResult& result) {
+        if (!*lives)
+          return;
+        const base::Micros then = base::MonotonicNow();
+        if (result.outcome == scheduler::OrderOutcome::kDone)
+          this->scheduler.Listed(worker, result.listing, then);
+        else
+          this->scheduler.LookFailed(worker, result.outcome, then);
+        this->soon.StartOnce(kSoon);
+      });
+}
+
+void Manager::SendBox(const scheduler::MoveBox& order) {
+  this->boxes.Move(order, this->epoch,
+                   [this, order, lives = this->alive](
+                       scheduler::BoxCallOutcome outcome) {
+                     if (!*lives)
+                       return;
+                     base::Log(base::Event::kBoxMoved,
+                               {{"box", order.box},
+                                {"pool", order.pool},
+                                {"outcome", static_cast<int>(outcome)}});
+                     this->scheduler.Moved(order, outcome,
+                                           base::MonotonicNow());
+                     this->soon.StartOnce(kSoon);
+                   });
+}
+
+void Manager::SendBox(const scheduler::UpkeepBox& order) {
+  this->boxes.Upkeep(order, this->epoch,
+                     [this, order, lives = this->alive](
+                         scheduler::BoxCallOutcome outcome) {
+                       if (!*lives)
+                         return;
+                       base::Log(base::Event::kUpkeepBegun,
+                                 {{"box", order.box},
+                                  {"wave", order.wave},
+                                  {"outcome", static_cast<int>(outcome)}});
+                       this->scheduler.UpkeepBegun(order, outcome,
+                                                   base::MonotonicNow());
+                       this->soon.StartOnce(kSoon);
+                     });
+}
+
+}  // namespace quartzhoist::entry
--- /dev/null
+++ b/entry/manager.h
@@ -0,0 +1,146 @@
+// What the owner does: reads what is kept, then carries the scheduler's
+// actions out and tells it what came of them. Made when the ownership is
+// gained, destroyed when it is lost.
+
+#ifndef ENTRY_MANAGER_H_
+#define ENTRY_MANAGER_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/counters.h"
+#include "base/loop.h"
+#include "entry/settings.h"
+#include "entry/tables.h"
+#include "http/client.h"
+#include "jobs/queue.h"
+#include "platform/store.h"
+#include "platform/table_follower.h"
+#include "platform/table_reader.h"
+#include "platform/workers.h"
+#include "scheduler/scheduler.h"
+
+namespace quartzhoist::entry {
+
+class Manager {
+ public:
+  // `on_fenced`: a worker or the platform has seen a higher epoch.
+  Manager(base::Loop& loop,
+          platform::Store& store,
+          http::Client& client,
+          base::Counters& counters,
+          const Settings& settings,
+          std::uint64_t epoch,
+          std::function<void()> on_fenced);
+  ~Manager();
+  Manager(const Manager&) = delete;
+  Manager& operator=(const Manager&) = delete;
+
+  void SetConfig(const jobs::Config& config);
+  void SetWave(const scheduler::Wave& wave);
+  void Confirmed(base::Micros asked);
+
+  // For the state dump, as JSON.
+  std::string Dump() const;
+
+ private:
+  using Order =
+      std::variant<scheduler::StartRun, scheduler::StopRun, scheduler::PaceRun>;
+  // Orders to one worker go one after the other over one connection.
+  struct WorkerOrders {
+    std::deque<Order> waiting;
+    bool in_flight = false;
+  };
+
+  // Taking over: what is kept is read first.
+  void ReadKept();
+  void ReadRest();
+  void Begin();
+  void AddKeptJobs();
+  void AddWorkers();
+  bool TakeLeases(const platform::Row& row);
+
+  // The store's news.
+  void TakeJobRow(const platform::Row& row);
+  void TakeWorkerRow(const platform::ChangedRow& changed);
+
+  // Actions.
+  void Act();
+  void Carry(scheduler::Action action);
+  void Enqueue(const std::string& worker, Order order);
+  void SendNext(const std::string& worker);
+  void Send(const std::string& worker, const scheduler::StartRun& order);
+  void Send(const std::string& worker, const scheduler::StopRun& order);
+  void Send(const std::string& worker, const scheduler::PaceRun& order);
+  void OrderAnswered(const std::string& worker, bool silent);
+  void SendLook(const scheduler::LookAt& order);
+  void SendBox(const scheduler::MoveBox& order);
+  void SendBox(const scheduler::UpkeepBox& order);
+  void Report(const scheduler::ReportWave& report);
+  void SaveAll();
+  void TakeSaved(const std::vector<scheduler::SaveProgress>& batch,
+                 const platform::WriteResult& result);
+  void RecordWorkers();
+  void WriteCounts();
+  void ListBoxes(const std::string& page,
+                 std::vector<scheduler::BoxInfo> so_far);
+  platform::OrderTo To(const std::string& worker) const;
+  std::optional<scheduler::Job> MakeJob(const std::string& id,
+                                        const AcceptedJob& accepted,
+                                        jobs::Progress progress,
+                                        std::uint64_t version) const;
+
+  base::Loop& loop;
+  platform::Store& store;
+  base::Counters& counters;
+  Settings settings;
+  std::uint64_t epoch;
+  std::function<void()> on_fenced;
+  platform::Workers workers;
+  platform::Boxes boxes;
+  scheduler::Scheduler scheduler;
+  jobs::Config config;
+
+  // Read while taking over.
+  bool begun = false;
+  bool has_config = false;
+  std::optional<std::vector<platform::Row>> kept_jobs;
+  std::optional<std::vector<platform::Row>> kept_progress;
+  std::optional<std::vector<platform::Row>> kept_leases;
+  std::optional<std::vector<platform::Row>> kept_waves;
+  std::optional<std::map<std::string, scheduler::WorkerInfo>> announced;
+  std::map<int, scheduler::Wave> waves;
+
+  std::set<std::string> cancels;  // of jobs not known yet
+  std::map<std::string, WorkerOrders> orders;
+  std::vector<scheduler::SaveProgress> saves;
+  int saves_in_flight = 0;
+  std::vector<std::string> recorded;  // workers in the stored list
+  std::uint64_t lease_version = 0;
+  bool lease_writing = false;
+  std::map<std::string, int> counted;  // as last written
+  base::Micros next_count{};
+  base::Micros next_list{};
+  base::Micros next_report{};
+  base::Micros next_record{};
+  bool listing_boxes = false;
+  std::set<int> reported_waves;
+  std::vector<scheduler::ReportWave> unreported;  // to be written again
+  base::Timer timer;
+  base::Timer soon;
+  std::unique_ptr<platform::TableFollower> job_follower;
+  std::unique_ptr<platform::TableFollower> worker_follower;
+  // Calls still on their way when this is destroyed find it unset.
+  std::shared_ptr<bool> alive;
+};
+
+}  // namespace quartzhoist::entry
+
+#endif  // ENTRY_MANAGER_H_
--- /dev/null
+++ b/entry/manager_records.cc
@@ -0,0 +1,250 @@
+// What the owner writes to the store, and its list of boxes.
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "base/event_log.h"
+#include "entry/manager.h"
+#include "platform/records.h"
+
+namespace quartzhoist::entry {
+
+namespace {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr base::Micros kCountPeriod = seconds(1);
+constexpr base::Micros kRecordAgain = milliseconds(200);
+constexpr int kMaxSavesInFlight = 2;
+// A row saved is a condition and a put.
+constexpr std::size_t kEntriesASave = 2;
+constexpr std::size_t kMaxSavesAWrite =
+    platform::kMaxBatchEntries / kEntriesASave;
+
+}  // namespace
+
+void Manager::SaveAll() {
+  while (!this->saves.empty() && this->saves_in_flight < kMaxSavesInFlight) {
+    const std::size_t count = std::min(this->saves.size(), kMaxSavesAWrite);
+    const auto end =
+        this->saves.begin() + static_cast<std::ptrdiff_t>(count);
+    std::vector<scheduler::SaveProgress> batch(
+        std::make_move_iterator(this->saves.begin()),
+        std::make_move_iterator(end));
+    this->saves.erase(this->saves.begin(), end);
+    platform::WriteBatch write;
+    for (const scheduler::SaveProgress& save : batch) {
+      write.conditions.push_back(
+          {.at = ProgressRow(save.job), .version = save.version});
+      write.puts.push_back({.at = ProgressRow(save.job), .value = save.text});
+    }
+    ++this->saves_in_flight;
+    this->store.Write(write,
+                      [this, batch = std::move(batch), lives = this->alive](
+                          const platform::WriteResult& result) {
+                        if (!*lives)
+                          return;
+                        --this->saves_in_flight;
+                        this->TakeSaved(batch, result);
+                        this->soon.StartOnce(milliseconds(1));
+                      });
+  }
+}
+
+void Manager::TakeSaved(const std::vector<scheduler::SaveProgress>& batch,
+                        const platform::WriteResult& result) {
+  const base::Micros now = base::MonotonicNow();
+  std::map<std::string, const platform::Row*> rows;
+  for (const platform::Row& row : result.rows)
+    rows[row.at.key] = &row;
+  for (const scheduler::SaveProgress& save : batch) {
+    scheduler::SaveResult saved{.job = save.job, .change = save.change};
+    if (result.outcome == platform::WriteOutcome::kDone) {
+      saved.outcome = scheduler::SaveOutcome::kSaved;
+      saved.version = result.version;
+    } else if (result.outcome == platform::WriteOutcome::kConflict) {
+      const auto found = rows.find(save.job);
+      const std::uint64_t there =
+          found == rows.end() ? 0 : found->second->version;
+      if (there != save.version) {
+        saved.outcome = scheduler::SaveOutcome::kConflict;
+        saved.version = there;
+        if (found != rows.end())
+          saved.stored = jobs::DecodeProgress(found->second->value);
+      }
+    }
+    this->scheduler.Saved(saved, now);
+  }
+}
+
+// Every worker is in the stored list before it gets its first lease, so that a
+// later owner knows whom to ask.
+void Manager::RecordWorkers() {
+  const base::Micros now = base::MonotonicNow();
+  if (this->lease_writing || now < this->next_record)
+    return;
+  std::vector<scheduler::WorkerInfo> known;
+  std::vector<std::string> ids;
+  for (const auto& [id, worker] : this->scheduler.all_workers()) {
+    known.push_back(worker.info);
+    ids.push_back(id);
+  }
+  if (ids == this->recorded)
+    return;
+  const platform::RowKey row{.table = std::string(kLeaseTable),
+                             .part = "",
+                             .key = std::string(kLeaseKey)};
+  const platform::WriteBatch write{
+      .conditions = {{.at = row, .version = this->lease_version}},
+      .puts = {{.at = row, .value = EncodeLeases({.epoch = this->epoch, .workers = known})}},
+      .removes = {}};
+  this->lease_writing = true;
+  this->store.Write(write, [this, ids, lives = this->alive](
+                               const platform::WriteResult& result) {
+    if (!*lives)
+      return;
+    this->lease_writing = false;
+    switch (result.outcome) {
+      case platform::WriteOutcome::kDone:
+        this->lease_version = result.version;
+        this->recorded = ids;
+        this->scheduler.WorkersRecorded(ids);
+        this->soon.StartOnce(milliseconds(1));
+        return;
+      case platform::WriteOutcome::kConflict:
+        // An own write that was thought lost, an earlier owner's that came
+        // late, or the next owner's.
+        if (!result.rows.empty() && !this->TakeLeases(result.rows.front())) {
+          // Destroys this.
+          this->on_fenced();
+          return;
+        }
+        break;
+      case platform::WriteOutcome::kNotDone:
+      case platform::WriteOutcome::kUnknown:
+        break;
+    }
+    this->next_record = base::MonotonicNow() + kRecordAgain;
+  });
+}
+
+void Manager::WriteCounts() {
+  const base::Micros now = base::MonotonicNow();
+  if (now < this->next_count)
+    return;
+  this->next_count = now + kCountPeriod;
+  const std::map<std::string, int> counts = this->scheduler.WaitingJobs();
+  if (counts == this->counted)
+    return;
+  const platform::WriteBatch write{
+      .conditions = {},
+      .puts = {{.at = {.table = std::string(kCountTable),
+                       .part = "",
+                       .key = std::string(kCountKey)},
+                .value = EncodeCounts(counts)}},
+      .removes = {}};
+  this->store.Write(write, [this, counts, lives = this->alive](
+                               const platform::WriteResult& result) {
+    if (*lives && result.outcome == platform::WriteOutcome::kDone)
+      this->counted = counts;
+  });
+}
+
+// The begun boxes are for a later owner, the status is for the operators. A
+// late `running` cannot replace `completed`: it must find no status.
+void Manager::Report(const scheduler::ReportWave& report) {
+  const std::string number = std::to_string(report.wave);
+  const platform::WriteBatch begun_boxes{
+      .conditions = {},
+      .puts = {{.at = {.table = std::string(kWaveTable),
+                       .part = "",
+                       .key = number},
+                .value = EncodeNames(report.begun)}},
+      .removes = {}};
+  this->store.Write(begun_boxes, [](const platform::WriteResult&) {});
+  const platform::RowKey status{.table = std::string(platform::kStatusTable),
+                                .part = "",
+                                .key = std::string(platform::kWavePrefix) +
+                                       number};
+  platform::WriteBatch write;
+  if (report.state == scheduler::WaveState::kRunning)
+    write.conditions.push_back({.at = status, .version = 0});
+  write.puts.push_back(
+      {.at = status, .value = platform::WaveStatusText(report.state)});
+  if (report.state == scheduler::WaveState::kRunning &&
+      this->reported_waves.contains(report.wave))
+    return;
+  this->store.Write(write, [this, report, lives = this->alive](
+                               const platform::WriteResult& result) {
+    if (!*lives)
+      return;
+    const bool settled = result.outcome == platform::WriteOutcome::kDone ||
+                         result.outcome == platform::WriteOutcome::kConflict;
+    base::Log(base::Event::kWaveReported,
+              {{"wave", report.wave},
+               {"completed",
+                report.state == scheduler::WaveState::kCompleted},
+               {"settled", settled}});
+    if (settled)
+      this->reported_waves.insert(report.wave);
+    else
+      this->unreported.push_back(report);
+  });
+}
+
+void Manager::ListBoxes(const std::string& page,
+                        std::vector<scheduler::BoxInfo> so_far) {
+  this->boxes.List(page, [this, so_far = std::move(so_far),
+                          lives = this->alive](
+                             std::optional<platform::BoxPage> result) mutable {
+    if (!*lives)
+      return;
+    if (!result) {
+      this->listing_boxes = false;
+      return;
+    }
+    for (scheduler::BoxInfo& box : result->boxes)
+      so_far.push_back(std::move(box));
+    if (!result->next.empty()) {
+      this->ListBoxes(result->next, std::move(so_far));
+      return;
+    }
+    this->listing_boxes = false;
+    this->scheduler.SetBoxes(so_far, base::MonotonicNow());
+    this->soon.StartOnce(milliseconds(1));
+  });
+}
+
+std::string Manager::Dump() const {
+  Json dump = {{"epoch", this->epoch},
+               {"begun", this->begun},
+               {"workers", Json::array()},
+               {"jobs", Json::array()}};
+  for (const auto& [id, worker] : this->scheduler.all_workers()) {
+    Json runs = Json::array();
+    for (const auto& [task, run] : worker.runs)
+      runs.push_back({platform::TaskName(task), run.number, run.percent});
+    dump["workers"].push_back({{"id", id},
+                               {"box", worker.info.box},
+                               {"pool", worker.info.service},
+                               {"listed", worker.listed},
+                               {"failed_calls", worker.failed_calls},
+                               {"failure_rate", worker.failure_rate},
+                               {"runs", std::move(runs)}});
+  }
+  for (const auto& [id, job] : this->scheduler.all_jobs()) {
+    dump["jobs"].push_back(
+        {{"id", id},
+         {"queue", job.queue.name},
+         {"state",
+          base::NameOf(jobs::kJobStateNames, job.progress.state)}});
+  }
+  return dump.dump();
+}
+
+}  // namespace quartzhoist::entry
--- /dev/null
+++ b/entry/ownership.cc
@@ -0,0 +1,244 @@
+#include "entry/ownership.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "base/event_log.h"
+
+namespace quartzhoist::entry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr base::Micros kTick = milliseconds(50);
+// The holder confirms this often; each confirmation is a write, and a read for
+// every daemon that follows.
+constexpr base::Micros kRenewal = milliseconds(700);
+constexpr base::Micros kRenewalAgain = milliseconds(150);
+// A holder whose row has not changed for this long is taken over: three
+// confirmations missed. A slow store (80 times 4 ms) stays below it.
+constexpr base::Micros kSilence = milliseconds(2000);
+// Followers wait so much longer at most, drawn anew each time, so that one
+// takes over and the others see it.
+constexpr std::int64_t kSpreadMillis = 300;
+// A row that nobody holds is taken after a draw below this.
+constexpr std::int64_t kFreeSpreadMillis = 120;
+// A gap between the store's answers after which the silence counts anew: the
+// holder may have confirmed meanwhile.
+constexpr base::Micros kAnswerGap = milliseconds(2600);
+
+platform::RowKey OwnerRow() {
+  return {.table = std::string(kOwnerTable),
+          .part = "",
+          .key = std::string(kOwnerKey)};
+}
+
+}  // namespace
+
+Ownership::Ownership(base::Loop& loop,
+                     platform::Store& on,
+                     std::string who,
+                     std::uint64_t seed,
+                     Events handlers)
+    : store(on),
+      id(std::move(who)),
+      random(seed),
+      events(std::move(handlers)),
+      timer(loop, [this] { this->Act(); }),
+      follower(loop,
+               on,
+               std::string(kOwnerTable),
+               {""},
+               {.on_all =
+                    [this](const std::vector<platform::Row>& rows) {
+                      this->known = true;
+                      for (const platform::Row& row : rows)
+                        this->SeeRow(row, false);
+                    },
+                .on_changes =
+                    [this](const std::vector<platform::ChangedRow>& rows) {
+                      for (const platform::ChangedRow& changed : rows)
+                        this->SeeRow(changed.row, changed.removed);
+                    },
+                .on_contact = [this](base::Micros asked) {
+                  this->SeeStore(asked);
+                },
+                .on_lost =
+                    [this] {
+                      this->unchanged_since = base::MonotonicNow();
+                      this->events.on_store_silent();
+                    }}) {
+  this->incarnation = fmt::format("{:016x}", this->random());
+  this->unchanged_since = base::MonotonicNow();
+  this->patience = milliseconds(this->random() % kFreeSpreadMillis);
+  this->timer.StartEvery(kTick);
+}
+
+void Ownership::SeeStore(base::Micros asked) {
+  const base::Micros now = base::MonotonicNow();
+  if (now - this->last_answer > kAnswerGap)
+    this->unchanged_since = now;
+  this->last_answer = now;
+  static_cast<void>(asked);
+  this->events.on_store_answered();
+}
+
+void Ownership::SeeRow(const platform::Row& row, bool removed) {
+  if (row.at.key != kOwnerKey || row.version <= this->version)
+    return;
+  const std::optional<OwnerRecord> seen = DecodeOwner(row.value);
+  if (removed || !seen)
+    return;
+  this->version = row.version;
+  this->record = *seen;
+  this->unchanged_since = base::MonotonicNow();
+  const std::int64_t spread =
+      seen->holder.empty() ? kFreeSpreadMillis : kSpreadMillis;
+  this->patience = milliseconds(this->random() % spread);
+  const bool mine =
+      seen->holder == this->id && seen->incarnation == this->incarnation;
+  if (this->holding && !mine)
+    this->Lose();
+  // An own write whose answer was lost.
+  if (!this->holding && mine && !this->released && !this->writing)
+    this->Gain(this->unchanged_since);
+}
+
+bool Ownership::ShouldTake(base::Micros now) const {
+  if (!this->known || this->released)
+    return false;
+  // The store must be answering: else the holder's silence says nothing.
+  if (now - this->last_answer > kAnswerGap)
+    return false;
+  const base::Micros silent = now - this->unchanged_since;
+  const bool is_free = this->version == 0 || this->record.holder.empty();
+  const bool was_own = this->record.holder == this->id;
+  if (is_free || was_own)
+    return silent >= this->patience;
+  return silent >= kSilence + this->patience;
+}
+
+void Ownership::Act() {
+  const base::Micros now = base::MonotonicNow();
+  if (this->writing)
+    return;
+  if (this->holding) {
+    if (now < this->next_renewal)
+      return;
+    OwnerRecord next = this->record;
+    ++next.beat;
+    this->Write(std::move(next), false);
+    return;
+  }
+  if (!this->ShouldTake(now))
+    return;
+  this->Write({.holder = this->id,
+               .incarnation = this->incarnation,
+               .epoch = this->record.epoch + 1,
+               .beat = 0},
+              true);
+}
+
+void Ownership::Write(OwnerRecord next, bool taking) {
+  const base::Micros asked = base::MonotonicNow();
+  this->writing = true;
+  this->next_renewal = asked + kRenewal;
+  const platform::WriteBatch batch{
+      .conditions = {{.at = OwnerRow(), .version = this->version}},
+      .puts = {{.at = OwnerRow(), .value = EncodeOwner(next)}},
+      .removes = {}};
+  this->store.Write(batch, [this, next, taking,
+                            asked](const platform::WriteResult& result) {
+    this->TakeAnswer(result, next, taking, asked);
+  });
+}
+
+void Ownership::TakeAnswer(const platform::WriteResult& result,
+                           const OwnerRecord& next,
+                           bool taking,
+                           base::Micros asked) {
+  const base::Micros now = base::MonotonicNow();
+  this->writing = false;
+  this->Settle(result, next, taking, asked, now);
+  // The stop came while another write was on its way.
+  const bool still_named = this->released && this->record.holder == this->id &&
+                           this->record.incarnation == this->incarnation &&
+                           result.outcome != platform::WriteOutcome::kNotDone;
+  if (still_named)
+    this->WriteRelease();
+}
+
+void Ownership::Settle(const platform::WriteResult& result,
+                       const OwnerRecord& next,
+                       bool taking,
+                       base::Micros asked,
+                       base::Micros now) {
+  switch (result.outcome) {
+    case platform::WriteOutcome::kDone:
+      if (result.version > this->version) {
+        this->version = result.version;
+        this->record = next;
+        this->unchanged_since = now;
+      }
+      if (taking && !this->released)
+        this->Gain(asked);
+      else if (this->holding)
+        this->events.on_confirmed(asked);
+      return;
+    case platform::WriteOutcome::kConflict:
+      for (const platform::Row& row : result.rows)
+        this->SeeRow(row, false);
+      this->unchanged_since = now;
+      return;
+    case platform::WriteOutcome::kNotDone:
+    case platform::WriteOutcome::kUnknown:
+      this->next_renewal = now + kRenewalAgain;
+      this->unchanged_since = taking ? now : this->unchanged_since;
+      return;
+  }
+}
+
+void Ownership::Gain(base::Micros asked) {
+  if (this->holding)
+    return;
+  this->holding = true;
+  base::Log(base::Event::kOwnershipGained,
+            {{"epoch", this->record.epoch}, {"version", this->version}});
+  this->events.on_gained(this->record.epoch, asked);
+  this->events.on_confirmed(asked);
+}
+
+void Ownership::Lose() {
+  if (!this->holding)
+    return;
+  this->holding = false;
+  base::Log(base::Event::kOwnershipLost, {{"epoch", this->record.epoch},
+                                          {"holder", this->record.holder}});
+  this->events.on_lost();
+}
+
+void Ownership::Fenced() {
+  // The row tells the new holder soon; until then nothing is confirmed.
+  this->Lose();
+  this->unchanged_since = base::MonotonicNow();
+}
+
+void Ownership::Release() {
+  this->released = true;
+  if (!this->holding)
+    return;
+  this->Lose();
+  if (!this->writing)
+    this->WriteRelease();
+}
+
+void Ownership::WriteRelease() {
+  OwnerRecord next = this->record;
+  next.holder.clear();
+  this->Write(std::move(next), false);
+}
+
+}  // namespace quartzhoist::entry
--- /dev/null
+++ b/entry/ownership.h
@@ -0,0 +1,88 @@
+// Which daemon schedules. The owner's row in the store names holder and epoch;
+// the holder confirms it by rewriting it under its version, and others take it
+// over, under its version too, when it has not changed for a while.
+
+#ifndef ENTRY_OWNERSHIP_H_
+#define ENTRY_OWNERSHIP_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <random>
+#include <string>
+
+#include "base/loop.h"
+#include "entry/tables.h"
+#include "platform/store.h"
+#include "platform/table_follower.h"
+
+namespace quartzhoist::entry {
+
+class Ownership {
+ public:
+  struct Events {
+    std::function<void(std::uint64_t epoch, base::Micros asked)> on_gained;
+    std::function<void()> on_lost;
+    // The store has confirmed the ownership as of `asked`.
+    std::function<void(base::Micros asked)> on_confirmed;
+    // The store answered this daemon, or did not.
+    std::function<void()> on_store_answered;
+    std::function<void()> on_store_silent;
+  };
+
+  Ownership(base::Loop& loop,
+            platform::Store& store,
+            std::string id,
+            std::uint64_t seed,
+            Events events);
+
+  // Gives it up, for good: others take over at once.
+  void Release();
+  // A worker has seen a higher epoch: it is lost, whatever the row says.
+  void Fenced();
+
+  bool holds() const { return this->holding; }
+  const std::string& holder() const { return this->record.holder; }
+  std::uint64_t epoch() const { return this->record.epoch; }
+
+ private:
+  void SeeRow(const platform::Row& row, bool removed);
+  void SeeStore(base::Micros asked);
+  void Act();
+  bool ShouldTake(base::Micros now) const;
+  void Write(OwnerRecord next, bool taking);
+  void TakeAnswer(const platform::WriteResult& result,
+                  const OwnerRecord& next,
+                  bool taking,
+                  base::Micros asked);
+  void Settle(const platform::WriteResult& result,
+              const OwnerRecord& next,
+              bool taking,
+              base::Micros asked,
+              base::Micros now);
+  void WriteRelease();
+  void Gain(base::Micros asked);
+  void Lose();
+
+  platform::Store& store;
+  std::string id;
+  std::string incarnation;
+  std::mt19937_64 random;
+  Events events;
+  OwnerRecord record;         // as last seen
+  std::uint64_t version = 0;  // of the row; 0: there is none
+  bool known = false;         // the row, or its absence, has been seen
+  bool holding = false;
+  bool released = false;
+  bool writing = false;
+  base::Micros unchanged_since{};
+  base::Micros last_answer{};
+  base::Micros next_renewal{};
+  base::Micros patience{};  // until a silent holder is taken over
+  base::Timer timer;
+  platform::TableFollower follower;
+};
+
+}  // namespace quartzhoist::entry
+
+#endif  // ENTRY_OWNERSHIP_H_
--- /dev/null
+++ b/entry/settings.h
@@ -0,0 +1,40 @@
+// Settings of a daemon that takes jobs, from an INI file.
+
+#ifndef ENTRY_SETTINGS_H_
+#define ENTRY_SETTINGS_H_
+
+#include <istream>
+#include <string>
+
+#include "base/clock.h"
+
+namespace quartzhoist::entry {
+
+struct Settings {
+  // [daemon]
+  std::string id;    // unique among the entry boxes
+  std::string zone;  // the availability zone
+  // [listen], each "ip:port"
+  std::string callers;
+  std::string readiness;
+  std::string metrics;  // empty: not served
+  // [store], [boxes]
+  std::string store;
+  std::string boxes;  // empty: boxes are neither moved nor maintained
+  // [limits]; the defaults are the smaller of the two users' figures
+  base::Micros longest_lease = std::chrono::milliseconds(6000);
+  base::Micros stop_time = std::chrono::milliseconds(900);
+  base::Micros gang_wait = std::chrono::milliseconds(3000);
+  base::Micros move_time = std::chrono::milliseconds(1500);
+  base::Micros upkeep_time = std::chrono::milliseconds(2000);
+  base::Micros grace = std::chrono::milliseconds(6000);  // from a stop signal
+  std::int64_t max_connections = 2000;
+};
+
+// Throws base::TextError: unknown or doubled key, wrong type, out of range,
+// missing.
+Settings ReadSettings(std::istream& in, const std::string& file);
+
+}  // namespace quartzhoist::entry
+
+#endif  // ENTRY_SETTINGS_H_
--- /dev/null
+++ b/entry/tables.cc
@@ -0,0 +1,159 @@
+#include "entry/tables.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace quartzhoist::entry {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Four parts keep submissions under the store's writes of one part (300 a
+// second on the sites) without many calls for one batch.
+constexpr std::size_t kParts = 4;
+constexpr std::string_view kCancelSuffix = "!cancel";
+
+std::string PartOf(const std::string& job) {
+  const auto last = job.empty() ? 0U : static_cast<unsigned char>(job.back());
+  return std::to_string(last % kParts);
+}
+
+}  // namespace
+
+const std::vector<std::string>& JobParts() {
+  static const std::vector<std::string> kAll = [] {
+    std::vector<std::string> parts;
+    for (std::size_t i = 0; i < kParts; ++i)
+      parts.push_back(std::to_string(i));
+    return parts;
+  }();
+  return kAll;
+}
+
+platform::RowKey JobRow(const std::string& job) {
+  return {.table = std::string(kJobTable), .part = PartOf(job), .key = job};
+}
+
+platform::RowKey CancelRow(const std::string& job) {
+  return {.table = std::string(kJobTable),
+          .part = PartOf(job),
+          .key = job + std::string(kCancelSuffix)};
+}
+
+platform::RowKey ProgressRow(const std::string& job) {
+  return {
+      .table = std::string(kProgressTable), .part = PartOf(job), .key = job};
+}
+
+JobKey ParseJobKey(std::string_view key) {
+  if (!key.ends_with(kCancelSuffix))
+    return {.job = std::string(key), .is_cancel = false};
+  key.remove_suffix(kCancelSuffix.size());
+  return {.job = std::string(key), .is_cancel = true};
+}
+
+std::string EncodeAccepted(const AcceptedJob& job) {
+  return Json{{"queue", job.queue.name},
+              {"service", job.queue.service},
+              {"priority", job.queue.priority},
+              {"attempts", job.queue.attempts},
+              {"extension", job.queue.extension},
+              {"latency_us", job.queue.target_latency.count()},
+              {"accepted_ms", job.accepted_ms},
+              {"body", job.body}}
+      .dump();
+}
+
+std::optional<AcceptedJob> DecodeAccepted(std::string_view text) {
+  try {
+    const Json json = Json::parse(text);
+    AcceptedJob job;
+    job.queue.name = json.at("queue").get<std::string>();
+    job.queue.service = json.at("service").get<std::string>();
+    job.queue.priority = json.at("priority").get<int>();
+    job.queue.attempts = json.at("attempts").get<int>();
+    job.queue.extension = json.at("extension").get<double>();
+    job.queue.target_latency =
+        base::Micros(json.at("latency_us").get<std::int64_t>());
+    job.accepted_ms = json.at("accepted_ms").get<std::int64_t>();
+    job.body = json.at("body").get<std::string>();
+    return job;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string EncodeOwner(const OwnerRecord& record) {
+  return Json{{"holder", record.holder},
+              {"incarnation", record.incarnation},
+              {"epoch", record.epoch},
+              {"beat", record.beat}}
+      .dump();
+}
+
+std::optional<OwnerRecord> DecodeOwner(std::string_view text) {
+  try {
+    const Json json = Json::parse(text);
+    return OwnerRecord{
+        .holder = json.at("holder").get<std::string>(),
+        .incarnation = json.at("incarnation").get<std::string>(),
+        .epoch = json.at("epoch").get<std::uint64_t>(),
+        .beat = json.at("beat").get<std::uint64_t>()};
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string EncodeLeases(const LeaseRecord& record) {
+  Json list = Json::array();
+  for (const scheduler::WorkerInfo& worker : record.workers)
+    list.push_back({worker.id, worker.address, worker.box, worker.service});
+  return Json{{"epoch", record.epoch}, {"workers", std::move(list)}}.dump();
+}
+
+std::optional<LeaseRecord> DecodeLeases(std::string_view text) {
+  try {
+    const Json json = Json::parse(text);
+    LeaseRecord record;
+    record.epoch = json.at("epoch").get<std::uint64_t>();
+    for (const Json& row : json.at("workers")) {
+      scheduler::WorkerInfo worker;
+      worker.id = row.at(0).get<std::string>();
+      worker.address = row.at(1).get<std::string>();
+      worker.box = row.at(2).get<std::string>();
+      worker.service = row.at(3).get<std::string>();
+      record.workers.push_back(std::move(worker));
+    }
+    return record;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string EncodeNames(const std::vector<std::string>& names) {
+  return Json(names).dump();
+}
+
+std::vector<std::string> DecodeNames(std::string_view text) {
+  const Json list = Json::parse(text, nullptr, false);
+  std::vector<std::string> names;
+  if (!list.is_array())
+    return names;
+  for (const Json& name : list) {
+    if (name.is_string())
+      names.push_back(name.get<std::string>());
+  }
+  return names;
+}
+
+std::string EncodeCounts(const std::map<std::string, int>& counts) {
+  return Json(counts).dump();
+}
+
+std::int64_t CountOf(std::string_view text, const std::string& queue) {
+  const Json counts = Json::parse(text, nullptr, false);
+  return counts.is_object() ? counts.value(queue, std::int64_t{0}) : 0;
+}
+
+}  // namespace quartzhoist::entry
--- /dev/null
+++ b/entry/tables.h
@@ -0,0 +1,85 @@
+// The product's own tables in the platform's store: names, keys and forms of
+// the rows. docs/PLATFORM.md says which write carries which condition.
+
+#ifndef ENTRY_TABLES_H_
+#define ENTRY_TABLES_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "jobs/queue.h"
+#include "platform/store.h"
+#include "scheduler/facts.h"
+
+namespace quartzhoist::entry {
+
+// Accepted jobs, never rewritten, and beside them their cancels.
+inline constexpr std::string_view kJobTable = "jobs";
+// One row a job, rewritten by the owner under the row's version.
+inline constexpr std::string_view kProgressTable = "progress";
+// Who schedules, under which epoch.
+inline constexpr std::string_view kOwnerTable = "owner";
+inline constexpr std::string_view kOwnerKey = "scheduler";
+// Workers that may hold a lease, written before the first is granted.
+inline constexpr std::string_view kLeaseTable = "leases";
+inline constexpr std::string_view kLeaseKey = "workers";
+// How many jobs of each queue wait.
+inline constexpr std::string_view kCountTable = "counts";
+inline constexpr std::string_view kCountKey = "waiting";
+// Boxes of each wave whose upkeep has begun.
+inline constexpr std::string_view kWaveTable = "waves";
+
+// The parts that jobs are spread over: writes of one part are made in turn.
+const std::vector<std::string>& JobParts();
+platform::RowKey JobRow(const std::string& job);
+platform::RowKey CancelRow(const std::string& job);
+platform::RowKey ProgressRow(const std::string& job);
+// The job of a row of kJobTable, and whether the row is its cancel.
+struct JobKey {
+  std::string job;
+  bool is_cancel = false;
+};
+JobKey ParseJobKey(std::string_view key);
+
+// A job as it was accepted: what the caller sent, and the queue's terms then.
+struct AcceptedJob {
+  jobs::Queue queue;
+  std::int64_t accepted_ms = 0;  // since 1970
+  std::string body;
+};
+std::string EncodeAccepted(const AcceptedJob& job);
+// Nothing if the text is not of this form.
+std::optional<AcceptedJob> DecodeAccepted(std::string_view text);
+
+struct OwnerRecord {
+  std::string holder;       // a daemon; empty: given up
+  std::string incarnation;  // of its process
+  std::uint64_t epoch = 0;  // rises with each holder
+  std::uint64_t beat = 0;   // rises with each confirmation
+};
+std::string EncodeOwner(const OwnerRecord& record);
+std::optional<OwnerRecord> DecodeOwner(std::string_view text);
+
+// Workers that may hold a lease from the owner of this epoch, or an earlier.
+struct LeaseRecord {
+  std::uint64_t epoch = 0;
+  std::vector<scheduler::WorkerInfo> workers;
+};
+std::string EncodeLeases(const LeaseRecord& record);
+std::optional<LeaseRecord> DecodeLeases(std::string_view text);
+
+std::string EncodeNames(const std::vector<std::string>& names);
+std::vector<std::string> DecodeNames(std::string_view text);
+
+// Waiting jobs by queue.
+std::string EncodeCounts(const std::map<std::string, int>& counts);
+// 0 for a queue that the text does not name.
+std::int64_t CountOf(std::string_view text, const std::string& queue);
+
+}  // namespace quartzhoist::entry
+
+#endif  // ENTRY_TABLES_H_
--- /dev/null
+++ b/jobs/progress.cc
@@ -0,0 +1,157 @@
+#include "jobs/progress.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace quartzhoist::jobs {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr char kNotDone = '.';
+constexpr char kDone = '#';
+
+std::string BitsText(const std::vector<bool>& bits) {
+  std::string text;
+  text.reserve(bits.size());
+  for (const bool bit : bits)
+    text += bit ? kDone : kNotDone;
+  return text;
+}
+
+std::vector<bool> BitsOf(const std::string& text) {
+  std::vector<bool> bits;
+  bits.reserve(text.size());
+  for (const char c : text)
+    bits.push_back(c == kDone);
+  return bits;
+}
+
+// Whole numbers joined by dots, or nothing.
+std::optional<std::vector<int>> ParseNumbers(std::string_view text) {
+  std::vector<int> numbers;
+  const char* at = text.data();
+  const char* const end = text.data() + text.size();
+  while (at != end) {
+    int number = 0;
+    const auto [rest, error] = std::from_chars(at, end, number);
+    if (error != std::errc() || number < 0)
+      return std::nullopt;
+    numbers.push_back(number);
+    at = rest;
+    if (at != end && *at++ != '.')
+      return std::nullopt;
+  }
+  return numbers;
+}
+
+bool ReadDone(const Json& row, Progress& progress) {
+  for (const auto& [key, bits] : row.items()) {
+    const auto numbers = ParseNumbers(key);
+    if (!numbers || numbers->size() != 2 || !bits.is_string())
+      return false;
+    const StepKey step{.occurrence = (*numbers)[0], .step = (*numbers)[1]};
+    progress.done[step] = BitsOf(bits.get<std::string>());
+  }
+  return true;
+}
+
+bool ReadFailures(const Json& row, Progress& progress) {
+  for (const auto& [key, count] : row.items()) {
+    const auto numbers = ParseNumbers(key);
+    const bool fits = count.is_array() && count.size() == 2 &&
+                      count[0].is_number_integer() &&
+                      count[1].is_number_integer();
+    if (!numbers || numbers->size() != 3 || !fits)
+      return false;
+    const StepKey step{.occurrence = (*numbers)[0], .step = (*numbers)[1]};
+    progress.failures[{.step = step, .index = (*numbers)[2]}] =
+        {.count = count[0].get<int>(), .last_run = count[1].get<int>()};
+  }
+  return true;
+}
+
+// A final state stands; of two others the later one holds.
+JobState MergeStates(JobState a, JobState b) {
+  if (IsFinal(a))
+    return a;
+  return IsFinal(b) ? b : std::max(a, b);
+}
+
+}  // namespace
+
+bool Progress::IsDone(const StepKey& step, int index) const {
+  const auto found = this->done.find(step);
+  const auto at = static_cast<std::size_t>(index);
+  return found != this->done.end() && at < found->second.size() &&
+         found->second[at];
+}
+
+void Progress::MarkDone(const StepKey& step, int index) {
+  std::vector<bool>& bits = this->done[step];
+  const auto at = static_cast<std::size_t>(index);
+  if (bits.size() <= at)
+    bits.resize(at + 1);
+  bits[at] = true;
+}
+
+void Progress::MarkFailed(const TaskKey& task, int run) {
+  Failures& known = this->failures[task];
+  if (run <= known.last_run)
+    return;
+  ++known.count;
+  known.last_run = run;
+}
+
+std::string EncodeProgress(const Progress& progress) {
+  Json row = {{"state", base::NameOf(kJobStateNames, progress.state)}};
+  for (const auto& [step, bits] : progress.done) {
+    row["done"][fmt::format("{}.{}", step.occurrence, step.step)] =
+        BitsText(bits);
+  }
+  for (const auto& [task, count] : progress.failures) {
+    row["failures"][fmt::format("{}.{}.{}", task.step.occurrence,
+                                task.step.step, task.index)] = {
+        count.count, count.last_run};
+  }
+  return row.dump();
+}
+
+std::optional<Progress> DecodeProgress(std::string_view text) {
+  const Json row = Json::parse(text, nullptr, false);
+  if (!row.is_object() || !row.contains("state") || !row["state"].is_string())
+    return std::nullopt;
+  const auto state =
+      base::ValueOf(kJobStateNames, row["state"].get<std::string>());
+  if (!state)
+    return std::nullopt;
+  Progress progress{.state = *state, .done = {}, .failures = {}};
+  if (row.contains("done") && !ReadDone(row["done"], progress))
+    return std::nullopt;
+  if (row.contains("failures") && !ReadFailures(row["failures"], progress))
+    return std::nullopt;
+  return progress;
+}
+
+Progress Merge(const Progress& a, const Progress& b) {
+  Progress merged = a;
+  merged.state = MergeStates(a.state, b.state);
+  for (const auto& [step, bits] : b.done) {
+    for (std::size_t i = 0; i < bits.size(); ++i) {
+      if (bits[i])
+        merged.MarkDone(step, static_cast<int>(i));
+    }
+  }
+  for (const auto& [task, count] : b.failures) {
+    Failures& known = merged.failures[task];
+    known.count = std::max(known.count, count.count);
+    known.last_run = std::max(known.last_run, count.last_run);
+  }
+  return merged;
+}
+
+}  // namespace quartzhoist::jobs
--- /dev/null
+++ b/jobs/progress.h
@@ -0,0 +1,65 @@
+// What is kept of a job's progress: its state, the tasks that are done, and
+// how often others failed. Its row is rewritten as ends come in.
+
+#ifndef JOBS_PROGRESS_H_
+#define JOBS_PROGRESS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+#include "jobs/job.h"
+
+namespace quartzhoist::jobs {
+
+// One step of one repeat.
+struct StepKey {
+  int occurrence = 0;
+  int step = 0;
+
+  auto operator<=>(const StepKey&) const = default;
+};
+
+// One task of a step.
+struct TaskKey {
+  StepKey step;
+  int index = 0;
+
+  auto operator<=>(const TaskKey&) const = default;
+};
+
+// How often a task has failed, and in which run last: an end that is told twice
+// counts once.
+struct Failures {
+  int count = 0;
+  int last_run = 0;
+
+  bool operator==(const Failures&) const = default;
+};
+
+struct Progress {
+  JobState state = JobState::kQueued;
+  std::map<StepKey, std::vector<bool>> done;
+  std::map<TaskKey, Failures> failures;
+
+  bool IsDone(const StepKey& step, int index) const;
+  void MarkDone(const StepKey& step, int index);
+  // Counts a failed run, unless it has been counted.
+  void MarkFailed(const TaskKey& task, int run);
+};
+
+std::string EncodeProgress(const Progress& progress);
+// Nothing if the text is not of this form.
+std::optional<Progress> DecodeProgress(std::string_view text);
+
+// What two writers know together: both record facts, so a task done for one is
+// done, and of two counts of failures the larger one holds.
+Progress Merge(const Progress& a, const Progress& b);
+
+}  // namespace quartzhoist::jobs
+
+#endif  // JOBS_PROGRESS_H_
--- /dev/null
+++ b/jobs/queue.cc
@@ -0,0 +1,32 @@
+#include "jobs/queue.h"
+
+namespace quartzhoist::jobs {
+
+const Queue* Config::FindQueue(std::string_view name) const {
+  for (const Queue& queue : this->queues) {
+    if (queue.name == name)
+      return &queue;
+  }
+  return nullptr;
+}
+
+const Service* Config::FindService(std::string_view name) const {
+  for (const Service& service : this->services) {
+    if (service.name == name)
+      return &service;
+  }
+  return nullptr;
+}
+
+const Queue* Config::Route(std::string_view host, std::string_view path) const {
+  const Queue* best = nullptr;
+  for (const Queue& queue : this->queues) {
+    if (queue.host != host || !path.starts_with(queue.path_prefix))
+      continue;
+    if (!best || queue.path_prefix.size() > best->path_prefix.size())
+      best = &queue;
+  }
+  return best;
+}
+
+}  // namespace quartzhoist::jobs
--- /dev/null
+++ b/scheduler/actions.h
@@ -0,0 +1,90 @@
+// What the scheduler wants done. The caller carries the actions out and tells
+// what came of each.
+
+#ifndef SCHEDULER_ACTIONS_H_
+#define SCHEDULER_ACTIONS_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/clock.h"
+#include "jobs/job.h"
+#include "scheduler/facts.h"
+
+namespace quartzhoist::scheduler {
+
+struct StartRun {
+  std::string worker;
+  jobs::TaskId task;
+  int run = 0;
+  std::string text;        // the job's, handed on
+  std::string checkpoint;  // to resume from; empty: none
+};
+
+struct StopRun {
+  std::string worker;
+  jobs::TaskId task;
+  int run = 0;
+};
+
+// Lets a task work at this share of its speed.
+struct PaceRun {
+  std::string worker;
+  jobs::TaskId task;
+  int run = 0;
+  int percent = 100;
+};
+
+// Renews the worker's lease and asks for its listing.
+struct LookAt {
+  std::string worker;
+  std::int64_t acknowledged = 0;  // ends up to this number are recorded
+  base::Micros wait{};            // for an end, before it answers
+};
+
+// Records a job's progress, if its row still has `version`.
+struct SaveProgress {
+  std::string job;
+  std::string text;
+  std::uint64_t version = 0;
+  std::uint64_t change = 0;  // returned with the outcome
+};
+
+struct MoveBox {
+  std::string box;
+  std::string pool;
+};
+
+struct UpkeepBox {
+  std::string box;
+  int wave = 0;
+};
+
+// How far a wave is: recorded for a later owner and for the operators.
+struct ReportWave {
+  int wave = 0;
+  WaveState state = WaveState::kRunning;
+  std::vector<std::string> begun;  // boxes whose upkeep has begun
+};
+
+// For the log: why something was decided.
+struct Note {
+  std::string subject;  // a job, task, worker or box
+  std::string text;
+};
+
+using Action = std::variant<StartRun,
+                            StopRun,
+                            PaceRun,
+                            LookAt,
+                            SaveProgress,
+                            MoveBox,
+                            UpkeepBox,
+                            ReportWave,
+                            Note>;
+
+}  // namespace quartzhoist::scheduler
+
+#endif  // SCHEDULER_ACTIONS_H_
--- /dev/null
+++ b/scheduler/demand.cc
@@ -0,0 +1,34 @@
+#include "scheduler/demand.h"
+
+namespace quartzhoist::scheduler {
+
+namespace {
+
+constexpr base::Micros kWindow = std::chrono::seconds(1);
+
+}  // namespace
+
+void Demand::HandedIn(const std::string& service,
+                      double core_seconds,
+                      base::Micros now) {
+  std::deque<Arrival>& recent = this->arrivals[service];
+  recent.push_back({.at = now, .core_seconds = core_seconds});
+  while (recent.front().at < now - 2 * kWindow)
+    recent.pop_front();
+}
+
+double Demand::Slope(const std::string& service, base::Micros now) const {
+  const auto found = this->arrivals.find(service);
+  if (found == this->arrivals.end())
+    return 0.0;
+  double slope = 0.0;
+  for (const Arrival& arrival : found->second) {
+    if (arrival.at >= now - kWindow)
+      slope += arrival.core_seconds;
+    else if (arrival.at >= now - 2 * kWindow)
+      slope -= arrival.core_seconds;
+  }
+  return slope;
+}
+
+}  // namespace quartzhoist::scheduler
--- /dev/null
+++ b/scheduler/demand.h
@@ -0,0 +1,34 @@
+// How much work each service is handed, and how that changes.
+
+#ifndef SCHEDULER_DEMAND_H_
+#define SCHEDULER_DEMAND_H_
+
+#include <deque>
+#include <map>
+#include <string>
+
+#include "base/clock.h"
+
+namespace quartzhoist::scheduler {
+
+class Demand {
+ public:
+  // Work in core-seconds.
+  void HandedIn(const std::string& service,
+                double core_seconds,
+                base::Micros now);
+  // The change of what is handed in: cores over the last second, less those
+  // over the second before. Negative while it falls.
+  double Slope(const std::string& service, base::Micros now) const;
+
+ private:
+  struct Arrival {
+    base::Micros at{};
+    double core_seconds = 0.0;
+  };
+  std::map<std::string, std::deque<Arrival>> arrivals;
+};
+
+}  // namespace quartzhoist::scheduler
+
+#endif  // SCHEDULER_DEMAND_H_
--- /dev/null
+++ b/scheduler/ends.cc
@@ -0,0 +1,201 @@
+// How runs end, and what follows for their tasks, jobs and workers.
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "scheduler/scheduler.h"
+
+namespace quartzhoist::scheduler {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Moving average of failed ends; the weight of one more. About the last five
+// count: a worker that fails everything is found after two or three ends.
+constexpr double kFailureWeight = 0.25;
+// Above this share of failures a worker gets nothing for a while. Poison tasks
+// (3% on the sites) fail anywhere and stay below it.
+constexpr double kFailureLimit = 0.4;
+constexpr base::Micros kQuarantine = std::chrono::seconds(4);
+// After it, one failure more puts the worker back.
+constexpr double kFailureAfterQuarantine = 0.3;
+// How many workers on which a task failed are remembered.
+constexpr std::size_t kFailedOn = 4;
+
+void RememberFailure(Task& task, const std::string& worker) {
+  task.failed_on.push_back(worker);
+  if (task.failed_on.size() > kFailedOn)
+    task.failed_on.erase(task.failed_on.begin());
+}
+
+}  // namespace
+
+void Scheduler::TakeEnd(Worker& worker,
+                        const ListedEnd& end,
+                        base::Micros now) {
+  // 1. The run's room is free.
+  const auto run = worker.runs.find(end.task);
+  const bool is_ours =
+      run != worker.runs.end() && run->second.number == end.run;
+  if (is_ours) {
+    const Run ended = run->second;
+    RemoveRun(worker, end.task);
+    Job* job = this->FindJob(end.task.job);
+    if (job && end.how == RunEnd::kDone && !ended.adopted && !ended.lasting) {
+      const jobs::Step& step = StepOf(*job, PlaceOf(end.task));
+      this->run_times.Learn(step.image.empty() ? job->queue.name : step.image,
+                            now - ended.since);
+    }
+  }
+  // 2. The task's fate.
+  Job* job = this->FindJob(end.task.job);
+  if (!job || !Exists(*job, PlaceOf(end.task)))
+    return;
+  const TaskPlace place = PlaceOf(end.task);
+  Task& task = TaskAt(*job, place);
+  if (!end.checkpoint.empty())
+    task.checkpoint = end.checkpoint;
+  const bool lasting = StepOf(*job, place).lasting;
+  if (end.how == RunEnd::kDone && !lasting) {
+    this->TaskDone(*job, place, now);
+    this->JudgeWorker(worker, false, now);
+  } else if (end.how == RunEnd::kFailed) {
+    if (!lasting)
+      this->TaskFailed(*job, place, end.run, worker.info.id, now);
+    else
+      RememberFailure(task, worker.info.id);
+    this->JudgeWorker(worker, true, now);
+  }
+  this->TaskLost(end.task, end.run, now);
+  // 3. It is acknowledged once the job's row holds it.
+  worker.pending_ends.push_back(
+      {.number = end.number, .job = job->id, .change = job->change});
+}
+
+void Scheduler::TaskDone(Job& job, const TaskPlace& place, base::Micros now) {
+  const jobs::StepKey key{.occurrence = place.occurrence, .step = place.step};
+  const jobs::Step& step = StepOf(job, place);
+  StepRuns& runs = StepAt(job, place);
+  // One such end of a gang's member stands for all.
+  const int first = step.gang ? 0 : place.index;
+  const int last =
+      step.gang ? static_cast<int>(runs.tasks.size()) - 1 : place.index;
+  bool is_news = false;
+  for (int i = first; i <= last; ++i) {
+    Task& task = runs.tasks[static_cast<std::size_t>(i)];
+    if (task.state == TaskState::kDone)
+      continue;
+    is_news = true;
+    task.state = TaskState::kDone;
+    ++runs.done;
+    job.progress.MarkDone(key, i);
+  }
+  if (!is_news || job.finished())
+    return;
+  this->Changed(job);
+  if (AllDone(job))
+    this->Finish(job, jobs::JobState::kCompleted, now);
+  else
+    this->Release(job, now);
+}
+
+void Scheduler::TaskFailed(Job& job,
+                           const TaskPlace& place,
+                           int run,
+                           const std::string& worker,
+                           base::Micros now) {
+  const jobs::Step& step = StepOf(job, place);
+  Task& task = TaskAt(job, place);
+  RememberFailure(task, worker);
+  // A gang fails as one: its first task stands for it.
+  const jobs::TaskKey key{
+      .step = {.occurrence = place.occurrence, .step = place.step},
+      .index = step.gang ? 0 : place.index};
+  job.progress.MarkFailed(key, run);
+  if (job.finished())
+    return;
+  this->Changed(job);
+  const int count = job.progress.failures[key].count;
+  this->actions.emplace_back(
+      Note{job.id, fmt::format("task {}.{}.{} run {} failed on {}, {} of {}",
+                               place.occurrence, place.step, place.index, run,
+                               worker, count, job.queue.attempts)});
+  if (count >= job.queue.attempts) {
+    task.state = TaskState::kFailed;
+    this->Finish(job, jobs::JobState::kFailed, now);
+  }
+}
+
+void Scheduler::TaskLost(const jobs::TaskId& id, int run, base::Micros now) {
+  Job* job = this->FindJob(id.job);
+  if (!job || !Exists(*job, PlaceOf(id)))
+    return;
+  const TaskPlace place = PlaceOf(id);
+  Task& task = TaskAt(*job, place);
+  if (task.state != TaskState::kPlaced || task.run != run)
+    return;
+  task.worker.clear();
+  task.at_work = false;
+  if (job->finished()) {
+    task.state = TaskState::kBlocked;
+    return;
+  }
+  task.state = TaskState::kReady;
+  const jobs::Step& step = StepOf(*job, place);
+  if (!step.gang) {
+    this->Enqueue(*job, place, now);
+    return;
+  }
+  // A gang is placed again as a whole, once no member is anywhere.
+  StepRuns& runs = StepAt(*job, place);
+  bool any_placed = false;
+  for (std::size_t i = 0; i < runs.tasks.size(); ++i) {
+    if (runs.tasks[i].state != TaskState::kPlaced)
+      continue;
+    any_placed = true;
+    const auto worker = this->workers.find(runs.tasks[i].worker);
+    const jobs::TaskId member{.job = id.job,
+                              .occurrence = id.occurrence,
+                              .step = id.step,
+                              .index = static_cast<int>(i)};
+    if (worker != this->workers.end())
+      this->Stop(worker->second, member, now);
+  }
+  if (any_placed)
+    return;
+  this->Enqueue(*job,
+                {.occurrence = place.occurrence, .step = place.step, .index = 0},
+                now);
+}
+
+void Scheduler::JudgeWorker(Worker& worker, bool failed, base::Micros now) {
+  worker.failure_rate += kFailureWeight * ((failed ? 1.0 : 0.0) -
+                                           worker.failure_rate);
+  if (!failed || worker.failure_rate < kFailureLimit)
+    return;
+  worker.quarantined_until = now + kQuarantine;
+  this->actions.emplace_back(
+      Note{worker.info.id, fmt::format("fails {:.0f}% of its runs: nothing is "
+                                       "placed for {:.0f} s",
+                                       worker.failure_rate * 100,
+                                       base::Seconds(kQuarantine))});
+  worker.failure_rate = kFailureAfterQuarantine;
+}
+
+// Ends are recorded in the order of their numbers, since the worker is told
+// one number up to which it may forget.
+void Scheduler::Acknowledge(Worker& worker) {
+  while (!worker.pending_ends.empty()) {
+    const PendingEnd& end = worker.pending_ends.front();
+    const Job* job = this->FindJob(end.job);
+    if (job && job->saved_change < end.change)
+      return;
+    worker.acknowledged = end.number;
+    worker.pending_ends.pop_front();
+  }
+  worker.acknowledged = worker.processed;
+}
+
+}  // namespace quartzhoist::scheduler
--- /dev/null
+++ b/scheduler/evacuation.cc
@@ -0,0 +1,149 @@
+// What the fleet's plan sees of the pools, and how boxes are emptied for it.
+
+#include <algorithm>
+
+#include "scheduler/scheduler.h"
+
+namespace quartzhoist::scheduler {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// How often the fleet is planned anew (trial: each 0.3 s).
+constexpr base::Micros kFleetPeriod = milliseconds(250);
+
+// The need counts the slope of what is handed in so many times (trial on the
+// two sites' quiet days: 4 gave 0.744 and 0.638 of worth; 2 0.738 on the
+// first; 6 with more reserve 0.54 on the second).
+constexpr double kSlopeWeight = 4.0;
+
+}  // namespace
+
+FleetView Scheduler::ViewFleet(base::Micros now) const {
+  FleetView view;
+  std::map<std::string, double> need;
+  for (const auto& [id, worker] : this->workers) {
+    FleetBox box;
+    box.name = worker.info.box;
+    box.pool = worker.info.service;
+    box.worker = id;
+    box.up = worker.announced && worker.listed && !worker.info.draining;
+    box.idle = worker.idle();
+    box.cores = static_cast<double>(worker.info.capacity.cpu_millis) / 1000.0;
+    box.busy_cores = static_cast<double>(worker.used.cpu_millis) / 1000.0;
+    for (const auto& [task, run] : worker.runs)
+      box.lasting += run.lasting;
+    need[box.pool] += box.busy_cores;
+    view.boxes.push_back(std::move(box));
+  }
+  for (const auto& [service, tasks] : this->ready) {
+    for (const ReadyTask& task : tasks) {
+      const auto job = this->jobs.find(task.job);
+      if (job == this->jobs.end())
+        continue;
+      const jobs::Step& step = StepOf(job->second, task.place);
+      if (!step.fills)
+        need[service] += static_cast<double>(step.each.cpu_millis) / 1000.0;
+    }
+  }
+  for (const jobs::Service& service : this->config.services) {
+    const double slope =
+        std::max(0.0, this->demand.Slope(service.name, now));
+    view.pools.push_back(
+        {.name = service.name,
+         .spare = service.spare,
+         .need_cores = need[service.name] + kSlopeWeight * slope});
+  }
+  return view;
+}
+
+void Scheduler::SetWave(const Wave& wave,
+                        const std::vector<std::string>& begun,
+                        base::Micros now) {
+  this->fleet.SetWave(wave, begun, now);
+}
+
+void Scheduler::SetBoxes(const std::vector<BoxInfo>& boxes, base::Micros now) {
+  this->fleet.SetBoxes(boxes, now);
+}
+
+void Scheduler::Moved(const MoveBox& order,
+                      BoxCallOutcome outcome,
+                      base::Micros now) {
+  this->fleet.Moved(order, outcome, now);
+  if (outcome == BoxCallOutcome::kFenced)
+    this->is_fenced = true;
+  if (outcome == BoxCallOutcome::kDone)
+    this->BoxTaken(order.box, now);
+}
+
+void Scheduler::UpkeepBegun(const UpkeepBox& order,
+                            BoxCallOutcome outcome,
+                            base::Micros now) {
+  this->fleet.UpkeepBegun(order, outcome, now);
+  if (outcome == BoxCallOutcome::kFenced)
+    this->is_fenced = true;
+  if (outcome == BoxCallOutcome::kDone)
+    this->BoxTaken(order.box, now);
+}
+
+// All that ran on the box is over once the platform has taken it.
+void Scheduler::BoxTaken(const std::string& box, base::Micros now) {
+  const std::string life = this->fleet.LifeBefore(box);
+  if (!life.empty())
+    this->WorkerDied(life, now);
+}
+
+// A lasting task may be interrupted while every other one of its step is at
+// work, or fewer are away than its limit allows.
+bool Scheduler::MayInterrupt(const jobs::TaskId& id) const {
+  const auto job = this->jobs.find(id.job);
+  if (job == this->jobs.end() || !Exists(job->second, PlaceOf(id)))
+    return true;
+  const jobs::Step& step = StepOf(job->second, PlaceOf(id));
+  if (step.may_be_away <= 0)
+    return true;
+  std::int64_t away = 0;
+  const StepRuns& runs = StepAt(job->second, PlaceOf(id));
+  for (std::size_t i = 0; i < runs.tasks.size(); ++i) {
+    const bool itself = static_cast<int>(i) == id.index;
+    away += !itself && !runs.tasks[i].at_work;
+  }
+  return away < step.may_be_away;
+}
+
+void Scheduler::StopForEvacuation(const std::string& box, base::Micros now) {
+  for (auto& [id, worker] : this->workers) {
+    if (worker.info.box != box)
+      continue;
+    for (auto& [task, run] : worker.runs) {
+      const bool movable = run.lasting && run.state == RunState::kRunning;
+      if (!movable || !this->MayInterrupt(task))
+        continue;
+      // It is away from here on, before its end is listed.
+      Job* job = this->FindJob(task.job);
+      if (job && Exists(*job, PlaceOf(task)))
+        TaskAt(*job, PlaceOf(task)).at_work = false;
+      this->Stop(worker, task, now);
+    }
+  }
+}
+
+void Scheduler::RunFleet(base::Micros now) {
+  if (now < this->next_fleet)
+    return;
+  this->next_fleet = now + kFleetPeriod;
+  for (FleetStep& step : this->fleet.Plan(this->ViewFleet(now), now)) {
+    if (const auto* evacuate = std::get_if<Evacuate>(&step))
+      this->StopForEvacuation(evacuate->box, now);
+    else if (const auto* move = std::get_if<MoveBox>(&step))
+      this->actions.emplace_back(*move);
+    else if (const auto* upkeep = std::get_if<UpkeepBox>(&step))
+      this->actions.emplace_back(*upkeep);
+    else if (const auto* report = std::get_if<ReportWave>(&step))
+      this->actions.emplace_back(*report);
+  }
+}
+
+}  // namespace quartzhoist::scheduler
--- /dev/null
+++ b/scheduler/fleet.cc
@@ -0,0 +1,405 @@
+#include "scheduler/fleet.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace quartzhoist::scheduler {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A call that got no answer, or that the platform was too busy for, is made
+// again after this.
+constexpr base::Micros kCallAgain = milliseconds(500);
+
+// A pool wants so much more than its work takes: tasks do not fill a box
+// exactly. Not tuned by a run.
+constexpr double kFill = 0.85;
+
+// A moved box whose new life never shows is given up after this.
+constexpr base::Micros kMoveLost = std::chrono::seconds(8);
+
+bool MayBeAsked(bool in_flight, base::Micros next_call, base::Micros now) {
+  return !in_flight && now >= next_call;
+}
+
+}  // namespace
+
+Fleet::Fleet(const FleetLimits& chosen) : limits(chosen) {}
+
+void Fleet::SetWave(const Wave& wave,
+                    const std::vector<std::string>& begun,
+                    base::Micros now) {
+  WaveProgress& progress = this->waves[wave.number];
+  if (progress.wave.boxes.empty())
+    progress.since = now;
+  progress.wave = wave;
+  for (const std::string& box : wave.boxes)
+    progress.boxes.try_emplace(box);
+  // It may still be down: the list of boxes says when it is back.
+  for (const std::string& box : begun) {
+    const auto found = progress.boxes.find(box);
+    if (found != progress.boxes.end() &&
+        found->second.state == UpkeepState::kPending) {
+      found->second.state = UpkeepState::kDown;
+      found->second.since = now;
+    }
+  }
+}
+
+void Fleet::BoxSeen(const std::string& box, const std::string& worker) {
+  for (auto& [number, progress] : this->waves) {
+    const auto found = progress.boxes.find(box);
+    if (found == progress.boxes.end())
+      continue;
+    Upkeep& upkeep = found->second;
+    if (upkeep.state == UpkeepState::kDown && upkeep.worker_before != worker)
+      upkeep.state = UpkeepState::kDone;
+  }
+  const auto move = this->moves.find(box);
+  if (move != this->moves.end() && move->second.done &&
+      move->second.worker_before != worker) {
+    this->moves.erase(move);
+  }
+}
+
+void Fleet::SetBoxes(const std::vector<BoxInfo>& boxes, base::Micros now) {
+  this->listed.clear();
+  for (const BoxInfo& box : boxes)
+    this->listed[box.name] = box;
+  this->has_list = true;
+  for (auto& [number, progress] : this->waves) {
+    for (auto& [name, upkeep] : progress.boxes) {
+      const auto found = this->listed.find(name);
+      // A box that has been taken away needs no upkeep.
+      const bool gone = found == this->listed.end();
+      // The list may be older than the call's answer: wait the upkeep out.
+      const bool back = !gone && found->second.state == BoxState::kUp &&
+                        upkeep.state == UpkeepState::kDown &&
+                        now > upkeep.since + this->limits.upkeep_time;
+      if (gone || back)
+        upkeep.state = UpkeepState::kDone;
+    }
+  }
+}
+
+void Fleet::Moved(const MoveBox& order,
+                  BoxCallOutcome outcome,
+                  base::Micros now) {
+  const auto found = this->moves.find(order.box);
+  if (found == this->moves.end())
+    return;
+  Move& move = found->second;
+  move.in_flight = false;
+  switch (outcome) {
+    case BoxCallOutcome::kDone:
+      move.done = true;
+      move.since = now;
+      break;
+    case BoxCallOutcome::kUnknown:
+      move.next_call = now + kCallAgain;
+      break;
+    case BoxCallOutcome::kNotSent:
+    case BoxCallOutcome::kFenced:
+    case BoxCallOutcome::kBusy:
+    case BoxCallOutcome::kRefused:
+    case BoxCallOutcome::kThrottled:
+      this->moves.erase(found);
+      break;
+  }
+}
+
+void Fleet::UpkeepBegun(const UpkeepBox& order,
+                        BoxCallOutcome outcome,
+                        base::Micros now) {
+  const auto wave = this->waves.find(order.wave);
+  if (wave == this->waves.end())
+    return;
+  const auto found = wave->second.boxes.find(order.box);
+  if (found == wave->second.boxes.end())
+    return;
+  Upkeep& upkeep = found->second;
+  upkeep.in_flight = false;
+  switch (outcome) {
+    case BoxCallOutcome::kDone:
+      upkeep.state = UpkeepState::kDown;
+      upkeep.since = now;
+      wave->second.to_report = true;
+      break;
+    case BoxCallOutcome::kUnknown:
+      upkeep.next_call = now + kCallAgain;
+      break;
+    case BoxCallOutcome::kRefused:
+      upkeep.state = UpkeepState::kDone;
+      break;
+    case BoxCallOutcome::kNotSent:
+    case BoxCallOutcome::kFenced:
+    case BoxCallOutcome::kBusy:
+    case BoxCallOutcome::kThrottled:
+      upkeep.state = UpkeepState::kPending;
+      upkeep.next_call = now + kCallAgain;
+      break;
+  }
+}
+
+// Boxes at rest run nothing that would announce itself: the platform's list
+// alone knows them.
+FleetView Fleet::WithBoxesAtRest(const FleetView& seen) const {
+  FleetView view = seen;
+  std::set<std::string> known;
+  for (const FleetBox& box : seen.boxes)
+    known.insert(box.name);
+  for (const auto& [name, info] : this->listed) {
+    if (known.contains(name) || info.state != BoxState::kUp)
+      continue;
+    const bool at_rest =
+        std::any_of(view.pools.begin(), view.pools.end(),
+                    [&info = info](const FleetPool& pool) {
+                      return pool.spare && pool.name == info.pool;
+                    });
+    if (at_rest) {
+      view.boxes.push_back({.name = name,
+                            .pool = info.pool,
+                            .worker = info.worker,
+                            .up = true,
+                            .idle = true,
+                            .lasting = 0,
+                            .cores = info.cores,
+                            .busy_cores = 0.0});
+    }
+  }
+  return view;
+}
+
+std::vector<FleetStep> Fleet::Plan(const FleetView& seen, base::Micros now) {
+  const FleetView view = this->WithBoxesAtRest(seen);
+  std::vector<FleetStep> steps;
+  std::map<std::string, const FleetBox*> boxes;
+  for (const FleetBox& box : view.boxes)
+    boxes[box.name] = &box;
+  for (auto& [number, progress] : this->waves) {
+    if (!progress.completed)
+      this->PlanWave(progress, boxes, now, steps);
+  }
+  this->RepeatMoves(now, steps);
+  this->PlanMoves(view, now, steps);
+  return steps;
+}
+
+ReportWave Fleet::Report(const WaveProgress& progress) const {
+  ReportWave report{.wave = progress.wave.number,
+                    .state = progress.completed ? WaveState::kCompleted
+                                                : WaveState::kRunning,
+                    .begun = {}};
+  for (const auto& [box, upkeep] : progress.boxes) {
+    if (upkeep.state == UpkeepState::kDown ||
+        upkeep.state == UpkeepState::kDone)
+      report.begun.push_back(box);
+  }
+  return report;
+}
+
+// Boxes that are empty go first; others are emptied, as many as may be away.
+void Fleet::PlanWave(WaveProgress& progress,
+                     const std::map<std::string, const FleetBox*>& boxes,
+                     base::Micros now,
+                     std::vector<FleetStep>& steps) {
+  // 1. What is on its way, and what is left.
+  int away = 0;
+  bool all_done = true;
+  std::vector<std::pair<const FleetBox*, Upkeep*>> pending;
+  for (auto& [name, upkeep] : progress.boxes) {
+    all_done = all_done && upkeep.state == UpkeepState::kDone;
+    const bool counts = upkeep.state == UpkeepState::kEmptying ||
+                        upkeep.state == UpkeepState::kCalling ||
+                        upkeep.state == UpkeepState::kDown;
+    away += counts;
+    const auto found = boxes.find(name);
+    const bool can_go = upkeep.state == UpkeepState::kPending &&
+                        found != boxes.end() && found->second->up &&
+                        now >= upkeep.next_call && !this->moves.contains(name);
+    if (can_go)
+      pending.emplace_back(found->second, &upkeep);
+  }
+  if (all_done) {
+    progress.completed = true;
+    steps.emplace_back(this->Report(progress));
+    return;
+  }
+  if (progress.to_report) {
+    progress.to_report = false;
+    steps.emplace_back(this->Report(progress));
+  }
+  // 2. Take the next, as many as may be away: idle boxes, then those with
+  //    little on them.
+  std::stable_sort(pending.begin(), pending.end(),
+                   [](const auto& a, const auto& b) {
+                     const FleetBox& x = *a.first;
+                     const FleetBox& y = *b.first;
+                     if (x.lasting != y.lasting)
+                       return x.lasting < y.lasting;
+                     return x.busy_cores < y.busy_cores;
+                   });
+  for (const auto& [box, upkeep] : pending) {
+    if (away >= progress.wave.most_at_once)
+      break;
+    upkeep->state = UpkeepState::kEmptying;
+    upkeep->since = now;
+    ++away;
+  }
+  // 3. Call for those that are empty; empty the others.
+  for (auto& [name, upkeep] : progress.boxes) {
+    const auto found = boxes.find(name);
+    const bool here = found != boxes.end() && found->second->up;
+    if (upkeep.state == UpkeepState::kEmptying && !here) {
+      upkeep.state = UpkeepState::kPending;
+      continue;
+    }
+    const bool empty = upkeep.state == UpkeepState::kEmptying && here &&
+                       found->second->idle;
+    const bool again = upkeep.state == UpkeepState::kCalling;
+    if ((empty || again) &&
+        MayBeAsked(upkeep.in_flight, upkeep.next_call, now)) {
+      if (empty)
+        upkeep.worker_before = found->second->worker;
+      upkeep.state = UpkeepState::kCalling;
+      upkeep.in_flight = true;
+      steps.emplace_back(
+          UpkeepBox{.box = name, .wave = progress.wave.number});
+    } else if (upkeep.state == UpkeepState::kEmptying) {
+      steps.emplace_back(Evacuate{.box = name});
+    }
+  }
+}
+
+void Fleet::RepeatMoves(base::Micros now, std::vector<FleetStep>& steps) {
+  for (auto it = this->moves.begin(); it != this->moves.end();) {
+    Move& move = it->second;
+    if (move.done && now > move.since + kMoveLost) {
+      it = this->moves.erase(it);
+      continue;
+    }
+    if (!move.done && MayBeAsked(move.in_flight, move.next_call, now)) {
+      move.in_flight = true;
+      steps.emplace_back(MoveBox{.box = it->first, .pool = move.pool});
+    }
+    ++it;
+  }
+}
+
+// An idle box goes from a pool that has more than it needs to the one that is
+// shortest; boxes at rest come last, since those in pools are paid for anyway.
+void Fleet::PlanMoves(const FleetView& view,
+                      base::Micros now,
+                      std::vector<FleetStep>& steps) {
+  // 1. What each pool has, on its way included, beyond its need.
+  std::map<std::string, double> surplus;
+  std::map<std::string, bool> spare;
+  double box_cores = 0.0;
+  for (const FleetPool& pool : view.pools) {
+    surplus[pool.name] = pool.spare ? 0.0 : -pool.need_cores / kFill;
+    spare[pool.name] = pool.spare;
+  }
+  for (const FleetBox& box : view.boxes) {
+    box_cores = std::max(box_cores, box.cores);
+    const auto move = this->moves.find(box.name);
+    const std::string& pool =
+        move == this->moves.end() ? box.pool : move->second.pool;
+    const bool counts = box.up || move != this->moves.end();
+    if (counts && !this->InUpkeep(box.name) && surplus.contains(pool))
+      surplus[pool] += box.cores;
+  }
+  if (box_cores <= 0.0)
+    return;
+  // 2. The shortest pool gets a box, until none is short or none can give.
+  while (true) {
+    const FleetPool* shortest = nullptr;
+    for (const FleetPool& pool : view.pools) {
+      if (pool.spare || surplus[pool.name] >= 0.0)
+        continue;
+      if (!shortest || surplus[pool.name] < surplus[shortest->name])
+        shortest = &pool;
+    }
+    if (!shortest)
+      return;
+    const FleetBox* donor = this->FindDonor(view, surplus, shortest->name);
+    if (!donor)
+      return;
+    if (!spare[donor->pool])
+      surplus[donor->pool] -= donor->cores;
+    surplus[shortest->name] += donor->cores;
+    Move& move = this->moves[donor->name];
+    move.pool = shortest->name;
+    move.worker_before = donor->worker;
+    move.since = now;
+    move.in_flight = true;
+    steps.emplace_back(MoveBox{.box = donor->name, .pool = shortest->name});
+  }
+}
+
+const FleetBox* Fleet::FindDonor(const FleetView& view,
+                                 const std::map<std::string, double>& surplus,
+                                 const std::string& to) const {
+  const FleetBox* best = nullptr;
+  double best_left = -1.0;
+  for (const FleetBox& box : view.boxes) {
+    const auto pool = surplus.find(box.pool);
+    const bool may_go = box.up && box.idle && box.pool != to &&
+                        !this->moves.contains(box.name) &&
+                        !this->InUpkeep(box.name) && pool != surplus.end();
+    if (!may_go)
+      continue;
+    bool is_spare = false;
+    for (const FleetPool& known : view.pools)
+      is_spare = is_spare || (known.name == box.pool && known.spare);
+    // What the giving pool keeps beyond its need; spare boxes come last.
+    const double left = is_spare ? 0.0 : pool->second - box.cores;
+    if (left < 0.0 || left <= best_left)
+      continue;
+    best = &box;
+    best_left = left;
+  }
+  return best;
+}
+
+bool Fleet::InUpkeep(const std::string& box) const {
+  for (const auto& [number, progress] : this->waves) {
+    const auto found = progress.boxes.find(box);
+    if (found == progress.boxes.end())
+      continue;
+    const UpkeepState state = found->second.state;
+    if (state != UpkeepState::kPending && state != UpkeepState::kDone)
+      return true;
+  }
+  return false;
+}
+
+bool Fleet::IsLeaving(const std::string& box) const {
+  return this->moves.contains(box) || this->InUpkeep(box);
+}
+
+std::string Fleet::LifeBefore(const std::string& box) const {
+  const auto move = this->moves.find(box);
+  if (move != this->moves.end())
+    return move->second.worker_before;
+  for (const auto& [number, progress] : this->waves) {
+    const auto found = progress.boxes.find(box);
+    if (found != progress.boxes.end() &&
+        found->second.state == UpkeepState::kDown)
+      return found->second.worker_before;
+  }
+  return {};
+}
+
+bool Fleet::WantsBoxes() const {
+  if (!this->has_list)
+    return true;
+  for (const auto& [number, progress] : this->waves) {
+    if (!progress.completed)
+      return true;
+  }
+  return !this->moves.empty();
+}
+
+}  // namespace quartzhoist::scheduler
--- /dev/null
+++ b/scheduler/fleet.h
@@ -0,0 +1,146 @@
+// Which boxes move to another pool and which get their upkeep, by one plan, so
+// that the two do not fight over a box. Views go in, steps come out.
+
+#ifndef SCHEDULER_FLEET_H_
+#define SCHEDULER_FLEET_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/clock.h"
+#include "scheduler/actions.h"
+#include "scheduler/facts.h"
+
+namespace quartzhoist::scheduler {
+
+struct FleetLimits {
+  base::Micros move_time{};    // until a moved box serves its new pool
+  base::Micros upkeep_time{};  // until a box is back from its upkeep
+};
+
+// How the platform answered a call about a box.
+enum class BoxCallOutcome {
+  kDone,
+  kNotSent,    // nothing happened
+  kUnknown,    // no answer: it may have been, or may yet be, carried out
+  kFenced,     // a higher epoch has been used for the box
+  kBusy,       // the box is not up, or is leaving
+  kRefused,    // not of that wave, or no such box or pool
+  kThrottled,  // over the rate for all daemons
+};
+
+// One box as the plan sees it.
+struct FleetBox {
+  std::string name;
+  std::string pool;
+  std::string worker;  // the life that announces itself; empty: none
+  bool up = false;     // it may be moved or taken down
+  bool idle = false;   // nothing runs on it
+  int lasting = 0;     // lasting tasks on it
+  double cores = 0.0;  // of its capacity
+  double busy_cores = 0.0;
+};
+
+struct FleetPool {
+  std::string name;
+  bool spare = false;
+  double need_cores = 0.0;  // running, waiting, and soon to come
+};
+
+struct FleetView {
+  std::vector<FleetBox> boxes;
+  std::vector<FleetPool> pools;
+};
+
+// The plan's step that no platform call carries out: nothing new is placed on
+// the box, and what lasts there is moved off as its limits allow.
+struct Evacuate {
+  std::string box;
+};
+
+using FleetStep = std::variant<MoveBox, UpkeepBox, ReportWave, Evacuate>;
+
+class Fleet {
+ public:
+  explicit Fleet(const FleetLimits& limits);
+
+  // `begun`: boxes whose upkeep an earlier owner has seen begin.
+  void SetWave(const Wave& wave,
+               const std::vector<std::string>& begun,
+               base::Micros now);
+  // A life of the box announces itself.
+  void BoxSeen(const std::string& box, const std::string& worker);
+  void SetBoxes(const std::vector<BoxInfo>& boxes, base::Micros now);
+  void Moved(const MoveBox& order, BoxCallOutcome outcome, base::Micros now);
+  void UpkeepBegun(const UpkeepBox& order,
+                   BoxCallOutcome outcome,
+                   base::Micros now);
+
+  std::vector<FleetStep> Plan(const FleetView& view, base::Micros now);
+
+  // Nothing further is to be placed on the box.
+  bool IsLeaving(const std::string& box) const;
+  // The life that was on the box when its move or upkeep was asked for.
+  std::string LifeBefore(const std::string& box) const;
+  // Some box is away, so that the platform's list of boxes matters now.
+  bool WantsBoxes() const;
+
+ private:
+  enum class UpkeepState {
+    kPending,
+    kEmptying,  // nothing further is placed there
+    kCalling,   // the platform has been asked; the answer is not known
+    kDown,
+    kDone,
+  };
+  struct Upkeep {
+    UpkeepState state = UpkeepState::kPending;
+    std::string worker_before;  // the life that was there
+    base::Micros since{};
+    base::Micros next_call{};
+    bool in_flight = false;
+  };
+  struct WaveProgress {
+    Wave wave;
+    std::map<std::string, Upkeep> boxes;
+    bool to_report = true;  // something new
+    bool completed = false;
+    base::Micros since{};
+  };
+  struct Move {
+    std::string pool;
+    std::string worker_before;
+    base::Micros since{};
+    base::Micros next_call{};
+    bool in_flight = false;
+    bool done = false;  // the platform has said so
+  };
+
+  FleetView WithBoxesAtRest(const FleetView& view) const;
+  ReportWave Report(const WaveProgress& progress) const;
+  void PlanWave(WaveProgress& progress,
+                const std::map<std::string, const FleetBox*>& boxes,
+                base::Micros now,
+                std::vector<FleetStep>& steps);
+  void PlanMoves(const FleetView& view,
+                 base::Micros now,
+                 std::vector<FleetStep>& steps);
+  void RepeatMoves(base::Micros now, std::vector<FleetStep>& steps);
+  const FleetBox* FindDonor(const FleetView& view,
+                            const std::map<std::string, double>& surplus,
+                            const std::string& to) const;
+  bool InUpkeep(const std::string& box) const;
+
+  FleetLimits limits;
+  std::map<int, WaveProgress> waves;
+  std::map<std::string, Move> moves;         // by box, until it is back
+  std::map<std::string, BoxInfo> listed;     // the platform's list
+  bool has_list = false;
+};
+
+}  // namespace quartzhoist::scheduler
+
+#endif  // SCHEDULER_FLEET_H_
--- /dev/null
+++ b/scheduler/job.cc
@@ -0,0 +1,155 @@
+#include "scheduler/job.h"
+
+#include <utility>
+
+namespace quartzhoist::scheduler {
+
+namespace {
+
+StepRuns MakeStep(const jobs::Step& step,
+                  const jobs::Progress& progress,
+                  const jobs::StepKey& key) {
+  StepRuns runs;
+  runs.tasks.resize(static_cast<std::size_t>(step.tasks));
+  for (std::size_t i = 0; i < runs.tasks.size(); ++i) {
+    const int index = static_cast<int>(i);
+    if (progress.IsDone(key, index)) {
+      runs.tasks[i].state = TaskState::kDone;
+      ++runs.done;
+    }
+    const auto failed =
+        progress.failures.find({.step = key, .index = index});
+    if (failed != progress.failures.end())
+      runs.tasks[i].run = failed->second.last_run;
+  }
+  return runs;
+}
+
+bool IsStepDone(const StepRuns& step) {
+  return step.done == static_cast<int>(step.tasks.size());
+}
+
+bool MayStart(const jobs::Step& step, const Occurrence& occurrence) {
+  for (const int before : step.after) {
+    if (!IsStepDone(occurrence.steps[static_cast<std::size_t>(before)]))
+      return false;
+  }
+  return true;
+}
+
+}  // namespace
+
+Job MakeJob(std::string id,
+            jobs::Queue queue,
+            jobs::JobSpec spec,
+            jobs::Progress progress,
+            base::Micros accepted,
+            base::Micros time_of_day_offset) {
+  Job job;
+  job.id = std::move(id);
+  job.queue = std::move(queue);
+  job.spec = std::move(spec);
+  job.progress = std::move(progress);
+  job.accepted = accepted;
+  job.begun = job.progress.state != jobs::JobState::kQueued;
+  const std::int64_t count = job.spec.occurrences();
+  for (std::int64_t k = 0; k < count; ++k) {
+    Occurrence occurrence;
+    if (job.spec.repeats > 0) {
+      const std::int64_t at_ms = job.spec.first_at_ms + k * job.spec.every_ms;
+      occurrence.due = std::chrono::milliseconds(at_ms) + time_of_day_offset;
+    } else {
+      occurrence.due = accepted;
+    }
+    for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
+      const jobs::StepKey key{.occurrence = static_cast<int>(k),
+                              .step = static_cast<int>(s)};
+      occurrence.steps.push_back(
+          MakeStep(job.spec.steps[s], job.progress, key));
+    }
+    job.occurrences.push_back(std::move(occurrence));
+  }
+  return job;
+}
+
+TaskPlace PlaceOf(const jobs::TaskId& task) {
+  return {
+      .occurrence = task.occurrence, .step = task.step, .index = task.index};
+}
+
+jobs::TaskId IdOf(const Job& job, const TaskPlace& place) {
+  return {.job = job.id,
+          .occurrence = place.occurrence,
+          .step = place.step,
+          .index = place.index};
+}
+
+bool Exists(const Job& job, const TaskPlace& place) {
+  const auto k = static_cast<std::size_t>(place.occurrence);
+  const auto s = static_cast<std::size_t>(place.step);
+  const auto i = static_cast<std::size_t>(place.index);
+  return place.occurrence >= 0 && place.step >= 0 && place.index >= 0 &&
+         k < job.occurrences.size() && s < job.occurrences[k].steps.size() &&
+         i < job.occurrences[k].steps[s].tasks.size();
+}
+
+const StepRuns& StepAt(const Job& job, const TaskPlace& place) {
+  return job.occurrences[static_cast<std::size_t>(place.occurrence)]
+      .steps[static_cast<std::size_t>(place.step)];
+}
+
+StepRuns& StepAt(Job& job, const TaskPlace& place) {
+  return job.occurrences[static_cast<std::size_t>(place.occurrence)]
+      .steps[static_cast<std::size_t>(place.step)];
+}
+
+Task& TaskAt(Job& job, const TaskPlace& place) {
+  return StepAt(job, place).tasks[static_cast<std::size_t>(place.index)];
+}
+
+const jobs::Step& StepOf(const Job& job, const TaskPlace& place) {
+  return job.spec.steps[static_cast<std::size_t>(place.step)];
+}
+
+std::vector<TaskPlace> ReleaseSteps(Job& job, base::Micros now) {
+  std::vector<TaskPlace> ready;
+  if (job.finished() || job.cancelled)
+    return ready;
+  for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
+    Occurrence& occurrence = job.occurrences[k];
+    if (job.spec.repeats > 0 && occurrence.due > now)
+      break;
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      StepRuns& runs = occurrence.steps[s];
+      const jobs::Step& step = job.spec.steps[s];
+      if (runs.released || !MayStart(step, occurrence))
+        continue;
+      runs.released = true;
+      for (std::size_t i = 0; i < runs.tasks.size(); ++i) {
+        Task& task = runs.tasks[i];
+        if (task.state != TaskState::kBlocked)
+          continue;
+        task.state = TaskState::kReady;
+        task.ready_since = now;
+        if (step.gang && i > 0)
+          continue;
+        ready.push_back({.occurrence = static_cast<int>(k),
+                         .step = static_cast<int>(s),
+                         .index = static_cast<int>(i)});
+      }
+    }
+  }
+  return ready;
+}
+
+bool AllDone(const Job& job) {
+  for (const Occurrence& occurrence : job.occurrences) {
+    for (const StepRuns& step : occurrence.steps) {
+      if (!IsStepDone(step))
+        return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace quartzhoist::scheduler
--- /dev/null
+++ b/scheduler/job.h
@@ -0,0 +1,105 @@
+// A job as the scheduler keeps it: its tasks, what has ended, what is next.
+
+#ifndef SCHEDULER_JOB_H_
+#define SCHEDULER_JOB_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "jobs/job.h"
+#include "jobs/progress.h"
+#include "jobs/queue.h"
+
+namespace quartzhoist::scheduler {
+
+enum class TaskState {
+  kBlocked,  // steps before it are not done, or its time has not come
+  kReady,
+  kPlaced,  // a run of it is, or may be, on a worker
+  kDone,
+  kFailed,  // all its attempts failed
+};
+
+struct Task {
+  TaskState state = TaskState::kBlocked;
+  std::string worker;  // while placed
+  int run = 0;         // the newest run's number
+  bool at_work = false;       // lasting: has been seen at full work
+  std::string checkpoint;     // newest seen; empty: none
+  base::Micros ready_since{};
+  std::vector<std::string> failed_on;  // workers, newest last
+};
+
+// One step of one repeat.
+struct StepRuns {
+  std::vector<Task> tasks;
+  bool released = false;  // its tasks may start
+  int done = 0;
+};
+
+// One repeat of the steps.
+struct Occurrence {
+  base::Micros due{};
+  std::vector<StepRuns> steps;
+};
+
+struct Job {
+  std::string id;
+  jobs::Queue queue;  // as configured, or as it was when the job was accepted
+  jobs::JobSpec spec;
+  jobs::Progress progress;
+  std::vector<Occurrence> occurrences;
+  base::Micros accepted{};
+  bool begun = false;      // some run of it has been started
+  bool cancelled = false;  // recorded, perhaps not yet carried out
+  // What an earlier owner may have started on workers that are not heard of.
+  bool inherited = false;
+  // The row: its version, and which change of `progress` it holds.
+  std::uint64_t version = 0;
+  std::uint64_t change = 0;
+  std::uint64_t saved_change = 0;
+  bool saving = false;
+
+  bool finished() const { return jobs::IsFinal(this->progress.state); }
+};
+
+// A task's place within its job.
+struct TaskPlace {
+  int occurrence = 0;
+  int step = 0;
+  int index = 0;
+
+  auto operator<=>(const TaskPlace&) const = default;
+};
+
+// Builds the tasks of a job from its spec and what is recorded of it.
+// `time_of_day_offset` is the monotonic clock's reading at 1970.
+Job MakeJob(std::string id,
+            jobs::Queue queue,
+            jobs::JobSpec spec,
+            jobs::Progress progress,
+            base::Micros accepted,
+            base::Micros time_of_day_offset);
+
+TaskPlace PlaceOf(const jobs::TaskId& task);
+jobs::TaskId IdOf(const Job& job, const TaskPlace& place);
+// Does the job have this task?
+bool Exists(const Job& job, const TaskPlace& place);
+
+StepRuns& StepAt(Job& job, const TaskPlace& place);
+const StepRuns& StepAt(const Job& job, const TaskPlace& place);
+Task& TaskAt(Job& job, const TaskPlace& place);
+const jobs::Step& StepOf(const Job& job, const TaskPlace& place);
+
+// Releases steps whose turn has come; returns the places that became ready, one
+// (the first task) for a gang.
+std::vector<TaskPlace> ReleaseSteps(Job& job, base::Micros now);
+
+// Every task of every repeat is done.
+bool AllDone(const Job& job);
+
+}  // namespace quartzhoist::scheduler
+
+#endif  // SCHEDULER_JOB_H_
--- /dev/null
+++ b/scheduler/listings.cc
@@ -0,0 +1,361 @@
+// What workers say of themselves, and what their silence means.
+
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include <fmt/format.h>
+
+#include "scheduler/scheduler.h"
+
+namespace quartzhoist::scheduler {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// How long a look waits at a worker for an end, at most. Each look costs like
+// a probe; the platform allows up to 2 s.
+constexpr base::Micros kLookWait = milliseconds(2000);
+// With an order whose fate is open the listing itself is the news.
+constexpr base::Micros kLookWaitOpen = milliseconds(300);
+// After ends were listed the next look waits a little, so that it brings more
+// than one (trial: one look after each end cost 0.014 to 0.022 of worth, with
+// a pause of 0.25 s 0.010).
+constexpr base::Micros kPauseAfterEnds = milliseconds(200);
+// A worker that did not answer is asked again after this, times the failures
+// in a row, up to the second.
+constexpr base::Micros kLookAgain = milliseconds(250);
+constexpr base::Micros kLookAgainMost = milliseconds(1000);
+// An order without an answer: a look, then a stop, are sent this soon again.
+constexpr base::Micros kStopAgain = milliseconds(600);
+// Slack for clocks and timers when a lease is taken as over.
+constexpr base::Micros kLeaseSlack = milliseconds(200);
+// A worker whose announcement is gone and that does not answer either is
+// forgotten once its lease is over.
+constexpr int kCallsUntilSilent = 2;
+
+}  // namespace
+
+void Scheduler::Granted(const std::string& id, base::Micros end) {
+  const auto found = this->workers.find(id);
+  if (found != this->workers.end())
+    found->second.lease_end = std::max(found->second.lease_end, end);
+}
+
+void Scheduler::LookSent(const std::string& id, base::Micros now) {
+  const auto found = this->workers.find(id);
+  if (found == this->workers.end())
+    return;
+  found->second.look_in_flight = true;
+  found->second.look_sent = now;
+}
+
+void Scheduler::Listed(const std::string& id,
+                       const Listing& listing,
+                       base::Micros now) {
+  const auto found = this->workers.find(id);
+  if (found == this->workers.end())
+    return;
+  Worker& worker = found->second;
+  // 1. It answers: its clock is known, and its lease renewed.
+  worker.look_in_flight = false;
+  worker.listed = true;
+  worker.failed_calls = 0;
+  worker.last_answer = now;
+  worker.clock_ms = listing.clock_ms;
+  worker.clock_read = now;
+  // 2. Ends before runs: a task that ended may be listed as running again.
+  bool has_news = false;
+  for (const ListedEnd& end : listing.ended) {
+    if (end.number <= worker.processed)
+      continue;
+    this->TakeEnd(worker, end, now);
+    worker.processed = end.number;
+    has_news = true;
+  }
+  // 3. What runs there.
+  for (const ListedRun& run : listing.running)
+    this->TakeRunning(worker, run, now);
+  // 4. What should, and is not listed.
+  this->SettleMissing(worker, listing, now);
+  this->Acknowledge(worker);
+  worker.next_look = has_news ? now + kPauseAfterEnds : now;
+}
+
+void Scheduler::TakeRunning(Worker& worker,
+                            const ListedRun& listed,
+                            base::Micros now) {
+  const auto found = worker.runs.find(listed.task);
+  if (found == worker.runs.end() || found->second.number != listed.run) {
+    this->AdoptRun(worker, listed, now);
+    return;
+  }
+  Run& run = found->second;
+  if (run.state == RunState::kStarting || run.state == RunState::kUnsettled)
+    run.state = RunState::kRunning;
+  run.percent = listed.percent;
+  run.load = listed.load;
+  Job* job = this->FindJob(listed.task.job);
+  if (!job || !Exists(*job, PlaceOf(listed.task)))
+    return;
+  Task& task = TaskAt(*job, PlaceOf(listed.task));
+  if (!listed.checkpoint.empty())
+    task.checkpoint = listed.checkpoint;
+  task.at_work = listed.percent >= 100;
+}
+
+// A run that this owner did not start: an earlier owner's, or an order that was
+// given up and carried out late.
+void Scheduler::AdoptRun(Worker& worker,
+                         const ListedRun& listed,
+                         base::Micros now) {
+  Job* job = this->FindJob(listed.task.job);
+  Run run{.number = listed.run, .state = RunState::kRunning};
+  run.since = now;
+  run.answered = now;
+  run.adopted = true;
+  run.percent = listed.percent;
+  const bool known = job && Exists(*job, PlaceOf(listed.task));
+  if (known) {
+    const jobs::Step& step = StepOf(*job, PlaceOf(listed.task));
+    run.takes = step.each;
+    run.lasting = step.lasting;
+    run.fills = step.fills;
+    run.image = step.image;
+    run.target_ms = step.target_ms;
+    if (step.fills)
+      run.takes.cpu_millis = 0;
+  }
+  AddRun(worker, listed.task, run);
+  if (known) {
+    Task& task = TaskAt(*job, PlaceOf(listed.task));
+    const bool wanted = !job->finished() && (task.state == TaskState::kReady ||
+                                             task.state == TaskState::kBlocked);
+    if (wanted) {
+      task.state = TaskState::kPlaced;
+      task.worker = worker.info.id;
+      task.run = std::max(task.run, listed.run);
+      task.at_work = listed.percent >= 100;
+      if (!listed.checkpoint.empty())
+        task.checkpoint = listed.checkpoint;
+      job->begun = true;
+      return;
+    }
+  }
+  this->actions.emplace_back(
+      Note{listed.task.job,
+           fmt::format("run {} of {}.{}.{} on {} is not wanted: stopped",
+                       listed.run, listed.task.occurrence, listed.task.step,
+                       listed.task.index, worker.info.id)});
+  this->Stop(worker, listed.task, now);
+}
+
+void Scheduler::SettleMissing(Worker& worker,
+                              const Listing& listing,
+                              base::Micros now) {
+  std::set<jobs::TaskId> listed;
+  for (const ListedRun& run : listing.running)
+    listed.insert(run.task);
+  std::vector<std::pair<jobs::TaskId, int>> over;
+  for (auto& [task, run] : worker.runs) {
+    if (listed.contains(task))
+      continue;
+    // The listing may be older than the order's answer.
+    const bool start_settled = run.answered > base::Micros::zero() &&
+                               run.answered < worker.look_sent;
+    const bool stop_settled = run.stop_answered > base::Micros::zero() &&
+                              run.stop_answered < worker.look_sent;
+    if ((run.state == RunState::kRunning && start_settled) || stop_settled)
+      over.emplace_back(task, run.number);
+  }
+  for (const auto& [task, run] : over) {
+    RemoveRun(worker, task);
+    this->TaskLost(task, run, now);
+  }
+}
+
+void Scheduler::LookFailed(const std::string& id,
+                           OrderOutcome outcome,
+                           base::Micros now) {
+  const auto found = this->workers.find(id);
+  if (found == this->workers.end())
+    return;
+  Worker& worker = found->second;
+  worker.look_in_flight = false;
+  if (outcome == OrderOutcome::kFenced) {
+    this->is_fenced = true;
+    return;
+  }
+  if (outcome == OrderOutcome::kOtherLife) {
+    this->WorkerDied(id, now);
+    return;
+  }
+  ++worker.failed_calls;
+  worker.next_look =
+      now + std::min(kLookAgain * worker.failed_calls, kLookAgainMost);
+}
+
+void Scheduler::Started(const StartRun& order,
+                        OrderOutcome outcome,
+                        base::Micros now) {
+  const auto found = this->workers.find(order.worker);
+  if (found == this->workers.end())
+    return;
+  Worker& worker = found->second;
+  if (outcome == OrderOutcome::kOtherLife) {
+    this->WorkerDied(order.worker, now);
+    return;
+  }
+  if (outcome == OrderOutcome::kFenced)
+    this->is_fenced = true;
+  const auto entry = worker.runs.find(order.task);
+  if (entry == worker.runs.end() || entry->second.number != order.run)
+    return;
+  Run& run = entry->second;
+  if (outcome == OrderOutcome::kDone) {
+    run.answered = now;
+    worker.failed_calls = 0;
+    if (run.state == RunState::kStarting)
+      run.state = RunState::kRunning;
+    return;
+  }
+  if (outcome == OrderOutcome::kUnknown) {
+    if (run.state == RunState::kStarting)
+      run.state = RunState::kUnsettled;
+    ++worker.failed_calls;
+    return;
+  }
+  // It has not been carried out: the room is free, the task to be placed.
+  RemoveRun(worker, order.task);
+  if (outcome == OrderOutcome::kNotSent)
+    ++worker.failed_calls;
+  if (outcome == OrderOutcome::kBusy)
+    this->JudgeWorker(worker, true, now);
+  if (outcome == OrderOutcome::kNoRoom || outcome == OrderOutcome::kLate)
+    worker.quarantined_until = std::max(worker.quarantined_until,
+                                        now + kLookAgain);
+  this->TaskLost(order.task, order.run, now);
+}
+
+void Scheduler::Stop(Worker& worker,
+                     const jobs::TaskId& task,
+                     base::Micros now) {
+  const auto found = worker.runs.find(task);
+  if (found == worker.runs.end())
+    return;
+  Run& run = found->second;
+  if (run.state == RunState::kStopping)
+    return;
+  run.state = RunState::kStopping;
+  run.stop_sent = now;
+  this->actions.emplace_back(
+      StopRun{.worker = worker.info.id, .task = task, .run = run.number});
+}
+
+void Scheduler::Stopped(const StopRun& order,
+                        OrderOutcome outcome,
+                        base::Micros now) {
+  const auto found = this->workers.find(order.worker);
+  if (found == this->workers.end())
+    return;
+  Worker& worker = found->second;
+  if (outcome == OrderOutcome::kOtherLife) {
+    this->WorkerDied(order.worker, now);
+    return;
+  }
+  if (outcome == OrderOutcome::kFenced)
+    this->is_fenced = true;
+  const auto run = worker.runs.find(order.task);
+  if (run == worker.runs.end() || run->second.number != order.run)
+    return;
+  const bool settled =
+      outcome == OrderOutcome::kDone || outcome == OrderOutcome::kOld;
+  if (!settled)
+    return;
+  run->second.stop_answered = now;
+  // Its end is listed within the stop's time.
+  if (!worker.look_in_flight)
+    worker.next_look = std::min(worker.next_look, now + this->limits.stop_time);
+}
+
+// Stops that got no answer, and starts whose fate is open.
+void Scheduler::DueStops(base::Micros now) {
+  for (auto& [id, worker] : this->workers) {
+    for (auto& [task, run] : worker.runs) {
+      const bool unanswered = run.state == RunState::kStopping &&
+                              run.stop_answered == base::Micros::zero();
+      const bool open = run.state == RunState::kUnsettled &&
+                        run.stop_answered == base::Micros::zero();
+      if ((!unanswered && !open) || now < run.stop_sent + kStopAgain)
+        continue;
+      run.stop_sent = now;
+      this->actions.emplace_back(
+          StopRun{.worker = id, .task = task, .run = run.number});
+    }
+  }
+}
+
+// Nothing runs beyond a lease: what is on a silent worker is over then.
+void Scheduler::ExpireLeases(base::Micros now) {
+  std::vector<std::string> forgotten;
+  for (auto& [id, worker] : this->workers) {
+    const bool over = now > worker.lease_end + kLeaseSlack;
+    if (!over)
+      continue;
+    if (!worker.idle())
+      this->DropRuns(worker, now, "its lease is over");
+    if (!worker.announced && worker.failed_calls >= kCallsUntilSilent)
+      forgotten.push_back(id);
+  }
+  for (const std::string& id : forgotten)
+    this->workers.erase(id);
+}
+
+void Scheduler::DropRuns(Worker& worker, base::Micros now, const char* why) {
+  if (worker.idle())
+    return;
+  this->actions.emplace_back(
+      Note{worker.info.id,
+           fmt::format("{}: {} runs are over", why, worker.runs.size())});
+  const std::map<jobs::TaskId, Run> runs = std::exchange(worker.runs, {});
+  worker.used = {};
+  for (const auto& [task, run] : runs)
+    this->TaskLost(task, run.number, now);
+}
+
+void Scheduler::DueLooks(base::Micros now) {
+  if (this->is_fenced)
+    return;
+  for (auto& [id, worker] : this->workers) {
+    this->Acknowledge(worker);
+    const bool wanted = !worker.listed || !worker.idle() ||
+                        worker.acknowledged < worker.processed ||
+                        worker.acknowledged > worker.told;
+    if (!wanted || worker.look_in_flight || now < worker.next_look)
+      continue;
+    // What has ended and is not recorded would be listed again at once.
+    if (worker.acknowledged < worker.processed) {
+      worker.next_look = now + milliseconds(20);
+      if (now < worker.last_answer + this->limits.lease / 2)
+        continue;
+    }
+    base::Micros wait = kLookWait;
+    const bool stopping = std::any_of(
+        worker.runs.begin(), worker.runs.end(), [](const auto& entry) {
+          return entry.second.state == RunState::kUnsettled ||
+                 entry.second.state == RunState::kStopping;
+        });
+    if (!worker.listed || worker.idle() || worker.failed_calls > 0)
+      wait = {};
+    else if (stopping)
+      wait = kLookWaitOpen;
+    worker.look_in_flight = true;
+    worker.told = worker.acknowledged;
+    this->actions.emplace_back(
+        LookAt{.worker = id, .acknowledged = worker.acknowledged, .wait = wait});
+  }
+}
+
+}  // namespace quartzhoist::scheduler
--- /dev/null
+++ b/scheduler/scheduler.cc
@@ -0,0 +1,325 @@
+#include "scheduler/scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace quartzhoist::scheduler {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Progress that is not final is saved together, this often at most: each call
+// to the store costs, and an end that is not saved is listed again.
+constexpr base::Micros kSavePeriod = milliseconds(200);
+
+}  // namespace
+
+Scheduler::Scheduler(const Limits& chosen)
+    : limits(chosen), fleet(chosen.fleet) {}
+
+// --- Configuration and workers ----------------------------------------------
+
+void Scheduler::SetConfig(const jobs::Config& next, base::Micros now) {
+  this->config = next;
+  for (auto& [id, job] : this->jobs) {
+    // A job of a queue that is gone keeps the terms it was accepted under.
+    if (const jobs::Queue* queue = this->config.FindQueue(job.queue.name))
+      job.queue = *queue;
+  }
+  // A queue may have gone to another service: every ready task is put anew.
+  std::map<std::string, ReadySet> old;
+  old.swap(this->ready);
+  for (const auto& [service, tasks] : old) {
+    for (const ReadyTask& task : tasks) {
+      Job* job = this->FindJob(task.job);
+      if (job && TaskAt(*job, task.place).state == TaskState::kReady)
+        this->Enqueue(*job, task.place, now);
+    }
+  }
+}
+
+void Scheduler::PutWorker(const WorkerInfo& info, base::Micros now) {
+  const auto [entry, is_new] = this->workers.try_emplace(info.id);
+  Worker& worker = entry->second;
+  const bool had_drained = worker.info.draining;
+  worker.info = info;
+  worker.announced = true;
+  if (is_new) {
+    worker.next_look = now;
+    this->fleet.BoxSeen(info.box, info.id);
+  }
+  if (info.draining && !had_drained)
+    this->actions.emplace_back(Note{info.id, "drains: nothing is placed"});
+}
+
+void Scheduler::WorkerUnlisted(const std::string& id, base::Micros now) {
+  const auto found = this->workers.find(id);
+  if (found == this->workers.end())
+    return;
+  found->second.announced = false;
+  if (found->second.idle() && !found->second.look_in_flight)
+    this->WorkerDied(id, now);
+}
+
+void Scheduler::WorkerDied(const std::string& id, base::Micros now) {
+  const auto found = this->workers.find(id);
+  if (found == this->workers.end())
+    return;
+  this->DropRuns(found->second, now, "the worker's life is over");
+  this->workers.erase(found);
+}
+
+void Scheduler::InheritWorker(const WorkerInfo& info, base::Micros lease_end) {
+  const auto [entry, is_new] = this->workers.try_emplace(info.id);
+  Worker& worker = entry->second;
+  if (is_new) {
+    worker.info = info;
+    worker.announced = false;
+  }
+  worker.recorded = true;
+  worker.lease_end = std::max(worker.lease_end, lease_end);
+}
+
+void Scheduler::WorkersRecorded(const std::vector<std::string>& ids) {
+  for (const std::string& id : ids) {
+    const auto found = this->workers.find(id);
+    if (found != this->workers.end())
+      found->second.recorded = true;
+  }
+}
+
+void Scheduler::Confirmed(base::Micros at) {
+  this->confirmed = std::max(this->confirmed, at);
+}
+
+// --- Jobs ---------------------------------------------------------------------
+
+Job* Scheduler::FindJob(const std::string& id) {
+  const auto found = this->jobs.find(id);
+  return found == this->jobs.end() ? nullptr : &found->second;
+}
+
+void Scheduler::AddJob(Job added, base::Micros now) {
+  const auto [entry, is_new] =
+      this->jobs.try_emplace(added.id, std::move(added));
+  if (!is_new)
+    return;
+  Job& job = entry->second;
+  if (const jobs::Queue* queue = this->config.FindQueue(job.queue.name))
+    job.queue = *queue;
+  if (job.finished())
+    return;
+  if (job.spec.repeats > 0)
+    this->timed.insert(job.id);
+  double core_seconds = 0.0;
+  for (const jobs::Step& step : job.spec.steps) {
+    if (step.lasting || step.fills)
+      continue;
+    core_seconds += static_cast<double>(step.tasks * step.each.cpu_millis) /
+                    1000.0 * base::Seconds(this->ExpectedRun(job, step));
+  }
+  this->demand.HandedIn(job.queue.service, core_seconds, now);
+  this->Release(job, now);
+}
+
+void Scheduler::CancelJob(const std::string& id, base::Micros now) {
+  Job* job = this->FindJob(id);
+  if (!job || job->finished() || job->cancelled)
+    return;
+  job->cancelled = true;
+  this->actions.emplace_back(Note{id, "cancelled by its caller"});
+  this->Finish(*job, jobs::JobState::kCancelled, now);
+}
+
+void Scheduler::Release(Job& job, base::Micros now) {
+  for (const TaskPlace& place : ReleaseSteps(job, now))
+    this->Enqueue(job, place, now);
+}
+
+void Scheduler::ReleaseDue(base::Micros now) {
+  for (auto it = this->timed.begin(); it != this->timed.end();) {
+    Job* job = this->FindJob(*it);
+    if (!job || job->finished()) {
+      it = this->timed.erase(it);
+      continue;
+    }
+    this->Release(*job, now);
+    ++it;
+  }
+}
+
+base::Micros Scheduler::ExpectedRun(const Job& job,
+                                    const jobs::Step& step) const {
+  const std::string& kind = step.image.empty() ? job.queue.name : step.image;
+  return this->run_times.Expect(kind, milliseconds(step.estimate_ms));
+}
+
+// The time by which the job is to be completed to count as in time: its
+// longest chain of steps, stretched, and the queue's own latency.
+base::Micros Scheduler::Objective(const Job& job) const {
+  std::vector<base::Micros> chain(job.spec.steps.size());
+  base::Micros longest{};
+  for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
+    const jobs::Step& step = job.spec.steps[s];
+    base::Micros before{};
+    for (const int earlier : step.after)
+      before = std::max(before, chain[static_cast<std::size_t>(earlier)]);
+    chain[s] = before + this->ExpectedRun(job, step);
+    longest = std::max(longest, chain[s]);
+  }
+  const auto stretched = base::Micros(static_cast<std::int64_t>(
+      job.queue.extension * static_cast<double>(longest.count())));
+  return job.accepted + job.queue.target_latency + stretched;
+}
+
+void Scheduler::Enqueue(Job& job, const TaskPlace& place, base::Micros now) {
+  TaskAt(job, place).ready_since = now;
+  base::Micros objective = this->Objective(job);
+  if (job.spec.repeats > 0) {
+    const auto k = static_cast<std::size_t>(place.occurrence);
+    objective += job.occurrences[k].due - job.accepted;
+  }
+  // A lasting task that has to start again is late from the first moment on.
+  if (StepOf(job, place).lasting)
+    objective = now;
+  this->ready[job.queue.service].insert({.priority = job.queue.priority,
+                                         .objective = objective,
+                                         .number = ++this->ready_number,
+                                         .job = job.id,
+                                         .place = place});
+}
+
+void Scheduler::Changed(Job& job) {
+  ++job.change;
+  this->to_save.insert(job.id);
+}
+
+void Scheduler::Finish(Job& job, jobs::JobState state, base::Micros now) {
+  job.progress.state = state;
+  this->Changed(job);
+  this->final_waits = true;
+  this->StopAll(job, now);
+  this->actions.emplace_back(
+      Note{job.id, std::string(base::NameOf(jobs::kJobStateNames, state))});
+}
+
+void Scheduler::StopAll(Job& job, base::Micros now) {
+  for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
+    for (std::size_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
+      StepRuns& runs = job.occurrences[k].steps[s];
+      for (std::size_t i = 0; i < runs.tasks.size(); ++i) {
+        if (runs.tasks[i].state != TaskState::kPlaced)
+          continue;
+        const auto worker = this->workers.find(runs.tasks[i].worker);
+        if (worker == this->workers.end())
+          continue;
+        const jobs::TaskId id{.job = job.id,
+                              .occurrence = static_cast<int>(k),
+                              .step = static_cast<int>(s),
+                              .index = static_cast<int>(i)};
+        this->Stop(worker->second, id, now);
+      }
+    }
+  }
+}
+
+void Scheduler::SaveChanged(base::Micros now) {
+  if (this->to_save.empty() || (now < this->next_save && !this->final_waits))
+    return;
+  this->next_save = now + kSavePeriod;
+  this->final_waits = false;
+  for (auto it = this->to_save.begin(); it != this->to_save.end();) {
+    Job* job = this->FindJob(*it);
+    if (job && job->saving) {
+      ++it;
+      continue;
+    }
+    it = this->to_save.erase(it);
+    if (!job)
+      continue;
+    job->saving = true;
+    this->actions.emplace_back(
+        SaveProgress{.job = job->id,
+                     .text = jobs::EncodeProgress(job->progress),
+                     .version = job->version,
+                     .change = job->change});
+  }
+}
+
+void Scheduler::Saved(const SaveResult& result, base::Micros now) {
+  Job* job = this->FindJob(result.job);
+  if (!job)
+    return;
+  job->saving = false;
+  switch (result.outcome) {
+    case SaveOutcome::kSaved:
+      job->version = result.version;
+      job->saved_change = std::max(job->saved_change, result.change);
+      break;
+    case SaveOutcome::kConflict:
+      // Another owner, or an own write that was thought lost, came first.
+      job->version = result.version;
+      if (result.stored) {
+        const bool was_final = job->finished();
+        job->progress = jobs::Merge(job->progress, *result.stored);
+        if (job->finished() && !was_final)
+          this->StopAll(*job, now);
+      }
+      this->Changed(*job);
+      break;
+    case SaveOutcome::kFailed:
+      this->to_save.insert(job->id);
+      this->next_save = now + kSavePeriod;
+      break;
+  }
+  if (job->change != job->saved_change)
+    this->to_save.insert(job->id);
+}
+
+std::map<std::string, int> Scheduler::WaitingJobs() const {
+  std::map<std::string, int> waiting;
+  for (const jobs::Queue& queue : this->config.queues)
+    waiting[queue.name] = 0;
+  for (const auto& [id, job] : this->jobs) {
+    if (!job.begun && !job.finished())
+      ++waiting[job.queue.name];
+  }
+  return waiting;
+}
+
+// --- Time -------------------------------------------------------------------
+
+void Scheduler::Advance(base::Micros now) {
+  this->ExpireLeases(now);
+  this->ReleaseDue(now);
+  if (!this->is_fenced && this->LeaseEnd(now) > now) {
+    this->Place(now);
+    this->RunFleet(now);
+  }
+  this->DueStops(now);
+  this->DueLooks(now);
+  this->SaveChanged(now);
+}
+
+std::vector<Action> Scheduler::TakeActions() {
+  return std::exchange(this->actions, {});
+}
+
+base::Micros Scheduler::LeaseEnd(base::Micros now) const {
+  return std::min(now + this->limits.lease,
+                  this->confirmed + this->limits.grant_bound);
+}
+
+std::int64_t Scheduler::Deadline(const std::string& worker,
+                                 base::Micros end) const {
+  const auto found = this->workers.find(worker);
+  return found == this->workers.end() ? 0 : DeadlineFor(found->second, end);
+}
+
+const Worker* Scheduler::FindWorker(const std::string& id) const {
+  const auto found = this->workers.find(id);
+  return found == this->workers.end() ? nullptr : &found->second;
+}
+
+}  // namespace quartzhoist::scheduler
--- /dev/null
+++ b/scheduler/scheduler.h
@@ -0,0 +1,232 @@
+// Decides which task runs where, for all pools. One daemon at a time owns this
+// (its epoch is the fencing token at workers); it keeps in memory what the
+// store and the workers' listings say. Facts go in, actions come out; no I/O,
+// no clock.
+//
+// Why no start is recorded before its order: a new owner lists every worker
+// under its own epoch before it starts anything, and tasks that might run on a
+// worker it cannot list wait until every lease of the old owner is over.
+
+#ifndef SCHEDULER_SCHEDULER_H_
+#define SCHEDULER_SCHEDULER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+#include "jobs/job.h"
+#include "jobs/queue.h"
+#include "scheduler/actions.h"
+#include "scheduler/demand.h"
+#include "scheduler/facts.h"
+#include "scheduler/fleet.h"
+#include "scheduler/job.h"
+#include "scheduler/run_times.h"
+#include "scheduler/worker.h"
+
+namespace quartzhoist::scheduler {
+
+struct Limits {
+  base::Micros lease{};        // granted to workers at a time
+  base::Micros grant_bound{};  // no lease lasts longer after a confirmation
+  base::Micros stop_time{};    // a stop takes at most so long
+  base::Micros gang_wait{};    // members of a gang wait so long for the others
+  base::Micros time_of_day_offset{};  // the monotonic clock's reading at 1970
+  std::uint64_t epoch = 1;            // of this ownership, from 1
+  // Lists every box, and says which boxes a wave covers.
+  FleetLimits fleet;
+};
+
+enum class SaveOutcome { kSaved, kConflict, kFailed };
+
+struct SaveResult {
+  std::string job;
+  std::uint64_t change = 0;
+  SaveOutcome outcome = SaveOutcome::kFailed;
+  std::uint64_t version = 0;  // the row's now, where known
+  // With kConflict: what the row holds; nothing if it is gone or unreadable.
+  std::optional<jobs::Progress> stored;
+};
+
+class Scheduler {
+ public:
+  explicit Scheduler(const Limits& limits);
+
+  // --- Facts about configuration and workers -------------------------------
+  void SetConfig(const jobs::Config& config, base::Micros now);
+  void PutWorker(const WorkerInfo& info, base::Micros now);
+  // Its announcement is gone; it may still run what it has.
+  void WorkerUnlisted(const std::string& id, base::Micros now);
+  // This life is over: nothing of it runs.
+  void WorkerDied(const std::string& id, base::Micros now);
+  // A worker that an earlier owner may have granted a lease.
+  void InheritWorker(const WorkerInfo& info, base::Micros lease_end);
+  // The stored list of workers with leases names these.
+  void WorkersRecorded(const std::vector<std::string>& ids);
+  // A store answer confirmed the ownership; `at` is when it was asked.
+  void Confirmed(base::Micros at);
+
+  // --- Facts about jobs ------------------------------------------------------
+  void AddJob(Job job, base::Micros now);
+  void CancelJob(const std::string& id, base::Micros now);
+  void Saved(const SaveResult& result, base::Micros now);
+
+  // --- What came of actions ------------------------------------------------
+  void Listed(const std::string& worker,
+              const Listing& listing,
+              base::Micros now);
+  void LookFailed(const std::string& worker,
+                  OrderOutcome outcome,
+                  base::Micros now);
+  void Started(const StartRun& order, OrderOutcome outcome, base::Micros now);
+  void Stopped(const StopRun& order, OrderOutcome outcome, base::Micros now);
+  // An order that grants a lease until `end` is about to be sent.
+  void Granted(const std::string& worker, base::Micros end);
+  void LookSent(const std::string& worker, base::Micros now);
+
+  // --- Boxes ----------------------------------------------------------------
+  void SetWave(const Wave& wave,
+               const std::vector<std::string>& begun,
+               base::Micros now);
+  void SetBoxes(const std::vector<BoxInfo>& boxes, base::Micros now);
+  void Moved(const MoveBox& order, BoxCallOutcome outcome, base::Micros now);
+  void UpkeepBegun(const UpkeepBox& order,
+                   BoxCallOutcome outcome,
+                   base::Micros now);
+
+  // Lets time pass: leases run out, tasks are placed, looks fall due.
+  void Advance(base::Micros now);
+  std::vector<Action> TakeActions();
+
+  // --- Queries -----------------------------------------------------------------
+  // When a lease granted now is to end, on our clock.
+  base::Micros LeaseEnd(base::Micros now) const;
+  // A worker's deadline for a lease until `end`, on the worker's clock.
+  std::int64_t Deadline(const std::string& worker, base::Micros end) const;
+  const Worker* FindWorker(const std::string& id) const;
+  const std::map<std::string, Worker>& all_workers() const {
+    return this->workers;
+  }
+  const std::unordered_map<std::string, Job>& all_jobs() const {
+    return this->jobs;
+  }
+  bool wants_boxes() const { return this->fleet.WantsBoxes(); }
+  // A worker saw a higher epoch: this ownership is over.
+  bool fenced() const { return this->is_fenced; }
+  // Accepted jobs of the queue none of whose tasks has been started.
+  std::map<std::string, int> WaitingJobs() const;
+
+ private:
+  // A ready task's place in its pool's order: priority, then objective.
+  struct ReadyTask {
+    int priority = 0;
+    base::Micros objective{};
+    std::uint64_t number = 0;
+    std::string job;
+    TaskPlace place;
+
+    auto operator<=>(const ReadyTask& other) const {
+      if (this->priority != other.priority)
+        return this->priority <=> other.priority;
+      if (this->objective != other.objective)
+        return this->objective <=> other.objective;
+      return this->number <=> other.number;
+    }
+    bool operator==(const ReadyTask& other) const {
+      return this->number == other.number;
+    }
+  };
+  using ReadySet = std::set<ReadyTask>;
+
+  // A member of a step, and the worker picked for it.
+  struct Choice {
+    TaskPlace place;
+    Worker* worker = nullptr;
+  };
+
+  // jobs
+  Job* FindJob(const std::string& id);
+  void Enqueue(Job& job, const TaskPlace& place, base::Micros now);
+  void Release(Job& job, base::Micros now);
+  base::Micros Objective(const Job& job) const;
+  base::Micros ExpectedRun(const Job& job, const jobs::Step& step) const;
+  void Changed(Job& job);
+  void Finish(Job& job, jobs::JobState state, base::Micros now);
+  void StopAll(Job& job, base::Micros now);
+  void SaveChanged(base::Micros now);
+  void ReleaseDue(base::Micros now);
+
+  // ends
+  void TakeEnd(Worker& worker, const ListedEnd& end, base::Micros now);
+  void TaskDone(Job& job, const TaskPlace& place, base::Micros now);
+  void TaskFailed(Job& job,
+                  const TaskPlace& place,
+                  int run,
+                  const std::string& worker,
+                  base::Micros now);
+  // The run is over and did not finish the task: it is to be placed again.
+  void TaskLost(const jobs::TaskId& id, int run, base::Micros now);
+  void JudgeWorker(Worker& worker, bool failed, base::Micros now);
+
+  // listings
+  void TakeRunning(Worker& worker, const ListedRun& listed, base::Micros now);
+  void AdoptRun(Worker& worker, const ListedRun& listed, base::Micros now);
+  void SettleMissing(Worker& worker, const Listing& listing, base::Micros now);
+  void Acknowledge(Worker& worker);
+
+  // leases and looks
+  void ExpireLeases(base::Micros now);
+  void DropRuns(Worker& worker, base::Micros now, const char* why);
+  void DueLooks(base::Micros now);
+  void DueStops(base::Micros now);
+  void Stop(Worker& worker, const jobs::TaskId& task, base::Micros now);
+
+  // placement
+  void Place(base::Micros now);
+  void PlacePool(const std::string& service, ReadySet& ready, base::Micros now);
+  bool PlaceOne(const ReadyTask& task,
+                const std::vector<Worker*>& candidates,
+                base::Micros now);
+  std::vector<Choice> ChooseFor(const Job& job,
+                                const TaskPlace& place,
+                                const std::vector<Worker*>& candidates,
+                                base::Micros now) const;
+  void Start(Job& job, const Choice& choice, int run, base::Micros now);
+  bool Usable(const Worker& worker, base::Micros now) const;
+  bool MayRunElsewhere(const Job& job, base::Micros now) const;
+  int NextRun(const Job& job, const TaskPlace& place) const;
+
+  // fleet
+  void RunFleet(base::Micros now);
+  FleetView ViewFleet(base::Micros now) const;
+  void StopForEvacuation(const std::string& box, base::Micros now);
+  void BoxTaken(const std::string& box, base::Micros now);
+  bool MayInterrupt(const jobs::TaskId& task) const;
+
+  Limits limits;
+  jobs::Config config;
+  std::map<std::string, Worker> workers;
+  std::unordered_map<std::string, Job> jobs;
+  std::map<std::string, ReadySet> ready;  // by service
+  std::set<std::string> to_save;          // jobs whose progress changed
+  std::set<std::string> timed;            // jobs with repeats to come
+  RunTimes run_times;
+  Demand demand;
+  Fleet fleet;
+  std::vector<Action> actions;
+  base::Micros confirmed{};
+  base::Micros next_save{};
+  base::Micros next_fleet{};
+  std::uint64_t ready_number = 0;
+  bool is_fenced = false;
+  bool final_waits = false;  // a final state is to be saved at once
+};
+
+}  // namespace quartzhoist::scheduler
+
+#endif  // SCHEDULER_SCHEDULER_H_
--- /dev/null
+++ b/scheduler/worker.cc
@@ -0,0 +1,28 @@
+#include "scheduler/worker.h"
+
+#include <utility>
+
+namespace quartzhoist::scheduler {
+
+Run& AddRun(Worker& worker, const jobs::TaskId& task, Run run) {
+  RemoveRun(worker, task);
+  worker.used = worker.used + run.takes;
+  return worker.runs[task] = std::move(run);
+}
+
+void RemoveRun(Worker& worker, const jobs::TaskId& task) {
+  const auto found = worker.runs.find(task);
+  if (found == worker.runs.end())
+    return;
+  worker.used = worker.used - found->second.takes;
+  worker.runs.erase(found);
+}
+
+std::int64_t DeadlineFor(const Worker& worker, base::Micros end) {
+  if (worker.clock_read == base::Micros::zero() || end <= worker.clock_read)
+    return 0;
+  const double span_ms = base::Seconds(end - worker.clock_read) * 1000.0;
+  return worker.clock_ms + static_cast<std::int64_t>(span_ms * kSlowestClock);
+}
+
+}  // namespace quartzhoist::scheduler
--- /dev/null
+++ b/scheduler/worker.h
@@ -0,0 +1,92 @@
+// A worker as the scheduler keeps it: its room, its runs, and how long the
+// lease that was granted to it can last.
+
+#ifndef SCHEDULER_WORKER_H_
+#define SCHEDULER_WORKER_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+#include "base/clock.h"
+#include "jobs/job.h"
+#include "scheduler/facts.h"
+
+namespace quartzhoist::scheduler {
+
+enum class RunState {
+  kStarting,   // the order is on its way
+  kRunning,    // answered or listed
+  kUnsettled,  // the order got no answer: it may still be carried out
+  kStopping,   // it is to end; the room is free once the end is listed
+};
+
+struct Run {
+  int number = 0;
+  RunState state = RunState::kStarting;
+  jobs::Resources takes;  // what it takes of the room
+  std::string image;
+  base::Micros since{};         // when the order was decided
+  base::Micros answered{};      // when the start was answered
+  base::Micros stop_answered{}; // when a stop was answered; 0: none yet
+  base::Micros stop_sent{};     // when a stop was last sent
+  bool lasting = false;
+  bool fills = false;
+  bool adopted = false;  // started by an earlier owner
+  int percent = 0;
+  int pace = 100;        // the share of its speed that it is let work at
+  std::int64_t load = -1;
+  std::int64_t target_ms = 0;
+};
+
+// An end that was taken in, and the change of its job's row that holds it.
+struct PendingEnd {
+  std::int64_t number = 0;
+  std::string job;
+  std::uint64_t change = 0;
+};
+
+struct Worker {
+  WorkerInfo info;
+  bool listed = false;   // has answered a look under this owner's epoch
+  bool recorded = false; // is in the stored list of workers with leases
+  bool announced = true; // its announcement stands in the store
+  bool leaving = false;  // nothing further is placed: upkeep or a move
+  bool look_in_flight = false;
+  base::Micros look_sent{};
+  base::Micros next_look{};
+  base::Micros last_answer{};
+  // An upper bound, on our clock, of when everything on it is over.
+  base::Micros lease_end{};
+  // Its clock, as read at `clock_read` on ours (when the answer came).
+  std::int64_t clock_ms = 0;
+  base::Micros clock_read{};
+  std::int64_t processed = 0;     // ends up to this number were taken in
+  std::int64_t acknowledged = 0;  // ends up to this number are recorded
+  std::int64_t told = 0;  // the number that the last look told it
+  std::deque<PendingEnd> pending_ends;  // taken in, not yet recorded
+  std::map<jobs::TaskId, Run> runs;
+  jobs::Resources used;
+  // Health, from the ends of tasks and failed calls.
+  double failure_rate = 0.0;  // moving average of failed ends
+  int failed_calls = 0;       // since the last answer
+  base::Micros quarantined_until{};
+
+  jobs::Resources room() const { return this->info.capacity - this->used; }
+  bool idle() const { return this->runs.empty(); }
+};
+
+Run& AddRun(Worker& worker, const jobs::TaskId& task, Run run);
+void RemoveRun(Worker& worker, const jobs::TaskId& task);
+
+// The deadline to grant, on the worker's clock, so that it is over at `end` on
+// ours even if its clock runs slow. 0 if its clock has not been read yet.
+std::int64_t DeadlineFor(const Worker& worker, base::Micros end);
+
+// Workers' steady clocks may run 2% slow (the platform's pages).
+inline constexpr double kSlowestClock = 0.98;
+
+}  // namespace quartzhoist::scheduler
+
+#endif  // SCHEDULER_WORKER_H_
