--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -381,13 +381,13 @@
     Manager& manager;
 
     void operator()(scheduler::StartRun& order) const {
-      manager.Enqueue(order.worker, std::move(order));
+      manager.Enqueue(std::move(order));
     }
     void operator()(scheduler::StopRun& order) const {
-      manager.Enqueue(order.worker, std::move(order));
+      manager.Enqueue(std::move(order));
     }
     void operator()(scheduler::PaceRun& order) const {
-      manager.Enqueue(order.worker, std::move(order));
+      manager.Enqueue(std::move(order));
     }
     void operator()(const scheduler::LookAt& order) const {
       manager.SendLook(order);
@@ -419,8 +419,9 @@
           .epoch = this->epoch};
 }
 
-void Manager::Enqueue(const std::string& worker, Order order) {
-  const std::string to = worker;
+void Manager::Enqueue(Order order) {
+  const std::string to =
+      std::visit([](const auto& one) { return one.worker; }, order);
   this->orders[to].waiting.push_back(std::move(order));
   this->SendNext(to);
 }
@@ -484,12 +485,13 @@
         if (!*lives)
           return;
         const bool unknown = outcome == scheduler::OrderOutcome::kUnknown;
-        if (unknown) {
-          base::Log(base::Event::kRunUnsettled,
-                    {{"task", platform::TaskName(order.task)},
-                     {"run", order.run},
-                     {"worker", worker}});
-        }
+        base::Log(unknown ? base::Event::kRunUnsettled
+                          : base::Event::kRunStarted,
+                  {{"task", platform::TaskName(order.task)},
+                   {"run", order.run},
+                   {"worker", worker},
+                   {"outcome",
+                    base::NameOf(scheduler::kOrderOutcomeNames, outcome)}});
         this->scheduler.Started(order, outcome, base::MonotonicNow());
         this->OrderAnswered(worker, unknown);
       });
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -74,7 +74,7 @@
   // Actions.
   void Act();
   void Carry(scheduler::Action action);
-  void Enqueue(const std::string& worker, Order order);
+  void Enqueue(Order order);
   void SendNext(const std::string& worker);
   void Send(const std::string& worker, const scheduler::StartRun& order);
   void Send(const std::string& worker, const scheduler::StopRun& order);
--- a/scheduler/facts.h
+++ b/scheduler/facts.h
@@ -89,6 +89,19 @@
   kOtherLife,  // another life answers at this address
 };
 
+inline constexpr base::EnumNames<OrderOutcome, 10> kOrderOutcomeNames{{
+    {OrderOutcome::kDone, "done"},
+    {OrderOutcome::kNotSent, "not_sent"},
+    {OrderOutcome::kUnknown, "unknown"},
+    {OrderOutcome::kFenced, "fenced"},
+    {OrderOutcome::kOld, "old"},
+    {OrderOutcome::kLate, "late"},
+    {OrderOutcome::kNoRoom, "no_room"},
+    {OrderOutcome::kNoTicket, "no_ticket"},
+    {OrderOutcome::kBusy, "busy"},
+    {OrderOutcome::kOtherLife, "other_life"},
+}};
+
 // A wave: these boxes get their upkeep, at most so many at a time.
 struct Wave {
   int number = 0;
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -61,6 +61,8 @@
   Worker& worker = found->second;
   // 1. It answers: its clock is known, and its lease renewed.
   worker.look_in_flight = false;
+  if (worker.failed_calls > 0)
+    this->actions.emplace_back(Note{id, "answers again"});
   worker.listed = true;
   worker.failed_calls = 0;
   worker.last_answer = now;
@@ -192,7 +194,11 @@
     this->WorkerDied(id, now);
     return;
   }
-  ++worker.failed_calls;
+  if (++worker.failed_calls == 1) {
+    this->actions.emplace_back(
+        Note{id, fmt::format("does not answer ({})",
+                             base::NameOf(kOrderOutcomeNames, outcome))});
+  }
   worker.next_look =
       now + std::min(kLookAgain * worker.failed_calls, kLookAgainMost);
 }
