A silent worker's lease is not renewed; a stopping task is away

Cause: looks to a dead worker granted it a lease again and again, so its tasks never started elsewhere (LOST); a listing that was older than a stop showed the stopped task at work (AVAIL). Change: looks after a failed call grant nothing, starts do not renew; at_work needs a run that is not being stopped.

--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -22,6 +22,9 @@
 // What a lease is granted for: past the time in which another owner takes over
 // (2.3 s and its looks), short enough that a dead worker's tasks start again.
 constexpr base::Micros kLease = milliseconds(5000);
+// What a start grants at least: until the worker's next look has been answered.
+// Starts do not renew, or a worker that has died would seem leased for longer.
+constexpr base::Micros kStartLease = milliseconds(3500);
 // No lease lasts longer than this after the store confirmed the ownership: a
 // store that is away for less interrupts nothing (sites: up to 9 s).
 constexpr base::Micros kGrantBound = milliseconds(10'000);
@@ -464,9 +467,12 @@
 void Manager::Send(const std::string& worker,
                    const scheduler::StartRun& order) {
   const base::Micros now = base::MonotonicNow();
-  const base::Micros end = this->scheduler.LeaseEnd(now);
-  const std::int64_t deadline = this->scheduler.Deadline(worker, end);
   const scheduler::Worker* known = this->scheduler.FindWorker(worker);
+  // Looks renew the lease; a start only sees that it has one.
+  const base::Micros end =
+      std::min(std::max(known->lease_end, now + kStartLease),
+               this->scheduler.LeaseEnd(now));
+  const std::int64_t deadline = this->scheduler.Deadline(worker, end);
   const auto run = known->runs.find(order.task);
   const bool wanted = run != known->runs.end() &&
                       run->second.number == order.run &&
@@ -526,7 +532,8 @@
   const base::Micros now = base::MonotonicNow();
   const base::Micros end = this->scheduler.LeaseEnd(now);
   const std::string worker = order.worker;
-  const std::int64_t deadline = this->scheduler.Deadline(worker, end);
+  const std::int64_t deadline =
+      order.renews ? this->scheduler.Deadline(worker, end) : 0;
   this->scheduler.LookSent(worker, now);
   if (deadline > 0)
     this->scheduler.Granted(worker, end);
--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -42,6 +42,7 @@
   std::string worker;
   std::int64_t acknowledged = 0;  // ends up to this number are recorded
   base::Micros wait{};            // for an end, before it answers
+  bool renews = true;             // grants a lease anew
 };
 
 // Records a job's progress, if its row still has `version`.
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -105,7 +105,8 @@
   Task& task = TaskAt(*job, PlaceOf(listed.task));
   if (!listed.checkpoint.empty())
     task.checkpoint = listed.checkpoint;
-  task.at_work = listed.percent >= 100;
+  // One that is being stopped is away, whatever an older listing says.
+  task.at_work = listed.percent >= 100 && run.state == RunState::kRunning;
 }
 
 // A run that this owner did not start: an earlier owner's, or an order that was
@@ -360,7 +361,12 @@
     worker.look_in_flight = true;
     worker.told = worker.acknowledged;
     this->actions.emplace_back(
-        LookAt{.worker = id, .acknowledged = worker.acknowledged, .wait = wait});
+        LookAt{.worker = id,
+               .acknowledged = worker.acknowledged,
+               .wait = wait,
+               // A silent worker's lease is to run out, whether or not it
+               // hears this.
+               .renews = worker.failed_calls == 0});
   }
 }
 
