A placement is recorded before its order; counts carry a condition

Ruled out: leases (deadlines held), fencing (workers refused lower tokens). Change: the job's row names worker and run, written under the row's version; the worker is told after the commit. A lease that ran out frees its tasks only once the store has confirmed the owner since. Counts are conditional.

--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -30,6 +30,8 @@
 constexpr base::Micros kGrantBound = milliseconds(10'000);
 // Clocks of boxes and workers, when another owner's grants are waited out.
 constexpr double kClockSlack = 1.05;
+// Confirmations come each 0.7 s; another owner takes over after 2 s without.
+constexpr base::Micros kConfirmedLately = milliseconds(1600);
 constexpr base::Micros kReportAgain = milliseconds(500);
 constexpr base::Micros kListPeriod = milliseconds(1500);
 
@@ -229,7 +231,6 @@
                              is_kept ? found->second->version : row.version);
     if (!job)
       continue;
-    job->inherited = true;
     this->scheduler.AddJob(std::move(*job), now);
   }
   for (const std::string& id : this->cancels)
@@ -345,6 +346,7 @@
 }
 
 void Manager::Confirmed(base::Micros asked) {
+  this->confirmed_at = asked;
   this->scheduler.Confirmed(asked);
 }
 
@@ -360,8 +362,13 @@
   for (scheduler::Action& action : this->scheduler.TakeActions())
     this->Carry(std::move(action));
   this->SaveAll();
-  this->RecordWorkers();
-  this->WriteCounts();
+  // An owner that the store has not confirmed lately may have been replaced.
+  const bool confirmed =
+      base::MonotonicNow() - this->confirmed_at < kConfirmedLately;
+  if (confirmed) {
+    this->RecordWorkers();
+    this->WriteCounts();
+  }
   const base::Micros now = base::MonotonicNow();
   if (now >= this->next_report && !this->unreported.empty()) {
     this->next_report = now + kReportAgain;
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -126,6 +126,8 @@
   std::uint64_t lease_version = 0;
   bool lease_writing = false;
   std::map<std::string, int> counted;  // as last written
+  std::uint64_t count_version = 0;
+  base::Micros confirmed_at{};
   base::Micros next_count{};
   base::Micros next_list{};
   base::Micros next_report{};
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -141,17 +141,28 @@
   const std::map<std::string, int> counts = this->scheduler.WaitingJobs();
   if (counts == this->counted)
     return;
+  const platform::RowKey row{.table = std::string(kCountTable),
+                             .part = "",
+                             .key = std::string(kCountKey)};
   const platform::WriteBatch write{
-      .conditions = {},
-      .puts = {{.at = {.table = std::string(kCountTable),
-                       .part = "",
-                       .key = std::string(kCountKey)},
-                .value = EncodeCounts(counts)}},
+      .conditions = {{.at = row, .version = this->count_version}},
+      .puts = {{.at = row, .value = EncodeCounts(counts)}},
       .removes = {}};
   this->store.Write(write, [this, counts, lives = this->alive](
                                const platform::WriteResult& result) {
-    if (*lives && result.outcome == platform::WriteOutcome::kDone)
+    if (!*lives)
+      return;
+    if (result.outcome == platform::WriteOutcome::kDone) {
       this->counted = counts;
+      this->count_version = result.version;
+    }
+    // An earlier owner's, or an own write that was thought lost.
+    if (result.outcome == platform::WriteOutcome::kConflict &&
+        !result.rows.empty()) {
+      this->count_version = result.rows.front().version;
+      this->counted.clear();
+      this->next_count = {};
+    }
   });
 }
 
--- a/jobs/progress.cc
+++ b/jobs/progress.cc
@@ -60,17 +60,44 @@
   return true;
 }
 
+std::string TaskText(const TaskKey& task) {
+  return fmt::format("{}.{}.{}", task.step.occurrence, task.step.step,
+                     task.index);
+}
+
+std::optional<TaskKey> ParseTask(std::string_view text) {
+  const auto numbers = ParseNumbers(text);
+  if (!numbers || numbers->size() != 3)
+    return std::nullopt;
+  return TaskKey{
+      .step = {.occurrence = (*numbers)[0], .step = (*numbers)[1]},
+      .index = (*numbers)[2]};
+}
+
 bool ReadFailures(const Json& row, Progress& progress) {
   for (const auto& [key, count] : row.items()) {
-    const auto numbers = ParseNumbers(key);
+    const auto task = ParseTask(key);
     const bool fits = count.is_array() && count.size() == 2 &&
                       count[0].is_number_integer() &&
                       count[1].is_number_integer();
-    if (!numbers || numbers->size() != 3 || !fits)
+    if (!task || !fits)
       return false;
-    const StepKey step{.occurrence = (*numbers)[0], .step = (*numbers)[1]};
-    progress.failures[{.step = step, .index = (*numbers)[2]}] =
-        {.count = count[0].get<int>(), .last_run = count[1].get<int>()};
+    progress.failures[*task] = {.count = count[0].get<int>(),
+                                .last_run = count[1].get<int>()};
+  }
+  return true;
+}
+
+bool ReadPlaced(const Json& row, Progress& progress) {
+  for (const auto& [key, placement] : row.items()) {
+    const auto task = ParseTask(key);
+    const bool fits = placement.is_array() && placement.size() == 2 &&
+                      placement[0].is_string() &&
+                      placement[1].is_number_integer();
+    if (!task || !fits)
+      return false;
+    progress.placed[*task] = {.worker = placement[0].get<std::string>(),
+                              .run = placement[1].get<int>()};
   }
   return true;
 }
@@ -97,6 +124,7 @@
   if (bits.size() <= at)
     bits.resize(at + 1);
   bits[at] = true;
+  this->placed.erase({.step = step, .index = index});
 }
 
 void Progress::MarkFailed(const TaskKey& task, int run) {
@@ -114,10 +142,10 @@
         BitsText(bits);
   }
   for (const auto& [task, count] : progress.failures) {
-    row["failures"][fmt::format("{}.{}.{}", task.step.occurrence,
-                                task.step.step, task.index)] = {
-        count.count, count.last_run};
+    row["failures"][TaskText(task)] = {count.count, count.last_run};
   }
+  for (const auto& [task, placement] : progress.placed)
+    row["placed"][TaskText(task)] = {placement.worker, placement.run};
   return row.dump();
 }
 
@@ -129,11 +157,14 @@
       base::ValueOf(kJobStateNames, row["state"].get<std::string>());
   if (!state)
     return std::nullopt;
-  Progress progress{.state = *state, .done = {}, .failures = {}};
+  Progress progress;
+  progress.state = *state;
   if (row.contains("done") && !ReadDone(row["done"], progress))
     return std::nullopt;
   if (row.contains("failures") && !ReadFailures(row["failures"], progress))
     return std::nullopt;
+  if (row.contains("placed") && !ReadPlaced(row["placed"], progress))
+    return std::nullopt;
   return progress;
 }
 
@@ -151,6 +182,14 @@
     known.count = std::max(known.count, count.count);
     known.last_run = std::max(known.last_run, count.last_run);
   }
+  for (const auto& [task, placement] : b.placed) {
+    Placement& known = merged.placed[task];
+    if (placement.run > known.run)
+      known = placement;
+  }
+  std::erase_if(merged.placed, [&merged](const auto& entry) {
+    return merged.IsDone(entry.first.step, entry.first.index);
+  });
   return merged;
 }
 
--- a/jobs/progress.h
+++ b/jobs/progress.h
@@ -41,10 +41,20 @@
   bool operator==(const Failures&) const = default;
 };
 
+// Where a run of a task was placed: recorded before the worker is told, so that
+// a later owner knows which worker to ask about the task.
+struct Placement {
+  std::string worker;
+  int run = 0;
+
+  bool operator==(const Placement&) const = default;
+};
+
 struct Progress {
   JobState state = JobState::kQueued;
   std::map<StepKey, std::vector<bool>> done;
   std::map<TaskKey, Failures> failures;
+  std::map<TaskKey, Placement> placed;  // tasks that are not done
 
   bool IsDone(const StepKey& step, int index) const;
   void MarkDone(const StepKey& step, int index);
@@ -57,7 +67,8 @@
 std::optional<Progress> DecodeProgress(std::string_view text);
 
 // What two writers know together: both record facts, so a task done for one is
-// done, and of two counts of failures the larger one holds.
+// done, of two counts of failures the larger one holds, and of two placements
+// the later run.
 Progress Merge(const Progress& a, const Progress& b);
 
 }  // namespace quartzhoist::jobs
--- a/scheduler/job.cc
+++ b/scheduler/job.cc
@@ -72,6 +72,11 @@
   return job;
 }
 
+jobs::TaskKey KeyOf(const TaskPlace& place) {
+  return {.step = {.occurrence = place.occurrence, .step = place.step},
+          .index = place.index};
+}
+
 TaskPlace PlaceOf(const jobs::TaskId& task) {
   return {
       .occurrence = task.occurrence, .step = task.step, .index = task.index};
--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -29,6 +29,9 @@
   bool at_work = false;       // lasting: has been seen at full work
   std::string checkpoint;     // newest seen; empty: none
   base::Micros ready_since{};
+  // The newest run was taken as over because its lease ran out. Another owner
+  // may have renewed that lease unless the store has confirmed this one since.
+  base::Micros lease_ended{};
   std::vector<std::string> failed_on;  // workers, newest last
 };
 
@@ -45,6 +48,21 @@
   std::vector<StepRuns> steps;
 };
 
+// A task's place within its job.
+struct TaskPlace {
+  int occurrence = 0;
+  int step = 0;
+  int index = 0;
+
+  auto operator<=>(const TaskPlace&) const = default;
+};
+
+struct PendingStart {
+  TaskPlace place;
+  int run = 0;
+  std::uint64_t change = 0;
+};
+
 struct Job {
   std::string id;
   jobs::Queue queue;  // as configured, or as it was when the job was accepted
@@ -54,8 +72,9 @@
   base::Micros accepted{};
   bool begun = false;      // some run of it has been started
   bool cancelled = false;  // recorded, perhaps not yet carried out
-  // What an earlier owner may have started on workers that are not heard of.
-  bool inherited = false;
+  // Runs whose placement is being recorded, with the change that holds it;
+  // their workers are told once it is saved.
+  std::vector<PendingStart> pending_starts;
   // The row: its version, and which change of `progress` it holds.
   std::uint64_t version = 0;
   std::uint64_t change = 0;
@@ -65,15 +84,6 @@
   bool finished() const { return jobs::IsFinal(this->progress.state); }
 };
 
-// A task's place within its job.
-struct TaskPlace {
-  int occurrence = 0;
-  int step = 0;
-  int index = 0;
-
-  auto operator<=>(const TaskPlace&) const = default;
-};
-
 // Builds the tasks of a job from its spec and what is recorded of it.
 // `time_of_day_offset` is the monotonic clock's reading at 1970.
 Job MakeJob(std::string id,
@@ -83,6 +93,16 @@
             base::Micros accepted,
             base::Micros time_of_day_offset);
 
+// A later owner's runs are numbered above every earlier owner's, which started
+// fewer runs of one task than this.
+inline constexpr std::uint64_t kRunsAnEpoch = 1000;
+// The epoch of the owner that gave this number.
+constexpr std::uint64_t EpochOf(int run) {
+  return static_cast<std::uint64_t>(run) / kRunsAnEpoch + 1;
+}
+
+// The task's key in the job's record.
+jobs::TaskKey KeyOf(const TaskPlace& place);
 TaskPlace PlaceOf(const jobs::TaskId& task);
 jobs::TaskId IdOf(const Job& job, const TaskPlace& place);
 // Does the job have this task?
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -91,12 +91,22 @@
                             base::Micros now) {
   const auto found = worker.runs.find(listed.task);
   if (found == worker.runs.end() || found->second.number != listed.run) {
+    // An older run beside a newer one on the same worker is only ended.
+    if (found != worker.runs.end()) {
+      this->actions.emplace_back(StopRun{.worker = worker.info.id,
+                                         .task = listed.task,
+                                         .run = listed.run});
+      return;
+    }
     this->AdoptRun(worker, listed, now);
     return;
   }
   Run& run = found->second;
-  if (run.state == RunState::kStarting || run.state == RunState::kUnsettled)
+  if (run.state == RunState::kStarting || run.state == RunState::kUnsettled ||
+      run.state == RunState::kInherited)
     run.state = RunState::kRunning;
+  if (run.answered == base::Micros::zero())
+    run.answered = now;
   run.percent = listed.percent;
   run.load = listed.load;
   Job* job = this->FindJob(listed.task.job);
@@ -144,6 +154,9 @@
       if (!listed.checkpoint.empty())
         task.checkpoint = listed.checkpoint;
       job->begun = true;
+      job->progress.placed[KeyOf(PlaceOf(listed.task))] = {
+          .worker = worker.info.id, .run = task.run};
+      this->Changed(*job);
       return;
     }
   }
@@ -170,7 +183,10 @@
                                run.answered < worker.look_sent;
     const bool stop_settled = run.stop_answered > base::Micros::zero() &&
                               run.stop_answered < worker.look_sent;
-    if ((run.state == RunState::kRunning && start_settled) || stop_settled)
+    // Listed under this owner's epoch: no earlier owner's order can follow.
+    const bool inherited = run.state == RunState::kInherited;
+    if ((run.state == RunState::kRunning && start_settled) || stop_settled ||
+        inherited)
       over.emplace_back(task, run.number);
   }
   for (const auto& [task, run] : over) {
@@ -255,6 +271,13 @@
   Run& run = found->second;
   if (run.state == RunState::kStopping)
     return;
+  // Its worker has not been told.
+  if (run.state == RunState::kPlanned) {
+    const int number = run.number;
+    RemoveRun(worker, task);
+    this->TaskLost(task, number, now);
+    return;
+  }
   run.state = RunState::kStopping;
   run.stop_sent = now;
   this->actions.emplace_back(
@@ -311,8 +334,19 @@
     const bool over = now > worker.lease_end + kLeaseSlack;
     if (!over)
       continue;
-    if (!worker.idle())
-      this->DropRuns(worker, now, "its lease is over");
+    // A plan has no lease yet: the next listing or answer decides on it.
+    const bool only_plans = std::all_of(
+        worker.runs.begin(), worker.runs.end(), [](const auto& entry) {
+          return entry.second.state == RunState::kPlanned;
+        });
+    if (only_plans && worker.failed_calls == 0)
+      continue;
+    for (const auto& [task, run] : worker.runs) {
+      Job* job = this->FindJob(task.job);
+      if (job && Exists(*job, PlaceOf(task)))
+        TaskAt(*job, PlaceOf(task)).lease_ended = now;
+    }
+    this->DropRuns(worker, now, "its lease is over");
     if (!worker.announced && worker.failed_calls >= kCallsUntilSilent)
       forgotten.push_back(id);
   }
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -16,9 +16,8 @@
 // waits for the next turn: bounds a turn under overload.
 constexpr int kMissesATurn = 24;
 
-// A later owner's runs are numbered above every earlier owner's, which started
-// fewer runs of one task than this.
-constexpr std::uint64_t kRunsAnEpoch = 1000;
+// An order leaves its queue within this; until then the run counts as leased.
+constexpr base::Micros kOrderLeaves = std::chrono::seconds(1);
 
 // Weights of a worker's cost for a task; the smallest sum wins. A task that
 // failed there goes elsewhere if anything else has room.
@@ -46,6 +45,16 @@
   return takes;
 }
 
+Run RunOf(const jobs::Step& step, int number, RunState state) {
+  Run run{.number = number, .state = state};
+  run.takes = TakenBy(step);
+  run.image = step.image;
+  run.lasting = step.lasting;
+  run.fills = step.fills;
+  run.target_ms = step.target_ms;
+  return run;
+}
+
 double Fullness(const Worker& worker) {
   const auto& has = worker.info.capacity;
   if (has.cpu_millis <= 0)
@@ -87,13 +96,15 @@
          !this->fleet.IsLeaving(worker.info.box);
 }
 
-// Could an earlier owner have started the job's tasks on a worker that has not
-// been listed yet? Its leases are over in the end.
-bool Scheduler::MayRunElsewhere(const Job& job, base::Micros now) const {
-  if (!job.inherited)
-    return false;
-  for (const auto& [id, worker] : this->workers) {
-    if (!worker.listed && worker.recorded && now <= worker.lease_end)
+// A later owner may have renewed a lease that seems to be over here, unless the
+// store has confirmed this owner since.
+bool Scheduler::MayHaveBeenRenewed(const Job& job,
+                                   const TaskPlace& place) const {
+  const StepRuns& runs = StepAt(job, place);
+  const bool gang = StepOf(job, place).gang;
+  for (std::size_t i = 0; i < runs.tasks.size(); ++i) {
+    const bool counts = gang || static_cast<int>(i) == place.index;
+    if (counts && runs.tasks[i].lease_ended > this->confirmed)
       return true;
   }
   return false;
@@ -182,7 +193,7 @@
                          const std::vector<Worker*>& candidates,
                          base::Micros now) {
   Job& job = *this->FindJob(ready_task.job);
-  if (this->MayRunElsewhere(job, now))
+  if (this->MayHaveBeenRenewed(job, ready_task.place))
     return false;
   const std::vector<Choice> choices =
       this->ChooseFor(job, ready_task.place, candidates, now);
@@ -190,7 +201,7 @@
     return false;
   const int run = this->NextRun(job, ready_task.place);
   for (const Choice& choice : choices)
-    this->Start(job, choice, run, now);
+    this->Plan(job, choice, run, now);
   return true;
 }
 
@@ -257,10 +268,10 @@
   return choices;
 }
 
-void Scheduler::Start(Job& job,
-                      const Choice& choice,
-                      int run_number,
-                      base::Micros now) {
+void Scheduler::Plan(Job& job,
+                     const Choice& choice,
+                     int run_number,
+                     base::Micros now) {
   const jobs::Step& step = StepOf(job, choice.place);
   Task& task = TaskAt(job, choice.place);
   Worker& worker = *choice.worker;
@@ -269,22 +280,83 @@
   task.run = run_number;
   task.at_work = false;
   job.begun = true;
-  Run run{.number = run_number, .state = RunState::kStarting};
-  run.takes = TakenBy(step);
-  run.image = step.image;
+  Run run = RunOf(step, run_number, RunState::kPlanned);
   run.since = now;
-  run.lasting = step.lasting;
-  run.fills = step.fills;
-  run.target_ms = step.target_ms;
   const jobs::TaskId id = IdOf(job, choice.place);
   AddRun(worker, id, std::move(run));
-  worker.next_look = std::min(worker.next_look, now);
-  this->actions.emplace_back(StartRun{
-      .worker = worker.info.id,
-      .task = id,
-      .run = run_number,
-      .text = job.spec.text,
-      .checkpoint = step.checkpoints ? task.checkpoint : std::string()});
+  job.progress.placed[KeyOf(choice.place)] = {.worker = worker.info.id,
+                                              .run = run_number};
+  this->Changed(job);
+  this->save_now = true;
+  job.pending_starts.push_back(
+      {.place = choice.place, .run = run_number, .change = job.change});
+}
+
+void Scheduler::StartSaved(Job& job, base::Micros now) {
+  std::vector<PendingStart> later;
+  for (const PendingStart& start : std::exchange(job.pending_starts, {})) {
+    if (start.change > job.saved_change) {
+      later.push_back(start);
+      continue;
+    }
+    const Task& task = TaskAt(job, start.place);
+    const auto found = this->workers.find(task.worker);
+    if (task.state != TaskState::kPlaced || task.run != start.run ||
+        found == this->workers.end())
+      continue;
+    Worker& worker = found->second;
+    const jobs::TaskId id = IdOf(job, start.place);
+    const auto run = worker.runs.find(id);
+    if (run == worker.runs.end() || run->second.state != RunState::kPlanned)
+      continue;
+    // The worker may have drained or died since the plan.
+    if (!this->Usable(worker, now)) {
+      RemoveRun(worker, id);
+      this->TaskLost(id, start.run, now);
+      continue;
+    }
+    run->second.state = RunState::kStarting;
+    run->second.since = now;
+    // Its order grants a lease when it is sent, in a moment.
+    worker.lease_end = std::max(worker.lease_end, now + kOrderLeaves);
+    worker.next_look = std::min(worker.next_look, now);
+    const bool resumes = StepOf(job, start.place).checkpoints;
+    this->actions.emplace_back(
+        StartRun{.worker = worker.info.id,
+                 .task = id,
+                 .run = start.run,
+                 .text = job.spec.text,
+                 .checkpoint = resumes ? task.checkpoint : std::string()});
+  }
+  job.pending_starts = std::move(later);
+}
+
+// What an earlier owner placed stays placed until its worker has been listed,
+// or its lease is over.
+void Scheduler::InheritRuns(Job& job, base::Micros now) {
+  for (const auto& [key, placement] : job.progress.placed) {
+    const TaskPlace place{.occurrence = key.step.occurrence,
+                          .step = key.step.step,
+                          .index = key.index};
+    if (!Exists(job, place))
+      continue;
+    Task& task = TaskAt(job, place);
+    if (task.state == TaskState::kDone || task.state == TaskState::kPlaced)
+      continue;
+    task.run = std::max(task.run, placement.run);
+    job.begun = true;
+    // A worker that no owner has in its list has no lease any more.
+    const auto worker = this->workers.find(placement.worker);
+    if (worker == this->workers.end() || worker->second.listed)
+      continue;
+    task.state = TaskState::kPlaced;
+    task.run = placement.run;
+    task.worker = placement.worker;
+    Run run = RunOf(StepOf(job, place), placement.run, RunState::kInherited);
+    run.since = now;
+    run.adopted = true;
+    AddRun(worker->second, IdOf(job, place), std::move(run));
+  }
 }
 
 }  // namespace quartzhoist::scheduler
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -120,6 +120,7 @@
                     1000.0 * base::Seconds(this->ExpectedRun(job, step));
   }
   this->demand.HandedIn(job.queue.service, core_seconds, now);
+  this->InheritRuns(job, now);
   this->Release(job, now);
 }
 
@@ -198,7 +199,7 @@
 void Scheduler::Finish(Job& job, jobs::JobState state, base::Micros now) {
   job.progress.state = state;
   this->Changed(job);
-  this->final_waits = true;
+  this->save_now = true;
   this->StopAll(job, now);
   this->actions.emplace_back(
       Note{job.id, std::string(base::NameOf(jobs::kJobStateNames, state))});
@@ -225,10 +226,10 @@
 }
 
 void Scheduler::SaveChanged(base::Micros now) {
-  if (this->to_save.empty() || (now < this->next_save && !this->final_waits))
+  if (this->to_save.empty() || (now < this->next_save && !this->save_now))
     return;
   this->next_save = now + kSavePeriod;
-  this->final_waits = false;
+  this->save_now = false;
   for (auto it = this->to_save.begin(); it != this->to_save.end();) {
     Job* job = this->FindJob(*it);
     if (job && job->saving) {
@@ -256,16 +257,13 @@
     case SaveOutcome::kSaved:
       job->version = result.version;
       job->saved_change = std::max(job->saved_change, result.change);
+      this->StartSaved(*job, now);
       break;
     case SaveOutcome::kConflict:
       // Another owner, or an own write that was thought lost, came first.
       job->version = result.version;
-      if (result.stored) {
-        const bool was_final = job->finished();
-        job->progress = jobs::Merge(job->progress, *result.stored);
-        if (job->finished() && !was_final)
-          this->StopAll(*job, now);
-      }
+      if (result.stored)
+        this->TakeStored(*job, *result.stored, now);
       this->Changed(*job);
       break;
     case SaveOutcome::kFailed:
@@ -277,6 +275,49 @@
     this->to_save.insert(job->id);
 }
 
+void Scheduler::TakeStored(Job& job,
+                           const jobs::Progress& stored,
+                           base::Micros now) {
+  for (const auto& [key, placement] : stored.placed) {
+    const TaskPlace place{.occurrence = key.step.occurrence,
+                          .step = key.step.step,
+                          .index = key.index};
+    if (!Exists(job, place) || TaskAt(job, place).run >= placement.run)
+      continue;
+    // A placement that this owner did not make. A later owner's numbers are
+    // beyond this one's.
+    if (EpochOf(placement.run) > this->limits.epoch) {
+      this->is_fenced = true;
+      return;
+    }
+    // An earlier owner's write that came late: this one's plan is void.
+    Task& task = TaskAt(job, place);
+    const auto planned = this->workers.find(task.worker);
+    if (task.state == TaskState::kPlaced && planned != this->workers.end())
+      RemoveRun(planned->second, IdOf(job, place));
+    std::erase_if(job.pending_starts, [&place](const PendingStart& start) {
+      return start.place == place;
+    });
+    if (task.state != TaskState::kDone)
+      task.state = TaskState::kReady;
+  }
+  const bool was_final = job.finished();
+  job.progress = jobs::Merge(job.progress, stored);
+  for (const auto& [step, bits] : job.progress.done) {
+    for (std::size_t i = 0; i < bits.size(); ++i) {
+      const TaskPlace place{.occurrence = step.occurrence,
+                            .step = step.step,
+                            .index = static_cast<int>(i)};
+      if (bits[i] && Exists(job, place) &&
+          TaskAt(job, place).state != TaskState::kDone)
+        this->TaskDone(job, place, now);
+    }
+  }
+  if (job.finished() && !was_final)
+    this->StopAll(job, now);
+  this->InheritRuns(job, now);
+}
+
 std::map<std::string, int> Scheduler::WaitingJobs() const {
   std::map<std::string, int> waiting;
   for (const jobs::Queue& queue : this->config.queues)
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -3,9 +3,9 @@
 // store and the workers' listings say. Facts go in, actions come out; no I/O,
 // no clock.
 //
-// Why no start is recorded before its order: a new owner lists every worker
-// under its own epoch before it starts anything, and tasks that might run on a
-// worker it cannot list wait until every lease of the old owner is over.
+// A placement is recorded in the job's row, under the row's version, before the
+// worker is told: so two owners can never place one task at the same time, and
+// a later owner knows which worker to ask, or to wait out, for each task.
 
 #ifndef SCHEDULER_SCHEDULER_H_
 #define SCHEDULER_SCHEDULER_H_
@@ -196,9 +196,16 @@
                                 const TaskPlace& place,
                                 const std::vector<Worker*>& candidates,
                                 base::Micros now) const;
-  void Start(Job& job, const Choice& choice, int run, base::Micros now);
+  void Plan(Job& job, const Choice& choice, int run, base::Micros now);
+  // The placements up to this change are saved: their workers are told.
+  void StartSaved(Job& job, base::Micros now);
+  void InheritRuns(Job& job, base::Micros now);
+  // Another owner wrote the job's row.
+  void TakeStored(Job& job,
+                  const jobs::Progress& stored,
+                  base::Micros now);
   bool Usable(const Worker& worker, base::Micros now) const;
-  bool MayRunElsewhere(const Job& job, base::Micros now) const;
+  bool MayHaveBeenRenewed(const Job& job, const TaskPlace& place) const;
   int NextRun(const Job& job, const TaskPlace& place) const;
 
   // fleet
@@ -224,7 +231,7 @@
   base::Micros next_fleet{};
   std::uint64_t ready_number = 0;
   bool is_fenced = false;
-  bool final_waits = false;  // a final state is to be saved at once
+  bool save_now = false;  // a placement or a final state waits to be saved
 };
 
 }  // namespace quartzhoist::scheduler
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -16,6 +16,8 @@
 namespace quartzhoist::scheduler {
 
 enum class RunState {
+  kPlanned,    // its placement is being recorded; the worker is not told yet
+  kInherited,  // an earlier owner placed it: its worker's listing settles it
   kStarting,   // the order is on its way
   kRunning,    // answered or listed
   kUnsettled,  // the order got no answer: it may still be carried out
