Placement packs: lasting tasks on few boxes, others on the fullest that fits

Ruled out: room (a hump takes 40% of the fleet), the rate of moves. Change: a lasting task prefers a box that has one; others prefer such boxes, then the fullest that fits.

--- a/scheduler/evacuation.cc
+++ b/scheduler/evacuation.cc
@@ -32,8 +32,7 @@
     box.idle = worker.idle();
     box.cores = static_cast<double>(worker.info.capacity.cpu_millis) / 1000.0;
     box.busy_cores = static_cast<double>(worker.used.cpu_millis) / 1000.0;
-    for (const auto& [task, run] : worker.runs)
-      box.lasting += run.lasting;
+    box.lasting = worker.lasting;
     need[box.pool] += box.busy_cores;
     view.boxes.push_back(std::move(box));
   }
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -362,6 +362,7 @@
            fmt::format("{}: {} runs are over", why, worker.runs.size())});
   const std::map<jobs::TaskId, Run> runs = std::exchange(worker.runs, {});
   worker.used = {};
+  worker.lasting = 0;
   for (const auto& [task, run] : runs)
     this->TaskLost(task, run.number, now);
 }
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -29,8 +29,10 @@
 constexpr double kSameStepOnRack = 3.0;
 // A worker that has failed runs lately, times its failure rate.
 constexpr double kFailing = 6.0;
+constexpr double kPinnedForLasting = 10.0;
+constexpr double kPinnedForOthers = 2.0;
 // How full the worker is (0 to 1): the emptiest goes first.
-constexpr double kFullness = 1.0;
+constexpr double kFullness = -1.0;
 
 bool HasLabel(const WorkerInfo& info, const std::string& label) {
   return label.empty() || std::find(info.labels.begin(), info.labels.end(),
@@ -251,6 +253,10 @@
         cost += kOtherRack;
       if (step.lasting)
         cost += kSameStepOnRack * near.on_rack;
+      // What lasts pins its box to the pool: few boxes, which then take other
+      // work first, so that the rest can move.
+      if (worker->lasting > 0)
+        cost -= step.lasting ? kPinnedForLasting : kPinnedForOthers;
       if (!best || cost < best_cost) {
         best = worker;
         best_cost = cost;
--- a/scheduler/worker.cc
+++ b/scheduler/worker.cc
@@ -7,6 +7,7 @@
 Run& AddRun(Worker& worker, const jobs::TaskId& task, Run run) {
   RemoveRun(worker, task);
   worker.used = worker.used + run.takes;
+  worker.lasting += run.lasting;
   return worker.runs[task] = std::move(run);
 }
 
@@ -15,6 +16,7 @@
   if (found == worker.runs.end())
     return;
   worker.used = worker.used - found->second.takes;
+  worker.lasting -= found->second.lasting;
   worker.runs.erase(found);
 }
 
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -70,6 +70,7 @@
   std::deque<PendingEnd> pending_ends;  // taken in, not yet recorded
   std::map<jobs::TaskId, Run> runs;
   jobs::Resources used;
+  int lasting = 0;  // lasting tasks among the runs: they pin the box
   // Health, from the ends of tasks and failed calls.
   double failure_rate = 0.0;  // moving average of failed ends
   int failed_calls = 0;       // since the last answer
