Lasting tasks are interrupted only while the others were seen at work lately

Cause: after a rack's crash its tasks still counted as at work until their leases ran out, so an evacuation stopped one more (AVAIL). Change: at work counts only by a listing of the last 3 s from a worker that answers.

--- a/scheduler/evacuation.cc
+++ b/scheduler/evacuation.cc
@@ -13,6 +13,11 @@
 // How often the fleet is planned anew (trial: each 0.3 s).
 constexpr base::Micros kFleetPeriod = milliseconds(250);
 
+// A listing older than this says nothing of a lasting task: above the wait of
+// a look (2 s), below the time after which a silent task counts as away on the
+// sites (4.5 s).
+constexpr base::Micros kSeenLately = milliseconds(3000);
+
 // The need counts the slope of what is handed in so many times (trial on the
 // two sites' quiet days: 4 gave 0.744 and 0.638 of worth; 2 0.738 on the
 // first; 6 with more reserve 0.54 on the second).
@@ -96,7 +101,8 @@
 
 // A lasting task may be interrupted while every other one of its step is at
 // work, or fewer are away than its limit allows.
-bool Scheduler::MayInterrupt(const jobs::TaskId& id) const {
+bool Scheduler::MayInterrupt(const jobs::TaskId& id,
+                             base::Micros now) const {
   const auto job = this->jobs.find(id.job);
   if (job == this->jobs.end() || !Exists(job->second, PlaceOf(id)))
     return true;
@@ -107,18 +113,26 @@
   const StepRuns& runs = StepAt(job->second, PlaceOf(id));
   for (std::size_t i = 0; i < runs.tasks.size(); ++i) {
     const bool itself = static_cast<int>(i) == id.index;
-    away += !itself && !runs.tasks[i].at_work;
+    away += !itself && !this->IsSeenAtWork(runs.tasks[i], now);
   }
   return away < step.may_be_away;
 }
 
+// At work by a recent listing: its worker may have died since an older one.
+bool Scheduler::IsSeenAtWork(const Task& task, base::Micros now) const {
+  const auto worker = this->workers.find(task.worker);
+  return task.at_work && worker != this->workers.end() &&
+         worker->second.failed_calls == 0 &&
+         now - worker->second.last_answer < kSeenLately;
+}
+
 void Scheduler::StopForEvacuation(const std::string& box, base::Micros now) {
   for (auto& [id, worker] : this->workers) {
     if (worker.info.box != box)
       continue;
     for (auto& [task, run] : worker.runs) {
       const bool movable = run.lasting && run.state == RunState::kRunning;
-      if (!movable || !this->MayInterrupt(task))
+      if (!movable || !this->MayInterrupt(task, now))
         continue;
       // It is away from here on, before its end is listed.
       Job* job = this->FindJob(task.job);
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -213,7 +213,8 @@
   FleetView ViewFleet(base::Micros now) const;
   void StopForEvacuation(const std::string& box, base::Micros now);
   void BoxTaken(const std::string& box, base::Micros now);
-  bool MayInterrupt(const jobs::TaskId& task) const;
+  bool MayInterrupt(const jobs::TaskId& task, base::Micros now) const;
+  bool IsSeenAtWork(const Task& task, base::Micros now) const;
 
   Limits limits;
   jobs::Config config;
