Runs of finished jobs keep their room after a takeover

Cause: a new owner passed over jobs that had failed or were cancelled, so their runs that were still there took no room in its books (LIMIT at 43 s, after the final fault). Change: finished jobs with placements are read too.

--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -225,7 +225,8 @@
       base::Log(base::Event::kRowMalformed, {{"row", row.at.key}});
       continue;
     }
-    if (jobs::IsFinal(kept->state))
+    // Runs of a job that failed or was cancelled may still take room.
+    if (jobs::IsFinal(kept->state) && kept->placed.empty())
       continue;
     auto job = this->MakeJob(key.job, *accepted, std::move(*kept),
                              is_kept ? found->second->version : row.version);
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -108,8 +108,10 @@
   Job& job = entry->second;
   if (const jobs::Queue* queue = this->config.FindQueue(job.queue.name))
     job.queue = *queue;
-  if (job.finished())
+  if (job.finished()) {
+    this->InheritRuns(job, now);
     return;
+  }
   if (job.spec.repeats > 0)
     this->timed.insert(job.id);
   double core_seconds = 0.0;
