Cores are allotted to pools by priority; busy boxes are reclaimed

Ruled out: platform calls, number of moves, spare boxes (all in use). Change: AllotCores gives urgent work its cores first, present before expected; boxes of pools above their allotment take nothing further and move once empty.

--- a/scheduler/demand.cc
+++ b/scheduler/demand.cc
@@ -8,17 +8,17 @@
 
 }  // namespace
 
-void Demand::HandedIn(const std::string& service,
+void Demand::HandedIn(const std::string& queue,
                       double core_seconds,
                       base::Micros now) {
-  std::deque<Arrival>& recent = this->arrivals[service];
+  std::deque<Arrival>& recent = this->arrivals[queue];
   recent.push_back({.at = now, .core_seconds = core_seconds});
   while (recent.front().at < now - 2 * kWindow)
     recent.pop_front();
 }
 
-double Demand::Slope(const std::string& service, base::Micros now) const {
-  const auto found = this->arrivals.find(service);
+double Demand::Slope(const std::string& queue, base::Micros now) const {
+  const auto found = this->arrivals.find(queue);
   if (found == this->arrivals.end())
     return 0.0;
   double slope = 0.0;
--- a/scheduler/demand.h
+++ b/scheduler/demand.h
@@ -1,4 +1,4 @@
-// How much work each service is handed, and how that changes.
+// How much work each queue is handed, and how that changes.
 
 #ifndef SCHEDULER_DEMAND_H_
 #define SCHEDULER_DEMAND_H_
@@ -14,12 +14,12 @@
 class Demand {
  public:
   // Work in core-seconds.
-  void HandedIn(const std::string& service,
+  void HandedIn(const std::string& queue,
                 double core_seconds,
                 base::Micros now);
   // The change of what is handed in: cores over the last second, less those
   // over the second before. Negative while it falls.
-  double Slope(const std::string& service, base::Micros now) const;
+  double Slope(const std::string& queue, base::Micros now) const;
 
  private:
   struct Arrival {
--- a/scheduler/evacuation.cc
+++ b/scheduler/evacuation.cc
@@ -27,7 +27,7 @@
 
 FleetView Scheduler::ViewFleet(base::Micros now) const {
   FleetView view;
-  std::map<std::string, double> need;
+  std::map<std::string, std::map<int, PoolNeed>> needs;
   for (const auto& [id, worker] : this->workers) {
     FleetBox box;
     box.name = worker.info.box;
@@ -38,7 +38,10 @@
     box.cores = static_cast<double>(worker.info.capacity.cpu_millis) / 1000.0;
     box.busy_cores = static_cast<double>(worker.used.cpu_millis) / 1000.0;
     box.lasting = worker.lasting;
-    need[box.pool] += box.busy_cores;
+    for (const auto& [task, run] : worker.runs) {
+      needs[box.pool][this->PriorityOf(task)].now_cores +=
+          static_cast<double>(run.takes.cpu_millis) / 1000.0;
+    }
     view.boxes.push_back(std::move(box));
   }
   for (const auto& [service, tasks] : this->ready) {
@@ -48,20 +51,28 @@
         continue;
       const jobs::Step& step = StepOf(job->second, task.place);
       if (!step.fills)
-        need[service] += static_cast<double>(step.each.cpu_millis) / 1000.0;
+        needs[service][task.priority].now_cores +=
+            static_cast<double>(step.each.cpu_millis) / 1000.0;
     }
   }
-  for (const jobs::Service& service : this->config.services) {
+  for (const jobs::Queue& queue : this->config.queues) {
     const double slope =
-        std::max(0.0, this->demand.Slope(service.name, now));
-    view.pools.push_back(
-        {.name = service.name,
-         .spare = service.spare,
-         .need_cores = need[service.name] + kSlopeWeight * slope});
+        std::max(0.0, this->demand.Slope(queue.name, now));
+    needs[queue.service][queue.priority].soon_cores += kSlopeWeight * slope;
+  }
+  for (const jobs::Service& service : this->config.services) {
+    view.pools.push_back({.name = service.name,
+                          .spare = service.spare,
+                          .needs = needs[service.name]});
   }
   return view;
 }
 
+int Scheduler::PriorityOf(const jobs::TaskId& task) const {
+  const auto job = this->jobs.find(task.job);
+  return job == this->jobs.end() ? 0 : job->second.queue.priority;
+}
+
 void Scheduler::SetWave(const Wave& wave,
                         const std::vector<std::string>& begun,
                         base::Micros now) {
--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -17,6 +17,9 @@
 // exactly. Not tuned by a run.
 constexpr double kFill = 0.85;
 
+// A pool is short from this part of a box on.
+constexpr double kShortBoxes = 0.25;
+
 // A moved box whose new life never shows is given up after this.
 constexpr base::Micros kMoveLost = std::chrono::seconds(8);
 
@@ -288,46 +291,96 @@
   }
 }
 
-// An idle box goes from a pool that has more than it needs to the one that is
-// shortest; boxes at rest come last, since those in pools are paid for anyway.
+std::map<std::string, double> AllotCores(const std::vector<FleetPool>& pools,
+                                         double total_cores) {
+  std::map<std::string, double> allotted;
+  std::set<int> priorities;
+  for (const FleetPool& pool : pools) {
+    allotted[pool.name] = 0.0;
+    for (const auto& [priority, need] : pool.needs)
+      priorities.insert(priority);
+  }
+  double left = total_cores;
+  const auto share = [&](int priority, double PoolNeed::*what) {
+    double wanted = 0.0;
+    for (const FleetPool& pool : pools) {
+      const auto need = pool.needs.find(priority);
+      wanted += need == pool.needs.end() ? 0.0 : need->second.*what;
+    }
+    if (wanted <= 0.0)
+      return;
+    const double part = std::min(1.0, left / wanted);
+    for (const FleetPool& pool : pools) {
+      const auto need = pool.needs.find(priority);
+      if (need != pool.needs.end())
+        allotted[pool.name] += part * (need->second.*what);
+    }
+    left -= part * wanted;
+  };
+  for (const int priority : priorities) {
+    share(priority, &PoolNeed::now_cores);
+    share(priority, &PoolNeed::soon_cores);
+  }
+  return allotted;
+}
+
+// What each pool has, boxes on their way to it included.
+std::map<std::string, double> Fleet::CoresHeld(const FleetView& view) const {
+  std::map<std::string, double> held;
+  for (const FleetPool& pool : view.pools)
+    held[pool.name] = 0.0;
+  for (const FleetBox& box : view.boxes) {
+    const auto move = this->moves.find(box.name);
+    const bool moves_now = move != this->moves.end();
+    if ((box.up || moves_now) && !this->InUpkeep(box.name))
+      held[moves_now ? move->second.pool : box.pool] += box.cores;
+  }
+  return held;
+}
+
+// An idle box goes from a pool that has more than its allotment to the one that
+// is shortest; boxes at rest come last, since those in pools are paid for
+// anyway. Where no box is idle, some are kept free of further work.
 void Fleet::PlanMoves(const FleetView& view,
                       base::Micros now,
                       std::vector<FleetStep>& steps) {
-  // 1. What each pool has, on its way included, beyond its need.
-  std::map<std::string, double> surplus;
-  std::map<std::string, bool> spare;
+  this->reclaimed.clear();
+  // 1. What each pool has beyond its allotment.
+  std::map<std::string, double> surplus = this->CoresHeld(view);
+  double total_cores = 0.0;
   double box_cores = 0.0;
-  for (const FleetPool& pool : view.pools) {
-    surplus[pool.name] = pool.spare ? 0.0 : -pool.need_cores / kFill;
-    spare[pool.name] = pool.spare;
-  }
-  for (const FleetBox& box : view.boxes) {
+  for (const auto& [pool, cores] : surplus)
+    total_cores += cores;
+  for (const FleetBox& box : view.boxes)
     box_cores = std::max(box_cores, box.cores);
-    const auto move = this->moves.find(box.name);
-    const std::string& pool =
-        move == this->moves.end() ? box.pool : move->second.pool;
-    const bool counts = box.up || move != this->moves.end();
-    if (counts && !this->InUpkeep(box.name) && surplus.contains(pool))
-      surplus[pool] += box.cores;
-  }
   if (box_cores <= 0.0)
     return;
+  std::vector<FleetPool> asking;
+  for (const FleetPool& pool : view.pools) {
+    if (!pool.spare)
+      asking.push_back(pool);
+  }
+  for (const auto& [pool, cores] : AllotCores(asking, total_cores * kFill))
+    surplus[pool] -= cores / kFill;
   // 2. The shortest pool gets a box, until none is short or none can give.
+  double short_cores = 0.0;
   while (true) {
     const FleetPool* shortest = nullptr;
-    for (const FleetPool& pool : view.pools) {
-      if (pool.spare || surplus[pool.name] >= 0.0)
+    for (const FleetPool& pool : asking) {
+      if (surplus[pool.name] >= -kShortBoxes * box_cores)
         continue;
       if (!shortest || surplus[pool.name] < surplus[shortest->name])
         shortest = &pool;
     }
     if (!shortest)
-      return;
+      break;
     const FleetBox* donor = this->FindDonor(view, surplus, shortest->name);
-    if (!donor)
-      return;
-    if (!spare[donor->pool])
-      surplus[donor->pool] -= donor->cores;
+    if (!donor) {
+      for (const FleetPool& pool : asking)
+        short_cores += std::max(0.0, -surplus[pool.name]);
+      break;
+    }
+    surplus[donor->pool] -= donor->cores;
     surplus[shortest->name] += donor->cores;
     Move& move = this->moves[donor->name];
     move.pool = shortest->name;
@@ -336,6 +389,8 @@
     move.in_flight = true;
     steps.emplace_back(MoveBox{.box = donor->name, .pool = shortest->name});
   }
+  // 3. Boxes that are busy in a pool that has too many are to run empty.
+  this->Reclaim(view, surplus, short_cores);
 }
 
 const FleetBox* Fleet::FindDonor(const FleetView& view,
@@ -350,11 +405,13 @@
                         !this->InUpkeep(box.name) && pool != surplus.end();
     if (!may_go)
       continue;
-    bool is_spare = false;
-    for (const FleetPool& known : view.pools)
-      is_spare = is_spare || (known.name == box.pool && known.spare);
-    // What the giving pool keeps beyond its need; spare boxes come last.
-    const double left = is_spare ? 0.0 : pool->second - box.cores;
+    const bool at_rest =
+        std::any_of(view.pools.begin(), view.pools.end(),
+                    [&box](const FleetPool& known) {
+                      return known.name == box.pool && known.spare;
+                    });
+    // What the giving pool keeps beyond its allotment.
+    const double left = at_rest ? 0.0 : pool->second - box.cores;
     if (left < 0.0 || left <= best_left)
       continue;
     best = &box;
@@ -363,6 +420,34 @@
   return best;
 }
 
+void Fleet::Reclaim(const FleetView& view,
+                    std::map<std::string, double>& surplus,
+                    double short_cores) {
+  std::vector<const FleetBox*> busy;
+  for (const FleetBox& box : view.boxes) {
+    const bool may_go = box.up && !box.idle && box.lasting == 0 &&
+                        !this->moves.contains(box.name) &&
+                        !this->InUpkeep(box.name);
+    if (may_go)
+      busy.push_back(&box);
+  }
+  // Those that are soonest empty first.
+  std::stable_sort(busy.begin(), busy.end(),
+                   [](const FleetBox* a, const FleetBox* b) {
+                     return a->busy_cores < b->busy_cores;
+                   });
+  for (const FleetBox* box : busy) {
+    if (short_cores <= 0.0)
+      return;
+    const auto pool = surplus.find(box->pool);
+    if (pool == surplus.end() || pool->second < box->cores)
+      continue;
+    pool->second -= box->cores;
+    short_cores -= box->cores;
+    this->reclaimed.insert(box->name);
+  }
+}
+
 bool Fleet::InUpkeep(const std::string& box) const {
   for (const auto& [number, progress] : this->waves) {
     const auto found = progress.boxes.find(box);
@@ -376,7 +461,8 @@
 }
 
 bool Fleet::IsLeaving(const std::string& box) const {
-  return this->moves.contains(box) || this->InUpkeep(box);
+  return this->moves.contains(box) || this->reclaimed.contains(box) ||
+         this->InUpkeep(box);
 }
 
 std::string Fleet::LifeBefore(const std::string& box) const {
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -44,10 +44,16 @@
   double busy_cores = 0.0;
 };
 
+// What work of one priority takes, in cores.
+struct PoolNeed {
+  double now_cores = 0.0;   // running and waiting
+  double soon_cores = 0.0;  // expected beyond that
+};
+
 struct FleetPool {
   std::string name;
   bool spare = false;
-  double need_cores = 0.0;  // running, waiting, and soon to come
+  std::map<int, PoolNeed> needs;  // by priority, 0 the most urgent
 };
 
 struct FleetView {
@@ -63,6 +69,11 @@
 
 using FleetStep = std::variant<MoveBox, UpkeepBox, ReportWave, Evacuate>;
 
+// How many cores each pool should have: urgent work first, what is there before
+// what is expected; where not all fits, pools of one level share in proportion.
+std::map<std::string, double> AllotCores(const std::vector<FleetPool>& pools,
+                                         double total_cores);
+
 class Fleet {
  public:
   explicit Fleet(const FleetLimits& limits);
@@ -129,14 +140,21 @@
                  base::Micros now,
                  std::vector<FleetStep>& steps);
   void RepeatMoves(base::Micros now, std::vector<FleetStep>& steps);
+  std::map<std::string, double> CoresHeld(const FleetView& view) const;
   const FleetBox* FindDonor(const FleetView& view,
                             const std::map<std::string, double>& surplus,
                             const std::string& to) const;
+  void Reclaim(const FleetView& view,
+               std::map<std::string, double>& surplus,
+               double short_cores);
   bool InUpkeep(const std::string& box) const;
 
   FleetLimits limits;
   std::map<int, WaveProgress> waves;
   std::map<std::string, Move> moves;         // by box, until it is back
+  // Busy boxes that another pool needs more: nothing further is placed there,
+  // so that they can move soon. Chosen anew by each plan.
+  std::set<std::string> reclaimed;
   std::map<std::string, BoxInfo> listed;     // the platform's list
   bool has_list = false;
 };
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -211,6 +211,7 @@
   // fleet
   void RunFleet(base::Micros now);
   FleetView ViewFleet(base::Micros now) const;
+  int PriorityOf(const jobs::TaskId& task) const;
   void StopForEvacuation(const std::string& box, base::Micros now);
   void BoxTaken(const std::string& box, base::Micros now);
   bool MayInterrupt(const jobs::TaskId& task, base::Micros now) const;
