A model of store and workers, and five faults that it found

Change: testing/scheduler_model (lost, late and overtaking messages, crashes, cuts, freezes, several owners) and properties over it. Each of these failed first and passes now: - an idle worker that missed a look was never asked again, so never used; - a start whose run had been given up in a freeze was still sent (TWICE); - the answer to an old stop let a later stop be forgotten when it got lost; - runs of a job that an earlier owner had cancelled were kept, not stopped; - a placement that an earlier owner wrote while the next one read the job was overwritten (TWICE), and a plan that was voided was never made again (LOST).

--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -481,10 +481,7 @@
       std::min(std::max(known->lease_end, now + kStartLease),
                this->scheduler.LeaseEnd(now));
   const std::int64_t deadline = this->scheduler.Deadline(worker, end);
-  const auto run = known->runs.find(order.task);
-  const bool wanted = run != known->runs.end() &&
-                      run->second.number == order.run &&
-                      run->second.state == scheduler::RunState::kStarting;
+  const bool wanted = this->scheduler.StillWanted(order);
   if (deadline <= 0 || end <= now || !wanted) {
     this->scheduler.Started(order, scheduler::OrderOutcome::kNotSent, now);
     this->orders[worker].in_flight = false;
--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -26,6 +26,7 @@
   TaskState state = TaskState::kBlocked;
   std::string worker;  // while placed
   int run = 0;         // the newest run's number
+  int inherited_run = 0;  // the newest of earlier owners that is accounted for
   bool at_work = false;       // lasting: has been seen at full work
   std::string checkpoint;     // newest seen; empty: none
   base::Micros ready_since{};
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -117,6 +117,9 @@
     task.checkpoint = listed.checkpoint;
   // One that is being stopped is away, whatever an older listing says.
   task.at_work = listed.percent >= 100 && run.state == RunState::kRunning;
+  // An earlier owner's run of a job that was over by then.
+  if (job->finished())
+    this->Stop(worker, listed.task, now);
 }
 
 // A run that this owner did not start: an earlier owner's, or an order that was
@@ -144,6 +147,14 @@
   AddRun(worker, listed.task, run);
   if (known) {
     Task& task = TaskAt(*job, PlaceOf(listed.task));
+    // What runs goes before what is only planned.
+    const auto other = this->workers.find(task.worker);
+    if (task.state == TaskState::kPlaced && other != this->workers.end()) {
+      const auto plan = other->second.runs.find(listed.task);
+      if (plan != other->second.runs.end() &&
+          plan->second.state == RunState::kPlanned)
+        this->VoidPlan(*job, PlaceOf(listed.task));
+    }
     const bool wanted = !job->finished() && (task.state == TaskState::kReady ||
                                              task.state == TaskState::kBlocked);
     if (wanted) {
@@ -262,6 +273,15 @@
   this->TaskLost(order.task, order.run, now);
 }
 
+bool Scheduler::StillWanted(const StartRun& order) const {
+  const auto worker = this->workers.find(order.worker);
+  if (worker == this->workers.end())
+    return false;
+  const auto run = worker->second.runs.find(order.task);
+  return run != worker->second.runs.end() && run->second.number == order.run &&
+         run->second.state == RunState::kStarting;
+}
+
 void Scheduler::Stop(Worker& worker,
                      const jobs::TaskId& task,
                      base::Micros now) {
@@ -280,6 +300,8 @@
   }
   run.state = RunState::kStopping;
   run.stop_sent = now;
+  // An answer to an earlier stop, of a start that was open, says nothing now.
+  run.stop_answered = {};
   this->actions.emplace_back(
       StopRun{.worker = worker.info.id, .task = task, .run = run.number});
 }
@@ -372,7 +394,10 @@
     return;
   for (auto& [id, worker] : this->workers) {
     this->Acknowledge(worker);
+    // A silent worker is asked until it answers or its life is over: nothing
+    // is placed on it before.
     const bool wanted = !worker.listed || !worker.idle() ||
+                        worker.failed_calls > 0 ||
                         worker.acknowledged < worker.processed ||
                         worker.acknowledged > worker.told;
     if (!wanted || worker.look_in_flight || now < worker.next_look)
--- /dev/null
+++ b/scheduler/model_test.cc
@@ -0,0 +1,152 @@
+// Promises of the scheduler, against a model of the store and the workers with
+// several owners at once.
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+#include "testing/scheduler_model.h"
+
+namespace quartzhoist::testing {
+namespace {
+
+using std::chrono::seconds;
+
+jobs::Step MakeStep(int tasks, std::int64_t cpu) {
+  jobs::Step step;
+  step.tasks = tasks;
+  step.each = {.cpu_millis = cpu, .memory_mb = 500, .gpus = 0};
+  step.estimate_ms = 1000;
+  return step;
+}
+
+// Small, so that all lasting tasks and any other fit on every two workers.
+void MakeLasting(jobs::Step& step) {
+  step.lasting = true;
+  step.each = {.cpu_millis = 50, .memory_mb = 100, .gpus = 0};
+}
+
+std::vector<ModelJob> DrawJobs(int count) {
+  std::vector<ModelJob> jobs;
+  for (int i = 0; i < count; ++i) {
+    ModelJob job;
+    job.id = "job" + std::to_string(i);
+    job.attempts = *rc::gen::inRange(1, 4);
+    job.spec.text = "text";
+    job.spec.steps.push_back(
+        MakeStep(*rc::gen::inRange(1, 5), *rc::gen::inRange(500, 2500)));
+    if (*rc::gen::arbitrary<bool>()) {
+      job.spec.steps.push_back(
+          MakeStep(*rc::gen::inRange(1, 4), *rc::gen::inRange(500, 2500)));
+      job.spec.steps.back().after = {0};
+    } else if (*rc::gen::arbitrary<bool>()) {
+      MakeLasting(job.spec.steps.back());
+    }
+    jobs.push_back(job);
+  }
+  return jobs;
+}
+
+ModelFaults DrawFaults() {
+  const auto odds = [](int most_per_mille) {
+    return *rc::gen::inRange(0, most_per_mille) / 1000.0;
+  };
+  ModelFaults faults;
+  faults.lost_answer = odds(150);
+  faults.lost_order = odds(150);
+  faults.late_order = odds(100);
+  faults.lost_save = odds(200);
+  faults.late_save = odds(100);
+  faults.crash = odds(100);
+  faults.cut = odds(300);
+  faults.takeover = odds(200);
+  faults.freeze = odds(100);
+  faults.failing_run = odds(200);
+  return faults;
+}
+
+std::string Joined(const std::vector<std::string>& lines) {
+  std::string text;
+  for (const std::string& line : lines)
+    text += line + "\n";
+  return text;
+}
+
+bool IsLasting(const ModelJob& job) {
+  return job.spec.steps.back().lasting;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(EveryJobEndsOnCalmDays) {
+  std::vector<ModelJob> jobs(2);
+  jobs[0].id = "chain";
+  jobs[0].spec.steps = {MakeStep(3, 1000), MakeStep(2, 1000)};
+  jobs[0].spec.steps[1].after = {0};
+  jobs[1].id = "lasting";
+  jobs[1].spec.steps = {MakeStep(4, 1000)};
+  jobs[1].spec.steps[0].lasting = true;
+  SchedulerModel model(1, {}, 4, jobs);
+  model.RunFor(seconds(15));
+  BOOST_TEST(Joined(model.broken()) == "");
+  BOOST_CHECK(model.StateOf("chain") == jobs::JobState::kCompleted);
+  BOOST_TEST(model.RunningTasks("lasting") == 4);
+  // Nothing was lost, so nothing was started twice.
+  BOOST_TEST(model.starts() == 3 + 2 + 4);
+}
+
+BOOST_AUTO_TEST_CASE(PromisesHoldUnderFaults) {
+  const bool holds = rc::check(
+      "no task runs twice, too early, too often or beyond its worker's room; "
+      "and every job ends once the faults are over",
+      [] {
+        const std::vector<ModelJob> jobs = DrawJobs(*rc::gen::inRange(1, 5));
+        const int workers = *rc::gen::inRange(2, 6);
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+        SchedulerModel model(seed, DrawFaults(), workers, jobs);
+        model.RunFor(seconds(25));
+        model.Heal();
+        model.RunFor(seconds(45));
+        RC_LOG() << Joined(model.broken()) << model.History();
+        RC_ASSERT(model.broken().empty());
+        for (const ModelJob& job : jobs) {
+          RC_LOG() << job.id << " is "
+                   << base::NameOf(jobs::kJobStateNames, model.StateOf(job.id))
+                   << " after " << model.takeovers() << " takeovers\n";
+          if (IsLasting(job)) {
+            RC_ASSERT(model.RunningTasks(job.id) ==
+                      job.spec.steps.back().tasks);
+          } else {
+            RC_ASSERT(jobs::IsFinal(model.StateOf(job.id)));
+          }
+        }
+      });
+  BOOST_TEST(holds);
+}
+
+BOOST_AUTO_TEST_CASE(CancelledJobsStopForGood) {
+  const bool holds = rc::check(
+      "a cancelled job runs nothing more, whatever the owners missed", [] {
+        std::vector<ModelJob> jobs = DrawJobs(2);
+        for (ModelJob& job : jobs) {
+          if (job.spec.steps.size() == 1)
+            MakeLasting(job.spec.steps.front());
+        }
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+        SchedulerModel model(seed, DrawFaults(), 3, jobs);
+        model.RunFor(seconds(5));
+        model.Cancel(jobs[0].id);
+        model.RunFor(seconds(5));
+        model.Heal();
+        model.RunFor(seconds(25));
+        RC_LOG() << Joined(model.broken()) << model.History();
+        RC_ASSERT(model.broken().empty());
+        RC_ASSERT(model.RunningTasks(jobs[0].id) == 0);
+        RC_ASSERT(jobs::IsFinal(model.StateOf(jobs[0].id)));
+      });
+  BOOST_TEST(holds);
+}
+
+}  // namespace quartzhoist::testing
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -347,6 +347,8 @@
     if (!Exists(job, place))
       continue;
     Task& task = TaskAt(job, place);
+    if (EpochOf(placement.run) < this->limits.epoch)
+      task.inherited_run = std::max(task.inherited_run, placement.run);
     if (task.state == TaskState::kDone || task.state == TaskState::kPlaced)
       continue;
     task.run = std::max(task.run, placement.run);
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -280,28 +280,23 @@
 void Scheduler::TakeStored(Job& job,
                            const jobs::Progress& stored,
                            base::Micros now) {
+  std::vector<TaskPlace> voided;
   for (const auto& [key, placement] : stored.placed) {
     const TaskPlace place{.occurrence = key.step.occurrence,
                           .step = key.step.step,
                           .index = key.index};
-    if (!Exists(job, place) || TaskAt(job, place).run >= placement.run)
+    if (!Exists(job, place))
       continue;
-    // A placement that this owner did not make. A later owner's numbers are
-    // beyond this one's.
-    if (EpochOf(placement.run) > this->limits.epoch) {
+    const std::uint64_t epoch = EpochOf(placement.run);
+    // A later owner has read the job and goes on with it.
+    if (epoch > this->limits.epoch) {
       this->is_fenced = true;
       return;
     }
-    // An earlier owner's write that came late: this one's plan is void.
-    Task& task = TaskAt(job, place);
-    const auto planned = this->workers.find(task.worker);
-    if (task.state == TaskState::kPlaced && planned != this->workers.end())
-      RemoveRun(planned->second, IdOf(job, place));
-    std::erase_if(job.pending_starts, [&place](const PendingStart& start) {
-      return start.place == place;
-    });
-    if (task.state != TaskState::kDone)
-      task.state = TaskState::kReady;
+    const bool is_news = epoch < this->limits.epoch &&
+                         placement.run > TaskAt(job, place).inherited_run;
+    if (is_news && this->TakeLatePlacement(job, place, placement))
+      voided.push_back(place);
   }
   const bool was_final = job.finished();
   job.progress = jobs::Merge(job.progress, stored);
@@ -318,6 +313,43 @@
   if (job.finished() && !was_final)
     this->StopAll(job, now);
   this->InheritRuns(job, now);
+  for (const TaskPlace& place : voided) {
+    if (TaskAt(job, place).state == TaskState::kReady && !job.finished())
+      this->Enqueue(job, place, now);
+  }
+}
+
+// An earlier owner's placement came to light after this owner read the job: its
+// write was on its way. True if it voids what this owner had planned.
+bool Scheduler::TakeLatePlacement(Job& job,
+                                  const TaskPlace& place,
+                                  const jobs::Placement& placement) {
+  Task& task = TaskAt(job, place);
+  task.inherited_run = placement.run;
+  const auto worker = this->workers.find(placement.worker);
+  // A worker that has been listed under this epoch showed the run then, or
+  // refuses it for good.
+  if (worker == this->workers.end() || worker->second.listed ||
+      task.state == TaskState::kDone)
+    return false;
+  this->VoidPlan(job, place);
+  job.progress.placed[KeyOf(place)] = placement;
+  return task.state == TaskState::kReady;
+}
+
+// Gives up a run whose worker has not been told.
+void Scheduler::VoidPlan(Job& job, const TaskPlace& place) {
+  Task& task = TaskAt(job, place);
+  std::erase_if(job.pending_starts, [&place](const PendingStart& start) {
+    return start.place == place;
+  });
+  if (task.state != TaskState::kPlaced)
+    return;
+  const auto planned = this->workers.find(task.worker);
+  if (planned != this->workers.end())
+    RemoveRun(planned->second, IdOf(job, place));
+  task.state = TaskState::kReady;
+  task.worker.clear();
 }
 
 std::map<std::string, int> Scheduler::WaitingJobs() const {
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -104,6 +104,8 @@
   std::vector<Action> TakeActions();
 
   // --- Queries -----------------------------------------------------------------
+  // Is the order still to be sent? Its run may have been given up meanwhile.
+  bool StillWanted(const StartRun& order) const;
   // When a lease granted now is to end, on our clock.
   base::Micros LeaseEnd(base::Micros now) const;
   // A worker's deadline for a lease until `end`, on the worker's clock.
@@ -200,6 +202,10 @@
   // The placements up to this change are saved: their workers are told.
   void StartSaved(Job& job, base::Micros now);
   void InheritRuns(Job& job, base::Micros now);
+  bool TakeLatePlacement(Job& job,
+                         const TaskPlace& place,
+                         const jobs::Placement& placement);
+  void VoidPlan(Job& job, const TaskPlace& place);
   // Another owner wrote the job's row.
   void TakeStored(Job& job,
                   const jobs::Progress& stored,
--- /dev/null
+++ b/testing/scheduler_model.h
@@ -0,0 +1,154 @@
+// An in-memory world around schedulers: a store with versions, workers with
+// leases and fencing, and messages that get lost, come late or overtake one
+// another; several owners may act at once. It judges what the workers see.
+
+#ifndef TESTING_SCHEDULER_MODEL_H_
+#define TESTING_SCHEDULER_MODEL_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "scheduler/scheduler.h"
+
+namespace quartzhoist::testing {
+
+// Odds are of one message or step.
+struct ModelFaults {
+  double lost_answer = 0.0;   // the order is carried out, its answer lost
+  double lost_order = 0.0;    // the order never arrives
+  double late_order = 0.0;    // carried out 2 to 6 s later, never answered
+  double lost_save = 0.0;     // a save is made, its answer lost
+  double late_save = 0.0;     // made 1 to 4 s later if it still fits
+  double crash = 0.0;         // a worker's life ends, a second
+  double cut = 0.0;           // a worker is cut from an owner, a second
+  double takeover = 0.0;      // a new owner comes, the old one lives on, a second
+  double freeze = 0.0;        // an owner stands still for 1 to 6 s, a second
+  double failing_run = 0.0;   // a run fails
+};
+
+struct ModelJob {
+  std::string id;
+  jobs::JobSpec spec;
+  int attempts = 3;
+};
+
+class SchedulerModel {
+ public:
+  SchedulerModel(std::uint64_t seed,
+                 const ModelFaults& faults,
+                 int workers,
+                 const std::vector<ModelJob>& jobs);
+
+  void RunFor(base::Micros span);
+  // No further faults; what is cut is joined, what is frozen thaws.
+  void Heal();
+  void Cancel(const std::string& job);
+
+  // What broke a promise, in words; empty: nothing.
+  const std::vector<std::string>& broken() const { return this->faults_found; }
+  // What the owners and workers did last, for a failing test.
+  std::string History() const;
+  // The recorded state of a job.
+  jobs::JobState StateOf(const std::string& job) const;
+  // Tasks of the job that run now.
+  int RunningTasks(const std::string& job) const;
+  int starts() const { return this->start_count; }
+  int takeovers() const { return static_cast<int>(this->owners.size()) - 1; }
+
+ private:
+  struct WorkerRun {
+    int number = 0;
+    base::Micros ends{};  // when its work is done
+    bool fails = false;
+  };
+  struct Worker {
+    std::string id;
+    jobs::Resources capacity;
+    bool alive = true;
+    double clock_rate = 1.0;      // up to 2% slow
+    base::Micros clock_offset{};
+    std::uint64_t epoch = 0;      // highest seen
+    base::Micros deadline{};      // on its own clock
+    std::map<jobs::TaskId, WorkerRun> running;
+    std::map<jobs::TaskId, int> over;  // highest run that ended or was stopped
+    std::vector<scheduler::ListedEnd> ends;
+    std::int64_t last_number = 0;
+    std::int64_t acknowledged = 0;
+  };
+  struct StoredJob {
+    ModelJob job;
+    std::string progress;
+    std::uint64_t version = 0;
+    bool cancelled = false;
+    std::set<scheduler::TaskPlace> done;         // noted ends, as workers saw them
+    std::map<scheduler::TaskPlace, int> failed;  // noted
+    std::set<scheduler::TaskPlace> ever_done;    // ended as done, noted or not
+  };
+  struct Owner {
+    std::unique_ptr<scheduler::Scheduler> scheduler;
+    std::uint64_t epoch = 0;
+    base::Micros frozen_until{};
+    std::set<std::string> cut_from;  // workers
+    bool gone = false;
+  };
+  struct Event {
+    base::Micros at{};
+    std::uint64_t order = 0;
+    std::function<void()> action;
+  };
+
+  bool Chance(double odds);
+  base::Micros Between(std::int64_t least_ms, std::int64_t most_ms);
+  void After(base::Micros delay, std::function<void()> action);
+  void Step();
+  void Disturb();
+  void AddWorker(int number);
+  void TakeOver();
+  void Act(std::size_t owner);
+  void Carry(std::size_t owner, const scheduler::Action& action);
+  void SendStart(std::size_t owner, const scheduler::StartRun& order);
+  void SendStop(std::size_t owner, const scheduler::StopRun& order);
+  void SendLook(std::size_t owner, const scheduler::LookAt& order);
+  void Save(std::size_t owner, const scheduler::SaveProgress& save);
+  void Deliver(std::size_t owner,
+               const std::string& worker,
+               std::function<scheduler::OrderOutcome(Worker&)> carry_out,
+               std::function<void(scheduler::OrderOutcome)> answer);
+  scheduler::OrderOutcome BeginRun(Worker& worker,
+                                   const scheduler::StartRun& order,
+                                   std::uint64_t epoch,
+                                   base::Micros deadline);
+  void JudgeStart(const Worker& worker, const scheduler::StartRun& order);
+  void EndRun(Worker& worker, const jobs::TaskId& task, scheduler::RunEnd how);
+  void WorkOn(Worker& worker);
+  void Note(Worker& worker, std::int64_t acknowledged);
+  base::Micros ClockOf(const Worker& worker) const;
+  scheduler::Listing ListingOf(const Worker& worker) const;
+  void Broke(const std::string& what);
+  void Record(const std::string& what);
+
+  std::mt19937_64 random;
+  ModelFaults faults;
+  base::Micros now = std::chrono::seconds(100);
+  std::map<std::string, Worker> workers;
+  std::map<std::string, StoredJob> jobs;
+  std::vector<Owner> owners;
+  std::vector<Event> events;
+  std::uint64_t event_count = 0;
+  std::uint64_t version = 1;
+  int worker_lives = 0;
+  int start_count = 0;
+  std::vector<std::string> faults_found;
+  std::deque<std::string> history;
+};
+
+}  // namespace quartzhoist::testing
+
+#endif  // TESTING_SCHEDULER_MODEL_H_
