--- /dev/null
+++ b/entry/entry_test.cc
@@ -0,0 +1,357 @@
+// Settings, rows, ownership and the callers' interface of an entry box.
+
+#include <functional>
+#include <fstream>
+#include <memory>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "base/ini_file.h"
+#include "entry/caller_api.h"
+#include "entry/ownership.h"
+#include "entry/settings.h"
+#include "entry/tables.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "jobs/progress.h"
+#include "testing/store_standin.h"
+
+namespace quartzhoist::entry {
+namespace {
+
+using testing::StoreStandin;
+
+constexpr const char* kGoodSettings = R"([daemon]
+id = edge-1
+zone = hall-1
+[listen]
+callers = 10.0.0.1:80
+readiness = 10.0.0.1:81
+metrics =
+[store]
+address = 10.0.0.9:80
+[limits]
+longest_lease_ms = 10000
+move_seconds = 1.5
+)";
+
+std::string WhyRefused(std::string text) {
+  std::istringstream in(text);
+  try {
+    static_cast<void>(ReadSettings(in, "f.ini"));
+  } catch (const base::TextError& error) {
+    return error.what();
+  }
+  return "";
+}
+
+std::string Replaced(const std::string& from, const std::string& to) {
+  std::string text = kGoodSettings;
+  text.replace(text.find(from), from.size(), to);
+  return text;
+}
+
+BOOST_AUTO_TEST_CASE(SettingsAreRead) {
+  std::istringstream in(kGoodSettings);
+  const Settings settings = ReadSettings(in, "f.ini");
+  BOOST_TEST(settings.id == "edge-1");
+  BOOST_TEST(settings.metrics.empty());
+  BOOST_TEST(settings.longest_lease.count() == 10'000'000);
+  BOOST_TEST(settings.move_time.count() == 1'500'000);
+}
+
+BOOST_AUTO_TEST_CASE(BadSettingsNameFileLineAndKey) {
+  BOOST_TEST(WhyRefused(Replaced("zone = hall-1", "zoen = hall-1"))
+                 .find("f.ini:3: [daemon] zoen") == 0U);
+  BOOST_TEST(WhyRefused(Replaced("10.0.0.1:80", "nowhere"))
+                 .find("f.ini:5: [listen] callers") == 0U);
+  BOOST_TEST(WhyRefused(Replaced("10000", "-1"))
+                 .find("f.ini:11: [limits] longest_lease_ms") == 0U);
+  BOOST_TEST(WhyRefused(Replaced("move_seconds = 1.5", "move_seconds = x"))
+                 .find("[limits] move_seconds") != std::string::npos);
+  BOOST_TEST(WhyRefused(Replaced("id = edge-1\n", ""))
+                 .find("[daemon] id: the key is missing") !=
+             std::string::npos);
+}
+
+// Each key of the template the platform fills is one that the daemon reads.
+BOOST_AUTO_TEST_CASE(EveryKeyOfTheTemplateIsKnown) {
+  std::ifstream file(std::string(QUARTZHOIST_SOURCE_DIR) +
+                     "/deploy/quartzhoistd.ini");
+  std::string filled;
+  for (std::string line; std::getline(file, line);) {
+    const std::size_t gap = line.find("{{");
+    const std::string key = line.substr(0, line.find(' '));
+    if (gap != std::string::npos)
+      line = key + " = " +
+             (key == "id" || key == "zone"              ? "x"
+              : key.ends_with("_ms")                    ? "1000"
+              : key.ends_with("_seconds")               ? "2"
+                                                        : "10.0.0.1:80");
+    filled += line + "\n";
+  }
+  BOOST_TEST(WhyRefused(filled) == "");
+}
+
+BOOST_AUTO_TEST_CASE(RowsAreReadAsTheyWereWritten) {
+  AcceptedJob job;
+  job.queue.name = "q";
+  job.queue.service = "s";
+  job.queue.priority = 1;
+  job.queue.attempts = 4;
+  job.queue.extension = 1.6;
+  job.accepted_ms = 99;
+  job.body = R"({"steps":[{}]})";
+  const auto read = DecodeAccepted(EncodeAccepted(job));
+  BOOST_REQUIRE(read.has_value());
+  BOOST_CHECK(read->queue == job.queue);
+  BOOST_TEST(read->body == job.body);
+  BOOST_TEST(!DecodeAccepted("{}").has_value());
+  BOOST_TEST(!DecodeOwner("[]").has_value());
+  BOOST_TEST(!DecodeLeases("7").has_value());
+  BOOST_TEST(ParseJobKey(CancelRow("abc").key).is_cancel);
+  BOOST_TEST(ParseJobKey(CancelRow("abc").key).job == "abc");
+  BOOST_TEST(!ParseJobKey(JobRow("abc").key).is_cancel);
+  BOOST_TEST(CountOf(EncodeCounts({{"q", 7}}), "q") == 7);
+  BOOST_TEST(CountOf("nonsense", "q") == 0);
+}
+
+// --- Ownership -----------------------------------------------------------------
+
+struct Member {
+  Member(base::Loop& loop, platform::Store& store, const std::string& id)
+      : ownership(loop, store, id, std::hash<std::string>()(id),
+                  {.on_gained = [this](std::uint64_t gained,
+                                       base::Micros) { this->epoch = gained; },
+                   .on_lost = [this] { ++this->losses; },
+                   .on_confirmed = [this](base::Micros) {
+                     ++this->confirmations;
+                   },
+                   .on_store_answered = [] {},
+                   .on_store_silent = [] {}}) {}
+
+  std::uint64_t epoch = 0;
+  int losses = 0;
+  int confirmations = 0;
+  Ownership ownership;
+};
+
+struct OwnerBench {
+  base::Loop loop;
+  base::Counters counters;
+  StoreStandin standin{loop};
+  http::Client client{loop};
+  platform::Store store{client, standin.address(), counters};
+
+  void Until(const std::function<bool()>& holds) {
+    while (!holds())
+      this->loop.RunOnce();
+  }
+};
+
+BOOST_AUTO_TEST_CASE(OneOfSeveralOwnsAndConfirms) {
+  OwnerBench bench;
+  Member a(bench.loop, bench.store, "a");
+  Member b(bench.loop, bench.store, "b");
+  Member c(bench.loop, bench.store, "c");
+  bench.Until([&] {
+    return a.confirmations + b.confirmations + c.confirmations >= 3;
+  });
+  BOOST_TEST(a.ownership.holds() + b.ownership.holds() +
+                 c.ownership.holds() ==
+             1);
+  BOOST_TEST(a.epoch + b.epoch + c.epoch == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(GivenUpOwnershipPassesUnderAHigherEpoch) {
+  OwnerBench bench;
+  Member a(bench.loop, bench.store, "a");
+  bench.Until([&] { return a.ownership.holds(); });
+  Member b(bench.loop, bench.store, "b");
+  a.ownership.Release();
+  bench.Until([&] { return b.ownership.holds(); });
+  BOOST_TEST(b.epoch == 2U);
+  BOOST_TEST(!a.ownership.holds());
+}
+
+BOOST_AUTO_TEST_CASE(SilentOwnerIsTakenOver) {
+  OwnerBench bench;
+  // A holder that confirms nothing.
+  bench.standin.Put({.table = std::string(kOwnerTable),
+                     .part = "",
+                     .key = std::string(kOwnerKey)},
+                    EncodeOwner({.holder = "dead",
+                                 .incarnation = "1",
+                                 .epoch = 7,
+                                 .beat = 3}));
+  Member a(bench.loop, bench.store, "a");
+  bench.Until([&] { return a.ownership.holds(); });
+  BOOST_TEST(a.epoch == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(OwnerThatIsReplacedLearnsIt) {
+  OwnerBench bench;
+  Member a(bench.loop, bench.store, "a");
+  bench.Until([&] { return a.ownership.holds(); });
+  bench.standin.Put({.table = std::string(kOwnerTable),
+                     .part = "",
+                     .key = std::string(kOwnerKey)},
+                    EncodeOwner({.holder = "other",
+                                 .incarnation = "1",
+                                 .epoch = 2,
+                                 .beat = 0}));
+  bench.Until([&] { return a.losses == 1; });
+  BOOST_TEST(!a.ownership.holds());
+}
+
+BOOST_AUTO_TEST_CASE(LostAnswerOfATakeoverIsSettledByTheRow) {
+  OwnerBench bench;
+  Member a(bench.loop, bench.store, "a");
+  bench.standin.SetMood(StoreStandin::Mood::kLosesAnswers);
+  bench.Until([&] { return a.ownership.holds(); });
+  BOOST_TEST(a.epoch == 1U);
+}
+
+// --- Callers --------------------------------------------------------------------
+
+struct CallerBench : OwnerBench {
+  CallerBench() {
+    jobs::Config config;
+    jobs::Queue queue;
+    queue.name = "q";
+    queue.host = "h.example";
+    queue.path_prefix = "/p/";
+    queue.service = "s";
+    config.queues.push_back(queue);
+    this->api.SetConfig(config);
+  }
+
+  http::Response Call(const std::string& method,
+                      const std::string& path,
+                      const std::string& body = "",
+                      const std::string& host = "h.example",
+                      const std::string& patience = "2000") {
+    std::optional<http::Response> response;
+    http::ClientRequest request;
+    request.method = method;
+    request.url =
+        "http://127.0.0.1:" + std::to_string(this->server.port()) + path;
+    request.headers = {{.name = "Host", .value = host},
+                       {.name = "Deadline-Ms", .value = patience}};
+    request.body = body;
+    request.timeout = std::chrono::seconds(20);
+    this->client.Send(std::move(request), [&](const http::ClientResult& got) {
+      response = got.response;
+    });
+    this->Until([&] { return response.has_value(); });
+    return *response;
+  }
+
+  CallerApi api{this->loop, this->store, this->counters};
+  http::Server server{this->loop,
+                      {},
+                      [this](const http::ExchangePtr& exchange) {
+                        this->api.Handle(exchange);
+                      }};
+};
+
+constexpr const char* kJob = "/p/5c0e7a21d94b36f8";
+constexpr const char* kId = "5c0e7a21d94b36f8";
+constexpr const char* kBody = R"({"spec":"t","steps":[{"count":2}]})";
+
+BOOST_AUTO_TEST_CASE(AcceptedJobIsKeptOnce) {
+  CallerBench bench;
+  BOOST_TEST(bench.Call("POST", kJob, kBody).status == 200);
+  BOOST_TEST(bench.Call("POST", kJob, kBody).status == 200);
+  BOOST_TEST(bench.standin.Table(std::string(kJobTable)).size() == 1U);
+  BOOST_TEST(bench.Call("GET", kJob).body.find("queued") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(JobWhoseWriteGotNoAnswerIsAccepted) {
+  CallerBench bench;
+  bench.standin.SetMood(StoreStandin::Mood::kLosesAnswers);
+  // The write is tried again under its condition and finds itself.
+  BOOST_TEST(bench.Call("POST", kJob, kBody).status == 200);
+  BOOST_TEST(bench.standin.Table(std::string(kJobTable)).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(RefusalIsAtOnceAndTellsWhenToComeBack) {
+  CallerBench bench;
+  bench.standin.SetMood(StoreStandin::Mood::kBusy);
+  const http::Response response = bench.Call("POST", kJob, kBody);
+  BOOST_TEST(response.status == 503);
+  BOOST_TEST(http::FindHeader(response.headers, "Retry-After"));
+  BOOST_TEST(bench.standin.Table(std::string(kJobTable)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(JobOfUnknownFateIsNeverCalledRefused) {
+  CallerBench bench;
+  bench.standin.SetMood(StoreStandin::Mood::kSilent);
+  const http::Response response =
+      bench.Call("POST", kJob, kBody, "h.example", "1200");
+  BOOST_TEST(response.status == 504);
+}
+
+BOOST_AUTO_TEST_CASE(CancelIsKeptAndUnknownJobsAreGone) {
+  CallerBench bench;
+  BOOST_TEST(bench.Call("DELETE", kJob).status == 410);
+  BOOST_TEST(bench.Call("GET", kJob).status == 410);
+  bench.Call("POST", kJob, kBody);
+  BOOST_TEST(bench.Call("DELETE", kJob).status == 200);
+  BOOST_TEST(bench.standin.Value(CancelRow(kId)) == "1");
+}
+
+BOOST_AUTO_TEST_CASE(StateThatCannotBeReadIsNotGuessed) {
+  CallerBench bench;
+  bench.Call("POST", kJob, kBody);
+  bench.standin.Put(ProgressRow(kId), "nonsense");
+  BOOST_TEST(bench.Call("GET", kJob).status == 503);
+  bench.standin.SetMood(StoreStandin::Mood::kBusy);
+  BOOST_TEST(bench.Call("GET", kJob).status == 503);
+}
+
+BOOST_AUTO_TEST_CASE(BadRequestsGetAClearAnswer) {
+  CallerBench bench;
+  BOOST_TEST(bench.Call("POST", kJob, "{").status == 400);
+  BOOST_TEST(bench.Call("POST", "/p/short", kBody).status == 400);
+  BOOST_TEST(bench.Call("POST", kJob, kBody, "other.example").status == 404);
+  BOOST_TEST(bench.Call("POST", "/elsewhere", kBody).status == 404);
+  BOOST_TEST(bench.Call("PATCH", kJob, kBody).status == 405);
+  const std::string long_body(300'000, ' ');
+  BOOST_TEST(bench.Call("POST", kJob, long_body).status == 413);
+  BOOST_TEST(bench.standin.Table(std::string(kJobTable)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(CountsComeFromTheStore) {
+  CallerBench bench;
+  BOOST_TEST(bench.Call("GET", "/p/").body == R"({"pending":0})");
+  bench.standin.Put({.table = std::string(kCountTable),
+                     .part = "",
+                     .key = std::string(kCountKey)},
+                    EncodeCounts({{"q", 12}}));
+  BOOST_TEST(bench.Call("GET", "/p/").body == R"({"pending":12})");
+}
+
+BOOST_AUTO_TEST_CASE(WithoutAConfigurationNothingIsTaken) {
+  OwnerBench bench;
+  CallerApi api(bench.loop, bench.store, bench.counters);
+  http::Server server(bench.loop, {}, [&](const http::ExchangePtr& exchange) {
+    api.Handle(exchange);
+  });
+  std::optional<int> status;
+  bench.client.Send(
+      {.method = "POST",
+       .url = "http://127.0.0.1:" + std::to_string(server.port()) + kJob,
+       .body = kBody},
+      [&](const http::ClientResult& got) { status = got.response.status; });
+  bench.Until([&] { return status.has_value(); });
+  BOOST_TEST(*status == 503);
+}
+
+}  // namespace
+}  // namespace quartzhoist::entry
--- /dev/null
+++ b/jobs/jobs_test.cc
@@ -0,0 +1,119 @@
+// Records of jobs and the configuration of queues.
+
+#include <string>
+#include <vector>
+
+#include <rapidcheck/boost_test.h>
+#include <boost/test/unit_test.hpp>
+
+#include "jobs/progress.h"
+#include "jobs/queue.h"
+
+namespace quartzhoist::jobs {
+namespace {
+
+Progress DrawProgress() {
+  Progress progress;
+  progress.state = *rc::gen::element(JobState::kQueued, JobState::kRunning,
+                                     JobState::kFailed);
+  const int done = *rc::gen::inRange(0, 6);
+  for (int i = 0; i < done; ++i) {
+    progress.MarkDone({.occurrence = *rc::gen::inRange(0, 3),
+                       .step = *rc::gen::inRange(0, 3)},
+                      *rc::gen::inRange(0, 9));
+  }
+  const int failed = *rc::gen::inRange(0, 6);
+  for (int i = 0; i < failed; ++i) {
+    const TaskKey task{.step = {.occurrence = 0, .step = 1},
+                       .index = *rc::gen::inRange(0, 4)};
+    progress.MarkFailed(task, *rc::gen::inRange(1, 2000));
+  }
+  const int placed = *rc::gen::inRange(0, 4);
+  for (int i = 0; i < placed; ++i) {
+    const TaskKey task{.step = {.occurrence = 7, .step = 1},
+                       .index = *rc::gen::inRange(0, 4)};
+    progress.placed[task] = {.worker = "w", .run = *rc::gen::inRange(1, 2000)};
+  }
+  return progress;
+}
+
+bool Same(const Progress& a, const Progress& b) {
+  return a.state == b.state && a.done == b.done && a.failures == b.failures &&
+         a.placed == b.placed;
+}
+
+RC_BOOST_PROP(ProgressIsReadAsItWasWritten, ()) {
+  const Progress progress = DrawProgress();
+  const auto read = DecodeProgress(EncodeProgress(progress));
+  RC_ASSERT(read.has_value());
+  RC_ASSERT(Same(*read, progress));
+}
+
+RC_BOOST_PROP(MergedProgressHoldsWhatEachKnew, ()) {
+  const Progress a = DrawProgress();
+  const Progress b = DrawProgress();
+  const Progress merged = Merge(a, b);
+  for (const Progress* part : {&a, &b}) {
+    for (const auto& [step, bits] : part->done) {
+      for (std::size_t i = 0; i < bits.size(); ++i)
+        RC_ASSERT(!bits[i] || merged.IsDone(step, static_cast<int>(i)));
+    }
+    for (const auto& [task, failures] : part->failures)
+      RC_ASSERT(merged.failures.at(task).count >= failures.count);
+  }
+  RC_ASSERT(Same(Merge(merged, merged), merged));
+  RC_ASSERT(Same(Merge(merged, a), merged));
+}
+
+BOOST_AUTO_TEST_CASE(FailedRunThatIsToldTwiceCountsOnce) {
+  Progress progress;
+  const TaskKey task{.step = {.occurrence = 0, .step = 0}, .index = 3};
+  progress.MarkFailed(task, 1);
+  progress.MarkFailed(task, 1);
+  progress.MarkFailed(task, 2);
+  BOOST_TEST(progress.failures[task].count == 2);
+}
+
+BOOST_AUTO_TEST_CASE(TaskThatIsDoneIsNotPlacedAnyMore) {
+  Progress progress;
+  const TaskKey task{.step = {.occurrence = 0, .step = 0}, .index = 3};
+  progress.placed[task] = {.worker = "w", .run = 1};
+  progress.MarkDone(task.step, task.index);
+  BOOST_TEST(progress.placed.empty());
+}
+
+BOOST_AUTO_TEST_CASE(MalformedProgressIsNotRead) {
+  for (const char* text :
+       {"", "x", "[]", "{}", R"({"state":7})", R"({"state":"unheard"})",
+        R"({"state":"queued","done":{"1":"#"}})",
+        R"({"state":"queued","done":{"1.1":5}})",
+        R"({"state":"queued","done":{"1.-1":"#"}})",
+        R"({"state":"queued","failures":{"1.1":[1,2]}})",
+        R"({"state":"queued","failures":{"1.1.1":1}})",
+        R"({"state":"queued","placed":{"1.1.1":["w"]}})"}) {
+    BOOST_TEST(!DecodeProgress(text).has_value(), text);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LongestPrefixOfTheHostWins) {
+  Config config;
+  const auto add = [&config](const char* name, const char* host,
+                             const char* prefix) {
+    Queue queue;
+    queue.name = name;
+    queue.host = host;
+    queue.path_prefix = prefix;
+    config.queues.push_back(queue);
+  };
+  add("short", "a.example", "/x/");
+  add("long", "a.example", "/x/y/");
+  add("other", "b.example", "/x/y/z/");
+  BOOST_TEST(config.Route("a.example", "/x/y/z/1")->name == "long");
+  BOOST_TEST(config.Route("a.example", "/x/1")->name == "short");
+  BOOST_TEST(config.Route("b.example", "/x/y/z/1")->name == "other");
+  BOOST_TEST(!config.Route("b.example", "/x/1"));
+  BOOST_TEST(!config.Route("c.example", "/x/1"));
+}
+
+}  // namespace
+}  // namespace quartzhoist::jobs
--- /dev/null
+++ b/scheduler/fleet_test.cc
@@ -0,0 +1,230 @@
+// The fleet's plan: allotments, moves and waves.
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <rapidcheck/boost_test.h>
+#include <boost/test/unit_test.hpp>
+
+#include "scheduler/fleet.h"
+
+namespace quartzhoist::scheduler {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr FleetLimits kLimits{.move_time = milliseconds(1500),
+                              .upkeep_time = milliseconds(2000)};
+
+FleetBox IdleBox(const std::string& name, const std::string& pool) {
+  return {.name = name,
+          .pool = pool,
+          .worker = name + "-life",
+          .up = true,
+          .idle = true,
+          .lasting = 0,
+          .cores = 16.0,
+          .busy_cores = 0.0};
+}
+
+template <typename Step>
+std::vector<Step> Only(const std::vector<FleetStep>& steps) {
+  std::vector<Step> found;
+  for (const FleetStep& step : steps) {
+    if (const auto* one = std::get_if<Step>(&step))
+      found.push_back(*one);
+  }
+  return found;
+}
+
+RC_BOOST_PROP(AllotmentsFitAndUrgentWorkComesFirst, ()) {
+  std::vector<FleetPool> pools;
+  const int count = *rc::gen::inRange(1, 6);
+  double urgent = 0.0;
+  for (int i = 0; i < count; ++i) {
+    FleetPool pool{.name = std::to_string(i), .spare = false, .needs = {}};
+    pool.needs[0] = {.now_cores = *rc::gen::inRange(0, 300) * 1.0,
+                     .soon_cores = *rc::gen::inRange(0, 300) * 1.0};
+    pool.needs[1] = {.now_cores = *rc::gen::inRange(0, 300) * 1.0,
+                     .soon_cores = *rc::gen::inRange(0, 300) * 1.0};
+    urgent += pool.needs[0].now_cores;
+    pools.push_back(pool);
+  }
+  const double total = *rc::gen::inRange(0, 1500);
+  const auto allotted = AllotCores(pools, total);
+  double sum = 0.0;
+  for (const FleetPool& pool : pools) {
+    sum += allotted.at(pool.name);
+    // All urgent work that is there is covered wherever it can be.
+    if (urgent <= total)
+      RC_ASSERT(allotted.at(pool.name) >=
+                pool.needs.at(0).now_cores - 1e-6);
+  }
+  RC_ASSERT(sum <= total + 1e-6);
+}
+
+BOOST_AUTO_TEST_CASE(IdleBoxGoesToThePoolThatIsShort) {
+  Fleet fleet(kLimits);
+  FleetView view;
+  view.boxes = {IdleBox("b1", "calm"), IdleBox("b2", "calm"),
+                IdleBox("b3", "busy")};
+  view.pools = {{.name = "calm", .spare = false, .needs = {}},
+                {.name = "busy", .spare = false, .needs = {}}};
+  view.pools[1].needs[0].now_cores = 20.0;
+  const auto moves = Only<MoveBox>(fleet.Plan(view, seconds(1)));
+  BOOST_REQUIRE(moves.size() == 1);
+  BOOST_TEST(moves[0].pool == "busy");
+  BOOST_TEST(fleet.IsLeaving(moves[0].box));
+  // While it is on its way it counts for the pool it goes to.
+  BOOST_TEST(Only<MoveBox>(fleet.Plan(view, seconds(2))).empty());
+}
+
+BOOST_AUTO_TEST_CASE(MoveWithoutAnAnswerIsAskedForAgain) {
+  Fleet fleet(kLimits);
+  FleetView view;
+  view.boxes = {IdleBox("b1", "calm")};
+  view.pools = {{.name = "calm", .spare = false, .needs = {}},
+                {.name = "busy", .spare = false, .needs = {}}};
+  view.pools[1].needs[0].now_cores = 10.0;
+  const auto first = Only<MoveBox>(fleet.Plan(view, seconds(1)));
+  BOOST_REQUIRE(first.size() == 1);
+  fleet.Moved(first[0], BoxCallOutcome::kUnknown, seconds(2));
+  BOOST_TEST(fleet.IsLeaving("b1"));
+  const auto again = Only<MoveBox>(fleet.Plan(view, seconds(3)));
+  BOOST_REQUIRE(again.size() == 1);
+  BOOST_TEST(again[0].pool == "busy");
+}
+
+BOOST_AUTO_TEST_CASE(BusyBoxOfALessUrgentPoolRunsEmpty) {
+  Fleet fleet(kLimits);
+  FleetView view;
+  view.boxes = {IdleBox("b1", "patient"), IdleBox("b2", "patient")};
+  for (FleetBox& box : view.boxes) {
+    box.idle = false;
+    box.busy_cores = 10.0;
+  }
+  view.boxes[1].lasting = 1;  // pinned: it stays
+  view.pools = {{.name = "patient", .spare = false, .needs = {}},
+                {.name = "urgent", .spare = false, .needs = {}}};
+  view.pools[0].needs[1].now_cores = 100.0;
+  view.pools[1].needs[0].now_cores = 14.0;
+  BOOST_TEST(Only<MoveBox>(fleet.Plan(view, seconds(1))).empty());
+  BOOST_TEST(fleet.IsLeaving("b1"));
+  BOOST_TEST(!fleet.IsLeaving("b2"));
+}
+
+RC_BOOST_PROP(WaveKeepsToItsLimitAndForgetsNoBox, ()) {
+  const int count = *rc::gen::inRange(1, 12);
+  const int most = *rc::gen::inRange(1, 5);
+  Wave wave{.number = 3, .boxes = {}, .duration = seconds(60),
+            .most_at_once = most};
+  std::map<std::string, FleetBox> boxes;
+  for (int i = 0; i < count; ++i) {
+    const std::string name = "b" + std::to_string(i);
+    wave.boxes.push_back(name);
+    boxes[name] = IdleBox(name, "pool");
+    boxes[name].idle = *rc::gen::arbitrary<bool>();
+  }
+  Fleet fleet(kLimits);
+  fleet.SetWave(wave, {}, seconds(1));
+  // Drawn as the days go by, so that every fault ends some time.
+  std::mt19937_64 random(*rc::gen::arbitrary<std::uint64_t>());
+  std::map<std::string, base::Micros> down;  // until when
+  std::map<std::string, int> begun;
+  bool completed = false;
+  base::Micros now = seconds(1);
+  for (int turn = 0; turn < 600 && !completed; ++turn) {
+    now += milliseconds(250);
+    for (auto it = down.begin(); it != down.end();) {
+      if (it->second > now) {
+        ++it;
+        continue;
+      }
+      FleetBox& box = boxes[it->first];
+      box.up = true;
+      box.idle = true;
+      box.worker += "x";
+      fleet.BoxSeen(box.name, box.worker);
+      it = down.erase(it);
+    }
+    FleetView view;
+    for (const auto& [name, box] : boxes)
+      view.boxes.push_back(box);
+    view.pools = {{.name = "pool", .spare = false, .needs = {}}};
+    for (const FleetStep& step : fleet.Plan(view, now)) {
+      if (const auto* upkeep = std::get_if<UpkeepBox>(&step)) {
+        const auto kind = random() % 4;
+        // 0: not carried out; 1: carried out, no answer; else as asked.
+        const bool carried_out = kind != 0;
+        if (carried_out && boxes[upkeep->box].up) {
+          RC_ASSERT(boxes[upkeep->box].idle);
+          ++begun[upkeep->box];
+          boxes[upkeep->box].up = false;
+          down[upkeep->box] = now + seconds(2);
+          RC_ASSERT(static_cast<int>(down.size()) <= most);
+        }
+        const BoxCallOutcome outcome = kind <= 1 ? BoxCallOutcome::kUnknown
+                                                 : BoxCallOutcome::kDone;
+        fleet.UpkeepBegun(*upkeep, outcome, now);
+      } else if (const auto* evacuate = std::get_if<Evacuate>(&step)) {
+        boxes[evacuate->box].idle = random() % 2 == 0;
+      } else if (const auto* report = std::get_if<ReportWave>(&step)) {
+        completed = report->state == WaveState::kCompleted;
+      }
+    }
+    if (turn % 8 == 0) {
+      std::vector<BoxInfo> listed;
+      for (const auto& [name, box] : boxes) {
+        listed.push_back({.name = name,
+                          .pool = "pool",
+                          .state = box.up ? BoxState::kUp : BoxState::kUpkeep,
+                          .worker = box.worker,
+                          .cores = 16.0});
+      }
+      fleet.SetBoxes(listed, now);
+    }
+  }
+  RC_ASSERT(completed);
+  for (const std::string& box : wave.boxes)
+    RC_ASSERT(begun[box] >= 1);
+}
+
+BOOST_AUTO_TEST_CASE(LaterOwnerDoesNotBeginAnUpkeepAgain) {
+  Fleet fleet(kLimits);
+  fleet.SetWave({.number = 1,
+                 .boxes = {"b1", "b2"},
+                 .duration = seconds(20),
+                 .most_at_once = 1},
+                {"b1"}, seconds(1));
+  FleetView view;
+  view.boxes = {IdleBox("b1", "pool"), IdleBox("b2", "pool")};
+  view.pools = {{.name = "pool", .spare = false, .needs = {}}};
+  // b1 may still be down: nothing else begins before the list shows it up.
+  BOOST_TEST(Only<UpkeepBox>(fleet.Plan(view, seconds(2))).empty());
+  fleet.SetBoxes({{.name = "b1", .pool = "pool", .worker = "b1-life"},
+                  {.name = "b2", .pool = "pool", .worker = "b2-life"}},
+                 seconds(4));
+  const auto begun = Only<UpkeepBox>(fleet.Plan(view, seconds(4)));
+  BOOST_REQUIRE(begun.size() == 1);
+  BOOST_TEST(begun[0].box == "b2");
+}
+
+BOOST_AUTO_TEST_CASE(BoxThatHasBeenTakenAwayIsNotWaitedFor) {
+  Fleet fleet(kLimits);
+  fleet.SetWave({.number = 1,
+                 .boxes = {"gone"},
+                 .duration = seconds(20),
+                 .most_at_once = 1},
+                {}, seconds(1));
+  fleet.SetBoxes({}, seconds(2));
+  const auto reports = Only<ReportWave>(fleet.Plan({}, seconds(3)));
+  BOOST_REQUIRE(reports.size() == 1);
+  BOOST_CHECK(reports[0].state == WaveState::kCompleted);
+}
+
+}  // namespace
+}  // namespace quartzhoist::scheduler
--- /dev/null
+++ b/testing/store_standin.cc
@@ -0,0 +1,255 @@
+#include "testing/store_standin.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "platform/base64.h"
+
+namespace quartzhoist::testing {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+std::string Unescape(std::string_view text) {
+  std::string plain;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '%' && i + 2 < text.size()) {
+      plain += static_cast<char>(
+          std::stoi(std::string(text.substr(i + 1, 2)), nullptr, 16));
+      i += 2;
+    } else {
+      plain += text[i];
+    }
+  }
+  return plain;
+}
+
+std::map<std::string, std::string> QueryOf(const std::string& path) {
+  std::map<std::string, std::string> query;
+  const std::size_t mark = path.find('?');
+  if (mark == std::string::npos)
+    return query;
+  std::string_view rest = std::string_view(path).substr(mark + 1);
+  while (!rest.empty()) {
+    const std::string_view one = rest.substr(0, rest.find('&'));
+    const std::size_t equals = one.find('=');
+    if (equals != std::string_view::npos)
+      query[std::string(one.substr(0, equals))] =
+          Unescape(one.substr(equals + 1));
+    rest.remove_prefix(std::min(rest.size(), one.size() + 1));
+  }
+  return query;
+}
+
+platform::RowKey KeyOf(const json& entry) {
+  return {.table = entry.at("table"),
+          .part = entry.at("part"),
+          .key = entry.at("key")};
+}
+
+std::int64_t NowMillis() {
+  return std::chrono::duration_cast<milliseconds>(base::MonotonicNow()).count();
+}
+
+}  // namespace
+
+StoreStandin::StoreStandin(base::Loop& on, std::uint16_t port)
+    : loop(on),
+      timer(on, [this] { this->AnswerWaiting(); }),
+      server(on, {.port = port}, [this](const http::ExchangePtr& exchange) {
+        this->Handle(exchange);
+      }) {
+  this->timer.StartEvery(milliseconds(20));
+}
+
+std::string StoreStandin::address() const {
+  return fmt::format("127.0.0.1:{}", this->server.port());
+}
+
+void StoreStandin::ForgetHistory() {
+  this->history.clear();
+  this->forgotten = this->version;
+  for (const Waiting& feed : std::exchange(this->waiting, {}))
+    feed.exchange->Reply(http::JsonResponse(410, "{}"));
+}
+
+void StoreStandin::Put(const platform::RowKey& at, const std::string& value) {
+  this->rows[at] = {.value = value, .version = ++this->version};
+  this->history.push_back({.version = this->version,
+                           .at = at,
+                           .removed = false,
+                           .value = value});
+  this->AnswerWaiting();
+}
+
+void StoreStandin::Remove(const platform::RowKey& at) {
+  this->rows.erase(at);
+  this->history.push_back({.version = ++this->version,
+                           .at = at,
+                           .removed = true,
+                           .value = ""});
+  this->AnswerWaiting();
+}
+
+std::string StoreStandin::Value(const platform::RowKey& at) const {
+  const auto found = this->rows.find(at);
+  return found == this->rows.end() ? std::string() : found->second.value;
+}
+
+std::vector<platform::Row> StoreStandin::Table(const std::string& table) const {
+  std::vector<platform::Row> found;
+  for (const auto& [at, stored] : this->rows) {
+    if (at.table == table)
+      found.push_back(
+          {.at = at, .value = stored.value, .version = stored.version});
+  }
+  return found;
+}
+
+json StoreStandin::RowJson(const platform::RowKey& at) const {
+  json row = {{"table", at.table}, {"part", at.part}, {"key", at.key}};
+  const auto found = this->rows.find(at);
+  row["ver"] = found == this->rows.end() ? 0 : found->second.version;
+  if (found != this->rows.end())
+    row["value"] = platform::ToBase64(found->second.value);
+  return row;
+}
+
+void StoreStandin::Handle(const http::ExchangePtr& exchange) {
+  if (this->mood == Mood::kBusy) {
+    exchange->Reply(http::JsonResponse(503, "{}"));
+    return;
+  }
+  if (this->mood == Mood::kSilent) {
+    this->unanswered.push_back(exchange);
+    return;
+  }
+  const std::string& path = exchange->request().path;
+  if (path == "/rows-tx")
+    this->Write(exchange);
+  else if (path.starts_with("/rows-get"))
+    this->Read(exchange);
+  else if (path.starts_with("/rows-feed"))
+    this->Feed(exchange);
+  else
+    exchange->Reply(http::JsonResponse(404, "{}"));
+}
+
+void StoreStandin::Write(const http::ExchangePtr& exchange) {
+  ++this->write_count;
+  const json body = json::parse(exchange->request().body);
+  json conflict = {{"rows", json::array()}};
+  bool holds = true;
+  for (const json& condition : body.at("expectedRev")) {
+    const json row = this->RowJson(KeyOf(condition));
+    holds = holds && row["ver"] == condition.at("ver");
+    conflict["rows"].push_back(row);
+  }
+  if (!holds) {
+    conflict["ver"] = this->version;
+    exchange->Reply(http::JsonResponse(412, conflict.dump()));
+    return;
+  }
+  ++this->version;
+  for (const json& put : body.at("put")) {
+    const std::string value =
+        platform::FromBase64(put.at("value").get<std::string>()).value();
+    this->rows[KeyOf(put)] = {.value = value, .version = this->version};
+    this->history.push_back({.version = this->version,
+                             .at = KeyOf(put),
+                             .removed = false,
+                             .value = value});
+  }
+  for (const json& removed : body.at("remove")) {
+    this->rows.erase(KeyOf(removed));
+    this->history.push_back({.version = this->version,
+                             .at = KeyOf(removed),
+                             .removed = true,
+                             .value = ""});
+  }
+  if (this->mood == Mood::kLosesAnswers)
+    exchange->Cut();
+  else
+    exchange->Reply(http::JsonResponse(
+        200, json{{"ver", this->version}, {"now_ms", NowMillis()}}.dump()));
+  this->AnswerWaiting();
+}
+
+void StoreStandin::Read(const http::ExchangePtr& exchange) {
+  auto query = QueryOf(exchange->request().path);
+  json answer = {{"rows", json::array()},
+                 {"more", false},
+                 {"ver", this->version},
+                 {"now_ms", NowMillis()}};
+  std::size_t limit = this->page;
+  if (query.contains("limit"))
+    limit = std::min<std::size_t>(limit, std::stoul(query["limit"]));
+  for (const auto& [at, stored] : this->rows) {
+    const bool fits = at.table == query["table"] && at.part == query["part"] &&
+                      at.key >= query["from"] &&
+                      (query["targetVersion"].empty() ||
+                       at.key < query["targetVersion"]);
+    if (!fits)
+      continue;
+    if (answer["rows"].size() == limit) {
+      answer["more"] = true;
+      break;
+    }
+    answer["rows"].push_back(this->RowJson(at));
+  }
+  exchange->Reply(http::JsonResponse(200, answer.dump()));
+}
+
+void StoreStandin::Feed(const http::ExchangePtr& exchange) {
+  auto query = QueryOf(exchange->request().path);
+  const Waiting feed{
+      .exchange = exchange,
+      .table = query["table"],
+      .from = std::stoull(query["dependsOn"]),
+      .until = base::MonotonicNow() + milliseconds(std::stol(query["waitMs"]))};
+  if (feed.from < this->forgotten) {
+    exchange->Reply(http::JsonResponse(410, "{}"));
+    return;
+  }
+  if (!this->AnswerFeed(feed, false))
+    this->waiting.push_back(feed);
+}
+
+bool StoreStandin::AnswerFeed(const Waiting& feed, bool over) {
+  json answer = {{"rows", json::array()},
+                 {"ver", this->version},
+                 {"now_ms", NowMillis()}};
+  for (const Change& change : this->history) {
+    if (change.version <= feed.from || change.at.table != feed.table)
+      continue;
+    json row = {{"table", change.at.table},
+                {"part", change.at.part},
+                {"key", change.at.key},
+                {"ver", change.version}};
+    if (change.removed)
+      row["gone"] = true;
+    else
+      row["value"] = platform::ToBase64(change.value);
+    answer["rows"].push_back(std::move(row));
+  }
+  if (answer["rows"].empty() && !over)
+    return false;
+  feed.exchange->Reply(http::JsonResponse(200, answer.dump()));
+  return true;
+}
+
+void StoreStandin::AnswerWaiting() {
+  if (this->mood == Mood::kSilent)
+    return;
+  const base::Micros now = base::MonotonicNow();
+  std::erase_if(this->waiting, [this, now](const Waiting& feed) {
+    return feed.exchange->abandoned() ||
+           this->AnswerFeed(feed, now >= feed.until);
+  });
+}
+
+}  // namespace quartzhoist::testing
--- /dev/null
+++ b/testing/store_standin.h
@@ -0,0 +1,92 @@
+// The platform's metadata store as its pages describe it, in memory: rows under
+// versions, conditional writes, reads in pages, feeds. It can be told to refuse,
+// to lose answers, to stay silent, and to forget its history.
+
+#ifndef TESTING_STORE_STANDIN_H_
+#define TESTING_STORE_STANDIN_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "base/loop.h"
+#include "http/server.h"
+#include "platform/store.h"
+
+namespace quartzhoist::testing {
+
+class StoreStandin {
+ public:
+  // What befalls the calls from now on.
+  enum class Mood {
+    kWell,
+    kBusy,          // 503: nothing is done
+    kLosesAnswers,  // writes are done, their connection is cut
+    kSilent,        // no answer, nothing is done
+  };
+
+  explicit StoreStandin(base::Loop& loop, std::uint16_t port = 0);
+
+  std::string address() const;
+  void SetMood(Mood mood) { this->mood = mood; }
+  // Feeds from before now answer that history is lost.
+  void ForgetHistory();
+  // Rows of a page at most.
+  void SetPage(std::size_t rows) { this->page = rows; }
+
+  // As an operator or a worker would write.
+  void Put(const platform::RowKey& at, const std::string& value);
+  void Remove(const platform::RowKey& at);
+  // Empty if there is none.
+  std::string Value(const platform::RowKey& at) const;
+  std::vector<platform::Row> Table(const std::string& table) const;
+  int writes() const { return this->write_count; }
+
+ private:
+  struct Stored {
+    std::string value;
+    std::uint64_t version = 0;
+  };
+  struct Change {
+    std::uint64_t version = 0;
+    platform::RowKey at;
+    bool removed = false;
+    std::string value;
+  };
+  struct Waiting {
+    http::ExchangePtr exchange;
+    std::string table;
+    std::uint64_t from = 0;
+    base::Micros until{};
+  };
+
+  void Handle(const http::ExchangePtr& exchange);
+  void Write(const http::ExchangePtr& exchange);
+  void Read(const http::ExchangePtr& exchange);
+  void Feed(const http::ExchangePtr& exchange);
+  bool AnswerFeed(const Waiting& waiting, bool over);
+  void AnswerWaiting();
+  nlohmann::json RowJson(const platform::RowKey& at) const;
+
+  base::Loop& loop;
+  Mood mood = Mood::kWell;
+  std::map<platform::RowKey, Stored> rows;
+  std::deque<Change> history;
+  std::vector<Waiting> waiting;
+  std::vector<http::ExchangePtr> unanswered;
+  std::uint64_t version = 0;
+  std::uint64_t forgotten = 0;  // history up to here is gone
+  std::size_t page = 500;
+  int write_count = 0;
+  base::Timer timer;
+  http::Server server;
+};
+
+}  // namespace quartzhoist::testing
+
+#endif  // TESTING_STORE_STANDIN_H_
