What is being stopped keeps its room; pools keep the boxes lasting tasks need

Ruled out: leases, fencing, unknown jobs (adopted with their room). Change: a run is over when looks miss it for longer than a stop takes; the number of a run that is adopted is its own (a stale listing left the task placed for ever, found by the model); a pool's least boxes count in its allotment.

--- a/scheduler/evacuation.cc
+++ b/scheduler/evacuation.cc
@@ -60,14 +60,40 @@
         std::max(0.0, this->demand.Slope(queue.name, now));
     needs[queue.service][queue.priority].soon_cores += kSlopeWeight * slope;
   }
+  std::map<std::string, int> least = this->LeastBoxes();
   for (const jobs::Service& service : this->config.services) {
     view.pools.push_back({.name = service.name,
                           .spare = service.spare,
-                          .needs = needs[service.name]});
+                          .needs = needs[service.name],
+                          .least_boxes = least[service.name]});
   }
   return view;
 }
 
+// Lasting tasks that may not share a box need as many boxes at any time, and
+// one more while boxes of their pool are emptied for a wave.
+std::map<std::string, int> Scheduler::LeastBoxes() const {
+  std::map<std::string, int> least;
+  for (const auto& [id, job] : this->jobs) {
+    if (job.finished())
+      continue;
+    for (const jobs::Step& step : job.spec.steps) {
+      if (!step.lasting)
+        continue;
+      const std::int64_t most = step.most_per_worker;
+      const std::int64_t boxes =
+          most > 0 ? (step.tasks + most - 1) / most : 1;
+      int& known = least[job.queue.service];
+      known = std::max(known, static_cast<int>(boxes));
+    }
+  }
+  if (!this->fleet.HasOpenWave())
+    return least;
+  for (auto& [service, boxes] : least)
+    ++boxes;
+  return least;
+}
+
 int Scheduler::PriorityOf(const jobs::TaskId& task) const {
   const auto job = this->jobs.find(task.job);
   return job == this->jobs.end() ? 0 : job->second.queue.priority;
--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -360,8 +360,12 @@
     if (!pool.spare)
       asking.push_back(pool);
   }
-  for (const auto& [pool, cores] : AllotCores(asking, total_cores * kFill))
-    surplus[pool] -= cores / kFill;
+  const std::map<std::string, double> allotted =
+      AllotCores(asking, total_cores * kFill);
+  for (const FleetPool& pool : asking) {
+    surplus[pool.name] -= std::max(allotted.at(pool.name) / kFill,
+                                   pool.least_boxes * box_cores);
+  }
   // 2. The shortest pool gets a box, until none is short or none can give.
   double short_cores = 0.0;
   while (true) {
@@ -478,14 +482,14 @@
   return {};
 }
 
+bool Fleet::HasOpenWave() const {
+  return std::any_of(
+      this->waves.begin(), this->waves.end(),
+      [](const auto& entry) { return !entry.second.completed; });
+}
+
 bool Fleet::WantsBoxes() const {
-  if (!this->has_list)
-    return true;
-  for (const auto& [number, progress] : this->waves) {
-    if (!progress.completed)
-      return true;
-  }
-  return !this->moves.empty();
+  return !this->has_list || this->HasOpenWave() || !this->moves.empty();
 }
 
 }  // namespace quartzhoist::scheduler
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -54,6 +54,8 @@
   std::string name;
   bool spare = false;
   std::map<int, PoolNeed> needs;  // by priority, 0 the most urgent
+  // Boxes that lasting tasks need, which may share a box with few of their own.
+  int least_boxes = 0;
 };
 
 struct FleetView {
@@ -96,6 +98,7 @@
   bool IsLeaving(const std::string& box) const;
   // The life that was on the box when its move or upkeep was asked for.
   std::string LifeBefore(const std::string& box) const;
+  bool HasOpenWave() const;
   // Some box is away, so that the platform's list of boxes matters now.
   bool WantsBoxes() const;
 
--- a/scheduler/job.cc
+++ b/scheduler/job.cc
@@ -20,7 +20,7 @@
     const auto failed =
         progress.failures.find({.step = key, .index = index});
     if (failed != progress.failures.end())
-      runs.tasks[i].run = failed->second.last_run;
+      runs.tasks[i].newest_run = failed->second.last_run;
   }
   return runs;
 }
--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -25,7 +25,8 @@
 struct Task {
   TaskState state = TaskState::kBlocked;
   std::string worker;  // while placed
-  int run = 0;         // the newest run's number
+  int run = 0;         // while placed: the run's number
+  int newest_run = 0;  // the highest number ever given
   int inherited_run = 0;  // the newest of earlier owners that is accounted for
   bool at_work = false;       // lasting: has been seen at full work
   std::string checkpoint;     // newest seen; empty: none
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -30,6 +30,8 @@
 constexpr base::Micros kLookAgainMost = milliseconds(1000);
 // An order without an answer: a look, then a stop, are sent this soon again.
 constexpr base::Micros kStopAgain = milliseconds(600);
+// A look that is to settle a stop leaves this long after the stop's time.
+constexpr base::Micros kStopSlack = milliseconds(20);
 // Slack for clocks and timers when a lease is taken as over.
 constexpr base::Micros kLeaseSlack = milliseconds(200);
 // A worker whose announcement is gone and that does not answer either is
@@ -107,6 +109,7 @@
     run.state = RunState::kRunning;
   if (run.answered == base::Micros::zero())
     run.answered = now;
+  run.missing_since = {};
   run.percent = listed.percent;
   run.load = listed.load;
   Job* job = this->FindJob(listed.task.job);
@@ -160,7 +163,8 @@
     if (wanted) {
       task.state = TaskState::kPlaced;
       task.worker = worker.info.id;
-      task.run = std::max(task.run, listed.run);
+      task.run = listed.run;
+      task.newest_run = std::max(task.newest_run, listed.run);
       task.at_work = listed.percent >= 100;
       if (!listed.checkpoint.empty())
         task.checkpoint = listed.checkpoint;
@@ -189,15 +193,20 @@
   for (auto& [task, run] : worker.runs) {
     if (listed.contains(task))
       continue;
-    // The listing may be older than the order's answer.
-    const bool start_settled = run.answered > base::Micros::zero() &&
+    // The listing may be older than the order's answer. Under this owner's
+    // epoch no earlier owner's order can follow.
+    const bool start_settled = run.state == RunState::kRunning &&
                                run.answered < worker.look_sent;
     const bool stop_settled = run.stop_answered > base::Micros::zero() &&
                               run.stop_answered < worker.look_sent;
-    // Listed under this owner's epoch: no earlier owner's order can follow.
     const bool inherited = run.state == RunState::kInherited;
-    if ((run.state == RunState::kRunning && start_settled) || stop_settled ||
-        inherited)
+    if (!start_settled && !stop_settled && !inherited)
+      continue;
+    // What is being stopped, by whatever order, keeps its room until its end is
+    // listed; one that was never there has no end.
+    if (run.missing_since == base::Micros::zero())
+      run.missing_since = worker.look_sent;
+    else if (worker.look_sent > run.missing_since + this->limits.stop_time)
       over.emplace_back(task, run.number);
   }
   for (const auto& [task, run] : over) {
@@ -329,7 +338,8 @@
   run->second.stop_answered = now;
   // Its end is listed within the stop's time.
   if (!worker.look_in_flight)
-    worker.next_look = std::min(worker.next_look, now + this->limits.stop_time);
+    worker.next_look = std::min(
+        worker.next_look, now + this->limits.stop_time + kStopSlack);
 }
 
 // Stops that got no answer, and starts whose fate is open.
@@ -412,7 +422,8 @@
     const bool stopping = std::any_of(
         worker.runs.begin(), worker.runs.end(), [](const auto& entry) {
           return entry.second.state == RunState::kUnsettled ||
-                 entry.second.state == RunState::kStopping;
+                 entry.second.state == RunState::kStopping ||
+                 entry.second.missing_since > base::Micros::zero();
         });
     if (!worker.listed || worker.idle() || worker.failed_calls > 0)
       wait = {};
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -118,9 +118,9 @@
   // The members of a gang share the number.
   if (StepOf(job, place).gang) {
     for (const Task& task : runs.tasks)
-      newest = std::max(newest, task.run);
+      newest = std::max(newest, task.newest_run);
   } else {
-    newest = runs.tasks[static_cast<std::size_t>(place.index)].run;
+    newest = runs.tasks[static_cast<std::size_t>(place.index)].newest_run;
   }
   const auto first =
       static_cast<int>((this->limits.epoch - 1) * kRunsAnEpoch) + 1;
@@ -284,6 +284,7 @@
   task.state = TaskState::kPlaced;
   task.worker = worker.info.id;
   task.run = run_number;
+  task.newest_run = run_number;
   task.at_work = false;
   job.begun = true;
   Run run = RunOf(step, run_number, RunState::kPlanned);
@@ -351,7 +352,7 @@
       task.inherited_run = std::max(task.inherited_run, placement.run);
     if (task.state == TaskState::kDone || task.state == TaskState::kPlaced)
       continue;
-    task.run = std::max(task.run, placement.run);
+    task.newest_run = std::max(task.newest_run, placement.run);
     job.begun = true;
     // A worker that no owner has in its list has no lease any more.
     const auto worker = this->workers.find(placement.worker);
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -217,6 +217,7 @@
   // fleet
   void RunFleet(base::Micros now);
   FleetView ViewFleet(base::Micros now) const;
+  std::map<std::string, int> LeastBoxes() const;
   int PriorityOf(const jobs::TaskId& task) const;
   void StopForEvacuation(const std::string& box, base::Micros now);
   void BoxTaken(const std::string& box, base::Micros now);
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -33,6 +33,8 @@
   base::Micros answered{};      // when the start was answered
   base::Micros stop_answered{}; // when a stop was answered; 0: none yet
   base::Micros stop_sent{};     // when a stop was last sent
+  // When the first look was sent since which no listing shows it, nor its end.
+  base::Micros missing_since{};
   bool lasting = false;
   bool fills = false;
   bool adopted = false;  // started by an earlier owner
--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -354,8 +354,11 @@
         int& over = worker.over[order.task];
         over = std::max(over, order.run);
         const auto run = worker.running.find(order.task);
-        if (run != worker.running.end() && run->second.number == order.run)
-          this->EndRun(worker, order.task, scheduler::RunEnd::kStopped);
+        if (run != worker.running.end() && run->second.number == order.run &&
+            !run->second.stopping) {
+          run->second.stopping = true;
+          run->second.ends = this->now + this->Between(0, 380);
+        }
         return OrderOutcome::kDone;
       },
       [this, index, order](OrderOutcome outcome) {
@@ -532,6 +535,8 @@
   for (const auto& [task, run] : worker.running) {
     if (lapsed)
       over.emplace_back(task, scheduler::RunEnd::kLapsed);
+    else if (run.stopping && run.ends <= this->now)
+      over.emplace_back(task, scheduler::RunEnd::kStopped);
     else if (run.ends <= this->now)
       over.emplace_back(task, run.fails ? scheduler::RunEnd::kFailed
                                         : scheduler::RunEnd::kDone);
@@ -561,6 +566,8 @@
   listing.clock_ms =
       std::chrono::duration_cast<milliseconds>(this->ClockOf(worker)).count();
   for (const auto& [task, run] : worker.running) {
+    if (run.stopping)
+      continue;
     listing.running.push_back({.task = task,
                                .run = run.number,
                                .checkpoint = "",
--- a/testing/scheduler_model.h
+++ b/testing/scheduler_model.h
@@ -67,6 +67,7 @@
     int number = 0;
     base::Micros ends{};  // when its work is done
     bool fails = false;
+    bool stopping = false;  // it still takes its room, and is not listed
   };
   struct Worker {
     std::string id;
