Structured log lines that never wait; real daemons run jobs in tests

Stand-ins for workers and boxes, a cluster of real daemons on them, and tests that kill, freeze and stop the owner, take the store away, crash workers, run a wave and cancel a job.

--- a/base/event_log.h
+++ b/base/event_log.h
@@ -1,11 +1,13 @@
-// Numbered events on standard error, one line each:
-//   2026-12-02T10:00:00.123Z INFO QH0101 daemon_started box=entry-1 ...
+// Numbered events on standard output, one JSON object a line:
+//   {"time":"2026-12-02T10:00:00.123Z","level":"INFO","id":"QH0101",
+//    "event":"daemon_started","box":"entry-1",...}
 // docs/LOG-EVENTS.md lists every number; a test holds the two equal.
 
 #ifndef BASE_EVENT_LOG_H_
 #define BASE_EVENT_LOG_H_
 
 #include <array>
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -124,21 +126,30 @@
     {Event::kLinesLeftOut, 851, Level::kWarning, "lines_left_out"},
 }};
 
-// One `key=value` of a line. Strings are quoted where they hold spaces.
+// One member of a line's object. Numbers and truth values stand as such.
 struct Field {
   template <typename T>
   Field(std::string_view key_name, const T& content)
-      : key(key_name), value(fmt::format("{}", content)) {}
+      : key(key_name),
+        is_text(!std::is_arithmetic_v<T> || std::is_same_v<T, char>),
+        value(fmt::format("{}", content)) {}
 
   std::string_view key;
+  bool is_text;
   std::string value;
 };
 
-// The line as it is written, without time and line feed.
+// The line as it is written, without its time and line feed.
 std::string FormatEvent(Event event, std::initializer_list<Field> fields);
 
+// Writes a line to standard output, or leaves it out: if this event has had its
+// lines of the second, or if the reader is not keeping up. Never waits. A line
+// `lines_left_out` follows in a later second.
 void Log(Event event, std::initializer_list<Field> fields = {});
 
+// Lines left out since the process started.
+std::uint64_t LinesLeftOut();
+
 }  // namespace quartzhoist::base
 
 #endif  // BASE_EVENT_LOG_H_
--- a/daemon/daemon_main.cc
+++ b/daemon/daemon_main.cc
@@ -120,6 +120,7 @@
     settings = LoadSettings(file);
   } catch (const base::TextError& error) {
     base::Log(base::Event::kSettingsRejected, {{"problem", error.what()}});
+    fmt::print(stderr, "quartzhoistd: {}\n", error.what());
     return kExitUsage;
   }
   if (only_check) {
--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -79,7 +79,10 @@
   const std::uint64_t seed = SeedOf(chosen.id);
   base::Log(base::Event::kDaemonStarted, {{"id", chosen.id},
                                           {"zone", chosen.zone},
-                                          {"callers", chosen.callers},
+                                          {"callers_port",
+                                           this->caller_server.port()},
+                                          {"readiness_port",
+                                           this->readiness_server.port()},
                                           {"seed", seed}});
   this->operators = std::make_unique<platform::TableFollower>(
       this->loop, this->store, std::string(platform::kOperatorTable),
@@ -182,8 +185,11 @@
   response.body = base::PrometheusText(this->counters);
   response.body += fmt::format(
       "# HELP quartzhoist_owner Whether this daemon schedules\n"
-      "# TYPE quartzhoist_owner gauge\nquartzhoist_owner {}\n",
-      this->ownership->holds() ? 1 : 0);
+      "# TYPE quartzhoist_owner gauge\nquartzhoist_owner {}\n"
+      "# HELP quartzhoist_log_lines_left_out_total Log lines left out\n"
+      "# TYPE quartzhoist_log_lines_left_out_total counter\n"
+      "quartzhoist_log_lines_left_out_total {}\n",
+      this->ownership->holds() ? 1 : 0, base::LinesLeftOut());
   exchange->Reply(std::move(response));
 }
 
--- /dev/null
+++ b/entry/process_test.cc
@@ -0,0 +1,184 @@
+// Real daemons that run jobs, under failure: killed, frozen, stopped, cut from
+// the store; workers that crash; a wave of upkeep.
+
+#include <csignal>
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "testing/job_cluster.h"
+
+namespace quartzhoist::testing {
+namespace {
+
+// Generous: nothing here is a measurement.
+constexpr double kSoon = 40;
+constexpr int kJobs = 12;
+constexpr int kSteps = 2;
+constexpr int kTasks = 3;
+constexpr int kAllTasks = kJobs * kSteps * kTasks;
+
+std::string Joined(const std::vector<std::string>& lines) {
+  std::string text;
+  for (const std::string& line : lines)
+    text += line + "\n";
+  return text;
+}
+
+struct Bench {
+  explicit Bench(int daemons) : cluster(QUARTZHOIST_BINARY_DIR, 4) {
+    for (int i = 0; i < daemons; ++i)
+      this->cluster.StartDaemon("entry-" + std::to_string(i + 1));
+    BOOST_REQUIRE(cluster.WaitUntil(
+        kSoon, [this] { return !this->cluster.Owner().empty(); }));
+  }
+
+  void SubmitAll() {
+    for (int i = 0; i < kJobs; ++i) {
+      int status = 0;
+      BOOST_REQUIRE(cluster.WaitUntil(kSoon, [&, this] {
+        status = this->cluster.Submit(JobId(i), kSteps, kTasks);
+        return status == 200;
+      }));
+    }
+  }
+
+  bool AllCompleted() {
+    for (int i = 0; i < kJobs; ++i) {
+      if (this->cluster.StateOf(JobId(i)) != "completed")
+        return false;
+    }
+    return true;
+  }
+
+  void ExpectAllDoneOnce() {
+    BOOST_TEST(cluster.WaitUntil(kSoon,
+                                 [this] { return this->AllCompleted(); }));
+    BOOST_TEST(Joined(this->cluster.workers().broken()) == "");
+  }
+
+  Process& OwnerProcess() {
+    return *this->cluster.daemons().at(this->cluster.Owner()).process;
+  }
+
+  bool OwnerIsNot(const std::string& id) {
+    return this->cluster.WaitUntil(kSoon, [&, this] {
+      const std::string now = this->cluster.Owner();
+      return !now.empty() && now != id;
+    });
+  }
+
+  JobCluster cluster;
+};
+
+BOOST_AUTO_TEST_CASE(JobsRunOnce) {
+  Bench bench(3);
+  bench.SubmitAll();
+  bench.ExpectAllDoneOnce();
+  BOOST_TEST(bench.cluster.workers().starts() == kAllTasks);
+  BOOST_TEST(bench.cluster.workers().ends_done() == kAllTasks);
+}
+
+BOOST_AUTO_TEST_CASE(OwnerThatIsKilledIsTakenOver) {
+  Bench bench(3);
+  bench.cluster.workers().SetRunTime(std::chrono::milliseconds(800));
+  bench.SubmitAll();
+  BOOST_REQUIRE(bench.cluster.WaitUntil(
+      kSoon, [&] { return bench.cluster.workers().starts() > 0; }));
+  const std::string first = bench.cluster.Owner();
+  bench.OwnerProcess().Signal(SIGKILL);
+  BOOST_TEST(bench.OwnerIsNot(first));
+  bench.cluster.daemons().erase(first);
+  bench.ExpectAllDoneOnce();
+}
+
+BOOST_AUTO_TEST_CASE(OwnerThatThawsChangesNothing) {
+  Bench bench(3);
+  bench.cluster.workers().SetRunTime(std::chrono::milliseconds(800));
+  bench.SubmitAll();
+  BOOST_REQUIRE(bench.cluster.WaitUntil(
+      kSoon, [&] { return bench.cluster.workers().starts() > 0; }));
+  const std::string first = bench.cluster.Owner();
+  Process& frozen = bench.OwnerProcess();
+  frozen.Signal(SIGSTOP);
+  BOOST_TEST(bench.OwnerIsNot(first));
+  frozen.Signal(SIGCONT);
+  bench.ExpectAllDoneOnce();
+  BOOST_TEST(bench.cluster.Owner() != first);
+}
+
+BOOST_AUTO_TEST_CASE(StoppedOwnerHandsOverAndLeaves) {
+  Bench bench(2);
+  bench.cluster.workers().SetRunTime(std::chrono::milliseconds(800));
+  bench.SubmitAll();
+  const std::string first = bench.cluster.Owner();
+  Process& stopped = bench.OwnerProcess();
+  stopped.Signal(SIGTERM);
+  BOOST_TEST(bench.OwnerIsNot(first));
+  // It answers callers until it leaves.
+  BOOST_TEST(bench.cluster.Call(first, "GET", JobId(0)).status == 200);
+  BOOST_TEST(bench.cluster.WaitUntil(kSoon,
+                                     [&] { return !stopped.running(); }));
+  BOOST_TEST(stopped.Wait(1).value_or(-1) == 0);
+  bench.cluster.daemons().erase(first);
+  bench.ExpectAllDoneOnce();
+}
+
+BOOST_AUTO_TEST_CASE(OutageOfTheStoreLosesAndDoublesNothing) {
+  Bench bench(2);
+  bench.cluster.workers().SetRunTime(std::chrono::milliseconds(500));
+  bench.SubmitAll();
+  bench.cluster.store().SetMood(StoreStandin::Mood::kBusy);
+  BOOST_TEST(bench.cluster.Submit(JobId(99), 1, 1) == 503);
+  const base::Micros until =
+      base::MonotonicNow() + std::chrono::milliseconds(1500);
+  bench.cluster.WaitUntil(
+      kSoon, [until] { return base::MonotonicNow() > until; });
+  bench.cluster.store().SetMood(StoreStandin::Mood::kWell);
+  bench.ExpectAllDoneOnce();
+  // What was refused never runs.
+  BOOST_TEST(bench.cluster.Call("entry-1", "GET", JobId(99)).status == 410);
+}
+
+BOOST_AUTO_TEST_CASE(TasksOfAWorkerThatCrashedRunElsewhere) {
+  Bench bench(2);
+  bench.cluster.workers().SetRunTime(std::chrono::milliseconds(600));
+  bench.SubmitAll();
+  BOOST_REQUIRE(bench.cluster.WaitUntil(
+      kSoon, [&] { return bench.cluster.workers().starts() > 4; }));
+  for (const char* box : {"box-1", "box-2"})
+    bench.cluster.workers().Crash(box);
+  bench.ExpectAllDoneOnce();
+}
+
+BOOST_AUTO_TEST_CASE(WaveIsCarriedOutAndReported) {
+  Bench bench(2);
+  bench.cluster.store().Put(
+      {.table = "op", .part = "", .key = "wave/1"},
+      R"({"wave":1,"machines":["box-1","box-3"],"durationS":20,"maxCount":1})");
+  bench.SubmitAll();
+  BOOST_TEST(bench.cluster.WaitUntil(kSoon, [&] {
+    return bench.cluster.store()
+               .Value({.table = "status", .part = "", .key = "wave/1"})
+               .find("completed") != std::string::npos;
+  }));
+  BOOST_TEST(bench.cluster.workers().upkeeps() == 2);
+  bench.ExpectAllDoneOnce();
+}
+
+BOOST_AUTO_TEST_CASE(CancelledJobIsSaidToBe) {
+  Bench bench(2);
+  bench.cluster.workers().SetRunTime(std::chrono::seconds(30));
+  BOOST_REQUIRE(bench.cluster.Submit(JobId(1), 1, 2) == 200);
+  BOOST_REQUIRE(bench.cluster.WaitUntil(
+      kSoon, [&] { return bench.cluster.workers().starts() == 2; }));
+  BOOST_TEST(bench.cluster.Call("entry-1", "DELETE", JobId(1)).status == 200);
+  BOOST_TEST(bench.cluster.WaitUntil(kSoon, [&] {
+    return bench.cluster.StateOf(JobId(1)) == "cancelled" &&
+           bench.cluster.workers().RunningTasks(JobId(1)) == 0;
+  }));
+}
+
+}  // namespace
+}  // namespace quartzhoist::testing
--- a/testing/cluster.cc
+++ b/testing/cluster.cc
@@ -130,9 +130,9 @@
   daemon.id = id;
   daemon.zone = zone;
   daemon.process = this->Start("daemon/quartzhoistd", {"--settings", file});
-  daemon.callers = kLoopback + daemon.process->WaitForWord("callers_port=");
-  daemon.operators = kLoopback + daemon.process->WaitForWord("operators_port=");
-  daemon.peers = daemon.process->WaitForWord("peers=");
+  daemon.callers = kLoopback + daemon.process->WaitForField("callers_port");
+  daemon.operators = kLoopback + daemon.process->WaitForField("operators_port");
+  daemon.peers = daemon.process->WaitForField("peers");
   this->Platform("/bench/box", {{"name", id},
                                 {"zone", zone},
                                 {"entry", true},
--- /dev/null
+++ b/testing/job_cluster.cc
@@ -0,0 +1,150 @@
+#include "testing/job_cluster.h"
+
+#include <unistd.h>
+
+#include <array>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <optional>
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "entry/tables.h"
+
+namespace quartzhoist::testing {
+
+namespace {
+
+using nlohmann::json;
+
+std::string MakeFolder() {
+  std::string name = "/tmp/quartzhoist-jobs-XXXXXX";
+  return mkdtemp(name.data()) ? name : std::string("/tmp");
+}
+
+constexpr const char* kConfig =
+    R"({"version":1,"routes":[{"name":"q","host":"jobs.example",)"
+    R"("pathPrefix":"/q/","service":"press","priority":0,"attempts":3,)"
+    R"("extension":1.5,"targetLatencyMs":600}],)"
+    R"("services":[{"name":"press"},{"name":"rest","spare":true}]})";
+
+}  // namespace
+
+std::string JobId(int number) {
+  return fmt::format("{:016x}", number);
+}
+
+JobCluster::JobCluster(std::string build, int boxes)
+    : folder(MakeFolder()),
+      programs(std::move(build)),
+      rows(this->loop),
+      fleet(this->loop, this->rows),
+      client(this->loop) {
+  this->rows.Put({.table = "op", .part = "", .key = "config"}, kConfig);
+  for (int i = 0; i < boxes; ++i)
+    this->fleet.AddBox(fmt::format("box-{}", i + 1), "press");
+}
+
+JobCluster::~JobCluster() {
+  this->by_id.clear();
+  std::error_code ignored;
+  std::filesystem::remove_all(this->folder, ignored);
+}
+
+JobCluster::Daemon& JobCluster::StartDaemon(const std::string& id) {
+  const std::string settings = fmt::format("{}/{}.ini", this->folder, id);
+  std::ofstream(settings)
+      << fmt::format("[daemon]\nid = {}\nzone = z\n"
+                     "[listen]\ncallers = 127.0.0.1:0\n"
+                     "readiness = 127.0.0.1:0\n"
+                     "[store]\naddress = {}\n[boxes]\naddress = {}\n"
+                     "[limits]\nmove_seconds = 0.4\nupkeep_seconds = 0.4\n"
+                     "stop_ms = 100\n",
+                     id, this->rows.address(), this->fleet.boxes_address());
+  Daemon& daemon = this->by_id[id];
+  const std::string output =
+      fmt::format("{}/{}-{}", this->folder, id, std::rand());
+  daemon.process = std::make_unique<Process>(
+      std::vector<std::string>{this->programs + "/daemon/quartzhoistd",
+                               "--settings", settings},
+      output);
+  const std::string host = "127.0.0.1:";
+  daemon.callers = host + daemon.process->WaitForField("callers_port");
+  daemon.readiness = host + daemon.process->WaitForField("readiness_port");
+  return daemon;
+}
+
+std::string JobCluster::Owner() const {
+  const std::string row =
+      this->rows.Value({.table = std::string(entry::kOwnerTable),
+                        .part = "",
+                        .key = std::string(entry::kOwnerKey)});
+  const auto record = entry::DecodeOwner(row);
+  return record ? record->holder : std::string();
+}
+
+bool JobCluster::WaitUntil(double seconds, const std::function<bool()>& holds) {
+  const base::Micros until =
+      base::MonotonicNow() + base::Micros(static_cast<std::int64_t>(
+                                 seconds * 1e6));
+  while (!holds()) {
+    if (base::MonotonicNow() > until)
+      return false;
+    this->loop.RunOnce();
+  }
+  return true;
+}
+
+http::Response JobCluster::Call(const std::string& daemon,
+                                const std::string& method,
+                                const std::string& job,
+                                const std::string& body) {
+  std::optional<http::Response> response;
+  http::ClientRequest request;
+  request.method = method;
+  request.url =
+      fmt::format("http://{}/q/{}", this->by_id.at(daemon).callers, job);
+  request.headers = {{.name = "Host", .value = "jobs.example"},
+                     {.name = "Deadline-Ms", .value = "3000"}};
+  request.body = body;
+  request.timeout = std::chrono::seconds(5);
+  this->client.Send(std::move(request), [&](const http::ClientResult& got) {
+    response = got.response;
+  });
+  this->WaitUntil(10, [&] { return response.has_value(); });
+  return response.value_or(http::Response{.status = 0});
+}
+
+int JobCluster::Submit(const std::string& job, int steps, int tasks) {
+  json body = {{"spec", "work"}, {"steps", json::array()}};
+  for (int step = 0; step < steps; ++step) {
+    json one = {{"count", tasks},
+                {"cpu", 500},
+                {"memMb", 100},
+                {"estimateMs", 100}};
+    if (step > 0)
+      one["dependsOn"] = {step - 1};
+    body["steps"].push_back(one);
+  }
+  int status = 0;
+  for (const auto& [id, daemon] : this->by_id) {
+    status = this->Call(id, "POST", job, body.dump()).status;
+    if (status == 200)
+      break;
+  }
+  return status;
+}
+
+std::string JobCluster::StateOf(const std::string& job) {
+  for (const auto& [id, daemon] : this->by_id) {
+    const http::Response response = this->Call(id, "GET", job);
+    if (response.status == 200)
+      return json::parse(response.body).value("state", "");
+  }
+  return "";
+}
+
+}  // namespace quartzhoist::testing
--- /dev/null
+++ b/testing/job_cluster.h
@@ -0,0 +1,68 @@
+// A small deployment that runs jobs: real daemons as processes, and the
+// platform's stand-ins on the loop of the one who asks.
+
+#ifndef TESTING_JOB_CLUSTER_H_
+#define TESTING_JOB_CLUSTER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/loop.h"
+#include "http/client.h"
+#include "testing/process.h"
+#include "testing/store_standin.h"
+#include "testing/worker_standin.h"
+
+namespace quartzhoist::testing {
+
+class JobCluster {
+ public:
+  // `programs` is the build folder. One queue, one pool with this many boxes.
+  JobCluster(std::string programs, int boxes);
+  ~JobCluster();
+  JobCluster(const JobCluster&) = delete;
+  JobCluster& operator=(const JobCluster&) = delete;
+
+  struct Daemon {
+    std::unique_ptr<Process> process;
+    std::string callers;  // ip:port
+    std::string readiness;
+  };
+
+  Daemon& StartDaemon(const std::string& id);
+  std::map<std::string, Daemon>& daemons() { return this->by_id; }
+  // The daemon that schedules, by the store's row; empty: none.
+  std::string Owner() const;
+
+  StoreStandin& store() { return this->rows; }
+  WorkerStandins& workers() { return this->fleet; }
+
+  // Turns the loop until `holds`; false if it does not in time.
+  bool WaitUntil(double seconds, const std::function<bool()>& holds);
+  http::Response Call(const std::string& daemon,
+                      const std::string& method,
+                      const std::string& job,
+                      const std::string& body = "");
+  // Hands a job of `steps` chained steps in, trying each daemon in turn as a
+  // caller would; the last answer's status.
+  int Submit(const std::string& job, int steps, int tasks);
+  std::string StateOf(const std::string& job);
+
+ private:
+  std::string folder;
+  std::string programs;
+  base::Loop loop;
+  StoreStandin rows;
+  WorkerStandins fleet;
+  http::Client client;
+  std::map<std::string, Daemon> by_id;
+};
+
+// A job's id made of a number.
+std::string JobId(int number);
+
+}  // namespace quartzhoist::testing
+
+#endif  // TESTING_JOB_CLUSTER_H_
--- a/testing/process.cc
+++ b/testing/process.cc
@@ -117,4 +117,11 @@
                            this->Output() + this->Log());
 }
 
+std::string Process::WaitForField(const std::string& name) {
+  std::string rest = this->WaitForWord("\"" + name + "\":");
+  if (rest.starts_with('"'))
+    return rest.substr(1, rest.find('"', 1) - 1);
+  return rest.substr(0, rest.find_first_of(",}"));
+}
+
 }  // namespace quartzhoist::testing
--- a/testing/process.h
+++ b/testing/process.h
@@ -34,6 +34,8 @@
   // Waits for `text` in the output or the log and returns the word after it;
   // throws std::runtime_error if it does not come.
   std::string WaitForWord(const std::string& text);
+  // The value of the first `"name":` in a JSON line of the output.
+  std::string WaitForField(const std::string& name);
 
  private:
   std::string output_file;
--- /dev/null
+++ b/testing/worker_standin.cc
@@ -0,0 +1,291 @@
+#include "testing/worker_standin.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace quartzhoist::testing {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr std::int64_t kCpu = 4000;
+constexpr std::int64_t kMemory = 8000;
+constexpr base::Micros kAway = milliseconds(400);
+
+std::int64_t NowMillis() {
+  return std::chrono::duration_cast<milliseconds>(base::MonotonicNow()).count();
+}
+
+http::Response Answer(int status, json body) {
+  body["clockMs"] = NowMillis();
+  return http::JsonResponse(status, body.dump());
+}
+
+}  // namespace
+
+WorkerStandins::WorkerStandins(base::Loop& on, StoreStandin& rows)
+    : loop(on),
+      store(rows),
+      timer(on, [this] { this->Work(); }),
+      box_server(on, {}, [this](const http::ExchangePtr& exchange) {
+        this->HandleBoxes(exchange);
+      }) {
+  this->timer.StartEvery(milliseconds(5));
+}
+
+std::string WorkerStandins::boxes_address() const {
+  return fmt::format("127.0.0.1:{}", this->box_server.port());
+}
+
+void WorkerStandins::AddBox(const std::string& box, const std::string& pool) {
+  this->lives[box] = this->Begin(box, pool);
+}
+
+std::shared_ptr<WorkerStandins::Life> WorkerStandins::Begin(
+    const std::string& box,
+    const std::string& pool) {
+  auto life = std::make_shared<Life>();
+  life->id = fmt::format("i-{}", ++this->life_count);
+  life->box = box;
+  life->pool = pool;
+  Life* raw = life.get();
+  life->server = std::make_unique<http::Server>(
+      this->loop, http::ServerOptions{},
+      [this, raw](const http::ExchangePtr& exchange) {
+        this->Handle(*raw, exchange);
+      });
+  this->Announce(*life);
+  return life;
+}
+
+void WorkerStandins::Announce(const Life& life) {
+  const json row = {
+      {"service", life.pool},
+      {"address", fmt::format("127.0.0.1:{}", life.server->port())},
+      {"zone", "z"},
+      {"state", "ready"},
+      {"machine", life.box},
+      {"labels", {"a", "rack-" + life.box}},
+      {"capacity", {{"cpu", kCpu}, {"memMb", kMemory}, {"gpu", 0}}}};
+  this->store.Put({.table = "servers", .part = "", .key = life.id}, row.dump());
+}
+
+void WorkerStandins::End(Life& life) {
+  this->store.Remove({.table = "servers", .part = "", .key = life.id});
+  life.running.clear();
+  life.server.reset();
+}
+
+void WorkerStandins::Crash(const std::string& box) {
+  const std::shared_ptr<Life> life = this->lives.at(box);
+  this->ended.push_back(life);
+  this->End(*life);
+  this->lives[box] = this->Begin(box, life->pool);
+}
+
+int WorkerStandins::RunningTasks(const std::string& job) const {
+  int count = 0;
+  for (const auto& [box, life] : this->lives) {
+    for (const auto& [task, run] : life->running)
+      count += task.starts_with(job + ".");
+  }
+  return count;
+}
+
+void WorkerStandins::Handle(Life& life, const http::ExchangePtr& exchange) {
+  const http::Request& request = exchange->request();
+  const std::string* meant =
+      http::FindHeader(request.headers, "Expect-Instance");
+  if (meant && *meant != life.id) {
+    exchange->Reply(Answer(421, json::object()));
+    return;
+  }
+  const json body = json::parse(request.body);
+  const auto fence = body.value("fencingToken", std::uint64_t{0});
+  if (fence < life.fence) {
+    exchange->Reply(Answer(409, {{"reason", "fence"}}));
+    return;
+  }
+  life.fence = fence;
+  if (request.path == "/hold")
+    this->Hold(life, exchange, body);
+  else if (request.path == "/run-start")
+    this->Start(life, exchange, body);
+  else if (request.path == "/run-stop")
+    this->Stop(life, exchange, body);
+  else
+    exchange->Reply(Answer(400, json::object()));
+}
+
+void WorkerStandins::Hold(Life& life,
+                          const http::ExchangePtr& exchange,
+                          const json& body) {
+  life.deadline_ms =
+      std::max(life.deadline_ms, body.value("deadlineMs", std::int64_t{0}));
+  const auto seen = body.value("lastSeen", std::int64_t{0});
+  for (const json& end : life.ends) {
+    if (end[0] <= seen && end[3] == "done")
+      this->noted.insert(end[1].get<std::string>());
+  }
+  std::erase_if(life.ends, [seen](const json& end) { return end[0] <= seen; });
+  const auto wait = milliseconds(body.value("waitMs", std::int64_t{0}));
+  if (wait.count() > 0 && life.ends.empty())
+    life.looks.emplace_back(exchange, base::MonotonicNow() + wait);
+  else
+    exchange->Reply(http::JsonResponse(200, this->ListingText(life)));
+}
+
+std::string WorkerStandins::ListingText(const Life& life) const {
+  json listing = {{"clockMs", NowMillis()},
+                  {"running", json::array()},
+                  {"finished", life.ends}};
+  for (const auto& [task, run] : life.running)
+    listing["running"].push_back({task, run.number, "", 100});
+  return listing.dump();
+}
+
+void WorkerStandins::JudgeStart(const Life& life,
+                                const std::string& task,
+                                int run) {
+  for (const auto& [box, other] : this->lives) {
+    if (other->running.contains(task))
+      this->faults.push_back(fmt::format("{} run {} starts on {} while it runs "
+                                         "on {}",
+                                         task, run, life.box, box));
+  }
+  if (this->noted.contains(task))
+    this->faults.push_back(task + " starts again after its end was noted");
+}
+
+void WorkerStandins::Start(Life& life,
+                           const http::ExchangePtr& exchange,
+                           const json& body) {
+  const auto task = body.at("task").get<std::string>();
+  const int run = body.at("run").get<int>();
+  const auto deadline = body.at("deadlineMs").get<std::int64_t>();
+  if (deadline < NowMillis()) {
+    exchange->Reply(Answer(409, {{"reason", "late"}}));
+    return;
+  }
+  life.deadline_ms = std::max(life.deadline_ms, deadline);
+  const auto there = life.running.find(task);
+  if (there != life.running.end() && there->second.number == run) {
+    exchange->Reply(Answer(200, json::object()));
+    return;
+  }
+  const auto over = life.over.find(task);
+  if (over != life.over.end() && run <= over->second) {
+    exchange->Reply(Answer(409, {{"reason", "old"}}));
+    return;
+  }
+  this->JudgeStart(life, task, run);
+  ++this->start_count;
+  life.running[task] = {.number = run,
+                        .ends = base::MonotonicNow() + this->run_time};
+  exchange->Reply(Answer(200, json::object()));
+}
+
+void WorkerStandins::Stop(Life& life,
+                          const http::ExchangePtr& exchange,
+                          const json& body) {
+  const auto task = body.at("task").get<std::string>();
+  const int run = body.at("run").get<int>();
+  int& over = life.over[task];
+  over = std::max(over, run);
+  const auto found = life.running.find(task);
+  if (found != life.running.end() && found->second.number == run)
+    this->AddEnd(life, task, "stopped");
+  exchange->Reply(Answer(200, json::object()));
+}
+
+void WorkerStandins::AddEnd(Life& life, const std::string& task,
+                            const char* how) {
+  const auto found = life.running.find(task);
+  const int run = found->second.number;
+  life.running.erase(found);
+  life.over[task] = std::max(life.over[task], run);
+  life.ends.push_back(json::array({++life.last_end, task, run, how, ""}));
+}
+
+void WorkerStandins::Work() {
+  const base::Micros now = base::MonotonicNow();
+  for (auto& [box, life] : this->lives) {
+    const bool lapsed = NowMillis() > life->deadline_ms;
+    std::vector<std::string> over;
+    for (const auto& [task, run] : life->running) {
+      if (lapsed || run.ends <= now)
+        over.push_back(task);
+    }
+    for (const std::string& task : over) {
+      this->done_count += !lapsed;
+      this->AddEnd(*life, task, lapsed ? "lapsed" : "done");
+    }
+    std::erase_if(life->looks, [&, this](const auto& look) {
+      if (life->ends.empty() && now < look.second)
+        return false;
+      look.first->Reply(http::JsonResponse(200, this->ListingText(*life)));
+      return true;
+    });
+  }
+  std::vector<std::string> back;
+  for (const auto& [box, until] : this->away) {
+    if (now >= until)
+      back.push_back(box);
+  }
+  for (const std::string& box : back) {
+    this->away.erase(box);
+    this->lives[box] = this->Begin(box, this->pools[box]);
+  }
+}
+
+void WorkerStandins::TakeDown(const std::string& box, const std::string& pool) {
+  const auto found = this->lives.find(box);
+  if (found == this->lives.end())
+    return;
+  this->ended.push_back(found->second);
+  this->End(*found->second);
+  this->lives.erase(found);
+  this->away[box] = base::MonotonicNow() + kAway;
+  this->pools[box] = pool;
+}
+
+void WorkerStandins::HandleBoxes(const http::ExchangePtr& exchange) {
+  const http::Request& request = exchange->request();
+  if (request.method == "GET") {
+    json list = {{"machines", json::array()}, {"nextToken", nullptr}};
+    for (const auto& [box, life] : this->lives) {
+      list["machines"].push_back({{"machine", box},
+                                  {"pool", life->pool},
+                                  {"state", "up"},
+                                  {"capacity", {{"cpu", kCpu}}},
+                                  {"id", life->id}});
+    }
+    for (const auto& [box, until] : this->away) {
+      list["machines"].push_back({{"machine", box},
+                                  {"pool", this->pools[box]},
+                                  {"state", "upkeep"}});
+    }
+    exchange->Reply(http::JsonResponse(200, list.dump()));
+    return;
+  }
+  const json body = json::parse(request.body);
+  const auto box = body.at("machine").get<std::string>();
+  const auto life = this->lives.find(box);
+  if (life == this->lives.end()) {
+    exchange->Reply(http::JsonResponse(409, R"({"reason":"busy"})"));
+    return;
+  }
+  if (request.path == "/machine-upkeep") {
+    ++this->upkeep_count;
+    this->TakeDown(box, life->second->pool);
+  } else {
+    this->TakeDown(box, body.at("pool").get<std::string>());
+  }
+  exchange->Reply(http::JsonResponse(200, "{}"));
+}
+
+}  // namespace quartzhoist::testing
--- /dev/null
+++ b/testing/worker_standin.h
@@ -0,0 +1,103 @@
+// Workers as the platform's pages describe them, in memory on loopback ports:
+// leases, fencing, runs and their ends; and the service that moves and maintains
+// their boxes. Judges what it sees: runs of one task that overlap, starts after
+// an end that was noted, starts beyond the room.
+
+#ifndef TESTING_WORKER_STANDIN_H_
+#define TESTING_WORKER_STANDIN_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "base/loop.h"
+#include "http/server.h"
+#include "testing/store_standin.h"
+
+namespace quartzhoist::testing {
+
+class WorkerStandins {
+ public:
+  WorkerStandins(base::Loop& loop, StoreStandin& store);
+
+  // A box in this pool, with a life that announces itself.
+  void AddBox(const std::string& box, const std::string& pool);
+  // The life ends at once, without a word; another comes on the same box.
+  void Crash(const std::string& box);
+  void SetRunTime(base::Micros span) { this->run_time = span; }
+
+  // The address of the service that moves and maintains boxes.
+  std::string boxes_address() const;
+
+  // Promises that were broken, in words.
+  const std::vector<std::string>& broken() const { return this->faults; }
+  int starts() const { return this->start_count; }
+  int ends_done() const { return this->done_count; }
+  int upkeeps() const { return this->upkeep_count; }
+  int RunningTasks(const std::string& job) const;
+
+ private:
+  struct Run {
+    int number = 0;
+    base::Micros ends{};
+    std::int64_t cpu = 0;
+  };
+  struct Life {
+    std::string id;
+    std::string box;
+    std::string pool;
+    std::uint64_t fence = 0;
+    std::int64_t deadline_ms = 0;
+    std::map<std::string, Run> running;
+    std::map<std::string, int> over;
+    std::vector<nlohmann::json> ends;
+    std::int64_t last_end = 0;
+    std::unique_ptr<http::Server> server;
+    std::vector<std::pair<http::ExchangePtr, base::Micros>> looks;
+  };
+
+  void Announce(const Life& life);
+  void End(Life& life);
+  std::shared_ptr<Life> Begin(const std::string& box, const std::string& pool);
+  void Handle(Life& life, const http::ExchangePtr& exchange);
+  void Hold(Life& life,
+            const http::ExchangePtr& exchange,
+            const nlohmann::json& body);
+  void Start(Life& life,
+             const http::ExchangePtr& exchange,
+             const nlohmann::json& body);
+  void Stop(Life& life,
+            const http::ExchangePtr& exchange,
+            const nlohmann::json& body);
+  void JudgeStart(const Life& life, const std::string& task, int run);
+  void AddEnd(Life& life, const std::string& task, const char* how);
+  void Work();
+  std::string ListingText(const Life& life) const;
+  void HandleBoxes(const http::ExchangePtr& exchange);
+  void TakeDown(const std::string& box, const std::string& pool);
+
+  base::Loop& loop;
+  StoreStandin& store;
+  base::Micros run_time = std::chrono::milliseconds(100);
+  std::map<std::string, std::shared_ptr<Life>> lives;  // by box
+  std::vector<std::shared_ptr<Life>> ended;  // kept until the loop is done
+  std::map<std::string, base::Micros> away;  // boxes, until when
+  std::map<std::string, std::string> pools;  // of boxes that are away
+  std::set<std::string> noted;               // tasks whose end was noted
+  std::vector<std::string> faults;
+  int start_count = 0;
+  int done_count = 0;
+  int upkeep_count = 0;
+  int life_count = 0;
+  base::Timer timer;
+  http::Server box_server;
+};
+
+}  // namespace quartzhoist::testing
+
+#endif  // TESTING_WORKER_STANDIN_H_
