--- a/scheduler/evacuation.cc
+++ b/scheduler/evacuation.cc
@@ -70,8 +70,8 @@
   return view;
 }
 
-// Lasting tasks that may not share a box need as many boxes at any time, and
-// one more while boxes of their pool are emptied for a wave.
+// Lasting tasks that may not share a box need as many boxes at any time. (A box
+// that is emptied for a wave does not count as one of them.)
 std::map<std::string, int> Scheduler::LeastBoxes() const {
   std::map<std::string, int> least;
   for (const auto& [id, job] : this->jobs) {
@@ -87,10 +87,6 @@
       known = std::max(known, static_cast<int>(boxes));
     }
   }
-  if (!this->fleet.HasOpenWave())
-    return least;
-  for (auto& [service, boxes] : least)
-    ++boxes;
   return least;
 }
 
--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -131,6 +131,7 @@
       wave->second.to_report = true;
       break;
     case BoxCallOutcome::kUnknown:
+      upkeep.may_have_begun = true;
       upkeep.next_call = now + kCallAgain;
       break;
     case BoxCallOutcome::kRefused:
@@ -140,7 +141,9 @@
     case BoxCallOutcome::kFenced:
     case BoxCallOutcome::kBusy:
     case BoxCallOutcome::kThrottled:
-      upkeep.state = UpkeepState::kPending;
+      // An earlier call without an answer may have taken it down.
+      if (!upkeep.may_have_begun)
+        upkeep.state = UpkeepState::kPending;
       upkeep.next_call = now + kCallAgain;
       break;
   }
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -116,6 +116,7 @@
     base::Micros since{};
     base::Micros next_call{};
     bool in_flight = false;
+    bool may_have_begun = false;  // a call got no answer
   };
   struct WaveProgress {
     Wave wave;
--- a/scheduler/fleet_test.cc
+++ b/scheduler/fleet_test.cc
@@ -157,9 +157,10 @@
     view.pools = {{.name = "pool", .spare = false, .needs = {}}};
     for (const FleetStep& step : fleet.Plan(view, now)) {
       if (const auto* upkeep = std::get_if<UpkeepBox>(&step)) {
-        const auto kind = random() % 4;
-        // 0: not carried out; 1: carried out, no answer; else as asked.
-        const bool carried_out = kind != 0;
+        // 0: not carried out, no answer; 1: carried out, no answer; 2 and 3:
+        // refused; else as asked.
+        const auto kind = random() % 6;
+        const bool carried_out = kind == 1 || kind > 3;
         if (carried_out && boxes[upkeep->box].up) {
           RC_ASSERT(boxes[upkeep->box].idle);
           ++begun[upkeep->box];
@@ -167,8 +168,11 @@
           down[upkeep->box] = now + seconds(2);
           RC_ASSERT(static_cast<int>(down.size()) <= most);
         }
-        const BoxCallOutcome outcome = kind <= 1 ? BoxCallOutcome::kUnknown
-                                                 : BoxCallOutcome::kDone;
+        const BoxCallOutcome outcome = kind <= 1   ? BoxCallOutcome::kUnknown
+                                       : kind == 2 ? BoxCallOutcome::kNotSent
+                                       : kind == 3
+                                           ? BoxCallOutcome::kThrottled
+                                           : BoxCallOutcome::kDone;
         fleet.UpkeepBegun(*upkeep, outcome, now);
       } else if (const auto* evacuate = std::get_if<Evacuate>(&step)) {
         boxes[evacuate->box].idle = random() % 2 == 0;
