Leases of 4 s, looks that wait 1.5 s

Cause: tasks of a worker that died or was cut off wait for its lease: 5 s and up to 2 s until the look was missed. Change: lease 5 -> 4 s (another owner takes over within 2.3 s), look's wait 2 -> 1.5 s.

--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -21,7 +21,7 @@
 constexpr base::Micros kReadAgain = milliseconds(200);
 // What a lease is granted for: past the time in which another owner takes over
 // (2.3 s and its looks), short enough that a dead worker's tasks start again.
-constexpr base::Micros kLease = milliseconds(5000);
+constexpr base::Micros kLease = milliseconds(4000);
 // What a start grants at least: until the worker's next look has been answered.
 // Starts do not renew, or a worker that has died would seem leased for longer.
 constexpr base::Micros kStartLease = milliseconds(3500);
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -17,7 +17,7 @@
 
 // How long a look waits at a worker for an end, at most. Each look costs like
 // a probe; the platform allows up to 2 s.
-constexpr base::Micros kLookWait = milliseconds(2000);
+constexpr base::Micros kLookWait = milliseconds(1500);
 // With an order whose fate is open the listing itself is the news.
 constexpr base::Micros kLookWaitOpen = milliseconds(300);
 // After ends were listed the next look waits a little, so that it brings more
