--- a/base/event_log.cc
+++ b/base/event_log.cc
@@ -45,10 +45,10 @@
   const auto now = std::chrono::system_clock::now();
   const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(
       now.time_since_epoch());
-  return fmt::format(
-      "{{\"time\":\"{:%Y-%m-%dT%H:%M:%S}.{:03}Z\",{}\n",
-      fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
-      millis.count() % 1000, FormatEvent(event, fields).substr(1));
+  return fmt::format("{{\"time\":\"{:%Y-%m-%dT%H:%M:%S}.{:03}Z\",{}\n",
+                     fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
+                     millis.count() % 1000,
+                     FormatEvent(event, fields).substr(1));
 }
 
 // What both tasks share.
@@ -90,9 +90,9 @@
   const Micros now = MonotonicNow();
   const std::uint64_t missed = output.budget.TakeLeftOut(kind, now);
   if (missed > 0) {
-    WriteLine(STDOUT_FILENO, Line(Event::kLinesLeftOut,
-                                  {{"of", kEvents[kind].name},
-                                   {"count", missed}}));
+    WriteLine(STDOUT_FILENO,
+              Line(Event::kLinesLeftOut,
+                   {{"of", kEvents[kind].name}, {"count", missed}}));
   }
   const bool written = output.budget.Take(kind, now) &&
                        WriteLine(STDOUT_FILENO, Line(event, fields));
--- a/base/event_log.h
+++ b/base/event_log.h
@@ -71,6 +71,7 @@
   kRowMalformed,
   kConfigInstalled,
   kLinesLeftOut,
+  kSettingsReloaded,
 };
 
 struct EventInfo {
@@ -80,7 +81,7 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 43> kEvents{{
+inline constexpr std::array<EventInfo, 44> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
@@ -124,6 +125,7 @@
     {Event::kRowMalformed, 841, Level::kWarning, "row_malformed"},
     {Event::kConfigInstalled, 842, Level::kInfo, "config_installed"},
     {Event::kLinesLeftOut, 851, Level::kWarning, "lines_left_out"},
+    {Event::kSettingsReloaded, 106, Level::kInfo, "settings_reloaded"},
 }};
 
 // One member of a line's object. Numbers and truth values stand as such.
--- a/base/setting_values.cc
+++ b/base/setting_values.cc
@@ -41,8 +41,8 @@
 
 std::string TakeAddress(const std::string& value) {
   if (!ParseIpAddress(value))
-    throw fmt::format("'{}' is not an IP number and port, such as 10.0.0.1:8080",
-                      value);
+    throw fmt::format(
+        "'{}' is not an IP number and port, such as 10.0.0.1:8080", value);
   return value;
 }
 
--- a/daemon/daemon_main.cc
+++ b/daemon/daemon_main.cc
@@ -45,18 +45,16 @@
 AnySettings LoadSettings(const std::string& file) {
   std::ifstream first = Open(file);
   const std::vector<base::IniEntry> entries = base::ReadIni(first, file);
-  const bool has_store =
-      std::any_of(entries.begin(), entries.end(),
-                  [](const base::IniEntry& entry) {
-                    return entry.section == "store";
-                  });
+  const bool has_store = std::any_of(
+      entries.begin(), entries.end(),
+      [](const base::IniEntry& entry) { return entry.section == "store"; });
   std::ifstream in = Open(file);
   if (has_store)
     return entry::ReadSettings(in, file);
   return ReadSettings(in, file);
 }
 
-void RunDaemon(const Settings& settings) {
+void RunDaemon(const Settings& settings, const std::string& /*file*/) {
   base::Counters counters;
   // Each task tells the other by its mailbox; both exist before either runs.
   std::unique_ptr<Gateway> gateway;
@@ -80,8 +78,8 @@
   base::Log(base::Event::kDaemonStopped, {});
 }
 
-void RunDaemon(const entry::Settings& settings) {
-  entry::JobDaemon(settings).Run();
+void RunDaemon(const entry::Settings& settings, const std::string& file) {
+  entry::JobDaemon(settings, file).Run();
 }
 
 int Main(int argc, char** argv) {
@@ -130,7 +128,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   curl_global_init(CURL_GLOBAL_ALL);
   try {
-    std::visit([](const auto& chosen) { RunDaemon(chosen); }, settings);
+    std::visit([&file](const auto& chosen) { RunDaemon(chosen, file); },
+               settings);
   } catch (const std::exception& error) {
     base::Log(base::Event::kDaemonFailed, {{"problem", error.what()}});
     return kExitFailed;
--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -85,13 +85,12 @@
                        int status,
                        std::string_view job,
                        std::string_view reason) const {
-  http::Response response = http::JsonResponse(
-      status, platform::ProblemBody(reason));
+  http::Response response =
+      http::JsonResponse(status, platform::ProblemBody(reason));
   if (status == kUnavailable)
     response.headers.push_back({.name = "Retry-After", .value = "1"});
-  this->counters.Add(status == kUnknownFate
-                         ? base::Counter::kRefusedMayHaveRun
-                         : base::Counter::kRefusedNotRun);
+  this->counters.Add(status == kUnknownFate ? base::Counter::kRefusedMayHaveRun
+                                            : base::Counter::kRefusedNotRun);
   base::Log(base::Event::kJobRefused,
             {{"job", job}, {"status", status}, {"reason", reason}});
   this->Reply(exchange, std::move(response));
@@ -134,7 +133,7 @@
     this->Refuse(exchange, kNoMethod, job, "POST, GET or DELETE");
 }
 
-// --- Handing in -----------------------------------------------------------------
+// --- Handing in ---
 
 void CallerApi::Submit(const http::ExchangePtr& exchange,
                        const jobs::Queue& queue,
@@ -243,18 +242,15 @@
   this->retry.StartOnce(kWriteAgain);
 }
 
-// --- Asking, cancelling, counting -------------------------------------------------
+// --- Asking, cancelling, counting ---
 
 void CallerApi::AnswerState(const http::ExchangePtr& exchange,
                             const std::string& job) {
   const platform::RowKey at = ProgressRow(job);
-  const platform::ReadQuery query{.table = at.table,
-                                  .part = at.part,
-                                  .from = job,
-                                  .to = {},
-                                  .limit = 1};
-  this->store.Read(query, [this, exchange, job](
-                              std::optional<platform::ReadResult> result) {
+  const platform::ReadQuery query{
+      .table = at.table, .part = at.part, .from = job, .to = {}, .limit = 1};
+  this->store.Read(query, [this, exchange,
+                           job](std::optional<platform::ReadResult> result) {
     if (!result) {
       this->Refuse(exchange, kUnavailable, job, "the store does not answer");
       return;
@@ -277,13 +273,10 @@
 void CallerApi::Cancel(const http::ExchangePtr& exchange,
                        const std::string& job) {
   const platform::RowKey at = ProgressRow(job);
-  const platform::ReadQuery query{.table = at.table,
-                                  .part = at.part,
-                                  .from = job,
-                                  .to = {},
-                                  .limit = 1};
-  this->store.Read(query, [this, exchange, job](
-                              std::optional<platform::ReadResult> result) {
+  const platform::ReadQuery query{
+      .table = at.table, .part = at.part, .from = job, .to = {}, .limit = 1};
+  this->store.Read(query, [this, exchange,
+                           job](std::optional<platform::ReadResult> result) {
     if (!result) {
       this->Refuse(exchange, kUnavailable, job, "the store does not answer");
       return;
@@ -301,23 +294,24 @@
                             int tries) {
   // The job's row stands for good, so that this can be done twice or late.
   const platform::WriteBatch write{
-      .conditions = {}, .puts = {{.at = CancelRow(job), .value = "1"}},
+      .conditions = {},
+      .puts = {{.at = CancelRow(job), .value = "1"}},
       .removes = {}};
-  this->store.Write(write, [this, exchange, job,
-                            tries](const platform::WriteResult& result) {
-    if (result.outcome == platform::WriteOutcome::kDone) {
-      base::Log(base::Event::kJobCancelled, {{"job", job}});
-      this->Reply(exchange, http::JsonResponse(kOk, "{}"));
-      return;
-    }
-    if (tries > 1) {
-      this->WriteCancel(exchange, job, tries - 1);
-      return;
-    }
-    const bool refused = result.outcome == platform::WriteOutcome::kNotDone;
-    this->Refuse(exchange, refused ? kUnavailable : kUnknownFate, job,
-                 "the store does not take writes now");
-  });
+  this->store.Write(
+      write, [this, exchange, job, tries](const platform::WriteResult& result) {
+        if (result.outcome == platform::WriteOutcome::kDone) {
+          base::Log(base::Event::kJobCancelled, {{"job", job}});
+          this->Reply(exchange, http::JsonResponse(kOk, "{}"));
+          return;
+        }
+        if (tries > 1) {
+          this->WriteCancel(exchange, job, tries - 1);
+          return;
+        }
+        const bool refused = result.outcome == platform::WriteOutcome::kNotDone;
+        this->Refuse(exchange, refused ? kUnavailable : kUnknownFate, job,
+                     "the store does not take writes now");
+      });
 }
 
 void CallerApi::AnswerCount(const http::ExchangePtr& exchange,
@@ -327,18 +321,16 @@
                                   .from = std::string(kCountKey),
                                   .to = {},
                                   .limit = 1};
-  this->store.Read(query, [this, exchange, queue](
-                              std::optional<platform::ReadResult> result) {
+  this->store.Read(query, [this, exchange,
+                           queue](std::optional<platform::ReadResult> result) {
     if (!result) {
       this->Refuse(exchange, kUnavailable, "", "the store does not answer");
       return;
     }
     // A queue that is new has no count yet.
     const std::int64_t count =
-        result->rows.empty() ? 0
-                             : CountOf(result->rows.front().value, queue);
-    this->Reply(exchange, http::JsonResponse(
-                              kOk, platform::CountBody(count)));
+        result->rows.empty() ? 0 : CountOf(result->rows.front().value, queue);
+    this->Reply(exchange, http::JsonResponse(kOk, platform::CountBody(count)));
   });
 }
 
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -1,7 +1,7 @@
 // Settings, rows, ownership and the callers' interface of an entry box.
 
-#include <functional>
 #include <fstream>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <sstream>
@@ -74,8 +74,7 @@
   BOOST_TEST(WhyRefused(Replaced("move_seconds = 1.5", "move_seconds = x"))
                  .find("[limits] move_seconds") != std::string::npos);
   BOOST_TEST(WhyRefused(Replaced("id = edge-1\n", ""))
-                 .find("[daemon] id: the key is missing") !=
-             std::string::npos);
+                 .find("[daemon] id: the key is missing") != std::string::npos);
 }
 
 // Each key of the template the platform fills is one that the daemon reads.
@@ -88,10 +87,10 @@
     const std::string key = line.substr(0, line.find(' '));
     if (gap != std::string::npos)
       line = key + " = " +
-             (key == "id" || key == "zone"              ? "x"
-              : key.ends_with("_ms")                    ? "1000"
-              : key.ends_with("_seconds")               ? "2"
-                                                        : "10.0.0.1:80");
+             (key == "id" || key == "zone" ? "x"
+              : key.ends_with("_ms")       ? "1000"
+              : key.ends_with("_seconds")  ? "2"
+                                           : "10.0.0.1:80");
     filled += line + "\n";
   }
   BOOST_TEST(WhyRefused(filled) == "");
@@ -120,19 +119,21 @@
   BOOST_TEST(CountOf("nonsense", "q") == 0);
 }
 
-// --- Ownership -----------------------------------------------------------------
+// --- Ownership ---
 
 struct Member {
   Member(base::Loop& loop, platform::Store& store, const std::string& id)
-      : ownership(loop, store, id, std::hash<std::string>()(id),
-                  {.on_gained = [this](std::uint64_t gained,
-                                       base::Micros) { this->epoch = gained; },
-                   .on_lost = [this] { ++this->losses; },
-                   .on_confirmed = [this](base::Micros) {
-                     ++this->confirmations;
-                   },
-                   .on_store_answered = [] {},
-                   .on_store_silent = [] {}}) {}
+      : ownership(
+            loop,
+            store,
+            id,
+            std::hash<std::string>()(id),
+            {.on_gained = [this](std::uint64_t gained,
+                                 base::Micros) { this->epoch = gained; },
+             .on_lost = [this] { ++this->losses; },
+             .on_confirmed = [this](base::Micros) { ++this->confirmations; },
+             .on_store_answered = [] {},
+             .on_store_silent = [] {}}) {}
 
   std::uint64_t epoch = 0;
   int losses = 0;
@@ -158,11 +159,9 @@
   Member a(bench.loop, bench.store, "a");
   Member b(bench.loop, bench.store, "b");
   Member c(bench.loop, bench.store, "c");
-  bench.Until([&] {
-    return a.confirmations + b.confirmations + c.confirmations >= 3;
-  });
-  BOOST_TEST(a.ownership.holds() + b.ownership.holds() +
-                 c.ownership.holds() ==
+  bench.Until(
+      [&] { return a.confirmations + b.confirmations + c.confirmations >= 3; });
+  BOOST_TEST(a.ownership.holds() + b.ownership.holds() + c.ownership.holds() ==
              1);
   BOOST_TEST(a.epoch + b.epoch + c.epoch == 1U);
 }
@@ -181,13 +180,12 @@
 BOOST_AUTO_TEST_CASE(SilentOwnerIsTakenOver) {
   OwnerBench bench;
   // A holder that confirms nothing.
-  bench.standin.Put({.table = std::string(kOwnerTable),
-                     .part = "",
-                     .key = std::string(kOwnerKey)},
-                    EncodeOwner({.holder = "dead",
-                                 .incarnation = "1",
-                                 .epoch = 7,
-                                 .beat = 3}));
+  bench.standin.Put(
+      {.table = std::string(kOwnerTable),
+       .part = "",
+       .key = std::string(kOwnerKey)},
+      EncodeOwner(
+          {.holder = "dead", .incarnation = "1", .epoch = 7, .beat = 3}));
   Member a(bench.loop, bench.store, "a");
   bench.Until([&] { return a.ownership.holds(); });
   BOOST_TEST(a.epoch == 8U);
@@ -197,13 +195,12 @@
   OwnerBench bench;
   Member a(bench.loop, bench.store, "a");
   bench.Until([&] { return a.ownership.holds(); });
-  bench.standin.Put({.table = std::string(kOwnerTable),
-                     .part = "",
-                     .key = std::string(kOwnerKey)},
-                    EncodeOwner({.holder = "other",
-                                 .incarnation = "1",
-                                 .epoch = 2,
-                                 .beat = 0}));
+  bench.standin.Put(
+      {.table = std::string(kOwnerTable),
+       .part = "",
+       .key = std::string(kOwnerKey)},
+      EncodeOwner(
+          {.holder = "other", .incarnation = "1", .epoch = 2, .beat = 0}));
   bench.Until([&] { return a.losses == 1; });
   BOOST_TEST(!a.ownership.holds());
 }
@@ -216,7 +213,7 @@
   BOOST_TEST(a.epoch == 1U);
 }
 
-// --- Callers --------------------------------------------------------------------
+// --- Callers ---
 
 struct CallerBench : OwnerBench {
   CallerBench() {
@@ -268,8 +265,7 @@
   BOOST_TEST(bench.Call("POST", kJob, kBody).status == 200);
   BOOST_TEST(bench.Call("POST", kJob, kBody).status == 200);
   BOOST_TEST(bench.standin.Table(std::string(kJobTable)).size() == 1U);
-  BOOST_TEST(bench.Call("GET", kJob).body.find("queued") !=
-             std::string::npos);
+  BOOST_TEST(bench.Call("GET", kJob).body.find("queued") != std::string::npos);
 }
 
 BOOST_AUTO_TEST_CASE(JobWhoseWriteGotNoAnswerIsAccepted) {
--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -3,12 +3,14 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <fstream>
 #include <functional>
 #include <utility>
 
 #include <fmt/format.h>
 
 #include "base/event_log.h"
+#include "base/ini_file.h"
 #include "base/ip_address.h"
 #include "platform/records.h"
 
@@ -41,6 +43,15 @@
 // Few connections: the balancer's, and a scraper's.
 constexpr std::int64_t kFewConnections = 64;
 
+// How often the settings file is looked at; the platform may change it without
+// a signal.
+constexpr base::Micros kReloadPeriod = std::chrono::seconds(2);
+
+std::filesystem::file_time_type TimeOf(const std::string& file) {
+  std::error_code unknown;
+  return std::filesystem::last_write_time(file, unknown);
+}
+
 std::uint64_t SeedOf(const std::string& id) {
   const auto now = std::chrono::system_clock::now().time_since_epoch().count();
   return std::hash<std::string>()(id) ^ static_cast<std::uint64_t>(now) ^
@@ -49,8 +60,10 @@
 
 }  // namespace
 
-JobDaemon::JobDaemon(const Settings& chosen)
+JobDaemon::JobDaemon(const Settings& chosen, std::string file)
     : settings(chosen),
+      settings_file(std::move(file)),
+      settings_time(TimeOf(this->settings_file)),
       client(this->loop),
       store(this->client, chosen.store, this->counters),
       callers(this->loop, this->store, this->counters),
@@ -68,7 +81,9 @@
       stop_timer(this->loop, [this] { this->TryToEnd(); }),
       stop_signal(this->loop, SIGTERM, [this] { this->Stop(); }),
       interrupt_signal(this->loop, SIGINT, [this] { this->Stop(); }),
-      reload_signal(this->loop, SIGHUP, [] {}) {
+      reload_signal(this->loop, SIGHUP, [this] { this->Reload(); }),
+      reload_timer(this->loop, [this] { this->ReloadIfChanged(); }) {
+  this->reload_timer.StartEvery(kReloadPeriod);
   if (!chosen.metrics.empty()) {
     this->metrics_server = std::make_unique<http::Server>(
         this->loop, OptionsFor(chosen.metrics, kFewConnections),
@@ -77,13 +92,12 @@
         });
   }
   const std::uint64_t seed = SeedOf(chosen.id);
-  base::Log(base::Event::kDaemonStarted, {{"id", chosen.id},
-                                          {"zone", chosen.zone},
-                                          {"callers_port",
-                                           this->caller_server.port()},
-                                          {"readiness_port",
-                                           this->readiness_server.port()},
-                                          {"seed", seed}});
+  base::Log(base::Event::kDaemonStarted,
+            {{"id", chosen.id},
+             {"zone", chosen.zone},
+             {"callers_port", this->caller_server.port()},
+             {"readiness_port", this->readiness_server.port()},
+             {"seed", seed}});
   this->operators = std::make_unique<platform::TableFollower>(
       this->loop, this->store, std::string(platform::kOperatorTable),
       std::vector<std::string>{""},
@@ -118,6 +132,30 @@
           .on_store_silent = [] {}});
 }
 
+void JobDaemon::ReloadIfChanged() {
+  if (TimeOf(this->settings_file) != this->settings_time)
+    this->Reload();
+}
+
+// Limits and the platform's addresses come into force; what is listened on, and
+// who this daemon is, stay as they were at the start.
+void JobDaemon::Reload() {
+  this->settings_time = TimeOf(this->settings_file);
+  try {
+    std::ifstream in(this->settings_file);
+    if (!in)
+      throw base::TextError(this->settings_file, 0, "", "cannot be opened");
+    Settings next = ReadSettings(in, this->settings_file);
+    next.id = this->settings.id;
+    this->settings = std::move(next);
+  } catch (const base::TextError& error) {
+    base::Log(base::Event::kSettingsRejected, {{"problem", error.what()}});
+    return;
+  }
+  this->store.SetAddress(this->settings.store);
+  base::Log(base::Event::kSettingsReloaded, {{"file", this->settings_file}});
+}
+
 void JobDaemon::TakeOperatorRow(const platform::Row& row) {
   try {
     if (row.at.key == platform::kConfigKey) {
--- a/entry/job_daemon.h
+++ b/entry/job_daemon.h
@@ -4,6 +4,7 @@
 #ifndef ENTRY_JOB_DAEMON_H_
 #define ENTRY_JOB_DAEMON_H_
 
+#include <filesystem>
 #include <map>
 #include <memory>
 #include <string>
@@ -26,12 +27,15 @@
 class JobDaemon {
  public:
   // Throws std::runtime_error if an address cannot be listened on.
-  explicit JobDaemon(const Settings& settings);
+  // `file` is read again at SIGHUP and whenever it changes.
+  JobDaemon(const Settings& settings, std::string file);
 
   // Returns after a stop signal.
   void Run();
 
  private:
+  void Reload();
+  void ReloadIfChanged();
   void TakeOperatorRow(const platform::Row& row);
   void Gained(std::uint64_t epoch);
   void Lost();
@@ -42,6 +46,8 @@
   bool IsReady() const;
 
   Settings settings;
+  std::string settings_file;
+  std::filesystem::file_time_type settings_time;
   base::Loop loop;
   base::Counters counters;
   http::Client client;
@@ -63,6 +69,7 @@
   base::SignalWatcher stop_signal;
   base::SignalWatcher interrupt_signal;
   base::SignalWatcher reload_signal;
+  base::Timer reload_timer;
 };
 
 }  // namespace quartzhoist::entry
--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "base/event_log.h"
+#include "entry/timing.h"
 #include "platform/records.h"
 
 namespace quartzhoist::entry {
@@ -15,33 +16,17 @@
 
 using std::chrono::milliseconds;
 
-constexpr base::Micros kTick = milliseconds(50);
-// News is acted on after this, so that what comes together is placed together.
-constexpr base::Micros kSoon = milliseconds(2);
-constexpr base::Micros kReadAgain = milliseconds(200);
 // What a lease is granted for: past the time in which another owner takes over
 // (2.3 s and its looks), short enough that a dead worker's tasks start again.
 constexpr base::Micros kLease = milliseconds(4000);
 // What a start grants at least: until the worker's next look has been answered.
 // Starts do not renew, or a worker that has died would seem leased for longer.
 constexpr base::Micros kStartLease = milliseconds(3500);
-// No lease lasts longer than this after the store confirmed the ownership: a
-// store that is away for less interrupts nothing (sites: up to 9 s).
-constexpr base::Micros kGrantBound = milliseconds(10'000);
-// Clocks of boxes and workers, when another owner's grants are waited out.
-constexpr double kClockSlack = 1.05;
 // Confirmations come each 0.7 s; another owner takes over after 2 s without.
 constexpr base::Micros kConfirmedLately = milliseconds(1600);
 constexpr base::Micros kReportAgain = milliseconds(500);
 constexpr base::Micros kListPeriod = milliseconds(1500);
 
-// The monotonic clock's reading at 1970.
-base::Micros TimeOfDayOffset() {
-  const auto since_1970 = std::chrono::duration_cast<base::Micros>(
-      std::chrono::system_clock::now().time_since_epoch());
-  return base::MonotonicNow() - since_1970;
-}
-
 scheduler::Limits LimitsOf(const Settings& settings, std::uint64_t epoch) {
   scheduler::Limits limits;
   limits.lease = std::min(kLease, settings.longest_lease);
@@ -83,247 +68,7 @@
   *this->alive = false;
 }
 
-// --- Taking over --------------------------------------------------------------
-
-// Jobs first: progress that is read later belongs to jobs that are known, and
-// later jobs come by the feed.
-void Manager::ReadKept() {
-  this->job_follower = std::make_unique<platform::TableFollower>(
-      this->loop, this->store, std::string(kJobTable), JobParts(),
-      platform::TableFollower::Events{
-          .on_all =
-              [this](std::vector<platform::Row> rows) {
-                if (this->begun) {
-                  for (const platform::Row& row : rows)
-                    this->TakeJobRow(row);
-                  this->soon.StartOnce(kSoon);
-                  return;
-                }
-                this->kept_jobs = std::move(rows);
-                this->ReadRest();
-              },
-          .on_changes =
-              [this](const std::vector<platform::ChangedRow>& rows) {
-                for (const platform::ChangedRow& changed : rows) {
-                  if (changed.removed)
-                    continue;
-                  if (this->begun)
-                    this->TakeJobRow(changed.row);
-                  else
-                    this->kept_jobs->push_back(changed.row);
-                }
-                this->soon.StartOnce(kSoon);
-              },
-          .on_contact = [](base::Micros) {},
-          .on_lost = [] {}});
-  this->worker_follower = std::make_unique<platform::TableFollower>(
-      this->loop, this->store, std::string(platform::kWorkerTable),
-      std::vector<std::string>{""},
-      platform::TableFollower::Events{
-          .on_all =
-              [this](const std::vector<platform::Row>& rows) {
-                std::set<std::string> there;
-                if (!this->announced)
-                  this->announced.emplace();
-                for (const platform::Row& row : rows) {
-                  there.insert(row.at.key);
-                  this->TakeWorkerRow({.row = row, .removed = false});
-                }
-                std::vector<std::string> gone;
-                for (const auto& [id, info] : *this->announced) {
-                  if (!there.contains(id))
-                    gone.push_back(id);
-                }
-                for (const std::string& id : gone) {
-                  platform::Row row;
-                  row.at.key = id;
-                  this->TakeWorkerRow({.row = row, .removed = true});
-                }
-                this->Begin();
-              },
-          .on_changes =
-              [this](const std::vector<platform::ChangedRow>& rows) {
-                for (const platform::ChangedRow& changed : rows)
-                  this->TakeWorkerRow(changed);
-                this->soon.StartOnce(kSoon);
-              },
-          .on_contact = [](base::Micros) {},
-          .on_lost = [] {}});
-}
-
-void Manager::ReadRest() {
-  const auto read = [this](std::string_view table,
-                           const std::vector<std::string>& parts,
-                           std::optional<std::vector<platform::Row>>& into) {
-    if (into)
-      return;
-    platform::ReadTable(
-        this->store, std::string(table), parts,
-        [this, &into, lives = this->alive](
-            std::optional<platform::TableContent> content) {
-          if (!*lives)
-            return;
-          if (content)
-            into = std::move(content->rows);
-          this->Begin();
-        });
-  };
-  const std::vector<std::string> whole = {""};
-  read(kProgressTable, JobParts(), this->kept_progress);
-  read(kLeaseTable, whole, this->kept_leases);
-  read(kWaveTable, whole, this->kept_waves);
-  this->timer.StartOnce(kReadAgain);
-}
-
-void Manager::Begin() {
-  const bool complete = this->has_config && this->kept_jobs &&
-                        this->kept_progress && this->kept_leases &&
-                        this->kept_waves && this->announced;
-  if (this->begun || !complete)
-    return;
-  this->begun = true;
-  this->AddWorkers();
-  this->scheduler.SetConfig(this->config, base::MonotonicNow());
-  this->AddKeptJobs();
-  for (const auto& [number, wave] : this->waves)
-    this->SetWave(wave);
-  base::Log(base::Event::kOwnershipReady,
-            {{"epoch", this->epoch},
-             {"jobs", this->scheduler.all_jobs().size()},
-             {"workers", this->scheduler.all_workers().size()}});
-  this->timer.StartEvery(kTick);
-  this->soon.StartOnce(kSoon);
-}
-
-void Manager::AddWorkers() {
-  const base::Micros now = base::MonotonicNow();
-  for (const platform::Row& row : *this->kept_leases) {
-    if (row.at.key == kLeaseKey)
-      this->TakeLeases(row);
-  }
-  for (const auto& [id, info] : *this->announced)
-    this->scheduler.PutWorker(info, now);
-}
-
-void Manager::AddKeptJobs() {
-  const base::Micros now = base::MonotonicNow();
-  std::map<std::string, const platform::Row*> progress;
-  for (const platform::Row& row : *this->kept_progress)
-    progress[row.at.key] = &row;
-  for (const platform::Row& row : *this->kept_jobs) {
-    const JobKey key = ParseJobKey(row.at.key);
-    if (key.is_cancel) {
-      this->cancels.insert(key.job);
-      continue;
-    }
-    const auto found = progress.find(key.job);
-    const bool is_kept = found != progress.end();
-    const auto accepted = DecodeAccepted(row.value);
-    auto kept = is_kept ? jobs::DecodeProgress(found->second->value)
-                        : std::optional<jobs::Progress>(jobs::Progress{});
-    if (!accepted || !kept) {
-      base::Log(base::Event::kRowMalformed, {{"row", row.at.key}});
-      continue;
-    }
-    // Runs of a job that failed or was cancelled may still take room.
-    if (jobs::IsFinal(kept->state) && kept->placed.empty())
-      continue;
-    auto job = this->MakeJob(key.job, *accepted, std::move(*kept),
-                             is_kept ? found->second->version : row.version);
-    if (!job)
-      continue;
-    this->scheduler.AddJob(std::move(*job), now);
-  }
-  for (const std::string& id : this->cancels)
-    this->scheduler.CancelJob(id, now);
-  this->kept_jobs->clear();
-  this->kept_progress->clear();
-}
-
-// Workers that an earlier owner may have granted a lease; false if the row is a
-// later owner's.
-bool Manager::TakeLeases(const platform::Row& row) {
-  const auto record = DecodeLeases(row.value);
-  if (!record) {
-    base::Log(base::Event::kRowMalformed, {{"row", row.at.key}});
-    return true;
-  }
-  if (record->epoch > this->epoch)
-    return false;
-  const auto bound = base::Micros(static_cast<std::int64_t>(
-      static_cast<double>(kGrantBound.count()) * kClockSlack));
-  this->lease_version = row.version;
-  if (record->epoch == this->epoch)
-    return true;
-  for (const scheduler::WorkerInfo& info : record->workers)
-    this->scheduler.InheritWorker(info, base::MonotonicNow() + bound);
-  return true;
-}
-
-std::optional<scheduler::Job> Manager::MakeJob(const std::string& id,
-                                               const AcceptedJob& accepted,
-                                               jobs::Progress progress,
-                                               std::uint64_t version) const {
-  const base::Micros offset = TimeOfDayOffset();
-  try {
-    scheduler::Job job = scheduler::MakeJob(
-        id, accepted.queue, platform::ParseJob(accepted.body),
-        std::move(progress), milliseconds(accepted.accepted_ms) + offset,
-        offset);
-    job.version = version;
-    return job;
-  } catch (const platform::BadInput& problem) {
-    base::Log(base::Event::kRowMalformed,
-              {{"row", id}, {"problem", problem.what()}});
-    return std::nullopt;
-  }
-}
-
-// --- The store's news ------------------------------------------------------------
-
-void Manager::TakeJobRow(const platform::Row& row) {
-  const base::Micros now = base::MonotonicNow();
-  const JobKey key = ParseJobKey(row.at.key);
-  if (key.is_cancel) {
-    this->cancels.insert(key.job);
-    this->scheduler.CancelJob(key.job, now);
-    return;
-  }
-  const auto accepted = DecodeAccepted(row.value);
-  if (!accepted) {
-    base::Log(base::Event::kRowMalformed, {{"row", row.at.key}});
-    return;
-  }
-  // Its progress was written with it, under the same version.
-  auto job = this->MakeJob(key.job, *accepted, {}, row.version);
-  if (job)
-    this->scheduler.AddJob(std::move(*job), now);
-  if (this->cancels.contains(key.job))
-    this->scheduler.CancelJob(key.job, now);
-}
-
-void Manager::TakeWorkerRow(const platform::ChangedRow& changed) {
-  const base::Micros now = base::MonotonicNow();
-  const std::string& id = changed.row.at.key;
-  if (!this->announced)
-    this->announced.emplace();
-  if (changed.removed) {
-    this->announced->erase(id);
-    if (this->begun)
-      this->scheduler.WorkerUnlisted(id, now);
-    return;
-  }
-  try {
-    const scheduler::WorkerInfo info =
-        platform::ParseWorker(id, changed.row.value);
-    (*this->announced)[id] = info;
-    if (this->begun)
-      this->scheduler.PutWorker(info, now);
-  } catch (const platform::BadInput& problem) {
-    base::Log(base::Event::kRowMalformed,
-              {{"row", id}, {"problem", problem.what()}});
-  }
-}
+// --- Taking over ---
 
 void Manager::SetConfig(const jobs::Config& next) {
   this->config = next;
@@ -351,7 +96,7 @@
   this->scheduler.Confirmed(asked);
 }
 
-// --- Actions ----------------------------------------------------------------------
+// --- Actions ---
 
 void Manager::Act() {
   if (!this->begun) {
@@ -496,13 +241,13 @@
         if (!*lives)
           return;
         const bool unknown = outcome == scheduler::OrderOutcome::kUnknown;
-        base::Log(unknown ? base::Event::kRunUnsettled
-                          : base::Event::kRunStarted,
-                  {{"task", platform::TaskName(order.task)},
-                   {"run", order.run},
-                   {"worker", worker},
-                   {"outcome",
-                    base::NameOf(scheduler::kOrderOutcomeNames, outcome)}});
+        base::Log(
+            unknown ? base::Event::kRunUnsettled : base::Event::kRunStarted,
+            {{"task", platform::TaskName(order.task)},
+             {"run", order.run},
+             {"worker", worker},
+             {"outcome",
+              base::NameOf(scheduler::kOrderOutcomeNames, outcome)}});
         this->scheduler.Started(order, outcome, base::MonotonicNow());
         this->OrderAnswered(worker, unknown);
       });
@@ -522,15 +267,14 @@
 }
 
 void Manager::Send(const std::string& worker, const scheduler::PaceRun& order) {
-  this->workers.Pace(this->To(worker), order,
-                     [this, worker, lives = this->alive](
-                         scheduler::OrderOutcome outcome) {
-                       if (!*lives)
-                         return;
-                       this->OrderAnswered(
-                           worker,
-                           outcome == scheduler::OrderOutcome::kUnknown);
-                     });
+  this->workers.Pace(
+      this->To(worker), order,
+      [this, worker, lives = this->alive](scheduler::OrderOutcome outcome) {
+        if (!*lives)
+          return;
+        this->OrderAnswered(worker,
+                            outcome == scheduler::OrderOutcome::kUnknown);
+      });
 }
 
 void Manager::SendLook(const scheduler::LookAt& order) {
@@ -557,35 +301,33 @@
 }
 
 void Manager::SendBox(const scheduler::MoveBox& order) {
-  this->boxes.Move(order, this->epoch,
-                   [this, order, lives = this->alive](
-                       scheduler::BoxCallOutcome outcome) {
-                     if (!*lives)
-                       return;
-                     base::Log(base::Event::kBoxMoved,
-                               {{"box", order.box},
-                                {"pool", order.pool},
-                                {"outcome", static_cast<int>(outcome)}});
-                     this->scheduler.Moved(order, outcome,
-                                           base::MonotonicNow());
-                     this->soon.StartOnce(kSoon);
-                   });
+  this->boxes.Move(
+      order, this->epoch,
+      [this, order, lives = this->alive](scheduler::BoxCallOutcome outcome) {
+        if (!*lives)
+          return;
+        base::Log(base::Event::kBoxMoved,
+                  {{"box", order.box},
+                   {"pool", order.pool},
+                   {"outcome", static_cast<int>(outcome)}});
+        this->scheduler.Moved(order, outcome, base::MonotonicNow());
+        this->soon.StartOnce(kSoon);
+      });
 }
 
 void Manager::SendBox(const scheduler::UpkeepBox& order) {
-  this->boxes.Upkeep(order, this->epoch,
-                     [this, order, lives = this->alive](
-                         scheduler::BoxCallOutcome outcome) {
-                       if (!*lives)
-                         return;
-                       base::Log(base::Event::kUpkeepBegun,
-                                 {{"box", order.box},
-                                  {"wave", order.wave},
-                                  {"outcome", static_cast<int>(outcome)}});
-                       this->scheduler.UpkeepBegun(order, outcome,
-                                                   base::MonotonicNow());
-                       this->soon.StartOnce(kSoon);
-                     });
+  this->boxes.Upkeep(
+      order, this->epoch,
+      [this, order, lives = this->alive](scheduler::BoxCallOutcome outcome) {
+        if (!*lives)
+          return;
+        base::Log(base::Event::kUpkeepBegun,
+                  {{"box", order.box},
+                   {"wave", order.wave},
+                   {"outcome", static_cast<int>(outcome)}});
+        this->scheduler.UpkeepBegun(order, outcome, base::MonotonicNow());
+        this->soon.StartOnce(kSoon);
+      });
 }
 
 }  // namespace quartzhoist::entry
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -31,8 +31,7 @@
 void Manager::SaveAll() {
   while (!this->saves.empty() && this->saves_in_flight < kMaxSavesInFlight) {
     const std::size_t count = std::min(this->saves.size(), kMaxSavesAWrite);
-    const auto end =
-        this->saves.begin() + static_cast<std::ptrdiff_t>(count);
+    const auto end = this->saves.begin() + static_cast<std::ptrdiff_t>(count);
     std::vector<scheduler::SaveProgress> batch(
         std::make_move_iterator(this->saves.begin()),
         std::make_move_iterator(end));
@@ -44,15 +43,15 @@
       write.puts.push_back({.at = ProgressRow(save.job), .value = save.text});
     }
     ++this->saves_in_flight;
-    this->store.Write(write,
-                      [this, batch = std::move(batch), lives = this->alive](
-                          const platform::WriteResult& result) {
-                        if (!*lives)
-                          return;
-                        --this->saves_in_flight;
-                        this->TakeSaved(batch, result);
-                        this->soon.StartOnce(milliseconds(1));
-                      });
+    this->store.Write(
+        write, [this, batch = std::move(batch),
+                lives = this->alive](const platform::WriteResult& result) {
+          if (!*lives)
+            return;
+          --this->saves_in_flight;
+          this->TakeSaved(batch, result);
+          this->soon.StartOnce(milliseconds(1));
+        });
   }
 }
 
@@ -101,7 +100,9 @@
                              .key = std::string(kLeaseKey)};
   const platform::WriteBatch write{
       .conditions = {{.at = row, .version = this->lease_version}},
-      .puts = {{.at = row, .value = EncodeLeases({.epoch = this->epoch, .workers = known})}},
+      .puts = {{.at = row,
+                .value =
+                    EncodeLeases({.epoch = this->epoch, .workers = known})}},
       .removes = {}};
   this->lease_writing = true;
   this->store.Write(write, [this, ids, lives = this->alive](
@@ -172,16 +173,15 @@
   const std::string number = std::to_string(report.wave);
   const platform::WriteBatch begun_boxes{
       .conditions = {},
-      .puts = {{.at = {.table = std::string(kWaveTable),
-                       .part = "",
-                       .key = number},
-                .value = EncodeNames(report.begun)}},
+      .puts =
+          {{.at = {.table = std::string(kWaveTable), .part = "", .key = number},
+            .value = EncodeNames(report.begun)}},
       .removes = {}};
   this->store.Write(begun_boxes, [](const platform::WriteResult&) {});
-  const platform::RowKey status{.table = std::string(platform::kStatusTable),
-                                .part = "",
-                                .key = std::string(platform::kWavePrefix) +
-                                       number};
+  const platform::RowKey status{
+      .table = std::string(platform::kStatusTable),
+      .part = "",
+      .key = std::string(platform::kWavePrefix) + number};
   platform::WriteBatch write;
   if (report.state == scheduler::WaveState::kRunning)
     write.conditions.push_back({.at = status, .version = 0});
@@ -198,8 +198,7 @@
                          result.outcome == platform::WriteOutcome::kConflict;
     base::Log(base::Event::kWaveReported,
               {{"wave", report.wave},
-               {"completed",
-                report.state == scheduler::WaveState::kCompleted},
+               {"completed", report.state == scheduler::WaveState::kCompleted},
                {"settled", settled}});
     if (settled)
       this->reported_waves.insert(report.wave);
@@ -210,25 +209,25 @@
 
 void Manager::ListBoxes(const std::string& page,
                         std::vector<scheduler::BoxInfo> so_far) {
-  this->boxes.List(page, [this, so_far = std::move(so_far),
-                          lives = this->alive](
-                             std::optional<platform::BoxPage> result) mutable {
-    if (!*lives)
-      return;
-    if (!result) {
-      this->listing_boxes = false;
-      return;
-    }
-    for (scheduler::BoxInfo& box : result->boxes)
-      so_far.push_back(std::move(box));
-    if (!result->next.empty()) {
-      this->ListBoxes(result->next, std::move(so_far));
-      return;
-    }
-    this->listing_boxes = false;
-    this->scheduler.SetBoxes(so_far, base::MonotonicNow());
-    this->soon.StartOnce(milliseconds(1));
-  });
+  this->boxes.List(page,
+                   [this, so_far = std::move(so_far), lives = this->alive](
+                       std::optional<platform::BoxPage> result) mutable {
+                     if (!*lives)
+                       return;
+                     if (!result) {
+                       this->listing_boxes = false;
+                       return;
+                     }
+                     for (scheduler::BoxInfo& box : result->boxes)
+                       so_far.push_back(std::move(box));
+                     if (!result->next.empty()) {
+                       this->ListBoxes(result->next, std::move(so_far));
+                       return;
+                     }
+                     this->listing_boxes = false;
+                     this->scheduler.SetBoxes(so_far, base::MonotonicNow());
+                     this->soon.StartOnce(milliseconds(1));
+                   });
 }
 
 std::string Manager::Dump() const {
@@ -252,8 +251,7 @@
     dump["jobs"].push_back(
         {{"id", id},
          {"queue", job.queue.name},
-         {"state",
-          base::NameOf(jobs::kJobStateNames, job.progress.state)}});
+         {"state", base::NameOf(jobs::kJobStateNames, job.progress.state)}});
   }
   return dump.dump();
 }
--- /dev/null
+++ b/entry/manager_takeover.cc
@@ -0,0 +1,263 @@
+// How a new owner learns what is kept, and the store's news after that.
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "base/event_log.h"
+#include "entry/manager.h"
+#include "entry/timing.h"
+#include "platform/records.h"
+
+namespace quartzhoist::entry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr base::Micros kReadAgain = milliseconds(200);
+// Clocks of boxes and workers, when another owner's grants are waited out.
+constexpr double kClockSlack = 1.05;
+
+}  // namespace
+
+// Jobs first: progress that is read later belongs to jobs that are known, and
+// later jobs come by the feed.
+void Manager::ReadKept() {
+  this->job_follower = std::make_unique<platform::TableFollower>(
+      this->loop, this->store, std::string(kJobTable), JobParts(),
+      platform::TableFollower::Events{
+          .on_all =
+              [this](std::vector<platform::Row> rows) {
+                if (this->begun) {
+                  for (const platform::Row& row : rows)
+                    this->TakeJobRow(row);
+                  this->soon.StartOnce(kSoon);
+                  return;
+                }
+                this->kept_jobs = std::move(rows);
+                this->ReadRest();
+              },
+          .on_changes =
+              [this](const std::vector<platform::ChangedRow>& rows) {
+                for (const platform::ChangedRow& changed : rows) {
+                  if (changed.removed)
+                    continue;
+                  if (this->begun)
+                    this->TakeJobRow(changed.row);
+                  else
+                    this->kept_jobs->push_back(changed.row);
+                }
+                this->soon.StartOnce(kSoon);
+              },
+          .on_contact = [](base::Micros) {},
+          .on_lost = [] {}});
+  this->worker_follower = std::make_unique<platform::TableFollower>(
+      this->loop, this->store, std::string(platform::kWorkerTable),
+      std::vector<std::string>{""},
+      platform::TableFollower::Events{
+          .on_all =
+              [this](const std::vector<platform::Row>& rows) {
+                std::set<std::string> there;
+                if (!this->announced)
+                  this->announced.emplace();
+                for (const platform::Row& row : rows) {
+                  there.insert(row.at.key);
+                  this->TakeWorkerRow({.row = row, .removed = false});
+                }
+                std::vector<std::string> gone;
+                for (const auto& [id, info] : *this->announced) {
+                  if (!there.contains(id))
+                    gone.push_back(id);
+                }
+                for (const std::string& id : gone) {
+                  platform::Row row;
+                  row.at.key = id;
+                  this->TakeWorkerRow({.row = row, .removed = true});
+                }
+                this->Begin();
+              },
+          .on_changes =
+              [this](const std::vector<platform::ChangedRow>& rows) {
+                for (const platform::ChangedRow& changed : rows)
+                  this->TakeWorkerRow(changed);
+                this->soon.StartOnce(kSoon);
+              },
+          .on_contact = [](base::Micros) {},
+          .on_lost = [] {}});
+}
+
+void Manager::ReadRest() {
+  const auto read = [this](std::string_view table,
+                           const std::vector<std::string>& parts,
+                           std::optional<std::vector<platform::Row>>& into) {
+    if (into)
+      return;
+    platform::ReadTable(this->store, std::string(table), parts,
+                        [this, &into, lives = this->alive](
+                            std::optional<platform::TableContent> content) {
+                          if (!*lives)
+                            return;
+                          if (content)
+                            into = std::move(content->rows);
+                          this->Begin();
+                        });
+  };
+  const std::vector<std::string> whole = {""};
+  read(kProgressTable, JobParts(), this->kept_progress);
+  read(kLeaseTable, whole, this->kept_leases);
+  read(kWaveTable, whole, this->kept_waves);
+  this->timer.StartOnce(kReadAgain);
+}
+
+void Manager::Begin() {
+  const bool complete = this->has_config && this->kept_jobs &&
+                        this->kept_progress && this->kept_leases &&
+                        this->kept_waves && this->announced;
+  if (this->begun || !complete)
+    return;
+  this->begun = true;
+  this->AddWorkers();
+  this->scheduler.SetConfig(this->config, base::MonotonicNow());
+  this->AddKeptJobs();
+  for (const auto& [number, wave] : this->waves)
+    this->SetWave(wave);
+  base::Log(base::Event::kOwnershipReady,
+            {{"epoch", this->epoch},
+             {"jobs", this->scheduler.all_jobs().size()},
+             {"workers", this->scheduler.all_workers().size()}});
+  this->timer.StartEvery(kTick);
+  this->soon.StartOnce(kSoon);
+}
+
+void Manager::AddWorkers() {
+  const base::Micros now = base::MonotonicNow();
+  for (const platform::Row& row : *this->kept_leases) {
+    if (row.at.key == kLeaseKey)
+      this->TakeLeases(row);
+  }
+  for (const auto& [id, info] : *this->announced)
+    this->scheduler.PutWorker(info, now);
+}
+
+void Manager::AddKeptJobs() {
+  const base::Micros now = base::MonotonicNow();
+  std::map<std::string, const platform::Row*> progress;
+  for (const platform::Row& row : *this->kept_progress)
+    progress[row.at.key] = &row;
+  for (const platform::Row& row : *this->kept_jobs) {
+    const JobKey key = ParseJobKey(row.at.key);
+    if (key.is_cancel) {
+      this->cancels.insert(key.job);
+      continue;
+    }
+    const auto found = progress.find(key.job);
+    const bool is_kept = found != progress.end();
+    const auto accepted = DecodeAccepted(row.value);
+    auto kept = is_kept ? jobs::DecodeProgress(found->second->value)
+                        : std::optional<jobs::Progress>(jobs::Progress{});
+    if (!accepted || !kept) {
+      base::Log(base::Event::kRowMalformed, {{"row", row.at.key}});
+      continue;
+    }
+    // Runs of a job that failed or was cancelled may still take room.
+    if (jobs::IsFinal(kept->state) && kept->placed.empty())
+      continue;
+    auto job = this->MakeJob(key.job, *accepted, std::move(*kept),
+                             is_kept ? found->second->version : row.version);
+    if (!job)
+      continue;
+    this->scheduler.AddJob(std::move(*job), now);
+  }
+  for (const std::string& id : this->cancels)
+    this->scheduler.CancelJob(id, now);
+  this->kept_jobs->clear();
+  this->kept_progress->clear();
+}
+
+// Workers that an earlier owner may have granted a lease; false if the row is a
+// later owner's.
+bool Manager::TakeLeases(const platform::Row& row) {
+  const auto record = DecodeLeases(row.value);
+  if (!record) {
+    base::Log(base::Event::kRowMalformed, {{"row", row.at.key}});
+    return true;
+  }
+  if (record->epoch > this->epoch)
+    return false;
+  const auto bound = base::Micros(static_cast<std::int64_t>(
+      static_cast<double>(kGrantBound.count()) * kClockSlack));
+  this->lease_version = row.version;
+  if (record->epoch == this->epoch)
+    return true;
+  for (const scheduler::WorkerInfo& info : record->workers)
+    this->scheduler.InheritWorker(info, base::MonotonicNow() + bound);
+  return true;
+}
+
+std::optional<scheduler::Job> Manager::MakeJob(const std::string& id,
+                                               const AcceptedJob& accepted,
+                                               jobs::Progress progress,
+                                               std::uint64_t version) const {
+  const base::Micros offset = TimeOfDayOffset();
+  try {
+    scheduler::Job job = scheduler::MakeJob(
+        id, accepted.queue, platform::ParseJob(accepted.body),
+        std::move(progress), milliseconds(accepted.accepted_ms) + offset,
+        offset);
+    job.version = version;
+    return job;
+  } catch (const platform::BadInput& problem) {
+    base::Log(base::Event::kRowMalformed,
+              {{"row", id}, {"problem", problem.what()}});
+    return std::nullopt;
+  }
+}
+
+// --- The store's news ---
+
+void Manager::TakeJobRow(const platform::Row& row) {
+  const base::Micros now = base::MonotonicNow();
+  const JobKey key = ParseJobKey(row.at.key);
+  if (key.is_cancel) {
+    this->cancels.insert(key.job);
+    this->scheduler.CancelJob(key.job, now);
+    return;
+  }
+  const auto accepted = DecodeAccepted(row.value);
+  if (!accepted) {
+    base::Log(base::Event::kRowMalformed, {{"row", row.at.key}});
+    return;
+  }
+  // Its progress was written with it, under the same version.
+  auto job = this->MakeJob(key.job, *accepted, {}, row.version);
+  if (job)
+    this->scheduler.AddJob(std::move(*job), now);
+  if (this->cancels.contains(key.job))
+    this->scheduler.CancelJob(key.job, now);
+}
+
+void Manager::TakeWorkerRow(const platform::ChangedRow& changed) {
+  const base::Micros now = base::MonotonicNow();
+  const std::string& id = changed.row.at.key;
+  if (!this->announced)
+    this->announced.emplace();
+  if (changed.removed) {
+    this->announced->erase(id);
+    if (this->begun)
+      this->scheduler.WorkerUnlisted(id, now);
+    return;
+  }
+  try {
+    const scheduler::WorkerInfo info =
+        platform::ParseWorker(id, changed.row.value);
+    (*this->announced)[id] = info;
+    if (this->begun)
+      this->scheduler.PutWorker(info, now);
+  } catch (const platform::BadInput& problem) {
+    base::Log(base::Event::kRowMalformed,
+              {{"row", id}, {"problem", problem.what()}});
+  }
+}
+
+}  // namespace quartzhoist::entry
--- a/entry/ownership.cc
+++ b/entry/ownership.cc
@@ -48,29 +48,28 @@
       random(seed),
       events(std::move(handlers)),
       timer(loop, [this] { this->Act(); }),
-      follower(loop,
-               on,
-               std::string(kOwnerTable),
-               {""},
-               {.on_all =
-                    [this](const std::vector<platform::Row>& rows) {
-                      this->known = true;
-                      for (const platform::Row& row : rows)
-                        this->SeeRow(row, false);
-                    },
-                .on_changes =
-                    [this](const std::vector<platform::ChangedRow>& rows) {
-                      for (const platform::ChangedRow& changed : rows)
-                        this->SeeRow(changed.row, changed.removed);
-                    },
-                .on_contact = [this](base::Micros asked) {
-                  this->SeeStore(asked);
-                },
-                .on_lost =
-                    [this] {
-                      this->unchanged_since = base::MonotonicNow();
-                      this->events.on_store_silent();
-                    }}) {
+      follower(
+          loop,
+          on,
+          std::string(kOwnerTable),
+          {""},
+          {.on_all =
+               [this](const std::vector<platform::Row>& rows) {
+                 this->known = true;
+                 for (const platform::Row& row : rows)
+                   this->SeeRow(row, false);
+               },
+           .on_changes =
+               [this](const std::vector<platform::ChangedRow>& rows) {
+                 for (const platform::ChangedRow& changed : rows)
+                   this->SeeRow(changed.row, changed.removed);
+               },
+           .on_contact = [this](base::Micros asked) { this->SeeStore(asked); },
+           .on_lost =
+               [this] {
+                 this->unchanged_since = base::MonotonicNow();
+                 this->events.on_store_silent();
+               }}) {
   this->incarnation = fmt::format("{:016x}", this->random());
   this->unchanged_since = base::MonotonicNow();
   this->patience = milliseconds(this->random() % kFreeSpreadMillis);
@@ -150,10 +149,10 @@
       .conditions = {{.at = OwnerRow(), .version = this->version}},
       .puts = {{.at = OwnerRow(), .value = EncodeOwner(next)}},
       .removes = {}};
-  this->store.Write(batch, [this, next, taking,
-                            asked](const platform::WriteResult& result) {
-    this->TakeAnswer(result, next, taking, asked);
-  });
+  this->store.Write(
+      batch, [this, next, taking, asked](const platform::WriteResult& result) {
+        this->TakeAnswer(result, next, taking, asked);
+      });
 }
 
 void Ownership::TakeAnswer(const platform::WriteResult& result,
@@ -215,8 +214,8 @@
   if (!this->holding)
     return;
   this->holding = false;
-  base::Log(base::Event::kOwnershipLost, {{"epoch", this->record.epoch},
-                                          {"holder", this->record.holder}});
+  base::Log(base::Event::kOwnershipLost,
+            {{"epoch", this->record.epoch}, {"holder", this->record.holder}});
   this->events.on_lost();
 }
 
--- a/entry/process_test.cc
+++ b/entry/process_test.cc
@@ -2,6 +2,7 @@
 // the store; workers that crash; a wave of upkeep.
 
 #include <csignal>
+#include <fstream>
 #include <string>
 #include <vector>
 
@@ -53,8 +54,8 @@
   }
 
   void ExpectAllDoneOnce() {
-    BOOST_TEST(cluster.WaitUntil(kSoon,
-                                 [this] { return this->AllCompleted(); }));
+    BOOST_TEST(
+        cluster.WaitUntil(kSoon, [this] { return this->AllCompleted(); }));
     BOOST_TEST(Joined(this->cluster.workers().broken()) == "");
   }
 
@@ -118,8 +119,8 @@
   BOOST_TEST(bench.OwnerIsNot(first));
   // It answers callers until it leaves.
   BOOST_TEST(bench.cluster.Call(first, "GET", JobId(0)).status == 200);
-  BOOST_TEST(bench.cluster.WaitUntil(kSoon,
-                                     [&] { return !stopped.running(); }));
+  BOOST_TEST(
+      bench.cluster.WaitUntil(kSoon, [&] { return !stopped.running(); }));
   BOOST_TEST(stopped.Wait(1).value_or(-1) == 0);
   bench.cluster.daemons().erase(first);
   bench.ExpectAllDoneOnce();
@@ -133,8 +134,8 @@
   BOOST_TEST(bench.cluster.Submit(JobId(99), 1, 1) == 503);
   const base::Micros until =
       base::MonotonicNow() + std::chrono::milliseconds(1500);
-  bench.cluster.WaitUntil(
-      kSoon, [until] { return base::MonotonicNow() > until; });
+  bench.cluster.WaitUntil(kSoon,
+                          [until] { return base::MonotonicNow() > until; });
   bench.cluster.store().SetMood(StoreStandin::Mood::kWell);
   bench.ExpectAllDoneOnce();
   // What was refused never runs.
@@ -167,6 +168,23 @@
   bench.ExpectAllDoneOnce();
 }
 
+BOOST_AUTO_TEST_CASE(SettingsAreReadAgainAndBadOnesRefused) {
+  Bench bench(1);
+  JobCluster::Daemon& daemon = bench.cluster.daemons().at("entry-1");
+  const auto log_has = [&daemon](const char* text) {
+    return daemon.process->Output().find(text) != std::string::npos;
+  };
+  std::ofstream(daemon.settings, std::ios::app) << "grace_seconds = 5\n";
+  daemon.process->Signal(SIGHUP);
+  BOOST_TEST(bench.cluster.WaitUntil(
+      kSoon, [&] { return log_has("settings_reloaded"); }));
+  // A change without a signal is noticed too; a bad one changes nothing.
+  std::ofstream(daemon.settings, std::ios::app) << "graze_seconds = 5\n";
+  BOOST_TEST(bench.cluster.WaitUntil(
+      kSoon, [&] { return log_has("[limits] graze_seconds"); }));
+  BOOST_TEST(bench.cluster.Submit(JobId(1), 1, 1) == 200);
+}
+
 BOOST_AUTO_TEST_CASE(CancelledJobIsSaidToBe) {
   Bench bench(2);
   bench.cluster.workers().SetRunTime(std::chrono::seconds(30));
--- a/entry/tables.cc
+++ b/entry/tables.cc
@@ -95,11 +95,10 @@
 std::optional<OwnerRecord> DecodeOwner(std::string_view text) {
   try {
     const Json json = Json::parse(text);
-    return OwnerRecord{
-        .holder = json.at("holder").get<std::string>(),
-        .incarnation = json.at("incarnation").get<std::string>(),
-        .epoch = json.at("epoch").get<std::uint64_t>(),
-        .beat = json.at("beat").get<std::uint64_t>()};
+    return OwnerRecord{.holder = json.at("holder").get<std::string>(),
+                       .incarnation = json.at("incarnation").get<std::string>(),
+                       .epoch = json.at("epoch").get<std::uint64_t>(),
+                       .beat = json.at("beat").get<std::uint64_t>()};
   } catch (const Json::exception&) {
     return std::nullopt;
   }
--- /dev/null
+++ b/entry/timing.h
@@ -0,0 +1,29 @@
+// Times that the owner's parts share.
+
+#ifndef ENTRY_TIMING_H_
+#define ENTRY_TIMING_H_
+
+#include <chrono>
+
+#include "base/clock.h"
+
+namespace quartzhoist::entry {
+
+// How often the owner lets time pass.
+inline constexpr base::Micros kTick = std::chrono::milliseconds(50);
+// News is acted on after this, so that what comes together is placed together.
+inline constexpr base::Micros kSoon = std::chrono::milliseconds(2);
+// No lease lasts longer than this after the store confirmed the ownership: a
+// store that is away for less interrupts nothing (sites: up to 9 s).
+inline constexpr base::Micros kGrantBound = std::chrono::milliseconds(10'000);
+
+// The monotonic clock's reading at 1970.
+inline base::Micros TimeOfDayOffset() {
+  const auto since_1970 = std::chrono::duration_cast<base::Micros>(
+      std::chrono::system_clock::now().time_since_epoch());
+  return base::MonotonicNow() - since_1970;
+}
+
+}  // namespace quartzhoist::entry
+
+#endif  // ENTRY_TIMING_H_
--- a/jobs/progress.cc
+++ b/jobs/progress.cc
@@ -69,9 +69,8 @@
   const auto numbers = ParseNumbers(text);
   if (!numbers || numbers->size() != 3)
     return std::nullopt;
-  return TaskKey{
-      .step = {.occurrence = (*numbers)[0], .step = (*numbers)[1]},
-      .index = (*numbers)[2]};
+  return TaskKey{.step = {.occurrence = (*numbers)[0], .step = (*numbers)[1]},
+                 .index = (*numbers)[2]};
 }
 
 bool ReadFailures(const Json& row, Progress& progress) {
--- a/jobs/queue.h
+++ b/jobs/queue.h
@@ -24,17 +24,16 @@
   std::string name;
   std::string host;
   std::string path_prefix;
-  std::string service;  // whose workers run the tasks
-  int priority = 0;     // 0 goes first
-  int attempts = 1;     // failed runs of a task before its job fails
+  std::string service;            // whose workers run the tasks
+  int priority = 0;               // 0 goes first
+  int attempts = 1;               // failed runs of a task before its job fails
   double extension = 1.0;         // objective: times the longest chain of work
   base::Micros target_latency{};  // objective: added to that
   AdviceTerms advice;
 
   bool operator==(const Queue& other) const {
     return this->name == other.name && this->service == other.service &&
-           this->priority == other.priority &&
-           this->attempts == other.attempts;
+           this->priority == other.priority && this->attempts == other.attempts;
   }
 };
 
--- a/scheduler/ends.cc
+++ b/scheduler/ends.cc
@@ -22,7 +22,8 @@
 // After it, one failure more puts the worker back.
 constexpr double kFailureAfterQuarantine = 0.3;
 // A run whose percent has not changed for so long stands still: tasks take 0.8
-// to 5 s, and even at an eighth of its speed a task of 5 s makes 3% in this time.
+// to 5 s, and even at an eighth of its speed a task of 5 s makes 3% in this
+// time.
 constexpr base::Micros kStallTime = milliseconds(1800);
 // A run crawls if what is left takes so many times what a run takes elsewhere.
 constexpr int kSlowTimes = 2;
@@ -175,22 +176,22 @@
   }
   if (any_placed)
     return;
-  this->Enqueue(*job,
-                {.occurrence = place.occurrence, .step = place.step, .index = 0},
-                now);
+  this->Enqueue(
+      *job, {.occurrence = place.occurrence, .step = place.step, .index = 0},
+      now);
 }
 
 void Scheduler::JudgeWorker(Worker& worker, bool failed, base::Micros now) {
-  worker.failure_rate += kFailureWeight * ((failed ? 1.0 : 0.0) -
-                                           worker.failure_rate);
+  worker.failure_rate +=
+      kFailureWeight * ((failed ? 1.0 : 0.0) - worker.failure_rate);
   if (!failed || worker.failure_rate < kFailureLimit)
     return;
   worker.quarantined_until = now + kQuarantine;
   this->actions.emplace_back(
-      Note{worker.info.id, fmt::format("fails {:.0f}% of its runs: nothing is "
-                                       "placed for {:.0f} s",
-                                       worker.failure_rate * 100,
-                                       base::Seconds(kQuarantine))});
+      Note{worker.info.id,
+           fmt::format("fails {:.0f}% of its runs: nothing is "
+                       "placed for {:.0f} s",
+                       worker.failure_rate * 100, base::Seconds(kQuarantine))});
   worker.failure_rate = kFailureAfterQuarantine;
 }
 
@@ -248,9 +249,9 @@
   ++task.moved;
   RememberFailure(task, worker.info.id);
   this->actions.emplace_back(
-      Note{id.job, fmt::format("task {}.{}.{} {} on {}: it starts elsewhere",
-                               id.occurrence, id.step, id.index, why,
-                               worker.info.id)});
+      Note{id.job,
+           fmt::format("task {}.{}.{} {} on {}: it starts elsewhere",
+                       id.occurrence, id.step, id.index, why, worker.info.id)});
   this->Stop(worker, id, now);
 }
 
--- a/scheduler/evacuation.cc
+++ b/scheduler/evacuation.cc
@@ -56,8 +56,7 @@
     }
   }
   for (const jobs::Queue& queue : this->config.queues) {
-    const double slope =
-        std::max(0.0, this->demand.Slope(queue.name, now));
+    const double slope = std::max(0.0, this->demand.Slope(queue.name, now));
     needs[queue.service][queue.priority].soon_cores += kSlopeWeight * slope;
   }
   std::map<std::string, int> least = this->LeastBoxes();
@@ -81,8 +80,7 @@
       if (!step.lasting)
         continue;
       const std::int64_t most = step.most_per_worker;
-      const std::int64_t boxes =
-          most > 0 ? (step.tasks + most - 1) / most : 1;
+      const std::int64_t boxes = most > 0 ? (step.tasks + most - 1) / most : 1;
       int& known = least[job.queue.service];
       known = std::max(known, static_cast<int>(boxes));
     }
@@ -134,8 +132,7 @@
 
 // A lasting task may be interrupted while every other one of its step is at
 // work, or fewer are away than its limit allows.
-bool Scheduler::MayInterrupt(const jobs::TaskId& id,
-                             base::Micros now) const {
+bool Scheduler::MayInterrupt(const jobs::TaskId& id, base::Micros now) const {
   const auto job = this->jobs.find(id.job);
   if (job == this->jobs.end() || !Exists(job->second, PlaceOf(id)))
     return true;
--- a/scheduler/facts.h
+++ b/scheduler/facts.h
@@ -78,11 +78,11 @@
 // How an order to a worker was answered.
 enum class OrderOutcome {
   kDone,
-  kNotSent,    // no byte left; it was not and will not be carried out
-  kUnknown,    // no answer: it may have been, or may yet be, carried out
-  kFenced,     // a higher epoch has been seen there
-  kOld,        // this run, or a later one, has ended there
-  kLate,       // its lease was over when it came
+  kNotSent,  // no byte left; it was not and will not be carried out
+  kUnknown,  // no answer: it may have been, or may yet be, carried out
+  kFenced,   // a higher epoch has been seen there
+  kOld,      // this run, or a later one, has ended there
+  kLate,     // its lease was over when it came
   kNoRoom,
   kNoTicket,   // the advice does not cover it
   kBusy,       // the worker is unhealthy; nothing was done
--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -194,10 +194,10 @@
 }
 
 ReportWave Fleet::Report(const WaveProgress& progress) const {
-  ReportWave report{.wave = progress.wave.number,
-                    .state = progress.completed ? WaveState::kCompleted
-                                                : WaveState::kRunning,
-                    .begun = {}};
+  ReportWave report{
+      .wave = progress.wave.number,
+      .state = progress.completed ? WaveState::kCompleted : WaveState::kRunning,
+      .begun = {}};
   for (const auto& [box, upkeep] : progress.boxes) {
     if (upkeep.state == UpkeepState::kDown ||
         upkeep.state == UpkeepState::kDone)
@@ -262,8 +262,8 @@
       upkeep.state = UpkeepState::kPending;
       continue;
     }
-    const bool empty = upkeep.state == UpkeepState::kEmptying && here &&
-                       found->second->idle;
+    const bool empty =
+        upkeep.state == UpkeepState::kEmptying && here && found->second->idle;
     const bool again = upkeep.state == UpkeepState::kCalling;
     if ((empty || again) &&
         MayBeAsked(upkeep.in_flight, upkeep.next_call, now)) {
@@ -271,8 +271,7 @@
         upkeep.worker_before = found->second->worker;
       upkeep.state = UpkeepState::kCalling;
       upkeep.in_flight = true;
-      steps.emplace_back(
-          UpkeepBox{.box = name, .wave = progress.wave.number});
+      steps.emplace_back(UpkeepBox{.box = name, .wave = progress.wave.number});
     } else if (upkeep.state == UpkeepState::kEmptying) {
       steps.emplace_back(Evacuate{.box = name});
     }
@@ -366,8 +365,8 @@
   const std::map<std::string, double> allotted =
       AllotCores(asking, total_cores * kFill);
   for (const FleetPool& pool : asking) {
-    surplus[pool.name] -= std::max(allotted.at(pool.name) / kFill,
-                                   pool.least_boxes * box_cores);
+    surplus[pool.name] -=
+        std::max(allotted.at(pool.name) / kFill, pool.least_boxes * box_cores);
   }
   // 2. The shortest pool gets a box, until none is short or none can give.
   double short_cores = 0.0;
@@ -412,11 +411,10 @@
                         !this->InUpkeep(box.name) && pool != surplus.end();
     if (!may_go)
       continue;
-    const bool at_rest =
-        std::any_of(view.pools.begin(), view.pools.end(),
-                    [&box](const FleetPool& known) {
-                      return known.name == box.pool && known.spare;
-                    });
+    const bool at_rest = std::any_of(
+        view.pools.begin(), view.pools.end(), [&box](const FleetPool& known) {
+          return known.name == box.pool && known.spare;
+        });
     // What the giving pool keeps beyond its allotment.
     const double left = at_rest ? 0.0 : pool->second - box.cores;
     if (left < 0.0 || left <= best_left)
@@ -486,9 +484,8 @@
 }
 
 bool Fleet::HasOpenWave() const {
-  return std::any_of(
-      this->waves.begin(), this->waves.end(),
-      [](const auto& entry) { return !entry.second.completed; });
+  return std::any_of(this->waves.begin(), this->waves.end(),
+                     [](const auto& entry) { return !entry.second.completed; });
 }
 
 bool Fleet::WantsBoxes() const {
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -155,11 +155,11 @@
 
   FleetLimits limits;
   std::map<int, WaveProgress> waves;
-  std::map<std::string, Move> moves;         // by box, until it is back
+  std::map<std::string, Move> moves;  // by box, until it is back
   // Busy boxes that another pool needs more: nothing further is placed there,
   // so that they can move soon. Chosen anew by each plan.
   std::set<std::string> reclaimed;
-  std::map<std::string, BoxInfo> listed;     // the platform's list
+  std::map<std::string, BoxInfo> listed;  // the platform's list
   bool has_list = false;
 };
 
--- a/scheduler/fleet_test.cc
+++ b/scheduler/fleet_test.cc
@@ -61,8 +61,7 @@
     sum += allotted.at(pool.name);
     // All urgent work that is there is covered wherever it can be.
     if (urgent <= total)
-      RC_ASSERT(allotted.at(pool.name) >=
-                pool.needs.at(0).now_cores - 1e-6);
+      RC_ASSERT(allotted.at(pool.name) >= pool.needs.at(0).now_cores - 1e-6);
   }
   RC_ASSERT(sum <= total + 1e-6);
 }
@@ -120,8 +119,8 @@
 RC_BOOST_PROP(WaveKeepsToItsLimitAndForgetsNoBox, ()) {
   const int count = *rc::gen::inRange(1, 12);
   const int most = *rc::gen::inRange(1, 5);
-  Wave wave{.number = 3, .boxes = {}, .duration = seconds(60),
-            .most_at_once = most};
+  Wave wave{
+      .number = 3, .boxes = {}, .duration = seconds(60), .most_at_once = most};
   std::map<std::string, FleetBox> boxes;
   for (int i = 0; i < count; ++i) {
     const std::string name = "b" + std::to_string(i);
@@ -170,9 +169,8 @@
         }
         const BoxCallOutcome outcome = kind <= 1   ? BoxCallOutcome::kUnknown
                                        : kind == 2 ? BoxCallOutcome::kNotSent
-                                       : kind == 3
-                                           ? BoxCallOutcome::kThrottled
-                                           : BoxCallOutcome::kDone;
+                                       : kind == 3 ? BoxCallOutcome::kThrottled
+                                                   : BoxCallOutcome::kDone;
         fleet.UpkeepBegun(*upkeep, outcome, now);
       } else if (const auto* evacuate = std::get_if<Evacuate>(&step)) {
         boxes[evacuate->box].idle = random() % 2 == 0;
--- a/scheduler/job.cc
+++ b/scheduler/job.cc
@@ -17,8 +17,7 @@
       runs.tasks[i].state = TaskState::kDone;
       ++runs.done;
     }
-    const auto failed =
-        progress.failures.find({.step = key, .index = index});
+    const auto failed = progress.failures.find({.step = key, .index = index});
     if (failed != progress.failures.end())
       runs.tasks[i].newest_run = failed->second.last_run;
   }
--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -24,12 +24,12 @@
 
 struct Task {
   TaskState state = TaskState::kBlocked;
-  std::string worker;  // while placed
-  int run = 0;         // while placed: the run's number
-  int newest_run = 0;  // the highest number ever given
-  int inherited_run = 0;  // the newest of earlier owners that is accounted for
-  bool at_work = false;       // lasting: has been seen at full work
-  std::string checkpoint;     // newest seen; empty: none
+  std::string worker;      // while placed
+  int run = 0;             // while placed: the run's number
+  int newest_run = 0;      // the highest number ever given
+  int inherited_run = 0;   // the newest of earlier owners that is accounted for
+  bool at_work = false;    // lasting: has been seen at full work
+  std::string checkpoint;  // newest seen; empty: none
   base::Micros ready_since{};
   // The newest run was taken as over because its lease ran out. Another owner
   // may have renewed that lease unless the store has confirmed this one since.
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -96,9 +96,8 @@
   if (found == worker.runs.end() || found->second.number != listed.run) {
     // An older run beside a newer one on the same worker is only ended.
     if (found != worker.runs.end()) {
-      this->actions.emplace_back(StopRun{.worker = worker.info.id,
-                                         .task = listed.task,
-                                         .run = listed.run});
+      this->actions.emplace_back(StopRun{
+          .worker = worker.info.id, .task = listed.task, .run = listed.run});
       return;
     }
     this->AdoptRun(worker, listed, now);
@@ -198,8 +197,8 @@
       continue;
     // The listing may be older than the order's answer. Under this owner's
     // epoch no earlier owner's order can follow.
-    const bool start_settled = run.state == RunState::kRunning &&
-                               run.answered < worker.look_sent;
+    const bool start_settled =
+        run.state == RunState::kRunning && run.answered < worker.look_sent;
     const bool stop_settled = run.stop_answered > base::Micros::zero() &&
                               run.stop_answered < worker.look_sent;
     const bool inherited = run.state == RunState::kInherited;
@@ -280,8 +279,8 @@
   if (outcome == OrderOutcome::kBusy)
     this->JudgeWorker(worker, true, now);
   if (outcome == OrderOutcome::kNoRoom || outcome == OrderOutcome::kLate)
-    worker.quarantined_until = std::max(worker.quarantined_until,
-                                        now + kLookAgain);
+    worker.quarantined_until =
+        std::max(worker.quarantined_until, now + kLookAgain);
   this->TaskLost(order.task, order.run, now);
 }
 
@@ -341,8 +340,8 @@
   run->second.stop_answered = now;
   // Its end is listed within the stop's time.
   if (!worker.look_in_flight)
-    worker.next_look = std::min(
-        worker.next_look, now + this->limits.stop_time + kStopSlack);
+    worker.next_look =
+        std::min(worker.next_look, now + this->limits.stop_time + kStopSlack);
 }
 
 // Stops that got no answer, and starts whose fate is open.
@@ -434,13 +433,12 @@
       wait = kLookWaitOpen;
     worker.look_in_flight = true;
     worker.told = worker.acknowledged;
-    this->actions.emplace_back(
-        LookAt{.worker = id,
-               .acknowledged = worker.acknowledged,
-               .wait = wait,
-               // A silent worker's lease is to run out, whether or not it
-               // hears this.
-               .renews = worker.failed_calls == 0});
+    this->actions.emplace_back(LookAt{.worker = id,
+                                      .acknowledged = worker.acknowledged,
+                                      .wait = wait,
+                                      // A silent worker's lease is to run out,
+                                      // whether or not it hears this.
+                                      .renews = worker.failed_calls == 0});
   }
 }
 
--- a/scheduler/model_test.cc
+++ b/scheduler/model_test.cc
@@ -1,8 +1,8 @@
 // Promises of the scheduler, against a model of the store and the workers with
 // several owners at once.
 
-#include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
+#include <boost/test/unit_test.hpp>
 
 #include <string>
 #include <vector>
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -87,8 +87,8 @@
       continue;
     }
     const auto other = workers.find(task.worker);
-    found.on_rack += other != workers.end() &&
-                     other->second.info.rack == worker.info.rack;
+    found.on_rack +=
+        other != workers.end() && other->second.info.rack == worker.info.rack;
   }
   return found;
 }
@@ -235,9 +235,9 @@
     Worker* best = nullptr;
     double best_cost = 0.0;
     for (Worker* worker : candidates) {
-      const bool fits =
-          jobs::Fits(takes + taken[worker], worker->room()) &&
-          HasLabel(worker->info, step.label) && now >= worker->quarantined_until;
+      const bool fits = jobs::Fits(takes + taken[worker], worker->room()) &&
+                        HasLabel(worker->info, step.label) &&
+                        now >= worker->quarantined_until;
       if (!fits)
         continue;
       const Neighbours near = NeighboursOf(runs, *worker, this->workers);
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -18,7 +18,7 @@
 Scheduler::Scheduler(const Limits& chosen)
     : limits(chosen), fleet(chosen.fleet) {}
 
-// --- Configuration and workers ----------------------------------------------
+// --- Configuration and workers ---
 
 void Scheduler::SetConfig(const jobs::Config& next, base::Micros now) {
   this->config = next;
@@ -93,7 +93,7 @@
   this->confirmed = std::max(this->confirmed, at);
 }
 
-// --- Jobs ---------------------------------------------------------------------
+// --- Jobs ---
 
 Job* Scheduler::FindJob(const std::string& id) {
   const auto found = this->jobs.find(id);
@@ -363,7 +363,7 @@
   return waiting;
 }
 
-// --- Time -------------------------------------------------------------------
+// --- Time ---
 
 void Scheduler::Advance(base::Micros now) {
   this->ExpireLeases(now);
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -57,7 +57,7 @@
  public:
   explicit Scheduler(const Limits& limits);
 
-  // --- Facts about configuration and workers -------------------------------
+  // --- Facts about configuration and workers ---
   void SetConfig(const jobs::Config& config, base::Micros now);
   void PutWorker(const WorkerInfo& info, base::Micros now);
   // Its announcement is gone; it may still run what it has.
@@ -71,12 +71,12 @@
   // A store answer confirmed the ownership; `at` is when it was asked.
   void Confirmed(base::Micros at);
 
-  // --- Facts about jobs ------------------------------------------------------
+  // --- Facts about jobs ---
   void AddJob(Job job, base::Micros now);
   void CancelJob(const std::string& id, base::Micros now);
   void Saved(const SaveResult& result, base::Micros now);
 
-  // --- What came of actions ------------------------------------------------
+  // --- What came of actions ---
   void Listed(const std::string& worker,
               const Listing& listing,
               base::Micros now);
@@ -89,7 +89,7 @@
   void Granted(const std::string& worker, base::Micros end);
   void LookSent(const std::string& worker, base::Micros now);
 
-  // --- Boxes ----------------------------------------------------------------
+  // --- Boxes ---
   void SetWave(const Wave& wave,
                const std::vector<std::string>& begun,
                base::Micros now);
@@ -103,8 +103,9 @@
   void Advance(base::Micros now);
   std::vector<Action> TakeActions();
 
-  // --- Queries -----------------------------------------------------------------
-  // Is the order still to be sent? Its run may have been given up meanwhile.
+  // --- Queries
+  // ----------------------------------------------------------------- Is the
+  // order still to be sent? Its run may have been given up meanwhile.
   bool StillWanted(const StartRun& order) const;
   // When a lease granted now is to end, on our clock.
   base::Micros LeaseEnd(base::Micros now) const;
@@ -216,9 +217,7 @@
                          const jobs::Placement& placement);
   void VoidPlan(Job& job, const TaskPlace& place);
   // Another owner wrote the job's row.
-  void TakeStored(Job& job,
-                  const jobs::Progress& stored,
-                  base::Micros now);
+  void TakeStored(Job& job, const jobs::Progress& stored, base::Micros now);
   bool Usable(const Worker& worker, base::Micros now) const;
   bool MayHaveBeenRenewed(const Job& job, const TaskPlace& place) const;
   int NextRun(const Job& job, const TaskPlace& place) const;
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -29,10 +29,10 @@
   RunState state = RunState::kStarting;
   jobs::Resources takes;  // what it takes of the room
   std::string image;
-  base::Micros since{};         // when the order was decided
-  base::Micros answered{};      // when the start was answered
-  base::Micros stop_answered{}; // when a stop was answered; 0: none yet
-  base::Micros stop_sent{};     // when a stop was last sent
+  base::Micros since{};          // when the order was decided
+  base::Micros answered{};       // when the start was answered
+  base::Micros stop_answered{};  // when a stop was answered; 0: none yet
+  base::Micros stop_sent{};      // when a stop was last sent
   // When the first look was sent since which no listing shows it, nor its end.
   base::Micros missing_since{};
   bool lasting = false;
@@ -40,7 +40,7 @@
   bool adopted = false;  // started by an earlier owner
   int percent = 0;
   base::Micros progressed{};  // when its percent was last seen to change
-  int pace = 100;        // the share of its speed that it is let work at
+  int pace = 100;             // the share of its speed that it is let work at
   std::int64_t load = -1;
   std::int64_t target_ms = 0;
 };
@@ -54,10 +54,10 @@
 
 struct Worker {
   WorkerInfo info;
-  bool listed = false;   // has answered a look under this owner's epoch
-  bool recorded = false; // is in the stored list of workers with leases
-  bool announced = true; // its announcement stands in the store
-  bool leaving = false;  // nothing further is placed: upkeep or a move
+  bool listed = false;    // has answered a look under this owner's epoch
+  bool recorded = false;  // is in the stored list of workers with leases
+  bool announced = true;  // its announcement stands in the store
+  bool leaving = false;   // nothing further is placed: upkeep or a move
   bool look_in_flight = false;
   base::Micros look_sent{};
   base::Micros next_look{};
@@ -67,9 +67,9 @@
   // Its clock, as read at `clock_read` on ours (when the answer came).
   std::int64_t clock_ms = 0;
   base::Micros clock_read{};
-  std::int64_t processed = 0;     // ends up to this number were taken in
-  std::int64_t acknowledged = 0;  // ends up to this number are recorded
-  std::int64_t told = 0;  // the number that the last look told it
+  std::int64_t processed = 0;           // ends up to this number were taken in
+  std::int64_t acknowledged = 0;        // ends up to this number are recorded
+  std::int64_t told = 0;                // the number that the last look told it
   std::deque<PendingEnd> pending_ends;  // taken in, not yet recorded
   std::map<jobs::TaskId, Run> runs;
   jobs::Resources used;
--- a/testing/job_cluster.cc
+++ b/testing/job_cluster.cc
@@ -56,15 +56,16 @@
 
 JobCluster::Daemon& JobCluster::StartDaemon(const std::string& id) {
   const std::string settings = fmt::format("{}/{}.ini", this->folder, id);
-  std::ofstream(settings)
-      << fmt::format("[daemon]\nid = {}\nzone = z\n"
-                     "[listen]\ncallers = 127.0.0.1:0\n"
-                     "readiness = 127.0.0.1:0\n"
-                     "[store]\naddress = {}\n[boxes]\naddress = {}\n"
-                     "[limits]\nmove_seconds = 0.4\nupkeep_seconds = 0.4\n"
-                     "stop_ms = 100\n",
-                     id, this->rows.address(), this->fleet.boxes_address());
+  std::ofstream(settings) << fmt::format(
+      "[daemon]\nid = {}\nzone = z\n"
+      "[listen]\ncallers = 127.0.0.1:0\n"
+      "readiness = 127.0.0.1:0\n"
+      "[store]\naddress = {}\n[boxes]\naddress = {}\n"
+      "[limits]\nmove_seconds = 0.4\nupkeep_seconds = 0.4\n"
+      "stop_ms = 100\n",
+      id, this->rows.address(), this->fleet.boxes_address());
   Daemon& daemon = this->by_id[id];
+  daemon.settings = settings;
   const std::string output =
       fmt::format("{}/{}-{}", this->folder, id, std::rand());
   daemon.process = std::make_unique<Process>(
@@ -88,8 +89,8 @@
 
 bool JobCluster::WaitUntil(double seconds, const std::function<bool()>& holds) {
   const base::Micros until =
-      base::MonotonicNow() + base::Micros(static_cast<std::int64_t>(
-                                 seconds * 1e6));
+      base::MonotonicNow() +
+      base::Micros(static_cast<std::int64_t>(seconds * 1e6));
   while (!holds()) {
     if (base::MonotonicNow() > until)
       return false;
@@ -121,10 +122,8 @@
 int JobCluster::Submit(const std::string& job, int steps, int tasks) {
   json body = {{"spec", "work"}, {"steps", json::array()}};
   for (int step = 0; step < steps; ++step) {
-    json one = {{"count", tasks},
-                {"cpu", 500},
-                {"memMb", 100},
-                {"estimateMs", 100}};
+    json one = {
+        {"count", tasks}, {"cpu", 500}, {"memMb", 100}, {"estimateMs", 100}};
     if (step > 0)
       one["dependsOn"] = {step - 1};
     body["steps"].push_back(one);
--- a/testing/job_cluster.h
+++ b/testing/job_cluster.h
@@ -26,6 +26,7 @@
   JobCluster& operator=(const JobCluster&) = delete;
 
   struct Daemon {
+    std::string settings;  // the file
     std::unique_ptr<Process> process;
     std::string callers;  // ip:port
     std::string readiness;
--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -23,10 +23,6 @@
 // was listed.
 constexpr double kClockSlack = 1.05;
 
-scheduler::TaskPlace PlaceOf(const jobs::TaskId& task) {
-  return scheduler::PlaceOf(task);
-}
-
 }  // namespace
 
 SchedulerModel::SchedulerModel(std::uint64_t seed,
@@ -51,9 +47,8 @@
 
 base::Micros SchedulerModel::Between(std::int64_t least_ms,
                                      std::int64_t most_ms) {
-  return milliseconds(
-      std::uniform_int_distribution<std::int64_t>(least_ms, most_ms)(
-          this->random));
+  return milliseconds(std::uniform_int_distribution<std::int64_t>(
+      least_ms, most_ms)(this->random));
 }
 
 void SchedulerModel::After(base::Micros delay, std::function<void()> action) {
@@ -86,9 +81,9 @@
           id, worker.listed, worker.failed_calls, worker.look_in_flight,
           base::Seconds(worker.lease_end));
       for (const auto& [task, run] : worker.runs) {
-        text += fmt::format("    {} {}.{} run {} state {}\n", task.job,
-                            task.step, task.index, run.number,
-                            static_cast<int>(run.state));
+        text +=
+            fmt::format("    {} {}.{} run {} state {}\n", task.job, task.step,
+                        task.index, run.number, static_cast<int>(run.state));
       }
     }
   }
@@ -103,15 +98,14 @@
   worker.clock_offset = this->Between(0, 1'000'000);
   const std::string id = worker.id;
   this->workers[id] = std::move(worker);
-  const scheduler::WorkerInfo info{
-      .id = id,
-      .box = fmt::format("box{}", number),
-      .service = "pool",
-      .address = id,
-      .zone = "",
-      .labels = {},
-      .rack = fmt::format("rack{}", number / 2),
-      .capacity = this->workers[id].capacity};
+  const scheduler::WorkerInfo info{.id = id,
+                                   .box = fmt::format("box{}", number),
+                                   .service = "pool",
+                                   .address = id,
+                                   .zone = "",
+                                   .labels = {},
+                                   .rack = fmt::format("rack{}", number / 2),
+                                   .capacity = this->workers[id].capacity};
   for (Owner& owner : this->owners) {
     owner.scheduler->PutWorker(info, this->now);
     owner.scheduler->WorkersRecorded({id});
@@ -222,9 +216,8 @@
     owner.cut_from.insert(id);
     const std::size_t index =
         static_cast<std::size_t>(&owner - this->owners.data());
-    this->After(this->Between(500, 8000), [this, index, id] {
-      this->owners[index].cut_from.erase(id);
-    });
+    this->After(this->Between(500, 8000),
+                [this, index, id] { this->owners[index].cut_from.erase(id); });
   }
   if (this->Chance(this->faults.freeze * a_step))
     this->owners.back().frozen_until = this->now + this->Between(1000, 6000);
@@ -271,7 +264,7 @@
                              note->subject, note->text));
 }
 
-// --- Messages ----------------------------------------------------------------
+// --- Messages ---
 
 void SchedulerModel::Deliver(std::size_t index,
                              const std::string& id,
@@ -323,8 +316,7 @@
                                const scheduler::StartRun& order) {
   scheduler::Scheduler& by = *this->owners[index].scheduler;
   const base::Micros end = by.LeaseEnd(this->now);
-  const base::Micros deadline =
-      milliseconds(by.Deadline(order.worker, end));
+  const base::Micros deadline = milliseconds(by.Deadline(order.worker, end));
   if (deadline <= base::Micros::zero() || end <= this->now ||
       !by.StillWanted(order)) {
     by.Started(order, OrderOutcome::kNotSent, this->now);
@@ -431,153 +423,7 @@
   });
 }
 
-// --- Workers -----------------------------------------------------------------
-
-base::Micros SchedulerModel::ClockOf(const Worker& worker) const {
-  return worker.clock_offset +
-         base::Micros(static_cast<std::int64_t>(
-             static_cast<double>(this->now.count()) * worker.clock_rate));
-}
-
-OrderOutcome SchedulerModel::BeginRun(Worker& worker,
-                                      const scheduler::StartRun& order,
-                                      std::uint64_t epoch,
-                                      base::Micros deadline) {
-  if (epoch < worker.epoch)
-    return OrderOutcome::kFenced;
-  worker.epoch = epoch;
-  if (deadline < this->ClockOf(worker))
-    return OrderOutcome::kLate;
-  worker.deadline = std::max(worker.deadline, deadline);
-  const auto over = worker.over.find(order.task);
-  const auto run = worker.running.find(order.task);
-  if (run != worker.running.end() && run->second.number == order.run)
-    return OrderOutcome::kDone;
-  if (over != worker.over.end() && order.run <= over->second)
-    return OrderOutcome::kOld;
-  this->JudgeStart(worker, order);
-  this->Record(fmt::format("{} starts {} {}.{} run {}", worker.id,
-                           order.task.job, order.task.step, order.task.index,
-                           order.run));
-  ++this->start_count;
-  const jobs::Step& step =
-      this->jobs.at(order.task.job)
-          .job.spec.steps[static_cast<std::size_t>(order.task.step)];
-  const bool fails = this->Chance(this->faults.failing_run);
-  base::Micros ends = this->now + this->Between(200, 2500);
-  if (step.lasting && !fails)
-    ends = base::Micros::max();
-  worker.running[order.task] = {
-      .number = order.run, .ends = ends, .fails = fails};
-  return OrderOutcome::kDone;
-}
-
-void SchedulerModel::JudgeStart(const Worker& worker,
-                                const scheduler::StartRun& order) {
-  const StoredJob& stored = this->jobs.at(order.task.job);
-  const scheduler::TaskPlace place = PlaceOf(order.task);
-  const std::string name =
-      fmt::format("{} step {} task {} run {}", order.task.job, place.step,
-                  place.index, order.run);
-  for (const auto& [id, other] : this->workers) {
-    if (other.alive && other.running.contains(order.task))
-      this->Broke(fmt::format("{} starts while it runs on {}", name, id));
-  }
-  if (stored.done.contains(place))
-    this->Broke(name + " starts though its end was noted");
-  const auto failed = stored.failed.find(place);
-  const jobs::Step& step =
-      stored.job.spec.steps[static_cast<std::size_t>(place.step)];
-  if (!step.lasting && failed != stored.failed.end() &&
-      failed->second >= stored.job.attempts)
-    this->Broke(name + " starts after its last attempt failed");
-  for (const int before : step.after) {
-    const auto& earlier =
-        stored.job.spec.steps[static_cast<std::size_t>(before)];
-    for (int i = 0; i < earlier.tasks; ++i) {
-      if (!stored.ever_done.contains({0, before, i}))
-        this->Broke(name + " starts before an earlier step is done");
-    }
-  }
-  jobs::Resources used = step.each;
-  for (const auto& [task, run] : worker.running) {
-    used = used + this->jobs.at(task.job)
-                      .job.spec.steps[static_cast<std::size_t>(task.step)]
-                      .each;
-  }
-  if (!jobs::Fits(used, worker.capacity))
-    this->Broke(name + " does not fit on " + worker.id);
-}
-
-void SchedulerModel::EndRun(Worker& worker,
-                            const jobs::TaskId& task,
-                            scheduler::RunEnd how) {
-  const auto found = worker.running.find(task);
-  const int number = found->second.number;
-  this->Record(fmt::format("{}: {} {}.{} run {} ends {}", worker.id, task.job,
-                           task.step, task.index, number,
-                           base::NameOf(scheduler::kRunEndNames, how)));
-  worker.running.erase(found);
-  int& over = worker.over[task];
-  over = std::max(over, number);
-  worker.ends.push_back({.number = ++worker.last_number,
-                         .task = task,
-                         .run = number,
-                         .how = how,
-                         .checkpoint = ""});
-  if (how == scheduler::RunEnd::kDone)
-    this->jobs.at(task.job).ever_done.insert(PlaceOf(task));
-}
-
-void SchedulerModel::WorkOn(Worker& worker) {
-  const bool lapsed = this->ClockOf(worker) > worker.deadline;
-  std::vector<std::pair<jobs::TaskId, scheduler::RunEnd>> over;
-  for (const auto& [task, run] : worker.running) {
-    if (lapsed)
-      over.emplace_back(task, scheduler::RunEnd::kLapsed);
-    else if (run.stopping && run.ends <= this->now)
-      over.emplace_back(task, scheduler::RunEnd::kStopped);
-    else if (run.ends <= this->now)
-      over.emplace_back(task, run.fails ? scheduler::RunEnd::kFailed
-                                        : scheduler::RunEnd::kDone);
-  }
-  for (const auto& [task, how] : over)
-    this->EndRun(worker, task, how);
-}
-
-// The worker is told that ends up to this number are recorded.
-void SchedulerModel::Note(Worker& worker, std::int64_t acknowledged) {
-  for (const scheduler::ListedEnd& end : worker.ends) {
-    if (end.number > acknowledged)
-      continue;
-    StoredJob& stored = this->jobs.at(end.task.job);
-    if (end.how == scheduler::RunEnd::kDone)
-      stored.done.insert(PlaceOf(end.task));
-    if (end.how == scheduler::RunEnd::kFailed)
-      ++stored.failed[PlaceOf(end.task)];
-  }
-  std::erase_if(worker.ends, [acknowledged](const scheduler::ListedEnd& end) {
-    return end.number <= acknowledged;
-  });
-}
-
-scheduler::Listing SchedulerModel::ListingOf(const Worker& worker) const {
-  scheduler::Listing listing;
-  listing.clock_ms =
-      std::chrono::duration_cast<milliseconds>(this->ClockOf(worker)).count();
-  for (const auto& [task, run] : worker.running) {
-    if (run.stopping)
-      continue;
-    listing.running.push_back({.task = task,
-                               .run = run.number,
-                               .checkpoint = "",
-                               .percent = 100});
-  }
-  listing.ended = worker.ends;
-  return listing;
-}
-
-// --- What came of it ---------------------------------------------------------
+// --- What came of it ---
 
 jobs::JobState SchedulerModel::StateOf(const std::string& job) const {
   return jobs::DecodeProgress(this->jobs.at(job).progress)->state;
--- a/testing/scheduler_model.h
+++ b/testing/scheduler_model.h
@@ -21,16 +21,16 @@
 
 // Odds are of one message or step.
 struct ModelFaults {
-  double lost_answer = 0.0;   // the order is carried out, its answer lost
-  double lost_order = 0.0;    // the order never arrives
-  double late_order = 0.0;    // carried out 2 to 6 s later, never answered
-  double lost_save = 0.0;     // a save is made, its answer lost
-  double late_save = 0.0;     // made 1 to 4 s later if it still fits
-  double crash = 0.0;         // a worker's life ends, a second
-  double cut = 0.0;           // a worker is cut from an owner, a second
-  double takeover = 0.0;      // a new owner comes, the old one lives on, a second
-  double freeze = 0.0;        // an owner stands still for 1 to 6 s, a second
-  double failing_run = 0.0;   // a run fails
+  double lost_answer = 0.0;  // the order is carried out, its answer lost
+  double lost_order = 0.0;   // the order never arrives
+  double late_order = 0.0;   // carried out 2 to 6 s later, never answered
+  double lost_save = 0.0;    // a save is made, its answer lost
+  double late_save = 0.0;    // made 1 to 4 s later if it still fits
+  double crash = 0.0;        // a worker's life ends, a second
+  double cut = 0.0;          // a worker is cut from an owner, a second
+  double takeover = 0.0;  // a new owner comes, the old one lives on, a second
+  double freeze = 0.0;    // an owner stands still for 1 to 6 s, a second
+  double failing_run = 0.0;  // a run fails
 };
 
 struct ModelJob {
@@ -73,10 +73,10 @@
     std::string id;
     jobs::Resources capacity;
     bool alive = true;
-    double clock_rate = 1.0;      // up to 2% slow
+    double clock_rate = 1.0;  // up to 2% slow
     base::Micros clock_offset{};
-    std::uint64_t epoch = 0;      // highest seen
-    base::Micros deadline{};      // on its own clock
+    std::uint64_t epoch = 0;  // highest seen
+    base::Micros deadline{};  // on its own clock
     std::map<jobs::TaskId, WorkerRun> running;
     std::map<jobs::TaskId, int> over;  // highest run that ended or was stopped
     std::vector<scheduler::ListedEnd> ends;
@@ -88,7 +88,7 @@
     std::string progress;
     std::uint64_t version = 0;
     bool cancelled = false;
-    std::set<scheduler::TaskPlace> done;         // noted ends, as workers saw them
+    std::set<scheduler::TaskPlace> done;  // noted ends, as workers saw them
     std::map<scheduler::TaskPlace, int> failed;  // noted
     std::set<scheduler::TaskPlace> ever_done;    // ended as done, noted or not
   };
--- /dev/null
+++ b/testing/scheduler_model_workers.cc
@@ -0,0 +1,161 @@
+// The model's workers: runs, ends, leases, and the judgement of each start.
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "testing/scheduler_model.h"
+
+namespace quartzhoist::testing {
+
+namespace {
+
+using scheduler::OrderOutcome;
+using std::chrono::milliseconds;
+
+}  // namespace
+
+base::Micros SchedulerModel::ClockOf(const Worker& worker) const {
+  return worker.clock_offset +
+         base::Micros(static_cast<std::int64_t>(
+             static_cast<double>(this->now.count()) * worker.clock_rate));
+}
+
+OrderOutcome SchedulerModel::BeginRun(Worker& worker,
+                                      const scheduler::StartRun& order,
+                                      std::uint64_t epoch,
+                                      base::Micros deadline) {
+  if (epoch < worker.epoch)
+    return OrderOutcome::kFenced;
+  worker.epoch = epoch;
+  if (deadline < this->ClockOf(worker))
+    return OrderOutcome::kLate;
+  worker.deadline = std::max(worker.deadline, deadline);
+  const auto over = worker.over.find(order.task);
+  const auto run = worker.running.find(order.task);
+  if (run != worker.running.end() && run->second.number == order.run)
+    return OrderOutcome::kDone;
+  if (over != worker.over.end() && order.run <= over->second)
+    return OrderOutcome::kOld;
+  this->JudgeStart(worker, order);
+  this->Record(fmt::format("{} starts {} {}.{} run {}", worker.id,
+                           order.task.job, order.task.step, order.task.index,
+                           order.run));
+  ++this->start_count;
+  const jobs::Step& step =
+      this->jobs.at(order.task.job)
+          .job.spec.steps[static_cast<std::size_t>(order.task.step)];
+  const bool fails = this->Chance(this->faults.failing_run);
+  base::Micros ends = this->now + this->Between(200, 2500);
+  if (step.lasting && !fails)
+    ends = base::Micros::max();
+  worker.running[order.task] = {
+      .number = order.run, .ends = ends, .fails = fails};
+  return OrderOutcome::kDone;
+}
+
+void SchedulerModel::JudgeStart(const Worker& worker,
+                                const scheduler::StartRun& order) {
+  const StoredJob& stored = this->jobs.at(order.task.job);
+  const scheduler::TaskPlace place = scheduler::PlaceOf(order.task);
+  const std::string name =
+      fmt::format("{} step {} task {} run {}", order.task.job, place.step,
+                  place.index, order.run);
+  for (const auto& [id, other] : this->workers) {
+    if (other.alive && other.running.contains(order.task))
+      this->Broke(fmt::format("{} starts while it runs on {}", name, id));
+  }
+  if (stored.done.contains(place))
+    this->Broke(name + " starts though its end was noted");
+  const auto failed = stored.failed.find(place);
+  const jobs::Step& step =
+      stored.job.spec.steps[static_cast<std::size_t>(place.step)];
+  if (!step.lasting && failed != stored.failed.end() &&
+      failed->second >= stored.job.attempts)
+    this->Broke(name + " starts after its last attempt failed");
+  for (const int before : step.after) {
+    const auto& earlier =
+        stored.job.spec.steps[static_cast<std::size_t>(before)];
+    for (int i = 0; i < earlier.tasks; ++i) {
+      if (!stored.ever_done.contains({0, before, i}))
+        this->Broke(name + " starts before an earlier step is done");
+    }
+  }
+  jobs::Resources used = step.each;
+  for (const auto& [task, run] : worker.running) {
+    used = used + this->jobs.at(task.job)
+                      .job.spec.steps[static_cast<std::size_t>(task.step)]
+                      .each;
+  }
+  if (!jobs::Fits(used, worker.capacity))
+    this->Broke(name + " does not fit on " + worker.id);
+}
+
+void SchedulerModel::EndRun(Worker& worker,
+                            const jobs::TaskId& task,
+                            scheduler::RunEnd how) {
+  const auto found = worker.running.find(task);
+  const int number = found->second.number;
+  this->Record(fmt::format("{}: {} {}.{} run {} ends {}", worker.id, task.job,
+                           task.step, task.index, number,
+                           base::NameOf(scheduler::kRunEndNames, how)));
+  worker.running.erase(found);
+  int& over = worker.over[task];
+  over = std::max(over, number);
+  worker.ends.push_back({.number = ++worker.last_number,
+                         .task = task,
+                         .run = number,
+                         .how = how,
+                         .checkpoint = ""});
+  if (how == scheduler::RunEnd::kDone)
+    this->jobs.at(task.job).ever_done.insert(scheduler::PlaceOf(task));
+}
+
+void SchedulerModel::WorkOn(Worker& worker) {
+  const bool lapsed = this->ClockOf(worker) > worker.deadline;
+  std::vector<std::pair<jobs::TaskId, scheduler::RunEnd>> over;
+  for (const auto& [task, run] : worker.running) {
+    if (lapsed)
+      over.emplace_back(task, scheduler::RunEnd::kLapsed);
+    else if (run.stopping && run.ends <= this->now)
+      over.emplace_back(task, scheduler::RunEnd::kStopped);
+    else if (run.ends <= this->now)
+      over.emplace_back(task, run.fails ? scheduler::RunEnd::kFailed
+                                        : scheduler::RunEnd::kDone);
+  }
+  for (const auto& [task, how] : over)
+    this->EndRun(worker, task, how);
+}
+
+// The worker is told that ends up to this number are recorded.
+void SchedulerModel::Note(Worker& worker, std::int64_t acknowledged) {
+  for (const scheduler::ListedEnd& end : worker.ends) {
+    if (end.number > acknowledged)
+      continue;
+    StoredJob& stored = this->jobs.at(end.task.job);
+    if (end.how == scheduler::RunEnd::kDone)
+      stored.done.insert(scheduler::PlaceOf(end.task));
+    if (end.how == scheduler::RunEnd::kFailed)
+      ++stored.failed[scheduler::PlaceOf(end.task)];
+  }
+  std::erase_if(worker.ends, [acknowledged](const scheduler::ListedEnd& end) {
+    return end.number <= acknowledged;
+  });
+}
+
+scheduler::Listing SchedulerModel::ListingOf(const Worker& worker) const {
+  scheduler::Listing listing;
+  listing.clock_ms =
+      std::chrono::duration_cast<milliseconds>(this->ClockOf(worker)).count();
+  for (const auto& [task, run] : worker.running) {
+    if (run.stopping)
+      continue;
+    listing.running.push_back(
+        {.task = task, .run = run.number, .checkpoint = "", .percent = 100});
+  }
+  listing.ended = worker.ends;
+  return listing;
+}
+
+}  // namespace quartzhoist::testing
--- a/testing/store_standin.cc
+++ b/testing/store_standin.cc
@@ -79,19 +79,15 @@
 
 void StoreStandin::Put(const platform::RowKey& at, const std::string& value) {
   this->rows[at] = {.value = value, .version = ++this->version};
-  this->history.push_back({.version = this->version,
-                           .at = at,
-                           .removed = false,
-                           .value = value});
+  this->history.push_back(
+      {.version = this->version, .at = at, .removed = false, .value = value});
   this->AnswerWaiting();
 }
 
 void StoreStandin::Remove(const platform::RowKey& at) {
   this->rows.erase(at);
-  this->history.push_back({.version = ++this->version,
-                           .at = at,
-                           .removed = true,
-                           .value = ""});
+  this->history.push_back(
+      {.version = ++this->version, .at = at, .removed = true, .value = ""});
   this->AnswerWaiting();
 }
 
@@ -189,10 +185,10 @@
   if (query.contains("limit"))
     limit = std::min<std::size_t>(limit, std::stoul(query["limit"]));
   for (const auto& [at, stored] : this->rows) {
-    const bool fits = at.table == query["table"] && at.part == query["part"] &&
-                      at.key >= query["from"] &&
-                      (query["targetVersion"].empty() ||
-                       at.key < query["targetVersion"]);
+    const bool fits =
+        at.table == query["table"] && at.part == query["part"] &&
+        at.key >= query["from"] &&
+        (query["targetVersion"].empty() || at.key < query["targetVersion"]);
     if (!fits)
       continue;
     if (answer["rows"].size() == limit) {
@@ -220,9 +216,8 @@
 }
 
 bool StoreStandin::AnswerFeed(const Waiting& feed, bool over) {
-  json answer = {{"rows", json::array()},
-                 {"ver", this->version},
-                 {"now_ms", NowMillis()}};
+  json answer = {
+      {"rows", json::array()}, {"ver", this->version}, {"now_ms", NowMillis()}};
   for (const Change& change : this->history) {
     if (change.version <= feed.from || change.at.table != feed.table)
       continue;
--- a/testing/store_standin.h
+++ b/testing/store_standin.h
@@ -1,6 +1,6 @@
 // The platform's metadata store as its pages describe it, in memory: rows under
-// versions, conditional writes, reads in pages, feeds. It can be told to refuse,
-// to lose answers, to stay silent, and to forget its history.
+// versions, conditional writes, reads in pages, feeds. It can be told to
+// refuse, to lose answers, to stay silent, and to forget its history.
 
 #ifndef TESTING_STORE_STANDIN_H_
 #define TESTING_STORE_STANDIN_H_
--- a/testing/worker_standin.cc
+++ b/testing/worker_standin.cc
@@ -153,9 +153,10 @@
                                 int run) {
   for (const auto& [box, other] : this->lives) {
     if (other->running.contains(task))
-      this->faults.push_back(fmt::format("{} run {} starts on {} while it runs "
-                                         "on {}",
-                                         task, run, life.box, box));
+      this->faults.push_back(
+          fmt::format("{} run {} starts on {} while it runs "
+                      "on {}",
+                      task, run, life.box, box));
   }
   if (this->noted.contains(task))
     this->faults.push_back(task + " starts again after its end was noted");
@@ -202,7 +203,8 @@
   exchange->Reply(Answer(200, json::object()));
 }
 
-void WorkerStandins::AddEnd(Life& life, const std::string& task,
+void WorkerStandins::AddEnd(Life& life,
+                            const std::string& task,
                             const char* how) {
   const auto found = life.running.find(task);
   const int run = found->second.number;
@@ -265,9 +267,8 @@
                                   {"id", life->id}});
     }
     for (const auto& [box, until] : this->away) {
-      list["machines"].push_back({{"machine", box},
-                                  {"pool", this->pools[box]},
-                                  {"state", "upkeep"}});
+      list["machines"].push_back(
+          {{"machine", box}, {"pool", this->pools[box]}, {"state", "upkeep"}});
     }
     exchange->Reply(http::JsonResponse(200, list.dump()));
     return;
--- a/testing/worker_standin.h
+++ b/testing/worker_standin.h
@@ -1,7 +1,7 @@
 // Workers as the platform's pages describe them, in memory on loopback ports:
-// leases, fencing, runs and their ends; and the service that moves and maintains
-// their boxes. Judges what it sees: runs of one task that overlap, starts after
-// an end that was noted, starts beyond the room.
+// leases, fencing, runs and their ends; and the service that moves and
+// maintains their boxes. Judges what it sees: runs of one task that overlap,
+// starts after an end that was noted, starts beyond the room.
 
 #ifndef TESTING_WORKER_STANDIN_H_
 #define TESTING_WORKER_STANDIN_H_
