A dead worker's lease keeps its end over takeovers

Ruled out: room (the pool had its least boxes). Change: the stored list says which workers the owner holds and, for those it has only heard of, until when an earlier lease lasts on the store's clock; a worker is granted nothing before it is listed and recorded as held.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -39,7 +39,7 @@
 move_seconds = 1.5
 )";
 
-std::string WhyRefused(std::string text) {
+std::string WhyRefused(const std::string& text) {
   std::istringstream in(text);
   try {
     static_cast<void>(ReadSettings(in, "f.ini"));
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -122,7 +122,9 @@
   std::map<std::string, WorkerOrders> orders;
   std::vector<scheduler::SaveProgress> saves;
   int saves_in_flight = 0;
-  std::vector<std::string> recorded;  // workers in the stored list
+  // Workers in the stored list: held by this owner, and carried from earlier.
+  std::vector<std::string> recorded;
+  std::vector<std::string> recorded_carried;
   std::uint64_t lease_version = 0;
   bool lease_writing = false;
   std::map<std::string, int> counted;  // as last written
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -87,25 +87,29 @@
   const base::Micros now = base::MonotonicNow();
   if (this->lease_writing || now < this->next_record)
     return;
-  std::vector<scheduler::WorkerInfo> known;
-  std::vector<std::string> ids;
+  LeaseRecord record{.epoch = this->epoch, .workers = {}};
+  std::vector<std::string> held;
+  std::vector<std::string> carried;
   for (const auto& [id, worker] : this->scheduler.all_workers()) {
-    known.push_back(worker.info);
-    ids.push_back(id);
+    if (!worker.listed && worker.lease_end <= now)
+      continue;
+    (worker.listed ? held : carried).push_back(id);
+    record.workers.push_back(
+        {.worker = worker.info,
+         .held = worker.listed,
+         .until_store_ms = this->store.StoreMillis(worker.lease_end)});
   }
-  if (ids == this->recorded)
+  if (held == this->recorded && carried == this->recorded_carried)
     return;
   const platform::RowKey row{.table = std::string(kLeaseTable),
                              .part = "",
                              .key = std::string(kLeaseKey)};
   const platform::WriteBatch write{
       .conditions = {{.at = row, .version = this->lease_version}},
-      .puts = {{.at = row,
-                .value =
-                    EncodeLeases({.epoch = this->epoch, .workers = known})}},
+      .puts = {{.at = row, .value = EncodeLeases(record)}},
       .removes = {}};
   this->lease_writing = true;
-  this->store.Write(write, [this, ids, lives = this->alive](
+  this->store.Write(write, [this, held, carried, lives = this->alive](
                                const platform::WriteResult& result) {
     if (!*lives)
       return;
@@ -113,8 +117,9 @@
     switch (result.outcome) {
       case platform::WriteOutcome::kDone:
         this->lease_version = result.version;
-        this->recorded = ids;
-        this->scheduler.WorkersRecorded(ids);
+        this->recorded = held;
+        this->recorded_carried = carried;
+        this->scheduler.WorkersRecorded(held);
         this->soon.StartOnce(milliseconds(1));
         return;
       case platform::WriteOutcome::kConflict:
--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -19,6 +19,10 @@
 // Clocks of boxes and workers, when another owner's grants are waited out.
 constexpr double kClockSlack = 1.05;
 
+// The store's clock is known to about its quickest answer; a slow store takes
+// some hundred ms.
+constexpr base::Micros kStoreClockSlack = milliseconds(1000);
+
 }  // namespace
 
 // Jobs first: progress that is read later belongs to jobs that are known, and
@@ -190,8 +194,13 @@
   this->lease_version = row.version;
   if (record->epoch == this->epoch)
     return true;
-  for (const scheduler::WorkerInfo& info : record->workers)
-    this->scheduler.InheritWorker(info, base::MonotonicNow() + bound);
+  const base::Micros latest = base::MonotonicNow() + bound;
+  for (const LeaseHolder& holder : record->workers) {
+    const base::Micros carried =
+        this->store.LocalTime(holder.until_store_ms) + kStoreClockSlack;
+    this->scheduler.InheritWorker(
+        holder.worker, holder.held ? latest : std::min(latest, carried));
+  }
   return true;
 }
 
--- a/entry/ownership.cc
+++ b/entry/ownership.cc
@@ -129,7 +129,7 @@
       return;
     OwnerRecord next = this->record;
     ++next.beat;
-    this->Write(std::move(next), false);
+    this->Write(next, false);
     return;
   }
   if (!this->ShouldTake(now))
@@ -141,7 +141,7 @@
               true);
 }
 
-void Ownership::Write(OwnerRecord next, bool taking) {
+void Ownership::Write(const OwnerRecord& next, bool taking) {
   const base::Micros asked = base::MonotonicNow();
   this->writing = true;
   this->next_renewal = asked + kRenewal;
@@ -237,7 +237,7 @@
 void Ownership::WriteRelease() {
   OwnerRecord next = this->record;
   next.holder.clear();
-  this->Write(std::move(next), false);
+  this->Write(next, false);
 }
 
 }  // namespace quartzhoist::entry
--- a/entry/ownership.h
+++ b/entry/ownership.h
@@ -50,7 +50,7 @@
   void SeeStore(base::Micros asked);
   void Act();
   bool ShouldTake(base::Micros now) const;
-  void Write(OwnerRecord next, bool taking);
+  void Write(const OwnerRecord& next, bool taking);
   void TakeAnswer(const platform::WriteResult& result,
                   const OwnerRecord& next,
                   bool taking,
--- a/entry/tables.cc
+++ b/entry/tables.cc
@@ -106,8 +106,11 @@
 
 std::string EncodeLeases(const LeaseRecord& record) {
   Json list = Json::array();
-  for (const scheduler::WorkerInfo& worker : record.workers)
-    list.push_back({worker.id, worker.address, worker.box, worker.service});
+  for (const LeaseHolder& holder : record.workers) {
+    const scheduler::WorkerInfo& worker = holder.worker;
+    list.push_back({worker.id, worker.address, worker.box, worker.service,
+                    holder.held, holder.until_store_ms});
+  }
   return Json{{"epoch", record.epoch}, {"workers", std::move(list)}}.dump();
 }
 
@@ -117,12 +120,14 @@
     LeaseRecord record;
     record.epoch = json.at("epoch").get<std::uint64_t>();
     for (const Json& row : json.at("workers")) {
-      scheduler::WorkerInfo worker;
-      worker.id = row.at(0).get<std::string>();
-      worker.address = row.at(1).get<std::string>();
-      worker.box = row.at(2).get<std::string>();
-      worker.service = row.at(3).get<std::string>();
-      record.workers.push_back(std::move(worker));
+      LeaseHolder holder;
+      holder.worker.id = row.at(0).get<std::string>();
+      holder.worker.address = row.at(1).get<std::string>();
+      holder.worker.box = row.at(2).get<std::string>();
+      holder.worker.service = row.at(3).get<std::string>();
+      holder.held = row.at(4).get<bool>();
+      holder.until_store_ms = row.at(5).get<std::int64_t>();
+      record.workers.push_back(std::move(holder));
     }
     return record;
   } catch (const Json::exception&) {
--- a/entry/tables.h
+++ b/entry/tables.h
@@ -65,9 +65,16 @@
 std::optional<OwnerRecord> DecodeOwner(std::string_view text);
 
 // Workers that may hold a lease from the owner of this epoch, or an earlier.
+// One that the owner holds gets leases from it; one that it has only heard of
+// from an earlier owner, and not listed, has none beyond that time.
+struct LeaseHolder {
+  scheduler::WorkerInfo worker;  // id, address, box and service
+  bool held = true;
+  std::int64_t until_store_ms = 0;  // on the store's clock, if not held
+};
 struct LeaseRecord {
   std::uint64_t epoch = 0;
-  std::vector<scheduler::WorkerInfo> workers;
+  std::vector<LeaseHolder> workers;
 };
 std::string EncodeLeases(const LeaseRecord& record);
 std::optional<LeaseRecord> DecodeLeases(std::string_view text);
--- a/jobs/progress.h
+++ b/jobs/progress.h
@@ -21,7 +21,11 @@
   int occurrence = 0;
   int step = 0;
 
-  auto operator<=>(const StepKey&) const = default;
+  bool operator==(const StepKey&) const = default;
+  bool operator<(const StepKey& other) const {
+    return std::tie(this->occurrence, this->step) <
+           std::tie(other.occurrence, other.step);
+  }
 };
 
 // One task of a step.
@@ -29,7 +33,11 @@
   StepKey step;
   int index = 0;
 
-  auto operator<=>(const TaskKey&) const = default;
+  bool operator==(const TaskKey&) const = default;
+  bool operator<(const TaskKey& other) const {
+    return std::tie(this->step, this->index) <
+           std::tie(other.step, other.index);
+  }
 };
 
 // How often a task has failed, and in which run last: an end that is told twice
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -433,12 +433,13 @@
       wait = kLookWaitOpen;
     worker.look_in_flight = true;
     worker.told = worker.acknowledged;
-    this->actions.emplace_back(LookAt{.worker = id,
-                                      .acknowledged = worker.acknowledged,
-                                      .wait = wait,
-                                      // A silent worker's lease is to run out,
-                                      // whether or not it hears this.
-                                      .renews = worker.failed_calls == 0});
+    this->actions.emplace_back(
+        LookAt{.worker = id,
+               .acknowledged = worker.acknowledged,
+               .wait = wait,
+               // A silent worker's lease is to run out,
+               // whether or not it hears this.
+               .renews = worker.recorded && worker.failed_calls == 0});
   }
 }
 
--- a/scheduler/model_test.cc
+++ b/scheduler/model_test.cc
@@ -97,6 +97,25 @@
   BOOST_TEST(model.starts() == 3 + 2 + 4);
 }
 
+// Owners that follow one another sooner than a lease can last do not make the
+// tasks of a dead worker wait anew each time.
+BOOST_AUTO_TEST_CASE(TakeoversDoNotPutADeadWorkersTasksOff) {
+  ModelJob job;
+  job.id = "lasting";
+  job.spec.steps = {MakeStep(2, 1000)};
+  MakeLasting(job.spec.steps[0]);
+  SchedulerModel model(1, {}, 3, {job});
+  model.RunFor(seconds(3));
+  BOOST_REQUIRE(model.RunningTasks("lasting") == 2);
+  model.Darken("lasting");
+  for (int i = 0; i < 5; ++i) {
+    model.TakeOver();
+    model.RunFor(seconds(4));
+  }
+  BOOST_TEST(Joined(model.broken()) == "");
+  BOOST_TEST(model.RunningTasks("lasting") == 2);
+}
+
 BOOST_AUTO_TEST_CASE(PromisesHoldUnderFaults) {
   const bool holds = rc::check(
       "no task runs twice, too early, too often or beyond its worker's room; "
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -77,7 +77,6 @@
     worker.info = info;
     worker.announced = false;
   }
-  worker.recorded = true;
   worker.lease_end = std::max(worker.lease_end, lease_end);
 }
 
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -64,9 +64,10 @@
   void WorkerUnlisted(const std::string& id, base::Micros now);
   // This life is over: nothing of it runs.
   void WorkerDied(const std::string& id, base::Micros now);
-  // A worker that an earlier owner may have granted a lease.
+  // A worker that an earlier owner may have granted a lease until then. Until
+  // it has been listed and recorded anew, this owner grants it none.
   void InheritWorker(const WorkerInfo& info, base::Micros lease_end);
-  // The stored list of workers with leases names these.
+  // The stored list names these as held by this owner.
   void WorkersRecorded(const std::vector<std::string>& ids);
   // A store answer confirmed the ownership; `at` is when it was asked.
   void Confirmed(base::Micros at);
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -54,8 +54,9 @@
 
 struct Worker {
   WorkerInfo info;
-  bool listed = false;    // has answered a look under this owner's epoch
-  bool recorded = false;  // is in the stored list of workers with leases
+  bool listed = false;  // has answered a look under this owner's epoch
+  // The stored list says that this owner grants it leases.
+  bool recorded = false;
   bool announced = true;  // its announcement stands in the store
   bool leaving = false;   // nothing further is placed: upkeep or a move
   bool look_in_flight = false;
--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -108,10 +108,40 @@
                                    .capacity = this->workers[id].capacity};
   for (Owner& owner : this->owners) {
     owner.scheduler->PutWorker(info, this->now);
-    owner.scheduler->WorkersRecorded({id});
   }
 }
 
+void SchedulerModel::Darken(const std::string& job) {
+  std::vector<std::string> ids;
+  for (const auto& [id, worker] : this->workers) {
+    const bool runs_it =
+        std::any_of(worker.running.begin(), worker.running.end(),
+                    [&job](const auto& run) { return run.first.job == job; });
+    if (runs_it)
+      ids.push_back(id);
+  }
+  for (const std::string& id : ids) {
+    Worker& worker = this->workers.at(id);
+    worker.alive = false;
+    worker.dark = true;
+    worker.running.clear();
+    this->AddWorker(static_cast<int>(this->random() % 100));
+  }
+}
+
+// A worker is in the stored list, as held by this owner, before it is granted a
+// lease.
+void SchedulerModel::RecordListed(Owner& owner) {
+  std::vector<std::string> held;
+  for (const auto& [id, worker] : owner.scheduler->all_workers()) {
+    if (!worker.listed || worker.recorded)
+      continue;
+    held.push_back(id);
+    this->leases[id] = std::nullopt;
+  }
+  owner.scheduler->WorkersRecorded(held);
+}
+
 // A new owner reads the store and knows every worker that may hold a lease.
 // The old one is not told: it acts on, unconfirmed.
 void SchedulerModel::TakeOver() {
@@ -137,10 +167,15 @@
                                      .labels = {},
                                      .rack = id.substr(0, 2),
                                      .capacity = worker.capacity};
-    if (epoch > 1)
-      made.InheritWorker(info, this->now + bound);
-    made.PutWorker(info, this->now);
-    made.WorkersRecorded({id});
+    const auto lease = this->leases.find(id);
+    if (lease != this->leases.end()) {
+      // What the earlier owner held, this one carries with its end.
+      if (!lease->second)
+        lease->second = this->now + bound;
+      made.InheritWorker(info, *lease->second);
+    }
+    if (!worker.dark)
+      made.PutWorker(info, this->now);
   }
   jobs::Config config;
   config.services.push_back({.name = "pool"});
@@ -243,6 +278,9 @@
   Owner& owner = this->owners[index];
   if (this->now < owner.frozen_until || owner.gone)
     return;
+  // A stale owner's list is refused for the newer one's epoch in it.
+  if (index + 1 == this->owners.size())
+    this->RecordListed(owner);
   owner.scheduler->Advance(this->now);
   for (const scheduler::Action& action : owner.scheduler->TakeActions())
     this->Carry(index, action);
@@ -285,8 +323,10 @@
   const auto found = this->workers.find(id);
   const bool is_dead = found == this->workers.end() || !found->second.alive;
   if (is_dead) {
-    answer_after(milliseconds(5), this->Chance(0.5) ? OrderOutcome::kOtherLife
-                                                    : OrderOutcome::kUnknown);
+    const bool silent = found != this->workers.end() && found->second.dark;
+    answer_after(milliseconds(5), silent || this->Chance(0.5)
+                                      ? OrderOutcome::kUnknown
+                                      : OrderOutcome::kOtherLife);
     return;
   }
   if (is_cut || this->Chance(this->faults.lost_order)) {
--- a/testing/scheduler_model.h
+++ b/testing/scheduler_model.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -50,6 +51,11 @@
   // No further faults; what is cut is joined, what is frozen thaws.
   void Heal();
   void Cancel(const std::string& job);
+  // Every worker that runs a task of the job falls silent for good: nothing
+  // says that its life is over. Another comes for each.
+  void Darken(const std::string& job);
+  // A new owner comes now.
+  void TakeOver();
 
   // What broke a promise, in words; empty: nothing.
   const std::vector<std::string>& broken() const { return this->faults_found; }
@@ -73,6 +79,7 @@
     std::string id;
     jobs::Resources capacity;
     bool alive = true;
+    bool dark = false;        // dead, and nothing answers in its place
     double clock_rate = 1.0;  // up to 2% slow
     base::Micros clock_offset{};
     std::uint64_t epoch = 0;  // highest seen
@@ -111,7 +118,7 @@
   void Step();
   void Disturb();
   void AddWorker(int number);
-  void TakeOver();
+  void RecordListed(Owner& owner);
   void Act(std::size_t owner);
   void Carry(std::size_t owner, const scheduler::Action& action);
   void SendStart(std::size_t owner, const scheduler::StartRun& order);
@@ -139,6 +146,9 @@
   ModelFaults faults;
   base::Micros now = std::chrono::seconds(100);
   std::map<std::string, Worker> workers;
+  // The stored list of workers that may hold a lease: until when, if the owner
+  // has not listed them.
+  std::map<std::string, std::optional<base::Micros>> leases;
   std::map<std::string, StoredJob> jobs;
   std::vector<Owner> owners;
   std::vector<Event> events;
