Advice and pacing: tickets before placement, filling tasks slowed by tails

Cause: both are in the contracts of the sites and were not built; a queue that needs tickets would never have been served. A run that is adopted keeps its listed load (the pacing test found that). Tests: StepThatNeedsAdviceStartsOnlyWithATicket, FillingTasksRestWhenTheTailOfServingOnesIsOver. Conclusion: kept as part of the protocol; constants not tuned.

--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -57,6 +57,7 @@
       on_fenced(std::move(when_fenced)),
       workers(client),
       boxes(client, chosen.boxes, chosen.id),
+      advisor(client, chosen.advice),
       scheduler(LimitsOf(chosen, own_epoch)),
       timer(on, [this] { this->Act(); }),
       soon(on, [this] { this->Act(); }),
@@ -151,6 +152,7 @@
     void operator()(scheduler::SaveProgress& save) const {
       manager.saves.push_back(std::move(save));
     }
+    void operator()(const scheduler::AskAdvice& ask) const { manager.Ask(ask); }
     void operator()(const scheduler::MoveBox& order) const {
       manager.SendBox(order);
     }
@@ -235,7 +237,7 @@
   }
   this->scheduler.Granted(worker, end);
   this->workers.Start(
-      this->To(worker), order, deadline, "",
+      this->To(worker), order, deadline,
       [this, worker, order,
        lives = this->alive](scheduler::OrderOutcome outcome) {
         if (!*lives)
@@ -300,6 +302,16 @@
       });
 }
 
+void Manager::Ask(const scheduler::AskAdvice& ask) {
+  this->advisor.Ask(ask, [this, ask, lives = this->alive](
+                             const std::optional<scheduler::Advice>& advice) {
+    if (!*lives)
+      return;
+    this->scheduler.Advised(ask, advice, base::MonotonicNow());
+    this->soon.StartOnce(kSoon);
+  });
+}
+
 void Manager::SendBox(const scheduler::MoveBox& order) {
   this->boxes.Move(
       order, this->epoch,
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -81,6 +81,7 @@
   void Send(const std::string& worker, const scheduler::PaceRun& order);
   void OrderAnswered(const std::string& worker, bool silent);
   void SendLook(const scheduler::LookAt& order);
+  void Ask(const scheduler::AskAdvice& ask);
   void SendBox(const scheduler::MoveBox& order);
   void SendBox(const scheduler::UpkeepBox& order);
   void Report(const scheduler::ReportWave& report);
@@ -105,6 +106,7 @@
   std::function<void()> on_fenced;
   platform::Workers workers;
   platform::Boxes boxes;
+  platform::Advisor advisor;
   scheduler::Scheduler scheduler;
   jobs::Config config;
 
--- a/entry/settings.cc
+++ b/entry/settings.cc
@@ -32,7 +32,7 @@
   return base::TakeSeconds(value, 0.001, 3600.0);
 }
 
-constexpr std::array<Key, 14> kKeys{{
+constexpr std::array<Key, 15> kKeys{{
     {"daemon", "id", true,
      [](Settings& s, const std::string& v) { s.id = TakeIdentifier(v); }},
     {"daemon", "zone", true,
@@ -47,6 +47,8 @@
      [](Settings& s, const std::string& v) { s.store = TakeAddress(v); }},
     {"boxes", "address", false,
      [](Settings& s, const std::string& v) { s.boxes = TakeAddress(v); }},
+    {"advice", "address", false,
+     [](Settings& s, const std::string& v) { s.advice = TakeAddress(v); }},
     {"limits", "longest_lease_ms", false,
      [](Settings& s, const std::string& v) {
        s.longest_lease = TakeMillis(v);
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -20,7 +20,8 @@
   std::string metrics;  // empty: not served
   // [store], [boxes]
   std::string store;
-  std::string boxes;  // empty: boxes are neither moved nor maintained
+  std::string advice;  // [advice] address; empty: there is no such service
+  std::string boxes;   // empty: boxes are neither moved nor maintained
   // [limits]; the defaults are the smaller of the two users' figures
   base::Micros longest_lease = std::chrono::milliseconds(6000);
   base::Micros stop_time = std::chrono::milliseconds(900);
--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -21,6 +21,15 @@
   int run = 0;
   std::string text;        // the job's, handed on
   std::string checkpoint;  // to resume from; empty: none
+  std::string ticket;      // where the queue asks for advice; else empty
+};
+
+// Asks which of these workers may run the step.
+struct AskAdvice {
+  std::string job;
+  int occurrence = 0;
+  int step = 0;
+  std::vector<std::string> workers;
 };
 
 struct StopRun {
@@ -81,6 +90,7 @@
                             PaceRun,
                             LookAt,
                             SaveProgress,
+                            AskAdvice,
                             MoveBox,
                             UpkeepBox,
                             ReportWave,
--- a/scheduler/ends.cc
+++ b/scheduler/ends.cc
@@ -102,9 +102,8 @@
     // An earlier run, beyond a cut, was done while another had begun.
     const auto other = this->workers.find(task.worker);
     if (task.state == TaskState::kPlaced && other != this->workers.end()) {
-      const TaskPlace member{.occurrence = place.occurrence,
-                             .step = place.step,
-                             .index = i};
+      const TaskPlace member{
+          .occurrence = place.occurrence, .step = place.step, .index = i};
       this->Stop(other->second, IdOf(job, member), now);
     }
     task.state = TaskState::kDone;
--- a/scheduler/facts.h
+++ b/scheduler/facts.h
@@ -4,6 +4,7 @@
 #define SCHEDULER_FACTS_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -102,6 +103,12 @@
     {OrderOutcome::kOtherLife, "other_life"},
 }};
 
+// Which workers may run a step, each with the ticket that proves it.
+struct Advice {
+  std::map<std::string, std::string> tickets;  // by worker
+  base::Micros valid{};                        // from when it was asked
+};
+
 // A wave: these boxes get their upkeep, at most so many at a time.
 struct Wave {
   int number = 0;
--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -4,6 +4,7 @@
 #define SCHEDULER_JOB_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -38,11 +39,20 @@
   int moved = 0;  // times it was taken off a stalled or slow worker
 };
 
+// What is known of the workers that may run a step.
+struct StepAdvice {
+  std::map<std::string, std::string> tickets;  // by worker
+  base::Micros until{};                        // they hold
+  base::Micros asked{};                        // when it was last asked for
+  bool in_flight = false;
+};
+
 // One step of one repeat.
 struct StepRuns {
   std::vector<Task> tasks;
   bool released = false;  // its tasks may start
   int done = 0;
+  StepAdvice advice;  // where the queue asks for it
 };
 
 // One repeat of the steps.
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -20,6 +20,8 @@
 constexpr base::Micros kLookWait = milliseconds(1500);
 // With an order whose fate is open the listing itself is the news.
 constexpr base::Micros kLookWaitOpen = milliseconds(300);
+// Where tasks fill beside others that serve, the tails change within seconds.
+constexpr base::Micros kLookWaitShared = milliseconds(500);
 // After ends were listed the next look waits a little, so that it brings more
 // than one (trial: one look after each end cost 0.014 to 0.022 of worth, with
 // a pause of 0.25 s 0.010).
@@ -85,6 +87,7 @@
   // 4. What should, and is not listed.
   this->SettleMissing(worker, listing, now);
   this->MoveOffBadWorker(worker, now);
+  this->PaceFillers(worker);
   this->Acknowledge(worker);
   worker.next_look = has_news ? now + kPauseAfterEnds : now;
 }
@@ -138,6 +141,8 @@
   run.answered = now;
   run.adopted = true;
   run.percent = listed.percent;
+  run.progressed = now;
+  run.load = listed.load;
   const bool known = job && Exists(*job, PlaceOf(listed.task));
   if (known) {
     const jobs::Step& step = StepOf(*job, PlaceOf(listed.task));
@@ -283,6 +288,10 @@
     ++worker.failed_calls;
   if (outcome == OrderOutcome::kBusy)
     this->JudgeWorker(worker, true, now);
+  Job* job = this->FindJob(order.task.job);
+  if (outcome == OrderOutcome::kNoTicket && job &&
+      Exists(*job, PlaceOf(order.task)))
+    StepAt(*job, PlaceOf(order.task)).advice.tickets.erase(order.worker);
   if (outcome == OrderOutcome::kNoRoom || outcome == OrderOutcome::kLate)
     worker.quarantined_until =
         std::max(worker.quarantined_until, now + kLookAgain);
@@ -436,6 +445,8 @@
       wait = {};
     else if (stopping)
       wait = kLookWaitOpen;
+    else if (IsShared(worker))
+      wait = kLookWaitShared;
     worker.look_in_flight = true;
     worker.told = worker.acknowledged;
     this->actions.emplace_back(
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -61,6 +61,11 @@
   return run;
 }
 
+std::string TicketFor(const StepRuns& runs, const std::string& worker) {
+  const auto found = runs.advice.tickets.find(worker);
+  return found == runs.advice.tickets.end() ? std::string() : found->second;
+}
+
 double Fullness(const Worker& worker) {
   const auto& has = worker.info.capacity;
   if (has.cpu_millis <= 0)
@@ -201,6 +206,9 @@
   Job& job = *this->FindJob(ready_task.job);
   if (this->MayHaveBeenRenewed(job, ready_task.place))
     return false;
+  if (job.queue.advice.required &&
+      !this->HasAdvice(job, ready_task.place, candidates, now))
+    return false;
   const std::vector<Choice> choices =
       this->ChooseFor(job, ready_task.place, candidates, now);
   if (choices.empty())
@@ -240,6 +248,9 @@
                         now >= worker->quarantined_until;
       if (!fits)
         continue;
+      if (job.queue.advice.required &&
+          !runs.advice.tickets.contains(worker->info.id))
+        continue;
       const Neighbours near = NeighboursOf(runs, *worker, this->workers);
       const int here = near.here + members[worker];
       if (step.most_per_worker > 0 && here >= step.most_per_worker)
@@ -339,7 +350,8 @@
                  .task = id,
                  .run = start.run,
                  .text = job.spec.text,
-                 .checkpoint = resumes ? task.checkpoint : std::string()});
+                 .checkpoint = resumes ? task.checkpoint : std::string(),
+                 .ticket = TicketFor(StepAt(job, start.place), task.worker)});
   }
   job.pending_starts = std::move(later);
 }
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -86,6 +86,10 @@
                   base::Micros now);
   void Started(const StartRun& order, OrderOutcome outcome, base::Micros now);
   void Stopped(const StopRun& order, OrderOutcome outcome, base::Micros now);
+  // The answer to AskAdvice, or nothing if there was none.
+  void Advised(const AskAdvice& asked,
+               const std::optional<Advice>& advice,
+               base::Micros now);
   // An order that grants a lease until `end` is about to be sent.
   void Granted(const std::string& worker, base::Micros end);
   void LookSent(const std::string& worker, base::Micros now);
@@ -175,6 +179,7 @@
                   base::Micros now);
   // The run is over and did not finish the task: it is to be placed again.
   void TaskLost(const jobs::TaskId& id, int run, base::Micros now);
+  void PaceFillers(Worker& worker);
   void MoveOffBadWorker(Worker& worker, base::Micros now);
   bool IsCrawling(const Job& job,
                   const jobs::TaskId& id,
@@ -220,6 +225,10 @@
   // Another owner wrote the job's row.
   void TakeStored(Job& job, const jobs::Progress& stored, base::Micros now);
   bool Usable(const Worker& worker, base::Micros now) const;
+  bool HasAdvice(Job& job,
+                 const TaskPlace& place,
+                 const std::vector<Worker*>& candidates,
+                 base::Micros now);
   bool MayHaveBeenRenewed(const Job& job, const TaskPlace& place) const;
   int NextRun(const Job& job, const TaskPlace& place) const;
 
--- a/scheduler/scheduler_test.cc
+++ b/scheduler/scheduler_test.cc
@@ -171,5 +171,79 @@
   BOOST_TEST(stops[0].worker == second.worker);
 }
 
+BOOST_AUTO_TEST_CASE(FillingTasksRestWhenTheTailOfServingOnesIsOver) {
+  Bench bench(1);
+  bench.scheduler.PutWorker(Bench::Worker("w"), bench.now);
+  jobs::Queue queue;
+  queue.name = "queue";
+  queue.service = "pool";
+  const auto add = [&](const std::string& id, bool fills) {
+    jobs::JobSpec spec;
+    jobs::Step step;
+    step.each = {.cpu_millis = 1000, .memory_mb = 100, .gpus = 0};
+    step.lasting = true;
+    step.fills = fills;
+    step.target_ms = fills ? 0 : 100;
+    spec.steps.push_back(step);
+    bench.scheduler.AddJob(MakeJob(id, queue, spec, {}, bench.now, {}),
+                           bench.now);
+  };
+  add("serves", false);
+  add("fills", true);
+  const auto listing = [](std::int64_t tail) {
+    Listing listed;
+    for (const char* job : {"serves", "fills"}) {
+      const bool serves = std::string(job) == "serves";
+      listed.running.push_back({.task = FirstTask(job),
+                                .run = 1,
+                                .checkpoint = "",
+                                .percent = 100,
+                                .load = serves ? tail : 500});
+    }
+    return listed;
+  };
+  bench.List("w", listing(130));
+  auto paces = Only<PaceRun>(bench.Turn());
+  BOOST_REQUIRE(paces.size() == 1);
+  BOOST_TEST(paces[0].task.job == "fills");
+  BOOST_TEST(paces[0].percent == 0);
+  bench.List("w", listing(70));
+  BOOST_TEST(Only<PaceRun>(bench.Turn()).empty());
+  bench.List("w", listing(20));
+  paces = Only<PaceRun>(bench.Turn());
+  BOOST_REQUIRE(paces.size() == 1);
+  BOOST_TEST(paces[0].percent == 20);
+}
+
+BOOST_AUTO_TEST_CASE(StepThatNeedsAdviceStartsOnlyWithATicket) {
+  Bench bench(1);
+  for (const char* id : {"a", "b"}) {
+    bench.scheduler.PutWorker(Bench::Worker(id), bench.now);
+    bench.List(id, {});
+  }
+  jobs::Queue queue;
+  queue.name = "queue";
+  queue.service = "pool";
+  queue.advice.required = true;
+  jobs::JobSpec spec;
+  spec.steps.emplace_back();
+  bench.scheduler.AddJob(MakeJob("job", queue, spec, {}, bench.now, {}),
+                         bench.now);
+  const std::vector<Action> asked = bench.Turn();
+  BOOST_REQUIRE(Only<AskAdvice>(asked).size() == 1);
+  BOOST_TEST(Only<SaveProgress>(asked).empty());
+  // One question at a time.
+  BOOST_TEST(Only<AskAdvice>(bench.Turn()).empty());
+  bench.scheduler.Advised(Only<AskAdvice>(asked)[0],
+                          Advice{.tickets = {{"b", "t"}}, .valid = seconds(3)},
+                          bench.now);
+  const StartRun start = bench.NextStart();
+  BOOST_TEST(start.worker == "b");
+  BOOST_TEST(start.ticket == "t");
+  // Refused there: the ticket is not used again.
+  bench.scheduler.Started(start, OrderOutcome::kNoTicket, bench.now);
+  BOOST_TEST(Only<StartRun>(bench.Turn()).empty());
+}
+
 }  // namespace
 }  // namespace quartzhoist::scheduler
--- a/scheduler/worker.cc
+++ b/scheduler/worker.cc
@@ -20,6 +20,16 @@
   worker.runs.erase(found);
 }
 
+bool IsShared(const Worker& worker) {
+  bool serves = false;
+  bool fills = false;
+  for (const auto& [task, run] : worker.runs) {
+    serves = serves || run.target_ms > 0;
+    fills = fills || run.fills;
+  }
+  return serves && fills;
+}
+
 std::int64_t DeadlineFor(const Worker& worker, base::Micros end) {
   if (worker.clock_read == base::Micros::zero() || end <= worker.clock_read)
     return 0;
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -88,6 +88,9 @@
 Run& AddRun(Worker& worker, const jobs::TaskId& task, Run run);
 void RemoveRun(Worker& worker, const jobs::TaskId& task);
 
+// Do tasks that serve run beside tasks that fill?
+bool IsShared(const Worker& worker);
+
 // The deadline to grant, on the worker's clock, so that it is over at `end` on
 // ours even if its clock runs slow. 0 if its clock has not been read yet.
 std::int64_t DeadlineFor(const Worker& worker, base::Micros end);
