No false refusal at a process's end; boxes that are down count for a new owner

Ruled out: the classing of the store's refusals; waves' own limits. Change: at the end jobs in flight get 504; no upkeep is begun before the list of boxes has been read, and boxes it shows in upkeep count; a lasting task is interrupted only with a place elsewhere, the boxes such tasks need are allotted first, and a pool without any gets one though the giver falls short. Tests, each failing without its mend: JobInFlightAtTheEndIsNotCalledRefused (does not build before), UpkeepThatAnEarlierOwnerBeganCounts (trial with the mend taken out), PoolOfLastingTasksGetsItsBoxThoughAllAreShort.

--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -74,6 +74,22 @@
   this->stopping = true;
 }
 
+void CallerApi::End() {
+  for (auto& [part, queue] : this->parts) {
+    for (Submission& submission : queue.waiting) {
+      const int status = submission.uncertain ? kUnknownFate : kUnavailable;
+      this->Refuse(submission.exchange, status, submission.job,
+                   "this daemon leaves");
+    }
+    if (!queue.sent)
+      continue;
+    for (Submission& submission : *queue.sent) {
+      this->Refuse(submission.exchange, kUnknownFate, submission.job,
+                   "this daemon leaves; the write had no answer yet");
+    }
+  }
+}
+
 void CallerApi::Reply(const http::ExchangePtr& exchange,
                       http::Response response) const {
   if (this->stopping)
@@ -166,7 +182,7 @@
 // Jobs that come while a write is on its way share the next one.
 void CallerApi::WritePart(const std::string& part) {
   PartQueue& queue = this->parts[part];
-  if (queue.in_flight || queue.waiting.empty())
+  if (queue.sent || queue.waiting.empty())
     return;
   std::vector<Submission> batch;
   std::set<std::string> taken;
@@ -191,11 +207,11 @@
   }
   for (Submission& submission : later)
     queue.waiting.push_front(std::move(submission));
-  queue.in_flight = true;
   auto sent = std::make_shared<std::vector<Submission>>(std::move(batch));
+  queue.sent = sent;
   this->store.Write(write,
                     [this, part, sent](const platform::WriteResult& result) {
-                      this->parts[part].in_flight = false;
+                      this->parts[part].sent.reset();
                       this->TakeWritten(part, std::move(*sent), result);
                       this->WritePart(part);
                     });
--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -30,6 +30,9 @@
   // From now on answers end their connections: the process is to stop.
   void Stop();
   void Handle(const http::ExchangePtr& exchange);
+  // The process ends now: whoever still waits for a job to be taken is told
+  // whether that may yet happen.
+  void End();
 
  private:
   // A job that waits to be written.
@@ -43,7 +46,7 @@
   };
   struct PartQueue {
     std::deque<Submission> waiting;
-    bool in_flight = false;
+    std::shared_ptr<std::vector<Submission>> sent;  // whose write is on its way
   };
 
   void Submit(const http::ExchangePtr& exchange,
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -293,6 +293,23 @@
   BOOST_TEST(response.status == 504);
 }
 
+// A job whose write is on its way when the process ends may yet be taken.
+BOOST_AUTO_TEST_CASE(JobInFlightAtTheEndIsNotCalledRefused) {
+  CallerBench bench;
+  bench.standin.SetMood(StoreStandin::Mood::kSilent);
+  std::optional<int> status;
+  bench.client.Send(
+      {.method = "POST",
+       .url = "http://127.0.0.1:" + std::to_string(bench.server.port()) + kJob,
+       .headers = {{.name = "Host", .value = "h.example"}},
+       .body = kBody},
+      [&](const http::ClientResult& got) { status = got.response.status; });
+  bench.Until([&] { return bench.server.open_exchanges() == 1; });
+  bench.api.End();
+  bench.Until([&] { return status.has_value(); });
+  BOOST_TEST(*status == 504);
+}
+
 BOOST_AUTO_TEST_CASE(CancelIsKeptAndUnknownJobsAreGone) {
   CallerBench bench;
   BOOST_TEST(bench.Call("DELETE", kJob).status == 410);
--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -247,8 +247,10 @@
   const bool quiet =
       since > kStayAfterStop && this->caller_server.open_exchanges() == 0;
   const bool over = since > this->settings.grace - kLeaveBeforeKill;
-  if (quiet || over)
-    this->loop.Stop();
+  if (!quiet && !over)
+    return;
+  this->callers.End();
+  this->loop.Stop();
 }
 
 void JobDaemon::Run() {
--- a/scheduler/evacuation.cc
+++ b/scheduler/evacuation.cc
@@ -156,13 +156,36 @@
          now - worker->second.last_answer < kSeenLately;
 }
 
+// A task is not interrupted for nothing: another worker must have room for it.
+bool Scheduler::HasPlaceElsewhere(const jobs::TaskId& id, base::Micros now) {
+  const Job* job = this->FindJob(id.job);
+  if (!job || !Exists(*job, PlaceOf(id)))
+    return true;
+  const jobs::Resources takes = TakenBy(StepOf(*job, PlaceOf(id)));
+  const StepRuns& runs = StepAt(*job, PlaceOf(id));
+  const std::int64_t most = StepOf(*job, PlaceOf(id)).most_per_worker;
+  return std::any_of(
+      this->workers.begin(), this->workers.end(), [&](const auto& entry) {
+        const Worker& worker = entry.second;
+        const auto here = std::count_if(
+            runs.tasks.begin(), runs.tasks.end(), [&](const Task& task) {
+              return task.state == TaskState::kPlaced &&
+                     task.worker == entry.first;
+            });
+        return worker.info.service == job->queue.service &&
+               this->Usable(worker, now) && jobs::Fits(takes, worker.room()) &&
+               (most == 0 || here < most);
+      });
+}
+
 void Scheduler::StopForEvacuation(const std::string& box, base::Micros now) {
   for (auto& [id, worker] : this->workers) {
     if (worker.info.box != box)
       continue;
     for (auto& [task, run] : worker.runs) {
       const bool movable = run.lasting && run.state == RunState::kRunning;
-      if (!movable || !this->MayInterrupt(task, now))
+      if (!movable || !this->MayInterrupt(task, now) ||
+          !this->HasPlaceElsewhere(task, now))
         continue;
       // It is away from here on, before its end is listed.
       Job* job = this->FindJob(task.job);
--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -83,6 +83,15 @@
                         now > upkeep.since + this->limits.upkeep_time;
       if (gone || back)
         upkeep.state = UpkeepState::kDone;
+      // An earlier owner began it, and did not come to record it.
+      const bool begun = !gone && found->second.state == BoxState::kUpkeep &&
+                         (upkeep.state == UpkeepState::kPending ||
+                          upkeep.state == UpkeepState::kEmptying);
+      if (begun) {
+        upkeep.state = UpkeepState::kDown;
+        upkeep.since = now;
+        progress.to_report = true;
+      }
     }
   }
 }
@@ -237,6 +246,10 @@
     progress.to_report = false;
     steps.emplace_back(this->Report(progress));
   }
+  // Which boxes are down is known from the list: an earlier owner may have
+  // begun some.
+  if (!this->has_list)
+    return;
   // 2. Take the next, as many as may be away: idle boxes, then those with
   //    little on them.
   std::stable_sort(pending.begin(), pending.end(),
@@ -294,30 +307,40 @@
 }
 
 std::map<std::string, double> AllotCores(const std::vector<FleetPool>& pools,
-                                         double total_cores) {
+                                         double total_cores,
+                                         double box_cores) {
   std::map<std::string, double> allotted;
   std::set<int> priorities;
+  double left = total_cores;
+  // What of the least boxes no work has taken up yet.
+  std::map<std::string, double> unused;
   for (const FleetPool& pool : pools) {
-    allotted[pool.name] = 0.0;
+    const double least = std::min(left, pool.least_boxes * box_cores);
+    allotted[pool.name] = least;
+    unused[pool.name] = least;
+    left -= least;
     for (const auto& [priority, need] : pool.needs)
       priorities.insert(priority);
   }
-  double left = total_cores;
   const auto share = [&](int priority, double PoolNeed::*what) {
-    double wanted = 0.0;
+    std::map<std::string, double> wanted;
+    double all_wanted = 0.0;
     for (const FleetPool& pool : pools) {
       const auto need = pool.needs.find(priority);
-      wanted += need == pool.needs.end() ? 0.0 : need->second.*what;
+      if (need == pool.needs.end())
+        continue;
+      double& free = unused[pool.name];
+      const double covered = std::min(free, need->second.*what);
+      free -= covered;
+      wanted[pool.name] = need->second.*what - covered;
+      all_wanted += wanted[pool.name];
     }
-    if (wanted <= 0.0)
+    if (all_wanted <= 0.0)
       return;
-    const double part = std::min(1.0, left / wanted);
-    for (const FleetPool& pool : pools) {
-      const auto need = pool.needs.find(priority);
-      if (need != pool.needs.end())
-        allotted[pool.name] += part * (need->second.*what);
-    }
-    left -= part * wanted;
+    const double part = std::min(1.0, left / all_wanted);
+    for (const auto& [pool, cores] : wanted)
+      allotted[pool] += part * cores;
+    left -= part * all_wanted;
   };
   for (const int priority : priorities) {
     share(priority, &PoolNeed::now_cores);
@@ -363,11 +386,9 @@
       asking.push_back(pool);
   }
   const std::map<std::string, double> allotted =
-      AllotCores(asking, total_cores * kFill);
-  for (const FleetPool& pool : asking) {
-    surplus[pool.name] -=
-        std::max(allotted.at(pool.name) / kFill, pool.least_boxes * box_cores);
-  }
+      AllotCores(asking, total_cores * kFill, box_cores * kFill);
+  for (const FleetPool& pool : asking)
+    surplus[pool.name] -= allotted.at(pool.name) / kFill;
   // 2. The shortest pool gets a box, until none is short or none can give.
   double short_cores = 0.0;
   while (true) {
@@ -380,7 +401,7 @@
     }
     if (!shortest)
       break;
-    const FleetBox* donor = this->FindDonor(view, surplus, shortest->name);
+    const FleetBox* donor = this->FindDonor(view, surplus, *shortest);
     if (!donor) {
       for (const FleetPool& pool : asking)
         short_cores += std::max(0.0, -surplus[pool.name]);
@@ -401,12 +422,20 @@
 
 const FleetBox* Fleet::FindDonor(const FleetView& view,
                                  const std::map<std::string, double>& surplus,
-                                 const std::string& to) const {
+                                 const FleetPool& to) const {
+  // A pool without a box for its lasting tasks gets one though the giver falls
+  // short by as much as a box.
+  const bool has_none = to.least_boxes > 0 &&
+                        std::none_of(view.boxes.begin(), view.boxes.end(),
+                                     [this, &to](const FleetBox& box) {
+                                       return box.up && box.pool == to.name &&
+                                              !this->IsLeaving(box.name);
+                                     });
   const FleetBox* best = nullptr;
-  double best_left = -1.0;
+  double best_left = -1e9;
   for (const FleetBox& box : view.boxes) {
     const auto pool = surplus.find(box.pool);
-    const bool may_go = box.up && box.idle && box.pool != to &&
+    const bool may_go = box.up && box.idle && box.pool != to.name &&
                         !this->moves.contains(box.name) &&
                         !this->InUpkeep(box.name) && pool != surplus.end();
     if (!may_go)
@@ -417,7 +446,8 @@
         });
     // What the giving pool keeps beyond its allotment.
     const double left = at_rest ? 0.0 : pool->second - box.cores;
-    if (left < 0.0 || left <= best_left)
+    const double least_left = has_none ? -box.cores : 0.0;
+    if (left < least_left || left <= best_left)
       continue;
     best = &box;
     best_left = left;
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -71,10 +71,12 @@
 
 using FleetStep = std::variant<MoveBox, UpkeepBox, ReportWave, Evacuate>;
 
-// How many cores each pool should have: urgent work first, what is there before
-// what is expected; where not all fits, pools of one level share in proportion.
+// How many cores each pool should have: the boxes its lasting tasks need, then
+// urgent work first, what is there before what is expected; where not all fits,
+// pools of one level share in proportion.
 std::map<std::string, double> AllotCores(const std::vector<FleetPool>& pools,
-                                         double total_cores);
+                                         double total_cores,
+                                         double box_cores);
 
 class Fleet {
  public:
@@ -147,7 +149,7 @@
   std::map<std::string, double> CoresHeld(const FleetView& view) const;
   const FleetBox* FindDonor(const FleetView& view,
                             const std::map<std::string, double>& surplus,
-                            const std::string& to) const;
+                            const FleetPool& to) const;
   void Reclaim(const FleetView& view,
                std::map<std::string, double>& surplus,
                double short_cores);
--- a/scheduler/fleet_test.cc
+++ b/scheduler/fleet_test.cc
@@ -55,7 +55,7 @@
     pools.push_back(pool);
   }
   const double total = *rc::gen::inRange(0, 1500);
-  const auto allotted = AllotCores(pools, total);
+  const auto allotted = AllotCores(pools, total, 16.0);
   double sum = 0.0;
   for (const FleetPool& pool : pools) {
     sum += allotted.at(pool.name);
@@ -82,6 +82,23 @@
   BOOST_TEST(Only<MoveBox>(fleet.Plan(view, seconds(2))).empty());
 }
 
+// Overload elsewhere does not leave lasting tasks without a box.
+BOOST_AUTO_TEST_CASE(PoolOfLastingTasksGetsItsBoxThoughAllAreShort) {
+  Fleet fleet(kLimits);
+  FleetView view;
+  view.boxes = {IdleBox("b1", "busy"), IdleBox("b2", "busy")};
+  view.boxes[1].idle = false;
+  view.pools = {{.name = "busy", .spare = false, .needs = {}},
+                {.name = "lasts", .spare = false, .needs = {}}};
+  view.pools[0].needs[0].now_cores = 500.0;
+  view.pools[1].needs[0].now_cores = 1.0;
+  view.pools[1].least_boxes = 1;
+  const auto moves = Only<MoveBox>(fleet.Plan(view, seconds(1)));
+  BOOST_REQUIRE(moves.size() == 1);
+  BOOST_TEST(moves[0].box == "b1");
+  BOOST_TEST(moves[0].pool == "lasts");
+}
+
 BOOST_AUTO_TEST_CASE(MoveWithoutAnAnswerIsAskedForAgain) {
   Fleet fleet(kLimits);
   FleetView view;
@@ -215,6 +232,28 @@
   BOOST_TEST(begun[0].box == "b2");
 }
 
+BOOST_AUTO_TEST_CASE(UpkeepThatAnEarlierOwnerBeganCounts) {
+  Fleet fleet(kLimits);
+  fleet.SetWave({.number = 1,
+                 .boxes = {"b1", "b2"},
+                 .duration = seconds(20),
+                 .most_at_once = 1},
+                {}, seconds(1));
+  FleetView view;
+  view.boxes = {IdleBox("b2", "pool")};
+  view.pools = {{.name = "pool", .spare = false, .needs = {}}};
+  // Nothing is begun before the list has been read.
+  BOOST_TEST(Only<UpkeepBox>(fleet.Plan(view, seconds(2))).empty());
+  fleet.SetBoxes({{.name = "b1", .pool = "pool", .state = BoxState::kUpkeep},
+                  {.name = "b2", .pool = "pool", .worker = "b2-life"}},
+                 seconds(2));
+  BOOST_TEST(Only<UpkeepBox>(fleet.Plan(view, seconds(3))).empty());
+  fleet.SetBoxes({{.name = "b1", .pool = "pool"},
+                  {.name = "b2", .pool = "pool", .worker = "b2-life"}},
+                 seconds(6));
+  BOOST_TEST(Only<UpkeepBox>(fleet.Plan(view, seconds(6))).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(BoxThatHasBeenTakenAwayIsNotWaitedFor) {
   Fleet fleet(kLimits);
   fleet.SetWave({.number = 1,
--- a/scheduler/job.cc
+++ b/scheduler/job.cc
@@ -115,6 +115,14 @@
   return job.spec.steps[static_cast<std::size_t>(place.step)];
 }
 
+jobs::Resources TakenBy(const jobs::Step& step) {
+  jobs::Resources takes = step.each;
+  // What fills uses only processor time that is left over.
+  if (step.fills)
+    takes.cpu_millis = 0;
+  return takes;
+}
+
 std::vector<TaskPlace> ReleaseSteps(Job& job, base::Micros now) {
   std::vector<TaskPlace> ready;
   if (job.finished() || job.cancelled)
--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -126,6 +126,9 @@
 Task& TaskAt(Job& job, const TaskPlace& place);
 const jobs::Step& StepOf(const Job& job, const TaskPlace& place);
 
+// What a task of the step takes of a worker's room.
+jobs::Resources TakenBy(const jobs::Step& step);
+
 // Releases steps whose turn has come; returns the places that became ready, one
 // (the first task) for a gang.
 std::vector<TaskPlace> ReleaseSteps(Job& job, base::Micros now);
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -43,14 +43,6 @@
                                     label) != info.labels.end();
 }
 
-jobs::Resources TakenBy(const jobs::Step& step) {
-  jobs::Resources takes = step.each;
-  // What fills uses only processor time that is left over.
-  if (step.fills)
-    takes.cpu_millis = 0;
-  return takes;
-}
-
 Run RunOf(const jobs::Step& step, int number, RunState state) {
   Run run{.number = number, .state = state};
   run.takes = TakenBy(step);
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -240,6 +240,7 @@
   void StopForEvacuation(const std::string& box, base::Micros now);
   void BoxTaken(const std::string& box, base::Micros now);
   bool MayInterrupt(const jobs::TaskId& task, base::Micros now) const;
+  bool HasPlaceElsewhere(const jobs::TaskId& task, base::Micros now);
   bool IsSeenAtWork(const Task& task, base::Micros now) const;
 
   Limits limits;
