--- a/jobs/job.h
+++ b/jobs/job.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "base/enum_names.h"
@@ -77,7 +78,11 @@
   int step = 0;
   int index = 0;
 
-  auto operator<=>(const TaskId&) const = default;
+  bool operator==(const TaskId&) const = default;
+  bool operator<(const TaskId& other) const {
+    return std::tie(this->job, this->occurrence, this->step, this->index) <
+           std::tie(other.job, other.occurrence, other.step, other.index);
+  }
 };
 
 }  // namespace quartzhoist::jobs
--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "base/clock.h"
@@ -67,7 +68,11 @@
   int step = 0;
   int index = 0;
 
-  auto operator<=>(const TaskPlace&) const = default;
+  bool operator==(const TaskPlace&) const = default;
+  bool operator<(const TaskPlace& other) const {
+    return std::tie(this->occurrence, this->step, this->index) <
+           std::tie(other.occurrence, other.step, other.index);
+  }
 };
 
 struct PendingStart {
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -99,7 +99,7 @@
   return found == this->jobs.end() ? nullptr : &found->second;
 }
 
-void Scheduler::AddJob(Job added, base::Micros now) {
+void Scheduler::AddJob(Job&& added, base::Micros now) {
   const auto [entry, is_new] =
       this->jobs.try_emplace(added.id, std::move(added));
   if (!is_new)
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -73,7 +74,7 @@
   void Confirmed(base::Micros at);
 
   // --- Facts about jobs ---
-  void AddJob(Job job, base::Micros now);
+  void AddJob(Job&& added, base::Micros now);
   void CancelJob(const std::string& id, base::Micros now);
   void Saved(const SaveResult& result, base::Micros now);
 
@@ -138,15 +139,9 @@
     std::string job;
     TaskPlace place;
 
-    auto operator<=>(const ReadyTask& other) const {
-      if (this->priority != other.priority)
-        return this->priority <=> other.priority;
-      if (this->objective != other.objective)
-        return this->objective <=> other.objective;
-      return this->number <=> other.number;
-    }
-    bool operator==(const ReadyTask& other) const {
-      return this->number == other.number;
+    bool operator<(const ReadyTask& other) const {
+      return std::tie(this->priority, this->objective, this->number) <
+             std::tie(other.priority, other.objective, other.number);
     }
   };
   using ReadySet = std::set<ReadyTask>;
--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -307,10 +307,11 @@
 
 // --- Messages ---
 
-void SchedulerModel::Deliver(std::size_t index,
-                             const std::string& id,
-                             std::function<OrderOutcome(Worker&)> carry_out,
-                             std::function<void(OrderOutcome)> answer) {
+void SchedulerModel::Deliver(
+    std::size_t index,
+    const std::string& id,
+    const std::function<OrderOutcome(Worker&)>& carry_out,
+    const std::function<void(OrderOutcome)>& answer) {
   const auto answer_after = [this, index, answer](base::Micros delay,
                                                   OrderOutcome outcome) {
     this->After(delay, [this, index, answer, outcome] {
@@ -443,7 +444,7 @@
     stored.progress = save.text;
     return true;
   };
-  const auto answer = [this, index](scheduler::SaveResult result) {
+  const auto answer = [this, index](const scheduler::SaveResult& result) {
     this->owners[index].scheduler->Saved(result, this->now);
   };
   const bool late = this->Chance(this->faults.late_save);
--- a/testing/scheduler_model.h
+++ b/testing/scheduler_model.h
@@ -127,8 +127,8 @@
   void Save(std::size_t owner, const scheduler::SaveProgress& save);
   void Deliver(std::size_t owner,
                const std::string& worker,
-               std::function<scheduler::OrderOutcome(Worker&)> carry_out,
-               std::function<void(scheduler::OrderOutcome)> answer);
+               const std::function<scheduler::OrderOutcome(Worker&)>& carry_out,
+               const std::function<void(scheduler::OrderOutcome)>& answer);
   scheduler::OrderOutcome BeginRun(Worker& worker,
                                    const scheduler::StartRun& order,
                                    std::uint64_t epoch,
--- a/testing/worker_standin.cc
+++ b/testing/worker_standin.cc
@@ -215,7 +215,8 @@
 
 void WorkerStandins::Work() {
   const base::Micros now = base::MonotonicNow();
-  for (auto& [box, life] : this->lives) {
+  for (auto& [box, held] : this->lives) {
+    const std::shared_ptr<Life>& life = held;
     const bool lapsed = NowMillis() > life->deadline_ms;
     std::vector<std::string> over;
     for (const auto& [task, run] : life->running) {
