--- a/entry/ownership.cc
+++ b/entry/ownership.cc
@@ -162,6 +162,11 @@
   const base::Micros now = base::MonotonicNow();
   this->writing = false;
   this->Settle(result, next, taking, asked, now);
+  // The row showed the takeover before its write was answered, or given up.
+  const bool is_own = this->record.holder == this->id &&
+                      this->record.incarnation == this->incarnation;
+  if (taking && is_own && !this->holding && !this->released)
+    this->Gain(asked);
   // The stop came while another write was on its way.
   const bool still_named = this->released && this->record.holder == this->id &&
                            this->record.incarnation == this->incarnation &&
