A server that ends leaves no request waiting

Cause: entry tests aborted once in SettingsAreReadAgainAndBadOnesRefused: while a server's destructor ran the library a last time, a request that had just come was suspended, and the library aborts when it is stopped with suspended connections. Change: requests read while the server ends are answered 503 at once. No test of its own yet: the race was seen once.

--- a/http/server.cc
+++ b/http/server.cc
@@ -184,6 +184,11 @@
       exchange->Reply(TooLarge(server.max_body));
       return;
     }
+    // Read while the server ends: nothing may be left waiting.
+    if (server.ending) {
+      exchange->Reply({.status = 503, .headers = {}, .body = {}});
+      return;
+    }
     server.handler(exchange);
   }
 };
@@ -260,6 +265,7 @@
 }
 
 Server::~Server() {
+  this->ending = true;
   for (const ExchangePtr& exchange : this->waiting)
     exchange->Reply({.status = 503, .headers = {}, .body = {}});
   MHD_run(this->daemon);
--- a/http/server.h
+++ b/http/server.h
@@ -94,6 +94,7 @@
   std::size_t max_body;
   std::uint16_t bound_port = 0;
   std::size_t open = 0;
+  bool ending = false;
   bool resumed = false;  // a connection was, since the library ran last
   MHD_Daemon* daemon = nullptr;
   std::vector<ExchangePtr> waiting;  // suspended, in order of arrival
