--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -306,49 +306,6 @@
   }
 }
 
-std::map<std::string, double> AllotCores(const std::vector<FleetPool>& pools,
-                                         double total_cores,
-                                         double box_cores) {
-  std::map<std::string, double> allotted;
-  std::set<int> priorities;
-  double left = total_cores;
-  // What of the least boxes no work has taken up yet.
-  std::map<std::string, double> unused;
-  for (const FleetPool& pool : pools) {
-    const double least = std::min(left, pool.least_boxes * box_cores);
-    allotted[pool.name] = least;
-    unused[pool.name] = least;
-    left -= least;
-    for (const auto& [priority, need] : pool.needs)
-      priorities.insert(priority);
-  }
-  const auto share = [&](int priority, double PoolNeed::*what) {
-    std::map<std::string, double> wanted;
-    double all_wanted = 0.0;
-    for (const FleetPool& pool : pools) {
-      const auto need = pool.needs.find(priority);
-      if (need == pool.needs.end())
-        continue;
-      double& free = unused[pool.name];
-      const double covered = std::min(free, need->second.*what);
-      free -= covered;
-      wanted[pool.name] = need->second.*what - covered;
-      all_wanted += wanted[pool.name];
-    }
-    if (all_wanted <= 0.0)
-      return;
-    const double part = std::min(1.0, left / all_wanted);
-    for (const auto& [pool, cores] : wanted)
-      allotted[pool] += part * cores;
-    left -= part * all_wanted;
-  };
-  for (const int priority : priorities) {
-    share(priority, &PoolNeed::now_cores);
-    share(priority, &PoolNeed::soon_cores);
-  }
-  return allotted;
-}
-
 // What each pool has, boxes on their way to it included.
 std::map<std::string, double> Fleet::CoresHeld(const FleetView& view) const {
   std::map<std::string, double> held;
