A job waits until a worker has said that it started a run of it

Change: a job has begun when a start is answered, a run listed or an end taken in, not when it is placed. No functional change elsewhere.

--- a/scheduler/ends.cc
+++ b/scheduler/ends.cc
@@ -65,6 +65,7 @@
   if (!job || !Exists(*job, PlaceOf(end.task)))
     return;
   const TaskPlace place = PlaceOf(end.task);
+  job->begun = true;
   Task& task = TaskAt(*job, place);
   if (!end.checkpoint.empty())
     task.checkpoint = end.checkpoint;
--- a/scheduler/job.cc
+++ b/scheduler/job.cc
@@ -50,7 +50,8 @@
   job.spec = std::move(spec);
   job.progress = std::move(progress);
   job.accepted = accepted;
-  job.begun = job.progress.state != jobs::JobState::kQueued;
+  job.begun = job.progress.state != jobs::JobState::kQueued ||
+              !job.progress.done.empty() || !job.progress.failures.empty();
   const std::int64_t count = job.spec.occurrences();
   for (std::int64_t k = 0; k < count; ++k) {
     Occurrence occurrence;
--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -88,7 +88,7 @@
   jobs::Progress progress;
   std::vector<Occurrence> occurrences;
   base::Micros accepted{};
-  bool begun = false;      // some run of it has been started
+  bool begun = false;      // a worker has said that it started a run of it
   bool cancelled = false;  // recorded, perhaps not yet carried out
   // Runs whose placement is being recorded, with the change that holds it;
   // their workers are told once it is saved.
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -120,6 +120,7 @@
   Job* job = this->FindJob(listed.task.job);
   if (!job || !Exists(*job, PlaceOf(listed.task)))
     return;
+  job->begun = true;
   Task& task = TaskAt(*job, PlaceOf(listed.task));
   if (!listed.checkpoint.empty())
     task.checkpoint = listed.checkpoint;
@@ -269,9 +270,12 @@
   if (entry == worker.runs.end() || entry->second.number != order.run)
     return;
   Run& run = entry->second;
+  Job* job = this->FindJob(order.task.job);
   if (outcome == OrderOutcome::kDone) {
     run.answered = now;
     worker.failed_calls = 0;
+    if (job)
+      job->begun = true;
     if (run.state == RunState::kStarting)
       run.state = RunState::kRunning;
     return;
@@ -288,7 +292,6 @@
     ++worker.failed_calls;
   if (outcome == OrderOutcome::kBusy)
     this->JudgeWorker(worker, true, now);
-  Job* job = this->FindJob(order.task.job);
   if (outcome == OrderOutcome::kNoTicket && job &&
       Exists(*job, PlaceOf(order.task)))
     StepAt(*job, PlaceOf(order.task)).advice.tickets.erase(order.worker);
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -295,7 +295,6 @@
   task.run = run_number;
   task.newest_run = run_number;
   task.at_work = false;
-  job.begun = true;
   Run run = RunOf(step, run_number, RunState::kPlanned);
   run.since = now;
   const jobs::TaskId id = IdOf(job, choice.place);
@@ -363,7 +362,6 @@
     if (task.state == TaskState::kDone || task.state == TaskState::kPlaced)
       continue;
     task.newest_run = std::max(task.newest_run, placement.run);
-    job.begun = true;
     // A worker that no owner has in its list has no lease any more.
     const auto worker = this->workers.find(placement.worker);
     if (worker == this->workers.end() || worker->second.listed)
--- a/scheduler/scheduler_test.cc
+++ b/scheduler/scheduler_test.cc
@@ -245,5 +245,25 @@
   BOOST_TEST(Only<StartRun>(bench.Turn()).empty());
 }
 
+// A job that was given a worker, and whose start got no answer, still waits.
+BOOST_AUTO_TEST_CASE(JobWaitsUntilAWorkerHasStartedARunOfIt) {
+  Bench bench(1);
+  bench.scheduler.PutWorker(Bench::Worker("w"), bench.now);
+  bench.List("w", {});
+  bench.AddJob("job");
+  const StartRun start = bench.NextStart();
+  BOOST_REQUIRE(start.run == 1);
+  BOOST_TEST(bench.scheduler.WaitingJobs()["queue"] == 1);
+  bench.scheduler.Started(start, OrderOutcome::kUnknown, bench.now);
+  BOOST_TEST(bench.scheduler.WaitingJobs()["queue"] == 1);
+  bench.List("w", {.clock_ms = 0,
+                   .running = {{.task = start.task,
+                                .run = start.run,
+                                .checkpoint = "",
+                                .percent = 10}},
+                   .ended = {}});
+  BOOST_TEST(bench.scheduler.WaitingJobs()["queue"] == 0);
+}
+
 }  // namespace
 }  // namespace quartzhoist::scheduler
