The strongest boxes schedule; a lost epoch does not come back

In its log a former owner that had been cut off took up its old epoch again from a row that showed late (epoch 1 at 20.8 s beside epoch 2). Change: daemons know their share of a processor, the owner's row names it. A much weaker box waits 0.4 s longer, a much stronger one relieves the holder after 2 s. An epoch that was lost is not gained again.

--- a/base/setting_values.cc
+++ b/base/setting_values.cc
@@ -52,6 +52,10 @@
   return Parse(value, least, most, "whole number");
 }
 
+double TakeNumber(const std::string& value, double least, double most) {
+  return Parse(value, least, most, "number");
+}
+
 Micros TakeSeconds(const std::string& value, double least, double most) {
   const double seconds = Parse(value, least, most, "number");
   return Micros(static_cast<std::int64_t>(seconds * 1e6));
--- a/base/setting_values.h
+++ b/base/setting_values.h
@@ -18,6 +18,7 @@
 std::int64_t TakeWhole(const std::string& value,
                        std::int64_t least,
                        std::int64_t most);
+double TakeNumber(const std::string& value, double least, double most);
 // A number of seconds, perhaps with a fraction.
 Micros TakeSeconds(const std::string& value, double least, double most);
 
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -88,6 +88,7 @@
     if (gap != std::string::npos)
       line = key + " = " +
              (key == "id" || key == "zone" ? "x"
+              : key == "cores"             ? "0.5"
               : key.ends_with("_ms")       ? "1000"
               : key.ends_with("_seconds")  ? "2"
                                            : "10.0.0.1:80");
@@ -122,11 +123,15 @@
 // --- Ownership ---
 
 struct Member {
-  Member(base::Loop& loop, platform::Store& store, const std::string& id)
+  Member(base::Loop& loop,
+         platform::Store& store,
+         const std::string& id,
+         double cores = 0.25)
       : ownership(
             loop,
             store,
             id,
+            cores,
             std::hash<std::string>()(id),
             {.on_gained = [this](std::uint64_t gained,
                                  base::Micros) { this->epoch = gained; },
@@ -213,6 +218,32 @@
   BOOST_TEST(a.epoch == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(StrongerBoxRelievesAWeakerOne) {
+  OwnerBench bench;
+  Member weak(bench.loop, bench.store, "weak", 0.1);
+  bench.Until([&] { return weak.ownership.holds(); });
+  Member equal(bench.loop, bench.store, "equal", 0.12);
+  Member strong(bench.loop, bench.store, "strong", 0.5);
+  bench.Until([&] { return strong.ownership.holds(); });
+  bench.Until([&] { return weak.losses == 1; });
+  BOOST_TEST(strong.epoch == 2U);
+  BOOST_TEST(equal.epoch == 0U);
+}
+
+// A write that was made before the loss shows up after it.
+BOOST_AUTO_TEST_CASE(OldRowDoesNotBringALostEpochBack) {
+  OwnerBench bench;
+  Member a(bench.loop, bench.store, "a");
+  bench.Until([&] { return a.ownership.holds(); });
+  const platform::RowKey row{.table = std::string(kOwnerTable),
+                             .part = "",
+                             .key = std::string(kOwnerKey)};
+  a.ownership.Fenced();
+  bench.standin.Put(row, bench.standin.Value(row));
+  bench.Until([&] { return a.ownership.holds(); });
+  BOOST_TEST(a.epoch == 2U);
+}
+
 // --- Callers ---
 
 struct CallerBench : OwnerBench {
--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -117,7 +117,7 @@
           .on_contact = [](base::Micros) {},
           .on_lost = [] {}});
   this->ownership = std::make_unique<Ownership>(
-      this->loop, this->store, chosen.id, seed,
+      this->loop, this->store, chosen.id, chosen.cores, seed,
       Ownership::Events{
           .on_gained = [this](std::uint64_t epoch,
                               base::Micros) { this->Gained(epoch); },
--- a/entry/ownership.cc
+++ b/entry/ownership.cc
@@ -21,11 +21,20 @@
 // A holder whose row has not changed for this long is taken over: three
 // confirmations missed. A slow store (80 times 4 ms) stays below it.
 constexpr base::Micros kSilence = milliseconds(1300);
-// Followers wait so much longer at most, drawn anew each time, so that one
-// takes over and the others see it.
+// Followers wait so much longer at most.
 constexpr std::int64_t kSpreadMillis = 200;
 // A row that nobody holds is taken after a draw below this.
 constexpr std::int64_t kFreeSpreadMillis = 120;
+// A daemon whose box is weaker than the last holder's by more than this factor
+// waits so much longer: a stronger one, if any is left, goes first.
+constexpr double kMuchStronger = 1.5;
+constexpr base::Micros kWeakerWaits = milliseconds(400);
+// A free row that no daemon has held yet: a whole core waits this long, a part
+// of one longer in proportion, so that the strongest box comes first.
+constexpr base::Micros kFirstWait = milliseconds(60);
+// A holder on a much weaker box is relieved after it has held for this: each
+// change of holders interrupts placement for some 0.3 s.
+constexpr base::Micros kRelieveAfter = std::chrono::seconds(2);
 // A gap between the store's answers after which the silence counts anew: the
 // holder may have confirmed meanwhile.
 constexpr base::Micros kAnswerGap = milliseconds(2600);
@@ -41,10 +50,12 @@
 Ownership::Ownership(base::Loop& loop,
                      platform::Store& on,
                      std::string who,
+                     double own_cores,
                      std::uint64_t seed,
                      Events handlers)
     : store(on),
       id(std::move(who)),
+      cores(own_cores),
       random(seed),
       events(std::move(handlers)),
       timer(loop, [this] { this->Act(); }),
@@ -72,7 +83,7 @@
                }}) {
   this->incarnation = fmt::format("{:016x}", this->random());
   this->unchanged_since = base::MonotonicNow();
-  this->patience = milliseconds(this->random() % kFreeSpreadMillis);
+  this->patience = this->DrawPatience();
   this->timer.StartEvery(kTick);
 }
 
@@ -91,14 +102,14 @@
   const std::optional<OwnerRecord> seen = DecodeOwner(row.value);
   if (removed || !seen)
     return;
+  const base::Micros now = base::MonotonicNow();
+  if (seen->epoch != this->record.epoch)
+    this->holder_since = now;
   this->version = row.version;
   this->record = *seen;
-  this->unchanged_since = base::MonotonicNow();
-  const std::int64_t spread =
-      seen->holder.empty() ? kFreeSpreadMillis : kSpreadMillis;
-  this->patience = milliseconds(this->random() % spread);
-  const bool mine =
-      seen->holder == this->id && seen->incarnation == this->incarnation;
+  this->unchanged_since = now;
+  this->patience = this->DrawPatience();
+  const bool mine = this->NamesThis(*seen);
   if (this->holding && !mine)
     this->Lose();
   // An own write whose answer was lost.
@@ -106,6 +117,28 @@
     this->Gain(this->unchanged_since);
 }
 
+bool Ownership::NamesThis(const OwnerRecord& seen) const {
+  return seen.holder == this->id && seen.incarnation == this->incarnation;
+}
+
+bool Ownership::IsMuchStronger() const {
+  return this->cores > kMuchStronger * this->record.cores;
+}
+
+// Drawn anew each time, so that one daemon takes over and the others see it.
+base::Micros Ownership::DrawPatience() {
+  if (this->version == 0) {
+    const base::Micros wait(static_cast<std::int64_t>(
+        static_cast<double>(kFirstWait.count()) / this->cores));
+    return wait + milliseconds(this->random() % kFreeSpreadMillis);
+  }
+  const std::int64_t spread =
+      this->record.holder.empty() ? kFreeSpreadMillis : kSpreadMillis;
+  const bool is_weak = this->record.cores > kMuchStronger * this->cores;
+  return milliseconds(this->random() % spread) +
+         (is_weak ? kWeakerWaits : base::Micros::zero());
+}
+
 bool Ownership::ShouldTake(base::Micros now) const {
   if (!this->known || this->released)
     return false;
@@ -117,6 +150,9 @@
   const bool was_own = this->record.holder == this->id;
   if (is_free || was_own)
     return silent >= this->patience;
+  if (this->IsMuchStronger() &&
+      now - this->holder_since >= kRelieveAfter + this->patience)
+    return true;
   return silent >= kSilence + this->patience;
 }
 
@@ -137,7 +173,8 @@
   this->Write({.holder = this->id,
                .incarnation = this->incarnation,
                .epoch = this->record.epoch + 1,
-               .beat = 0},
+               .beat = 0,
+               .cores = this->cores},
               true);
 }
 
@@ -163,13 +200,11 @@
   this->writing = false;
   this->Settle(result, next, taking, asked, now);
   // The row showed the takeover before its write was answered, or given up.
-  const bool is_own = this->record.holder == this->id &&
-                      this->record.incarnation == this->incarnation;
-  if (taking && is_own && !this->holding && !this->released)
+  if (taking && this->NamesThis(this->record) && !this->holding &&
+      !this->released)
     this->Gain(asked);
   // The stop came while another write was on its way.
-  const bool still_named = this->released && this->record.holder == this->id &&
-                           this->record.incarnation == this->incarnation &&
+  const bool still_named = this->released && this->NamesThis(this->record) &&
                            result.outcome != platform::WriteOutcome::kNotDone;
   if (still_named)
     this->WriteRelease();
@@ -206,9 +241,10 @@
 }
 
 void Ownership::Gain(base::Micros asked) {
-  if (this->holding)
+  if (this->holding || this->record.epoch <= this->lost_epoch)
     return;
   this->holding = true;
+  this->held_epoch = this->record.epoch;
   base::Log(base::Event::kOwnershipGained,
             {{"epoch", this->record.epoch}, {"version", this->version}});
   this->events.on_gained(this->record.epoch, asked);
@@ -219,6 +255,7 @@
   if (!this->holding)
     return;
   this->holding = false;
+  this->lost_epoch = this->held_epoch;
   base::Log(base::Event::kOwnershipLost,
             {{"epoch", this->record.epoch}, {"holder", this->record.holder}});
   this->events.on_lost();
--- a/entry/ownership.h
+++ b/entry/ownership.h
@@ -30,9 +30,12 @@
     std::function<void()> on_store_silent;
   };
 
+  // `id` names the daemon, `cores` is its share of a processor: a daemon on a
+  // stronger box takes the ownership from one on a much weaker one.
   Ownership(base::Loop& loop,
             platform::Store& store,
             std::string id,
+            double cores,
             std::uint64_t seed,
             Events events);
 
@@ -50,6 +53,9 @@
   void SeeStore(base::Micros asked);
   void Act();
   bool ShouldTake(base::Micros now) const;
+  bool IsMuchStronger() const;
+  base::Micros DrawPatience();
+  bool NamesThis(const OwnerRecord& seen) const;
   void Write(const OwnerRecord& next, bool taking);
   void TakeAnswer(const platform::WriteResult& result,
                   const OwnerRecord& next,
@@ -66,6 +72,7 @@
 
   platform::Store& store;
   std::string id;
+  double cores;
   std::string incarnation;
   std::mt19937_64 random;
   Events events;
@@ -75,7 +82,12 @@
   bool holding = false;
   bool released = false;
   bool writing = false;
+  // The last epochs that this daemon held, and lost: an old row that shows up
+  // late does not bring one back.
+  std::uint64_t held_epoch = 0;
+  std::uint64_t lost_epoch = 0;
   base::Micros unchanged_since{};
+  base::Micros holder_since{};  // when the present holder was first seen
   base::Micros last_answer{};
   base::Micros next_renewal{};
   base::Micros patience{};  // until a silent holder is taken over
--- a/entry/settings.cc
+++ b/entry/settings.cc
@@ -32,11 +32,15 @@
   return base::TakeSeconds(value, 0.001, 3600.0);
 }
 
-constexpr std::array<Key, 15> kKeys{{
+constexpr std::array<Key, 16> kKeys{{
     {"daemon", "id", true,
      [](Settings& s, const std::string& v) { s.id = TakeIdentifier(v); }},
     {"daemon", "zone", true,
      [](Settings& s, const std::string& v) { s.zone = TakeIdentifier(v); }},
+    {"daemon", "cores", false,
+     [](Settings& s, const std::string& v) {
+       s.cores = base::TakeNumber(v, 0.001, 1024.0);
+     }},
     {"listen", "callers", true,
      [](Settings& s, const std::string& v) { s.callers = TakeAddress(v); }},
     {"listen", "readiness", true,
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -14,6 +14,8 @@
   // [daemon]
   std::string id;    // unique among the entry boxes
   std::string zone;  // the availability zone
+  // The box's share of a processor: the strongest boxes schedule.
+  double cores = 0.25;
   // [listen], each "ip:port"
   std::string callers;
   std::string readiness;
--- a/entry/tables.cc
+++ b/entry/tables.cc
@@ -88,7 +88,8 @@
   return Json{{"holder", record.holder},
               {"incarnation", record.incarnation},
               {"epoch", record.epoch},
-              {"beat", record.beat}}
+              {"beat", record.beat},
+              {"cores", record.cores}}
       .dump();
 }
 
@@ -98,7 +99,8 @@
     return OwnerRecord{.holder = json.at("holder").get<std::string>(),
                        .incarnation = json.at("incarnation").get<std::string>(),
                        .epoch = json.at("epoch").get<std::uint64_t>(),
-                       .beat = json.at("beat").get<std::uint64_t>()};
+                       .beat = json.at("beat").get<std::uint64_t>(),
+                       .cores = json.at("cores").get<double>()};
   } catch (const Json::exception&) {
     return std::nullopt;
   }
--- a/entry/tables.h
+++ b/entry/tables.h
@@ -60,6 +60,7 @@
   std::string incarnation;  // of its process
   std::uint64_t epoch = 0;  // rises with each holder
   std::uint64_t beat = 0;   // rises with each confirmation
+  double cores = 0.0;       // of the holder's box; 0: not known
 };
 std::string EncodeOwner(const OwnerRecord& record);
 std::optional<OwnerRecord> DecodeOwner(std::string_view text);
