The unanswered start of a lasting task is stopped only after a listing

Ruled out: evacuations (they count what is away), stale listings of a stopped run (its state says so). Change: for lasting tasks a listing sent after the loss comes first. The test failed before.

--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -70,6 +70,7 @@
   worker.listed = true;
   worker.failed_calls = 0;
   worker.last_answer = now;
+  worker.listed_sent = worker.look_sent;
   worker.clock_ms = listing.clock_ms;
   worker.clock_read = now;
   // 2. Ends before runs: a task that ended may be listed as running again.
@@ -283,6 +284,7 @@
   if (outcome == OrderOutcome::kUnknown) {
     if (run.state == RunState::kStarting)
       run.state = RunState::kUnsettled;
+    run.unsettled = now;
     ++worker.failed_calls;
     return;
   }
@@ -367,7 +369,10 @@
     for (auto& [task, run] : worker.runs) {
       const bool unanswered = run.state == RunState::kStopping &&
                               run.stop_answered == base::Micros::zero();
-      const bool open = run.state == RunState::kUnsettled &&
+      // A lasting task may be at work by now, and others of its step away: a
+      // listing that does not show it comes first.
+      const bool may_work = run.lasting && worker.listed_sent <= run.unsettled;
+      const bool open = run.state == RunState::kUnsettled && !may_work &&
                         run.stop_answered == base::Micros::zero();
       if ((!unanswered && !open) || now < run.stop_sent + kStopAgain)
         continue;
--- a/scheduler/scheduler_test.cc
+++ b/scheduler/scheduler_test.cc
@@ -245,6 +245,31 @@
   BOOST_TEST(Only<StartRun>(bench.Turn()).empty());
 }
 
+// The start of a lasting task was carried out and its answer lost: stopped at
+// once, it would end at work, perhaps with others of its step away.
+BOOST_AUTO_TEST_CASE(UnansweredStartOfALastingTaskIsStoppedOnlyAfterAListing) {
+  Bench bench(1);
+  bench.scheduler.PutWorker(Bench::Worker("w"), bench.now);
+  bench.List("w", {});
+  jobs::Queue queue;
+  queue.name = "queue";
+  queue.service = "pool";
+  jobs::JobSpec spec;
+  jobs::Step step;
+  step.each = {.cpu_millis = 1000, .memory_mb = 100, .gpus = 0};
+  step.lasting = true;
+  spec.steps.push_back(step);
+  bench.scheduler.AddJob(MakeJob("job", queue, spec, {}, bench.now, {}),
+                         bench.now);
+  const StartRun start = bench.NextStart();
+  BOOST_REQUIRE(start.run == 1);
+  bench.scheduler.Granted("w", bench.now + seconds(8));
+  bench.scheduler.Started(start, OrderOutcome::kUnknown, bench.now);
+  BOOST_TEST(Only<StopRun>(bench.Turn()).empty());
+  bench.List("w", {});
+  BOOST_TEST(Only<StopRun>(bench.Turn()).size() == 1U);
+}
+
 // A job that was given a worker, and whose start got no answer, still waits.
 BOOST_AUTO_TEST_CASE(JobWaitsUntilAWorkerHasStartedARunOfIt) {
   Bench bench(1);
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -31,6 +31,7 @@
   std::string image;
   base::Micros since{};          // when the order was decided
   base::Micros answered{};       // when the start was answered
+  base::Micros unsettled{};      // when the start was given up unanswered
   base::Micros stop_answered{};  // when a stop was answered; 0: none yet
   base::Micros stop_sent{};      // when a stop was last sent
   // When the first look was sent since which no listing shows it, nor its end.
@@ -63,6 +64,7 @@
   base::Micros look_sent{};
   base::Micros next_look{};
   base::Micros last_answer{};
+  base::Micros listed_sent{};  // when the last look that was answered was sent
   // An upper bound, on our clock, of when everything on it is over.
   base::Micros lease_end{};
   // Its clock, as read at `clock_read` on ours (when the answer came).
