Ready tasks are walked in place; the list of workers is made only after a change

Change: the ready set is ordered so that a turn reads it in place and stops after its misses (lasting tasks, then what can be in time, then the rest, as before); the list is made when a worker came, went or was first listed. Found beside it: a worker that went and came back between two records was never usable again until another change; it is now told so. No functional change in placement.

--- a/entry/manager.h
+++ b/entry/manager.h
@@ -128,6 +128,7 @@
   // Workers in the stored list: held by this owner, and carried from earlier.
   std::vector<std::string> recorded;
   std::vector<std::string> recorded_carried;
+  std::uint64_t recorded_change = 0;  // of the scheduler's workers
   std::uint64_t lease_version = 0;
   bool lease_writing = false;
   std::map<std::string, int> counted;  // as last written
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -87,6 +87,9 @@
   const base::Micros now = base::MonotonicNow();
   if (this->lease_writing || now < this->next_record)
     return;
+  const std::uint64_t change = this->scheduler.worker_changes();
+  if (change == this->recorded_change)
+    return;
   LeaseRecord record{.epoch = this->epoch, .workers = {}};
   std::vector<std::string> held;
   std::vector<std::string> carried;
@@ -99,8 +102,12 @@
          .held = worker.listed,
          .until_store_ms = this->store.StoreMillis(worker.lease_end)});
   }
-  if (held == this->recorded && carried == this->recorded_carried)
+  if (held == this->recorded && carried == this->recorded_carried) {
+    // One that went and came back stands in the list as it was.
+    this->recorded_change = change;
+    this->scheduler.WorkersRecorded(held);
     return;
+  }
   const platform::RowKey row{.table = std::string(kLeaseTable),
                              .part = "",
                              .key = std::string(kLeaseKey)};
@@ -109,7 +116,7 @@
       .puts = {{.at = row, .value = EncodeLeases(record)}},
       .removes = {}};
   this->lease_writing = true;
-  this->store.Write(write, [this, held, carried, lives = this->alive](
+  this->store.Write(write, [this, held, carried, change, lives = this->alive](
                                const platform::WriteResult& result) {
     if (!*lives)
       return;
@@ -119,6 +126,7 @@
         this->lease_version = result.version;
         this->recorded = held;
         this->recorded_carried = carried;
+        this->recorded_change = change;
         this->scheduler.WorkersRecorded(held);
         this->soon.StartOnce(milliseconds(1));
         return;
--- a/scheduler/evacuation.cc
+++ b/scheduler/evacuation.cc
@@ -46,10 +46,7 @@
   }
   for (const auto& [service, tasks] : this->ready) {
     for (const ReadyTask& task : tasks) {
-      const auto job = this->jobs.find(task.job);
-      if (job == this->jobs.end())
-        continue;
-      const jobs::Step& step = StepOf(job->second, task.place);
+      const jobs::Step& step = StepOf(*task.job, task.place);
       if (!step.fills)
         needs[service][task.priority].now_cores +=
             static_cast<double>(step.each.cpu_millis) / 1000.0;
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -67,6 +67,8 @@
   worker.look_in_flight = false;
   if (worker.failed_calls > 0)
     this->actions.emplace_back(Note{id, "answers again"});
+  if (!worker.listed)
+    ++this->worker_change_count;
   worker.listed = true;
   worker.failed_calls = 0;
   worker.last_answer = now;
@@ -408,6 +410,7 @@
   }
   for (const std::string& id : forgotten)
     this->workers.erase(id);
+  this->worker_change_count += forgotten.size();
 }
 
 void Scheduler::DropRuns(Worker& worker, base::Micros now, const char* why) {
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -169,55 +169,60 @@
                           ReadySet& tasks,
                           base::Micros now) {
   // 1. The pool's workers that may take something.
-  std::vector<Worker*> candidates;
+  PoolTurn turn;
   for (auto& [id, worker] : this->workers) {
     if (worker.info.service == service && this->Usable(worker, now))
-      candidates.push_back(&worker);
+      turn.candidates.push_back(&worker);
   }
-  if (candidates.empty())
+  if (turn.candidates.empty())
     return;
-  // 2. By priority; within one, what can still be in time goes first.
-  std::vector<ReadyTask> order;
-  std::vector<ReadyTask> late;
+  // 2. By priority: lasting tasks, what can still be in time, then the rest.
+  //    The set itself is in this order but for what is late, which it has
+  //    before what can be in time.
   int priority = tasks.begin()->priority;
-  const auto flush_late = [&order, &late] {
-    order.insert(order.end(), late.begin(), late.end());
-    late.clear();
-  };
-  for (const ReadyTask& task : tasks) {
-    if (task.priority != priority) {
-      flush_late();
-      priority = task.priority;
-    }
-    const Job* job = this->FindJob(task.job);
-    const bool lasting = job && StepOf(*job, task.place).lasting;
-    if (task.objective < now && !lasting)
-      late.push_back(task);
-    else
-      order.push_back(task);
+  while (true) {
+    const ReadyTask late{.priority = priority};
+    const ReadyTask in_time{.priority = priority, .objective = now};
+    const ReadyTask next{.priority = priority + 1, .lasting = true};
+    this->PlaceRange(tasks, tasks.lower_bound({priority, true}), late, turn,
+                     now);
+    this->PlaceRange(tasks, tasks.lower_bound(in_time), next, turn, now);
+    this->PlaceRange(tasks, tasks.lower_bound(late), in_time, turn, now);
+    const auto more = tasks.lower_bound(next);
+    if (more == tasks.end() || turn.misses >= kMissesATurn)
+      return;
+    priority = more->priority;
   }
-  flush_late();
-  // 3. One by one; equal tasks of a step that fits nowhere are passed over.
-  std::set<std::pair<std::string, int>> nowhere;
-  int misses = 0;
-  for (const ReadyTask& task : order) {
-    if (misses >= kMissesATurn)
-      break;
-    Job* job = this->FindJob(task.job);
-    const bool wanted = job && !job->finished() &&
-                        TaskAt(*job, task.place).state == TaskState::kReady;
+}
+
+// Tasks from `first` on that come before `end`, one by one; equal tasks of a
+// step that fits nowhere are passed over.
+void Scheduler::PlaceRange(ReadySet& tasks,
+                           ReadySet::iterator first,
+                           const ReadyTask& end,
+                           PoolTurn& turn,
+                           base::Micros now) {
+  for (auto it = first; it != tasks.end() && *it < end;) {
+    if (turn.misses >= kMissesATurn)
+      return;
+    Job& job = *it->job;
+    const bool wanted =
+        !job.finished() && TaskAt(job, it->place).state == TaskState::kReady;
     if (!wanted) {
-      tasks.erase(task);
+      it = tasks.erase(it);
       continue;
     }
-    const auto step = std::make_pair(task.job, task.place.step);
-    if (nowhere.contains(step))
+    const auto step = std::make_pair(&job, it->place.step);
+    if (turn.nowhere.contains(step)) {
+      ++it;
       continue;
-    if (this->PlaceOne(task, candidates, now)) {
-      tasks.erase(task);
+    }
+    if (this->PlaceOne(*it, turn.candidates, now)) {
+      it = tasks.erase(it);
     } else {
-      nowhere.insert(step);
-      ++misses;
+      turn.nowhere.insert(step);
+      ++turn.misses;
+      ++it;
     }
   }
 }
@@ -225,7 +230,7 @@
 bool Scheduler::PlaceOne(const ReadyTask& ready_task,
                          const std::vector<Worker*>& candidates,
                          base::Micros now) {
-  Job& job = *this->FindJob(ready_task.job);
+  Job& job = *ready_task.job;
   if (this->MayHaveBeenRenewed(job, ready_task.place))
     return false;
   if (job.queue.advice.required &&
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -32,9 +32,8 @@
   old.swap(this->ready);
   for (const auto& [service, tasks] : old) {
     for (const ReadyTask& task : tasks) {
-      Job* job = this->FindJob(task.job);
-      if (job && TaskAt(*job, task.place).state == TaskState::kReady)
-        this->Enqueue(*job, task.place, now);
+      if (TaskAt(*task.job, task.place).state == TaskState::kReady)
+        this->Enqueue(*task.job, task.place, now);
     }
   }
 }
@@ -46,6 +45,7 @@
   worker.info = info;
   worker.announced = true;
   if (is_new) {
+    ++this->worker_change_count;
     worker.next_look = now;
     this->fleet.BoxSeen(info.box, info.id);
   }
@@ -68,6 +68,7 @@
     return;
   this->DropRuns(found->second, now, "the worker's life is over");
   this->workers.erase(found);
+  ++this->worker_change_count;
 }
 
 void Scheduler::InheritWorker(const WorkerInfo& info, base::Micros lease_end) {
@@ -78,6 +79,7 @@
     worker.announced = false;
   }
   worker.lease_end = std::max(worker.lease_end, lease_end);
+  ++this->worker_change_count;
 }
 
 void Scheduler::WorkersRecorded(const std::vector<std::string>& ids) {
@@ -183,12 +185,14 @@
     objective += job.occurrences[k].due - job.accepted;
   }
   // A lasting task that has to start again is late from the first moment on.
-  if (StepOf(job, place).lasting)
+  const bool lasting = StepOf(job, place).lasting;
+  if (lasting)
     objective = now;
   this->ready[job.queue.service].insert({.priority = job.queue.priority,
+                                         .lasting = lasting,
                                          .objective = objective,
                                          .number = ++this->ready_number,
-                                         .job = job.id,
+                                         .job = &job,
                                          .place = place});
 }
 
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -124,6 +124,8 @@
   const std::unordered_map<std::string, Job>& all_jobs() const {
     return this->jobs;
   }
+  // Rises when a worker comes, goes, or is listed for the first time.
+  std::uint64_t worker_changes() const { return this->worker_change_count; }
   bool wants_boxes() const { return this->fleet.WantsBoxes(); }
   // A worker saw a higher epoch: this ownership is over.
   bool fenced() const { return this->is_fenced; }
@@ -131,20 +133,30 @@
   std::map<std::string, int> WaitingJobs() const;
 
  private:
-  // A ready task's place in its pool's order: priority, then objective.
+  // A ready task's place in its pool's order: by priority, lasting tasks first,
+  // then by objective. Jobs are never dropped, so the pointer stays good.
   struct ReadyTask {
     int priority = 0;
+    bool lasting = false;
     base::Micros objective{};
     std::uint64_t number = 0;
-    std::string job;
+    Job* job = nullptr;
     TaskPlace place;
 
     bool operator<(const ReadyTask& other) const {
-      return std::tie(this->priority, this->objective, this->number) <
-             std::tie(other.priority, other.objective, other.number);
+      // `lasting` the other way round: true comes first.
+      return std::tie(this->priority, other.lasting, this->objective,
+                      this->number) < std::tie(other.priority, this->lasting,
+                                               other.objective, other.number);
     }
   };
   using ReadySet = std::set<ReadyTask>;
+  // One turn of a pool: its workers, and what was tried in vain.
+  struct PoolTurn {
+    std::vector<Worker*> candidates;
+    std::set<std::pair<const Job*, int>> nowhere;  // steps that fit nowhere
+    int misses = 0;
+  };
 
   // A member of a step, and the worker picked for it.
   struct Choice {
@@ -202,6 +214,11 @@
   // placement
   void Place(base::Micros now);
   void PlacePool(const std::string& service, ReadySet& ready, base::Micros now);
+  void PlaceRange(ReadySet& tasks,
+                  ReadySet::iterator first,
+                  const ReadyTask& end,
+                  PoolTurn& turn,
+                  base::Micros now);
   bool PlaceOne(const ReadyTask& task,
                 const std::vector<Worker*>& candidates,
                 base::Micros now);
@@ -253,6 +270,7 @@
   base::Micros next_save{};
   base::Micros next_fleet{};
   std::uint64_t ready_number = 0;
+  std::uint64_t worker_change_count = 0;
   bool is_fenced = false;
   bool save_now = false;  // a placement or a final state waits to be saved
 };
