--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -24,7 +24,7 @@
 // Bytes of rows in one write; the store takes 1 MB, base64 adds a third.
 constexpr std::size_t kMaxBytesAWrite = 500'000;
 // A write whose fate is open is tried again after this.
-constexpr base::Micros kWriteAgain = milliseconds(200);
+constexpr base::Micros kWriteAgain = milliseconds(60);
 // An answer is to leave this long before the caller gives up.
 constexpr base::Micros kAnswerMargin = milliseconds(150);
 constexpr int kCancelTries = 3;
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -59,6 +59,15 @@
     bool in_flight = false;
   };
 
+  // Workers of the list of those that may hold a lease: held by this owner, and
+  // carried from earlier ones.
+  struct WorkerNames {
+    std::vector<std::string> held;
+    std::vector<std::string> carried;
+
+    bool operator==(const WorkerNames&) const = default;
+  };
+
   // Taking over: what is kept is read first.
   void ReadKept();
   void ReadRest();
@@ -91,9 +100,17 @@
   void SaveAll();
   std::vector<scheduler::SaveProgress> TakeSaves(bool one_part);
   void Save(std::vector<scheduler::SaveProgress> batch);
+  static bool MustSaveAgain(const scheduler::SaveProgress& save,
+                            platform::WriteOutcome outcome,
+                            const platform::Row* there);
   void TakeSaved(const std::vector<scheduler::SaveProgress>& batch,
                  const platform::WriteResult& result);
   void RecordWorkers();
+  LeaseRecord ListWorkers(base::Micros now) const;
+  static WorkerNames NamesOf(const LeaseRecord& record);
+  void TakeRecorded(const WorkerNames& names,
+                    std::uint64_t change,
+                    const platform::WriteResult& result);
   void WriteCounts();
   void ListBoxes(const std::string& page,
                  std::vector<scheduler::BoxInfo> so_far);
@@ -132,10 +149,8 @@
   int saves_in_flight = 0;
   std::set<std::string> parts_saving;  // parts with a save on its way
   base::Micros save_time{};            // that the last save took
-  // Workers in the stored list: held by this owner, and carried from earlier.
-  std::vector<std::string> recorded;
-  std::vector<std::string> recorded_carried;
-  std::uint64_t recorded_change = 0;  // of the scheduler's workers
+  WorkerNames recorded;                // in the stored list
+  std::uint64_t recorded_change = 0;   // of the scheduler's workers
   std::uint64_t lease_version = 0;
   bool lease_writing = false;
   std::map<std::string, int> counted;  // as last written
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -30,6 +30,35 @@
 constexpr std::size_t kMaxSavesAWrite =
     platform::kMaxBatchEntries / kEntriesASave;
 
+// What came of a save whose fate is known; `there`: the row that a conflict
+// showed, or null.
+scheduler::SaveResult ResultOf(const scheduler::SaveProgress& save,
+                               const platform::WriteResult& result,
+                               const platform::Row* there) {
+  scheduler::SaveResult saved{.job = save.job, .change = save.change};
+  switch (result.outcome) {
+    case platform::WriteOutcome::kDone:
+      saved.outcome = scheduler::SaveOutcome::kSaved;
+      saved.version = result.version;
+      break;
+    case platform::WriteOutcome::kConflict:
+      saved.version = there ? there->version : 0;
+      // An earlier try whose answer was lost wrote just this.
+      if (there && there->value == save.text) {
+        saved.outcome = scheduler::SaveOutcome::kSaved;
+        break;
+      }
+      saved.outcome = scheduler::SaveOutcome::kConflict;
+      if (there)
+        saved.stored = jobs::DecodeProgress(there->value);
+      break;
+    case platform::WriteOutcome::kNotDone:
+    case platform::WriteOutcome::kUnknown:
+      break;
+  }
+  return saved;
+}
+
 }  // namespace
 
 // A quick store takes rows of several parts at once, in few calls. A slow one
@@ -103,25 +132,27 @@
   for (const platform::Row& row : result.rows)
     rows[row.at.key] = &row;
   for (const scheduler::SaveProgress& save : batch) {
-    scheduler::SaveResult saved{.job = save.job, .change = save.change};
-    if (result.outcome == platform::WriteOutcome::kDone) {
-      saved.outcome = scheduler::SaveOutcome::kSaved;
-      saved.version = result.version;
-    } else if (result.outcome == platform::WriteOutcome::kConflict) {
-      const auto found = rows.find(save.job);
-      const std::uint64_t there =
-          found == rows.end() ? 0 : found->second->version;
-      if (there != save.version) {
-        saved.outcome = scheduler::SaveOutcome::kConflict;
-        saved.version = there;
-        if (found != rows.end())
-          saved.stored = jobs::DecodeProgress(found->second->value);
-      }
+    const auto found = rows.find(save.job);
+    const platform::Row* there = found == rows.end() ? nullptr : found->second;
+    if (this->MustSaveAgain(save, result.outcome, there)) {
+      this->saves.push_back(save);
+      continue;
     }
-    this->scheduler.Saved(saved, now);
+    this->scheduler.Saved(ResultOf(save, result, there), now);
   }
 }
 
+// Nothing has changed for this row: its write has no known fate, and made again
+// it finds its own row; or another row of the batch was in the way.
+bool Manager::MustSaveAgain(const scheduler::SaveProgress& save,
+                            platform::WriteOutcome outcome,
+                            const platform::Row* there) {
+  const std::uint64_t version = there ? there->version : 0;
+  return outcome == platform::WriteOutcome::kUnknown ||
+         (outcome == platform::WriteOutcome::kConflict &&
+          version == save.version);
+}
+
 // Every worker is in the stored list before it gets its first lease, so that a
 // later owner knows whom to ask.
 void Manager::RecordWorkers() {
@@ -132,22 +163,12 @@
   if (change == this->recorded_change)
     return;
   this->next_record = now + kRecordGap;
-  LeaseRecord record{.epoch = this->epoch, .workers = {}};
-  std::vector<std::string> held;
-  std::vector<std::string> carried;
-  for (const auto& [id, worker] : this->scheduler.all_workers()) {
-    if (!worker.listed && worker.lease_end <= now)
-      continue;
-    (worker.listed ? held : carried).push_back(id);
-    record.workers.push_back(
-        {.worker = worker.info,
-         .held = worker.listed,
-         .until_store_ms = this->store.StoreMillis(worker.lease_end)});
-  }
-  if (held == this->recorded && carried == this->recorded_carried) {
+  const LeaseRecord record = this->ListWorkers(now);
+  const WorkerNames names = NamesOf(record);
+  if (names == this->recorded) {
     // One that went and came back stands in the list as it was.
     this->recorded_change = change;
-    this->scheduler.WorkersRecorded(held);
+    this->scheduler.WorkersRecorded(names.held);
     return;
   }
   const platform::RowKey row = SmallRow(kLeaseTable, kLeaseKey);
@@ -156,37 +177,69 @@
       .puts = {{.at = row, .value = EncodeLeases(record)}},
       .removes = {}};
   this->lease_writing = true;
-  this->store.Write(write, [this, held, carried, change, lives = this->alive](
+  this->store.Write(write, [this, names, change, lives = this->alive](
                                const platform::WriteResult& result) {
     if (!*lives)
       return;
     this->lease_writing = false;
-    switch (result.outcome) {
-      case platform::WriteOutcome::kDone:
-        this->lease_version = result.version;
-        this->recorded = held;
-        this->recorded_carried = carried;
-        this->recorded_change = change;
-        this->scheduler.WorkersRecorded(held);
-        this->ActSoon();
-        return;
-      case platform::WriteOutcome::kConflict:
-        // An own write that was thought lost, an earlier owner's that came
-        // late, or the next owner's.
-        if (!result.rows.empty() && !this->TakeLeases(result.rows.front())) {
-          // Destroys this.
-          this->on_fenced();
-          return;
-        }
-        break;
-      case platform::WriteOutcome::kNotDone:
-      case platform::WriteOutcome::kUnknown:
-        break;
-    }
-    this->next_record = base::MonotonicNow() + kRecordAgain;
+    this->TakeRecorded(names, change, result);
   });
 }
 
+LeaseRecord Manager::ListWorkers(base::Micros now) const {
+  LeaseRecord record{.epoch = this->epoch, .workers = {}};
+  for (const auto& [id, worker] : this->scheduler.all_workers()) {
+    if (!worker.listed && worker.lease_end <= now)
+      continue;
+    record.workers.push_back(
+        {.worker = worker.info,
+         .held = worker.listed,
+         .until_store_ms = this->store.StoreMillis(worker.lease_end)});
+  }
+  return record;
+}
+
+Manager::WorkerNames Manager::NamesOf(const LeaseRecord& record) {
+  WorkerNames names;
+  for (const LeaseHolder& holder : record.workers)
+    (holder.held ? names.held : names.carried).push_back(holder.worker.id);
+  return names;
+}
+
+void Manager::TakeRecorded(const WorkerNames& names,
+                           std::uint64_t change,
+                           const platform::WriteResult& result) {
+  const base::Micros now = base::MonotonicNow();
+  switch (result.outcome) {
+    case platform::WriteOutcome::kDone:
+      this->lease_version = result.version;
+      this->recorded = names;
+      this->recorded_change = change;
+      this->scheduler.WorkersRecorded(names.held);
+      this->ActSoon();
+      return;
+    case platform::WriteOutcome::kConflict:
+      // An own write that was thought lost, an earlier owner's that came late,
+      // or the next owner's.
+      if (!result.rows.empty() && !this->TakeLeases(result.rows.front())) {
+        // Destroys this.
+        this->on_fenced();
+        return;
+      }
+      this->next_record = now;
+      this->ActSoon();
+      return;
+    case platform::WriteOutcome::kUnknown:
+      // The wait for its answer was long enough.
+      this->next_record = now;
+      this->ActSoon();
+      return;
+    case platform::WriteOutcome::kNotDone:
+      this->next_record = now + kRecordAgain;
+      return;
+  }
+}
+
 void Manager::WriteCounts() {
   const base::Micros now = base::MonotonicNow();
   if (now < this->next_count)
--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -193,8 +193,12 @@
   const auto bound = base::Micros(static_cast<std::int64_t>(
       static_cast<double>(kGrantBound.count()) * kClockSlack));
   this->lease_version = row.version;
-  if (record->epoch == this->epoch)
+  // An own write whose answer was lost.
+  if (record->epoch == this->epoch) {
+    this->recorded = NamesOf(*record);
+    this->scheduler.WorkersRecorded(this->recorded.held);
     return true;
+  }
   const base::Micros latest = base::MonotonicNow() + bound;
   for (const LeaseHolder& holder : record->workers) {
     const base::Micros carried =
--- a/entry/ownership.cc
+++ b/entry/ownership.cc
@@ -225,9 +225,16 @@
       for (const platform::Row& row : result.rows)
         this->SeeRow(row, false);
       this->unchanged_since = now;
+      // An own write whose answer was lost was in the way.
+      if (this->holding)
+        this->events.on_confirmed(asked);
       return;
-    case platform::WriteOutcome::kNotDone:
     case platform::WriteOutcome::kUnknown:
+      // The wait for its answer was long enough.
+      this->next_renewal = now;
+      this->unchanged_since = taking ? now : this->unchanged_since;
+      return;
+    case platform::WriteOutcome::kNotDone:
       this->next_renewal = now + kRenewalAgain;
       this->unchanged_since = taking ? now : this->unchanged_since;
       return;
