--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -200,7 +200,8 @@
       continue;
     }
     bytes += next.row.size();
-    write.conditions.push_back({.at = JobRow(next.job), .version = 0});
+    // Its progress stands after the job is over, when its own row is gone.
+    write.conditions.push_back({.at = ProgressRow(next.job), .version = 0});
     write.puts.push_back({.at = JobRow(next.job), .value = next.row});
     write.puts.push_back({.at = ProgressRow(next.job), .value = queued});
     batch.push_back(std::move(next));
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -365,6 +365,17 @@
   BOOST_TEST(bench.standin.Table(std::string(kJobTable)).empty());
 }
 
+// A job that is over has no row of its own any more, only its progress.
+BOOST_AUTO_TEST_CASE(JobThatIsOverIsNotTakenAgain) {
+  CallerBench bench;
+  jobs::Progress progress;
+  progress.state = jobs::JobState::kCompleted;
+  bench.standin.Put(ProgressRow(kId), jobs::EncodeProgress(progress));
+  BOOST_TEST(bench.Call("POST", kJob, kBody).status == 200);
+  BOOST_TEST(bench.standin.Value(JobRow(kId)).empty());
+  BOOST_TEST(bench.Call("GET", kJob).body == R"({"state":"completed"})");
+}
+
 BOOST_AUTO_TEST_CASE(CountsComeFromTheStore) {
   CallerBench bench;
   BOOST_TEST(bench.Call("GET", "/p/").body == R"({"pending":0})");
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -25,10 +25,10 @@
 constexpr int kMaxSavesInFlight = 2;
 // A save that took longer shows a slow store (4 to 9 ms on a calm day).
 constexpr base::Micros kSlowWrite = milliseconds(60);
-// A row saved is a condition and a put.
-constexpr std::size_t kEntriesASave = 2;
-constexpr std::size_t kMaxSavesAWrite =
-    platform::kMaxBatchEntries / kEntriesASave;
+// A row saved is a condition and a put; a job that is over loses its other row.
+std::size_t EntriesOf(const scheduler::SaveProgress& save) {
+  return save.over ? 3 : 2;
+}
 
 // What came of a save whose fate is known; `there`: the row that a conflict
 // showed, or null.
@@ -82,16 +82,20 @@
   std::vector<scheduler::SaveProgress> batch;
   std::vector<scheduler::SaveProgress> left;
   std::string part;
+  std::size_t entries = 0;
   for (scheduler::SaveProgress& save : this->saves) {
     const std::string of = ProgressRow(save.job).part;
     const bool may_go = !one_part || !this->parts_saving.contains(of);
     if (batch.empty() && may_go)
       part = of;
-    const bool fits = batch.size() < kMaxSavesAWrite;
-    if (fits && may_go && (!one_part || part == of))
+    const std::size_t more = EntriesOf(save);
+    const bool fits = entries + more <= platform::kMaxBatchEntries;
+    if (fits && may_go && (!one_part || part == of)) {
+      entries += more;
       batch.push_back(std::move(save));
-    else
+    } else {
       left.push_back(std::move(save));
+    }
   }
   this->saves = std::move(left);
   return batch;
@@ -105,6 +109,8 @@
     parts.insert(row.part);
     write.conditions.push_back({.at = row, .version = save.version});
     write.puts.push_back({.at = row, .value = save.text});
+    if (save.over)
+      write.removes.push_back(JobRow(save.job));
   }
   ++this->saves_in_flight;
   this->parts_saving.insert(parts.begin(), parts.end());
--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -60,6 +60,8 @@
   std::string text;
   std::uint64_t version = 0;
   std::uint64_t change = 0;  // returned with the outcome
+  // Nothing of it runs or will: what its caller sent is not needed any more.
+  bool over = false;
 };
 
 struct MoveBox {
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -249,7 +249,8 @@
         SaveProgress{.job = job->id,
                      .text = jobs::EncodeProgress(job->progress),
                      .version = job->version,
-                     .change = job->change});
+                     .change = job->change,
+                     .over = job->finished() && job->progress.placed.empty()});
   }
 }
 
