A conflict confirms the ownership only by the row itself; quick failures wait

Read back before the landing: a conflict without a readable row confirmed the holder; a row written without the box's share was not read at all; saves that failed at once (a reset) were made again at once, for as long as the store is away.

--- a/entry/manager.h
+++ b/entry/manager.h
@@ -100,9 +100,9 @@
   void SaveAll();
   std::vector<scheduler::SaveProgress> TakeSaves(bool one_part);
   void Save(std::vector<scheduler::SaveProgress> batch);
-  static bool MustSaveAgain(const scheduler::SaveProgress& save,
-                            platform::WriteOutcome outcome,
-                            const platform::Row* there);
+  bool MustSaveAgain(const scheduler::SaveProgress& save,
+                     platform::WriteOutcome outcome,
+                     const platform::Row* there) const;
   void TakeSaved(const std::vector<scheduler::SaveProgress>& batch,
                  const platform::WriteResult& result);
   void RecordWorkers();
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -148,13 +148,15 @@
   }
 }
 
-// Nothing has changed for this row: its write has no known fate, and made again
-// it finds its own row; or another row of the batch was in the way.
+// Nothing has changed for this row: its write was waited for in vain, and made
+// again it finds its own row; or another row of the batch was in the way. One
+// that failed at once is left to the scheduler, which lets some time pass.
 bool Manager::MustSaveAgain(const scheduler::SaveProgress& save,
                             platform::WriteOutcome outcome,
-                            const platform::Row* there) {
+                            const platform::Row* there) const {
   const std::uint64_t version = there ? there->version : 0;
-  return outcome == platform::WriteOutcome::kUnknown ||
+  const bool was_waited_for = this->save_time > kSlowWrite;
+  return (outcome == platform::WriteOutcome::kUnknown && was_waited_for) ||
          (outcome == platform::WriteOutcome::kConflict &&
           version == save.version);
 }
--- a/entry/ownership.cc
+++ b/entry/ownership.cc
@@ -225,8 +225,10 @@
       for (const platform::Row& row : result.rows)
         this->SeeRow(row, false);
       this->unchanged_since = now;
-      // An own write whose answer was lost was in the way.
-      if (this->holding)
+      // An own write whose answer was lost was in the way: the row still names
+      // this daemon.
+      if (this->holding && !result.rows.empty() &&
+          result.rows.front().version == this->version)
         this->events.on_confirmed(asked);
       return;
     case platform::WriteOutcome::kUnknown:
--- a/entry/tables.cc
+++ b/entry/tables.cc
@@ -114,7 +114,7 @@
                        .incarnation = json.at("incarnation").get<std::string>(),
                        .epoch = json.at("epoch").get<std::uint64_t>(),
                        .beat = json.at("beat").get<std::uint64_t>(),
-                       .cores = json.at("cores").get<double>()};
+                       .cores = json.value("cores", 0.0)};
   } catch (const Json::exception&) {
     return std::nullopt;
   }
