An owner stops itself before another may take over; silent connections

Change: where epochs are not checked, each order is looked at right before it goes out on its connection (also when the library repeats it): the last confirmation, counted from when it was asked for, must be younger than the silence after which others take over, less 150 ms. At that moment what is on its way is called back with a reset. When a confirmation is overdue, what runs gets the longest lease once, so that a store that is away for all interrupts nothing. A stronger box no longer takes the ownership from a weaker one that lives: it asks, and the holder makes way. Leases of an earlier owner are waited out for 1.3 s + the longest lease (was 10 s) there.

Kept connections are probed (TCP keep-alive 1 s, user time-out 1.5 s); after a silence on a used one its siblings are passed over for 3 s.

Tests: property on the lease; real daemons cut from the store order nothing under an earlier epoch (fails with the check off); silent connections.

--- a/base/event_log.h
+++ b/base/event_log.h
@@ -73,6 +73,8 @@
   kLinesLeftOut,
   kSettingsReloaded,
   kWriteRefused,
+  kOrdersHeld,
+  kOrdersResumed,
 };
 
 struct EventInfo {
@@ -82,7 +84,7 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 45> kEvents{{
+inline constexpr std::array<EventInfo, 47> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
@@ -114,6 +116,8 @@
     {Event::kOwnershipGained, 801, Level::kInfo, "ownership_gained"},
     {Event::kOwnershipLost, 802, Level::kWarning, "ownership_lost"},
     {Event::kOwnershipReady, 803, Level::kInfo, "ownership_ready"},
+    {Event::kOrdersHeld, 804, Level::kWarning, "orders_held"},
+    {Event::kOrdersResumed, 805, Level::kInfo, "orders_resumed"},
     {Event::kJobAccepted, 811, Level::kInfo, "job_accepted"},
     {Event::kJobRefused, 812, Level::kInfo, "job_refused"},
     {Event::kJobCancelled, 813, Level::kInfo, "job_cancelled"},
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -1,5 +1,6 @@
 // Settings, rows, ownership and the callers' interface of an entry box.
 
+#include <algorithm>
 #include <fstream>
 #include <functional>
 #include <memory>
@@ -9,10 +10,12 @@
 #include <string>
 #include <vector>
 
+#include <rapidcheck/boost_test.h>
 #include <boost/test/unit_test.hpp>
 
 #include "base/ini_file.h"
 #include "entry/caller_api.h"
+#include "entry/owner_lease.h"
 #include "entry/ownership.h"
 #include "entry/save_queue.h"
 #include "entry/settings.h"
@@ -275,6 +278,73 @@
   BOOST_TEST(a.epoch == 2U);
 }
 
+// --- When the holder must stop ---
+
+constexpr base::Micros kSilence = std::chrono::milliseconds(1300);
+
+struct Confirmation {
+  std::uint64_t beat = 0;
+  base::Micros asked{};
+  bool is_made = false;
+  base::Micros made{};  // when the row holds it, if it is made
+};
+
+// A holder whose confirmations are answered, lost, refused, or made late; the
+// others count the silence from when the row last changed.
+RC_BOOST_PROP(HolderStopsBeforeAnotherMayTakeOver, ()) {
+  OwnerLease lease;
+  base::Micros now = std::chrono::seconds(10);
+  base::Micros last_change = now;
+  std::uint64_t beat = 0;
+  std::vector<Confirmation> open;
+  const int steps = *rc::gen::inRange(1, 40);
+  for (int i = 0; i < steps; ++i) {
+    now += std::chrono::milliseconds(*rc::gen::inRange(0, 900));
+    lease.Asked(1, beat, now, kSilence);
+    const int fate = *rc::gen::inRange(0, 4);
+    const base::Micros made =
+        now + std::chrono::milliseconds(*rc::gen::inRange(1, 500));
+    if (fate == 0) {  // refused
+      lease.NotMade(1, beat);
+      continue;
+    }
+    const bool is_made = fate != 1;
+    open.push_back(
+        {.beat = beat, .asked = now, .is_made = is_made, .made = made});
+    // The row's first try of a beat that is made counts; later ones find it.
+    if (!is_made)
+      continue;
+    const auto first =
+        std::find_if(open.begin(), open.end(), [&](const Confirmation& one) {
+          return one.beat == beat && one.is_made;
+        });
+    last_change = std::max(last_change, first->made);
+    if (fate == 3)  // its answer is lost
+      continue;
+    now = std::max(now, made);
+    lease.Made(1, beat);
+    ++beat;
+    // What has not been made by then never is: its condition fails.
+    RC_ASSERT(lease.orders_until() < last_change + kSilence);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(HolderWithoutAConfirmationOrdersNothing) {
+  OwnerLease lease;
+  const base::Micros now = std::chrono::seconds(5);
+  lease.Asked(3, 0, now, kSilence);
+  BOOST_TEST(lease.orders_until().count() == 0);
+  // Another try of the same beat extends nothing: the first may be the one that
+  // was made.
+  lease.Asked(3, 0, now + std::chrono::seconds(1), kSilence);
+  lease.Made(3, 0);
+  BOOST_CHECK(lease.orders_until() > now);
+  BOOST_CHECK(lease.orders_until() < now + kSilence);
+  // Nor does a beat of another epoch.
+  lease.Made(4, 0);
+  BOOST_CHECK(lease.orders_until() < now + kSilence);
+}
+
 // --- Callers ---
 
 struct CallerBench : OwnerBench {
--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -188,14 +188,26 @@
 void JobDaemon::Gained(std::uint64_t epoch) {
   this->manager_end.Stop();
   this->manager = std::make_unique<Manager>(
-      this->loop, this->store, this->client, this->counters, this->settings,
-      epoch, [this] { this->ownership->Fenced(); });
+      this->loop, this->store, this->counters, this->settings, epoch,
+      Manager::Authority{.orders_until = [this] { return this->OrdersUntil(); },
+                         .on_fenced = [this] { this->ownership->Fenced(); }});
   for (const auto& [number, wave] : this->waves)
     this->manager->SetWave(wave);
   if (this->has_config)
     this->manager->SetConfig(this->config);
 }
 
+// An owner that has lost the ownership orders nothing more, though it is only
+// destroyed a moment later. Where workers and boxes refuse the orders of an
+// earlier owner, one that is not certain goes on.
+base::Micros JobDaemon::OrdersUntil() const {
+  if (!this->ownership->holds())
+    return base::Micros::zero();
+  return this->settings.deployment.epochs_checked
+             ? base::Micros::max()
+             : this->ownership->orders_until();
+}
+
 void JobDaemon::Lost() {
   this->manager_end.StartOnce(base::Micros(1));
 }
--- a/entry/job_daemon.h
+++ b/entry/job_daemon.h
@@ -38,6 +38,7 @@
   void ReloadIfChanged();
   void TakeOperatorRow(const platform::Row& row);
   void Gained(std::uint64_t epoch);
+  base::Micros OrdersUntil() const;
   void Lost();
   void Stop();
   void TryToEnd();
--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -27,13 +27,24 @@
 // What is written later than this is still conditional: it is only spared, so
 // that an owner which the store turns away does not flood it.
 constexpr base::Micros kConfirmedLately = milliseconds(1200);
+// The ownership is in doubt this long before orders stop. A slow store's
+// confirmations (some 0.4 s) leave 0.3 s, a quick one's 0.69 s.
+constexpr base::Micros kDoubt = milliseconds(350);
 constexpr base::Micros kReportAgain = milliseconds(500);
 constexpr base::Micros kListPeriod = milliseconds(1500);
 
+// Where orders stop before another may take over, no lease that they grant
+// lasts longer than this after a confirmation.
+base::Micros GrantBoundOf(const Settings& settings) {
+  if (settings.deployment.epochs_checked)
+    return kGrantBound;
+  return std::min(kGrantBound, kOwnerSilence + settings.longest_lease);
+}
+
 scheduler::Limits LimitsOf(const Settings& settings, std::uint64_t epoch) {
   scheduler::Limits limits;
   limits.lease = std::min(kLease, settings.longest_lease);
-  limits.grant_bound = kGrantBound;
+  limits.grant_bound = GrantBoundOf(settings);
   limits.stop_time = settings.stop_time;
   limits.epoch = epoch;
   limits.fleet = {.move_time = settings.move_time,
@@ -45,20 +56,23 @@
 
 Manager::Manager(base::Loop& on,
                  platform::Store& from,
-                 http::Client& client,
                  base::Counters& count,
                  const Settings& chosen,
                  std::uint64_t own_epoch,
-                 std::function<void()> when_fenced)
+                 Authority given)
     : loop(on),
       store(from),
       counters(count),
       settings(chosen),
       epoch(own_epoch),
-      on_fenced(std::move(when_fenced)),
-      workers(client),
-      boxes(client, chosen.boxes, chosen.id),
-      advisor(client, chosen.advice),
+      authority(std::move(given)),
+      order_client(on, {.reset_on_close = true}),
+      workers(this->order_client, [this] { return this->MayOrder(); }),
+      boxes(this->order_client,
+            chosen.boxes,
+            chosen.id,
+            [this] { return this->MayOrder(); }),
+      advisor(this->order_client, chosen.advice),
       scheduler(LimitsOf(chosen, own_epoch)),
       timer(on, [this] { this->Act(); }),
       soon(on, [this] { this->Act(); }),
@@ -95,9 +109,73 @@
 
 void Manager::Confirmed(base::Micros asked) {
   this->confirmed_at = asked;
+  this->renewed_in_doubt = false;
   this->scheduler.Confirmed(asked);
 }
 
+// --- Whether orders may leave ---
+
+bool Manager::MayOrder() const {
+  return base::MonotonicNow() < this->authority.orders_until();
+}
+
+bool Manager::IsInDoubt() const {
+  return base::MonotonicNow() > this->authority.orders_until() - kDoubt;
+}
+
+base::Micros Manager::GrantBound() const {
+  return GrantBoundOf(this->settings);
+}
+
+// Others may take over soon: what is on its way to workers and boxes is called
+// back, and nothing further leaves until the store confirms the ownership.
+void Manager::HoldOrders() {
+  if (this->orders_held)
+    return;
+  this->orders_held = true;
+  base::Log(
+      base::Event::kOrdersHeld,
+      {{"epoch", this->epoch}, {"in_flight", this->order_client.in_flight()}});
+  this->order_client.GiveUpAll();
+}
+
+void Manager::ResumeOrders() {
+  if (!this->orders_held)
+    return;
+  this->orders_held = false;
+  base::Log(base::Event::kOrdersResumed, {{"epoch", this->epoch}});
+  std::vector<std::string> waiting;
+  for (const auto& [worker, queue] : this->orders)
+    waiting.push_back(worker);
+  for (const std::string& worker : waiting)
+    this->SendNext(worker);
+}
+
+// The store has not confirmed the ownership when it should have: before orders
+// must stop, what runs gets the longest lease, so that a store that is away for
+// all interrupts nothing. If another has taken over, it renews or stops it.
+void Manager::RenewInDoubt() {
+  if (this->renewed_in_doubt)
+    return;
+  this->renewed_in_doubt = true;
+  const base::Micros now = base::MonotonicNow();
+  const base::Micros end = std::min(now + this->settings.longest_lease,
+                                    this->confirmed_at + this->GrantBound());
+  for (const auto& [id, worker] : this->scheduler.all_workers()) {
+    const std::int64_t deadline = this->scheduler.Deadline(id, end);
+    const bool wanted = worker.listed && worker.recorded && !worker.idle() &&
+                        worker.failed_calls == 0 && deadline > 0;
+    if (!wanted)
+      continue;
+    this->scheduler.Granted(id, end);
+    // The look that waits there for an end brings the news.
+    this->workers.Look(
+        this->To(id),
+        {.worker = id, .acknowledged = worker.told, .wait = {}, .renews = true},
+        deadline, [](const platform::LookResult&) {});
+  }
+}
+
 // --- Actions ---
 
 // News that comes together is acted on together; a turn walks over all workers,
@@ -113,6 +191,8 @@
 }
 
 void Manager::CarryAll() {
+  if (!this->MayOrder())
+    return;
   for (scheduler::Action& action : this->scheduler.TakeActions())
     this->Carry(std::move(action));
 }
@@ -125,8 +205,15 @@
       this->ReadRest();
     return;
   }
-  this->scheduler.Advance(this->last_turn);
-  this->CarryAll();
+  if (this->IsInDoubt())
+    this->RenewInDoubt();
+  if (this->MayOrder()) {
+    this->ResumeOrders();
+    this->scheduler.Advance(this->last_turn);
+    this->CarryAll();
+  } else {
+    this->HoldOrders();
+  }
   // An owner that the store has not confirmed lately may have been replaced.
   const bool confirmed =
       base::MonotonicNow() - this->confirmed_at < kConfirmedLately;
@@ -150,7 +237,7 @@
   }
   this->turn_time = base::MonotonicNow() - this->last_turn;
   if (this->scheduler.fenced())
-    this->on_fenced();
+    this->authority.on_fenced();
 }
 
 void Manager::Carry(scheduler::Action action) {
@@ -206,7 +293,7 @@
 
 void Manager::SendNext(const std::string& worker) {
   WorkerOrders& queue = this->orders[worker];
-  if (queue.in_flight || queue.waiting.empty())
+  if (queue.in_flight || queue.waiting.empty() || !this->MayOrder())
     return;
   if (!this->scheduler.FindWorker(worker)) {
     this->orders.erase(worker);
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -32,14 +32,19 @@
 
 class Manager {
  public:
-  // `on_fenced`: a worker or the platform has seen a higher epoch.
+  struct Authority {
+    // Orders may leave before this.
+    std::function<base::Micros()> orders_until;
+    // A worker or the platform has seen a higher epoch.
+    std::function<void()> on_fenced;
+  };
+
   Manager(base::Loop& loop,
           platform::Store& store,
-          http::Client& client,
           base::Counters& counters,
           const Settings& settings,
           std::uint64_t epoch,
-          std::function<void()> on_fenced);
+          Authority authority);
   ~Manager();
   Manager(const Manager&) = delete;
   Manager& operator=(const Manager&) = delete;
@@ -81,6 +86,14 @@
   void TakeJobRow(const platform::Row& row);
   void TakeWorkerRow(const platform::ChangedRow& changed);
 
+  // Whether orders may leave, and what follows when they may not.
+  bool MayOrder() const;
+  bool IsInDoubt() const;
+  void HoldOrders();
+  void ResumeOrders();
+  void RenewInDoubt();
+  base::Micros GrantBound() const;
+
   // Actions.
   void Act();
   void ActSoon();
@@ -125,7 +138,9 @@
   base::Counters& counters;
   Settings settings;
   std::uint64_t epoch;
-  std::function<void()> on_fenced;
+  Authority authority;
+  // Orders' own: what is closed takes along what is on its way.
+  http::Client order_client;
   platform::Workers workers;
   platform::Boxes boxes;
   platform::Advisor advisor;
@@ -162,6 +177,8 @@
   bool listing_boxes = false;
   std::set<int> reported_waves;
   std::vector<scheduler::ReportWave> unreported;  // to be written again
+  bool orders_held = false;       // the ownership is not certain now
+  bool renewed_in_doubt = false;  // since the store last confirmed it
   base::Timer timer;
   base::Timer soon;
   bool act_is_due = false;  // `soon` is set
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -211,7 +211,7 @@
       // or the next owner's.
       if (!result.rows.empty() && !this->TakeLeases(result.rows.front())) {
         // Destroys this.
-        this->on_fenced();
+        this->authority.on_fenced();
         return;
       }
       this->next_record = now;
--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -191,7 +191,7 @@
   if (record->epoch > this->epoch)
     return false;
   const auto bound = base::Micros(static_cast<std::int64_t>(
-      static_cast<double>(kGrantBound.count()) * kClockSlack));
+      static_cast<double>(this->GrantBound().count()) * kClockSlack));
   this->lease_version = row.version;
   // An own write whose answer was lost.
   if (record->epoch == this->epoch) {
--- /dev/null
+++ b/entry/owner_lease.h
@@ -0,0 +1,45 @@
+// Until when the holder of the ownership may give orders, where neither workers
+// nor boxes refuse those of an earlier holder: it stops before another may take
+// over.
+
+#ifndef ENTRY_OWNER_LEASE_H_
+#define ENTRY_OWNER_LEASE_H_
+
+#include <cstdint>
+#include <map>
+#include <utility>
+
+#include "base/clock.h"
+
+namespace quartzhoist::entry {
+
+class OwnerLease {
+ public:
+  // A confirmation with this beat is about to be written; others take over no
+  // sooner than `silence` after it has been.
+  void Asked(std::uint64_t epoch,
+             std::uint64_t beat,
+             base::Micros now,
+             base::Micros silence);
+  // The last try has not been written, and never will be.
+  void NotMade(std::uint64_t epoch, std::uint64_t beat);
+  // The row holds it.
+  void Made(std::uint64_t epoch, std::uint64_t beat);
+
+  // Orders may leave before this; zero before the first confirmation.
+  base::Micros orders_until() const { return this->until; }
+
+ private:
+  struct Tries {
+    base::Micros end{};  // that the first try gives
+    int count = 0;
+  };
+
+  // Confirmations whose fate is open, by epoch and beat.
+  std::map<std::pair<std::uint64_t, std::uint64_t>, Tries> open;
+  base::Micros until{};
+};
+
+}  // namespace quartzhoist::entry
+
+#endif  // ENTRY_OWNER_LEASE_H_
--- a/entry/ownership.cc
+++ b/entry/ownership.cc
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "base/event_log.h"
+#include "entry/timing.h"
 
 namespace quartzhoist::entry {
 
@@ -13,14 +14,11 @@
 
 using std::chrono::milliseconds;
 
-constexpr base::Micros kTick = milliseconds(50);
+constexpr base::Micros kLookPeriod = milliseconds(50);
 // The holder confirms this often; each confirmation is a write, and a read for
 // every daemon that follows.
 constexpr base::Micros kRenewal = milliseconds(450);
 constexpr base::Micros kRenewalAgain = milliseconds(150);
-// A holder whose row has not changed for this long is taken over: three
-// confirmations missed. A slow store (80 times 4 ms) stays below it.
-constexpr base::Micros kSilence = milliseconds(1300);
 // Followers wait so much longer at most.
 constexpr std::int64_t kSpreadMillis = 200;
 // A row that nobody holds is taken after a draw below this.
@@ -78,7 +76,7 @@
   this->incarnation = fmt::format("{:016x}", this->random());
   this->unchanged_since = base::MonotonicNow();
   this->patience = this->DrawPatience();
-  this->timer.StartEvery(kTick);
+  this->timer.StartEvery(kLookPeriod);
 }
 
 void Ownership::SeeStore(base::Micros asked) {
@@ -104,11 +102,15 @@
   this->unchanged_since = now;
   this->patience = this->DrawPatience();
   const bool mine = this->NamesThis(*seen);
+  if (mine)
+    this->lease.Made(seen->epoch, seen->beat);
   if (this->holding && !mine)
     this->Lose();
   // An own write whose answer was lost.
   if (!this->holding && mine && !this->released && !this->writing)
     this->Gain(this->unchanged_since);
+  if (this->holding && !seen->successor.empty())
+    this->MakeWay();
 }
 
 bool Ownership::NamesThis(const OwnerRecord& seen) const {
@@ -144,10 +146,33 @@
   const bool was_own = this->record.holder == this->id;
   if (is_free || was_own)
     return silent >= this->patience;
-  if (this->IsMuchStronger() &&
-      now - this->holder_since >= kRelieveAfter + this->patience)
-    return true;
-  return silent >= kSilence + this->patience;
+  return silent >= kOwnerSilence + this->patience;
+}
+
+// A holder on a much weaker box is asked to give up, once; it is not taken over
+// while it lives, since what it orders may be on its way.
+bool Ownership::ShouldAskForWay(base::Micros now) const {
+  return this->known && !this->released && this->version > 0 &&
+         !this->record.holder.empty() && this->record.holder != this->id &&
+         this->record.successor.empty() && this->IsMuchStronger() &&
+         now - this->last_answer <= kAnswerGap &&
+         now - this->holder_since >= kRelieveAfter + this->patience;
+}
+
+void Ownership::AskForWay() {
+  OwnerRecord next = this->record;
+  next.successor = this->id;
+  next.cores = this->cores;
+  this->Write(next, false);
+}
+
+// The successor's cores stand in the row that it leaves, so that no weaker
+// daemon is quicker.
+void Ownership::MakeWay() {
+  this->makes_way = true;
+  this->Lose();
+  if (!this->writing)
+    this->WriteRelease();
 }
 
 void Ownership::Act() {
@@ -162,13 +187,18 @@
     this->Write(next, false);
     return;
   }
+  if (this->ShouldAskForWay(now)) {
+    this->AskForWay();
+    return;
+  }
   if (!this->ShouldTake(now))
     return;
   this->Write({.holder = this->id,
                .incarnation = this->incarnation,
                .epoch = this->record.epoch + 1,
                .beat = 0,
-               .cores = this->cores},
+               .cores = this->cores,
+               .successor = ""},
               true);
 }
 
@@ -176,6 +206,8 @@
   const base::Micros asked = base::MonotonicNow();
   this->writing = true;
   this->next_renewal = asked + kRenewal;
+  if (this->NamesThis(next))
+    this->lease.Asked(next.epoch, next.beat, asked, kOwnerSilence);
   const platform::WriteBatch batch{
       .conditions = {{.at = OwnerRow(), .version = this->version}},
       .puts = {{.at = OwnerRow(), .value = EncodeOwner(next)}},
@@ -201,8 +233,9 @@
   const bool may_be_written =
       result.outcome != platform::WriteOutcome::kNotDone &&
       result.outcome != platform::WriteOutcome::kRefused;
+  const bool gives_up = this->released || this->makes_way;
   const bool still_named =
-      this->released && this->NamesThis(this->record) && may_be_written;
+      gives_up && this->NamesThis(this->record) && may_be_written;
   if (still_named)
     this->WriteRelease();
 }
@@ -212,8 +245,11 @@
                        bool taking,
                        base::Micros asked,
                        base::Micros now) {
+  const bool is_own = this->NamesThis(next);
   switch (result.outcome) {
     case platform::WriteOutcome::kDone:
+      if (is_own)
+        this->lease.Made(next.epoch, next.beat);
       if (result.version > this->version) {
         this->version = result.version;
         this->record = next;
@@ -225,14 +261,9 @@
         this->events.on_confirmed(asked);
       return;
     case platform::WriteOutcome::kConflict:
-      for (const platform::Row& row : result.rows)
-        this->SeeRow(row, false);
-      this->unchanged_since = now;
-      // An own write whose answer was lost was in the way: the row still names
-      // this daemon.
-      if (this->holding && !result.rows.empty() &&
-          result.rows.front().version == this->version)
-        this->events.on_confirmed(asked);
+      if (is_own)
+        this->lease.NotMade(next.epoch, next.beat);
+      this->TakeConflict(result, asked);
       return;
     case platform::WriteOutcome::kUnknown:
       // The wait for its answer was long enough.
@@ -241,16 +272,31 @@
       return;
     case platform::WriteOutcome::kNotDone:
     case platform::WriteOutcome::kRefused:
+      if (is_own)
+        this->lease.NotMade(next.epoch, next.beat);
       this->next_renewal = now + kRenewalAgain;
       this->unchanged_since = taking ? now : this->unchanged_since;
       return;
   }
 }
 
+void Ownership::TakeConflict(const platform::WriteResult& result,
+                             base::Micros asked) {
+  for (const platform::Row& row : result.rows)
+    this->SeeRow(row, false);
+  this->unchanged_since = base::MonotonicNow();
+  // An own write whose answer was lost was in the way: the row still names
+  // this daemon.
+  if (this->holding && !result.rows.empty() &&
+      result.rows.front().version == this->version)
+    this->events.on_confirmed(asked);
+}
+
 void Ownership::Gain(base::Micros asked) {
   if (this->holding || this->record.epoch <= this->lost_epoch)
     return;
   this->holding = true;
+  this->makes_way = false;
   this->held_epoch = this->record.epoch;
   base::Log(base::Event::kOwnershipGained,
             {{"epoch", this->record.epoch}, {"version", this->version}});
@@ -286,6 +332,7 @@
 void Ownership::WriteRelease() {
   OwnerRecord next = this->record;
   next.holder.clear();
+  next.successor.clear();
   this->Write(next, false);
 }
 
--- a/entry/ownership.h
+++ b/entry/ownership.h
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "base/loop.h"
+#include "entry/owner_lease.h"
 #include "entry/tables.h"
 #include "platform/store.h"
 #include "platform/table_follower.h"
@@ -23,7 +24,8 @@
   struct Events {
     std::function<void(std::uint64_t epoch, base::Micros asked)> on_gained;
     std::function<void()> on_lost;
-    // The store has confirmed the ownership as of `asked`.
+    // The store has confirmed the ownership as of `asked`; what orders the
+    // holder gives leave before orders_until().
     std::function<void(base::Micros asked)> on_confirmed;
     // The store answered this daemon, or did not.
     std::function<void()> on_store_answered;
@@ -45,6 +47,9 @@
   void Fenced();
 
   bool holds() const { return this->holding; }
+  // No other daemon takes over before this, with some slack for what is on its
+  // way.
+  base::Micros orders_until() const { return this->lease.orders_until(); }
   const std::string& holder() const { return this->record.holder; }
   std::uint64_t epoch() const { return this->record.epoch; }
 
@@ -53,6 +58,9 @@
   void SeeStore(base::Micros asked);
   void Act();
   bool ShouldTake(base::Micros now) const;
+  bool ShouldAskForWay(base::Micros now) const;
+  void AskForWay();
+  void MakeWay();
   bool IsMuchStronger() const;
   base::Micros DrawPatience();
   bool NamesThis(const OwnerRecord& seen) const;
@@ -67,6 +75,7 @@
               base::Micros asked,
               base::Micros now);
   void WriteRelease();
+  void TakeConflict(const platform::WriteResult& result, base::Micros asked);
   void Gain(base::Micros asked);
   void Lose();
 
@@ -76,11 +85,13 @@
   std::string incarnation;
   std::mt19937_64 random;
   Events events;
+  OwnerLease lease;
   OwnerRecord record;         // as last seen
   std::uint64_t version = 0;  // of the row; 0: there is none
   bool known = false;         // the row, or its absence, has been seen
   bool holding = false;
   bool released = false;
+  bool makes_way = false;  // gives up for a stronger one
   bool writing = false;
   // The last epochs that this daemon held, and lost: an old row that shows up
   // late does not bring one back.
--- a/entry/process_test.cc
+++ b/entry/process_test.cc
@@ -31,10 +31,21 @@
   explicit Bench(int daemons) : cluster(QUARTZHOIST_BINARY_DIR, 4) {
     for (int i = 0; i < daemons; ++i)
       this->cluster.StartDaemon("entry-" + std::to_string(i + 1));
-    BOOST_REQUIRE(cluster.WaitUntil(
+    if (daemons > 0)
+      this->WaitForOwner();
+  }
+
+  void WaitForOwner() {
+    BOOST_REQUIRE(this->cluster.WaitUntil(
         kSoon, [this] { return !this->cluster.Owner().empty(); }));
   }
 
+  void Wait(base::Micros span) {
+    const base::Micros until = base::MonotonicNow() + span;
+    this->cluster.WaitUntil(kSoon,
+                            [until] { return base::MonotonicNow() > until; });
+  }
+
   void SubmitAll() {
     for (int i = 0; i < kJobs; ++i) {
       int status = 0;
@@ -109,6 +120,44 @@
   BOOST_TEST(bench.cluster.Owner() != first);
 }
 
+// Owners that are cut off from the store, not from workers and boxes: nothing
+// is ordered under an earlier epoch, though nobody would refuse it.
+BOOST_AUTO_TEST_CASE(OwnersThatAreReplacedOrderNothing) {
+  Bench bench(0);
+  bench.cluster.store().Put(
+      {.table = "op", .part = "", .key = "wave/1"},
+      R"({"wave":1,"machines":["box-1","box-2","box-3","box-4"],)"
+      R"("durationS":20,"maxCount":1})");
+  bench.cluster.workers().SetRunTime(std::chrono::milliseconds(700));
+  for (const char* id : {"entry-1", "entry-2", "entry-3"})
+    bench.cluster.StartDaemonOverLink(id);
+  bench.WaitForOwner();
+  bench.SubmitAll();
+  for (int i = 0; i < 3; ++i) {
+    const std::string owner = bench.cluster.Owner();
+    bench.cluster.LinkOf(owner).Cut();
+    BOOST_TEST(bench.OwnerIsNot(owner));
+    // The next one is at work while the earlier one knows nothing of it.
+    bench.Wait(std::chrono::milliseconds(2500));
+    bench.cluster.LinkOf(owner).Join();
+  }
+  bench.ExpectAllDoneOnce();
+}
+
+// The connections to the store fall silent, all at once and for good.
+BOOST_AUTO_TEST_CASE(SilentConnectionsToTheStoreAreReplaced) {
+  Bench bench(0);
+  for (const char* id : {"entry-1", "entry-2"})
+    bench.cluster.StartDaemonOverLink(id);
+  bench.WaitForOwner();
+  bench.SubmitAll();
+  for (const char* id : {"entry-1", "entry-2"})
+    bench.cluster.LinkOf(id).SilenceOpen();
+  BOOST_REQUIRE(bench.cluster.WaitUntil(
+      kSoon, [&] { return bench.cluster.Submit(JobId(50), 1, 1) == 200; }));
+  bench.ExpectAllDoneOnce();
+}
+
 BOOST_AUTO_TEST_CASE(StoppedOwnerHandsOverAndLeaves) {
   Bench bench(2);
   bench.cluster.workers().SetRunTime(std::chrono::milliseconds(800));
@@ -132,10 +181,7 @@
   bench.SubmitAll();
   bench.cluster.store().SetMood(StoreStandin::Mood::kBusy);
   BOOST_TEST(bench.cluster.Submit(JobId(99), 1, 1) == 503);
-  const base::Micros until =
-      base::MonotonicNow() + std::chrono::milliseconds(1500);
-  bench.cluster.WaitUntil(kSoon,
-                          [until] { return base::MonotonicNow() > until; });
+  bench.Wait(std::chrono::milliseconds(1500));
   bench.cluster.store().SetMood(StoreStandin::Mood::kWell);
   bench.ExpectAllDoneOnce();
   // What was refused never runs.
--- a/entry/tables.cc
+++ b/entry/tables.cc
@@ -99,11 +99,9 @@
 }
 
 std::string EncodeOwner(const OwnerRecord& record) {
-  return Json{{"holder", record.holder},
-              {"incarnation", record.incarnation},
-              {"epoch", record.epoch},
-              {"beat", record.beat},
-              {"cores", record.cores}}
+  return Json{{"holder", record.holder}, {"incarnation", record.incarnation},
+              {"epoch", record.epoch},   {"beat", record.beat},
+              {"cores", record.cores},   {"successor", record.successor}}
       .dump();
 }
 
@@ -114,7 +112,8 @@
                        .incarnation = json.at("incarnation").get<std::string>(),
                        .epoch = json.at("epoch").get<std::uint64_t>(),
                        .beat = json.at("beat").get<std::uint64_t>(),
-                       .cores = json.value("cores", 0.0)};
+                       .cores = json.value("cores", 0.0),
+                       .successor = json.value("successor", "")};
   } catch (const Json::exception&) {
     return std::nullopt;
   }
--- a/entry/tables.h
+++ b/entry/tables.h
@@ -68,6 +68,8 @@
   std::uint64_t epoch = 0;  // rises with each holder
   std::uint64_t beat = 0;   // rises with each confirmation
   double cores = 0.0;       // of the holder's box; 0: not known
+  // A daemon on a much stronger box, which the holder is to make way for.
+  std::string successor;
 };
 std::string EncodeOwner(const OwnerRecord& record);
 std::optional<OwnerRecord> DecodeOwner(std::string_view text);
--- a/entry/timing.h
+++ b/entry/timing.h
@@ -18,6 +18,10 @@
 // (350 workers: 38% of an owner's time without a distance).
 inline constexpr int kTurnGapTimes = 12;
 inline constexpr base::Micros kLongestTurnGap = std::chrono::milliseconds(50);
+// A holder of the ownership whose row has not changed for this long is taken
+// over: three confirmations missed. A slow store (80 times 4 ms) stays below
+// it.
+inline constexpr base::Micros kOwnerSilence = std::chrono::milliseconds(1300);
 // No lease lasts longer than this after the store confirmed the ownership: a
 // store that is away for less interrupts nothing (sites: up to 9 s).
 inline constexpr base::Micros kGrantBound = std::chrono::milliseconds(10'000);
--- a/http/client.cc
+++ b/http/client.cc
@@ -1,6 +1,9 @@
 #include "http/client.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <charconv>
@@ -16,6 +19,22 @@
 // Long enough for a lost SYN to be sent again, short against a deadline.
 constexpr long kConnectTimeoutMillis = 1500;
 constexpr std::size_t kMaxIdleHandles = 256;
+// A connection on which bytes have not been acknowledged for so long is dead:
+// open ones may fall silent for good while new ones work.
+constexpr unsigned kUserTimeoutMillis = 1500;
+// An idle connection is probed after this, and so often again; with the one
+// above it is dead a second later.
+constexpr int kKeepAliveSeconds = 1;
+// After a silence on a used connection its siblings are passed over for so
+// long: until those that are dead as well have been found by their probes.
+constexpr base::Micros kFreshAfterSilence = std::chrono::seconds(3);
+
+// The "ip:port" of "http://ip:port/path".
+std::string HostOf(const std::string& url) {
+  constexpr std::string_view kScheme = "http://";
+  const std::size_t end = url.find('/', kScheme.size());
+  return url.substr(kScheme.size(), end - kScheme.size());
+}
 
 bool IsChunked(const Headers& headers) {
   const std::string* coding = FindHeader(headers, "Transfer-Encoding");
@@ -136,6 +155,30 @@
     return n;
   }
 
+  // A failure leaves the socket's defaults in place: time-outs still hold.
+  static int SocketOptions(void* user, curl_socket_t fd, curlsocktype) {
+    const auto* client = static_cast<const Client*>(user);
+    const int on = 1;
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveSeconds,
+               sizeof kKeepAliveSeconds);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveSeconds,
+               sizeof kKeepAliveSeconds);
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMillis,
+               sizeof kUserTimeoutMillis);
+    if (client->options.reset_on_close) {
+      const linger reset{.l_onoff = 1, .l_linger = 0};
+      setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    }
+    return CURL_SOCKOPT_OK;
+  }
+
+  static int BeforeSending(void* user, char*, char*, int, int) {
+    const auto* call = static_cast<const Call*>(user);
+    return call->request.may_send() ? CURL_PREREQFUNC_OK
+                                    : CURL_PREREQFUNC_ABORT;
+  }
+
   static void SetMethod(CURL* easy, const ClientRequest& request) {
     const bool has_body = !request.body.empty() || request.method == "POST" ||
                           request.method == "PUT" || request.method == "PATCH";
@@ -179,6 +222,12 @@
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Callbacks::HeaderLine);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &call);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &Callbacks::SocketOptions);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, call.client);
+    if (call.request.may_send) {
+      curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Callbacks::BeforeSending);
+      curl_easy_setopt(easy, CURLOPT_PREREQDATA, &call);
+    }
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     // Hosts are IP numbers. With a time to keep them, the library walks over
     // all that it has seen after each request: 14% of an owner's processor time
@@ -192,7 +241,8 @@
     curl_easy_setopt(
         easy, CURLOPT_TIMEOUT_MS,
         static_cast<long>(std::max<std::int64_t>(1, millis.count())));
-    if (call.request.fresh_connection) {
+    if (call.request.fresh_connection ||
+        call.client->WantsFresh(HostOf(call.request.url))) {
       curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
       // Kept, each would stay open until the server has no room for more.
       curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
@@ -252,6 +302,18 @@
   this->Release(id);
 }
 
+// A `done` may send anew: only what is there now is given up.
+void Client::GiveUpAll() {
+  std::vector<RequestId> ids;
+  for (const auto& [id, call] : this->calls)
+    ids.push_back(id);
+  for (const RequestId id : ids) {
+    const auto found = this->calls.find(id);
+    if (found != this->calls.end())
+      this->Complete(*found->second, CURLE_OPERATION_TIMEDOUT);
+  }
+}
+
 void Client::Act(int fd, int events) {
   const int mask = ((events & EV_READ) ? CURL_CSELECT_IN : 0) |
                    ((events & EV_WRITE) ? CURL_CSELECT_OUT : 0);
@@ -293,11 +355,32 @@
                    : code == CURLE_OK ? "the answer does not tell its length"
                                       : curl_easy_strerror(code);
   }
+  if (code == CURLE_OPERATION_TIMEDOUT)
+    this->NoteSilence(call);
   const std::function<void(ClientResult)> done = std::move(call.done);
   this->Release(call.id);
   done(std::move(result));
 }
 
+// A used connection that fell silent may have siblings that did as well.
+void Client::NoteSilence(const Call& call) {
+  long connects = 0;
+  curl_easy_getinfo(call.easy, CURLINFO_NUM_CONNECTS, &connects);
+  if (connects == 0)
+    this->fresh_until[HostOf(call.request.url)] =
+        base::MonotonicNow() + kFreshAfterSilence;
+}
+
+bool Client::WantsFresh(const std::string& host) {
+  const auto found = this->fresh_until.find(host);
+  if (found == this->fresh_until.end())
+    return false;
+  if (base::MonotonicNow() < found->second)
+    return true;
+  this->fresh_until.erase(found);
+  return false;
+}
+
 void Client::Release(RequestId id) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end())
--- a/http/client.h
+++ b/http/client.h
@@ -27,6 +27,9 @@
   // request by itself when a used connection turns out to be closed; what must
   // run at most once cannot allow that.
   bool fresh_connection = false;
+  // Asked right before it goes out on its connection, also when the library
+  // repeats it: false gives it up. Unset: it may always go.
+  std::function<bool()> may_send;
 };
 
 // What came of a request.
@@ -45,6 +48,9 @@
   struct Options {
     std::size_t max_answer = 8u << 20;  // bytes; a longer answer is an error
     long max_idle_connections = 1024;
+    // A connection that is closed with bytes on their way takes them along:
+    // they are not delivered later, when a cut is over.
+    bool reset_on_close = false;
   };
 
   Client(base::Loop& loop, const Options& options);
@@ -57,6 +63,9 @@
   RequestId Send(ClientRequest request, std::function<void(ClientResult)> done);
   // Closes the request's connection; `done` is not called.
   void Cancel(RequestId id);
+  // Gives up all requests: each `done` is called, before this returns, as if
+  // no answer had come.
+  void GiveUpAll();
 
   std::size_t in_flight() const { return this->calls.size(); }
   std::uint64_t bytes_sent() const { return this->total_sent; }
@@ -71,6 +80,8 @@
   void Finish();
   void Complete(Call& call, int curl_code);
   void Release(RequestId id);
+  void NoteSilence(const Call& call);
+  bool WantsFresh(const std::string& host);
 
   base::Loop& loop;
   Options options;
@@ -78,6 +89,8 @@
   base::Timer timer;
   std::unordered_map<RequestId, std::unique_ptr<Call>> calls;
   std::unordered_map<int, std::unique_ptr<Watched>> sockets;
+  // By "ip:port": until when no used connection to it is trusted.
+  std::unordered_map<std::string, base::Micros> fresh_until;
   std::vector<void*> idle_handles;
   std::vector<std::unique_ptr<Watched>> retired;
   RequestId last_id = 0;
--- a/http/http_test.cc
+++ b/http/http_test.cc
@@ -132,6 +132,77 @@
   }
 }
 
+// Two connections are kept; both fall silent for good, new ones work.
+BOOST_AUTO_TEST_CASE(SiblingsOfASilentConnectionAreNotUsed) {
+  constexpr const char* kAnswer =
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  base::Loop loop;
+  RawServer server(loop, [](int number) {
+    return RawServer::Answer{.bytes = number == 3 ? "" : kAnswer};
+  });
+  Client client(loop);
+  int answered = 0;
+  for (int i = 0; i < 2; ++i) {
+    client.Send({.url = Url(server.port())}, [&](const ClientResult&) {
+      if (++answered == 2)
+        loop.Stop();
+    });
+  }
+  loop.Run();
+  BOOST_REQUIRE(server.connections() == 2);
+  std::optional<ClientResult> silent;
+  client.Send(
+      {.url = Url(server.port()), .timeout = std::chrono::milliseconds(100)},
+      [&](ClientResult got) {
+        silent = std::move(got);
+        loop.Stop();
+      });
+  loop.Run();
+  BOOST_CHECK(silent->verdict == Verdict::kMayHaveRun);
+  BOOST_TEST(Call(loop, client, {.url = Url(server.port())}).response.body ==
+             "ok");
+  BOOST_TEST(server.connections() == 3);
+  // Nor do new ones pile up: a worker takes only so many.
+  for (int i = 0; i < 5; ++i)
+    Call(loop, client, {.url = Url(server.port())});
+  BOOST_TEST(server.open_connections() <= 2);
+}
+
+BOOST_AUTO_TEST_CASE(RequestThatMayNoLongerGoIsNotSent) {
+  base::Loop loop;
+  RawServer server(loop, [](int) {
+    return RawServer::Answer{
+        .bytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+  });
+  Client client(loop);
+  bool may_send = true;
+  const auto request = [&] {
+    return ClientRequest{.url = Url(server.port()),
+                         .may_send = [&] { return may_send; }};
+  };
+  BOOST_CHECK(Call(loop, client, request()).verdict == Verdict::kRan);
+  may_send = false;
+  BOOST_CHECK(Call(loop, client, request()).verdict == Verdict::kNotRun);
+  BOOST_TEST(server.requests() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(RequestsThatAreGivenUpMayHaveRun) {
+  base::Loop loop;
+  RawServer server(loop, [&](int) {
+    loop.Stop();
+    return RawServer::Answer{};
+  });
+  Client client(loop, {.reset_on_close = true});
+  std::optional<ClientResult> result;
+  client.Send({.url = Url(server.port()), .timeout = kLimit},
+              [&](ClientResult got) { result = std::move(got); });
+  loop.Run();
+  client.GiveUpAll();
+  BOOST_REQUIRE(result.has_value());
+  BOOST_CHECK(result->verdict == Verdict::kMayHaveRun);
+  BOOST_TEST(client.in_flight() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(RefusedConnectionDidNotRun) {
   base::Loop loop;
   std::uint16_t port = 0;
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -30,6 +30,10 @@
 // in a row, up to the second.
 constexpr base::Micros kLookAgain = milliseconds(250);
 constexpr base::Micros kLookAgainMost = milliseconds(1000);
+// So many starts in a row without an answer, and the worker gets nothing for a
+// while. Where 35% of all answers are lost, one start in 23 is the third.
+constexpr int kStartsUntilRest = 3;
+constexpr base::Micros kRest = std::chrono::seconds(4);
 // An order without an answer: a look, then a stop, are sent this soon again.
 constexpr base::Micros kStopAgain = milliseconds(600);
 // A look that is to settle a stop leaves this long after the stop's time.
@@ -282,6 +286,7 @@
   if (outcome == OrderOutcome::kDone) {
     run.answered = now;
     worker.failed_calls = 0;
+    worker.unanswered_starts = 0;
     if (job)
       job->begun = true;
     if (run.state == RunState::kStarting)
@@ -293,6 +298,7 @@
       run.state = RunState::kUnsettled;
     run.unsettled = now;
     ++worker.failed_calls;
+    this->RestIfStartsAreLost(worker, now);
     return;
   }
   // It has not been carried out: the room is free, the task to be placed.
@@ -310,6 +316,19 @@
   this->TaskLost(order.task, order.run, now);
 }
 
+// A worker that answers looks and no starts would take task after task.
+void Scheduler::RestIfStartsAreLost(Worker& worker, base::Micros now) {
+  if (++worker.unanswered_starts < kStartsUntilRest)
+    return;
+  worker.unanswered_starts = 0;
+  worker.quarantined_until = now + kRest;
+  this->actions.emplace_back(Note{
+      worker.info.id,
+      fmt::format("leaves {} starts in a row unanswered: nothing is placed "
+                  "for {:.0f} s",
+                  kStartsUntilRest, base::Seconds(kRest))});
+}
+
 bool Scheduler::StillWanted(const StartRun& order) const {
   const auto worker = this->workers.find(order.worker);
   if (worker == this->workers.end())
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -206,6 +206,7 @@
                       OrderOutcome outcome,
                       base::Micros now);
   void TakeRunning(Worker& worker, const ListedRun& listed, base::Micros now);
+  void RestIfStartsAreLost(Worker& worker, base::Micros now);
   void AdoptRun(Worker& worker, const ListedRun& listed, base::Micros now);
   void SettleMissing(Worker& worker, const Listing& listing, base::Micros now);
   void Acknowledge(Worker& worker);
--- a/scheduler/scheduler_test.cc
+++ b/scheduler/scheduler_test.cc
@@ -270,6 +270,24 @@
   BOOST_TEST(Only<StopRun>(bench.Turn()).size() == 1U);
 }
 
+// It answers looks and leaves every start unanswered: not for ever.
+BOOST_AUTO_TEST_CASE(WorkerThatLeavesStartsUnansweredGetsNoMoreForAWhile) {
+  Bench bench(1);
+  bench.scheduler.PutWorker(Bench::Worker("bad"), bench.now);
+  bench.List("bad", {});
+  int ordered = 0;
+  for (int i = 0; i < 8; ++i) {
+    bench.AddJob("job" + std::to_string(i));
+    const StartRun start = bench.NextStart();
+    if (start.worker.empty())
+      break;
+    ++ordered;
+    bench.scheduler.Started(start, OrderOutcome::kUnknown, bench.now);
+    bench.List("bad", {});
+  }
+  BOOST_TEST(ordered == 3);
+}
+
 // A job that was given a worker, and whose start got no answer, still waits.
 BOOST_AUTO_TEST_CASE(JobWaitsUntilAWorkerHasStartedARunOfIt) {
   Bench bench(1);
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -80,6 +80,7 @@
   // Health, from the ends of tasks and failed calls.
   double failure_rate = 0.0;  // moving average of failed ends
   int failed_calls = 0;       // since the last answer
+  int unanswered_starts = 0;  // since the last start that was answered
   base::Micros quarantined_until{};
   base::Micros slow_until{};  // its runs take much longer than elsewhere
 
--- a/testing/job_cluster.cc
+++ b/testing/job_cluster.cc
@@ -54,7 +54,15 @@
   std::filesystem::remove_all(this->folder, ignored);
 }
 
+JobCluster::Daemon& JobCluster::StartDaemonOverLink(const std::string& id) {
+  this->links[id] = std::make_unique<TcpLink>(this->loop, this->rows.address());
+  return this->StartDaemon(id);
+}
+
 JobCluster::Daemon& JobCluster::StartDaemon(const std::string& id) {
+  const auto link = this->links.find(id);
+  const std::string store = link == this->links.end() ? this->rows.address()
+                                                      : link->second->address();
   const std::string settings = fmt::format("{}/{}.ini", this->folder, id);
   std::ofstream(settings) << fmt::format(
       "[daemon]\nid = {}\nzone = z\n"
@@ -63,7 +71,7 @@
       "[store]\naddress = {}\n[boxes]\naddress = {}\n"
       "[limits]\nmove_seconds = 0.4\nupkeep_seconds = 0.4\n"
       "stop_ms = 100\n",
-      id, this->rows.address(), this->fleet.boxes_address());
+      id, store, this->fleet.boxes_address());
   Daemon& daemon = this->by_id[id];
   daemon.settings = settings;
   const std::string output =
--- a/testing/job_cluster.h
+++ b/testing/job_cluster.h
@@ -13,6 +13,7 @@
 #include "http/client.h"
 #include "testing/process.h"
 #include "testing/store_standin.h"
+#include "testing/tcp_link.h"
 #include "testing/worker_standin.h"
 
 namespace quartzhoist::testing {
@@ -33,6 +34,9 @@
   };
 
   Daemon& StartDaemon(const std::string& id);
+  // One that reaches the store over a link of its own.
+  Daemon& StartDaemonOverLink(const std::string& id);
+  TcpLink& LinkOf(const std::string& id) { return *this->links.at(id); }
   std::map<std::string, Daemon>& daemons() { return this->by_id; }
   // The daemon that schedules, by the store's row; empty: none.
   std::string Owner() const;
@@ -58,6 +62,7 @@
   StoreStandin rows;
   WorkerStandins fleet;
   http::Client client;
+  std::map<std::string, std::unique_ptr<TcpLink>> links;  // by daemon
   std::map<std::string, Daemon> by_id;
 };
 
--- a/testing/raw_server.cc
+++ b/testing/raw_server.cc
@@ -36,6 +36,7 @@
   const int fd = accept4(this->listener, nullptr, nullptr, SOCK_NONBLOCK);
   if (fd < 0)
     return;
+  ++this->connection_count;
   this->watchers[fd] = std::make_unique<base::IoWatcher>(
       this->loop, fd, EV_READ, [this, fd](int) { this->Read(fd); });
 }
--- a/testing/raw_server.h
+++ b/testing/raw_server.h
@@ -30,6 +30,8 @@
 
   std::uint16_t port() const { return this->bound_port; }
   int requests() const { return this->count; }
+  int connections() const { return this->connection_count; }
+  std::size_t open_connections() const { return this->watchers.size(); }
 
  private:
   void Accept();
@@ -40,6 +42,7 @@
   int listener = -1;
   std::uint16_t bound_port = 0;
   int count = 0;
+  int connection_count = 0;
   std::map<int, std::string> received;
   std::map<int, std::unique_ptr<base::IoWatcher>> watchers;
   std::unique_ptr<base::IoWatcher> retired;
--- a/testing/worker_standin.cc
+++ b/testing/worker_standin.cc
@@ -96,6 +96,15 @@
   return count;
 }
 
+// They carry out what comes under an earlier epoch: an owner must stop itself.
+void WorkerStandins::JudgeEpoch(const std::string& box, std::uint64_t epoch) {
+  std::uint64_t& highest = this->box_epochs[box];
+  if (epoch < highest)
+    this->faults.push_back(
+        fmt::format("{} ordered under epoch {} after {}", box, epoch, highest));
+  highest = std::max(highest, epoch);
+}
+
 void WorkerStandins::Handle(Life& life, const http::ExchangePtr& exchange) {
   const http::Request& request = exchange->request();
   const std::string* meant =
@@ -106,11 +115,7 @@
   }
   const json body = json::parse(request.body);
   const auto fence = body.value("fencingToken", std::uint64_t{0});
-  if (fence < life.fence) {
-    exchange->Reply(Answer(409, {{"reason", "fence"}}));
-    return;
-  }
-  life.fence = fence;
+  this->JudgeEpoch(life.box, fence);
   if (request.path == "/hold")
     this->Hold(life, exchange, body);
   else if (request.path == "/run-start")
@@ -276,6 +281,8 @@
   }
   const json body = json::parse(request.body);
   const auto box = body.at("machine").get<std::string>();
+  const std::string* token = http::FindHeader(request.headers, "Fence-Token");
+  this->JudgeEpoch(box, token ? std::stoull(*token) : 0);
   const auto life = this->lives.find(box);
   if (life == this->lives.end()) {
     exchange->Reply(http::JsonResponse(409, R"({"reason":"busy"})"));
--- a/testing/worker_standin.h
+++ b/testing/worker_standin.h
@@ -51,7 +51,6 @@
     std::string id;
     std::string box;
     std::string pool;
-    std::uint64_t fence = 0;
     std::int64_t deadline_ms = 0;
     std::map<std::string, Run> running;
     std::map<std::string, int> over;
@@ -74,6 +73,7 @@
   void Stop(Life& life,
             const http::ExchangePtr& exchange,
             const nlohmann::json& body);
+  void JudgeEpoch(const std::string& box, std::uint64_t epoch);
   void JudgeStart(const Life& life, const std::string& task, int run);
   void AddEnd(Life& life, const std::string& task, const char* how);
   void Work();
@@ -88,7 +88,8 @@
   std::vector<std::shared_ptr<Life>> ended;  // kept until the loop is done
   std::map<std::string, base::Micros> away;  // boxes, until when
   std::map<std::string, std::string> pools;  // of boxes that are away
-  std::set<std::string> noted;               // tasks whose end was noted
+  std::map<std::string, std::uint64_t> box_epochs;  // highest, by box
+  std::set<std::string> noted;                      // tasks whose end was noted
   std::vector<std::string> faults;
   int start_count = 0;
   int done_count = 0;
