An old view of the configuration decides nothing

Change: the operators' feed answers four times within the span in which a change must be in force. A queue is called unknown only by a view of 250 ms at most; any request meets a view of at most half of that span. Else the store is asked first, on a new connection, one read for all that wait; without an answer 503.

Tests: three, each failing before.

--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -28,6 +28,9 @@
 // An answer is to leave this long before the caller gives up.
 constexpr base::Micros kAnswerMargin = milliseconds(150);
 constexpr int kCancelTries = 3;
+// A queue is called unknown by a view that is at most so old; else the store is
+// asked, some ms. Bounds what requests for unknown queues cost.
+constexpr base::Micros kFreshView = milliseconds(250);
 
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
@@ -60,14 +63,21 @@
 
 CallerApi::CallerApi(base::Loop& loop,
                      platform::Store& on,
-                     base::Counters& count)
+                     base::Counters& count,
+                     std::function<void(const platform::Row& row)> on_row)
     : store(on),
       counters(count),
+      on_config_row(std::move(on_row)),
       write_again(kWriteAgain),
       retry(loop, [this] { this->WriteAgain(); }) {}
 
 void CallerApi::SetConfig(const jobs::Config& next) {
   this->config = next;
+  this->ConfigSeen(base::MonotonicNow());
+}
+
+void CallerApi::ConfigSeen(base::Micros seen) {
+  this->config_seen = std::max(this->config_seen, seen);
 }
 
 void CallerApi::Stop() {
@@ -115,18 +125,69 @@
 }
 
 void CallerApi::Handle(const http::ExchangePtr& exchange) {
-  const http::Request& request = exchange->request();
   this->counters.Add(base::Counter::kRequests);
-  // 1. The queue, by host and path.
   if (!this->config) {
     this->Refuse(exchange, kUnavailable, "", "no configuration yet");
     return;
   }
+  // A view that the feed has not renewed for half of the time in which a change
+  // must be in force may be a dropped queue's, or lack a new one.
+  const base::Micros age = base::MonotonicNow() - this->config_seen;
+  if (age > this->store.deployment().config_in_force / 2)
+    this->AskForConfig(exchange);
+  else
+    this->Dispatch(exchange, ConfigView::kFollowed);
+}
+
+// Requests that come while the store is asked share its answer.
+void CallerApi::AskForConfig(const http::ExchangePtr& exchange) {
+  this->asking.push_back(exchange);
+  if (this->asking.size() > 1)
+    return;
+  const platform::ReadQuery query{
+      .table = std::string(platform::kOperatorTable),
+      .part = "",
+      .from = std::string(platform::kConfigKey),
+      .to = {},
+      .limit = 1,
+      .fresh_connection = true};
+  const base::Micros asked = base::MonotonicNow();
+  this->store.Read(
+      query, [this, asked](const std::optional<platform::ReadResult>& result) {
+        this->TakeConfigRow(result, asked);
+      });
+}
+
+void CallerApi::TakeConfigRow(const std::optional<platform::ReadResult>& result,
+                              base::Micros asked) {
+  const bool is_there = result && !result->rows.empty() &&
+                        result->rows.front().at.key == platform::kConfigKey;
+  if (is_there)
+    this->on_config_row(result->rows.front());
+  if (result)
+    this->ConfigSeen(asked);
+  for (const http::ExchangePtr& exchange : std::exchange(this->asking, {})) {
+    if (result)
+      this->Dispatch(exchange, ConfigView::kAsked);
+    else
+      this->Refuse(exchange, kUnavailable, "",
+                   "it is not known which configuration is in force");
+  }
+}
+
+void CallerApi::Dispatch(const http::ExchangePtr& exchange, ConfigView view) {
+  const http::Request& request = exchange->request();
+  // 1. The queue, by host and path.
   const std::string_view path =
       std::string_view(request.path).substr(0, request.path.find('?'));
   const std::string* host = http::FindHeader(request.headers, "Host");
   const jobs::Queue* queue =
       this->config->Route(host ? WithoutPort(*host) : "", path);
+  const base::Micros age = base::MonotonicNow() - this->config_seen;
+  if (!queue && view == ConfigView::kFollowed && age > kFreshView) {
+    this->AskForConfig(exchange);
+    return;
+  }
   if (!queue) {
     this->Refuse(exchange, kNoQueue, "", "there is no such queue");
     return;
--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -24,9 +24,17 @@
 
 class CallerApi {
  public:
-  CallerApi(base::Loop& loop, platform::Store& store, base::Counters& counters);
+  // `on_config_row` takes the operators' configuration as the store has it,
+  // read when this daemon's view of it was too old to go by; it calls SetConfig
+  // if that is newer.
+  CallerApi(base::Loop& loop,
+            platform::Store& store,
+            base::Counters& counters,
+            std::function<void(const platform::Row& row)> on_config_row);
 
   void SetConfig(const jobs::Config& config);
+  // The store has said that the configuration is the newest as of `seen`.
+  void ConfigSeen(base::Micros seen);
   // From now on answers end their connections: the process is to stop.
   void Stop();
   void Handle(const http::ExchangePtr& exchange);
@@ -51,6 +59,12 @@
     std::shared_ptr<std::vector<Submission>> sent;  // whose write is on its way
   };
 
+  enum class ConfigView { kFollowed, kAsked };
+
+  void Dispatch(const http::ExchangePtr& exchange, ConfigView view);
+  void AskForConfig(const http::ExchangePtr& exchange);
+  void TakeConfigRow(const std::optional<platform::ReadResult>& result,
+                     base::Micros asked);
   void Submit(const http::ExchangePtr& exchange,
               const jobs::Queue& queue,
               const std::string& job);
@@ -77,7 +91,11 @@
 
   platform::Store& store;
   base::Counters& counters;
+  std::function<void(const platform::Row& row)> on_config_row;
   std::optional<jobs::Config> config;
+  base::Micros config_seen{};
+  // Requests that wait for the store's configuration.
+  std::vector<http::ExchangePtr> asking;
   std::map<std::string, PartQueue> parts;
   base::Micros write_again;  // until writes whose fate is open go again
   base::Timer retry;
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -23,6 +23,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "jobs/progress.h"
+#include "platform/records.h"
 #include "testing/store_standin.h"
 
 namespace quartzhoist::entry {
@@ -380,7 +381,17 @@
     return *response;
   }
 
-  CallerApi api{this->loop, this->store, this->counters};
+  // Nothing follows the operators' table here.
+  void WaitUntilTheViewIsOld() {
+    const base::Micros until =
+        base::MonotonicNow() + platform::Deployment{}.config_in_force;
+    this->Until([until] { return base::MonotonicNow() > until; });
+  }
+
+  CallerApi api{this->loop, this->store, this->counters,
+                [this](const platform::Row& row) {
+                  this->api.SetConfig(platform::ParseConfig(row.value));
+                }};
   http::Server server{this->loop,
                       {},
                       [this](const http::ExchangePtr& exchange) {
@@ -556,6 +567,39 @@
   BOOST_TEST(bench.Call("GET", kJob).body == R"({"state":"completed"})");
 }
 
+const platform::RowKey kConfigRow{
+    .table = std::string(platform::kOperatorTable),
+    .part = "",
+    .key = std::string(platform::kConfigKey)};
+
+// The feed has fallen silent: a change has not come.
+BOOST_AUTO_TEST_CASE(UnknownQueueIsLookedForInTheStoreBeforeItIsRefused) {
+  CallerBench bench;
+  bench.standin.Put(
+      kConfigRow,
+      R"({"version":2,"routes":[{"name":"n","host":"new.example",)"
+      R"("pathPrefix":"/n/","service":"s"}],"services":[{"name":"s"}]})");
+  bench.WaitUntilTheViewIsOld();
+  constexpr const char* kNewJob = "/n/5c0e7a21d94b36f8";
+  BOOST_TEST(bench.Call("POST", kNewJob, kBody, "new.example").status == 200);
+  BOOST_TEST(bench.Call("POST", kJob, kBody).status == 404);
+}
+
+BOOST_AUTO_TEST_CASE(DroppedQueueIsNotServedByAnOldView) {
+  CallerBench bench;
+  bench.standin.Put(kConfigRow, R"({"version":2,"routes":[],"services":[]})");
+  bench.WaitUntilTheViewIsOld();
+  BOOST_TEST(bench.Call("POST", kJob, kBody).status == 404);
+}
+
+BOOST_AUTO_TEST_CASE(OldViewThatTheStoreDoesNotRenewDecidesNothing) {
+  CallerBench bench;
+  bench.WaitUntilTheViewIsOld();
+  bench.standin.SetMood(StoreStandin::Mood::kBusy);
+  BOOST_TEST(bench.Call("POST", "/elsewhere", kBody).status == 503);
+  BOOST_TEST(bench.Call("POST", kJob, kBody).status == 503);
+}
+
 BOOST_AUTO_TEST_CASE(CountsComeFromTheStore) {
   CallerBench bench;
   BOOST_TEST(bench.Call("GET", "/p/").body == R"({"pending":0})");
@@ -566,7 +610,8 @@
 
 BOOST_AUTO_TEST_CASE(WithoutAConfigurationNothingIsTaken) {
   OwnerBench bench;
-  CallerApi api(bench.loop, bench.store, bench.counters);
+  CallerApi api(bench.loop, bench.store, bench.counters,
+                [](const platform::Row&) {});
   http::Server server(bench.loop, {}, [&](const http::ExchangePtr& exchange) {
     api.Handle(exchange);
   });
--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -40,6 +40,11 @@
   return options;
 }
 
+// The operators' feed answers so many times within the span in which a change
+// of the configuration must be in force: one that has fallen silent is noticed,
+// and asked again, before that is over.
+constexpr int kLooksInForce = 4;
+
 // Few connections: the balancer's, and a scraper's.
 constexpr std::int64_t kFewConnections = 64;
 
@@ -66,7 +71,10 @@
       settings_time(TimeOf(this->settings_file)),
       client(this->loop),
       store(this->client, chosen.store, chosen.deployment, this->counters),
-      callers(this->loop, this->store, this->counters),
+      callers(this->loop,
+              this->store,
+              this->counters,
+              [this](const platform::Row& row) { this->TakeOperatorRow(row); }),
       caller_server(this->loop,
                     OptionsFor(chosen.callers, chosen.max_connections),
                     [this](const http::ExchangePtr& exchange) {
@@ -114,8 +122,12 @@
                     this->TakeOperatorRow(changed.row);
                 }
               },
-          .on_contact = [](base::Micros) {},
-          .on_lost = [] {}});
+          .on_contact =
+              [this](base::Micros) {
+                this->callers.ConfigSeen(base::MonotonicNow());
+              },
+          .on_lost = [] {}},
+      chosen.deployment.config_in_force / kLooksInForce);
   this->ownership = std::make_unique<Ownership>(
       this->loop, this->store, chosen.id, chosen.cores, seed,
       Ownership::Events{
