--- a/scheduler/evacuation.cc
+++ b/scheduler/evacuation.cc
@@ -94,6 +94,10 @@
                         const std::vector<std::string>& begun,
                         base::Micros now) {
   this->fleet.SetWave(wave, begun, now);
+  for (const auto& [id, worker] : this->workers) {
+    if (worker.listed)
+      this->fleet.BoxAnswered(worker.info.box);
+  }
 }
 
 void Scheduler::SetBoxes(const std::vector<BoxInfo>& boxes, base::Micros now) {
--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -67,6 +67,21 @@
   }
 }
 
+// A box goes down as soon as its upkeep is accepted: whoever answers there,
+// long after an earlier owner saw that, is back from it. Without this, each
+// takeover left out half of the fleet until the box service had listed it.
+void Fleet::BoxAnswered(const std::string& box) {
+  for (auto& [number, progress] : this->waves) {
+    const auto found = progress.boxes.find(box);
+    if (found == progress.boxes.end())
+      continue;
+    Upkeep& upkeep = found->second;
+    const bool is_inherited = upkeep.worker_before.empty();
+    if (upkeep.state == UpkeepState::kDown && is_inherited)
+      upkeep.state = UpkeepState::kDone;
+  }
+}
+
 void Fleet::SetBoxes(const std::vector<BoxInfo>& boxes, base::Micros now) {
   this->listed.clear();
   for (const BoxInfo& box : boxes)
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -88,6 +88,8 @@
                base::Micros now);
   // A life of the box announces itself.
   void BoxSeen(const std::string& box, const std::string& worker);
+  // A worker on the box has answered this owner.
+  void BoxAnswered(const std::string& box);
   void SetBoxes(const std::vector<BoxInfo>& boxes, base::Micros now);
   void Moved(const MoveBox& order, BoxCallOutcome outcome, base::Micros now);
   void UpkeepBegun(const UpkeepBox& order,
--- a/scheduler/fleet_test.cc
+++ b/scheduler/fleet_test.cc
@@ -254,6 +254,20 @@
   BOOST_TEST(Only<UpkeepBox>(fleet.Plan(view, seconds(6))).size() == 1U);
 }
 
+// It may be used again before the box service has listed it.
+BOOST_AUTO_TEST_CASE(BoxThatAnswersIsBackFromAnEarlierOwnersUpkeep) {
+  Fleet fleet(kLimits);
+  const Wave wave{.number = 1,
+                  .boxes = {"b1", "b2"},
+                  .duration = seconds(20),
+                  .most_at_once = 2};
+  fleet.SetWave(wave, {"b1", "b2"}, seconds(10));
+  BOOST_TEST(fleet.IsLeaving("b1"));
+  fleet.BoxAnswered("b1");
+  BOOST_TEST(!fleet.IsLeaving("b1"));
+  BOOST_TEST(fleet.IsLeaving("b2"));
+}
+
 BOOST_AUTO_TEST_CASE(BoxThatHasBeenTakenAwayIsNotWaitedFor) {
   Fleet fleet(kLimits);
   fleet.SetWave({.number = 1,
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -71,8 +71,10 @@
   worker.look_in_flight = false;
   if (worker.failed_calls > 0)
     this->actions.emplace_back(Note{id, "answers again"});
-  if (!worker.listed)
+  if (!worker.listed) {
     ++this->worker_change_count;
+    this->fleet.BoxAnswered(worker.info.box);
+  }
   worker.listed = true;
   worker.failed_calls = 0;
   worker.last_answer = now;
