--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -130,6 +130,11 @@
     this->Refuse(exchange, kUnavailable, "", "no configuration yet");
     return;
   }
+  // What is known to fail is not tried: feeds find out when the store is back.
+  if (this->store.SeemsAway()) {
+    this->Refuse(exchange, kUnavailable, "", "the store is away");
+    return;
+  }
   // A view that the feed has not renewed for half of the time in which a change
   // must be in force may be a dropped queue's, or lack a new one.
   const base::Micros age = base::MonotonicNow() - this->config_seen;
@@ -333,8 +338,12 @@
       unknown ? std::min(2 * this->write_again, kWriteAgainMost) : kWriteAgain;
 }
 
+// A caller whose job this daemon cannot write soon is told at once: its next
+// try reaches another daemon, which may.
 void CallerApi::Again(const std::string& part, Submission submission) {
-  if (base::MonotonicNow() + this->write_again > submission.deadline) {
+  const bool too_late =
+      base::MonotonicNow() + this->write_again > submission.deadline;
+  if (too_late || this->store.SeemsAway()) {
     this->Refuse(submission.exchange, kUnknownFate, submission.job,
                  "it is not known whether the job was taken: ask again");
     return;
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -446,6 +446,20 @@
   BOOST_TEST(bench.standin.writes() <= 8);
 }
 
+// Writes are cut one after the other: the caller hears long before its patience
+// ends, and the next one is not even tried.
+BOOST_AUTO_TEST_CASE(CallersOfADaemonThatTheStoreTurnsAwayAreToldAtOnce) {
+  CallerBench bench;
+  bench.standin.SetMood(StoreStandin::Mood::kCuts);
+  BOOST_TEST(bench.Call("POST", kJob, kBody, "h.example", "30000").status ==
+             504);
+  const int written = bench.standin.writes();
+  BOOST_TEST(written <= 6);
+  BOOST_TEST(bench.Call("POST", "/p/0000000000000001", kBody).status == 503);
+  BOOST_TEST(bench.Call("GET", kJob).status == 503);
+  BOOST_TEST(bench.standin.writes() == written);
+}
+
 BOOST_AUTO_TEST_CASE(JobThatNoRowCanHoldIsRefusedAtOnce) {
   CallerBench bench;
   const std::string step =
--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -226,6 +226,7 @@
 
 bool JobDaemon::IsReady() const {
   return this->has_config && this->stop_asked == base::Micros::zero() &&
+         !this->store.SeemsAway() &&
          base::MonotonicNow() - this->store_answered < kStoreSilent;
 }
 
