--- /dev/null
+++ b/entry/ownership_test.cc
@@ -0,0 +1,210 @@
+// Who owns: takeovers, and until when a holder may order.
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <rapidcheck/boost_test.h>
+#include <boost/test/unit_test.hpp>
+
+#include "entry/owner_lease.h"
+#include "entry/ownership.h"
+#include "entry/tables.h"
+#include "testing/store_bench.h"
+
+namespace quartzhoist::entry {
+namespace {
+
+using testing::StoreBench;
+using testing::StoreStandin;
+
+struct Member {
+  Member(base::Loop& loop,
+         platform::Store& store,
+         const std::string& id,
+         double cores = 0.25)
+      : ownership(
+            loop,
+            store,
+            id,
+            cores,
+            std::hash<std::string>()(id),
+            {.on_gained = [this](std::uint64_t gained,
+                                 base::Micros) { this->epoch = gained; },
+             .on_lost = [this] { ++this->losses; },
+             .on_confirmed = [this](base::Micros) { ++this->confirmations; },
+             .on_store_answered = [] {},
+             .on_store_silent = [] {}}) {}
+
+  std::uint64_t epoch = 0;
+  int losses = 0;
+  int confirmations = 0;
+  Ownership ownership;
+};
+
+BOOST_AUTO_TEST_CASE(OneOfSeveralOwnsAndConfirms) {
+  StoreBench bench;
+  Member a(bench.loop, bench.store, "a");
+  Member b(bench.loop, bench.store, "b");
+  Member c(bench.loop, bench.store, "c");
+  bench.Until(
+      [&] { return a.confirmations + b.confirmations + c.confirmations >= 3; });
+  BOOST_TEST(a.ownership.holds() + b.ownership.holds() + c.ownership.holds() ==
+             1);
+  BOOST_TEST(a.epoch + b.epoch + c.epoch == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(GivenUpOwnershipPassesUnderAHigherEpoch) {
+  StoreBench bench;
+  Member a(bench.loop, bench.store, "a");
+  bench.Until([&] { return a.ownership.holds(); });
+  Member b(bench.loop, bench.store, "b");
+  a.ownership.Release();
+  bench.Until([&] { return b.ownership.holds(); });
+  BOOST_TEST(b.epoch == 2U);
+  BOOST_TEST(!a.ownership.holds());
+}
+
+BOOST_AUTO_TEST_CASE(SilentOwnerIsTakenOver) {
+  StoreBench bench;
+  // A holder that confirms nothing.
+  bench.standin.Put(
+      OwnerRow(),
+      EncodeOwner(
+          {.holder = "dead", .incarnation = "1", .epoch = 7, .beat = 3}));
+  Member a(bench.loop, bench.store, "a");
+  bench.Until([&] { return a.ownership.holds(); });
+  BOOST_TEST(a.epoch == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(OwnerThatIsReplacedLearnsIt) {
+  StoreBench bench;
+  Member a(bench.loop, bench.store, "a");
+  bench.Until([&] { return a.ownership.holds(); });
+  bench.standin.Put(
+      OwnerRow(),
+      EncodeOwner(
+          {.holder = "other", .incarnation = "1", .epoch = 2, .beat = 0}));
+  bench.Until([&] { return a.losses == 1; });
+  BOOST_TEST(!a.ownership.holds());
+}
+
+BOOST_AUTO_TEST_CASE(LostAnswerOfATakeoverIsSettledByTheRow) {
+  StoreBench bench;
+  Member a(bench.loop, bench.store, "a");
+  bench.standin.SetMood(StoreStandin::Mood::kLosesAnswers);
+  bench.Until([&] { return a.ownership.holds(); });
+  BOOST_TEST(a.epoch == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(StrongerBoxRelievesAWeakerOne) {
+  StoreBench bench;
+  Member weak(bench.loop, bench.store, "weak", 0.1);
+  bench.Until([&] { return weak.ownership.holds(); });
+  Member equal(bench.loop, bench.store, "equal", 0.12);
+  Member strong(bench.loop, bench.store, "strong", 0.5);
+  bench.Until([&] { return strong.ownership.holds(); });
+  bench.Until([&] { return weak.losses == 1; });
+  BOOST_TEST(strong.epoch == 2U);
+  BOOST_TEST(equal.epoch == 0U);
+}
+
+// Each write is made and not answered; the next finds the row as it left it.
+BOOST_AUTO_TEST_CASE(OwnerIsConfirmedThoughEveryAnswerIsLost) {
+  StoreBench bench;
+  Member a(bench.loop, bench.store, "a");
+  bench.Until([&] { return a.confirmations >= 1; });
+  bench.standin.SetMood(StoreStandin::Mood::kLosesAnswers);
+  const int confirmed = a.confirmations;
+  const int written = bench.standin.writes();
+  bench.Until([&] {
+    return a.confirmations > confirmed + 2 ||
+           bench.standin.writes() > written + 12;
+  });
+  BOOST_TEST(a.confirmations > confirmed + 2);
+  BOOST_TEST(a.epoch == 1U);
+}
+
+// A write that was made before the loss shows up after it.
+BOOST_AUTO_TEST_CASE(OldRowDoesNotBringALostEpochBack) {
+  StoreBench bench;
+  Member a(bench.loop, bench.store, "a");
+  bench.Until([&] { return a.ownership.holds(); });
+  const platform::RowKey row = OwnerRow();
+  a.ownership.Fenced();
+  bench.standin.Put(row, bench.standin.Value(row));
+  bench.Until([&] { return a.ownership.holds(); });
+  BOOST_TEST(a.epoch == 2U);
+}
+
+// --- When the holder must stop ---
+
+constexpr base::Micros kSilence = std::chrono::milliseconds(1300);
+
+struct Confirmation {
+  std::uint64_t beat = 0;
+  base::Micros asked{};
+  bool is_made = false;
+  base::Micros made{};  // when the row holds it, if it is made
+};
+
+// A holder whose confirmations are answered, lost, refused, or made late; the
+// others count the silence from when the row last changed.
+RC_BOOST_PROP(HolderStopsBeforeAnotherMayTakeOver, ()) {
+  OwnerLease lease;
+  base::Micros now = std::chrono::seconds(10);
+  base::Micros last_change = now;
+  std::uint64_t beat = 0;
+  std::vector<Confirmation> open;
+  const int steps = *rc::gen::inRange(1, 40);
+  for (int i = 0; i < steps; ++i) {
+    now += std::chrono::milliseconds(*rc::gen::inRange(0, 900));
+    lease.Asked(1, beat, now, kSilence);
+    const int fate = *rc::gen::inRange(0, 4);
+    const base::Micros made =
+        now + std::chrono::milliseconds(*rc::gen::inRange(1, 500));
+    if (fate == 0) {  // refused
+      lease.NotMade(1, beat);
+      continue;
+    }
+    const bool is_made = fate != 1;
+    open.push_back(
+        {.beat = beat, .asked = now, .is_made = is_made, .made = made});
+    // The row's first try of a beat that is made counts; later ones find it.
+    if (!is_made)
+      continue;
+    const auto first =
+        std::find_if(open.begin(), open.end(), [&](const Confirmation& one) {
+          return one.beat == beat && one.is_made;
+        });
+    last_change = std::max(last_change, first->made);
+    if (fate == 3)  // its answer is lost
+      continue;
+    now = std::max(now, made);
+    lease.Made(1, beat);
+    ++beat;
+    // What has not been made by then never is: its condition fails.
+    RC_ASSERT(lease.orders_until() < last_change + kSilence);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(HolderWithoutAConfirmationOrdersNothing) {
+  OwnerLease lease;
+  const base::Micros now = std::chrono::seconds(5);
+  lease.Asked(3, 0, now, kSilence);
+  BOOST_TEST(lease.orders_until().count() == 0);
+  // Another try of the same beat extends nothing: the first may be the one that
+  // was made.
+  lease.Asked(3, 0, now + std::chrono::seconds(1), kSilence);
+  lease.Made(3, 0);
+  BOOST_CHECK(lease.orders_until() > now);
+  BOOST_CHECK(lease.orders_until() < now + kSilence);
+  // Nor does a beat of another epoch.
+  lease.Made(4, 0);
+  BOOST_CHECK(lease.orders_until() < now + kSilence);
+}
+
+}  // namespace
+}  // namespace quartzhoist::entry
