A holder that makes way writes its release once

Cause: seen while reading: the write that a request to make way crossed led to the release, and so did the end of that write, so that two were on their way.

No other functional change.

--- a/entry/manager.h
+++ b/entry/manager.h
@@ -32,6 +32,7 @@
 
 class Manager {
  public:
+  // What the ownership allows, and how the manager tells that it is over.
   struct Authority {
     // Orders may leave before this.
     std::function<base::Micros()> orders_until;
--- a/entry/ownership.cc
+++ b/entry/ownership.cc
@@ -234,8 +234,8 @@
       result.outcome != platform::WriteOutcome::kNotDone &&
       result.outcome != platform::WriteOutcome::kRefused;
   const bool gives_up = this->released || this->makes_way;
-  const bool still_named =
-      gives_up && this->NamesThis(this->record) && may_be_written;
+  const bool still_named = gives_up && !this->writing &&
+                           this->NamesThis(this->record) && may_be_written;
   if (still_named)
     this->WriteRelease();
 }
