--- a/base/event_log.h
+++ b/base/event_log.h
@@ -75,6 +75,8 @@
   kWriteRefused,
   kOrdersHeld,
   kOrdersResumed,
+  kShardsKnown,
+  kPoolState,
 };
 
 struct EventInfo {
@@ -84,7 +86,7 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 47> kEvents{{
+inline constexpr std::array<EventInfo, 49> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
@@ -118,6 +120,7 @@
     {Event::kOwnershipReady, 803, Level::kInfo, "ownership_ready"},
     {Event::kOrdersHeld, 804, Level::kWarning, "orders_held"},
     {Event::kOrdersResumed, 805, Level::kInfo, "orders_resumed"},
+    {Event::kShardsKnown, 806, Level::kInfo, "shards_known"},
     {Event::kJobAccepted, 811, Level::kInfo, "job_accepted"},
     {Event::kJobRefused, 812, Level::kInfo, "job_refused"},
     {Event::kJobCancelled, 813, Level::kInfo, "job_cancelled"},
@@ -127,6 +130,7 @@
     {Event::kBoxMoved, 831, Level::kInfo, "box_moved"},
     {Event::kUpkeepBegun, 832, Level::kInfo, "upkeep_begun"},
     {Event::kWaveReported, 833, Level::kInfo, "wave_reported"},
+    {Event::kPoolState, 834, Level::kInfo, "pool_state"},
     {Event::kRowMalformed, 841, Level::kWarning, "row_malformed"},
     {Event::kConfigInstalled, 842, Level::kInfo, "config_installed"},
     {Event::kLinesLeftOut, 851, Level::kWarning, "lines_left_out"},
--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -12,6 +12,7 @@
 #include "platform/base64.h"
 #include "platform/batch_room.h"
 #include "platform/records.h"
+#include "platform/table_reader.h"
 
 namespace quartzhoist::entry {
 
@@ -76,6 +77,10 @@
   this->ConfigSeen(base::MonotonicNow());
 }
 
+void CallerApi::SetShards(int count) {
+  this->shards = count;
+}
+
 void CallerApi::ConfigSeen(base::Micros seen) {
   this->config_seen = std::max(this->config_seen, seen);
 }
@@ -126,7 +131,7 @@
 
 void CallerApi::Handle(const http::ExchangePtr& exchange) {
   this->counters.Add(base::Counter::kRequests);
-  if (!this->config) {
+  if (!this->config || this->shards == 0) {
     this->Refuse(exchange, kUnavailable, "", "no configuration yet");
     return;
   }
@@ -247,7 +252,7 @@
     this->Refuse(exchange, kTooLarge, job, "the job is too large for a row");
     return;
   }
-  const std::string part = JobRow(job).part;
+  const std::string part = ProgressRow(job).part;
   this->parts[part].waiting.push_back(std::move(submission));
   this->WritePart(part);
 }
@@ -278,7 +283,8 @@
     }
     // Its progress stands after the job is over, when its own row is gone.
     write.conditions.push_back({.at = ProgressRow(next.job), .version = 0});
-    write.puts.push_back({.at = JobRow(next.job), .value = next.row});
+    write.puts.push_back(
+        {.at = JobRow(next.job, this->shards), .value = next.row});
     write.puts.push_back({.at = ProgressRow(next.job), .value = queued});
     batch.push_back(std::move(next));
     if (alone)
@@ -415,7 +421,7 @@
   // after the job is over.
   const platform::WriteBatch write{
       .conditions = {},
-      .puts = {{.at = CancelRow(job), .value = "1"}},
+      .puts = {{.at = CancelRow(job, this->shards), .value = "1"}},
       .removes = {}};
   this->store.Write(write, [this, exchange, job,
                             tries](const platform::WriteResult& result) {
@@ -437,23 +443,22 @@
 
 void CallerApi::AnswerCount(const http::ExchangePtr& exchange,
                             const std::string& queue) {
-  const platform::RowKey row = SmallRow(kCountTable, kCountKey);
-  const platform::ReadQuery query{.table = row.table,
-                                  .part = row.part,
-                                  .from = row.key,
-                                  .to = {},
-                                  .limit = 1};
-  this->store.Read(query, [this, exchange,
-                           queue](std::optional<platform::ReadResult> result) {
-    if (!result) {
-      this->Refuse(exchange, kUnavailable, "", "the store does not answer");
-      return;
-    }
-    // A queue that is new has no count yet.
-    const std::int64_t count =
-        result->rows.empty() ? 0 : CountOf(result->rows.front().value, queue);
-    this->Reply(exchange, http::JsonResponse(kOk, platform::CountBody(count)));
-  });
+  platform::ReadTable(
+      this->store, std::string(kCountTable),
+      SmallParts(kCountTable, this->shards),
+      [this, exchange,
+       queue](const std::optional<platform::TableContent>& content) {
+        if (!content) {
+          this->Refuse(exchange, kUnavailable, "", "the store does not answer");
+          return;
+        }
+        // A queue that is new has no count yet.
+        std::int64_t count = 0;
+        for (const platform::Row& row : content->rows)
+          count += CountOf(row.value, queue);
+        this->Reply(exchange,
+                    http::JsonResponse(kOk, platform::CountBody(count)));
+      });
 }
 
 }  // namespace quartzhoist::entry
--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -33,6 +33,8 @@
             std::function<void(const platform::Row& row)> on_config_row);
 
   void SetConfig(const jobs::Config& config);
+  // In how many shards the fleet is scheduled; until then nothing is taken.
+  void SetShards(int count);
   // The store has said that the configuration is the newest as of `seen`.
   void ConfigSeen(base::Micros seen);
   // From now on answers end their connections: the process is to stop.
@@ -93,6 +95,7 @@
   base::Counters& counters;
   std::function<void(const platform::Row& row)> on_config_row;
   std::optional<jobs::Config> config;
+  int shards = 0;  // 0: not known yet
   base::Micros config_seen{};
   // Requests that wait for the store's configuration.
   std::vector<http::ExchangePtr> asking;
--- a/entry/caller_api_test.cc
+++ b/entry/caller_api_test.cc
@@ -31,6 +31,7 @@
     queue.service = "s";
     config.queues.push_back(queue);
     this->api.SetConfig(config);
+    this->api.SetShards(1);
   }
 
   http::Response Call(const std::string& method,
@@ -169,7 +170,7 @@
   BOOST_TEST(bench.Call("GET", kJob).status == 410);
   bench.Call("POST", kJob, kBody);
   BOOST_TEST(bench.Call("DELETE", kJob).status == 200);
-  BOOST_TEST(bench.standin.Value(CancelRow(kId)) == "1");
+  BOOST_TEST(bench.standin.Value(CancelRow(kId, 1)) == "1");
 }
 
 BOOST_AUTO_TEST_CASE(StateThatCannotBeReadIsNotGuessed) {
@@ -200,7 +201,7 @@
   progress.state = jobs::JobState::kCompleted;
   bench.standin.Put(ProgressRow(kId), jobs::EncodeProgress(progress));
   BOOST_TEST(bench.Call("POST", kJob, kBody).status == 200);
-  BOOST_TEST(bench.standin.Value(JobRow(kId)).empty());
+  BOOST_TEST(bench.standin.Value(JobRow(kId, 1)).empty());
   BOOST_TEST(bench.Call("GET", kJob).body == R"({"state":"completed"})");
 }
 
@@ -240,7 +241,7 @@
 BOOST_AUTO_TEST_CASE(CountsComeFromTheStore) {
   CallerBench bench;
   BOOST_TEST(bench.Call("GET", "/p/").body == R"({"pending":0})");
-  bench.standin.Put(SmallRow(kCountTable, kCountKey),
+  bench.standin.Put(SmallRow(kCountTable, kCountKey, {}),
                     EncodeCounts({{"q", 12}}));
   BOOST_TEST(bench.Call("GET", "/p/").body == R"({"pending":12})");
 }
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -119,9 +119,9 @@
   BOOST_TEST(!DecodeAccepted("{}").has_value());
   BOOST_TEST(!DecodeOwner("[]").has_value());
   BOOST_TEST(!DecodeLeases("7").has_value());
-  BOOST_TEST(ParseJobKey(CancelRow("abc").key).is_cancel);
-  BOOST_TEST(ParseJobKey(CancelRow("abc").key).job == "abc");
-  BOOST_TEST(!ParseJobKey(JobRow("abc").key).is_cancel);
+  BOOST_TEST(ParseJobKey(CancelRow("abc", 1).key).is_cancel);
+  BOOST_TEST(ParseJobKey(CancelRow("abc", 1).key).job == "abc");
+  BOOST_TEST(!ParseJobKey(JobRow("abc", 1).key).is_cancel);
   BOOST_TEST(CountOf(EncodeCounts({{"q", 7}}), "q") == 7);
   BOOST_TEST(CountOf("nonsense", "q") == 0);
 }
--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -85,7 +85,6 @@
                        [this](const http::ExchangePtr& exchange) {
                          this->AnswerReadiness(exchange);
                        }),
-      manager_end(this->loop, [this] { this->manager.reset(); }),
       stop_timer(this->loop, [this] { this->TryToEnd(); }),
       stop_signal(this->loop, SIGTERM, [this] { this->Stop(); }),
       interrupt_signal(this->loop, SIGINT, [this] { this->Stop(); }),
@@ -127,21 +126,36 @@
                 this->callers.ConfigSeen(base::MonotonicNow());
               },
           .on_lost = [] {}},
-      chosen.deployment.config_in_force / kLooksInForce);
-  this->ownership = std::make_unique<Ownership>(
-      this->loop, this->store, chosen.id, chosen.cores, seed,
-      Ownership::Events{
-          .on_gained = [this](std::uint64_t epoch,
-                              base::Micros) { this->Gained(epoch); },
-          .on_lost = [this] { this->Lost(); },
+      platform::TableFollower::Pace{.wait = chosen.deployment.config_in_force /
+                                            kLooksInForce});
+  this->plan = std::make_unique<ShardPlan>(
+      this->loop, this->store, chosen.cores, chosen.workers_an_owner, seed,
+      [this, seed](int shards) { this->Begin(shards, seed); });
+}
+
+void JobDaemon::Begin(int shards, std::uint64_t seed) {
+  this->callers.SetShards(shards);
+  for (int i = 0; i < shards; ++i)
+    this->duties.push_back(std::make_unique<Duty>(this->loop));
+  this->ownerships = std::make_unique<Ownerships>(
+      this->loop, this->store, this->settings.id, this->settings.cores, shards,
+      seed,
+      Ownerships::Events{
+          .on_gained = [this](
+                           int shard,
+                           std::uint64_t epoch) { this->Gained(shard, epoch); },
+          .on_lost = [this](int shard) { this->Lost(shard); },
           .on_confirmed =
-              [this](base::Micros asked) {
-                if (this->manager)
-                  this->manager->Confirmed(asked);
+              [this](int shard, base::Micros asked) {
+                Duty& duty = *this->duties[static_cast<std::size_t>(shard)];
+                if (duty.manager)
+                  duty.manager->Confirmed(asked);
               },
           .on_store_answered =
-              [this] { this->store_answered = base::MonotonicNow(); },
-          .on_store_silent = [] {}});
+              [this] { this->store_answered = base::MonotonicNow(); }});
+  // A stop signal came before.
+  if (this->stop_asked > base::Micros::zero())
+    this->ownerships->Release();
 }
 
 void JobDaemon::ReloadIfChanged() {
@@ -178,8 +192,10 @@
       this->has_config = true;
       this->config = std::move(next);
       this->callers.SetConfig(this->config);
-      if (this->manager)
-        this->manager->SetConfig(this->config);
+      for (const auto& duty : this->duties) {
+        if (duty->manager)
+          duty->manager->SetConfig(this->config);
+      }
       base::Log(base::Event::kConfigInstalled,
                 {{"version", this->config.version},
                  {"queues", this->config.queues.size()}});
@@ -188,8 +204,10 @@
     if (row.at.key.starts_with(platform::kWavePrefix)) {
       const scheduler::Wave wave = platform::ParseWave(row.value);
       this->waves[wave.number] = wave;
-      if (this->manager)
-        this->manager->SetWave(wave);
+      for (const auto& duty : this->duties) {
+        if (duty->manager)
+          duty->manager->SetWave(wave);
+      }
     }
   } catch (const platform::BadInput& problem) {
     base::Log(base::Event::kRowMalformed,
@@ -197,36 +215,41 @@
   }
 }
 
-void JobDaemon::Gained(std::uint64_t epoch) {
-  this->manager_end.Stop();
-  this->manager = std::make_unique<Manager>(
-      this->loop, this->store, this->counters, this->settings, epoch,
-      Manager::Authority{.orders_until = [this] { return this->OrdersUntil(); },
-                         .on_fenced = [this] { this->ownership->Fenced(); }});
+void JobDaemon::Gained(int shard, std::uint64_t epoch) {
+  Duty& duty = *this->duties[static_cast<std::size_t>(shard)];
+  duty.end.Stop();
+  duty.manager = std::make_unique<Manager>(
+      this->loop, this->store, this->counters, this->settings,
+      Shard{.number = shard, .count = static_cast<int>(this->duties.size())},
+      epoch,
+      Manager::Authority{
+          .orders_until = [this, shard] { return this->OrdersUntil(shard); },
+          .on_fenced = [this,
+                        shard] { this->ownerships->At(shard).Fenced(); }});
   for (const auto& [number, wave] : this->waves)
-    this->manager->SetWave(wave);
+    duty.manager->SetWave(wave);
   if (this->has_config)
-    this->manager->SetConfig(this->config);
+    duty.manager->SetConfig(this->config);
 }
 
 // An owner that has lost the ownership orders nothing more, though it is only
 // destroyed a moment later. Where workers and boxes refuse the orders of an
 // earlier owner, one that is not certain goes on.
-base::Micros JobDaemon::OrdersUntil() const {
-  if (!this->ownership->holds())
+base::Micros JobDaemon::OrdersUntil(int shard) const {
+  const Ownership& ownership = this->ownerships->At(shard);
+  if (!ownership.holds())
     return base::Micros::zero();
-  return this->settings.deployment.epochs_checked
-             ? base::Micros::max()
-             : this->ownership->orders_until();
+  return this->settings.deployment.epochs_checked ? base::Micros::max()
+                                                  : ownership.orders_until();
 }
 
-void JobDaemon::Lost() {
-  this->manager_end.StartOnce(base::Micros(1));
+void JobDaemon::Lost(int shard) {
+  this->duties[static_cast<std::size_t>(shard)]->end.StartOnce(base::Micros(1));
 }
 
 bool JobDaemon::IsReady() const {
-  return this->has_config && this->stop_asked == base::Micros::zero() &&
-         !this->store.SeemsAway() &&
+  return this->has_config && this->ownerships &&
+         this->stop_asked == base::Micros::zero() && !this->store.SeemsAway() &&
          base::MonotonicNow() - this->store_answered < kStoreSilent;
 }
 
@@ -237,9 +260,21 @@
       http::JsonResponse(this->IsReady() ? kReady : kNotReady, "{}"));
 }
 
+// A list with the state of each shard that this daemon owns.
+std::string JobDaemon::Dump() const {
+  std::string list;
+  for (const auto& duty : this->duties) {
+    if (!duty->manager)
+      continue;
+    list += list.empty() ? "" : ",";
+    list += duty->manager->Dump();
+  }
+  return "[" + list + "]";
+}
+
 void JobDaemon::AnswerMetrics(const http::ExchangePtr& exchange) const {
-  if (exchange->request().path == "/dump" && this->manager) {
-    exchange->Reply(http::JsonResponse(200, this->manager->Dump()));
+  if (exchange->request().path == "/dump") {
+    exchange->Reply(http::JsonResponse(200, this->Dump()));
     return;
   }
   http::Response response;
@@ -247,12 +282,13 @@
       {.name = "Content-Type", .value = "text/plain; version=0.0.4"});
   response.body = base::PrometheusText(this->counters);
   response.body += fmt::format(
-      "# HELP quartzhoist_owner Whether this daemon schedules\n"
+      "# HELP quartzhoist_owner Shards that this daemon schedules\n"
       "# TYPE quartzhoist_owner gauge\nquartzhoist_owner {}\n"
       "# HELP quartzhoist_log_lines_left_out_total Log lines left out\n"
       "# TYPE quartzhoist_log_lines_left_out_total counter\n"
       "quartzhoist_log_lines_left_out_total {}\n",
-      this->ownership->holds() ? 1 : 0, base::LinesLeftOut());
+      this->ownerships ? this->ownerships->held().size() : 0,
+      base::LinesLeftOut());
   exchange->Reply(std::move(response));
 }
 
@@ -263,7 +299,8 @@
   this->stop_asked = base::MonotonicNow();
   base::Log(base::Event::kDaemonStopping, {});
   this->callers.Stop();
-  this->ownership->Release();
+  if (this->ownerships)
+    this->ownerships->Release();
   this->stop_timer.StartEvery(kStopTick);
 }
 
--- a/entry/job_daemon.h
+++ b/entry/job_daemon.h
@@ -1,5 +1,5 @@
 // The daemon of an entry box that takes jobs: callers' interface, readiness,
-// metrics, and the ownership with what the owner does. One loop, one thread.
+// metrics, and the ownerships with what an owner does. One loop, one thread.
 
 #ifndef ENTRY_JOB_DAEMON_H_
 #define ENTRY_JOB_DAEMON_H_
@@ -14,8 +14,9 @@
 #include "base/loop.h"
 #include "entry/caller_api.h"
 #include "entry/manager.h"
-#include "entry/ownership.h"
+#include "entry/ownerships.h"
 #include "entry/settings.h"
+#include "entry/shard_plan.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "jobs/queue.h"
@@ -34,17 +35,29 @@
   void Run();
 
  private:
+  // A shard's manager, while this daemon owns the shard. It is destroyed
+  // outside its own calls.
+  struct Duty {
+    explicit Duty(base::Loop& loop)
+        : end(loop, [this] { this->manager.reset(); }) {}
+
+    std::unique_ptr<Manager> manager;
+    base::Timer end;
+  };
+
   void Reload();
   void ReloadIfChanged();
   void TakeOperatorRow(const platform::Row& row);
-  void Gained(std::uint64_t epoch);
-  base::Micros OrdersUntil() const;
-  void Lost();
+  void Begin(int shards, std::uint64_t seed);
+  void Gained(int shard, std::uint64_t epoch);
+  base::Micros OrdersUntil(int shard) const;
+  void Lost(int shard);
   void Stop();
   void TryToEnd();
   void AnswerReadiness(const http::ExchangePtr& exchange) const;
   void AnswerMetrics(const http::ExchangePtr& exchange) const;
   bool IsReady() const;
+  std::string Dump() const;
 
   Settings settings;
   std::string settings_file;
@@ -61,11 +74,11 @@
   jobs::Config config;
   std::map<int, scheduler::Wave> waves;
   base::Micros store_answered{};
-  base::Micros stop_asked{};  // 0: none yet
-  std::unique_ptr<Manager> manager;
-  std::unique_ptr<Ownership> ownership;
+  base::Micros stop_asked{};                  // 0: none yet
+  std::vector<std::unique_ptr<Duty>> duties;  // by shard
+  std::unique_ptr<Ownerships> ownerships;     // once the shards are known
+  std::unique_ptr<ShardPlan> plan;
   std::unique_ptr<platform::TableFollower> operators;
-  base::Timer manager_end;  // destroys the manager outside its own calls
   base::Timer stop_timer;
   base::SignalWatcher stop_signal;
   base::SignalWatcher interrupt_signal;
--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -30,7 +30,6 @@
 // The ownership is in doubt this long before orders stop. A slow store's
 // confirmations (some 0.4 s) leave 0.3 s, a quick one's 0.69 s.
 constexpr base::Micros kDoubt = milliseconds(350);
-constexpr base::Micros kReportAgain = milliseconds(500);
 constexpr base::Micros kListPeriod = milliseconds(1500);
 
 // Where orders stop before another may take over, no lease that they grant
@@ -58,12 +57,14 @@
                  platform::Store& from,
                  base::Counters& count,
                  const Settings& chosen,
+                 const Shard& of,
                  std::uint64_t own_epoch,
                  Authority given)
     : loop(on),
       store(from),
       counters(count),
       settings(chosen),
+      shard(of),
       epoch(own_epoch),
       authority(std::move(given)),
       order_client(on, {.reset_on_close = true}),
@@ -74,6 +75,12 @@
             [this] { return this->MayOrder(); }),
       advisor(this->order_client, chosen.advice),
       scheduler(LimitsOf(chosen, own_epoch)),
+      waves(from,
+            of,
+            [this](const scheduler::Wave& share,
+                   const std::vector<std::string>& begun) {
+              this->scheduler.SetWave(share, begun, base::MonotonicNow());
+            }),
       timer(on, [this] { this->Act(); }),
       soon(on, [this] { this->Act(); }),
       alive(std::make_shared<bool>(true)) {
@@ -96,15 +103,7 @@
 }
 
 void Manager::SetWave(const scheduler::Wave& wave) {
-  this->waves[wave.number] = wave;
-  if (!this->begun)
-    return;
-  std::vector<std::string> begun_boxes;
-  for (const platform::Row& row : *this->kept_waves) {
-    if (row.at.key == std::to_string(wave.number))
-      begun_boxes = DecodeNames(row.value);
-  }
-  this->scheduler.SetWave(wave, begun_boxes, base::MonotonicNow());
+  this->waves.Put(wave);
 }
 
 void Manager::Confirmed(base::Micros asked) {
@@ -221,14 +220,10 @@
     this->SaveAll();
     this->RecordWorkers();
     this->WriteCounts();
+    this->waves.Act(base::MonotonicNow());
   }
+  this->LogPools();
   const base::Micros now = base::MonotonicNow();
-  if (now >= this->next_report && !this->unreported.empty()) {
-    this->next_report = now + kReportAgain;
-    for (const scheduler::ReportWave& report :
-         std::exchange(this->unreported, {}))
-      this->Report(report);
-  }
   if (now >= this->next_list && !this->listing_boxes &&
       this->scheduler.wants_boxes() && !this->settings.boxes.empty()) {
     this->listing_boxes = true;
@@ -267,7 +262,7 @@
       manager.SendBox(order);
     }
     void operator()(const scheduler::ReportWave& report) const {
-      manager.Report(report);
+      manager.waves.Report(report);
     }
     void operator()(const scheduler::Note& note) const {
       base::Log(base::Event::kDecision,
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -1,6 +1,6 @@
-// What the owner does: reads what is kept, then carries the scheduler's
-// actions out and tells it what came of them. Made when the ownership is
-// gained, destroyed when it is lost.
+// What the owner of a shard does: reads what is kept, then carries the
+// scheduler's actions out and tells it what came of them. Made when the
+// ownership is gained, destroyed when it is lost.
 
 #ifndef ENTRY_MANAGER_H_
 #define ENTRY_MANAGER_H_
@@ -19,7 +19,9 @@
 #include "base/loop.h"
 #include "entry/save_queue.h"
 #include "entry/settings.h"
+#include "entry/shards.h"
 #include "entry/tables.h"
+#include "entry/wave_records.h"
 #include "http/client.h"
 #include "jobs/queue.h"
 #include "platform/store.h"
@@ -44,6 +46,7 @@
           platform::Store& store,
           base::Counters& counters,
           const Settings& settings,
+          const Shard& shard,
           std::uint64_t epoch,
           Authority authority);
   ~Manager();
@@ -111,7 +114,6 @@
   void Ask(const scheduler::AskAdvice& ask);
   void SendBox(const scheduler::MoveBox& order);
   void SendBox(const scheduler::UpkeepBox& order);
-  void Report(const scheduler::ReportWave& report);
   void SaveAll();
   void Save(std::vector<scheduler::SaveProgress> batch);
   bool MustSaveAgain(const scheduler::SaveProgress& save,
@@ -126,6 +128,7 @@
                     std::uint64_t change,
                     const platform::WriteResult& result);
   void WriteCounts();
+  void LogPools();
   void ListBoxes(const std::string& page,
                  std::vector<scheduler::BoxInfo> so_far);
   platform::OrderTo To(const std::string& worker) const;
@@ -138,6 +141,7 @@
   platform::Store& store;
   base::Counters& counters;
   Settings settings;
+  Shard shard;
   std::uint64_t epoch;
   Authority authority;
   // Orders' own: what is closed takes along what is on its way.
@@ -157,7 +161,7 @@
   std::optional<std::vector<platform::Row>> kept_leases;
   std::optional<std::vector<platform::Row>> kept_waves;
   std::optional<std::map<std::string, scheduler::WorkerInfo>> announced;
-  std::map<int, scheduler::Wave> waves;
+  WaveRecords waves;
 
   std::set<std::string> cancels;  // of jobs not known yet
   std::map<std::string, WorkerOrders> orders;
@@ -172,12 +176,10 @@
   std::uint64_t count_version = 0;
   base::Micros confirmed_at{};
   base::Micros next_count{};
+  base::Micros next_pool_log{};
   base::Micros next_list{};
-  base::Micros next_report{};
   base::Micros next_record{};
   bool listing_boxes = false;
-  std::set<int> reported_waves;
-  std::vector<scheduler::ReportWave> unreported;  // to be written again
   bool orders_held = false;       // the ownership is not certain now
   bool renewed_in_doubt = false;  // since the store last confirmed it
   base::Timer timer;
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -19,6 +19,7 @@
 using std::chrono::seconds;
 
 constexpr base::Micros kCountPeriod = seconds(1);
+constexpr base::Micros kPoolLogPeriod = seconds(1);
 constexpr base::Micros kRecordAgain = milliseconds(200);
 // The list as it is cannot be written; it is tried again when it has changed
 // and some time has passed.
@@ -85,7 +86,7 @@
     write.conditions.push_back({.at = row, .version = save.version});
     write.puts.push_back({.at = row, .value = save.text});
     if (save.over)
-      write.removes.push_back(JobRow(save.job));
+      write.removes.push_back(JobRow(save.job, this->shard.count));
   }
   ++this->saves_in_flight;
   const base::Micros sent = base::MonotonicNow();
@@ -159,7 +160,7 @@
     this->scheduler.WorkersRecorded(names.held);
     return;
   }
-  const platform::RowKey row = SmallRow(kLeaseTable, kLeaseKey);
+  const platform::RowKey row = SmallRow(kLeaseTable, kLeaseKey, this->shard);
   const platform::WriteBatch write{
       .conditions = {{.at = row, .version = this->lease_version}},
       .puts = {{.at = row, .value = EncodeLeases(record)}},
@@ -239,7 +240,7 @@
   const std::map<std::string, int> counts = this->scheduler.WaitingJobs();
   if (counts == this->counted)
     return;
-  const platform::RowKey row = SmallRow(kCountTable, kCountKey);
+  const platform::RowKey row = SmallRow(kCountTable, kCountKey, this->shard);
   const platform::WriteBatch write{
       .conditions = {{.at = row, .version = this->count_version}},
       .puts = {{.at = row, .value = EncodeCounts(counts)}},
@@ -262,43 +263,27 @@
   });
 }
 
-// The begun boxes are for a later owner, the status is for the operators. A
-// late `running` cannot replace `completed`: it must find no status.
-void Manager::Report(const scheduler::ReportWave& report) {
-  const std::string number = std::to_string(report.wave);
-  const platform::WriteBatch begun_boxes{
-      .conditions = {},
-      .puts = {{.at = SmallRow(kWaveTable, number),
-                .value = EncodeNames(report.begun)}},
-      .removes = {}};
-  this->store.Write(begun_boxes, [](const platform::WriteResult&) {});
-  const platform::RowKey status{
-      .table = std::string(platform::kStatusTable),
-      .part = "",
-      .key = std::string(platform::kWavePrefix) + number};
-  platform::WriteBatch write;
-  if (report.state == scheduler::WaveState::kRunning)
-    write.conditions.push_back({.at = status, .version = 0});
-  write.puts.push_back(
-      {.at = status, .value = platform::WaveStatusText(report.state)});
-  if (report.state == scheduler::WaveState::kRunning &&
-      this->reported_waves.contains(report.wave))
+void Manager::LogPools() {
+  const base::Micros now = base::MonotonicNow();
+  if (now < this->next_pool_log)
     return;
-  this->store.Write(write, [this, report, lives = this->alive](
-                               const platform::WriteResult& result) {
-    if (!*lives)
-      return;
-    const bool settled = result.outcome == platform::WriteOutcome::kDone ||
-                         result.outcome == platform::WriteOutcome::kConflict;
-    base::Log(base::Event::kWaveReported,
-              {{"wave", report.wave},
-               {"completed", report.state == scheduler::WaveState::kCompleted},
-               {"settled", settled}});
-    if (settled)
-      this->reported_waves.insert(report.wave);
-    else
-      this->unreported.push_back(report);
-  });
+  this->next_pool_log = now + kPoolLogPeriod;
+  for (const scheduler::PoolState& state : this->scheduler.PoolStates(now)) {
+    base::Log(
+        base::Event::kPoolState,
+        {{"shard", this->shard.number},
+         {"pool", state.pool},
+         {"boxes", state.boxes},
+         {"usable", state.usable},
+         {"leaving", state.leaving},
+         {"idle", state.idle},
+         {"pinned", state.pinned},
+         {"busy_cores", fmt::format("{:.0f}", state.busy_cores)},
+         {"waiting", state.waiting},
+         {"waiting_cores", fmt::format("{:.0f}", state.waiting_cores)},
+         {"oldest_ms",
+          std::chrono::duration_cast<milliseconds>(state.oldest).count()}});
+  }
 }
 
 void Manager::ListBoxes(const std::string& page,
@@ -312,8 +297,10 @@
                        this->listing_boxes = false;
                        return;
                      }
-                     for (scheduler::BoxInfo& box : result->boxes)
-                       so_far.push_back(std::move(box));
+                     for (scheduler::BoxInfo& box : result->boxes) {
+                       if (HoldsBox(this->shard, box.name))
+                         so_far.push_back(std::move(box));
+                     }
                      if (!result->next.empty()) {
                        this->ListBoxes(result->next, std::move(so_far));
                        return;
@@ -325,7 +312,8 @@
 }
 
 std::string Manager::Dump() const {
-  Json dump = {{"epoch", this->epoch},
+  Json dump = {{"shard", this->shard.number},
+               {"epoch", this->epoch},
                {"begun", this->begun},
                {"workers", Json::array()},
                {"jobs", Json::array()}};
--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -29,7 +29,7 @@
 // later jobs come by the feed.
 void Manager::ReadKept() {
   this->job_follower = std::make_unique<platform::TableFollower>(
-      this->loop, this->store, std::string(kJobTable), JobParts(),
+      this->loop, this->store, JobTable(this->shard), JobParts(this->shard),
       platform::TableFollower::Events{
           .on_all =
               [this](std::vector<platform::Row> rows) {
@@ -109,9 +109,9 @@
                           this->Begin();
                         });
   };
-  read(kProgressTable, JobParts(), this->kept_progress);
-  read(kLeaseTable, SmallParts(kLeaseTable), this->kept_leases);
-  read(kWaveTable, SmallParts(kWaveTable), this->kept_waves);
+  read(kProgressTable, JobParts(this->shard), this->kept_progress);
+  read(kLeaseTable, {SmallPart(kLeaseTable, this->shard)}, this->kept_leases);
+  read(kWaveTable, SmallParts(kWaveTable, this->shard.count), this->kept_waves);
   this->timer.StartOnce(kReadAgain);
 }
 
@@ -125,10 +125,10 @@
   this->AddWorkers();
   this->scheduler.SetConfig(this->config, base::MonotonicNow());
   this->AddKeptJobs();
-  for (const auto& [number, wave] : this->waves)
-    this->SetWave(wave);
+  this->waves.Begin(*this->kept_waves, base::MonotonicNow());
   base::Log(base::Event::kOwnershipReady,
-            {{"epoch", this->epoch},
+            {{"shard", this->shard.number},
+             {"epoch", this->epoch},
              {"jobs", this->scheduler.all_jobs().size()},
              {"workers", this->scheduler.all_workers().size()}});
   this->timer.StartEvery(kTick);
@@ -268,6 +268,8 @@
   try {
     const scheduler::WorkerInfo info =
         platform::ParseWorker(id, changed.row.value);
+    if (!HoldsBox(this->shard, info.box))
+      return;
     (*this->announced)[id] = info;
     if (this->begun)
       this->scheduler.PutWorker(info, now);
--- a/entry/ownership.cc
+++ b/entry/ownership.cc
@@ -41,66 +41,46 @@
 
 Ownership::Ownership(base::Loop& loop,
                      platform::Store& on,
+                     const Shard& shard,
                      std::string who,
-                     double own_cores,
                      std::uint64_t seed,
                      Events handlers)
     : store(on),
+      row(OwnerRow(shard)),
       id(std::move(who)),
-      cores(own_cores),
       random(seed),
       events(std::move(handlers)),
-      timer(loop, [this] { this->Act(); }),
-      follower(
-          loop,
-          on,
-          std::string(kOwnerTable),
-          SmallParts(kOwnerTable),
-          {.on_all =
-               [this](const std::vector<platform::Row>& rows) {
-                 this->known = true;
-                 for (const platform::Row& row : rows)
-                   this->SeeRow(row, false);
-               },
-           .on_changes =
-               [this](const std::vector<platform::ChangedRow>& rows) {
-                 for (const platform::ChangedRow& changed : rows)
-                   this->SeeRow(changed.row, changed.removed);
-               },
-           .on_contact = [this](base::Micros asked) { this->SeeStore(asked); },
-           .on_lost =
-               [this] {
-                 this->unchanged_since = base::MonotonicNow();
-                 this->events.on_store_silent();
-               }}) {
+      timer(loop, [this] { this->Act(); }) {
   this->incarnation = fmt::format("{:016x}", this->random());
   this->unchanged_since = base::MonotonicNow();
-  this->patience = this->DrawPatience();
+  this->draw = this->DrawPatience();
   this->timer.StartEvery(kLookPeriod);
 }
 
-void Ownership::SeeStore(base::Micros asked) {
+void Ownership::StoreAnswered() {
   const base::Micros now = base::MonotonicNow();
   if (now - this->last_answer > kAnswerGap)
     this->unchanged_since = now;
   this->last_answer = now;
-  static_cast<void>(asked);
-  this->events.on_store_answered();
 }
 
-void Ownership::SeeRow(const platform::Row& row, bool removed) {
-  if (row.at.key != kOwnerKey || row.version <= this->version)
+void Ownership::StoreSilent() {
+  this->unchanged_since = base::MonotonicNow();
+}
+
+void Ownership::SeeRow(const platform::Row& shown, bool removed) {
+  if (shown.at != this->row || shown.version <= this->version)
     return;
-  const std::optional<OwnerRecord> seen = DecodeOwner(row.value);
+  const std::optional<OwnerRecord> seen = DecodeOwner(shown.value);
   if (removed || !seen)
     return;
   const base::Micros now = base::MonotonicNow();
   if (seen->epoch != this->record.epoch)
     this->holder_since = now;
-  this->version = row.version;
+  this->version = shown.version;
   this->record = *seen;
   this->unchanged_since = now;
-  this->patience = this->DrawPatience();
+  this->draw = this->DrawPatience();
   const bool mine = this->NamesThis(*seen);
   if (mine)
     this->lease.Made(seen->epoch, seen->beat);
@@ -118,21 +98,26 @@
 }
 
 bool Ownership::IsMuchStronger() const {
-  return this->cores > kMuchStronger * this->record.cores;
+  return this->events.cores() > kMuchStronger * this->record.cores;
 }
 
 // Drawn anew each time, so that one daemon takes over and the others see it.
 base::Micros Ownership::DrawPatience() {
+  const bool is_free = this->version == 0 || this->record.holder.empty();
+  const std::int64_t spread = is_free ? kFreeSpreadMillis : kSpreadMillis;
+  return milliseconds(this->random() % spread);
+}
+
+// A daemon that has come to hold another shard meanwhile waits longer.
+base::Micros Ownership::Patience() const {
+  const double cores = this->events.cores();
   if (this->version == 0) {
     const base::Micros wait(static_cast<std::int64_t>(
-        static_cast<double>(kFirstWait.count()) / this->cores));
-    return wait + milliseconds(this->random() % kFreeSpreadMillis);
+        static_cast<double>(kFirstWait.count()) / cores));
+    return wait + this->draw;
   }
-  const std::int64_t spread =
-      this->record.holder.empty() ? kFreeSpreadMillis : kSpreadMillis;
-  const bool is_weak = this->record.cores > kMuchStronger * this->cores;
-  return milliseconds(this->random() % spread) +
-         (is_weak ? kWeakerWaits : base::Micros::zero());
+  const bool is_weak = this->record.cores > kMuchStronger * cores;
+  return this->draw + (is_weak ? kWeakerWaits : base::Micros::zero());
 }
 
 bool Ownership::ShouldTake(base::Micros now) const {
@@ -145,8 +130,8 @@
   const bool is_free = this->version == 0 || this->record.holder.empty();
   const bool was_own = this->record.holder == this->id;
   if (is_free || was_own)
-    return silent >= this->patience;
-  return silent >= kOwnerSilence + this->patience;
+    return silent >= this->Patience();
+  return silent >= kOwnerSilence + this->Patience();
 }
 
 // A holder on a much weaker box is asked to give up, once; it is not taken over
@@ -156,13 +141,13 @@
          !this->record.holder.empty() && this->record.holder != this->id &&
          this->record.successor.empty() && this->IsMuchStronger() &&
          now - this->last_answer <= kAnswerGap &&
-         now - this->holder_since >= kRelieveAfter + this->patience;
+         now - this->holder_since >= kRelieveAfter + this->Patience();
 }
 
 void Ownership::AskForWay() {
   OwnerRecord next = this->record;
   next.successor = this->id;
-  next.cores = this->cores;
+  next.cores = this->events.cores();
   this->Write(next, false);
 }
 
@@ -184,6 +169,7 @@
       return;
     OwnerRecord next = this->record;
     ++next.beat;
+    next.cores = this->events.cores();
     this->Write(next, false);
     return;
   }
@@ -197,7 +183,7 @@
                .incarnation = this->incarnation,
                .epoch = this->record.epoch + 1,
                .beat = 0,
-               .cores = this->cores,
+               .cores = this->events.cores(),
                .successor = ""},
               true);
 }
@@ -205,12 +191,13 @@
 void Ownership::Write(const OwnerRecord& next, bool taking) {
   const base::Micros asked = base::MonotonicNow();
   this->writing = true;
+  this->taking_now = taking;
   this->next_renewal = asked + kRenewal;
   if (this->NamesThis(next))
     this->lease.Asked(next.epoch, next.beat, asked, kOwnerSilence);
   const platform::WriteBatch batch{
-      .conditions = {{.at = OwnerRow(), .version = this->version}},
-      .puts = {{.at = OwnerRow(), .value = EncodeOwner(next)}},
+      .conditions = {{.at = this->row, .version = this->version}},
+      .puts = {{.at = this->row, .value = EncodeOwner(next)}},
       .removes = {}};
   this->store.Write(
       batch, [this, next, taking, asked](const platform::WriteResult& result) {
@@ -224,6 +211,7 @@
                            base::Micros asked) {
   const base::Micros now = base::MonotonicNow();
   this->writing = false;
+  this->taking_now = false;
   this->Settle(result, next, taking, asked, now);
   // The row showed the takeover before its write was answered, or given up.
   if (taking && this->NamesThis(this->record) && !this->holding &&
@@ -282,8 +270,8 @@
 
 void Ownership::TakeConflict(const platform::WriteResult& result,
                              base::Micros asked) {
-  for (const platform::Row& row : result.rows)
-    this->SeeRow(row, false);
+  for (const platform::Row& there : result.rows)
+    this->SeeRow(there, false);
   this->unchanged_since = base::MonotonicNow();
   // An own write whose answer was lost was in the way: the row still names
   // this daemon.
@@ -298,8 +286,9 @@
   this->holding = true;
   this->makes_way = false;
   this->held_epoch = this->record.epoch;
-  base::Log(base::Event::kOwnershipGained,
-            {{"epoch", this->record.epoch}, {"version", this->version}});
+  base::Log(base::Event::kOwnershipGained, {{"shard", this->row.part},
+                                            {"epoch", this->record.epoch},
+                                            {"version", this->version}});
   this->events.on_gained(this->record.epoch, asked);
   this->events.on_confirmed(asked);
 }
@@ -309,8 +298,9 @@
     return;
   this->holding = false;
   this->lost_epoch = this->held_epoch;
-  base::Log(base::Event::kOwnershipLost,
-            {{"epoch", this->record.epoch}, {"holder", this->record.holder}});
+  base::Log(base::Event::kOwnershipLost, {{"shard", this->row.part},
+                                          {"epoch", this->record.epoch},
+                                          {"holder", this->record.holder}});
   this->events.on_lost();
 }
 
--- a/entry/ownership.h
+++ b/entry/ownership.h
@@ -1,6 +1,7 @@
-// Which daemon schedules. The owner's row in the store names holder and epoch;
-// the holder confirms it by rewriting it under its version, and others take it
-// over, under its version too, when it has not changed for a while.
+// Which daemon schedules a shard. The shard's owner row in the store names
+// holder and epoch; the holder confirms it by rewriting it under its version,
+// and others take it over, under its version too, when it has not changed for a
+// while.
 
 #ifndef ENTRY_OWNERSHIP_H_
 #define ENTRY_OWNERSHIP_H_
@@ -15,7 +16,6 @@
 #include "entry/owner_lease.h"
 #include "entry/tables.h"
 #include "platform/store.h"
-#include "platform/table_follower.h"
 
 namespace quartzhoist::entry {
 
@@ -27,26 +27,34 @@
     // The store has confirmed the ownership as of `asked`; what orders the
     // holder gives leave before orders_until().
     std::function<void(base::Micros asked)> on_confirmed;
-    // The store answered this daemon, or did not.
-    std::function<void()> on_store_answered;
-    std::function<void()> on_store_silent;
+    // The share of a processor that this daemon has for the shard: one with
+    // more takes the ownership from one with much less.
+    std::function<double()> cores;
   };
 
-  // `id` names the daemon, `cores` is its share of a processor: a daemon on a
-  // stronger box takes the ownership from one on a much weaker one.
+  // `id` names the daemon.
   Ownership(base::Loop& loop,
             platform::Store& store,
+            const Shard& shard,
             std::string id,
-            double cores,
             std::uint64_t seed,
             Events events);
 
+  // --- The owner table's news, from whoever follows it ---
+  // All its rows have been shown by now.
+  void TableRead() { this->known = true; }
+  void SeeRow(const platform::Row& row, bool removed);
+  void StoreAnswered();
+  void StoreSilent();
+
   // Gives it up, for good: others take over at once.
   void Release();
   // A worker has seen a higher epoch: it is lost, whatever the row says.
   void Fenced();
 
   bool holds() const { return this->holding; }
+  // Its own write of a takeover is on its way.
+  bool is_taking() const { return this->taking_now; }
   // No other daemon takes over before this, with some slack for what is on its
   // way.
   base::Micros orders_until() const { return this->lease.orders_until(); }
@@ -54,8 +62,6 @@
   std::uint64_t epoch() const { return this->record.epoch; }
 
  private:
-  void SeeRow(const platform::Row& row, bool removed);
-  void SeeStore(base::Micros asked);
   void Act();
   bool ShouldTake(base::Micros now) const;
   bool ShouldAskForWay(base::Micros now) const;
@@ -63,6 +69,7 @@
   void MakeWay();
   bool IsMuchStronger() const;
   base::Micros DrawPatience();
+  base::Micros Patience() const;
   bool NamesThis(const OwnerRecord& seen) const;
   void Write(const OwnerRecord& next, bool taking);
   void TakeAnswer(const platform::WriteResult& result,
@@ -80,8 +87,8 @@
   void Lose();
 
   platform::Store& store;
+  platform::RowKey row;
   std::string id;
-  double cores;
   std::string incarnation;
   std::mt19937_64 random;
   Events events;
@@ -93,6 +100,7 @@
   bool released = false;
   bool makes_way = false;  // gives up for a stronger one
   bool writing = false;
+  bool taking_now = false;
   // The last epochs that this daemon held, and lost: an old row that shows up
   // late does not bring one back.
   std::uint64_t held_epoch = 0;
@@ -101,9 +109,8 @@
   base::Micros holder_since{};  // when the present holder was first seen
   base::Micros last_answer{};
   base::Micros next_renewal{};
-  base::Micros patience{};  // until a silent holder is taken over
+  base::Micros draw{};  // of the patience until a silent holder is taken over
   base::Timer timer;
-  platform::TableFollower follower;
 };
 
 }  // namespace quartzhoist::entry
--- a/entry/ownership_test.cc
+++ b/entry/ownership_test.cc
@@ -10,7 +10,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "entry/owner_lease.h"
-#include "entry/ownership.h"
+#include "entry/ownerships.h"
 #include "entry/tables.h"
 #include "testing/store_bench.h"
 
@@ -20,28 +20,33 @@
 using testing::StoreBench;
 using testing::StoreStandin;
 
+// A daemon, and what came to it of each shard.
 struct Member {
   Member(base::Loop& loop,
          platform::Store& store,
          const std::string& id,
-         double cores = 0.25)
-      : ownership(
+         double cores = 0.25,
+         int shards = 1)
+      : ownerships(
             loop,
             store,
             id,
             cores,
+            shards,
             std::hash<std::string>()(id),
-            {.on_gained = [this](std::uint64_t gained,
-                                 base::Micros) { this->epoch = gained; },
-             .on_lost = [this] { ++this->losses; },
-             .on_confirmed = [this](base::Micros) { ++this->confirmations; },
-             .on_store_answered = [] {},
-             .on_store_silent = [] {}}) {}
+            {.on_gained =
+                 [this](int, std::uint64_t gained) { this->epoch = gained; },
+             .on_lost = [this](int) { ++this->losses; },
+             .on_confirmed = [this](int,
+                                    base::Micros) { ++this->confirmations; },
+             .on_store_answered = [] {}}),
+        ownership(this->ownerships.At(0)) {}
 
   std::uint64_t epoch = 0;
   int losses = 0;
   int confirmations = 0;
-  Ownership ownership;
+  Ownerships ownerships;
+  Ownership& ownership;
 };
 
 BOOST_AUTO_TEST_CASE(OneOfSeveralOwnsAndConfirms) {
@@ -71,7 +76,7 @@
   StoreBench bench;
   // A holder that confirms nothing.
   bench.standin.Put(
-      OwnerRow(),
+      OwnerRow({}),
       EncodeOwner(
           {.holder = "dead", .incarnation = "1", .epoch = 7, .beat = 3}));
   Member a(bench.loop, bench.store, "a");
@@ -84,7 +89,7 @@
   Member a(bench.loop, bench.store, "a");
   bench.Until([&] { return a.ownership.holds(); });
   bench.standin.Put(
-      OwnerRow(),
+      OwnerRow({}),
       EncodeOwner(
           {.holder = "other", .incarnation = "1", .epoch = 2, .beat = 0}));
   bench.Until([&] { return a.losses == 1; });
@@ -132,13 +137,54 @@
   StoreBench bench;
   Member a(bench.loop, bench.store, "a");
   bench.Until([&] { return a.ownership.holds(); });
-  const platform::RowKey row = OwnerRow();
+  const platform::RowKey row = OwnerRow({});
   a.ownership.Fenced();
   bench.standin.Put(row, bench.standin.Value(row));
   bench.Until([&] { return a.ownership.holds(); });
   BOOST_TEST(a.epoch == 2U);
 }
 
+// --- Several shards ---
+
+int HeldByAll(const std::vector<const Member*>& members) {
+  int held = 0;
+  for (const Member* member : members)
+    held += static_cast<int>(member->ownerships.held().size());
+  return held;
+}
+
+BOOST_AUTO_TEST_CASE(EachShardGoesToADaemonOfItsOwn) {
+  StoreBench bench;
+  constexpr int kShards = 4;
+  Member a(bench.loop, bench.store, "a", 0.5, kShards);
+  Member b(bench.loop, bench.store, "b", 0.5, kShards);
+  Member c(bench.loop, bench.store, "c", 0.5, kShards);
+  Member d(bench.loop, bench.store, "d", 0.5, kShards);
+  const std::vector<const Member*> all = {&a, &b, &c, &d};
+  // One that came to two makes way for one that has none.
+  bench.Until([&] {
+    return std::all_of(all.begin(), all.end(), [](const Member* member) {
+      return member->ownerships.held().size() == 1;
+    });
+  });
+  BOOST_TEST(HeldByAll(all) == kShards);
+}
+
+BOOST_AUTO_TEST_CASE(ShardsOfALostDaemonAreTakenOver) {
+  StoreBench bench;
+  constexpr int kShards = 2;
+  Member a(bench.loop, bench.store, "a", 0.5, kShards);
+  Member b(bench.loop, bench.store, "b", 0.5, kShards);
+  bench.Until([&] {
+    return HeldByAll({&a, &b}) == kShards && a.ownerships.held().size() == 1;
+  });
+  const int lost = a.ownerships.held().front();
+  a.ownerships.Release();
+  bench.Until([&] { return b.ownerships.held().size() == kShards; });
+  BOOST_TEST(b.ownerships.At(lost).holds());
+  BOOST_TEST(b.epoch >= 2U);
+}
+
 // --- When the holder must stop ---
 
 constexpr base::Micros kSilence = std::chrono::milliseconds(1300);
--- /dev/null
+++ b/entry/ownerships.cc
@@ -0,0 +1,113 @@
+#include "entry/ownerships.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace quartzhoist::entry {
+
+namespace {
+
+// Several holders confirm by turns, each 0.45 s: a pause after news lets one
+// call bring the next ones together. With four shards a daemon makes 4 calls a
+// second for it in place of 9 (worked out); a takeover begins up to this later.
+constexpr base::Micros kPauseWithSeveral = std::chrono::milliseconds(150);
+
+platform::TableFollower::Pace PaceFor(int shards) {
+  platform::TableFollower::Pace pace;
+  if (shards > 1)
+    pace.pause = kPauseWithSeveral;
+  return pace;
+}
+
+}  // namespace
+
+Ownerships::Ownerships(base::Loop& loop,
+                       platform::Store& store,
+                       const std::string& id,
+                       double own_cores,
+                       int shards,
+                       std::uint64_t seed,
+                       Events handlers)
+    : cores(own_cores),
+      events(std::move(handlers)),
+      follower(loop,
+               store,
+               std::string(kOwnerTable),
+               SmallParts(kOwnerTable, shards),
+               this->Feed(),
+               PaceFor(shards)) {
+  for (int shard = 0; shard < shards; ++shard) {
+    this->rows.push_back(std::make_unique<Ownership>(
+        loop, store, Shard{.number = shard, .count = shards}, id,
+        seed + static_cast<std::uint64_t>(shard), this->EventsOf(shard)));
+  }
+}
+
+platform::TableFollower::Events Ownerships::Feed() {
+  return {.on_all =
+              [this](const std::vector<platform::Row>& all) {
+                for (const auto& ownership : this->rows) {
+                  ownership->TableRead();
+                  for (const platform::Row& row : all)
+                    ownership->SeeRow(row, false);
+                }
+              },
+          .on_changes =
+              [this](const std::vector<platform::ChangedRow>& changes) {
+                for (const auto& ownership : this->rows) {
+                  for (const platform::ChangedRow& changed : changes)
+                    ownership->SeeRow(changed.row, changed.removed);
+                }
+              },
+          .on_contact =
+              [this](base::Micros) {
+                for (const auto& ownership : this->rows)
+                  ownership->StoreAnswered();
+                this->events.on_store_answered();
+              },
+          .on_lost =
+              [this] {
+                for (const auto& ownership : this->rows)
+                  ownership->StoreSilent();
+              }};
+}
+
+Ownership::Events Ownerships::EventsOf(int shard) {
+  return {.on_gained =
+              [this, shard](std::uint64_t epoch, base::Micros) {
+                this->held_shards.push_back(shard);
+                this->events.on_gained(shard, epoch);
+              },
+          .on_lost =
+              [this, shard] {
+                std::erase(this->held_shards, shard);
+                this->events.on_lost(shard);
+              },
+          .on_confirmed =
+              [this, shard](base::Micros asked) {
+                this->events.on_confirmed(shard, asked);
+              },
+          .cores = [this, shard] { return this->CoresFor(shard); }};
+}
+
+// A daemon's processor is shared by what it holds: with each further shard it
+// counts as a weaker box, so that one which holds none goes first. The shard
+// that it came to first keeps counting whole, so that only the later ones are
+// asked for.
+double Ownerships::CoresFor(int shard) const {
+  const auto at =
+      std::find(this->held_shards.begin(), this->held_shards.end(), shard);
+  auto before = static_cast<double>(at - this->held_shards.begin());
+  if (at == this->held_shards.end()) {
+    for (const auto& other : this->rows)
+      before += other->is_taking();
+  }
+  return this->cores / (1.0 + before);
+}
+
+void Ownerships::Release() {
+  for (const auto& ownership : this->rows)
+    ownership->Release();
+}
+
+}  // namespace quartzhoist::entry
--- a/entry/process_test.cc
+++ b/entry/process_test.cc
@@ -222,6 +222,67 @@
   bench.ExpectAllDoneOnce();
 }
 
+// --- Several shards ---
+
+struct ShardedBench : Bench {
+  static constexpr int kShards = 2;
+
+  // Four boxes, two workers an owner.
+  ShardedBench() : Bench(0) {
+    this->cluster.SetWorkersAnOwner(2);
+    for (const char* id : {"entry-1", "entry-2", "entry-3"})
+      this->cluster.StartDaemon(id);
+    BOOST_REQUIRE(this->cluster.WaitUntil(kSoon, [this] {
+      return !this->OwnerOf(0).empty() && !this->OwnerOf(1).empty();
+    }));
+  }
+
+  std::string OwnerOf(int shard) {
+    return this->cluster.Owner({.number = shard, .count = kShards});
+  }
+};
+
+BOOST_AUTO_TEST_CASE(JobsOfSeveralShardsRunOnce) {
+  ShardedBench bench;
+  bench.SubmitAll();
+  bench.ExpectAllDoneOnce();
+  BOOST_TEST(bench.cluster.workers().starts() == kAllTasks);
+  BOOST_TEST(bench.cluster.workers().ends_done() == kAllTasks);
+}
+
+BOOST_AUTO_TEST_CASE(ShardsOfAKilledOwnerAreTakenOver) {
+  ShardedBench bench;
+  bench.cluster.workers().SetRunTime(std::chrono::milliseconds(800));
+  bench.SubmitAll();
+  BOOST_REQUIRE(bench.cluster.WaitUntil(
+      kSoon, [&] { return bench.cluster.workers().starts() > 0; }));
+  const std::string first = bench.OwnerOf(0);
+  bench.cluster.daemons().at(first).process->Signal(SIGKILL);
+  BOOST_TEST(bench.cluster.WaitUntil(kSoon, [&] {
+    return bench.OwnerOf(0) != first && bench.OwnerOf(1) != first;
+  }));
+  bench.cluster.daemons().erase(first);
+  bench.ExpectAllDoneOnce();
+}
+
+// One box may be away at a time, whichever owner's it is.
+BOOST_AUTO_TEST_CASE(WaveOverSeveralShardsStaysWithinItsLimit) {
+  ShardedBench bench;
+  bench.cluster.store().Put(
+      {.table = "op", .part = "", .key = "wave/1"},
+      R"({"wave":1,"machines":["box-1","box-2","box-3","box-4"],)"
+      R"("durationS":20,"maxCount":1})");
+  bench.SubmitAll();
+  BOOST_TEST(bench.cluster.WaitUntil(kSoon, [&] {
+    return bench.cluster.store()
+               .Value({.table = "status", .part = "", .key = "wave/1"})
+               .find("completed") != std::string::npos;
+  }));
+  BOOST_TEST(bench.cluster.workers().upkeeps() == 4);
+  BOOST_TEST(bench.cluster.workers().most_away() == 1U);
+  bench.ExpectAllDoneOnce();
+}
+
 BOOST_AUTO_TEST_CASE(SettingsAreReadAgainAndBadOnesRefused) {
   Bench bench(1);
   JobCluster::Daemon& daemon = bench.cluster.daemons().at("entry-1");
--- a/entry/settings.cc
+++ b/entry/settings.cc
@@ -25,7 +25,7 @@
   return base::TakeSeconds(value, 0.001, 3600.0);
 }
 
-constexpr std::array<Key, 19> kKeys{{
+constexpr std::array<Key, 20> kKeys{{
     {"daemon", "id", true,
      [](Settings& s, const std::string& v) { s.id = TakeIdentifier(v); }},
     {"daemon", "zone", true,
@@ -79,6 +79,11 @@
      [](Settings& s, const std::string& v) {
        s.max_connections = base::TakeWhole(v, 8, 65'536);
      }},
+    {"limits", "workers_an_owner", false,
+     [](Settings& s, const std::string& v) {
+       s.workers_an_owner =
+           static_cast<std::size_t>(base::TakeWhole(v, 1, 1'000'000));
+     }},
 }};
 
 }  // namespace
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -35,6 +35,8 @@
   base::Micros upkeep_time = std::chrono::milliseconds(2000);
   base::Micros grace = std::chrono::milliseconds(6000);  // from a stop signal
   std::int64_t max_connections = 2000;
+  // A fleet with more is scheduled by several daemons, each with a shard.
+  std::size_t workers_an_owner = 200;
 };
 
 // Throws base::TextError: unknown or doubled key, wrong type, out of range,
--- /dev/null
+++ b/entry/shards.h
@@ -0,0 +1,44 @@
+// How the fleet is shared out among owners. A shard is a share of the boxes of
+// every pool and a share of the jobs; one daemon at a time owns it, under an
+// epoch of its own. A small fleet is one shard.
+
+#ifndef ENTRY_SHARDS_H_
+#define ENTRY_SHARDS_H_
+
+#include <cstddef>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "scheduler/facts.h"
+
+namespace quartzhoist::entry {
+
+// One of `count` shards.
+struct Shard {
+  int number = 0;
+  int count = 1;  // a power of two up to kMostShards
+
+  bool operator==(const Shard&) const = default;
+};
+
+inline constexpr int kMostShards = 64;
+
+// In how many shards a fleet of so many workers is scheduled, at most so many
+// workers to a shard in the mean.
+int ShardCountFor(std::size_t workers, std::size_t workers_an_owner);
+
+// Where a job belongs, by its id; the same in every daemon.
+int ShardOfJob(std::string_view job, int count);
+bool HoldsBox(const Shard& shard, std::string_view box);
+
+// The shard's share of a wave: its own boxes, and how many of them may be away.
+// `done`: shards whose share of the wave is over.
+scheduler::Wave ShareOf(const scheduler::Wave& wave,
+                        const Shard& shard,
+                        const std::set<int>& done);
+
+}  // namespace quartzhoist::entry
+
+#endif  // ENTRY_SHARDS_H_
--- a/entry/tables.cc
+++ b/entry/tables.cc
@@ -1,7 +1,8 @@
 #include "entry/tables.h"
 
+#include <charconv>
+
 #include <fmt/format.h>
-#include <xxhash.h>
 #include <nlohmann/json.hpp>
 
 namespace quartzhoist::entry {
@@ -10,49 +11,68 @@
 
 using Json = nlohmann::json;
 
-// Four parts keep submissions under the store's writes of one part (300 a
-// second on the sites) without many calls for one batch.
-constexpr std::size_t kParts = 64;
+// Writes of one part are made in turn, some 300 a second on the sites, 4 a
+// second in a slow store. A shard has whole parts.
+constexpr unsigned kParts = kMostShards;
 constexpr std::string_view kCancelSuffix = "!cancel";
 
 std::string PartOf(const std::string& job) {
-  return std::to_string(XXH32(job.data(), job.size(), 0) % kParts);
+  return std::to_string(ShardOfJob(job, static_cast<int>(kParts)));
 }
 
 }  // namespace
 
-platform::RowKey SmallRow(std::string_view table, std::string_view key) {
+std::string SmallPart(std::string_view table, const Shard& shard) {
+  return shard.count == 1 ? std::string(table)
+                          : fmt::format("{}-{}", table, shard.number);
+}
+
+platform::RowKey SmallRow(std::string_view table,
+                          std::string_view key,
+                          const Shard& shard) {
   return {.table = std::string(table),
-          .part = std::string(table),
+          .part = SmallPart(table, shard),
           .key = std::string(key)};
 }
 
-std::vector<std::string> SmallParts(std::string_view table) {
-  return {std::string(table)};
+std::vector<std::string> SmallParts(std::string_view table, int shards) {
+  std::vector<std::string> parts;
+  for (int i = 0; i < shards; ++i)
+    parts.push_back(SmallPart(table, {.number = i, .count = shards}));
+  return parts;
 }
 
-platform::RowKey OwnerRow() {
-  return SmallRow(kOwnerTable, kOwnerKey);
+platform::RowKey OwnerRow(const Shard& shard) {
+  return SmallRow(kOwnerTable, kOwnerKey, shard);
 }
 
-const std::vector<std::string>& JobParts() {
-  static const std::vector<std::string> kAll = [] {
-    std::vector<std::string> parts;
-    for (std::size_t i = 0; i < kParts; ++i)
-      parts.push_back(std::to_string(i));
-    return parts;
-  }();
-  return kAll;
+platform::RowKey ShardRow() {
+  return SmallRow(kShardTable, kShardKey, {});
 }
 
-platform::RowKey JobRow(const std::string& job) {
-  return {.table = std::string(kJobTable), .part = PartOf(job), .key = job};
+std::vector<std::string> JobParts(const Shard& shard) {
+  std::vector<std::string> parts;
+  for (unsigned part = 0; part < kParts; ++part) {
+    if (part % static_cast<unsigned>(shard.count) ==
+        static_cast<unsigned>(shard.number))
+      parts.push_back(std::to_string(part));
+  }
+  return parts;
 }
 
-platform::RowKey CancelRow(const std::string& job) {
-  return {.table = std::string(kJobTable),
-          .part = PartOf(job),
-          .key = job + std::string(kCancelSuffix)};
+std::string JobTable(const Shard& shard) {
+  return SmallPart(kJobTable, shard);
+}
+
+platform::RowKey JobRow(const std::string& job, int shards) {
+  const Shard shard{.number = ShardOfJob(job, shards), .count = shards};
+  return {.table = JobTable(shard), .part = PartOf(job), .key = job};
+}
+
+platform::RowKey CancelRow(const std::string& job, int shards) {
+  platform::RowKey row = JobRow(job, shards);
+  row.key += kCancelSuffix;
+  return row;
 }
 
 platform::RowKey ProgressRow(const std::string& job) {
@@ -150,6 +170,20 @@
   }
 }
 
+std::string EncodeShardCount(int count) {
+  return std::to_string(count);
+}
+
+std::optional<int> DecodeShardCount(std::string_view text) {
+  int count = 0;
+  const char* const end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data(), end, count);
+  const bool is_power = count > 0 && (count & (count - 1)) == 0;
+  if (error != std::errc() || rest != end || !is_power || count > kMostShards)
+    return std::nullopt;
+  return count;
+}
+
 std::string EncodeNames(const std::vector<std::string>& names) {
   return Json(names).dump();
 }
--- a/entry/tables.h
+++ b/entry/tables.h
@@ -11,17 +11,22 @@
 #include <string_view>
 #include <vector>
 
+#include "entry/shards.h"
 #include "jobs/queue.h"
 #include "platform/store.h"
 #include "scheduler/facts.h"
 
 namespace quartzhoist::entry {
 
-// Accepted jobs, never rewritten, and beside them their cancels.
+// In how many shards the fleet is scheduled; written once.
+inline constexpr std::string_view kShardTable = "shards";
+inline constexpr std::string_view kShardKey = "count";
+// Accepted jobs, never rewritten, and beside them their cancels. Each shard
+// has a table of its own, since a feed brings a whole table.
 inline constexpr std::string_view kJobTable = "jobs";
 // One row a job, rewritten by the owner under the row's version.
 inline constexpr std::string_view kProgressTable = "progress";
-// Who schedules, under which epoch.
+// Who schedules each shard, under which epoch.
 inline constexpr std::string_view kOwnerTable = "owner";
 inline constexpr std::string_view kOwnerKey = "scheduler";
 // Workers that may hold a lease, written before the first is granted.
@@ -30,20 +35,27 @@
 // How many jobs of each queue wait.
 inline constexpr std::string_view kCountTable = "counts";
 inline constexpr std::string_view kCountKey = "waiting";
-// Boxes of each wave whose upkeep has begun.
+// Boxes of each wave whose upkeep has begun, and the shards that are done.
 inline constexpr std::string_view kWaveTable = "waves";
 
-// A row of a small table of the daemons' own: each table lies in a part of its
-// own name, since calls to one part are carried out in turn.
-platform::RowKey SmallRow(std::string_view table, std::string_view key);
-// The parts of such a table.
-std::vector<std::string> SmallParts(std::string_view table);
-platform::RowKey OwnerRow();
+// A row of a small table of the daemons' own. Each shard's rows lie in a part
+// of their own, since calls to one part are carried out in turn.
+platform::RowKey SmallRow(std::string_view table,
+                          std::string_view key,
+                          const Shard& shard);
+// The part of such a table that holds the shard's rows.
+std::string SmallPart(std::string_view table, const Shard& shard);
+// The parts of all shards.
+std::vector<std::string> SmallParts(std::string_view table, int shards);
+platform::RowKey OwnerRow(const Shard& shard);
+platform::RowKey ShardRow();
 
 // The parts that jobs are spread over: writes of one part are made in turn.
-const std::vector<std::string>& JobParts();
-platform::RowKey JobRow(const std::string& job);
-platform::RowKey CancelRow(const std::string& job);
+std::vector<std::string> JobParts(const Shard& shard);
+std::string JobTable(const Shard& shard);
+// `shards`: how many there are.
+platform::RowKey JobRow(const std::string& job, int shards);
+platform::RowKey CancelRow(const std::string& job, int shards);
 platform::RowKey ProgressRow(const std::string& job);
 // The job of a row of kJobTable, and whether the row is its cancel.
 struct JobKey {
@@ -89,6 +101,10 @@
 std::string EncodeLeases(const LeaseRecord& record);
 std::optional<LeaseRecord> DecodeLeases(std::string_view text);
 
+std::string EncodeShardCount(int count);
+// Nothing if the text is no count that a fleet may be scheduled in.
+std::optional<int> DecodeShardCount(std::string_view text);
+
 std::string EncodeNames(const std::vector<std::string>& names);
 std::vector<std::string> DecodeNames(std::string_view text);
 
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -58,6 +58,20 @@
   int least_boxes = 0;
 };
 
+// How a pool stands, for people.
+struct PoolState {
+  std::string pool;
+  int boxes = 0;    // with a worker
+  int usable = 0;   // of them, that may take something further
+  int leaving = 0;  // that move, are to move, or are in their upkeep
+  int idle = 0;
+  int pinned = 0;  // by lasting tasks
+  double busy_cores = 0.0;
+  int waiting = 0;  // tasks
+  double waiting_cores = 0.0;
+  base::Micros oldest{};  // how long the first of them has waited
+};
+
 struct FleetView {
   std::vector<FleetBox> boxes;
   std::vector<FleetPool> pools;
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -134,6 +134,7 @@
   bool fenced() const { return this->is_fenced; }
   // Accepted jobs of the queue none of whose tasks has been started.
   std::map<std::string, int> WaitingJobs() const;
+  std::vector<PoolState> PoolStates(base::Micros now) const;
 
  private:
   // A ready task's place in its pool's order: by priority, lasting tasks first,
--- a/testing/job_cluster.cc
+++ b/testing/job_cluster.cc
@@ -70,8 +70,8 @@
       "readiness = 127.0.0.1:0\n"
       "[store]\naddress = {}\n[boxes]\naddress = {}\n"
       "[limits]\nmove_seconds = 0.4\nupkeep_seconds = 0.4\n"
-      "stop_ms = 100\n",
-      id, store, this->fleet.boxes_address());
+      "stop_ms = 100\nworkers_an_owner = {}\n",
+      id, store, this->fleet.boxes_address(), this->workers_an_owner);
   Daemon& daemon = this->by_id[id];
   daemon.settings = settings;
   const std::string output =
@@ -86,8 +86,8 @@
   return daemon;
 }
 
-std::string JobCluster::Owner() const {
-  const std::string row = this->rows.Value(entry::OwnerRow());
+std::string JobCluster::Owner(const entry::Shard& shard) const {
+  const std::string row = this->rows.Value(entry::OwnerRow(shard));
   const auto record = entry::DecodeOwner(row);
   return record ? record->holder : std::string();
 }
--- a/testing/job_cluster.h
+++ b/testing/job_cluster.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "base/loop.h"
+#include "entry/shards.h"
 #include "http/client.h"
 #include "testing/process.h"
 #include "testing/store_standin.h"
@@ -33,13 +34,15 @@
     std::string readiness;
   };
 
+  // Of daemons that are started from now on.
+  void SetWorkersAnOwner(int workers) { this->workers_an_owner = workers; }
   Daemon& StartDaemon(const std::string& id);
   // One that reaches the store over a link of its own.
   Daemon& StartDaemonOverLink(const std::string& id);
   TcpLink& LinkOf(const std::string& id) { return *this->links.at(id); }
   std::map<std::string, Daemon>& daemons() { return this->by_id; }
-  // The daemon that schedules, by the store's row; empty: none.
-  std::string Owner() const;
+  // The daemon that schedules a shard, by the store's row; empty: none.
+  std::string Owner(const entry::Shard& shard = {}) const;
 
   StoreStandin& store() { return this->rows; }
   WorkerStandins& workers() { return this->fleet; }
@@ -64,6 +67,7 @@
   http::Client client;
   std::map<std::string, std::unique_ptr<TcpLink>> links;  // by daemon
   std::map<std::string, Daemon> by_id;
+  int workers_an_owner = 200;
 };
 
 // A job's id made of a number.
--- a/testing/worker_standin.cc
+++ b/testing/worker_standin.cc
@@ -291,6 +291,7 @@
   if (request.path == "/machine-upkeep") {
     ++this->upkeep_count;
     this->TakeDown(box, life->second->pool);
+    this->most_away_count = std::max(this->most_away_count, this->away.size());
   } else {
     this->TakeDown(box, body.at("pool").get<std::string>());
   }
--- a/testing/worker_standin.h
+++ b/testing/worker_standin.h
@@ -39,6 +39,8 @@
   int starts() const { return this->start_count; }
   int ends_done() const { return this->done_count; }
   int upkeeps() const { return this->upkeep_count; }
+  // Boxes that were away at once when an upkeep began, itself included.
+  std::size_t most_away() const { return this->most_away_count; }
   int RunningTasks(const std::string& job) const;
 
  private:
@@ -94,6 +96,7 @@
   int start_count = 0;
   int done_count = 0;
   int upkeep_count = 0;
+  std::size_t most_away_count = 0;
   int life_count = 0;
   base::Timer timer;
   http::Server box_server;
