A pool whose boxes are full of something other than cores gets another

Trace (pool_state lines, 41 to 52 s): 18 boxes of a shard's pool, all with lasting tasks, 8% of their cores in use, one task waiting for 14 s, 90 idle boxes elsewhere. Cores did not show that the pool needed a box: memory, or tasks that may not share one, were in the way. Ruled out: the owner (no takeover of that shard), the moves (none was asked). Change: a pool in which a task has waited for 1 s without being short of cores asks for one box more than it has; so does one in which a lasting task has.

--- a/scheduler/evacuation.cc
+++ b/scheduler/evacuation.cc
@@ -23,6 +23,13 @@
 // first; 6 with more reserve 0.54 on the second).
 constexpr double kSlopeWeight = 4.0;
 
+// A task that has waited for so long fits on no box that its pool has: memory
+// or the tasks that may not share a box are in the way.
+constexpr base::Micros kStuck = milliseconds(1000);
+// A pool whose work takes more of its cores than this is short of cores, and
+// gets boxes for that.
+constexpr double kCoresTaken = 0.7;
+
 }  // namespace
 
 FleetView Scheduler::ViewFleet(base::Micros now) const {
@@ -57,6 +64,7 @@
     needs[queue.service][queue.priority].soon_cores += kSlopeWeight * slope;
   }
   std::map<std::string, int> least = this->LeastBoxes();
+  this->AddForStuckTasks(now, view, least);
   for (const jobs::Service& service : this->config.services) {
     view.pools.push_back({.name = service.name,
                           .spare = service.spare,
@@ -85,6 +93,35 @@
   return least;
 }
 
+// Cores alone do not show that a pool needs a box when its boxes are full of
+// something else: it gets one more than it has.
+void Scheduler::AddForStuckTasks(base::Micros now,
+                                 const FleetView& view,
+                                 std::map<std::string, int>& least) const {
+  for (const auto& [service, tasks] : this->ready) {
+    int boxes = 0;
+    double cores = 0.0;
+    double taken = 0.0;
+    for (const FleetBox& box : view.boxes) {
+      if (box.pool != service || !box.up)
+        continue;
+      ++boxes;
+      cores += box.cores;
+      taken += box.busy_cores;
+    }
+    const bool is_stuck =
+        std::any_of(tasks.begin(), tasks.end(), [&](const ReadyTask& task) {
+          const Task& waiting = TaskAt(*task.job, task.place);
+          return waiting.state == TaskState::kReady &&
+                 now - waiting.ready_since > kStuck &&
+                 (task.prospect == Prospect::kLasting ||
+                  taken < kCoresTaken * cores);
+        });
+    if (is_stuck)
+      least[service] = std::max(least[service], boxes + 1);
+  }
+}
+
 int Scheduler::PriorityOf(const jobs::TaskId& task) const {
   const auto job = this->jobs.find(task.job);
   return job == this->jobs.end() ? 0 : job->second.queue.priority;
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -242,6 +242,9 @@
   void RunFleet(base::Micros now);
   FleetView ViewFleet(base::Micros now) const;
   std::map<std::string, int> LeastBoxes() const;
+  void AddForStuckTasks(base::Micros now,
+                        const FleetView& view,
+                        std::map<std::string, int>& least) const;
   int PriorityOf(const jobs::TaskId& task) const;
   void StopForEvacuation(const std::string& box, base::Micros now);
   void BoxTaken(const std::string& box, base::Micros now);
--- a/scheduler/scheduler_test.cc
+++ b/scheduler/scheduler_test.cc
@@ -347,5 +347,42 @@
   BOOST_TEST(Only<UpkeepBox>(bench.Turn()).size() == 1U);
 }
 
+// On tkl-hive-large scale-1, seed 52942421899, lasting tasks waited for 15 s:
+// the boxes of their pool had cores to spare, and no memory.
+BOOST_AUTO_TEST_CASE(PoolWhoseBoxesAreFullOfMemoryGetsAnother) {
+  Bench bench(1);
+  jobs::Config config;
+  config.services = {{.name = "pool"}, {.name = "other"}};
+  bench.scheduler.SetConfig(config, bench.now);
+  bench.scheduler.PutWorker(Bench::Worker("full"), bench.now);
+  bench.List("full", {});
+  WorkerInfo idle = Bench::Worker("idle");
+  idle.service = "other";
+  bench.scheduler.PutWorker(idle, bench.now);
+  bench.List("idle", {});
+  jobs::Queue queue;
+  queue.name = "queue";
+  queue.service = "pool";
+  jobs::JobSpec spec;
+  jobs::Step step;
+  step.tasks = 2;
+  step.each = {.cpu_millis = 500, .memory_mb = 3000, .gpus = 0};
+  step.lasting = true;
+  spec.steps.push_back(step);
+  bench.scheduler.AddJob(MakeJob("job", queue, spec, {}, bench.now, {}),
+                         bench.now);
+  std::vector<MoveBox> moves;
+  for (int i = 0; i < 8 && moves.empty(); ++i) {
+    const std::vector<Action> actions = bench.Turn();
+    bench.Save(Only<SaveProgress>(actions));
+    bench.List("full", {});
+    bench.List("idle", {});
+    moves = Only<MoveBox>(actions);
+  }
+  BOOST_REQUIRE(moves.size() == 1U);
+  BOOST_TEST(moves[0].box == "box-idle");
+  BOOST_TEST(moves[0].pool == "pool");
+}
+
 }  // namespace
 }  // namespace quartzhoist::scheduler
