--- a/scheduler/ready_tasks.cc
+++ b/scheduler/ready_tasks.cc
@@ -1,6 +1,7 @@
 #include "scheduler/ready_tasks.h"
 
 #include <array>
+#include <iterator>
 #include <vector>
 
 namespace quartzhoist::scheduler {
@@ -25,6 +26,14 @@
   return first;
 }
 
+// Comes after all tasks of this priority and prospect.
+ReadyTask Behind(int priority, Prospect prospect) {
+  ReadyTask behind = First(priority, prospect);
+  behind.in_time = base::Micros::max();
+  behind.of_use = base::Micros::max();
+  return behind;
+}
+
 }  // namespace
 
 // The load pattern is a height of demand: for some seconds a pool is handed
@@ -85,41 +94,33 @@
     Prospect prospect,
     bool newest_first,
     const std::function<Tried(const ReadyTask& task)>& attempt) {
-  auto first = this->tasks.lower_bound(First(priority, prospect));
-  auto end = first;
   const auto is_inside = [&](Set::const_iterator at) {
     return at != this->tasks.end() && at->priority == priority &&
            at->prospect == prospect;
   };
-  if (newest_first) {
-    while (is_inside(end))
-      ++end;
-  }
   std::vector<ReadyTask> begun;
-  bool goes_on = true;
-  auto it = newest_first ? end : first;
-  while (goes_on) {
-    // 1. The next one, from either end.
-    if (newest_first) {
-      if (it == this->tasks.begin() || !is_inside(std::prev(it)))
-        break;
-      --it;
-    } else if (!is_inside(it)) {
+  Tried tried = Tried::kStays;
+  // What is tried lies before `it` with the newest first, at `it` otherwise.
+  auto it = this->tasks.lower_bound(newest_first ? Behind(priority, prospect)
+                                                 : First(priority, prospect));
+  while (tried != Tried::kStop) {
+    if (newest_first && it == this->tasks.begin())
       break;
-    }
-    // 2. What comes of it.
-    const Tried tried = attempt(*it);
-    goes_on = tried != Tried::kStop;
+    const auto next = newest_first ? std::prev(it) : it;
+    if (!is_inside(next))
+      break;
+    tried = attempt(*next);
+    const bool leaves = tried == Tried::kPlaced || tried == Tried::kUnwanted;
     if (tried == Tried::kPlaced && prospect == Prospect::kWaiting)
-      begun.push_back(*it);
-    if (tried == Tried::kPlaced || tried == Tried::kUnwanted)
-      it = this->tasks.erase(it);
-    else if (!newest_first)
-      ++it;
+      begun.push_back(*next);
+    if (leaves)
+      it = this->tasks.erase(next);
+    else
+      it = newest_first ? next : std::next(next);
   }
   for (const ReadyTask& placed : begun)
     this->PutBegun(placed);
-  return goes_on;
+  return tried != Tried::kStop;
 }
 
 // The other tasks of its step, which have the same end, come before jobs that
