--- a/scheduler/model_test.cc
+++ b/scheduler/model_test.cc
@@ -168,4 +168,39 @@
   BOOST_TEST(holds);
 }
 
+// A worker carries a start out late (2 to 6 s after it was sent), and the
+// daemon that sent it has been replaced, alone and together: what a cancelled
+// job still begins is stopped within five seconds of the last late start.
+BOOST_AUTO_TEST_CASE(CancelledJobsStopThoughStartsAreLateAndTheirOwnerIsGone) {
+  for (const double late : {0.0, 0.7}) {
+    for (const bool is_replaced : {false, true}) {
+      const bool holds = rc::check(
+          "late starts of a cancelled job are stopped in time",
+          [late, is_replaced] {
+            ModelJob job;
+            job.id = "cancelled";
+            job.spec.steps = {MakeStep(*rc::gen::inRange(1, 6), 1000)};
+            MakeLasting(job.spec.steps[0]);
+            ModelFaults faults;
+            faults.late_order = late;
+            const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+            SchedulerModel model(seed, faults, 4, {job});
+            model.RunFor(
+                std::chrono::milliseconds(*rc::gen::inRange(20, 4000)));
+            model.Cancel(job.id);
+            if (is_replaced)
+              model.TakeOver();
+            // Nothing is sent for the job from now on; the last late start
+            // comes within 6 s.
+            model.RunFor(seconds(6));
+            model.RunFor(seconds(5));
+            RC_LOG() << Joined(model.broken()) << model.History();
+            RC_ASSERT(model.broken().empty());
+            RC_ASSERT(model.RunningTasks(job.id) == 0);
+          });
+      BOOST_TEST(holds);
+    }
+  }
+}
+
 }  // namespace quartzhoist::testing
