--- a/scheduler/scheduler_test.cc
+++ b/scheduler/scheduler_test.cc
@@ -309,9 +309,8 @@
 }
 
 // The row of a life that is over stays in the store for some seconds, and is
-// read again when the store has forgotten its history: on tkl-hive-grown
-// scale-1, seed 11, boxes that were down for their upkeep passed for being
-// back, and too many were away.
+// read again when the store has forgotten its history: a box that is down for
+// its upkeep would pass for being back, and too many would be away.
 BOOST_AUTO_TEST_CASE(RowOfALifeThatIsOverDoesNotBringTheBoxBack) {
   Bench bench(1);
   const auto on_box = [](const std::string& id, const std::string& box) {
@@ -347,8 +346,8 @@
   BOOST_TEST(Only<UpkeepBox>(bench.Turn()).size() == 1U);
 }
 
-// On tkl-hive-large scale-1, seed 52942421899, lasting tasks waited for 15 s:
-// the boxes of their pool had cores to spare, and no memory.
+// The boxes of the pool have cores to spare and no memory: without another box
+// the lasting task would wait for ever.
 BOOST_AUTO_TEST_CASE(PoolWhoseBoxesAreFullOfMemoryGetsAnother) {
   Bench bench(1);
   jobs::Config config;
