--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -156,7 +157,33 @@
   };
 
   FleetView WithBoxesAtRest(const FleetView& view) const;
+  // A call that got no answer, or that the platform was too busy for, is made
+  // again after this.
+  static constexpr base::Micros kCallAgain = std::chrono::milliseconds(500);
+  static bool MayBeAsked(bool in_flight,
+                         base::Micros next_call,
+                         base::Micros now) {
+    return !in_flight && now >= next_call;
+  }
+
+  // A wave as one plan finds it.
+  struct WaveTurn {
+    int away = 0;
+    int pinned_away = 0;  // of them, emptying, with lasting tasks on them
+    bool all_done = true;
+    std::vector<std::pair<const FleetBox*, Upkeep*>> pending;
+  };
+
   ReportWave Report(const WaveProgress& progress) const;
+  void CompareWavesWithList(base::Micros now);
+  WaveTurn CountWave(WaveProgress& progress,
+                     const std::map<std::string, const FleetBox*>& boxes,
+                     base::Micros now) const;
+  static void TakeNext(const Wave& wave, WaveTurn& turn, base::Micros now);
+  static void CallOrEmpty(WaveProgress& progress,
+                          const std::map<std::string, const FleetBox*>& boxes,
+                          base::Micros now,
+                          std::vector<FleetStep>& steps);
   void PlanWave(WaveProgress& progress,
                 const std::map<std::string, const FleetBox*>& boxes,
                 base::Micros now,
