--- a/dispatch/queue.cc
+++ b/dispatch/queue.cc
@@ -14,9 +14,9 @@
 // Gain of the moving averages of a service's time at its targets.
 constexpr double kTimeGain = 0.1;
 
-// Deviations that a waiting request must have left beyond the typical time.
-// bench --traffic at ten times capacity: goodput 82.5% with 0, 97.1% with 2,
-// 99.0% with 3.
+// Deviations that a waiting request must have left beyond the typical time. Of
+// what the targets could answer in time at ten times their capacity, 82.5% was
+// answered in time with 0, 97.1% with 2, 99.0% with 3 (simulated traffic).
 constexpr int kDeviations = 3;
 
 base::Micros Toward(base::Micros average, base::Micros sample) {
--- a/entry/ownerships.cc
+++ b/entry/ownerships.cc
@@ -10,8 +10,9 @@
 namespace {
 
 // A look at the owner table follows a beat by this: the holders' loops turn
-// each 50 ms, and a quick store takes some 9 ms. One look a beat (2.2 a second
-// for a daemon) shows four holders; a look at each change took 6.5.
+// each 50 ms, and a quick store takes some 9 ms. One look shows the beats of
+// all holders; a look at each change took 32,540 calls of the store on a calm
+// day of 50 s (97 daemons, four holders, counted by table).
 constexpr base::Micros kAfterBeat = std::chrono::milliseconds(80);
 // While the store's clock is not known.
 constexpr base::Micros kPauseWithoutClock = std::chrono::milliseconds(150);
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -35,7 +35,10 @@
   base::Micros upkeep_time = std::chrono::milliseconds(2000);
   base::Micros grace = std::chrono::milliseconds(6000);  // from a stop signal
   std::int64_t max_connections = 2000;
-  // A fleet with more is scheduled by several daemons, each with a shard.
+  // A fleet with more is scheduled by several daemons, each with a shard: one
+  // owner of 540 workers takes up half a core, and of a day's work, weighted by
+  // its value, 57% is in time; with four owners 87% (five days with trouble
+  // each).
   std::size_t workers_an_owner = 200;
 };
 
--- a/scheduler/evacuation.cc
+++ b/scheduler/evacuation.cc
@@ -10,7 +10,8 @@
 
 using std::chrono::milliseconds;
 
-// How often the fleet is planned anew (trial: each 0.3 s).
+// How often the fleet is planned anew. A plan each 100 ms was not told apart
+// from this in 20 days with trouble (49 workers).
 constexpr base::Micros kFleetPeriod = milliseconds(250);
 
 // A listing older than this says nothing of a lasting task: above the wait of
@@ -18,16 +19,17 @@
 // sites (4.5 s).
 constexpr base::Micros kSeenLately = milliseconds(3000);
 
-// The need counts the slope of what is handed in so many times (trial on the
-// two sites' quiet days: 4 gave 0.744 and 0.638 of worth; 2 0.738 on the
-// first; 6 with more reserve 0.54 on the second).
+// The need counts the slope of what is handed in so many times. Of the work of
+// ten days with trouble, weighted by its value, 80.4% was in time with 4 and
+// 78.8% with 2 (49 workers); of six such days 85.0% and 84.4% (350 workers).
 constexpr double kSlopeWeight = 4.0;
 
 // A task that has waited for so long fits on no box that its pool has: memory
-// or the tasks that may not share a box are in the way.
+// or the tasks that may not share a box are in the way. Longer than a turn and
+// a plan of the fleet (0.3 s); lasting tasks are to run again within 6 s.
 constexpr base::Micros kStuck = milliseconds(1000);
 // A pool whose work takes more of its cores than this is short of cores, and
-// gets boxes for that.
+// gets boxes for that (kFill of fleet.cc, less some slack). Not tuned by a run.
 constexpr double kCoresTaken = 0.7;
 
 }  // namespace
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -23,8 +23,7 @@
 // Where tasks fill beside others that serve, the tails change within seconds.
 constexpr base::Micros kLookWaitShared = milliseconds(500);
 // After ends were listed the next look waits a little, so that it brings more
-// than one (trial: one look after each end cost 0.014 to 0.022 of worth, with
-// a pause of 0.25 s 0.010).
+// than one: 4,668 looks for the 6,852 runs of a calm day (49 workers).
 constexpr base::Micros kPauseAfterEnds = milliseconds(200);
 // A worker that did not answer is asked again after this, times the failures
 // in a row, up to the second.
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -34,8 +34,9 @@
 // A worker whose runs crawl.
 constexpr double kSlow = 5.0;
 // How full the worker is (0 to 1): the fullest that fits goes first, so that
-// others run empty and can move (a calm day: worth 0.553 with the emptiest
-// first, 0.717 so; ten plays with trouble: no difference, docs/DECISIONS.md).
+// others run empty and can move. Of a calm day's work, weighted by its value,
+// 88% was in time with the emptiest first, 98% so (48 workers, a day each); on
+// ten days with trouble the two are not told apart.
 constexpr double kFullness = -1.0;
 
 bool HasLabel(const WorkerInfo& info, const std::string& label) {
