--- a/base/event_log.h
+++ b/base/event_log.h
@@ -62,6 +62,7 @@
   kJobAccepted,
   kJobRefused,
   kJobCancelled,
+  kJobOver,
   kRunStarted,
   kRunUnsettled,
   kDecision,
@@ -86,7 +87,7 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 49> kEvents{{
+inline constexpr std::array<EventInfo, 50> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
@@ -124,6 +125,7 @@
     {Event::kJobAccepted, 811, Level::kInfo, "job_accepted"},
     {Event::kJobRefused, 812, Level::kInfo, "job_refused"},
     {Event::kJobCancelled, 813, Level::kInfo, "job_cancelled"},
+    {Event::kJobOver, 814, Level::kInfo, "job_over"},
     {Event::kRunStarted, 821, Level::kInfo, "run_started"},
     {Event::kRunUnsettled, 822, Level::kWarning, "run_unsettled"},
     {Event::kDecision, 823, Level::kInfo, "decision"},
--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -51,6 +51,27 @@
   return limits;
 }
 
+std::int64_t Millis(base::Micros span) {
+  return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
+void LogJobOver(const scheduler::JobOver& over) {
+  const scheduler::JobStory& story = over.story;
+  // A job that was cancelled before it began has no first place.
+  const base::Micros first = story.first_placed.value_or(milliseconds(-1));
+  base::Log(base::Event::kJobOver,
+            {{"job", over.job},
+             {"queue", over.queue},
+             {"state", base::NameOf(jobs::kJobStateNames, over.state)},
+             {"took_ms", Millis(over.took)},
+             {"objective_ms", Millis(over.objective)},
+             {"first_place_ms", Millis(first)},
+             {"longest_wait_ms", Millis(story.longest_wait)},
+             {"longest_run_ms", Millis(story.longest_run)},
+             {"runs", story.runs},
+             {"lost_runs", story.lost_runs}});
+}
+
 }  // namespace
 
 Manager::Manager(base::Loop& on,
@@ -266,6 +287,7 @@
     void operator()(const scheduler::ReportWave& report) const {
       manager.waves.Report(report);
     }
+    void operator()(const scheduler::JobOver& over) const { LogJobOver(over); }
     void operator()(const scheduler::Note& note) const {
       base::Log(base::Event::kDecision,
                 {{"subject", note.subject}, {"text", note.text}});
--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "jobs/job.h"
 #include "scheduler/facts.h"
+#include "scheduler/job.h"
 
 namespace quartzhoist::scheduler {
 
@@ -87,6 +88,16 @@
   std::string text;
 };
 
+// For the log: a job is over, and where its time went.
+struct JobOver {
+  std::string job;
+  std::string queue;
+  jobs::JobState state = jobs::JobState::kCompleted;
+  base::Micros took{};       // since it was accepted
+  base::Micros objective{};  // within which it was to be completed
+  JobStory story;
+};
+
 using Action = std::variant<StartRun,
                             StopRun,
                             PaceRun,
@@ -96,6 +107,7 @@
                             MoveBox,
                             UpkeepBox,
                             ReportWave,
+                            JobOver,
                             Note>;
 
 }  // namespace quartzhoist::scheduler
--- a/scheduler/ends.cc
+++ b/scheduler/ends.cc
@@ -54,6 +54,10 @@
     const Run ended = run->second;
     RemoveRun(worker, end.task);
     Job* job = this->FindJob(end.task.job);
+    if (job && !ended.lasting) {
+      JobStory& story = job->story;
+      story.longest_run = std::max(story.longest_run, now - ended.since);
+    }
     if (job && end.how == RunEnd::kDone && !ended.adopted && !ended.lasting) {
       const jobs::Step& step = StepOf(*job, PlaceOf(end.task));
       this->run_times.Learn(step.image.empty() ? job->queue.name : step.image,
@@ -157,6 +161,7 @@
     return;
   task.worker.clear();
   task.at_work = false;
+  ++job->story.lost_runs;
   if (job->finished()) {
     task.state = TaskState::kBlocked;
     return;
--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -75,6 +76,15 @@
   }
 };
 
+// Where a job's time went under this owner, for people.
+struct JobStory {
+  std::optional<base::Micros> first_placed;  // since it was accepted
+  base::Micros longest_wait{};               // of a task, for a place
+  base::Micros longest_run{};  // of a task, from its place to its end
+  int runs = 0;                // placed
+  int lost_runs = 0;           // that did not end their task
+};
+
 struct PendingStart {
   TaskPlace place;
   int run = 0;
@@ -88,6 +98,7 @@
   jobs::Progress progress;
   std::vector<Occurrence> occurrences;
   base::Micros accepted{};
+  JobStory story;
   bool begun = false;      // a worker has said that it started a run of it
   bool cancelled = false;  // recorded, perhaps not yet carried out
   // Runs whose placement is being recorded, with the change that holds it;
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -306,6 +306,11 @@
   const jobs::Step& step = StepOf(job, choice.place);
   Task& task = TaskAt(job, choice.place);
   Worker& worker = *choice.worker;
+  JobStory& story = job.story;
+  if (!story.first_placed)
+    story.first_placed = now - job.accepted;
+  story.longest_wait = std::max(story.longest_wait, now - task.ready_since);
+  ++story.runs;
   task.state = TaskState::kPlaced;
   task.worker = worker.info.id;
   task.run = run_number;
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -190,7 +190,15 @@
 }
 
 // A job is in time if it is completed within its longest chain, stretched, and
-// the queue's own latency. Of use it is for three times as long; the chain is
+// the queue's own latency.
+base::Micros Scheduler::ObjectiveOf(const Job& job) const {
+  const base::Micros chain = this->LongestChain(job, job.spec.steps.size());
+  return job.queue.target_latency +
+         base::Micros(static_cast<std::int64_t>(
+             job.queue.extension * static_cast<double>(chain.count())));
+}
+
+// Of use a job is for three times its objective; the chain is
 // made of mean times here, while a step ends with its slowest task, so that
 // four times the estimate leave nothing out that is of use.
 void Scheduler::Enqueue(Job& job, const TaskPlace& place, base::Micros now) {
@@ -199,11 +207,7 @@
   const bool repeats = job.spec.repeats > 0;
   const auto k = static_cast<std::size_t>(place.occurrence);
   const base::Micros since = repeats ? job.occurrences[k].due : job.accepted;
-  const base::Micros chain = this->LongestChain(job, job.spec.steps.size());
-  const auto objective =
-      job.queue.target_latency +
-      base::Micros(static_cast<std::int64_t>(
-          job.queue.extension * static_cast<double>(chain.count())));
+  const base::Micros objective = this->ObjectiveOf(job);
   const base::Micros left =
       this->LongestChain(job, static_cast<std::size_t>(place.step));
   const bool lasting = StepOf(job, place).lasting;
@@ -230,8 +234,12 @@
   this->Changed(job);
   this->save_now = true;
   this->StopAll(job, now);
-  this->actions.emplace_back(
-      Note{job.id, std::string(base::NameOf(jobs::kJobStateNames, state))});
+  this->actions.emplace_back(JobOver{.job = job.id,
+                                     .queue = job.queue.name,
+                                     .state = state,
+                                     .took = now - job.accepted,
+                                     .objective = this->ObjectiveOf(job),
+                                     .story = job.story});
 }
 
 void Scheduler::StopAll(Job& job, base::Micros now) {
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -160,6 +160,8 @@
   void Release(Job& job, base::Micros now);
   base::Micros LongestChain(const Job& job, std::size_t from) const;
   base::Micros ExpectedRun(const Job& job, const jobs::Step& step) const;
+  // From acceptance on, for all of its steps.
+  base::Micros ObjectiveOf(const Job& job) const;
   void Changed(Job& job);
   void Finish(Job& job, jobs::JobState state, base::Micros now);
   void StopAll(Job& job, base::Micros now);
--- a/scheduler/scheduler_test.cc
+++ b/scheduler/scheduler_test.cc
@@ -130,6 +130,47 @@
   return {.job = job, .occurrence = 0, .step = 0, .index = 0};
 }
 
+// The log of a job that is over tells people where its time went.
+BOOST_AUTO_TEST_CASE(JobThatIsOverTellsWhereItsTimeWent) {
+  Bench bench(2);
+  jobs::Queue queue;
+  queue.name = "queue";
+  queue.service = "pool";
+  queue.attempts = 2;
+  jobs::JobSpec spec;
+  spec.steps.push_back(Bench::OneTask());
+  bench.scheduler.AddJob(MakeJob("job", queue, spec, {}, bench.now, {}),
+                         bench.now);
+  bench.now += seconds(2);  // no worker yet
+  bench.scheduler.PutWorker(Bench::Worker("w"), bench.now);
+  bench.List("w", {});
+  std::int64_t number = 0;
+  for (const RunEnd how : {RunEnd::kFailed, RunEnd::kDone}) {
+    const StartRun start = bench.NextStart();
+    bench.scheduler.Started(start, OrderOutcome::kDone, bench.now);
+    bench.now += milliseconds(700);
+    bench.List("w", {.clock_ms = 0,
+                     .running = {},
+                     .ended = {{.number = ++number,
+                                .task = start.task,
+                                .run = start.run,
+                                .how = how,
+                                .checkpoint = ""}}});
+  }
+  const auto over = Only<JobOver>(bench.scheduler.TakeActions());
+  BOOST_REQUIRE(over.size() == 1U);
+  BOOST_TEST(over[0].job == "job");
+  BOOST_TEST(over[0].queue == "queue");
+  BOOST_CHECK(over[0].state == jobs::JobState::kCompleted);
+  const JobStory& story = over[0].story;
+  BOOST_TEST(story.runs == 2);
+  BOOST_TEST(story.lost_runs == 1);
+  BOOST_CHECK(story.first_placed >= seconds(2));
+  BOOST_CHECK(story.longest_wait >= seconds(2));
+  BOOST_CHECK(story.longest_run >= milliseconds(700));
+  BOOST_CHECK(over[0].took >= story.longest_wait + story.longest_run);
+}
+
 BOOST_AUTO_TEST_CASE(RunOfAnUnknownJobTakesTheWholeRoomUntilItHasEnded) {
   Bench bench(2);
   bench.scheduler.PutWorker(Bench::Worker("w"), bench.now);
