A lease is renewed when little of it is left, not with each look

Cause: looks at a busy worker are answered each few 100 ms, and each renewed the lease to 4 s, so that a cut box's tasks always waited for a whole lease. Ruled out: places (waits under 0.5 s), slow runs. Change: a look renews when less than 2.8 s are left, waits no longer than until 2.5 s are, and a start grants 2.5 s (3.5): what bridges a takeover stays at 2.5 s, as with an idle worker before.

--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -22,7 +22,7 @@
 constexpr base::Micros kLease = milliseconds(4000);
 // What a start grants at least: until the worker's next look has been answered.
 // Starts do not renew, or a worker that has died would seem leased for longer.
-constexpr base::Micros kStartLease = milliseconds(3500);
+constexpr base::Micros kStartLease = milliseconds(2500);
 // Confirmations come each 0.45 s, a slow store answers them some 0.4 s late.
 // What is written later than this is still conditional: it is only spared, so
 // that an owner which the store turns away does not flood it.
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -18,6 +18,11 @@
 // How long a look waits at a worker for an end, at most. Each look costs like
 // a probe; the platform allows up to 2 s.
 constexpr base::Micros kLookWait = milliseconds(1500);
+// What a lease has left at least while its owner lives: another owner takes
+// over within 1.3 to 1.9 s and then looks at each worker.
+constexpr base::Micros kLeastLease = milliseconds(2500);
+// A look is to wait for an end at least so long, else it renews the lease.
+constexpr base::Micros kLeastLookWait = milliseconds(300);
 // With an order whose fate is open the listing itself is the news.
 constexpr base::Micros kLookWaitOpen = milliseconds(300);
 // Where tasks fill beside others that serve, the tails change within seconds.
@@ -43,6 +48,37 @@
 // forgotten once its lease is over.
 constexpr int kCallsUntilSilent = 2;
 
+// How long a look may wait at the worker for an end.
+base::Micros WaitOfLook(const Worker& worker) {
+  const bool stopping = std::any_of(
+      worker.runs.begin(), worker.runs.end(), [](const auto& entry) {
+        return entry.second.state == RunState::kUnsettled ||
+               entry.second.state == RunState::kStopping ||
+               entry.second.missing_since > base::Micros::zero();
+      });
+  if (!worker.listed || worker.idle() || worker.failed_calls > 0)
+    return {};
+  if (stopping)
+    return kLookWaitOpen;
+  return IsShared(worker) ? kLookWaitShared : kLookWait;
+}
+
+// What runs on a box that a cut or a crash has taken starts elsewhere only once
+// its lease is over. Looks at a busy worker come each few 100 ms: if each of
+// them renewed, the wait would always be a whole lease. So a lease is renewed
+// when little of it is left, and the look waits no longer than until then. GAIN
+LookAt NextLook(const Worker& worker, base::Micros now) {
+  const base::Micros spare = worker.lease_end - now - kLeastLease;
+  const bool is_due = spare < kLeastLookWait;
+  const base::Micros wait = WaitOfLook(worker);
+  return {
+      .worker = worker.info.id,
+      .acknowledged = worker.acknowledged,
+      .wait = is_due ? wait : std::min(wait, spare),
+      // A silent worker's lease is to run out, whether or not it hears this.
+      .renews = is_due && worker.recorded && worker.failed_calls == 0};
+}
+
 }  // namespace
 
 void Scheduler::Granted(const std::string& id, base::Micros end) {
@@ -461,31 +497,14 @@
     // What has ended and is not recorded would be listed again at once.
     if (worker.acknowledged < worker.processed) {
       worker.next_look = now + milliseconds(20);
-      if (now < worker.last_answer + this->limits.lease / 2)
+      const bool lease_lasts =
+          worker.idle() || worker.lease_end - now > kLeastLease;
+      if (lease_lasts && now < worker.last_answer + this->limits.lease / 2)
         continue;
     }
-    base::Micros wait = kLookWait;
-    const bool stopping = std::any_of(
-        worker.runs.begin(), worker.runs.end(), [](const auto& entry) {
-          return entry.second.state == RunState::kUnsettled ||
-                 entry.second.state == RunState::kStopping ||
-                 entry.second.missing_since > base::Micros::zero();
-        });
-    if (!worker.listed || worker.idle() || worker.failed_calls > 0)
-      wait = {};
-    else if (stopping)
-      wait = kLookWaitOpen;
-    else if (IsShared(worker))
-      wait = kLookWaitShared;
     worker.look_in_flight = true;
     worker.told = worker.acknowledged;
-    this->actions.emplace_back(
-        LookAt{.worker = id,
-               .acknowledged = worker.acknowledged,
-               .wait = wait,
-               // A silent worker's lease is to run out,
-               // whether or not it hears this.
-               .renews = worker.recorded && worker.failed_calls == 0});
+    this->actions.emplace_back(NextLook(worker, now));
   }
 }
 
--- a/scheduler/scheduler_test.cc
+++ b/scheduler/scheduler_test.cc
@@ -130,6 +130,47 @@
   return {.job = job, .occurrence = 0, .step = 0, .index = 0};
 }
 
+// A busy worker's looks are answered each 0.2 s. When it falls silent, what it
+// runs waits for the end of its lease; the lease must also bridge a takeover.
+BOOST_AUTO_TEST_CASE(LeaseOfABusyWorkerIsNeitherLongNorShort) {
+  Bench bench(1);
+  bench.scheduler.PutWorker(Bench::Worker("w"), bench.now);
+  bench.List("w", {});
+  bench.AddJob("job");
+  const StartRun start = bench.NextStart();
+  bench.scheduler.Granted("w", bench.now + milliseconds(2500));
+  bench.scheduler.Started(start, OrderOutcome::kDone, bench.now);
+  const Listing running{.clock_ms = 0,
+                        .running = {{.task = start.task,
+                                     .run = start.run,
+                                     .checkpoint = "",
+                                     .percent = 10}},
+                        .ended = {}};
+  bench.List("w", running);
+  const auto left = [&] {
+    return bench.scheduler.FindWorker("w")->lease_end - bench.now;
+  };
+  base::Micros sum{};
+  int looks = 0;
+  for (int turn = 0; turn < 2000; ++turn) {
+    bench.now += milliseconds(10);
+    bench.scheduler.Confirmed(bench.now);
+    bench.scheduler.Advance(bench.now);
+    const auto asked = Only<LookAt>(bench.scheduler.TakeActions());
+    if (asked.empty())
+      continue;
+    BOOST_REQUIRE(left() > milliseconds(2200));
+    if (asked.front().renews)
+      bench.scheduler.Granted("w", bench.now + seconds(4));
+    bench.now += std::min<base::Micros>(asked.front().wait, milliseconds(200));
+    bench.List("w", running);
+    sum += left();
+    ++looks;
+  }
+  BOOST_REQUIRE(looks > 20);
+  BOOST_CHECK(sum / looks < milliseconds(3400));
+}
+
 // The log of a job that is over tells people where its time went.
 BOOST_AUTO_TEST_CASE(JobThatIsOverTellsWhereItsTimeWent) {
   Bench bench(2);
