A lease counts as lasting only by what its worker has answered

Change: a lower bound beside it, from looks that granted a lease and were answered; the model goes by it too. LeaseIsRenewedWhereItIsNotKnownToLast failed before.

--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -23,10 +23,6 @@
 // What a start grants at least: until the worker's next look has been answered.
 // Starts do not renew, or a worker that has died would seem leased for longer.
 constexpr base::Micros kStartLease = milliseconds(2500);
-// Confirmations come each 0.45 s, a slow store answers them some 0.4 s late.
-// What is written later than this is still conditional: it is only spared, so
-// that an owner which the store turns away does not flood it.
-constexpr base::Micros kConfirmedLately = milliseconds(1200);
 // The ownership is in doubt this long before orders stop. A slow store's
 // confirmations (some 0.4 s) leave 0.3 s, a quick one's 0.69 s.
 constexpr base::Micros kDoubt = milliseconds(350);
@@ -102,6 +98,7 @@
                    const std::vector<std::string>& begun) {
               this->scheduler.SetWave(share, begun, base::MonotonicNow());
             }),
+      save_policy(from.deployment().writes_span_parts),
       timer(on, [this] { this->Act(); }),
       soon(on, [this] { this->Act(); }),
       alive(std::make_shared<bool>(true)) {
@@ -129,6 +126,7 @@
 
 void Manager::Confirmed(base::Micros asked) {
   this->confirmed_at = asked;
+  this->save_policy.Confirmed(asked);
   this->renewed_in_doubt = false;
   this->scheduler.Confirmed(asked);
 }
@@ -234,10 +232,7 @@
   } else {
     this->HoldOrders();
   }
-  // An owner that the store has not confirmed lately may have been replaced.
-  const bool confirmed =
-      base::MonotonicNow() - this->confirmed_at < kConfirmedLately;
-  if (confirmed) {
+  if (this->save_policy.may_write(base::MonotonicNow())) {
     this->SaveAll();
     this->RecordWorkers();
     this->WriteCounts();
@@ -415,7 +410,7 @@
       order.renews ? this->scheduler.Deadline(worker, end) : 0;
   this->scheduler.LookSent(worker, now);
   if (deadline > 0)
-    this->scheduler.Granted(worker, end);
+    this->scheduler.LookGrants(worker, end);
   this->workers.Look(
       this->To(worker), order, deadline,
       [this, worker, lives = this->alive](const platform::LookResult& result) {
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -68,7 +68,7 @@
 // them renewed, the wait would always be a whole lease. So a lease is renewed
 // when little of it is left, and the look waits no longer than until then. GAIN
 LookAt NextLook(const Worker& worker, base::Micros now) {
-  const base::Micros spare = worker.lease_end - now - kLeastLease;
+  const base::Micros spare = worker.leased_until - now - kLeastLease;
   const bool is_due = spare < kLeastLookWait;
   const base::Micros wait = WaitOfLook(worker);
   return {
@@ -87,11 +87,19 @@
     found->second.lease_end = std::max(found->second.lease_end, end);
 }
 
+void Scheduler::LookGrants(const std::string& id, base::Micros end) {
+  this->Granted(id, end);
+  const auto found = this->workers.find(id);
+  if (found != this->workers.end())
+    found->second.look_grant = end;
+}
+
 void Scheduler::LookSent(const std::string& id, base::Micros now) {
   const auto found = this->workers.find(id);
   if (found == this->workers.end())
     return;
   found->second.look_in_flight = true;
+  found->second.look_grant = {};
   found->second.look_sent = now;
 }
 
@@ -104,6 +112,7 @@
   Worker& worker = found->second;
   // 1. It answers: its clock is known, and its lease renewed.
   worker.look_in_flight = false;
+  worker.leased_until = std::max(worker.leased_until, worker.look_grant);
   if (worker.failed_calls > 0)
     this->actions.emplace_back(Note{id, "answers again"});
   if (!worker.listed) {
@@ -498,7 +507,7 @@
     if (worker.acknowledged < worker.processed) {
       worker.next_look = now + milliseconds(20);
       const bool lease_lasts =
-          worker.idle() || worker.lease_end - now > kLeastLease;
+          worker.idle() || worker.leased_until - now > kLeastLease;
       if (lease_lasts && now < worker.last_answer + this->limits.lease / 2)
         continue;
     }
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -99,6 +99,8 @@
   // An order that grants a lease until `end` is about to be sent.
   void Granted(const std::string& worker, base::Micros end);
   void LookSent(const std::string& worker, base::Micros now);
+  // The look that is sent now grants a lease until `end`.
+  void LookGrants(const std::string& worker, base::Micros end);
 
   // --- Boxes ---
   void SetWave(const Wave& wave,
--- a/scheduler/scheduler_test.cc
+++ b/scheduler/scheduler_test.cc
@@ -80,9 +80,13 @@
                            this->now);
   }
 
-  // The worker answers a look that is sent now.
-  void List(const std::string& worker, Listing listing) {
+  // The worker answers a look that is sent now, and that may grant a lease.
+  void List(const std::string& worker,
+            Listing listing,
+            base::Micros grant = {}) {
     this->scheduler.LookSent(worker, this->now);
+    if (grant > base::Micros{})
+      this->scheduler.LookGrants(worker, grant);
     this->now += milliseconds(10);
     listing.clock_ms = this->now.count() / 1000;
     this->scheduler.Listed(worker, listing, this->now);
@@ -160,10 +164,9 @@
     if (asked.empty())
       continue;
     BOOST_REQUIRE(left() > milliseconds(2200));
-    if (asked.front().renews)
-      bench.scheduler.Granted("w", bench.now + seconds(4));
+    const base::Micros grant = bench.now + seconds(4);
     bench.now += std::min<base::Micros>(asked.front().wait, milliseconds(200));
-    bench.List("w", running);
+    bench.List("w", running, asked.front().renews ? grant : base::Micros{});
     sum += left();
     ++looks;
   }
@@ -171,6 +174,30 @@
   BOOST_CHECK(sum / looks < milliseconds(3400));
 }
 
+// What may still run there is no lease that the worker is known to have: a run
+// that is found, or a renewal without an answer.
+BOOST_AUTO_TEST_CASE(LeaseIsRenewedWhereItIsNotKnownToLast) {
+  Bench bench(2);
+  bench.scheduler.PutWorker(Bench::Worker("w"), bench.now);
+  bench.List("w", {}, bench.now + milliseconds(2000));
+  bench.AddJob("job");
+  const StartRun start = bench.NextStart();
+  bench.scheduler.Started(start, OrderOutcome::kDone, bench.now);
+  jobs::TaskId found = FirstTask("job");
+  found.index = 1;
+  bench.List(
+      "w",
+      {.clock_ms = 0,
+       .running = {{.task = found, .run = 7, .checkpoint = "", .percent = 1}},
+       .ended = {}});
+  bench.scheduler.Granted("w", bench.now + seconds(4));
+  BOOST_REQUIRE(bench.scheduler.FindWorker("w")->lease_end >=
+                bench.now + seconds(4));
+  const auto asked = Only<LookAt>(bench.Turn());
+  BOOST_REQUIRE(!asked.empty());
+  BOOST_TEST(asked.back().renews);
+}
+
 // The log of a job that is over tells people where its time went.
 BOOST_AUTO_TEST_CASE(JobThatIsOverTellsWhereItsTimeWent) {
   Bench bench(2);
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -66,6 +66,9 @@
   base::Micros listed_sent{};  // when the last look that was answered was sent
   // An upper bound, on our clock, of when everything on it is over.
   base::Micros lease_end{};
+  // A lower bound: until when looks that it has answered granted it a lease.
+  base::Micros leased_until{};
+  base::Micros look_grant{};  // what the look in flight grants; 0: nothing
   // Its clock, as read at `clock_read` on ours (when the answer came).
   std::int64_t clock_ms = 0;
   base::Micros clock_read{};
--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -410,7 +410,7 @@
                    : milliseconds(0);
   by.LookSent(order.worker, this->now);
   if (deadline > base::Micros::zero())
-    by.Granted(order.worker, end);
+    by.LookGrants(order.worker, end);
   const std::uint64_t epoch = this->owners[index].epoch;
   auto listing = std::make_shared<scheduler::Listing>();
   this->Deliver(
