The newest of late jobs first while late jobs run out of their use

Change: the same rule for both kinds. Simulated (6 s of 2.5 times a pool): of use 53% before, 61% after, in time 50% both; with a tenth of runs failing 47% and 55%; at 1.15 and 1.3 times nobody is lost. HeightOfDemandKeepsManyInTime and HeightOfDemandIsOfUseThoughRunsFail failed before.

--- a/scheduler/ready_tasks.cc
+++ b/scheduler/ready_tasks.cc
@@ -9,8 +9,8 @@
 namespace {
 
 // A pool counts as overloaded for so long after a job has run out of time
-// unbegun: longer than a turn of the scheduler, shorter than a height of demand
-// (some seconds on the sites).
+// unbegun, or of use: longer than a turn of the scheduler, shorter than a
+// height of demand (some seconds on the sites).
 constexpr base::Micros kOverloadLasts = std::chrono::seconds(1);
 
 constexpr std::array<Prospect, 5> kInOrder{Prospect::kLasting, Prospect::kBegun,
@@ -42,8 +42,10 @@
 // Whoever is left behind then changes nothing for those that are late anyway,
 // so that the newest go first, and most of what the pool can do is in time (6 s
 // of 2.5 times what a pool can do, simulated in ready_tasks_test: 24% in time
-// and 38% of use by the nearest end, 50% and 53% so). What has begun is
-// finished first. In calm, when nobody runs out of time, the nearest end goes
+// by the nearest end, 50% so). What has begun is finished first. The same holds
+// for jobs that are late once some of them run out of their use: by the nearest
+// end they begin when they are just too late for that (of the same 6 s 53% of
+// use, 61% so). In calm, when nobody runs out of time, the nearest end goes
 // first.
 void ReadyTasks::Try(
     base::Micros now,
@@ -55,8 +57,7 @@
   while (next != this->tasks.end()) {
     const int priority = next->priority;
     for (const Prospect prospect : kInOrder) {
-      const bool newest_first =
-          prospect == Prospect::kWaiting && now < this->overloaded_until;
+      const bool newest_first = now < this->too_many_until[prospect];
       if (!this->TryRange(priority, prospect, newest_first, attempt))
         return;
     }
@@ -82,8 +83,8 @@
          it->prospect == prospect && it->latest() < now) {
     ReadyTask aged = *it;
     it = this->tasks.erase(it);
-    if (prospect == Prospect::kWaiting)
-      this->overloaded_until = now + kOverloadLasts;
+    if (prospect != Prospect::kBegun)
+      this->too_many_until[prospect] = now + kOverloadLasts;
     aged.prospect = aged.of_use >= now ? Prospect::kLate : Prospect::kHopeless;
     this->tasks.insert(aged);
   }
--- a/scheduler/ready_tasks.h
+++ b/scheduler/ready_tasks.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <set>
 #include <tuple>
 
@@ -77,8 +78,9 @@
   void PutBegun(const ReadyTask& placed);
 
   Set tasks;
-  // Tasks have lately run out of time before anything of their job began.
-  base::Micros overloaded_until{};
+  // Until when tasks of this prospect count as more than can be done: some have
+  // lately run out of time.
+  std::map<Prospect, base::Micros> too_many_until;
 };
 
 }  // namespace quartzhoist::scheduler
--- a/scheduler/ready_tasks_test.cc
+++ b/scheduler/ready_tasks_test.cc
@@ -55,12 +55,26 @@
     }
   }
 
+  // A task that failed waits anew, as the rest of a job that has begun.
+  void FailsOnce(Job& job) {
+    this->tasks.Insert({.prospect = Prospect::kBegun,
+                        .in_time = job.accepted + kInTime - kMeanRun,
+                        .of_use = job.accepted + 3 * kInTime - kMeanRun,
+                        .number = ++this->number,
+                        .job = &job,
+                        .place = {}});
+  }
+
   void Turn() {
     this->now += kTick;
     while (!this->running.empty() && this->running.top().first <= this->now) {
       Job& job = *this->running.top().second;
       const base::Micros ended = this->running.top().first;
       this->running.pop();
+      if (this->fails(this->random)) {
+        this->FailsOnce(job);
+        continue;
+      }
       StepRuns& step = job.occurrences[0].steps[0];
       if (++step.done < kTasks)
         continue;
@@ -97,6 +111,7 @@
   int of_use = 0;
   std::mt19937_64 random{7};
   std::uniform_real_distribution<double> spread{0.6, 1.4};
+  std::bernoulli_distribution fails{0.0};
 };
 
 // A calm load, and a short rush that waiting can even out: nobody is left
@@ -124,7 +139,31 @@
   BOOST_TEST_MESSAGE("in time " << pool.InTimeShare() << ", of use "
                                 << pool.OfUseShare());
   BOOST_TEST(pool.InTimeShare() > 0.45);
-  BOOST_TEST(pool.OfUseShare() > 0.5);
+  BOOST_TEST(pool.OfUseShare() > 0.58);
+}
+
+// A little more than the pool can do: what waits can be worked off while it is
+// of use, and is.
+BOOST_AUTO_TEST_CASE(MildOverloadLosesNobody) {
+  for (const double times : {1.15, 1.3}) {
+    Pool pool;
+    pool.Load(0.2, seconds(2));
+    pool.Load(times, seconds(6));
+    pool.Load(0.2, seconds(10));
+    pool.Load(0.0, seconds(4));
+    BOOST_TEST(pool.OfUseShare() > 0.99);
+  }
+}
+
+// The height of demand while a tenth of the runs fail.
+BOOST_AUTO_TEST_CASE(HeightOfDemandIsOfUseThoughRunsFail) {
+  Pool pool;
+  pool.fails = std::bernoulli_distribution(0.1);
+  pool.Load(0.2, seconds(2));
+  pool.Load(2.5, seconds(6));
+  pool.Load(0.2, seconds(10));
+  pool.Load(0.0, seconds(4));
+  BOOST_TEST(pool.OfUseShare() > 0.52);
 }
 
 std::vector<std::string> Order(ReadyTasks& tasks, base::Micros now) {
