Parts of the store that are away hold up no others

Cause: a part of the store's tables was away; a quick store's saves go in batches over many parts, and one part that is away refuses the whole batch, which is made again the same way. And an owner whose own part is away stopped writing after 1.2 s. Ruled out: the box service, takeovers (none), calls over the rate (no 429). Change: after a refused write over parts each part has its own call for 2 s; an owner writes on while the store takes its saves. The policy is apart from input and output (entry/save_policy).

--- a/entry/manager.h
+++ b/entry/manager.h
@@ -17,6 +17,7 @@
 
 #include "base/counters.h"
 #include "base/loop.h"
+#include "entry/save_policy.h"
 #include "entry/save_queue.h"
 #include "entry/settings.h"
 #include "entry/shards.h"
@@ -169,7 +170,7 @@
   std::map<std::string, WorkerOrders> orders;
   SaveQueue saves;
   int saves_in_flight = 0;
-  base::Micros save_time{};           // that the last save took
+  SavePolicy save_policy;
   WorkerNames recorded;               // in the stored list
   std::uint64_t recorded_change = 0;  // of the scheduler's workers
   std::uint64_t lease_version = 0;
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -1,6 +1,7 @@
 // What the owner writes to the store, and its list of boxes.
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include <fmt/format.h>
@@ -27,8 +28,6 @@
 // The list is made and written this often at most: it names every worker.
 constexpr base::Micros kRecordGap = milliseconds(40);
 constexpr int kMaxSavesInFlight = 2;
-// A save that took longer shows a slow store (4 to 9 ms on a calm day).
-constexpr base::Micros kSlowWrite = milliseconds(60);
 // What came of a save whose fate is known; `there`: the row that a conflict
 // showed, or null.
 scheduler::SaveResult ResultOf(const scheduler::SaveProgress& save,
@@ -61,14 +60,17 @@
   return saved;
 }
 
+std::size_t PartsOf(const std::vector<scheduler::SaveProgress>& batch) {
+  std::set<std::string> parts;
+  for (const scheduler::SaveProgress& save : batch)
+    parts.insert(ProgressRow(save.job).part);
+  return parts.size();
+}
+
 }  // namespace
 
-// Where one write may span parts, a quick store takes rows of several at once,
-// in few calls. A slow one writes each part's calls in turn, and one over
-// several parts holds up all of them: there each part has its own call.
 void Manager::SaveAll() {
-  const bool slow = this->save_time > kSlowWrite;
-  const bool one_part = slow || !this->store.deployment().writes_span_parts;
+  const bool one_part = this->save_policy.one_part(base::MonotonicNow());
   while (!this->saves.empty()) {
     if (!one_part && this->saves_in_flight >= kMaxSavesInFlight)
       return;
@@ -90,19 +92,20 @@
   }
   ++this->saves_in_flight;
   const base::Micros sent = base::MonotonicNow();
-  this->store.Write(write,
-                    [this, batch = std::move(batch), sent,
-                     lives = this->alive](const platform::WriteResult& result) {
-                      if (!*lives)
-                        return;
-                      --this->saves_in_flight;
-                      this->saves.Settled(batch);
-                      this->save_time = base::MonotonicNow() - sent;
-                      this->TakeSaved(batch, result);
-                      // Placements that are recorded now are ordered at once.
-                      this->CarryAll();
-                      this->ActSoon();
-                    });
+  this->store.Write(
+      write, [this, batch = std::move(batch), sent,
+              lives = this->alive](const platform::WriteResult& result) {
+        if (!*lives)
+          return;
+        --this->saves_in_flight;
+        this->saves.Settled(batch);
+        const base::Micros now = base::MonotonicNow();
+        this->save_policy.Answered(result, PartsOf(batch), now - sent, now);
+        this->TakeSaved(batch, result);
+        // Placements that are recorded now are ordered at once.
+        this->CarryAll();
+        this->ActSoon();
+      });
 }
 
 void Manager::TakeSaved(const std::vector<scheduler::SaveProgress>& batch,
@@ -136,7 +139,7 @@
                             platform::WriteOutcome outcome,
                             const platform::Row* there) const {
   const std::uint64_t version = there ? there->version : 0;
-  const bool was_waited_for = this->save_time > kSlowWrite;
+  const bool was_waited_for = this->save_policy.slow();
   return (outcome == platform::WriteOutcome::kUnknown && was_waited_for) ||
          (outcome == platform::WriteOutcome::kConflict &&
           version == save.version);
--- /dev/null
+++ b/entry/save_policy.cc
@@ -0,0 +1,62 @@
+#include "entry/save_policy.h"
+
+#include <algorithm>
+
+namespace quartzhoist::entry {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A save that took longer shows a slow store (4 to 9 ms on a calm day).
+constexpr base::Micros kSlowWrite = milliseconds(60);
+
+// Confirmations come each 0.45 s, a slow store answers them some 0.4 s late.
+// What is written later than this is still conditional: it is only spared, so
+// that an owner which the store turns away does not flood it.
+constexpr base::Micros kTakenLately = milliseconds(1200);
+
+// After a refused write over several parts each part goes alone for so long:
+// several rounds of saves (0.2 s), shorter than outages of a store (3 to 9 s on
+// the sites), so that calls are few again soon after.
+constexpr base::Micros kApart = seconds(2);
+
+}  // namespace
+
+// Where one write may span parts, a quick store takes rows of several at once,
+// in few calls. Two loads make that the wrong choice. A slow store writes each
+// part's calls in turn, and one over several parts holds up all of them. A
+// store of which some parts are away refuses every write that touches one of
+// them: at a height of demand nearly every write does, and nothing starts at
+// all. A store that is only too busy (429) is not asked more often for it.
+void SavePolicy::Answered(const platform::WriteResult& result,
+                          std::size_t parts,
+                          base::Micros took,
+                          base::Micros now) {
+  using platform::WriteOutcome;
+  this->last_took = took;
+  const bool refused = result.outcome == WriteOutcome::kNotDone;
+  if (refused && parts > 1 && !result.throttled)
+    this->apart_until = now + kApart;
+  const bool answered = result.outcome == WriteOutcome::kDone ||
+                        result.outcome == WriteOutcome::kConflict;
+  if (answered)
+    this->taken_at = now;
+}
+
+bool SavePolicy::one_part(base::Micros now) const {
+  return !this->may_span || this->slow() || now < this->apart_until;
+}
+
+// Where the part of the ownership alone is away, the saves themselves show that
+// the store takes writes.
+bool SavePolicy::may_write(base::Micros now) const {
+  return now - std::max(this->confirmed_at, this->taken_at) < kTakenLately;
+}
+
+bool SavePolicy::slow() const {
+  return this->last_took > kSlowWrite;
+}
+
+}  // namespace quartzhoist::entry
