--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -176,6 +176,10 @@
 
   ReportWave Report(const WaveProgress& progress) const;
   void CompareWavesWithList(base::Micros now);
+  // Is, or was lately, the box in the upkeep of another wave?
+  bool InUpkeepOfAnother(int wave,
+                         const std::string& box,
+                         base::Micros now) const;
   WaveTurn CountWave(WaveProgress& progress,
                      const std::map<std::string, const FleetBox*>& boxes,
                      base::Micros now) const;
--- a/scheduler/fleet_test.cc
+++ b/scheduler/fleet_test.cc
@@ -280,6 +280,42 @@
   BOOST_TEST(Only<UpkeepBox>(fleet.Plan(view, seconds(6))).size() == 1U);
 }
 
+// Two waves cover one box: its upkeep for the one, as the list shows it, then
+// and for a while after, is not its upkeep for the other.
+BOOST_AUTO_TEST_CASE(UpkeepForOneWaveIsNoneForAnother) {
+  Fleet fleet(kLimits);
+  const auto wave = [](int number) {
+    return Wave{.number = number,
+                .boxes = {"b1"},
+                .duration = seconds(20),
+                .most_at_once = 1};
+  };
+  const BoxInfo up{.name = "b1", .pool = "pool", .worker = "b1-life"};
+  BoxInfo down = up;
+  down.state = BoxState::kUpkeep;
+  FleetView view;
+  view.boxes = {IdleBox("b1", "pool")};
+  view.pools = {{.name = "pool", .spare = false, .needs = {}}};
+  fleet.SetWave(wave(1), {}, seconds(1));
+  fleet.SetBoxes({up}, seconds(1));
+  BOOST_TEST(Only<UpkeepBox>(fleet.Plan(view, seconds(1))).size() == 1U);
+  fleet.UpkeepBegun({.box = "b1", .wave = 1}, BoxCallOutcome::kDone,
+                    seconds(1));
+  fleet.SetWave(wave(2), {}, seconds(2));
+  fleet.SetBoxes({down}, seconds(2));
+  // Its new life is there before the list shows it.
+  fleet.BoxSeen("b1", "b1-next-life");
+  fleet.SetBoxes({down}, seconds(4));
+  view.boxes[0].worker = "b1-next-life";
+  fleet.SetBoxes({up}, seconds(6));
+  const std::vector<FleetStep> steps = fleet.Plan(view, seconds(6));
+  for (const ReportWave& report : Only<ReportWave>(steps))
+    BOOST_TEST((report.wave == 1 || report.state == WaveState::kRunning));
+  const auto second = Only<UpkeepBox>(steps);
+  BOOST_REQUIRE(second.size() == 1);
+  BOOST_TEST(second[0].wave == 2);
+}
+
 // It may be used again before the box service has listed it.
 BOOST_AUTO_TEST_CASE(BoxThatAnswersIsBackFromAnEarlierOwnersUpkeep) {
   Fleet fleet(kLimits);
--- a/scheduler/fleet_waves.cc
+++ b/scheduler/fleet_waves.cc
@@ -14,6 +14,10 @@
 // were due, and 9 so.
 constexpr int kPinnedShare = 8;
 
+// The list of boxes may show what was true so long ago: it is read each 1.5 s,
+// in pages, by a service that may be slow.
+constexpr base::Micros kListAge = std::chrono::seconds(4);
+
 }  // namespace
 
 void Fleet::SetWave(const Wave& wave,
@@ -68,7 +72,7 @@
       const bool begun = !gone && found->second.state == BoxState::kUpkeep &&
                          (upkeep.state == UpkeepState::kPending ||
                           upkeep.state == UpkeepState::kEmptying);
-      if (begun) {
+      if (begun && !this->InUpkeepOfAnother(number, name, now)) {
         upkeep.state = UpkeepState::kDown;
         upkeep.since = now;
         progress.to_report = true;
@@ -77,6 +81,25 @@
   }
 }
 
+// The list does not say for which wave a box is in its upkeep. Waves overlap:
+// taken for both, one of them was said to be completed without the box.
+bool Fleet::InUpkeepOfAnother(int wave,
+                              const std::string& box,
+                              base::Micros now) const {
+  return std::any_of(
+      this->waves.begin(), this->waves.end(), [&](const auto& entry) {
+        const auto found = entry.second.boxes.find(box);
+        if (entry.first == wave || found == entry.second.boxes.end())
+          return false;
+        const Upkeep& upkeep = found->second;
+        const bool is_back_lately =
+            upkeep.state == UpkeepState::kDone &&
+            now < upkeep.since + this->limits.upkeep_time + kListAge;
+        return upkeep.state == UpkeepState::kCalling ||
+               upkeep.state == UpkeepState::kDown || is_back_lately;
+      });
+}
+
 void Fleet::UpkeepBegun(const UpkeepBox& order,
                         BoxCallOutcome outcome,
                         base::Micros now) {
