--- a/dispatch/dispatch_test.cc
+++ b/dispatch/dispatch_test.cc
@@ -11,6 +11,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "dispatch/dispatcher.h"
+#include "dispatch/test_routes.h"
 
 namespace quartzhoist::dispatch {
 namespace {
@@ -20,32 +21,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr int kSlots = 2;
-
-table::ServiceRow Service(const std::string& name, table::Urgency urgency) {
-  return {.name = name,
-          .pool = "p",
-          .urgency = urgency,
-          .order = 1,
-          .deadline_ms = 1000,
-          .queue = 20};
-}
-
-std::shared_ptr<Routes> MakeRoutes(int targets, int share = kSlots) {
-  auto routes = std::make_shared<Routes>();
-  routes->services = {Service("fast", table::Urgency::kUrgent),
-                      Service("slow", table::Urgency::kPatient)};
-  for (int i = 0; i < targets; ++i) {
-    const std::string name = "t" + std::to_string(i);
-    routes->targets.push_back({.name = name,
-                               .address = name,
-                               .pool = "p",
-                               .share = share,
-                               .epoch = 1});
-  }
-  return routes;
-}
-
 // What the world outside the dispatcher knows of one request.
 struct Known {
   bool repeatable = false;
@@ -420,60 +395,6 @@
   RC_ASSERT(total == slots);
 }
 
-int SendsAmong(const Actions& actions) {
-  return static_cast<int>(
-      std::count_if(actions.begin(), actions.end(), [](const Action& action) {
-        return std::holds_alternative<SendTry>(action);
-      }));
-}
-
-// The target has not read yet that its caller is gone, and would refuse.
-BOOST_AUTO_TEST_CASE(TheSlotOfACancelledTryIsFreeALittleLater) {
-  Dispatcher dispatcher(1);
-  Actions actions;
-  Micros now = seconds(1);
-  dispatcher.Install(MakeRoutes(1, 1), now, actions);
-  const auto arrive = [&] {
-    return dispatcher.Arrive({.service = "fast", .deadline = now + seconds(9)},
-                             now, actions);
-  };
-  const RequestId first = arrive();
-  arrive();
-  BOOST_TEST(SendsAmong(actions) == 1);
-  dispatcher.Cancel(first, now, actions);
-  BOOST_TEST(SendsAmong(actions) == 1);
-  now += milliseconds(50);
-  dispatcher.Tick(now, actions);
-  BOOST_TEST(SendsAmong(actions) == 1);
-  now += milliseconds(150);
-  dispatcher.Tick(now, actions);
-  BOOST_TEST(SendsAmong(actions) == 2);
-}
-
-// A box that leaves is drained only once cancelled work has ended there too.
-BOOST_AUTO_TEST_CASE(ADrainWaitsForCancelledTries) {
-  auto routes = MakeRoutes(1, 1);
-  Dispatcher dispatcher(1);
-  Actions actions;
-  Micros now = seconds(1);
-  dispatcher.Install(std::make_shared<Routes>(*routes), now, actions);
-  const RequestId request = dispatcher.Arrive(
-      {.service = "fast", .deadline = now + seconds(9)}, now, actions);
-  routes->targets[0].leaving = true;
-  dispatcher.Install(std::make_shared<Routes>(*routes), now, actions);
-  dispatcher.Cancel(request, now, actions);
-  const auto drained = [&] {
-    return std::any_of(actions.begin(), actions.end(),
-                       [](const Action& action) {
-                         return std::holds_alternative<ReportDrained>(action);
-                       });
-  };
-  BOOST_TEST(!drained());
-  now += milliseconds(200);
-  dispatcher.Tick(now, actions);
-  BOOST_TEST(drained());
-}
-
 BOOST_AUTO_TEST_CASE(OtherZonesAreUsedOnlyWhenTheOwnHasNone) {
   auto routes = MakeRoutes(2);
   routes->targets[1].local = false;
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -15,18 +15,6 @@
 
 using std::chrono::milliseconds;
 
-// How long a look waits at a worker for an end, at most. Each look costs like
-// a probe; the platform allows up to 2 s.
-constexpr base::Micros kLookWait = milliseconds(1500);
-// What a lease has left at least while its owner lives: another owner takes
-// over within 1.3 to 1.9 s and then looks at each worker.
-constexpr base::Micros kLeastLease = milliseconds(2500);
-// A look is to wait for an end at least so long, else it renews the lease.
-constexpr base::Micros kLeastLookWait = milliseconds(300);
-// With an order whose fate is open the listing itself is the news.
-constexpr base::Micros kLookWaitOpen = milliseconds(300);
-// Where tasks fill beside others that serve, the tails change within seconds.
-constexpr base::Micros kLookWaitShared = milliseconds(500);
 // After ends were listed the next look waits a little, so that it brings more
 // than one: 4,668 looks for the 6,852 runs of a calm day (49 workers).
 constexpr base::Micros kPauseAfterEnds = milliseconds(200);
@@ -48,64 +36,8 @@
 // forgotten once its lease is over.
 constexpr int kCallsUntilSilent = 2;
 
-// How long a look may wait at the worker for an end.
-base::Micros WaitOfLook(const Worker& worker) {
-  const bool stopping = std::any_of(
-      worker.runs.begin(), worker.runs.end(), [](const auto& entry) {
-        return entry.second.state == RunState::kUnsettled ||
-               entry.second.state == RunState::kStopping ||
-               entry.second.missing_since > base::Micros::zero();
-      });
-  if (!worker.listed || worker.idle() || worker.failed_calls > 0)
-    return {};
-  if (stopping)
-    return kLookWaitOpen;
-  return IsShared(worker) ? kLookWaitShared : kLookWait;
-}
-
-// What runs on a box that a cut or a crash has taken starts elsewhere only once
-// its lease is over. Looks at a busy worker come each few 100 ms: if each of
-// them renewed, the wait would always be a whole lease. So a lease is renewed
-// when little of it is left, and the look waits no longer than until then: a
-// busy worker that falls silent has 3.2 s left in the mean, 3.8 s with a
-// renewal by each look (looks answered each 0.2 s, simulated in
-// scheduler_test).
-LookAt NextLook(const Worker& worker, base::Micros now) {
-  const base::Micros spare = worker.leased_until - now - kLeastLease;
-  const bool is_due = spare < kLeastLookWait;
-  const base::Micros wait = WaitOfLook(worker);
-  return {
-      .worker = worker.info.id,
-      .acknowledged = worker.acknowledged,
-      .wait = is_due ? wait : std::min(wait, spare),
-      // A silent worker's lease is to run out, whether or not it hears this.
-      .renews = is_due && worker.recorded && worker.failed_calls == 0};
-}
-
 }  // namespace
 
-void Scheduler::Granted(const std::string& id, base::Micros end) {
-  const auto found = this->workers.find(id);
-  if (found != this->workers.end())
-    found->second.lease_end = std::max(found->second.lease_end, end);
-}
-
-void Scheduler::LookGrants(const std::string& id, base::Micros end) {
-  this->Granted(id, end);
-  const auto found = this->workers.find(id);
-  if (found != this->workers.end())
-    found->second.look_grant = end;
-}
-
-void Scheduler::LookSent(const std::string& id, base::Micros now) {
-  const auto found = this->workers.find(id);
-  if (found == this->workers.end())
-    return;
-  found->second.look_in_flight = true;
-  found->second.look_grant = {};
-  found->second.look_sent = now;
-}
-
 void Scheduler::Listed(const std::string& id,
                        const Listing& listing,
                        base::Micros now) {
@@ -493,31 +425,4 @@
     this->TaskLost(task, run.number, now);
 }
 
-void Scheduler::DueLooks(base::Micros now) {
-  if (this->is_fenced)
-    return;
-  for (auto& [id, worker] : this->workers) {
-    this->Acknowledge(worker);
-    // A silent worker is asked until it answers or its life is over: nothing
-    // is placed on it before.
-    const bool wanted = !worker.listed || !worker.idle() ||
-                        worker.failed_calls > 0 ||
-                        worker.acknowledged < worker.processed ||
-                        worker.acknowledged > worker.told;
-    if (!wanted || worker.look_in_flight || now < worker.next_look)
-      continue;
-    // What has ended and is not recorded would be listed again at once.
-    if (worker.acknowledged < worker.processed) {
-      worker.next_look = now + milliseconds(20);
-      const bool lease_lasts =
-          worker.idle() || worker.leased_until - now > kLeastLease;
-      if (lease_lasts && now < worker.last_answer + this->limits.lease / 2)
-        continue;
-    }
-    worker.look_in_flight = true;
-    worker.told = worker.acknowledged;
-    this->actions.emplace_back(NextLook(worker, now));
-  }
-}
-
 }  // namespace quartzhoist::scheduler
