What a worker tells of a job that is not known yet is held

Hypothesis for TWICE after takeovers beside parts of the store that are away: a new owner lists workers while a job that was handed in during its reading is still to come by the feed. The end of such a job was dropped as one of a job that is over, and acknowledged; the job, once known, showed a placement on a worker that had been listed, which passed for one that never began, and was started again. A run of such a job was stopped, and its task placed elsewhere beside it.

Ruled out by reading: saves of the next owner go under the row's version, so that an end that the earlier owner had saved is met as a conflict and merged.

Change: ends and runs of unknown jobs are held, not acknowledged and not stopped, until the job's rows have been read (ReadJob); a job that is over lets them go as before. And the list of workers is read after the progress, not beside it: an earlier owner that has not noticed its loss lists a worker before it places anything there.

--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -238,6 +238,7 @@
     this->WriteCounts();
     this->waves.Act(base::MonotonicNow());
   }
+  this->ReadJobsAgain();
   this->LogPools();
   const base::Micros now = base::MonotonicNow();
   if (now >= this->next_list && !this->listing_boxes &&
@@ -272,6 +273,9 @@
           EncodeKept({.shard = manager.shard.number, .text = save.text});
       manager.saves.Add(std::move(save));
     }
+    void operator()(const scheduler::ReadJob& read) const {
+      manager.ReadJob(read.job);
+    }
     void operator()(const scheduler::AskAdvice& ask) const { manager.Ask(ask); }
     void operator()(const scheduler::MoveBox& order) const {
       manager.SendBox(order);
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -115,6 +115,11 @@
                      scheduler::OrderOutcome outcome);
   void SendLook(const scheduler::LookAt& order);
   void Ask(const scheduler::AskAdvice& ask);
+  void ReadJob(const std::string& job);
+  void ReadJobRow(const std::string& job,
+                  const jobs::Progress& progress,
+                  std::uint64_t version);
+  void ReadJobsAgain();
   void SendBox(const scheduler::MoveBox& order);
   void SendBox(const scheduler::UpkeepBox& order);
   void SaveAll();
@@ -167,6 +172,9 @@
   WaveRecords waves;
 
   std::set<std::string> cancels;  // of jobs not known yet
+  // Jobs to be read anew: the store gave no answer.
+  std::set<std::string> unread_jobs;
+  base::Micros next_job_read{};
   std::map<std::string, WorkerOrders> orders;
   SaveQueue saves;
   int saves_in_flight = 0;
--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -102,6 +102,8 @@
 }
 
 void Manager::ReadRest() {
+  if (this->begun)
+    return;
   const auto read = [this](std::string_view table,
                            const std::vector<std::string>& parts,
                            std::optional<std::vector<platform::Row>>& into) {
@@ -116,11 +118,17 @@
                           this->reading.erase(std::string(table));
                           if (content)
                             into = std::move(content->rows);
+                          this->ReadRest();
                           this->Begin();
                         });
   };
   read(kProgressTable, JobParts(), this->kept_progress);
-  read(kLeaseTable, {SmallPart(kLeaseTable, this->shard)}, this->kept_leases);
+  // The list of workers after the progress: an earlier owner that has not
+  // noticed its loss lists a worker before it places anything there. Read at
+  // the same time, a placement could show whose worker the list lacks, and
+  // that would pass for a worker without a lease.
+  if (this->kept_progress)
+    read(kLeaseTable, {SmallPart(kLeaseTable, this->shard)}, this->kept_leases);
   read(kWaveTable, SmallParts(kWaveTable, this->shard.count), this->kept_waves);
   this->timer.StartOnce(kReadAgain);
 }
@@ -241,6 +249,77 @@
   }
 }
 
+// --- Jobs that a worker tells of first ---
+
+void Manager::ReadJob(const std::string& job) {
+  const platform::RowKey at = ProgressRow(job);
+  const platform::ReadQuery query{
+      .table = at.table, .part = at.part, .from = job, .to = {}, .limit = 1};
+  this->store.Read(query, [this, job, lives = this->alive](
+                              std::optional<platform::ReadResult> result) {
+    if (!*lives)
+      return;
+    if (!result) {
+      this->unread_jobs.insert(job);
+      return;
+    }
+    const bool is_there =
+        !result->rows.empty() && result->rows.front().at.key == job;
+    const auto progress =
+        is_there ? ProgressOf(result->rows.front()) : std::nullopt;
+    if (is_there && !progress)
+      base::Log(base::Event::kRowMalformed, {{"row", job}});
+    const bool is_over = !progress || (jobs::IsFinal(progress->state) &&
+                                       progress->placed.empty());
+    if (is_over)
+      this->scheduler.JobIsOver(job, base::MonotonicNow());
+    else
+      this->ReadJobRow(job, *progress, result->rows.front().version);
+  });
+}
+
+void Manager::ReadJobRow(const std::string& job,
+                         const jobs::Progress& progress,
+                         std::uint64_t version) {
+  const platform::RowKey at = JobRow(job, this->shard);
+  const platform::ReadQuery query{
+      .table = at.table, .part = at.part, .from = job, .to = {}, .limit = 1};
+  this->store.Read(query, [this, job, progress, version, lives = this->alive](
+                              std::optional<platform::ReadResult> result) {
+    if (!*lives)
+      return;
+    if (!result) {
+      this->unread_jobs.insert(job);
+      return;
+    }
+    const base::Micros now = base::MonotonicNow();
+    const bool is_there =
+        !result->rows.empty() && result->rows.front().at.key == job;
+    const auto accepted = is_there ? DecodeAccepted(result->rows.front().value)
+                                   : std::optional<AcceptedJob>();
+    auto made = accepted ? this->MakeJob(job, *accepted, progress, version)
+                         : std::optional<scheduler::Job>();
+    if (!made) {
+      base::Log(base::Event::kRowMalformed, {{"row", job}});
+      this->scheduler.JobIsOver(job, now);
+      return;
+    }
+    this->scheduler.AddJob(std::move(*made), now);
+    if (this->cancels.contains(job))
+      this->scheduler.CancelJob(job, now);
+    this->ActSoon();
+  });
+}
+
+void Manager::ReadJobsAgain() {
+  const base::Micros now = base::MonotonicNow();
+  if (this->unread_jobs.empty() || now < this->next_job_read)
+    return;
+  this->next_job_read = now + kReadAgain;
+  for (const std::string& job : std::exchange(this->unread_jobs, {}))
+    this->ReadJob(job);
+}
+
 // --- The store's news ---
 
 void Manager::TakeJobRow(const platform::Row& row) {
--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -65,6 +65,12 @@
   bool over = false;
 };
 
+// A worker tells of a job that this owner does not know: it is to be read from
+// the store, and added, or said to be over.
+struct ReadJob {
+  std::string job;
+};
+
 struct MoveBox {
   std::string box;
   std::string pool;
@@ -103,6 +109,7 @@
                             PaceRun,
                             LookAt,
                             SaveProgress,
+                            ReadJob,
                             AskAdvice,
                             MoveBox,
                             UpkeepBox,
--- a/scheduler/ends.cc
+++ b/scheduler/ends.cc
@@ -66,30 +66,42 @@
   }
   // 2. The task's fate.
   Job* job = this->FindJob(end.task.job);
-  if (!job || !Exists(*job, PlaceOf(end.task)))
+  if (!job) {
+    this->HoldEnd(worker, end);
     return;
-  const TaskPlace place = PlaceOf(end.task);
-  job->begun = true;
-  Task& task = TaskAt(*job, place);
-  if (!end.checkpoint.empty())
-    task.checkpoint = end.checkpoint;
-  const bool lasting = StepOf(*job, place).lasting;
-  if (end.how == RunEnd::kDone && !lasting) {
-    this->TaskDone(*job, place, now);
-    this->JudgeWorker(worker, false, now);
-  } else if (end.how == RunEnd::kFailed) {
-    if (!lasting)
-      this->TaskFailed(*job, place, end.run, worker.info.id, now);
-    else
-      RememberFailure(task, worker.info.id);
-    this->JudgeWorker(worker, true, now);
   }
-  this->TaskLost(end.task, end.run, now);
+  if (!Exists(*job, PlaceOf(end.task)))
+    return;
+  this->TakeFate(*job, worker.info.id, end, now);
   // 3. It is acknowledged once the job's row holds it.
   worker.pending_ends.push_back(
       {.number = end.number, .job = job->id, .change = job->change});
 }
 
+void Scheduler::TakeFate(Job& job,
+                         const std::string& worker,
+                         const ListedEnd& end,
+                         base::Micros now) {
+  const TaskPlace place = PlaceOf(end.task);
+  job.begun = true;
+  Task& task = TaskAt(job, place);
+  if (!end.checkpoint.empty())
+    task.checkpoint = end.checkpoint;
+  const bool lasting = StepOf(job, place).lasting;
+  const bool done = end.how == RunEnd::kDone && !lasting;
+  const bool failed = end.how == RunEnd::kFailed;
+  if (done)
+    this->TaskDone(job, place, now);
+  else if (failed && !lasting)
+    this->TaskFailed(job, place, end.run, worker, now);
+  else if (failed)
+    RememberFailure(task, worker);
+  const auto by = this->workers.find(worker);
+  if ((done || failed) && by != this->workers.end())
+    this->JudgeWorker(by->second, failed, now);
+  this->TaskLost(end.task, end.run, now);
+}
+
 void Scheduler::TaskDone(Job& job, const TaskPlace& place, base::Micros now) {
   const jobs::StepKey key{.occurrence = place.occurrence, .step = place.step};
   const jobs::Step& step = StepOf(job, place);
@@ -273,6 +285,8 @@
 void Scheduler::Acknowledge(Worker& worker) {
   while (!worker.pending_ends.empty()) {
     const PendingEnd& end = worker.pending_ends.front();
+    if (end.is_held)
+      return;
     const Job* job = this->FindJob(end.job);
     if (job && job->saved_change < end.change)
       return;
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -132,7 +132,11 @@
   run.percent = listed.percent;
   run.progressed = now;
   run.load = listed.load;
-  const bool known = job && Exists(*job, PlaceOf(listed.task));
+  if (!job) {
+    this->HoldRun(worker, listed, now);
+    return;
+  }
+  const bool known = Exists(*job, PlaceOf(listed.task));
   if (known) {
     const jobs::Step& step = StepOf(*job, PlaceOf(listed.task));
     run.takes = step.each;
@@ -143,7 +147,7 @@
     if (step.fills)
       run.takes.cpu_millis = 0;
   }
-  // Of a job that is over and was not read: what it takes is not known.
+  // No task of the job: what it takes is not known.
   if (!known)
     run.takes = worker.room();
   AddRun(worker, listed.task, run);
--- a/scheduler/model_test.cc
+++ b/scheduler/model_test.cc
@@ -62,6 +62,7 @@
   faults.crash = odds(100);
   faults.cut = odds(300);
   faults.takeover = odds(200);
+  faults.late_job = odds(300);
   faults.freeze = odds(100);
   faults.failing_run = odds(200);
   return faults;
@@ -116,6 +117,29 @@
   BOOST_TEST(model.RunningTasks("lasting") == 2);
 }
 
+// A new owner may hear of a job from its worker before the store brings it.
+BOOST_AUTO_TEST_CASE(JobsThatTheirWorkersTellOfFirstRunOnce) {
+  const bool holds = rc::check("a job that is heard of late runs once", [] {
+    std::vector<ModelJob> jobs = DrawJobs(3);
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    ModelFaults faults;
+    faults.late_job = 0.5;
+    SchedulerModel model(seed, faults, 4, jobs);
+    for (int i = 0; i < 6; ++i) {
+      model.RunFor(std::chrono::milliseconds(*rc::gen::inRange(20, 2500)));
+      model.TakeOver();
+    }
+    model.RunFor(seconds(15));
+    RC_LOG() << Joined(model.broken()) << model.History();
+    RC_ASSERT(model.broken().empty());
+    for (const ModelJob& job : jobs) {
+      if (!IsLasting(job))
+        RC_ASSERT(jobs::IsFinal(model.StateOf(job.id)));
+    }
+  });
+  BOOST_TEST(holds);
+}
+
 BOOST_AUTO_TEST_CASE(PromisesHoldUnderFaults) {
   const bool holds = rc::check(
       "no task runs twice, too early, too often or beyond its worker's room; "
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -121,6 +121,7 @@
     job.queue = *queue;
   if (job.finished()) {
     this->InheritRuns(job, now);
+    this->MeetJob(job, now);
     return;
   }
   if (job.spec.repeats > 0)
@@ -134,6 +135,7 @@
   }
   this->demand.HandedIn(job.queue.name, core_seconds, now);
   this->InheritRuns(job, now);
+  this->MeetJob(job, now);
   this->Release(job, now);
 }
 
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -81,6 +81,8 @@
   // --- Facts about jobs ---
   void AddJob(Job&& added, base::Micros now);
   void CancelJob(const std::string& id, base::Micros now);
+  // The answer to ReadJob, where nothing of the job is to run any more.
+  void JobIsOver(const std::string& id, base::Micros now);
   void Saved(const SaveResult& result, base::Micros now);
 
   // --- What came of actions ---
@@ -172,6 +174,10 @@
 
   // ends
   void TakeEnd(Worker& worker, const ListedEnd& end, base::Micros now);
+  void TakeFate(Job& job,
+                const std::string& worker,
+                const ListedEnd& end,
+                base::Micros now);
   void TaskDone(Job& job, const TaskPlace& place, base::Micros now);
   void TaskFailed(Job& job,
                   const TaskPlace& place,
@@ -192,6 +198,19 @@
                base::Micros now);
   void JudgeWorker(Worker& worker, bool failed, base::Micros now);
 
+  // what workers tell of jobs that are not known yet
+  struct UnknownJob {
+    std::vector<std::pair<std::string, ListedEnd>> ends;  // by their workers
+    std::vector<std::pair<std::string, jobs::TaskId>> runs;
+  };
+  UnknownJob& Unknown(const std::string& job);
+  void HoldEnd(Worker& worker, const ListedEnd& end);
+  void HoldRun(Worker& worker, const ListedRun& listed, base::Micros now);
+  void MeetJob(Job& job, base::Micros now);
+  void ReleaseEnd(const std::string& worker,
+                  const ListedEnd& end,
+                  std::uint64_t change);
+
   // listings
   Worker* TakeOutcome(const std::string& id,
                       OrderOutcome outcome,
@@ -261,6 +280,7 @@
   std::map<std::string, Worker> workers;
   std::set<std::string> ended_lives;  // until their announcements are gone
   std::unordered_map<std::string, Job> jobs;
+  std::map<std::string, UnknownJob> unknown_jobs;
   std::map<std::string, ReadyTasks> ready;  // by service
   std::set<std::string> to_save;            // jobs whose progress changed
   std::set<std::string> timed;              // jobs with repeats to come
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -51,6 +51,7 @@
   std::int64_t number = 0;
   std::string job;
   std::uint64_t change = 0;
+  bool is_held = false;  // its job is not known: no row holds it
 };
 
 struct Worker {
--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -35,6 +35,7 @@
     stored.job = job;
     stored.progress = jobs::EncodeProgress({});
     stored.version = ++this->version;
+    stored.first_version = stored.version;
   }
   for (int i = 0; i < worker_count; ++i)
     this->AddWorker(i);
@@ -180,17 +181,18 @@
   config.services.push_back({.name = "pool"});
   made.SetConfig(config, this->now);
   made.Confirmed(this->now);
+  const std::size_t index = this->owners.size();
   for (const auto& [id, stored] : this->jobs) {
     jobs::Progress progress = jobs::DecodeProgress(stored.progress).value();
     // As the entry box does: what is over and placed nowhere is not read.
     if (jobs::IsFinal(progress.state) && progress.placed.empty())
       continue;
-    jobs::Queue queue;
-    queue.name = "queue";
-    queue.service = "pool";
-    queue.attempts = stored.job.attempts;
-    scheduler::Job job = scheduler::MakeJob(id, queue, stored.job.spec,
-                                            std::move(progress), this->now, {});
+    if (this->Chance(this->faults.late_job)) {
+      this->After(this->Between(20, 600),
+                  [this, index, id] { this->BringJob(index, id); });
+      continue;
+    }
+    scheduler::Job job = this->Make(id, std::move(progress));
     job.version = stored.version;
     made.AddJob(std::move(job), this->now);
     if (stored.cancelled)
@@ -199,6 +201,44 @@
   this->owners.push_back(std::move(owner));
 }
 
+scheduler::Job SchedulerModel::Make(const std::string& id,
+                                    jobs::Progress progress) const {
+  const ModelJob& job = this->jobs.at(id).job;
+  jobs::Queue queue;
+  queue.name = "queue";
+  queue.service = "pool";
+  queue.attempts = job.attempts;
+  return scheduler::MakeJob(id, queue, job.spec, std::move(progress), this->now,
+                            {});
+}
+
+void SchedulerModel::BringJob(std::size_t index, const std::string& id) {
+  const StoredJob& stored = this->jobs.at(id);
+  scheduler::Job job = this->Make(id, {});
+  job.version = stored.first_version;
+  scheduler::Scheduler& owner = *this->owners[index].scheduler;
+  owner.AddJob(std::move(job), this->now);
+  if (stored.cancelled)
+    owner.CancelJob(id, this->now);
+}
+
+void SchedulerModel::ReadJob(std::size_t index, const std::string& id) {
+  this->After(this->Between(5, 300), [this, index, id] {
+    scheduler::Scheduler& owner = *this->owners[index].scheduler;
+    const StoredJob& stored = this->jobs.at(id);
+    jobs::Progress progress = jobs::DecodeProgress(stored.progress).value();
+    if (jobs::IsFinal(progress.state) && progress.placed.empty()) {
+      owner.JobIsOver(id, this->now);
+      return;
+    }
+    scheduler::Job job = this->Make(id, std::move(progress));
+    job.version = stored.version;
+    owner.AddJob(std::move(job), this->now);
+    if (stored.cancelled)
+      owner.CancelJob(id, this->now);
+  });
+}
+
 void SchedulerModel::RunFor(base::Micros span) {
   const base::Micros end = this->now + span;
   while (this->now < end)
@@ -299,6 +339,8 @@
     this->SendLook(owner, *look);
   else if (const auto* save = std::get_if<scheduler::SaveProgress>(&action))
     this->Save(owner, *save);
+  else if (const auto* read = std::get_if<scheduler::ReadJob>(&action))
+    this->ReadJob(owner, read->job);
   else if (const auto* note = std::get_if<scheduler::Note>(&action))
     this->Record(fmt::format("owner {}: {}: {}", this->owners[owner].epoch,
                              note->subject, note->text));
--- a/testing/scheduler_model.h
+++ b/testing/scheduler_model.h
@@ -29,6 +29,9 @@
   double late_save = 0.0;    // made 1 to 4 s later if it still fits
   double crash = 0.0;        // a worker's life ends, a second
   double cut = 0.0;          // a worker is cut from an owner, a second
+  // A job was handed in while a new owner read what is kept: it hears of it 20
+  // to 600 ms later. Per job and takeover.
+  double late_job = 0.0;
   double takeover = 0.0;  // a new owner comes, the old one lives on, a second
   double freeze = 0.0;    // an owner stands still for 1 to 6 s, a second
   double failing_run = 0.0;  // a run fails
@@ -94,6 +97,7 @@
     ModelJob job;
     std::string progress;
     std::uint64_t version = 0;
+    std::uint64_t first_version = 0;  // as it was handed in
     bool cancelled = false;
     std::set<scheduler::TaskPlace> done;  // noted ends, as workers saw them
     std::map<scheduler::TaskPlace, int> failed;  // noted
@@ -119,6 +123,10 @@
   void Disturb();
   void AddWorker(int number);
   void RecordListed(Owner& owner);
+  scheduler::Job Make(const std::string& id, jobs::Progress progress) const;
+  // The feed brings a job as it was handed in.
+  void BringJob(std::size_t owner, const std::string& id);
+  void ReadJob(std::size_t owner, const std::string& id);
   void Act(std::size_t owner);
   void Carry(std::size_t owner, const scheduler::Action& action);
   void SendStart(std::size_t owner, const scheduler::StartRun& order);
