Callers show an access key of an organisation

Cause: the job path read neither keys nor tenants.

Where organisations are listed, a call needs a known key unless its queue is open, else 401. A view that is older than 250 ms asks the store before it calls a key unknown, as for a queue; a flood of unknown keys costs four reads a second. A view older than half of the span in which a change must be in force decides nothing, as before, which covers keys taken away in a cut, or while the store turns a daemon away, also on connections that stay open: nothing is kept for one. The job's row says whose job it is.

Ruled out: keys on the settings' contracts; a deployment may begin to list organisations while daemons run.

--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -29,12 +29,14 @@
 // An answer is to leave this long before the caller gives up.
 constexpr base::Micros kAnswerMargin = milliseconds(150);
 constexpr int kCancelTries = 3;
-// A queue is called unknown by a view that is at most so old; else the store is
-// asked, some ms. Bounds what requests for unknown queues cost.
+// A queue or a key is called unknown by a view that is at most so old; else the
+// store is asked, some ms. Bounds what a flood of such requests costs: four
+// reads a second.
 constexpr base::Micros kFreshView = milliseconds(250);
 
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
+constexpr int kNoKey = 401;
 constexpr int kNoQueue = 404;
 constexpr int kNoMethod = 405;
 constexpr int kNoJob = 410;
@@ -123,6 +125,8 @@
       http::JsonResponse(status, platform::ProblemBody(reason));
   if (status == kUnavailable)
     response.headers.push_back({.name = "Retry-After", .value = "1"});
+  if (status == kNoKey)
+    response.headers.push_back({.name = "WWW-Authenticate", .value = "Token"});
   this->counters.Add(status == kUnknownFate ? base::Counter::kRefusedMayHaveRun
                                             : base::Counter::kRefusedNotRun);
   base::Log(base::Event::kJobRefused,
@@ -194,8 +198,11 @@
   const std::string* host = http::FindHeader(request.headers, "Host");
   const jobs::Queue* queue =
       this->config->Route(host ? WithoutPort(*host) : "", path);
+  // 2. The caller, by its key.
+  const std::optional<std::string> organisation =
+      queue ? this->OrganisationOf(request, *queue) : std::nullopt;
   const base::Micros age = base::MonotonicNow() - this->config_seen;
-  if (!queue && view == ConfigView::kFollowed && age > kFreshView) {
+  if (!organisation && view == ConfigView::kFollowed && age > kFreshView) {
     this->AskForConfig(exchange);
     return;
   }
@@ -203,7 +210,11 @@
     this->Refuse(exchange, kNoQueue, "", "there is no such queue");
     return;
   }
-  // 2. The queue itself, or one of its jobs.
+  if (!organisation) {
+    this->Refuse(exchange, kNoKey, "", "the access key is not known");
+    return;
+  }
+  // 3. The queue itself, or one of its jobs.
   const std::string job(path.substr(queue->path_prefix.size()));
   if (job.empty() && request.method == "GET") {
     this->AnswerCount(exchange, queue->name);
@@ -214,7 +225,7 @@
     return;
   }
   if (request.method == "POST")
-    this->Submit(exchange, *queue, job);
+    this->Submit(exchange, *queue, *organisation, job);
   else if (request.method == "GET")
     this->AnswerState(exchange, job);
   else if (request.method == "DELETE")
@@ -223,10 +234,24 @@
     this->Refuse(exchange, kNoMethod, job, "POST, GET or DELETE");
 }
 
+std::optional<std::string> CallerApi::OrganisationOf(
+    const http::Request& request,
+    const jobs::Queue& queue) const {
+  const std::optional<std::string_view> key =
+      platform::CallerKey(request.headers);
+  const jobs::Organisation* holder =
+      key ? this->config->HolderOf(jobs::DigestOf(*key)) : nullptr;
+  if (holder)
+    return holder->name;
+  const bool needs_none = queue.open || !this->config->asks_for_keys;
+  return needs_none ? std::optional<std::string>("") : std::nullopt;
+}
+
 // --- Handing in ---
 
 void CallerApi::Submit(const http::ExchangePtr& exchange,
                        const jobs::Queue& queue,
+                       const std::string& organisation,
                        const std::string& job) {
   const http::Request& request = exchange->request();
   if (request.body.size() > this->config->max_body) {
@@ -246,8 +271,10 @@
   const base::Micros now = base::MonotonicNow();
   submission.exchange = exchange;
   submission.job = job;
-  submission.row = EncodeAccepted(
-      {.queue = queue, .accepted_ms = NowMillis(), .body = request.body});
+  submission.row = EncodeAccepted({.queue = queue,
+                                   .accepted_ms = NowMillis(),
+                                   .organisation = organisation,
+                                   .body = request.body});
   submission.arrived = now;
   submission.deadline =
       now + platform::CallerPatience(request.headers) - kAnswerMargin;
--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -71,8 +71,13 @@
   void AskForConfig(const http::ExchangePtr& exchange);
   void TakeConfigRow(const std::optional<platform::ReadResult>& result,
                      base::Micros asked);
+  // Whose key came with the request; nothing if the queue asks for one that is
+  // known, and it has none.
+  std::optional<std::string> OrganisationOf(const http::Request& request,
+                                            const jobs::Queue& queue) const;
   void Submit(const http::ExchangePtr& exchange,
               const jobs::Queue& queue,
+              const std::string& organisation,
               const std::string& job);
   void WritePart(const std::string& part);
   void TakeWritten(const std::string& part,
--- a/entry/caller_api_test.cc
+++ b/entry/caller_api_test.cc
@@ -48,6 +48,9 @@
         "http://127.0.0.1:" + std::to_string(this->server.port()) + path;
     request.headers = {{.name = "Host", .value = host},
                        {.name = "Deadline-Ms", .value = patience}};
+    if (!this->authorization.empty())
+      request.headers.push_back(
+          {.name = "Authorization", .value = this->authorization});
     request.body = body;
     request.timeout = std::chrono::seconds(20);
     this->client.Send(std::move(request), [&](const http::ClientResult& got) {
@@ -64,6 +67,7 @@
     this->Until([until] { return base::MonotonicNow() > until; });
   }
 
+  std::string authorization;  // of calls from now on; empty: none
   CallerApi api{this->loop, this->store, this->counters,
                 [this](const platform::Row& row) {
                   this->api.SetConfig(platform::ParseConfig(row.value));
@@ -247,6 +251,97 @@
   BOOST_TEST(bench.Call("POST", kJob, kBody).status == 404);
 }
 
+// --- Access keys ---
+
+constexpr const char* kKeyedConfig =
+    R"({"version":2,"routes":[{"name":"q","host":"h.example",)"
+    R"("pathPrefix":"/p/","service":"s"},{"name":"o","host":"h.example",)"
+    R"("pathPrefix":"/open/","service":"s","authExempt":true}],)"
+    R"("services":[{"name":"s"}],)"
+    R"("tenants":[{"name":"bees","apiKeys":["key-of-bees","other"],)"
+    R"("weight":9,"maxCount":{"cpu":16000}},{"name":"none","apiKeys":[]}]})";
+
+BOOST_AUTO_TEST_CASE(CallersNeedAKnownKeyUnlessTheQueueIsOpen) {
+  CallerBench bench;
+  bench.api.SetConfig(platform::ParseConfig(kKeyedConfig));
+  for (const char* key :
+       {"", "Token", "Token ", "Token key-of-bee", "Token key-of-beess",
+        "Bearer key-of-bees", "key-of-bees"}) {
+    bench.authorization = key;
+    for (const char* method : {"POST", "GET", "DELETE"})
+      BOOST_TEST(bench.Call(method, kJob, kBody).status == 401, key);
+  }
+  BOOST_TEST(bench.standin.Table(std::string(kJobTable)).empty());
+  const http::Response refused = bench.Call("GET", "/p/");
+  BOOST_TEST(refused.status == 401);
+  BOOST_TEST(http::FindHeader(refused.headers, "WWW-Authenticate"));
+  bench.authorization = "";
+  BOOST_TEST(bench.Call("POST", "/open/5c0e7a21d94b36f9", kBody).status == 200);
+  bench.authorization = "Token key-of-bees";
+  BOOST_TEST(bench.Call("POST", kJob, kBody).status == 200);
+  BOOST_TEST(bench.Call("GET", kJob).status == 200);
+  const auto kept = DecodeAccepted(bench.standin.Value(JobRow(kId, {})));
+  BOOST_REQUIRE(kept);
+  BOOST_TEST(kept->organisation == "bees");
+}
+
+// The feed has fallen silent: a key that was added, and one that was removed.
+BOOST_AUTO_TEST_CASE(UnknownKeyIsLookedForInTheStoreBeforeItIsRefused) {
+  CallerBench bench;
+  bench.api.SetConfig(platform::ParseConfig(kKeyedConfig));
+  bench.standin.Put(kConfigRow,
+                    R"({"version":3,"routes":[{"name":"q","host":"h.example",)"
+                    R"("pathPrefix":"/p/","service":"s"}],"services":[],)"
+                    R"("tenants":[{"name":"bees","apiKeys":["new"]}]})");
+  bench.WaitUntilTheViewIsOld();
+  bench.authorization = "Token new";
+  BOOST_TEST(bench.Call("POST", kJob, kBody).status == 200);
+  bench.authorization = "Token key-of-bees";
+  BOOST_TEST(bench.Call("GET", kJob).status == 401);
+}
+
+BOOST_AUTO_TEST_CASE(RemovedKeyIsNotServedByAnOldView) {
+  CallerBench bench;
+  bench.api.SetConfig(platform::ParseConfig(kKeyedConfig));
+  bench.standin.Put(kConfigRow,
+                    R"({"version":3,"routes":[{"name":"q","host":"h.example",)"
+                    R"("pathPrefix":"/p/","service":"s"}],"services":[],)"
+                    R"("tenants":[]})");
+  bench.WaitUntilTheViewIsOld();
+  bench.authorization = "Token key-of-bees";
+  BOOST_TEST(bench.Call("POST", kJob, kBody).status == 401);
+  BOOST_TEST(bench.standin.Table(std::string(kJobTable)).empty());
+}
+
+// Turned away by the store, a daemon can't know whether a key still holds.
+BOOST_AUTO_TEST_CASE(KeyThatCannotBeCheckedIsNeitherServedNorCalledUnknown) {
+  CallerBench bench;
+  bench.api.SetConfig(platform::ParseConfig(kKeyedConfig));
+  bench.WaitUntilTheViewIsOld();
+  bench.standin.SetMood(StoreStandin::Mood::kBusy);
+  for (const char* key : {"Token key-of-bees", "Token unknown"}) {
+    bench.authorization = key;
+    BOOST_TEST(bench.Call("POST", kJob, kBody).status == 503);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(FloodOfUnknownKeysAsksTheStoreNowAndThen) {
+  CallerBench bench;
+  bench.standin.Put(kConfigRow, kKeyedConfig);
+  bench.api.SetConfig(platform::ParseConfig(kKeyedConfig));
+  bench.WaitUntilTheViewIsOld();
+  const int before = bench.standin.reads();
+  const base::Micros start = base::MonotonicNow();
+  for (int i = 0; i < 200; ++i) {
+    bench.authorization = "Token wrong-" + std::to_string(i);
+    BOOST_TEST(bench.Call("GET", kJob).status == 401);
+  }
+  // Four a second, and the one that began.
+  const auto allowed =
+      2 + static_cast<int>(4 * base::Seconds(base::MonotonicNow() - start));
+  BOOST_TEST(bench.standin.reads() - before <= allowed);
+}
+
 BOOST_AUTO_TEST_CASE(OldViewThatTheStoreDoesNotRenewDecidesNothing) {
   CallerBench bench;
   bench.WaitUntilTheViewIsOld();
--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -241,6 +241,7 @@
         std::move(progress), milliseconds(accepted.accepted_ms) + offset,
         offset);
     job.version = version;
+    job.organisation = accepted.organisation;
     return job;
   } catch (const platform::BadInput& problem) {
     base::Log(base::Event::kRowMalformed,
--- a/entry/tables.cc
+++ b/entry/tables.cc
@@ -99,6 +99,7 @@
               {"extension", job.queue.extension},
               {"latency_us", job.queue.target_latency.count()},
               {"accepted_ms", job.accepted_ms},
+              {"organisation", job.organisation},
               {"body", job.body}}
       .dump();
 }
@@ -115,6 +116,7 @@
     job.queue.target_latency =
         base::Micros(json.at("latency_us").get<std::int64_t>());
     job.accepted_ms = json.at("accepted_ms").get<std::int64_t>();
+    job.organisation = json.value("organisation", "");
     job.body = json.at("body").get<std::string>();
     return job;
   } catch (const Json::exception&) {
--- a/entry/tables.h
+++ b/entry/tables.h
@@ -70,6 +70,7 @@
 struct AcceptedJob {
   jobs::Queue queue;
   std::int64_t accepted_ms = 0;  // since 1970
+  std::string organisation;      // whose key came with it; empty: none
   std::string body;
 };
 std::string EncodeAccepted(const AcceptedJob& job);
--- a/jobs/queue.cc
+++ b/jobs/queue.cc
@@ -18,6 +18,26 @@
   return nullptr;
 }
 
+const Organisation* Config::FindOrganisation(std::string_view name) const {
+  for (const Organisation& organisation : this->organisations) {
+    if (organisation.name == name)
+      return &organisation;
+  }
+  return nullptr;
+}
+
+// Every key is looked at, whichever matches.
+const Organisation* Config::HolderOf(const KeyDigest& key) const {
+  const Organisation* holder = nullptr;
+  for (const Organisation& organisation : this->organisations) {
+    for (const KeyDigest& held : organisation.keys) {
+      if (IsSameKey(held, key))
+        holder = &organisation;
+    }
+  }
+  return holder;
+}
+
 const Queue* Config::Route(std::string_view host, std::string_view path) const {
   const Queue* best = nullptr;
   for (const Queue& queue : this->queues) {
--- a/jobs/queue.h
+++ b/jobs/queue.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "jobs/organisation.h"
 
 namespace quartzhoist::jobs {
 
@@ -30,6 +31,7 @@
   double extension = 1.0;         // objective: times the longest chain of work
   base::Micros target_latency{};  // objective: added to that
   AdviceTerms advice;
+  bool open = false;  // its callers need no access key
 
   bool operator==(const Queue& other) const {
     return this->name == other.name && this->service == other.service &&
@@ -48,10 +50,16 @@
   std::int64_t version = 0;
   std::vector<Queue> queues;
   std::vector<Service> services;
+  // Where organisations are listed, callers need a key of one of them.
+  bool asks_for_keys = false;
+  std::vector<Organisation> organisations;
   std::size_t max_body = 262'144;  // bytes of a caller's request
 
   const Queue* FindQueue(std::string_view name) const;
   const Service* FindService(std::string_view name) const;
+  const Organisation* FindOrganisation(std::string_view name) const;
+  // Whose access key this is, or null.
+  const Organisation* HolderOf(const KeyDigest& key) const;
   // The queue with this host and the longest prefix of `path`, or null.
   const Queue* Route(std::string_view host, std::string_view path) const;
 };
--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -93,6 +93,7 @@
 
 struct Job {
   std::string id;
+  std::string organisation;  // whose quota it counts towards; empty: none
   jobs::Queue queue;  // as configured, or as it was when the job was accepted
   jobs::JobSpec spec;
   jobs::Progress progress;
--- a/scheduler/unknown_jobs.cc
+++ b/scheduler/unknown_jobs.cc
@@ -1,11 +1,11 @@
 // What workers tell of jobs that the scheduler does not know yet.
 //
-// A new owner reads jobs and progress part by part, then asks the workers. A job
-// that was accepted and placed meanwhile may be known to its worker first. Ends
-// of it that were acknowledged then were forgotten: the job, once known, had a
-// placement whose worker told of no run and no end, and was started again. So
-// what is told of an unknown job is held, its end not acknowledged and its run
-// not stopped, until the job has been read.
+// A new owner reads jobs and progress part by part, then asks the workers. A
+// job that was accepted and placed meanwhile may be known to its worker first.
+// Ends of it that were acknowledged then were forgotten: the job, once known,
+// had a placement whose worker told of no run and no end, and was started
+// again. So what is told of an unknown job is held, its end not acknowledged
+// and its run not stopped, until the job has been read.
 
 #include <algorithm>
 #include <utility>
--- a/testing/store_standin.cc
+++ b/testing/store_standin.cc
@@ -204,6 +204,7 @@
 }
 
 void StoreStandin::Read(const http::ExchangePtr& exchange) {
+  ++this->read_count;
   auto query = QueryOf(exchange->request().path);
   json answer = {{"rows", json::array()},
                  {"more", false},
--- a/testing/store_standin.h
+++ b/testing/store_standin.h
@@ -53,6 +53,8 @@
   std::vector<platform::Row> Table(const std::string& table) const;
   // Calls of writes, whatever came of them.
   int writes() const { return this->write_count; }
+  // Calls of reads that were answered.
+  int reads() const { return this->read_count; }
 
  private:
   struct Stored {
@@ -93,6 +95,7 @@
   std::uint64_t forgotten = 0;  // history up to here is gone
   std::size_t page = 500;
   int write_count = 0;
+  int read_count = 0;
   base::Timer timer;
   http::Server server;
 };
