Entries of another writer name nothing to use; the others hold

Cause: a worker's entry was used with a service, state, room or labels missing or unheard of; one that could not be read left an earlier one in force, one bad box refused the whole page of boxes, and a list of workers that could not be read was met as a conflict for ever.

Each bad one has a log line, bounded like all logs.

Ruled out: to want the box's name in a worker's entry; the pages' example of one has none.

--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -208,7 +208,7 @@
       return;
     }
     if (row.at.key.starts_with(platform::kWavePrefix)) {
-      const scheduler::Wave wave = platform::ParseWave(row.value);
+      const scheduler::Wave wave = platform::ParseWave(row.at.key, row.value);
       this->waves[wave.number] = wave;
       for (const auto& one : this->by_shard) {
         if (one->manager)
--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -201,6 +201,8 @@
 // Workers that an earlier owner may have granted a lease; false if the row is a
 // later owner's.
 bool Manager::TakeLeases(const platform::Row& row) {
+  // A row that cannot be read is written anew, under its version.
+  this->lease_version = row.version;
   const auto record = DecodeLeases(row.value);
   if (!record) {
     base::Log(base::Event::kRowMalformed, {{"row", row.at.key}});
@@ -210,7 +212,6 @@
     return false;
   const auto bound = base::Micros(static_cast<std::int64_t>(
       static_cast<double>(this->GrantBound().count()) * kClockSlack));
-  this->lease_version = row.version;
   // An own write whose answer was lost.
   if (record->epoch == this->epoch) {
     this->recorded = NamesOf(*record);
@@ -349,10 +350,13 @@
   const std::string& id = changed.row.at.key;
   if (!this->announced)
     this->announced.emplace();
-  if (changed.removed) {
+  const auto withdraw = [this, &id, now] {
     this->announced->erase(id);
     if (this->begun)
       this->scheduler.WorkerUnlisted(id, now);
+  };
+  if (changed.removed) {
+    withdraw();
     return;
   }
   try {
@@ -366,6 +370,7 @@
   } catch (const platform::BadInput& problem) {
     base::Log(base::Event::kRowMalformed,
               {{"row", id}, {"problem", problem.what()}});
+    withdraw();
   }
 }
 
--- a/entry/process_test.cc
+++ b/entry/process_test.cc
@@ -223,6 +223,77 @@
   bench.ExpectAllDoneOnce();
 }
 
+// --- Access keys, and entries of other writers ---
+
+std::string KeyedConfig(int version, const std::string& key) {
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"routes":[{"name":"q","host":"jobs.example",)"
+         R"("pathPrefix":"/q/","service":"press","attempts":3,)"
+         R"("extension":1.5,"targetLatencyMs":600}],)"
+         R"("services":[{"name":"press"},{"name":"rest","spare":true}],)"
+         R"("tenants":[{"name":"bees","apiKeys":[")" +
+         key + R"("],"weight":9,"maxCount":{"cpu":1000000}}]})";
+}
+
+// Keys that are used, unknown, added and removed, and a configuration that
+// cannot be read, also in the store's answers: no log line or dump holds a
+// part.
+BOOST_AUTO_TEST_CASE(KeysComeAndGoAndStandInNoLog) {
+  const platform::RowKey config{.table = "op", .part = "", .key = "config"};
+  const std::vector<std::string> keys = {
+      "pqk8bdk9eevyxq2yyaza", "x6pwawxdmdejk7f92bqu", "wrong4zz81kk2mmq0ppd"};
+  Bench bench(2);
+  const auto says = [&bench](const std::string& key, int status) {
+    bench.cluster.SetKey(key);
+    return bench.cluster.WaitUntil(kSoon, [&bench, status] {
+      return bench.cluster.Call("entry-1", "GET", JobId(1)).status == status;
+    });
+  };
+  bench.cluster.store().Put(config, KeyedConfig(2, keys[0]));
+  BOOST_TEST(says("", 401));
+  BOOST_TEST(says(keys[0], 410));
+  BOOST_TEST(says(keys[2], 401));
+  BOOST_TEST(bench.cluster.Submit(JobId(1), 1, 1) == 401);
+  bench.cluster.SetKey(keys[0]);
+  BOOST_TEST(bench.cluster.Submit(JobId(1), 1, 1) == 200);
+  bench.cluster.store().Put(config, KeyedConfig(3, keys[1]));
+  BOOST_TEST(says(keys[0], 401));
+  BOOST_TEST(says(keys[1], 200));
+  const std::string half = KeyedConfig(4, keys[1]);
+  bench.cluster.store().Put(config, half.substr(0, half.size() - 9));
+  bench.cluster.store().Put(config, KeyedConfig(5, keys[1] + R"(",7,")"));
+  BOOST_TEST(says(keys[1], 200));
+  constexpr std::size_t kPart = 6;
+  for (auto& [id, daemon] : bench.cluster.daemons()) {
+    const std::string log = daemon.process->Output();
+    BOOST_TEST(log.find("row_malformed") != std::string::npos);
+    for (const std::string& key : keys) {
+      for (std::size_t at = 0; at + kPart <= key.size(); ++at)
+        BOOST_TEST(log.find(key.substr(at, kPart)) == std::string::npos);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(EntriesOfAnotherWriterHarmNothing) {
+  Bench bench(2);
+  const auto put = [&bench](const char* id, const std::string& entry) {
+    bench.cluster.store().Put({.table = "servers", .part = "", .key = id},
+                              entry);
+  };
+  put("i-empty", "");
+  put("i-bytes", "\xff\xfe\x01");
+  put("i-list", "[1,2]");
+  put("i-half", R"({"service":"press","address":"127.0.0.1:1","zone":"z"})");
+  put("i-types", R"({"service":7,"address":{},"zone":[],"state":true})");
+  put("i-asleep", R"({"service":"press","address":"127.0.0.1:1","zone":"z",)"
+                  R"("state":"asleep","machine":"box-9","labels":["a","r"],)"
+                  R"("capacity":{"cpu":64000,"memMb":64000}})");
+  bench.cluster.store().Put({.table = "op", .part = "", .key = "wave/1"},
+                            R"({"wave":1,"machines":"box-1"})");
+  bench.SubmitAll();
+  bench.ExpectAllDoneOnce();
+}
+
 // --- Several shards ---
 
 struct ShardedBench : Bench {
--- a/testing/job_cluster.cc
+++ b/testing/job_cluster.cc
@@ -115,6 +115,9 @@
       fmt::format("http://{}/q/{}", this->by_id.at(daemon).callers, job);
   request.headers = {{.name = "Host", .value = "jobs.example"},
                      {.name = "Deadline-Ms", .value = "3000"}};
+  if (!this->access_key.empty())
+    request.headers.push_back(
+        {.name = "Authorization", .value = "Token " + this->access_key});
   request.body = body;
   request.timeout = std::chrono::seconds(5);
   this->client.Send(std::move(request), [&](const http::ClientResult& got) {
--- a/testing/job_cluster.h
+++ b/testing/job_cluster.h
@@ -34,6 +34,8 @@
     std::string readiness;
   };
 
+  // Callers show this access key from now on; empty: none.
+  void SetKey(const std::string& key) { this->access_key = key; }
   // Of daemons that are started from now on.
   void SetWorkersAnOwner(int workers) { this->workers_an_owner = workers; }
   Daemon& StartDaemon(const std::string& id);
@@ -68,6 +70,7 @@
   std::map<std::string, std::unique_ptr<TcpLink>> links;  // by daemon
   std::map<std::string, Daemon> by_id;
   int workers_an_owner = 200;
+  std::string access_key;
 };
 
 // A job's id made of a number.
