--- a/client/daemon_api.h
+++ b/client/daemon_api.h
@@ -1,4 +1,4 @@
-// One daemon's operators' interface, called one request at a time.
+// One daemon's metrics address, asked one request at a time.
 
 #ifndef CLIENT_DAEMON_API_H_
 #define CLIENT_DAEMON_API_H_
@@ -24,16 +24,13 @@
 
 class DaemonApi {
  public:
-  // `address` is "ip:port".
+  // `address` is "ip:port"; else this throws CommandError.
   explicit DaemonApi(std::string address);
 
-  // Both throw CommandError unless the daemon says that it went well.
+  // Throws CommandError unless the daemon answers with JSON.
   nlohmann::json Get(const std::string& path);
-  nlohmann::json Post(const std::string& path, const std::string& body);
 
  private:
-  nlohmann::json Call(http::ClientRequest request);
-
   std::string address;
   base::Loop loop;
   http::Client http;
--- a/testing/demo_main.cc
+++ b/testing/demo_main.cc
@@ -1,48 +1,46 @@
-// The demonstration: a small deployment on loopback, requests of both classes,
-// a table edit, a box drained and moved, a daemon killed. Prints what happened
-// and exits 0 only if all held.
+// The demonstration: three daemons on the platform's stand-ins, callers with a
+// key and without, a wave of upkeep, a daemon that is killed. Prints what
+// happened; exits 0 only if nothing was lost, doubled or cut off.
 
 #include <csignal>
-#include <memory>
+#include <cstdio>
 #include <string>
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
-#include "testing/cluster.h"
+#include "testing/job_cluster.h"
 #include "testing/program.h"
 
 namespace {
 
 using namespace quartzhoist;
-using nlohmann::json;
-using testing::Cluster;
-
-constexpr const char* kTable = R"(
-pool   | boxes | wave | reserve | order | pace
-press  | 5     | 1    | none    | 1     | 100
-spare  | 1     | 1    | none    | 2     | 100
-
-service  | pool  | class   | order | away | deadline | queue | repeat
-quotes   | press | urgent  | 1     | 40%  | 2000ms   | 512   | method
-dispatch | press | patient | 2     | 40%  | 8000ms   | 512   | keyed
-)";
-
-constexpr int kTargets = 6;
-constexpr double kRatePerSecond = 200;
+using testing::JobCluster;
+using testing::JobId;
+
+constexpr int kBoxes = 6;
+constexpr int kJobs = 24;
+constexpr int kSteps = 2;
+constexpr int kTasks = 3;
+constexpr double kPatience = 30;  // seconds
+constexpr const char* kKey = "demonstration-key";
+
+constexpr const char* kConfig =
+    R"({"version":2,"routes":[{"name":"q","host":"jobs.example",)"
+    R"("pathPrefix":"/q/","service":"press","attempts":3,)"
+    R"("extension":1.5,"targetLatencyMs":600}],)"
+    R"("services":[{"name":"press"},{"name":"rest","spare":true}],)"
+    R"("tenants":[{"name":"beekeepers","apiKeys":["demonstration-key"]}]})";
 
 class Demo {
  public:
-  explicit Demo(const std::string& programs)
-      : cluster({.programs = programs, .table = kTable}) {}
+  explicit Demo(const std::string& programs) : cluster(programs, kBoxes) {}
 
   int Run() {
     this->Start();
-    this->StartLoad();
-    this->EditTable();
-    this->MoveBox();
-    this->KillDaemon();
-    this->StopDaemon();
+    this->CheckKeys();
+    this->HandIn();
+    this->BeginWave();
+    this->KillOwner();
     this->Finish();
     return this->held ? 0 : 1;
   }
@@ -55,147 +53,101 @@
   }
 
   void Start() {
-    for (int i = 1; i <= kTargets; ++i) {
-      table::Box box;
-      box.name = fmt::format("box-{}", i);
-      box.zone = i % 2 == 0 ? "hall-2" : "hall-1";
-      box.rack = fmt::format("rack-{}", i);
-      box.pool = i == kTargets ? "spare" : "press";
-      this->cluster.AddTarget(box, {"--work-us", "2000"});
-    }
-    this->cluster.StartPlatform();
-    this->cluster.StartDaemon("entry-1", "hall-1");
-    this->cluster.StartDaemon("entry-2", "hall-1");
-    this->cluster.StartDaemon("entry-3", "hall-2");
-    this->Expect(this->cluster.WaitUntilFormed(),
-                 "three daemons in two availability zones know each other and "
-                 "are ready");
+    this->cluster.store().Put({.table = "op", .part = "", .key = "config"},
+                              kConfig);
+    this->cluster.workers().SetRunTime(std::chrono::milliseconds(600));
+    for (const char* id : {"entry-1", "entry-2", "entry-3"})
+      this->cluster.StartDaemon(id);
+    this->Expect(this->cluster.WaitUntil(
+                     kPatience, [this] { return !this->OwnerName().empty(); }),
+                 fmt::format("three daemons run; {} schedules {} boxes",
+                             this->OwnerName(), kBoxes));
   }
 
-  std::unique_ptr<testing::Process> Load(const std::string& prefix,
-                                         const std::vector<std::string>& more) {
-    std::vector<std::string> arguments{
-        "--in-flight", "64",   "--seconds", "60",
-        "--id-prefix", prefix, "--rate",    fmt::format("{}", kRatePerSecond)};
-    for (const std::string& address : this->cluster.CallerAddresses()) {
-      arguments.push_back("--to");
-      arguments.push_back(address);
-    }
-    arguments.insert(arguments.end(), more.begin(), more.end());
-    return this->cluster.Start("testing/quartzhoist-load", arguments);
-  }
+  std::string OwnerName() const { return this->cluster.Owner(); }
 
-  void StartLoad() {
-    this->urgent = this->Load("urgent", {"--path", "/quotes/a4"});
-    this->patient =
-        this->Load("patient", {"--path", "/dispatch/parcel", "--method", "POST",
-                               "--keyed", "--body-bytes", "64"});
-    fmt::print(
-        "       {} urgent and {} patient requests a second run from "
-        "here on\n",
-        kRatePerSecond, kRatePerSecond);
+  void CheckKeys() {
+    this->Expect(this->cluster.WaitUntil(kPatience,
+                                         [this] {
+                                           return this->cluster.Submit(
+                                                      JobId(0), 1, 1) == 401;
+                                         }),
+                 "a caller without a key is refused (401)");
+    this->cluster.SetKey(kKey);
   }
 
-  void EditTable() {
-    const Cluster::ClientRun run = this->cluster.RunClient(
-        "entry-3", {"edit", "service/quotes", "queue=300", "--wait", "--json"});
-    const json answer = json::parse(run.output, nullptr, false);
-    const double took =
-        answer.is_object() ? answer.value("in_force_seconds", -1.0) : -1.0;
-    this->Expect(run.exit_code == 0 && took >= 0,
-                 fmt::format("an edit at entry-3 was in force on all three "
-                             "after {:.1f} s",
-                             took));
+  void HandIn() {
+    int taken = 0;
+    for (int i = 0; i < kJobs; ++i)
+      taken += this->cluster.Submit(JobId(i), kSteps, kTasks) == 200;
+    this->Expect(taken == kJobs,
+                 fmt::format("{} jobs of {} tasks are accepted", taken,
+                             kSteps * kTasks));
   }
 
-  void MoveBox() {
-    const Cluster::ClientRun run = this->cluster.RunClient(
-        "entry-1", {"edit", "pool/press", "boxes=4", "--json"});
-    const Cluster::ClientRun second = this->cluster.RunClient(
-        "entry-1", {"edit", "pool/spare", "boxes=2", "--json"});
-    const bool moved = Cluster::WaitUntil(20, [this] {
-      const json status = this->cluster.Status("entry-1");
-      int in_spare = 0;
-      for (const json& box : status.at("boxes"))
-        in_spare += box.at("pool") == "spare" && box.at("state") == "serving";
-      return in_spare == 2;
-    });
-    this->Expect(run.exit_code == 0 && second.exit_code == 0 && moved,
-                 "boxes moved: 1 (drained, readied, serving in pool spare)");
+  void BeginWave() {
+    this->cluster.store().Put(
+        {.table = "op", .part = "", .key = "wave/1"},
+        R"({"wave":1,"machines":["box-1","box-2"],"durationS":20,)"
+        R"("maxCount":1})");
+    this->Expect(
+        this->cluster.WaitUntil(
+            kPatience,
+            [this] { return this->cluster.workers().upkeeps() > 0; }),
+        "a wave of upkeep begins");
   }
 
-  void KillDaemon() {
-    this->cluster.daemons().at("entry-2").process->Signal(SIGKILL);
-    this->cluster.Platform("/bench/box",
-                           {{"name", "entry-2"}, {"live", false}});
-    const bool noticed = Cluster::WaitUntil(20, [this] {
-      const json status = this->cluster.Status("entry-1");
-      for (const json& member : status.at("members")) {
-        if (member.at("id") == "entry-2")
-          return !member.value("live", true);
-      }
-      return false;
-    });
-    this->Expect(noticed, "entry-2 was killed; entry-1 took over its share");
+  void KillOwner() {
+    const std::string first = this->OwnerName();
+    this->cluster.daemons().at(first).process->Signal(SIGKILL);
+    this->Expect(this->cluster.WaitUntil(kPatience,
+                                         [this, &first] {
+                                           const std::string now =
+                                               this->OwnerName();
+                                           return !now.empty() && now != first;
+                                         }),
+                 fmt::format("{} is killed; {} takes its work over", first,
+                             this->OwnerName()));
+    this->cluster.daemons().erase(first);
   }
 
-  void StopDaemon() {
-    testing::Process& process = *this->cluster.daemons().at("entry-3").process;
-    process.Signal(SIGTERM);
-    this->Expect(process.Wait(20) == 0, "entry-3 was stopped and left");
+  void Finish() {
+    this->Expect(this->cluster.WaitUntil(
+                     kPatience, [this] { return this->AllCompleted(); }),
+                 "every job is completed");
+    this->Expect(
+        this->cluster.WaitUntil(
+            kPatience,
+            [this] { return this->cluster.workers().upkeeps() == 2; }),
+        "the wave is over");
+    for (const std::string& problem : this->cluster.workers().broken())
+      this->Expect(false, problem);
+    this->Expect(this->cluster.workers().broken().empty(),
+                 fmt::format("{} tasks were started, none of them twice",
+                             this->cluster.workers().starts()));
   }
 
-  void Finish() {
-    this->urgent->Signal(SIGTERM);
-    this->patient->Signal(SIGTERM);
-    this->urgent->Wait(20);
-    this->patient->Wait(20);
-    const json fast = json::parse(this->urgent->Output(), nullptr, false);
-    const json slow = json::parse(this->patient->Output(), nullptr, false);
-    if (!fast.is_object() || !slow.is_object()) {
-      this->Expect(false, "the load tools did not report");
-      return;
+  bool AllCompleted() {
+    for (int i = 0; i < kJobs; ++i) {
+      if (this->cluster.StateOf(JobId(i)) != "completed")
+        return false;
     }
-    const auto sum = [&](const char* key) {
-      return fast.at(key).get<std::uint64_t>() +
-             slow.at(key).get<std::uint64_t>();
-    };
-    int doubled = 0;
-    for (const auto& [id, count] : this->cluster.Runs())
-      doubled += id.starts_with("patient") && count > 1;
-    this->Expect(sum("answered") > 0,
-                 fmt::format("answered: {}", sum("answered")));
-    fmt::print("       refused as not run: {}\n", sum("refused_not_run"));
-    fmt::print(
-        "       refused as may have run: {} (in flight in the killed "
-        "process)\n",
-        sum("refused_may_have_run"));
-    fmt::print("       asked again at another entry box: {}\n",
-               sum("repeated"));
-    this->Expect(sum("cut_off") == 0,
-                 fmt::format("cut off: {}", sum("cut_off")));
-    this->Expect(sum("foreign") == 0,
-                 fmt::format("answers of other requests: {}", sum("foreign")));
-    this->Expect(doubled == 0, fmt::format("doubled: {}", doubled));
-    this->Expect(
-        sum("refused_other") == 0,
-        fmt::format("refusals without a verdict: {}", sum("refused_other")));
+    return true;
   }
 
-  Cluster cluster;
-  std::unique_ptr<testing::Process> urgent;
-  std::unique_ptr<testing::Process> patient;
+  JobCluster cluster;
   bool held = true;
 };
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("quartzhoist-demo", "The demonstration");
+  cxxopts::Options options("quartzhoist-demo",
+                           "A small deployment on loopback");
   options.add_options()("programs", "The build folder",
-                        cxxopts::value<std::string>());
+                        cxxopts::value<std::string>()->default_value("build"));
   return testing::RunProgram(
-      std::move(options), argc, argv, [](const cxxopts::ParseResult& given) {
+      options, argc, argv, [](const cxxopts::ParseResult& given) {
         return Demo(given["programs"].as<std::string>()).Run();
       });
 }
