--- a/testing/demo_main.cc
+++ b/testing/demo_main.cc
@@ -58,8 +58,9 @@
     this->cluster.workers().SetRunTime(std::chrono::milliseconds(600));
     for (const char* id : {"entry-1", "entry-2", "entry-3"})
       this->cluster.StartDaemon(id);
-    this->Expect(this->cluster.WaitUntil(
-                     kPatience, [this] { return !this->OwnerName().empty(); }),
+    const bool is_owned = this->cluster.WaitUntil(
+        kPatience, [this] { return !this->OwnerName().empty(); });
+    this->Expect(is_owned,
                  fmt::format("three daemons run; {} schedules {} boxes",
                              this->OwnerName(), kBoxes));
   }
@@ -67,12 +68,11 @@
   std::string OwnerName() const { return this->cluster.Owner(); }
 
   void CheckKeys() {
-    this->Expect(this->cluster.WaitUntil(kPatience,
-                                         [this] {
-                                           return this->cluster.Submit(
-                                                      JobId(0), 1, 1) == 401;
-                                         }),
-                 "a caller without a key is refused (401)");
+    this->Expect(
+        this->cluster.WaitUntil(
+            kPatience,
+            [this] { return this->cluster.Submit(JobId(0), 1, 1) == 401; }),
+        "a caller without a key is refused (401)");
     this->cluster.SetKey(kKey);
   }
 
@@ -80,9 +80,8 @@
     int taken = 0;
     for (int i = 0; i < kJobs; ++i)
       taken += this->cluster.Submit(JobId(i), kSteps, kTasks) == 200;
-    this->Expect(taken == kJobs,
-                 fmt::format("{} jobs of {} tasks are accepted", taken,
-                             kSteps * kTasks));
+    this->Expect(taken == kJobs, fmt::format("{} jobs of {} tasks are accepted",
+                                             taken, kSteps * kTasks));
   }
 
   void BeginWave() {
@@ -90,24 +89,21 @@
         {.table = "op", .part = "", .key = "wave/1"},
         R"({"wave":1,"machines":["box-1","box-2"],"durationS":20,)"
         R"("maxCount":1})");
-    this->Expect(
-        this->cluster.WaitUntil(
-            kPatience,
-            [this] { return this->cluster.workers().upkeeps() > 0; }),
-        "a wave of upkeep begins");
+    this->Expect(this->cluster.WaitUntil(
+                     kPatience,
+                     [this] { return this->cluster.workers().upkeeps() > 0; }),
+                 "a wave of upkeep begins");
   }
 
   void KillOwner() {
     const std::string first = this->OwnerName();
     this->cluster.daemons().at(first).process->Signal(SIGKILL);
-    this->Expect(this->cluster.WaitUntil(kPatience,
-                                         [this, &first] {
-                                           const std::string now =
-                                               this->OwnerName();
-                                           return !now.empty() && now != first;
-                                         }),
-                 fmt::format("{} is killed; {} takes its work over", first,
-                             this->OwnerName()));
+    const bool is_taken = this->cluster.WaitUntil(kPatience, [this, &first] {
+      const std::string now = this->OwnerName();
+      return !now.empty() && now != first;
+    });
+    this->Expect(is_taken, fmt::format("{} is killed; {} takes its work over",
+                                       first, this->OwnerName()));
     this->cluster.daemons().erase(first);
   }
 
@@ -115,11 +111,10 @@
     this->Expect(this->cluster.WaitUntil(
                      kPatience, [this] { return this->AllCompleted(); }),
                  "every job is completed");
-    this->Expect(
-        this->cluster.WaitUntil(
-            kPatience,
-            [this] { return this->cluster.workers().upkeeps() == 2; }),
-        "the wave is over");
+    this->Expect(this->cluster.WaitUntil(
+                     kPatience,
+                     [this] { return this->cluster.workers().upkeeps() == 2; }),
+                 "the wave is over");
     for (const std::string& problem : this->cluster.workers().broken())
       this->Expect(false, problem);
     this->Expect(this->cluster.workers().broken().empty(),
