Quotas of organisations hold over all shards together

Cause: nothing read an organisation's quota (maxCount): with several owners nothing stops their sum from passing it.

Weighed: fixed equal shares (safe, no talk; an organisation whose jobs lie in one shard is starved at half of its quota, of an eighth with eight shards); one owner for each organisation (no talk; a large one would keep all its boxes in one shard, and pools are spread over shards by box); shares that are lent. Kept: lent shares. A row an organisation holds a share for each shard in thousandths. An owner that is short asks in the row; one that has more than it uses lowers its own share at once, in memory, and then writes both. Only a shard's own owner lowers its share, others may raise it, so what all go by never adds up to more. A new owner first writes a row of its own, on which all such writes have a condition: an earlier owner's that are still on their way do not fit any more. Nothing is read or written where nobody has a quota, or with one shard.

A task that waits for its quota holds up nobody else's. A gang that no quota can hold is refused at once (413). An owner that a later one's row or a worker has fenced saves nothing more.

Tests: RapidCheck, owners replaced, writes lost, late and of unknown fate: never above the quota in sum; what lies idle is lent (found two faults of the first form: a want within 50 of the last one was never asked for, and a share that a lost write had lowered stayed low). Real daemons over two shards with a quota of four tasks and a killed owner: five at once at most.

--- a/base/event_log.h
+++ b/base/event_log.h
@@ -78,6 +78,7 @@
   kOrdersResumed,
   kShardsKnown,
   kPoolState,
+  kQuotaShared,
 };
 
 struct EventInfo {
@@ -87,7 +88,7 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 50> kEvents{{
+inline constexpr std::array<EventInfo, 51> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
@@ -133,6 +134,7 @@
     {Event::kUpkeepBegun, 832, Level::kInfo, "upkeep_begun"},
     {Event::kWaveReported, 833, Level::kInfo, "wave_reported"},
     {Event::kPoolState, 834, Level::kInfo, "pool_state"},
+    {Event::kQuotaShared, 835, Level::kInfo, "quota_shared"},
     {Event::kRowMalformed, 841, Level::kWarning, "row_malformed"},
     {Event::kConfigInstalled, 842, Level::kInfo, "config_installed"},
     {Event::kLinesLeftOut, 851, Level::kWarning, "lines_left_out"},
--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -247,6 +247,28 @@
   return needs_none ? std::optional<std::string>("") : std::nullopt;
 }
 
+// The tasks of a gang run together or not at all: one that is larger than the
+// quota can never run.
+bool CallerApi::IsAboveQuota(const std::string& organisation,
+                             const jobs::JobSpec& spec) const {
+  const jobs::Organisation* caller =
+      this->config->FindOrganisation(organisation);
+  if (!caller)
+    return false;
+  const jobs::Resources& quota = caller->quota;
+  const auto is_above = [](std::int64_t each, std::int64_t tasks,
+                           std::int64_t most) {
+    return most > 0 && each * tasks > most;
+  };
+  return std::any_of(
+      spec.steps.begin(), spec.steps.end(), [&](const jobs::Step& step) {
+        return step.gang &&
+               (is_above(step.each.cpu_millis, step.tasks, quota.cpu_millis) ||
+                is_above(step.each.memory_mb, step.tasks, quota.memory_mb) ||
+                is_above(step.each.gpus, step.tasks, quota.gpus));
+      });
+}
+
 // --- Handing in ---
 
 void CallerApi::Submit(const http::ExchangePtr& exchange,
@@ -261,6 +283,11 @@
   Submission submission;
   try {
     const jobs::JobSpec spec = platform::ParseJob(request.body);
+    if (this->IsAboveQuota(organisation, spec)) {
+      this->Refuse(exchange, kTooLarge, job,
+                   "a gang needs more than its organisation may have running");
+      return;
+    }
     submission.shard = {
         .number = this->choose_shard(*this->config, queue, spec),
         .count = this->shards};
--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -75,6 +75,8 @@
   // known, and it has none.
   std::optional<std::string> OrganisationOf(const http::Request& request,
                                             const jobs::Queue& queue) const;
+  bool IsAboveQuota(const std::string& organisation,
+                    const jobs::JobSpec& spec) const;
   void Submit(const http::ExchangePtr& exchange,
               const jobs::Queue& queue,
               const std::string& organisation,
--- a/entry/caller_api_test.cc
+++ b/entry/caller_api_test.cc
@@ -325,6 +325,17 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(GangThatNoQuotaCanHoldIsRefusedAtOnce) {
+  CallerBench bench;
+  bench.api.SetConfig(platform::ParseConfig(kKeyedConfig));
+  bench.authorization = "Token key-of-bees";
+  const auto body = [](const char* gang) {
+    return std::string(R"({"steps":[{"count":5,"cpu":4000)") + gang + "}]}";
+  };
+  BOOST_TEST(bench.Call("POST", kJob, body(R"(,"gang":true)")).status == 413);
+  BOOST_TEST(bench.Call("POST", kJob, body("")).status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(FloodOfUnknownKeysAsksTheStoreNowAndThen) {
   CallerBench bench;
   bench.standin.Put(kConfigRow, kKeyedConfig);
--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -98,6 +98,13 @@
                    const std::vector<std::string>& begun) {
               this->scheduler.SetWave(share, begun, base::MonotonicNow());
             }),
+      quotas(on,
+             from,
+             of,
+             own_epoch,
+             [this](const std::string& organisation, int share) {
+               this->scheduler.SetQuotaShare(organisation, share);
+             }),
       save_policy(from.deployment().writes_span_parts),
       timer(on, [this] { this->Act(); }),
       soon(on, [this] { this->Act(); }),
@@ -227,6 +234,9 @@
     this->RenewInDoubt();
   if (this->MayOrder()) {
     this->ResumeOrders();
+    this->quotas.Act(this->scheduler.QuotaNeeds(),
+                     this->scheduler.KnowsAllRuns(this->last_turn),
+                     this->last_turn);
     this->scheduler.Advance(this->last_turn);
     this->CarryAll();
   } else {
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -17,6 +17,7 @@
 
 #include "base/counters.h"
 #include "base/loop.h"
+#include "entry/quota_records.h"
 #include "entry/save_policy.h"
 #include "entry/save_queue.h"
 #include "entry/settings.h"
@@ -170,6 +171,7 @@
   std::optional<std::vector<platform::Row>> kept_waves;
   std::optional<std::map<std::string, scheduler::WorkerInfo>> announced;
   WaveRecords waves;
+  QuotaRecords quotas;
 
   std::set<std::string> cancels;  // of jobs not known yet
   // Jobs to be read anew: the store gave no answer.
--- a/entry/process_test.cc
+++ b/entry/process_test.cc
@@ -355,6 +355,29 @@
   bench.ExpectAllDoneOnce();
 }
 
+// A quota of four tasks over two shards: neither passes it, also while owners
+// are killed, and both use it.
+BOOST_AUTO_TEST_CASE(QuotaHoldsOverSeveralShardsAndTakeovers) {
+  ShardedBench bench;
+  std::string config = KeyedConfig(2, "a-key");
+  const std::string large = "1000000";
+  config.replace(config.find(large), large.size(), "2000");
+  bench.cluster.store().Put({.table = "op", .part = "", .key = "config"},
+                            config);
+  bench.cluster.SetKey("a-key");
+  bench.cluster.workers().SetRunTime(std::chrono::milliseconds(150));
+  bench.SubmitAll();
+  BOOST_REQUIRE(bench.cluster.WaitUntil(
+      kSoon, [&] { return bench.cluster.workers().starts() > 8; }));
+  const std::string first = bench.OwnerOf(0);
+  bench.cluster.daemons().at(first).process->Signal(SIGKILL);
+  bench.cluster.daemons().erase(first);
+  bench.ExpectAllDoneOnce();
+  // Four by the quota, and one task that may overlap it.
+  BOOST_TEST(bench.cluster.workers().most_running() <= 5);
+  BOOST_TEST(bench.cluster.workers().most_running() >= 3);
+}
+
 BOOST_AUTO_TEST_CASE(SettingsAreReadAgainAndBadOnesRefused) {
   Bench bench(1);
   JobCluster::Daemon& daemon = bench.cluster.daemons().at("entry-1");
--- /dev/null
+++ b/entry/quota_shares.cc
@@ -0,0 +1,170 @@
+#include "entry/quota_shares.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <numeric>
+
+#include <nlohmann/json.hpp>
+
+namespace quartzhoist::entry {
+
+namespace {
+
+using Json = nlohmann::json;
+using scheduler::kWholeQuota;
+
+// A want that differs by less is not written anew: at a height of demand it
+// grows with each task that waits.
+constexpr int kWantStep = 50;
+// What a shard keeps of its share beyond what it uses and wants, so that its
+// next tasks need not ask first.
+constexpr int kKeep = 20;
+
+std::vector<int> Numbers(const Json& list, std::size_t count) {
+  std::vector<int> numbers;
+  if (!list.is_array() || list.size() != count)
+    return numbers;
+  for (const Json& number : list) {
+    if (!number.is_number_integer() || number < 0 || number > kWholeQuota)
+      return {};
+    numbers.push_back(number.get<int>());
+  }
+  return numbers;
+}
+
+}  // namespace
+
+QuotaRow EqualShares(int shards) {
+  const auto count = static_cast<std::size_t>(shards);
+  QuotaRow row{.shares = std::vector<int>(count, kWholeQuota / shards),
+               .wants = std::vector<int>(count)};
+  row.shares[0] += kWholeQuota % shards;
+  return row;
+}
+
+std::string EncodeQuotaRow(const QuotaRow& row) {
+  return Json{{"shares", row.shares}, {"wants", row.wants}}.dump();
+}
+
+std::optional<QuotaRow> DecodeQuotaRow(std::string_view text, int shards) {
+  const Json json = Json::parse(text, nullptr, false);
+  if (!json.is_object() || !json.contains("shares") || !json.contains("wants"))
+    return std::nullopt;
+  const auto count = static_cast<std::size_t>(shards);
+  QuotaRow row{.shares = Numbers(json["shares"], count),
+               .wants = Numbers(json["wants"], count)};
+  const int sum = std::accumulate(row.shares.begin(), row.shares.end(), 0);
+  if (row.shares.empty() || row.wants.empty() || sum > kWholeQuota)
+    return std::nullopt;
+  return row;
+}
+
+QuotaShares::Entry& QuotaShares::At(const std::string& organisation) {
+  const auto [entry, is_new] = this->entries.try_emplace(organisation);
+  if (is_new) {
+    entry->second.row = EqualShares(this->shard.count);
+    entry->second.held = this->OwnShare(entry->second.row);
+  }
+  return entry->second;
+}
+
+int QuotaShares::OwnShare(const QuotaRow& row) const {
+  return row.shares[static_cast<std::size_t>(this->shard.number)];
+}
+
+// While a write is on its way that lowers the own share, the lower one counts:
+// the row may show it at any time.
+void QuotaShares::Seen(const std::string& organisation,
+                       const std::optional<QuotaRow>& row,
+                       std::uint64_t version) {
+  Entry& entry = this->At(organisation);
+  if (version <= entry.version)
+    return;
+  entry.row = row.value_or(EqualShares(this->shard.count));
+  entry.version = version;
+  const int own = this->OwnShare(entry.row);
+  entry.held = row ? own : std::min(entry.held, own);
+  if (entry.writing)
+    entry.held = std::min(entry.held, this->OwnShare(*entry.writing));
+}
+
+std::vector<QuotaShares::Write> QuotaShares::Decide(
+    const std::map<std::string, scheduler::QuotaNeed>& needs,
+    bool knows_all) {
+  std::vector<Write> writes;
+  if (this->shard.count == 1)
+    return writes;
+  for (const auto& [organisation, need] : needs) {
+    Entry& entry = this->At(organisation);
+    if (entry.writing)
+      continue;
+    QuotaRow next = entry.row;
+    this->Ask(next, need);
+    if (knows_all)
+      this->Give(next, need);
+    // A write of unknown fate keeps the own share low; another one, of whatever
+    // row, leaves it no version to be made in.
+    const bool is_kept_low =
+        entry.held < this->OwnShare(entry.row) && need.wanted > entry.held;
+    if (next == entry.row && !is_kept_low)
+      continue;
+    entry.writing = next;
+    entry.held = std::min(entry.held, this->OwnShare(next));
+    writes.push_back({.organisation = organisation,
+                      .version = entry.version,
+                      .row = std::move(next)});
+  }
+  return writes;
+}
+
+void QuotaShares::Ask(QuotaRow& row, const scheduler::QuotaNeed& need) const {
+  const auto own = static_cast<std::size_t>(this->shard.number);
+  const bool is_short = need.wanted > row.shares[own];
+  const int want = is_short ? std::min(need.wanted, kWholeQuota) : 0;
+  const int asked = row.wants[own];
+  const bool is_met = is_short && asked <= row.shares[own];
+  const bool differs =
+      (want == 0) != (asked == 0) || std::abs(want - asked) >= kWantStep;
+  if (differs || is_met)
+    row.wants[own] = want;
+}
+
+// What this shard neither uses nor wants goes to those that are short. One that
+// is short itself keeps an equal share, so that nobody is starved.
+void QuotaShares::Give(QuotaRow& row, const scheduler::QuotaNeed& need) const {
+  const auto own = static_cast<std::size_t>(this->shard.number);
+  const int equal = kWholeQuota / this->shard.count;
+  const int needed = std::max(need.used, std::min(need.wanted + kKeep, equal));
+  int spare = row.shares[own] - needed;
+  for (std::size_t other = 0; other < row.shares.size() && spare > 0; ++other) {
+    const int lacks = row.wants[other] - row.shares[other];
+    if (other == own || row.wants[other] == 0 || lacks <= 0)
+      continue;
+    const int given = std::min(spare, lacks);
+    row.shares[own] -= given;
+    row.shares[other] += given;
+    spare -= given;
+  }
+}
+
+// A write of unknown fate may still be made: what it lowers stays lowered until
+// the row is seen in a version that leaves no room for it.
+void QuotaShares::Settled(const std::string& organisation,
+                          std::optional<std::uint64_t> done_at) {
+  Entry& entry = this->At(organisation);
+  if (!entry.writing)
+    return;
+  const QuotaRow written = *entry.writing;
+  entry.writing.reset();
+  if (done_at)
+    this->Seen(organisation, written, *done_at);
+}
+
+int QuotaShares::ShareOf(const std::string& organisation) const {
+  const auto found = this->entries.find(organisation);
+  return found == this->entries.end()
+             ? this->OwnShare(EqualShares(this->shard.count))
+             : found->second.held;
+}
+
+}  // namespace quartzhoist::entry
--- /dev/null
+++ b/entry/quota_shares_test.cc
@@ -0,0 +1,240 @@
+// A quota that several owners hold together is never passed, and nobody is
+// starved of what lies idle elsewhere.
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <numeric>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <rapidcheck.h>
+#include <boost/test/unit_test.hpp>
+
+#include "entry/quota_shares.h"
+
+namespace quartzhoist::entry {
+namespace {
+
+constexpr const char* kBees = "bees";
+
+// The quota is a thousand tasks, so that a share is a number of tasks. Owners
+// read late, and their writes are lost, late or refused; owners are replaced
+// while the earlier one's writes are on their way.
+class QuotaModel {
+ public:
+  explicit QuotaModel(int shards) : count(shards) {
+    for (int i = 0; i < shards; ++i) {
+      this->owners.push_back({QuotaShares({.number = i, .count = shards})});
+      this->demand.push_back(0);
+      this->used.push_back(0);
+    }
+  }
+
+  void SetDemand(int shard, int tasks) { this->demand[At(shard)] = tasks; }
+  int Used(int shard) const { return this->used[At(shard)]; }
+  int AllUsed() const {
+    return std::accumulate(this->used.begin(), this->used.end(), 0);
+  }
+
+  // The shard's owner sees the row as it is.
+  void Read(int shard) {
+    if (this->row)
+      this->owners[At(shard)].shares.Seen(kBees, this->row, this->version);
+  }
+  // Tasks end, others begin within the share.
+  void Run(int shard) {
+    int& runs = this->used[At(shard)];
+    runs = std::min(runs, this->demand[At(shard)]);
+    const int share = this->owners[At(shard)].shares.ShareOf(kBees);
+    runs = std::max(runs, std::min(share, this->demand[At(shard)]));
+  }
+  void Decide(int shard) {
+    Owner& owner = this->owners[At(shard)];
+    const scheduler::QuotaNeed need{.used = this->used[At(shard)],
+                                    .wanted = this->demand[At(shard)]};
+    for (QuotaShares::Write& write :
+         owner.shares.Decide({{kBees, need}}, owner.knows_all))
+      this->on_way.push_back({shard, owner.life, std::move(write)});
+  }
+  enum class Fate { kAnswered, kUnanswered, kGivenUpFirst, kLost };
+  // One write that is on its way arrives, or is given up.
+  void Deliver(std::size_t which, Fate fate) {
+    if (this->on_way.empty())
+      return;
+    const auto at = this->on_way.begin() +
+                    static_cast<std::ptrdiff_t>(which % this->on_way.size());
+    if (fate == Fate::kGivenUpFirst) {
+      this->Settle(*at, std::nullopt);
+      at->is_given_up = true;  // it may still arrive
+      return;
+    }
+    const OnWay sent = *at;
+    this->on_way.erase(at);
+    if (fate == Fate::kLost) {
+      this->Settle(sent, std::nullopt);
+      return;
+    }
+    const bool fits = sent.write.version == this->version &&
+                      sent.life == this->owners[At(sent.shard)].life;
+    if (fits) {
+      this->row = sent.write.row;
+      ++this->version;
+    }
+    if (fate == Fate::kUnanswered)
+      return;
+    this->Settle(sent, fits ? std::optional(this->version) : std::nullopt);
+    if (!fits && !sent.is_given_up)
+      this->Read(sent.shard);
+  }
+  // Another owner: it writes the shard's own row, then reads. What runs it
+  // knows in full only later.
+  void TakeOver(int shard) {
+    Owner& owner = this->owners[At(shard)];
+    const int life = owner.life + 1;
+    owner = {QuotaShares({.number = shard, .count = this->count}), life, false};
+    this->Read(shard);
+  }
+  void Learn(int shard) { this->owners[At(shard)].knows_all = true; }
+
+  // Everything goes well for a while.
+  void Calm() {
+    for (int turn = 0; turn < 12; ++turn) {
+      for (int shard = 0; shard < this->count; ++shard) {
+        this->Learn(shard);
+        this->Read(shard);
+        this->Run(shard);
+        this->Decide(shard);
+        while (!this->on_way.empty())
+          this->Deliver(0, Fate::kAnswered);
+      }
+    }
+  }
+
+ private:
+  struct Owner {
+    QuotaShares shares;
+    int life = 0;
+    bool knows_all = true;
+  };
+  struct OnWay {
+    int shard = 0;
+    int life = 0;
+    QuotaShares::Write write;
+    bool is_given_up = false;
+  };
+
+  static std::size_t At(int shard) { return static_cast<std::size_t>(shard); }
+  void Settle(const OnWay& sent, std::optional<std::uint64_t> done_at) {
+    Owner& owner = this->owners[At(sent.shard)];
+    if (owner.life == sent.life && !sent.is_given_up)
+      owner.shares.Settled(kBees, done_at);
+  }
+
+  int count;
+  std::vector<Owner> owners;
+  std::vector<int> demand;
+  std::vector<int> used;
+  std::optional<QuotaRow> row;
+  std::uint64_t version = 0;
+  std::deque<OnWay> on_way;
+};
+
+BOOST_AUTO_TEST_CASE(SharesAreNeverPassedInSum) {
+  const bool holds = rc::check("all shards together stay within the quota", [] {
+    const int shards = *rc::gen::element(2, 3, 4, 8);
+    QuotaModel model(shards);
+    const int steps = *rc::gen::inRange(20, 400);
+    for (int i = 0; i < steps; ++i) {
+      const int shard = *rc::gen::inRange(0, shards);
+      switch (*rc::gen::inRange(0, 8)) {
+        case 0:
+          model.SetDemand(shard, *rc::gen::inRange(0, 1500));
+          break;
+        case 1:
+          model.TakeOver(shard);
+          break;
+        case 2:
+          model.Learn(shard);
+          break;
+        case 3:
+          model.Read(shard);
+          break;
+        case 4:
+          model.Run(shard);
+          break;
+        case 5:
+          model.Decide(shard);
+          break;
+        default:
+          model.Deliver(*rc::gen::inRange<std::size_t>(0, 9),
+                        *rc::gen::element(QuotaModel::Fate::kAnswered,
+                                          QuotaModel::Fate::kUnanswered,
+                                          QuotaModel::Fate::kGivenUpFirst,
+                                          QuotaModel::Fate::kLost));
+          break;
+      }
+      RC_ASSERT(model.AllUsed() <= scheduler::kWholeQuota);
+    }
+  });
+  BOOST_TEST(holds);
+}
+
+// Whatever came before: what lies idle in one shard is used by another.
+BOOST_AUTO_TEST_CASE(NobodyIsStarvedOfWhatLiesIdle) {
+  const bool holds = rc::check("demand below the quota is served", [] {
+    const int shards = *rc::gen::element(2, 4, 8);
+    QuotaModel model(shards);
+    const int steps = *rc::gen::inRange(0, 100);
+    for (int i = 0; i < steps; ++i) {
+      const int shard = *rc::gen::inRange(0, shards);
+      model.SetDemand(shard, *rc::gen::inRange(0, 1200));
+      model.Run(shard);
+      model.Decide(shard);
+      model.Deliver(*rc::gen::inRange<std::size_t>(0, 9),
+                    *rc::gen::element(QuotaModel::Fate::kAnswered,
+                                      QuotaModel::Fate::kGivenUpFirst));
+    }
+    for (int shard = 0; shard < shards; ++shard)
+      model.SetDemand(shard, 0);
+    const int busy = *rc::gen::inRange(0, shards);
+    model.SetDemand(busy, 1000 - 20 * shards);
+    model.Calm();
+    RC_ASSERT(model.Used(busy) == 1000 - 20 * shards);
+    // The others come back: each gets an equal share in time.
+    for (int shard = 0; shard < shards; ++shard)
+      model.SetDemand(shard, 1000);
+    model.SetDemand(busy, 0);
+    model.Calm();
+    model.SetDemand(busy, 1000);
+    model.Calm();
+    RC_ASSERT(model.AllUsed() <= 1000);
+    RC_ASSERT(model.AllUsed() >= 1000 - 20 * shards);
+  });
+  BOOST_TEST(holds);
+}
+
+BOOST_AUTO_TEST_CASE(QuotaRowsAreReadAsTheyWereWritten) {
+  const QuotaRow row{.shares = {300, 700}, .wants = {0, 900}};
+  BOOST_CHECK(DecodeQuotaRow(EncodeQuotaRow(row), 2) == row);
+  for (const char* text :
+       {"", "[]", "{}", R"({"shares":[1000],"wants":[0]})",
+        R"({"shares":[600,600],"wants":[0,0]})",
+        R"({"shares":[-1,5],"wants":[0,0]})",
+        R"({"shares":[1,"5"],"wants":[0,0]})", R"({"shares":[1,5]})"}) {
+    BOOST_TEST(!DecodeQuotaRow(text, 2).has_value(), text);
+  }
+}
+
+// A row that another writer has spoilt raises nobody's share.
+BOOST_AUTO_TEST_CASE(RowThatCannotBeReadRaisesNoShare) {
+  QuotaShares shares({.number = 0, .count = 2});
+  shares.Seen(kBees, QuotaRow{.shares = {200, 800}, .wants = {0, 0}}, 5);
+  BOOST_TEST(shares.ShareOf(kBees) == 200);
+  shares.Seen(kBees, std::nullopt, 6);
+  BOOST_TEST(shares.ShareOf(kBees) == 200);
+}
+
+}  // namespace
+}  // namespace quartzhoist::entry
--- a/entry/tables.cc
+++ b/entry/tables.cc
@@ -16,6 +16,7 @@
 // second in a slow store.
 constexpr std::size_t kParts = 64;
 constexpr std::string_view kCancelSuffix = "!cancel";
+constexpr std::string_view kQuotaPrefix = "of/";
 
 std::string PartOf(const std::string& job) {
   return std::to_string(XXH32(job.data(), job.size(), 0) % kParts);
@@ -55,6 +56,20 @@
   return SmallRow(kCountTable, std::to_string(shard.number), {});
 }
 
+platform::RowKey QuotaRowOf(const std::string& organisation) {
+  return SmallRow(kQuotaTable, std::string(kQuotaPrefix) + organisation, {});
+}
+
+platform::RowKey QuotaOwnerRow(const Shard& shard) {
+  return SmallRow(kQuotaTable, fmt::format("owner/{}", shard.number), {});
+}
+
+std::optional<std::string> ParseQuotaKey(std::string_view key) {
+  if (!key.starts_with(kQuotaPrefix))
+    return std::nullopt;
+  return std::string(key.substr(kQuotaPrefix.size()));
+}
+
 const std::vector<std::string>& JobParts() {
   static const std::vector<std::string> kAll = [] {
     std::vector<std::string> parts;
--- a/entry/tables.h
+++ b/entry/tables.h
@@ -40,6 +40,11 @@
 // Boxes of each wave whose upkeep has begun, and the shards that are done.
 inline constexpr std::string_view kWaveTable = "waves";
 
+// How the shards share each organisation's quota: a row for each that is not
+// shared equally, and one for each shard that its owner writes when it takes
+// over. All in one part, since a write has conditions on both.
+inline constexpr std::string_view kQuotaTable = "quotas";
+
 // A row of a small table of the daemons' own. Each shard's rows lie in a part
 // of their own, since calls to one part are carried out in turn.
 platform::RowKey SmallRow(std::string_view table,
@@ -52,6 +57,12 @@
 platform::RowKey OwnerRow(const Shard& shard);
 platform::RowKey ShardRow();
 platform::RowKey CountRow(const Shard& shard);
+platform::RowKey QuotaRowOf(const std::string& organisation);
+// Written by each new owner of the shard: the writes of an earlier one that are
+// still on their way do not fit any more.
+platform::RowKey QuotaOwnerRow(const Shard& shard);
+// The organisation of a row of kQuotaTable; nothing for an owner's row.
+std::optional<std::string> ParseQuotaKey(std::string_view key);
 
 // The parts that jobs are spread over: writes of one part are made in turn.
 const std::vector<std::string>& JobParts();
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -140,6 +140,8 @@
   if (known) {
     const jobs::Step& step = StepOf(*job, PlaceOf(listed.task));
     run.takes = step.each;
+    run.counts = step.each;
+    run.counted = &this->quotas.UseOf(job->organisation);
     run.lasting = step.lasting;
     run.fills = step.fills;
     run.image = step.image;
@@ -422,9 +424,7 @@
   this->actions.emplace_back(
       Note{worker.info.id,
            fmt::format("{}: {} runs are over", why, worker.runs.size())});
-  const std::map<jobs::TaskId, Run> runs = std::exchange(worker.runs, {});
-  worker.used = {};
-  worker.lasting = 0;
+  const std::map<jobs::TaskId, Run> runs = TakeRuns(worker);
   for (const auto& [task, run] : runs)
     this->TaskLost(task, run.number, now);
 }
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -44,14 +44,14 @@
                                     label) != info.labels.end();
 }
 
-Run RunOf(const jobs::Step& step, int number, RunState state) {
-  Run run{.number = number, .state = state};
-  run.takes = TakenBy(step);
-  run.image = step.image;
-  run.lasting = step.lasting;
-  run.fills = step.fills;
-  run.target_ms = step.target_ms;
-  return run;
+// What must be free of the quota before a task of the step is placed: the tasks
+// of a gang are placed together.
+jobs::Resources NeededBy(const jobs::Step& step) {
+  if (!step.gang)
+    return step.each;
+  return {.cpu_millis = step.each.cpu_millis * step.tasks,
+          .memory_mb = step.each.memory_mb * step.tasks,
+          .gpus = step.each.gpus * step.tasks};
 }
 
 std::string TicketFor(const StepRuns& runs, const std::string& worker) {
@@ -160,6 +160,7 @@
 }
 
 void Scheduler::Place(base::Micros now) {
+  this->quotas.BeginTurn();
   for (auto& [service, tasks] : this->ready) {
     if (!tasks.empty())
       this->PlacePool(service, tasks, now);
@@ -198,6 +199,9 @@
   const auto step = std::make_pair(&job, task.place.step);
   if (turn.nowhere.contains(step))
     return Tried::kStays;
+  // What waits for its organisation's quota holds up nobody else.
+  if (!this->quotas.Allows(job.organisation, NeededBy(StepOf(job, task.place))))
+    return Tried::kStays;
   if (this->PlaceOne(task, turn.candidates, now))
     return Tried::kPlaced;
   turn.nowhere.insert(step);
@@ -299,6 +303,21 @@
   return choices;
 }
 
+Run Scheduler::RunOf(const Job& job,
+                     const jobs::Step& step,
+                     int number,
+                     RunState state) {
+  Run run{.number = number, .state = state};
+  run.takes = TakenBy(step);
+  run.counts = step.each;
+  run.counted = &this->quotas.UseOf(job.organisation);
+  run.image = step.image;
+  run.lasting = step.lasting;
+  run.fills = step.fills;
+  run.target_ms = step.target_ms;
+  return run;
+}
+
 void Scheduler::Plan(Job& job,
                      const Choice& choice,
                      int run_number,
@@ -316,7 +335,7 @@
   task.run = run_number;
   task.newest_run = run_number;
   task.at_work = false;
-  Run run = RunOf(step, run_number, RunState::kPlanned);
+  Run run = this->RunOf(job, step, run_number, RunState::kPlanned);
   run.since = now;
   const jobs::TaskId id = IdOf(job, choice.place);
   AddRun(worker, id, std::move(run));
@@ -390,7 +409,8 @@
     task.state = TaskState::kPlaced;
     task.run = placement.run;
     task.worker = placement.worker;
-    Run run = RunOf(StepOf(job, place), placement.run, RunState::kInherited);
+    Run run = this->RunOf(job, StepOf(job, place), placement.run,
+                          RunState::kInherited);
     run.since = now;
     run.adopted = true;
     AddRun(worker->second, IdOf(job, place), std::move(run));
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -22,6 +22,7 @@
 
 void Scheduler::SetConfig(const jobs::Config& next, base::Micros now) {
   this->config = next;
+  this->quotas.SetOrganisations(next.organisations);
   for (auto& [id, job] : this->jobs) {
     // A job of a queue that is gone keeps the terms it was accepted under.
     if (const jobs::Queue* queue = this->config.FindQueue(job.queue.name))
@@ -267,6 +268,9 @@
 void Scheduler::SaveChanged(base::Micros now) {
   if (this->to_save.empty() || (now < this->next_save && !this->save_now))
     return;
+  // A later owner's row stands: what it holds has not been taken in here.
+  if (this->is_fenced)
+    return;
   this->next_save = now + kSavePeriod;
   this->save_now = false;
   for (auto it = this->to_save.begin(); it != this->to_save.end();) {
@@ -421,6 +425,14 @@
   this->SaveChanged(now);
 }
 
+bool Scheduler::KnowsAllRuns(base::Micros now) const {
+  return std::all_of(this->workers.begin(), this->workers.end(),
+                     [now](const auto& entry) {
+                       const Worker& worker = entry.second;
+                       return worker.listed || worker.lease_end <= now;
+                     });
+}
+
 std::vector<Action> Scheduler::TakeActions() {
   return std::exchange(this->actions, {});
 }
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -26,6 +26,7 @@
 #include "scheduler/facts.h"
 #include "scheduler/fleet.h"
 #include "scheduler/job.h"
+#include "scheduler/quotas.h"
 #include "scheduler/ready_tasks.h"
 #include "scheduler/run_times.h"
 #include "scheduler/worker.h"
@@ -75,6 +76,10 @@
   void InheritWorker(const WorkerInfo& info, base::Micros lease_end);
   // The stored list names these as held by this owner.
   void WorkersRecorded(const std::vector<std::string>& ids);
+  // This shard's share of an organisation's quota, in thousandths.
+  void SetQuotaShare(const std::string& organisation, int share) {
+    this->quotas.SetShare(organisation, share);
+  }
   // A store answer confirmed the ownership; `at` is when it was asked.
   void Confirmed(base::Micros at);
 
@@ -141,6 +146,13 @@
   // Accepted jobs of the queue none of whose tasks has been started.
   std::map<std::string, int> WaitingJobs() const;
   std::vector<PoolState> PoolStates(base::Micros now) const;
+  // How organisations with a quota stand in this shard.
+  std::map<std::string, QuotaNeed> QuotaNeeds() const {
+    return this->quotas.Needs();
+  }
+  // Every worker that may hold a lease has been listed by this owner, so that
+  // all that runs is known.
+  bool KnowsAllRuns(base::Micros now) const;
   // Kinds of boxes, by their workers' labels.
   std::vector<std::string> Kinds() const;
 
@@ -244,6 +256,7 @@
                                 const std::vector<Worker*>& candidates,
                                 base::Micros now) const;
   void Plan(Job& job, const Choice& choice, int run, base::Micros now);
+  Run RunOf(const Job& job, const jobs::Step& step, int number, RunState state);
   // The placements up to this change are saved: their workers are told.
   void StartSaved(Job& job, base::Micros now);
   void InheritRuns(Job& job, base::Micros now);
@@ -286,6 +299,7 @@
   std::set<std::string> timed;              // jobs with repeats to come
   RunTimes run_times;
   Demand demand;
+  Quotas quotas;
   Fleet fleet;
   std::vector<Action> actions;
   base::Micros confirmed{};
--- a/scheduler/worker.cc
+++ b/scheduler/worker.cc
@@ -4,10 +4,21 @@
 
 namespace quartzhoist::scheduler {
 
+namespace {
+
+void Uncount(const Run& run) {
+  if (run.counted)
+    *run.counted = *run.counted - run.counts;
+}
+
+}  // namespace
+
 Run& AddRun(Worker& worker, const jobs::TaskId& task, Run run) {
   RemoveRun(worker, task);
   worker.used = worker.used + run.takes;
   worker.lasting += run.lasting;
+  if (run.counted)
+    *run.counted = *run.counted + run.counts;
   return worker.runs[task] = std::move(run);
 }
 
@@ -17,9 +28,18 @@
     return;
   worker.used = worker.used - found->second.takes;
   worker.lasting -= found->second.lasting;
+  Uncount(found->second);
   worker.runs.erase(found);
 }
 
+std::map<jobs::TaskId, Run> TakeRuns(Worker& worker) {
+  for (const auto& [task, run] : worker.runs)
+    Uncount(run);
+  worker.used = {};
+  worker.lasting = 0;
+  return std::exchange(worker.runs, {});
+}
+
 bool IsShared(const Worker& worker) {
   bool serves = false;
   bool fills = false;
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -28,6 +28,10 @@
   int number = 0;
   RunState state = RunState::kStarting;
   jobs::Resources takes;  // what it takes of the room
+  // What it counts for towards its organisation's quota, and where that is
+  // counted; null: nowhere.
+  jobs::Resources counts;
+  jobs::Resources* counted = nullptr;
   std::string image;
   base::Micros since{};          // when the order was decided
   base::Micros answered{};       // when the start was answered
@@ -93,6 +97,8 @@
 
 Run& AddRun(Worker& worker, const jobs::TaskId& task, Run run);
 void RemoveRun(Worker& worker, const jobs::TaskId& task);
+// Takes all of its runs off the worker.
+std::map<jobs::TaskId, Run> TakeRuns(Worker& worker);
 
 // Do tasks that serve run beside tasks that fill?
 bool IsShared(const Worker& worker);
--- a/testing/worker_standin.cc
+++ b/testing/worker_standin.cc
@@ -190,6 +190,10 @@
   }
   this->JudgeStart(life, task, run);
   ++this->start_count;
+  int running = 1;
+  for (const auto& [box, other] : this->lives)
+    running += static_cast<int>(other->running.size());
+  this->most_running_count = std::max(this->most_running_count, running);
   life.running[task] = {.number = run,
                         .ends = base::MonotonicNow() + this->run_time};
   exchange->Reply(Answer(200, json::object()));
--- a/testing/worker_standin.h
+++ b/testing/worker_standin.h
@@ -37,6 +37,8 @@
   // Promises that were broken, in words.
   const std::vector<std::string>& broken() const { return this->faults; }
   int starts() const { return this->start_count; }
+  // The most tasks that ran at one time, on all boxes together.
+  int most_running() const { return this->most_running_count; }
   int ends_done() const { return this->done_count; }
   int upkeeps() const { return this->upkeep_count; }
   // Boxes that were away at once when an upkeep began, itself included.
@@ -94,6 +96,7 @@
   std::set<std::string> noted;                      // tasks whose end was noted
   std::vector<std::string> faults;
   int start_count = 0;
+  int most_running_count = 0;
   int done_count = 0;
   int upkeep_count = 0;
   std::size_t most_away_count = 0;
