--- a/base/base_test.cc
+++ b/base/base_test.cc
@@ -13,8 +13,6 @@
 #include "base/ini_file.h"
 #include "base/ip_address.h"
 #include "base/line_writer.h"
-#include "base/mailbox.h"
-#include "base/rendezvous.h"
 
 namespace quartzhoist::base {
 namespace {
@@ -141,36 +139,5 @@
     BOOST_TEST(!ParseIpAddress(text).has_value());
 }
 
-RC_BOOST_PROP(LosingAMemberMovesOnlyItsOwnKeys, ()) {
-  const int count = *rc::gen::inRange(2, 9);
-  const int gone = *rc::gen::inRange(0, count);
-  std::vector<Named> all;
-  std::vector<Named> rest;
-  for (int i = 0; i < count; ++i) {
-    all.push_back({fmt::format("m{}", i)});
-    if (i != gone)
-      rest.push_back(all.back());
-  }
-  const std::string key = fmt::format("key/{}", *rc::gen::inRange(0, 10'000));
-  const std::string before = RendezvousOwner(key, all)->id;
-  if (before != fmt::format("m{}", gone))
-    RC_ASSERT(RendezvousOwner(key, rest)->id == before);
-}
-
-BOOST_AUTO_TEST_CASE(MailboxKeepsTheOrder) {
-  Loop loop;
-  std::vector<int> received;
-  Mailbox<int> mailbox(loop, [&](int number) {
-    received.push_back(number);
-    if (received.size() == 3)
-      loop.Stop();
-  });
-  for (const int number : {1, 2, 3})
-    mailbox.Post(number);
-  loop.Run();
-  BOOST_TEST(received == std::vector<int>({1, 2, 3}),
-             boost::test_tools::per_element());
-}
-
 }  // namespace
 }  // namespace quartzhoist::base
