What an organisation sends beyond its due comes after what others are due

Load: one organisation's flood at a height of demand, beyond the jobs a second that are its due share (`weight`). Change: an owner counts each organisation's jobs against its part of that rate, with a burst of 2 s; what is beyond is not turned away, but begins after all that is due, late jobs too, and before what is too late to be of use.

Weighed on paper: weighted start-time queueing over all waiting jobs, which changes the order in calm too, and turning away at the door, which leaves room unused.

--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -36,8 +36,11 @@
   return std::min(kGrantBound, kOwnerSilence + settings.longest_lease);
 }
 
-scheduler::Limits LimitsOf(const Settings& settings, std::uint64_t epoch) {
+scheduler::Limits LimitsOf(const Settings& settings,
+                           const Shard& shard,
+                           std::uint64_t epoch) {
   scheduler::Limits limits;
+  limits.shards = shard.count;
   limits.lease = std::min(kLease, settings.longest_lease);
   limits.grant_bound = GrantBoundOf(settings);
   limits.stop_time = settings.stop_time;
@@ -91,7 +94,7 @@
             chosen.id,
             [this] { return this->MayOrder(); }),
       advisor(this->order_client, chosen.advice),
-      scheduler(LimitsOf(chosen, own_epoch)),
+      scheduler(LimitsOf(chosen, of, own_epoch)),
       waves(from,
             of,
             [this](const scheduler::Wave& share,
--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -100,8 +100,9 @@
   std::vector<Occurrence> occurrences;
   base::Micros accepted{};
   JobStory story;
-  bool begun = false;      // a worker has said that it started a run of it
-  bool cancelled = false;  // recorded, perhaps not yet carried out
+  bool beyond_due = false;  // its organisation had its due jobs already
+  bool begun = false;       // a worker has said that it started a run of it
+  bool cancelled = false;   // recorded, perhaps not yet carried out
   // Runs whose placement is being recorded, with the change that holds it;
   // their workers are told once it is saved.
   std::vector<PendingStart> pending_starts;
--- a/scheduler/ready_tasks.cc
+++ b/scheduler/ready_tasks.cc
@@ -13,9 +13,9 @@
 // height of demand (some seconds on the sites).
 constexpr base::Micros kOverloadLasts = std::chrono::seconds(1);
 
-constexpr std::array<Prospect, 5> kInOrder{Prospect::kLasting, Prospect::kBegun,
-                                           Prospect::kWaiting, Prospect::kLate,
-                                           Prospect::kHopeless};
+constexpr std::array<Prospect, 6> kInOrder{
+    Prospect::kLasting, Prospect::kBegun,  Prospect::kWaiting,
+    Prospect::kLate,    Prospect::kBeyond, Prospect::kHopeless};
 
 ReadyTask First(int priority, Prospect prospect) {
   ReadyTask first;
@@ -46,7 +46,9 @@
 // for jobs that are late once some of them run out of their use: by the nearest
 // end they begin when they are just too late for that (of the same 6 s 53% of
 // use, 61% so). In calm, when nobody runs out of time, the nearest end goes
-// first.
+// first. Jobs beyond what their organisation is due come after all that others
+// are due: at a height one organisation's flood costs the others nothing, and
+// is served from what they leave.
 void ReadyTasks::Try(
     base::Micros now,
     const std::function<Tried(const ReadyTask& task)>& attempt) {
@@ -69,8 +71,8 @@
   auto next = this->tasks.begin();
   while (next != this->tasks.end()) {
     const int priority = next->priority;
-    for (const Prospect prospect :
-         {Prospect::kBegun, Prospect::kWaiting, Prospect::kLate})
+    for (const Prospect prospect : {Prospect::kBegun, Prospect::kWaiting,
+                                    Prospect::kLate, Prospect::kBeyond})
       this->AgeRange(priority, prospect, now);
     next = this->tasks.lower_bound(First(priority + 1, Prospect::kLasting));
   }
@@ -112,7 +114,9 @@
       break;
     tried = attempt(*next);
     const bool leaves = tried == Tried::kPlaced || tried == Tried::kUnwanted;
-    if (tried == Tried::kPlaced && prospect == Prospect::kWaiting)
+    const bool was_unbegun =
+        prospect == Prospect::kWaiting || prospect == Prospect::kBeyond;
+    if (tried == Tried::kPlaced && was_unbegun)
       begun.push_back(*next);
     if (leaves)
       it = this->tasks.erase(next);
--- a/scheduler/ready_tasks.h
+++ b/scheduler/ready_tasks.h
@@ -21,6 +21,7 @@
   kBegun,     // can be in time, and its job has begun
   kWaiting,   // can be in time, and nothing of its job has begun
   kLate,      // can no longer be in time, but soon enough to be of use
+  kBeyond,    // beyond what its organisation is due, nothing of it has begun
   kHopeless,  // too late to be of use; it runs all the same
 };
 
@@ -36,7 +37,9 @@
 
   // The end of the prospect that it has now.
   base::Micros latest() const {
-    return this->prospect == Prospect::kLate ? this->of_use : this->in_time;
+    const bool by_use = this->prospect == Prospect::kLate ||
+                        this->prospect == Prospect::kBeyond;
+    return by_use ? this->of_use : this->in_time;
   }
   bool operator<(const ReadyTask& other) const {
     return std::make_tuple(this->priority, this->prospect, this->latest(),
--- a/scheduler/ready_tasks_test.cc
+++ b/scheduler/ready_tasks_test.cc
@@ -18,6 +18,48 @@
 using std::chrono::seconds;
 using Tried = ReadyTasks::Tried;
 
+ReadyTask Waiting(Job& job, Prospect prospect, std::uint64_t number) {
+  return {.prospect = prospect,
+          .in_time = seconds(1),
+          .of_use = seconds(5),
+          .number = number,
+          .job = &job,
+          .place = {}};
+}
+
+// One organisation floods a pool: what others are due goes first, late jobs
+// too, and the flood is served from what is left, before what is of no use.
+BOOST_AUTO_TEST_CASE(WhatIsBeyondItsDueComesAfterWhatOthersAreDue) {
+  std::deque<Job> jobs(4);
+  ReadyTasks tasks;
+  tasks.Insert(Waiting(jobs[0], Prospect::kBeyond, 1));
+  tasks.Insert(Waiting(jobs[1], Prospect::kHopeless, 2));
+  tasks.Insert(Waiting(jobs[2], Prospect::kLate, 3));
+  tasks.Insert(Waiting(jobs[3], Prospect::kWaiting, 4));
+  std::vector<const Job*> tried;
+  const auto place = [&](const ReadyTask& task) {
+    tried.push_back(task.job);
+    return Tried::kPlaced;
+  };
+  tasks.Try(milliseconds(10), place);
+  const std::vector<const Job*> expected{&jobs[3], &jobs[2], &jobs[0],
+                                         &jobs[1]};
+  BOOST_TEST(tried == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(FloodThatIsTooLateIsOfNoUse) {
+  std::deque<Job> jobs(2);
+  ReadyTasks tasks;
+  tasks.Insert(Waiting(jobs[0], Prospect::kBeyond, 1));
+  tasks.Insert(Waiting(jobs[1], Prospect::kHopeless, 2));
+  const auto stays = [](const ReadyTask&) { return Tried::kStays; };
+  tasks.Try(seconds(6), stays);
+  BOOST_CHECK(
+      std::all_of(tasks.begin(), tasks.end(), [](const ReadyTask& task) {
+        return task.prospect == Prospect::kHopeless;
+      }));
+}
+
 // A pool of equal slots, and jobs of a step of four tasks that take 0.64 s in
 // the mean; in time is 1.62 s after the job was handed in, of use 4.9 s.
 struct Pool {
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -16,13 +16,14 @@
 }  // namespace
 
 Scheduler::Scheduler(const Limits& chosen)
-    : limits(chosen), fleet(chosen.fleet) {}
+    : limits(chosen), due_shares(chosen.shards), fleet(chosen.fleet) {}
 
 // --- Configuration and workers ---
 
 void Scheduler::SetConfig(const jobs::Config& next, base::Micros now) {
   this->config = next;
   this->quotas.SetOrganisations(next.organisations);
+  this->due_shares.SetOrganisations(next.organisations);
   for (auto& [id, job] : this->jobs) {
     // A job of a queue that is gone keeps the terms it was accepted under.
     if (const jobs::Queue* queue = this->config.FindQueue(job.queue.name))
@@ -125,6 +126,7 @@
     this->MeetJob(job, now);
     return;
   }
+  job.beyond_due = !this->due_shares.Take(job.organisation, now);
   if (job.spec.repeats > 0)
     this->timed.insert(job.id);
   double core_seconds = 0.0;
@@ -217,9 +219,10 @@
   const bool begun = job.begun || place.step > 0;
   this->ready[job.queue.service].Insert(
       {.priority = job.queue.priority,
-       .prospect = lasting ? Prospect::kLasting
-                   : begun ? Prospect::kBegun
-                           : Prospect::kWaiting,
+       .prospect = lasting          ? Prospect::kLasting
+                   : begun          ? Prospect::kBegun
+                   : job.beyond_due ? Prospect::kBeyond
+                                    : Prospect::kWaiting,
        .in_time = lasting ? now : since + objective - left,
        .of_use = since + kOfUseTimes * objective - left,
        .number = ++this->ready_number,
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -23,6 +23,7 @@
 #include "jobs/queue.h"
 #include "scheduler/actions.h"
 #include "scheduler/demand.h"
+#include "scheduler/due_shares.h"
 #include "scheduler/facts.h"
 #include "scheduler/fleet.h"
 #include "scheduler/job.h"
@@ -38,6 +39,7 @@
   base::Micros grant_bound{};  // no lease lasts longer after a confirmation
   base::Micros stop_time{};    // a stop takes at most so long
   std::uint64_t epoch = 1;     // of this ownership, from 1
+  int shards = 1;              // over which the jobs are spread
   // Lists every box, and says which boxes a wave covers.
   FleetLimits fleet;
 };
@@ -300,6 +302,7 @@
   RunTimes run_times;
   Demand demand;
   Quotas quotas;
+  DueShares due_shares;
   Fleet fleet;
   std::vector<Action> actions;
   base::Micros confirmed{};
