--- a/client/commands.cc
+++ b/client/commands.cc
@@ -43,9 +43,8 @@
   const std::vector<table::Fault> faults = table::Check(rows);
   json list = json::array();
   for (const table::Fault& fault : faults) {
-    list.push_back({{"row", fault.row},
-                    {"cell", fault.cell},
-                    {"problem", fault.problem}});
+    list.push_back(
+        {{"row", fault.row}, {"cell", fault.cell}, {"problem", fault.problem}});
     if (!as_json)
       fmt::print("{}: {}.{}: {}\n", file, fault.row, fault.cell, fault.problem);
   }
--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "base/event_log.h"
+#include "entry/caller_rights.h"
 #include "jobs/progress.h"
 #include "platform/base64.h"
 #include "platform/batch_room.h"
@@ -200,7 +201,7 @@
       this->config->Route(host ? WithoutPort(*host) : "", path);
   // 2. The caller, by its key.
   const std::optional<std::string> organisation =
-      queue ? this->OrganisationOf(request, *queue) : std::nullopt;
+      queue ? CallerOf(*this->config, *queue, request.headers) : std::nullopt;
   const base::Micros age = base::MonotonicNow() - this->config_seen;
   if (!organisation && view == ConfigView::kFollowed && age > kFreshView) {
     this->AskForConfig(exchange);
@@ -234,41 +235,6 @@
     this->Refuse(exchange, kNoMethod, job, "POST, GET or DELETE");
 }
 
-std::optional<std::string> CallerApi::OrganisationOf(
-    const http::Request& request,
-    const jobs::Queue& queue) const {
-  const std::optional<std::string_view> key =
-      platform::CallerKey(request.headers);
-  const jobs::Organisation* holder =
-      key ? this->config->HolderOf(jobs::DigestOf(*key)) : nullptr;
-  if (holder)
-    return holder->name;
-  const bool needs_none = queue.open || !this->config->asks_for_keys;
-  return needs_none ? std::optional<std::string>("") : std::nullopt;
-}
-
-// The tasks of a gang run together or not at all: one that is larger than the
-// quota can never run.
-bool CallerApi::IsAboveQuota(const std::string& organisation,
-                             const jobs::JobSpec& spec) const {
-  const jobs::Organisation* caller =
-      this->config->FindOrganisation(organisation);
-  if (!caller)
-    return false;
-  const jobs::Resources& quota = caller->quota;
-  const auto is_above = [](std::int64_t each, std::int64_t tasks,
-                           std::int64_t most) {
-    return most > 0 && each * tasks > most;
-  };
-  return std::any_of(
-      spec.steps.begin(), spec.steps.end(), [&](const jobs::Step& step) {
-        return step.gang &&
-               (is_above(step.each.cpu_millis, step.tasks, quota.cpu_millis) ||
-                is_above(step.each.memory_mb, step.tasks, quota.memory_mb) ||
-                is_above(step.each.gpus, step.tasks, quota.gpus));
-      });
-}
-
 // --- Handing in ---
 
 void CallerApi::Submit(const http::ExchangePtr& exchange,
@@ -283,7 +249,7 @@
   Submission submission;
   try {
     const jobs::JobSpec spec = platform::ParseJob(request.body);
-    if (this->IsAboveQuota(organisation, spec)) {
+    if (IsAboveQuota(*this->config, organisation, spec)) {
       this->Refuse(exchange, kTooLarge, job,
                    "a gang needs more than its organisation may have running");
       return;
--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -71,12 +71,6 @@
   void AskForConfig(const http::ExchangePtr& exchange);
   void TakeConfigRow(const std::optional<platform::ReadResult>& result,
                      base::Micros asked);
-  // Whose key came with the request; nothing if the queue asks for one that is
-  // known, and it has none.
-  std::optional<std::string> OrganisationOf(const http::Request& request,
-                                            const jobs::Queue& queue) const;
-  bool IsAboveQuota(const std::string& organisation,
-                    const jobs::JobSpec& spec) const;
   void Submit(const http::ExchangePtr& exchange,
               const jobs::Queue& queue,
               const std::string& organisation,
--- a/scheduler/scheduler_test.cc
+++ b/scheduler/scheduler_test.cc
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "scheduler/scheduler.h"
+#include "testing/scheduler_bench.h"
 
 namespace quartzhoist::scheduler {
 namespace {
@@ -13,126 +14,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-template <typename Wanted>
-std::vector<Wanted> Only(const std::vector<Action>& actions) {
-  std::vector<Wanted> found;
-  for (const Action& action : actions) {
-    if (const auto* one = std::get_if<Wanted>(&action))
-      found.push_back(*one);
-  }
-  return found;
-}
-
-// An owner with one pool, told and asked by hand.
-struct Bench {
-  explicit Bench(std::uint64_t epoch) : scheduler(LimitsOf(epoch)) {
-    jobs::Config config;
-    config.services.push_back({.name = "pool"});
-    this->scheduler.SetConfig(config, this->now);
-    this->scheduler.Confirmed(this->now);
-  }
-
-  static Limits LimitsOf(std::uint64_t epoch) {
-    Limits limits;
-    limits.lease = seconds(4);
-    limits.grant_bound = seconds(10);
-    limits.stop_time = milliseconds(400);
-    limits.epoch = epoch;
-    return limits;
-  }
-
-  static WorkerInfo Worker(const std::string& id) {
-    return {.id = id,
-            .box = "box-" + id,
-            .service = "pool",
-            .address = id,
-            .zone = "",
-            .labels = {},
-            .rack = id,
-            .capacity = {.cpu_millis = 4000, .memory_mb = 4000, .gpus = 0}};
-  }
-
-  static jobs::Step OneTask() {
-    jobs::Step step;
-    step.tasks = 1;
-    step.each = {.cpu_millis = 1000, .memory_mb = 100, .gpus = 0};
-    step.estimate_ms = 1000;
-    return step;
-  }
-
-  static jobs::Step OneLastingTask() {
-    jobs::Step step = OneTask();
-    step.lasting = true;
-    return step;
-  }
-
-  // A job of this step alone.
-  void AddJob(const std::string& id,
-              const jobs::Step& step = OneTask(),
-              bool needs_advice = false) {
-    jobs::Queue queue;
-    queue.name = "queue";
-    queue.service = "pool";
-    queue.advice.required = needs_advice;
-    jobs::JobSpec spec;
-    spec.steps.push_back(step);
-    this->scheduler.AddJob(MakeJob(id, queue, spec, {}, this->now, {}),
-                           this->now);
-  }
-
-  // The worker answers a look that is sent now, and that may grant a lease.
-  void List(const std::string& worker,
-            Listing listing,
-            base::Micros grant = {}) {
-    this->scheduler.LookSent(worker, this->now);
-    if (grant > base::Micros{})
-      this->scheduler.LookGrants(worker, grant);
-    this->now += milliseconds(10);
-    listing.clock_ms = this->now.count() / 1000;
-    this->scheduler.Listed(worker, listing, this->now);
-    this->scheduler.WorkersRecorded({worker});
-  }
-
-  // A turn of the scheduler, later.
-  std::vector<Action> Turn() {
-    this->now += milliseconds(300);
-    this->scheduler.Confirmed(this->now);
-    this->scheduler.Advance(this->now);
-    return this->scheduler.TakeActions();
-  }
-
-  // Tells that all of these were saved.
-  void Save(const std::vector<SaveProgress>& saves) {
-    for (const SaveProgress& save : saves) {
-      this->scheduler.Saved({.job = save.job,
-                             .change = save.change,
-                             .outcome = SaveOutcome::kSaved,
-                             .version = ++this->version,
-                             .stored = {}},
-                            this->now);
-    }
-  }
-
-  // Turns until a start is ordered; saves whatever is to be saved.
-  StartRun NextStart() {
-    for (int i = 0; i < 8; ++i) {
-      const std::vector<Action> actions = this->Turn();
-      const auto starts = Only<StartRun>(actions);
-      if (!starts.empty())
-        return starts.front();
-      this->Save(Only<SaveProgress>(actions));
-    }
-    return {};
-  }
-
-  base::Micros now = seconds(100);
-  std::uint64_t version = 1;
-  Scheduler scheduler;
-};
-
-jobs::TaskId FirstTask(const std::string& job) {
-  return {.job = job, .occurrence = 0, .step = 0, .index = 0};
-}
+using testing::FirstTask;
+using testing::Only;
+using Bench = testing::SchedulerBench;
 
 // A busy worker's looks are answered each 0.2 s. When it falls silent, what it
 // runs waits for the end of its lease; the lease must also bridge a takeover.
@@ -241,84 +125,6 @@
   BOOST_CHECK(over[0].took >= story.longest_wait + story.longest_run);
 }
 
-BOOST_AUTO_TEST_CASE(RunOfAnUnknownJobTakesTheWholeRoomUntilItHasEnded) {
-  Bench bench(2);
-  bench.scheduler.PutWorker(Bench::Worker("w"), bench.now);
-  bench.List("w", {.clock_ms = 0,
-                   .running = {{.task = FirstTask("over"),
-                                .run = 3,
-                                .checkpoint = "",
-                                .percent = 40}},
-                   .ended = {}});
-  bench.AddJob("next");
-  // It may be a job that has just been handed in: it is asked for first.
-  const std::vector<Action> before = bench.Turn();
-  BOOST_TEST(Only<SaveProgress>(before).empty());
-  BOOST_TEST(Only<StopRun>(before).empty());
-  BOOST_REQUIRE(Only<ReadJob>(before).size() == 1U);
-  BOOST_TEST(Only<ReadJob>(before)[0].job == "over");
-  bench.scheduler.JobIsOver("over", bench.now);
-  const std::vector<Action> after = bench.Turn();
-  BOOST_TEST(Only<SaveProgress>(after).empty());
-  BOOST_TEST(Only<StopRun>(after).size() == 1U);
-  bench.List("w", {.clock_ms = 0,
-                   .running = {},
-                   .ended = {{.number = 1,
-                              .task = FirstTask("over"),
-                              .run = 3,
-                              .how = RunEnd::kStopped,
-                              .checkpoint = ""}}});
-  BOOST_TEST(Only<SaveProgress>(bench.Turn()).size() == 1U);
-}
-
-// Its worker tells of it before the store does: forgotten there, it would be
-// started again.
-BOOST_AUTO_TEST_CASE(EndOfAJobThatIsNotKnownYetIsHeldUntilItIs) {
-  Bench bench(2);
-  bench.scheduler.PutWorker(Bench::Worker("w"), bench.now);
-  const Listing listing{.clock_ms = 0,
-                        .running = {},
-                        .ended = {{.number = 1,
-                                   .task = FirstTask("late"),
-                                   .run = 1,
-                                   .how = RunEnd::kDone,
-                                   .checkpoint = ""}}};
-  bench.List("w", listing);
-  bench.Turn();
-  BOOST_TEST(bench.scheduler.FindWorker("w")->acknowledged == 0);
-  bench.AddJob("late");
-  const std::vector<Action> actions = bench.Turn();
-  BOOST_TEST(Only<StartRun>(actions).empty());
-  BOOST_TEST(bench.scheduler.FindWorker("w")->acknowledged == 0);
-  const auto saves = Only<SaveProgress>(actions);
-  BOOST_REQUIRE(saves.size() == 1U);
-  BOOST_CHECK(jobs::DecodeProgress(saves[0].text)->state ==
-              jobs::JobState::kCompleted);
-  bench.scheduler.Saved({.job = "late",
-                         .change = saves[0].change,
-                         .outcome = SaveOutcome::kSaved,
-                         .version = 2},
-                        bench.now);
-  bench.Turn();
-  BOOST_TEST(bench.scheduler.FindWorker("w")->acknowledged == 1);
-}
-
-BOOST_AUTO_TEST_CASE(RunOfAJobThatIsNotKnownYetIsItsRun) {
-  Bench bench(2);
-  bench.scheduler.PutWorker(Bench::Worker("w"), bench.now);
-  bench.List("w", {.clock_ms = 0,
-                   .running = {{.task = FirstTask("late"),
-                                .run = 1,
-                                .checkpoint = "",
-                                .percent = 40}},
-                   .ended = {}});
-  bench.Turn();
-  bench.AddJob("late");
-  const std::vector<Action> actions = bench.Turn();
-  BOOST_TEST(Only<StartRun>(actions).empty());
-  BOOST_TEST(Only<StopRun>(actions).empty());
-}
-
 BOOST_AUTO_TEST_CASE(TaskDoneBeyondACutStopsItsLaterRun) {
   Bench bench(1);
   for (const char* id : {"a", "b"}) {
--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -5,9 +5,6 @@
 
 #include <fmt/format.h>
 
-#include "entry/save_result.h"
-#include "entry/tables.h"
-
 namespace quartzhoist::testing {
 
 namespace {
@@ -192,7 +189,7 @@
       continue;
     if (this->Chance(this->faults.late_job)) {
       this->After(this->Between(20, 600),
-                  [this, index, id] { this->BringJob(index, id); });
+                  [this, index, job = id] { this->BringJob(index, job); });
       continue;
     }
     scheduler::Job job = this->Make(id, std::move(progress));
@@ -204,44 +201,6 @@
   this->owners.push_back(std::move(owner));
 }
 
-scheduler::Job SchedulerModel::Make(const std::string& id,
-                                    jobs::Progress progress) const {
-  const ModelJob& job = this->jobs.at(id).job;
-  jobs::Queue queue;
-  queue.name = "queue";
-  queue.service = "pool";
-  queue.attempts = job.attempts;
-  return scheduler::MakeJob(id, queue, job.spec, std::move(progress), this->now,
-                            {});
-}
-
-void SchedulerModel::BringJob(std::size_t index, const std::string& id) {
-  const StoredJob& stored = this->jobs.at(id);
-  scheduler::Job job = this->Make(id, {});
-  job.version = stored.first_version;
-  scheduler::Scheduler& owner = *this->owners[index].scheduler;
-  owner.AddJob(std::move(job), this->now);
-  if (stored.cancelled)
-    owner.CancelJob(id, this->now);
-}
-
-void SchedulerModel::ReadJob(std::size_t index, const std::string& id) {
-  this->After(this->Between(5, 300), [this, index, id] {
-    scheduler::Scheduler& owner = *this->owners[index].scheduler;
-    const StoredJob& stored = this->jobs.at(id);
-    jobs::Progress progress = jobs::DecodeProgress(stored.progress).value();
-    if (jobs::IsFinal(progress.state) && progress.placed.empty()) {
-      owner.JobIsOver(id, this->now);
-      return;
-    }
-    scheduler::Job job = this->Make(id, std::move(progress));
-    job.version = stored.version;
-    owner.AddJob(std::move(job), this->now);
-    if (stored.cancelled)
-      owner.CancelJob(id, this->now);
-  });
-}
-
 void SchedulerModel::RunFor(base::Micros span) {
   const base::Micros end = this->now + span;
   while (this->now < end)
@@ -484,55 +443,6 @@
       });
 }
 
-void SchedulerModel::Save(std::size_t index,
-                          const scheduler::SaveProgress& save) {
-  const scheduler::SaveProgress kept{
-      .job = save.job,
-      .text = entry::EncodeKept({.text = save.text}),
-      .version = save.version,
-      .change = save.change,
-      .over = save.over};
-  const auto write = [this, save] {
-    StoredJob& stored = this->jobs.at(save.job);
-    if (stored.version != save.version)
-      return false;
-    stored.version = ++this->version;
-    stored.progress = save.text;
-    return true;
-  };
-  const auto answer = [this, index](const scheduler::SaveResult& result) {
-    this->owners[index].scheduler->Saved(result, this->now);
-  };
-  const base::Micros away_for = this->jobs.at(save.job).away_until - this->now;
-  const bool away = away_for > base::Micros::zero();
-  const bool late = this->Chance(this->faults.late_save);
-  const bool lost = away || late || this->Chance(this->faults.lost_save);
-  base::Micros delay = late ? this->Between(1000, 4000) : this->Between(1, 20);
-  if (away)
-    delay += away_for;
-  if (lost) {
-    const scheduler::SaveResult unknown{.job = save.job, .change = save.change};
-    this->After(milliseconds(1500), [answer, unknown] { answer(unknown); });
-  }
-  if (away && this->Chance(0.5))
-    return;
-  this->After(delay, [this, write, answer, lost, kept] {
-    const bool written = write();
-    const StoredJob& stored = this->jobs.at(kept.job);
-    const platform::Row there{
-        .at = entry::ProgressRow(kept.job),
-        .value = entry::EncodeKept({.text = stored.progress}),
-        .version = stored.version};
-    const platform::WriteResult outcome{
-        .outcome = written ? platform::WriteOutcome::kDone
-                           : platform::WriteOutcome::kConflict,
-        .version = stored.version};
-    const auto result = entry::SaveResultOf(kept, outcome, &there);
-    if (!lost)
-      this->After(milliseconds(3), [answer, result] { answer(result); });
-  });
-}
-
 // --- What came of it ---
 
 jobs::JobState SchedulerModel::StateOf(const std::string& job) const {
--- a/testing/scheduler_model.h
+++ b/testing/scheduler_model.h
@@ -30,8 +30,8 @@
   // The part of the store with a job's row falls silent for 1 to 6 s, a second:
   // of the saves meanwhile half are lost, half are made once it is back.
   double part_away = 0.0;
-  double crash = 0.0;        // a worker's life ends, a second
-  double cut = 0.0;          // a worker is cut from an owner, a second
+  double crash = 0.0;  // a worker's life ends, a second
+  double cut = 0.0;    // a worker is cut from an owner, a second
   // A job was handed in while a new owner read what is kept: it hears of it 20
   // to 600 ms later. Per job and takeover.
   double late_job = 0.0;
@@ -102,7 +102,7 @@
     std::uint64_t version = 0;
     std::uint64_t first_version = 0;  // as it was handed in
     bool cancelled = false;
-    base::Micros away_until{};  // its row's part of the store
+    base::Micros away_until{};            // its row's part of the store
     std::set<scheduler::TaskPlace> done;  // noted ends, as workers saw them
     std::map<scheduler::TaskPlace, int> failed;  // noted
     std::set<scheduler::TaskPlace> ever_done;    // ended as done, noted or not
