Jobs of an organisation with a small quota go to one shard

Change: where an equal share of an organisation's quota would not hold four such jobs, its jobs go to one shard, by its name; that shard borrows the rest once. Owners step at different paces. Test: SmallQuotaIsNotScatteredOverShards.

--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -254,9 +254,13 @@
                    "a gang needs more than its organisation may have running");
       return;
     }
-    submission.shard = {
-        .number = this->choose_shard(*this->config, queue, spec),
-        .count = this->shards};
+    const jobs::Organisation* caller =
+        this->config->FindOrganisation(organisation);
+    const std::optional<int> home =
+        caller ? HomeShard(*caller, spec, this->shards) : std::nullopt;
+    const int chosen =
+        home ? *home : this->choose_shard(*this->config, queue, spec);
+    submission.shard = {.number = chosen, .count = this->shards};
   } catch (const platform::BadInput& problem) {
     this->Refuse(exchange, kBadRequest, job, problem.what());
     return;
--- a/entry/quota_records.cc
+++ b/entry/quota_records.cc
@@ -17,6 +17,9 @@
 // Needs change with each task; shares follow them at this pace. A transfer
 // takes two writes, of the one that asks and of the one that gives.
 constexpr base::Micros kActPeriod = milliseconds(50);
+// Shards step at different paces, or many of them would write one row at the
+// same moments, of which one is made.
+constexpr base::Micros kActSpread = milliseconds(15);  // a shard
 constexpr base::Micros kClaimAgain = milliseconds(200);
 
 }  // namespace
@@ -43,7 +46,7 @@
 void QuotaRecords::Act(const std::map<std::string, scheduler::QuotaNeed>& needs,
                        bool knows_all,
                        base::Micros now) {
-  this->next_act = now + kActPeriod;
+  this->next_act = now + kActPeriod + kActSpread * this->shard.number;
   // Where nobody has a quota nothing is written or read.
   if (needs.empty())
     return;
--- a/entry/shard_choice.cc
+++ b/entry/shard_choice.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <optional>
 
+#include <xxhash.h>
+
 namespace quartzhoist::entry {
 
 namespace {
@@ -71,8 +73,46 @@
   return before % shards;
 }
 
+// An equal share of a quota is to hold so many jobs at least.
+constexpr std::int64_t kJobsAShare = 4;
+
+bool IsTooLarge(std::int64_t each,
+                std::int64_t tasks,
+                std::int64_t quota,
+                int shards) {
+  return quota > 0 && each * tasks * kJobsAShare * shards > quota;
+}
+
 }  // namespace
 
+// With sixteen shards a sixteenth of a small quota holds no job: each one would
+// first have to borrow from the other shards, by writes that all of them make
+// to one row. Its jobs together need one shard's share, which is lent once.
+std::optional<int> HomeShard(const jobs::Organisation& organisation,
+                             const jobs::JobSpec& job,
+                             int shards) {
+  if (shards == 1)
+    return std::nullopt;
+  const jobs::Resources& quota = organisation.quota;
+  const bool is_too_large = std::any_of(
+      job.steps.begin(), job.steps.end(), [&](const jobs::Step& step) {
+        return IsTooLarge(step.each.cpu_millis, step.tasks, quota.cpu_millis,
+                          shards) ||
+               IsTooLarge(step.each.memory_mb, step.tasks, quota.memory_mb,
+                          shards) ||
+               IsTooLarge(step.each.gpus, step.tasks, quota.gpus, shards);
+      });
+  // A job that asks for a kind of box goes where there is one.
+  const bool asks_for_kind =
+      std::any_of(job.steps.begin(), job.steps.end(),
+                  [](const jobs::Step& step) { return !step.label.empty(); });
+  if (!is_too_large || asks_for_kind)
+    return std::nullopt;
+  const std::string& name = organisation.name;
+  return static_cast<int>(XXH32(name.data(), name.size(), 0) %
+                          static_cast<unsigned>(shards));
+}
+
 ShardChoice::ShardChoice(std::uint64_t seed) : random(seed) {}
 
 // Lasting tasks that may not share a box pin one each to their pool, some 30 of
--- a/entry/shard_choice.h
+++ b/entry/shard_choice.h
@@ -6,11 +6,13 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
 
 #include "jobs/job.h"
+#include "jobs/organisation.h"
 #include "jobs/queue.h"
 
 namespace quartzhoist::entry {
@@ -24,6 +26,12 @@
   std::vector<std::string> kinds;
 };
 
+// The shard that takes all such jobs of an organisation, where its quota is too
+// small to be shared out; nothing where any shard may take them.
+std::optional<int> HomeShard(const jobs::Organisation& organisation,
+                             const jobs::JobSpec& job,
+                             int shards);
+
 class ShardChoice {
  public:
   explicit ShardChoice(std::uint64_t seed);
--- a/entry/shards_test.cc
+++ b/entry/shards_test.cc
@@ -31,6 +31,29 @@
   return wave;
 }
 
+// A small quota in many shards: no share of it would hold a job.
+BOOST_AUTO_TEST_CASE(SmallQuotaIsNotScatteredOverShards) {
+  jobs::JobSpec job;
+  job.steps.resize(1);
+  job.steps[0].tasks = 8;
+  job.steps[0].each.cpu_millis = 1500;
+  const auto home = [&job](std::int64_t cores, int shards) {
+    return HomeShard({.name = "bees",
+                      .keys = {},
+                      .jobs_a_second = 0,
+                      .quota = {.cpu_millis = cores * 1000}},
+                     job, shards);
+  };
+  BOOST_TEST(home(60, 16).has_value());
+  BOOST_CHECK(home(60, 16) == home(61, 16));
+  BOOST_TEST(!home(4000, 16).has_value());
+  BOOST_TEST(!home(400, 2).has_value());
+  BOOST_TEST(!home(60, 1).has_value());
+  BOOST_TEST(!home(0, 16).has_value());
+  job.steps[0].label = "a";
+  BOOST_TEST(!home(60, 16).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(FleetIsOneShardUntilItOutgrowsAnOwner) {
   BOOST_TEST(ShardCountFor(0, 200) == 1);
   BOOST_TEST(ShardCountFor(200, 200) == 1);
