A task's failed runs are kept by number, so that no owner loses one

Traced in its logs: a row held how often a task had failed and in which run last. Ruled out: ends that were acknowledged before they were saved. Change: the row names the failed runs; two writers' rows are united; and an owner that learns from another's row that a task has no attempt left fails the job. Before and after: three tests, each red before (a later failure first; two writers; an owner that meets the other's row), green now.

--- a/jobs/jobs_test.cc
+++ b/jobs/jobs_test.cc
@@ -1,5 +1,6 @@
 // Records of jobs and the configuration of queues.
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -58,8 +59,11 @@
       for (std::size_t i = 0; i < bits.size(); ++i)
         RC_ASSERT(!bits[i] || merged.IsDone(step, static_cast<int>(i)));
     }
-    for (const auto& [task, failures] : part->failures)
-      RC_ASSERT(merged.failures.at(task).count >= failures.count);
+    for (const auto& [task, runs] : part->failures) {
+      const FailedRuns& all = merged.failures.at(task);
+      RC_ASSERT(
+          std::includes(all.begin(), all.end(), runs.begin(), runs.end()));
+    }
   }
   RC_ASSERT(Same(Merge(merged, merged), merged));
   RC_ASSERT(Same(Merge(merged, a), merged));
@@ -71,7 +75,26 @@
   progress.MarkFailed(task, 1);
   progress.MarkFailed(task, 1);
   progress.MarkFailed(task, 2);
-  BOOST_TEST(progress.failures[task].count == 2);
+  BOOST_TEST(progress.FailuresOf(task) == 2);
+}
+
+BOOST_AUTO_TEST_CASE(FailedRunThatIsToldAfterALaterOneCounts) {
+  Progress progress;
+  const TaskKey task{.step = {.occurrence = 0, .step = 0}, .index = 3};
+  progress.MarkFailed(task, 1002);
+  progress.MarkFailed(task, 1001);
+  BOOST_TEST(progress.FailuresOf(task) == 2);
+}
+
+BOOST_AUTO_TEST_CASE(FailedRunsOfTwoWritersAddUp) {
+  const TaskKey task{.step = {.occurrence = 0, .step = 0}, .index = 0};
+  Progress earlier;
+  earlier.MarkFailed(task, 1001);
+  earlier.MarkFailed(task, 1002);
+  Progress later;
+  later.MarkFailed(task, 1001);
+  later.MarkFailed(task, 1003);
+  BOOST_TEST(Merge(later, earlier).FailuresOf(task) == 3);
 }
 
 BOOST_AUTO_TEST_CASE(TaskThatIsDoneIsNotPlacedAnyMore) {
@@ -88,8 +111,10 @@
         R"({"state":"queued","done":{"1":"#"}})",
         R"({"state":"queued","done":{"1.1":5}})",
         R"({"state":"queued","done":{"1.-1":"#"}})",
-        R"({"state":"queued","failures":{"1.1":[1,2]}})",
-        R"({"state":"queued","failures":{"1.1.1":1}})",
+        R"({"state":"queued","failed_runs":{"1.1":[1,2]}})",
+        R"({"state":"queued","failed_runs":{"1.1.1":1}})",
+        R"({"state":"queued","failed_runs":{"1.1.1":[]}})",
+        R"({"state":"queued","failed_runs":{"1.1.1":["1"]}})",
         R"({"state":"queued","placed":{"1.1.1":["w"]}})"}) {
     BOOST_TEST(!DecodeProgress(text).has_value(), text);
   }
--- a/jobs/progress.cc
+++ b/jobs/progress.cc
@@ -74,15 +74,15 @@
 }
 
 bool ReadFailures(const Json& row, Progress& progress) {
-  for (const auto& [key, count] : row.items()) {
+  for (const auto& [key, runs] : row.items()) {
     const auto task = ParseTask(key);
-    const bool fits = count.is_array() && count.size() == 2 &&
-                      count[0].is_number_integer() &&
-                      count[1].is_number_integer();
-    if (!task || !fits)
+    if (!task || !runs.is_array() || runs.empty())
       return false;
-    progress.failures[*task] = {.count = count[0].get<int>(),
-                                .last_run = count[1].get<int>()};
+    for (const Json& run : runs) {
+      if (!run.is_number_integer())
+        return false;
+      progress.MarkFailed(*task, run.get<int>());
+    }
   }
   return true;
 }
@@ -127,11 +127,13 @@
 }
 
 void Progress::MarkFailed(const TaskKey& task, int run) {
-  Failures& known = this->failures[task];
-  if (run <= known.last_run)
-    return;
-  ++known.count;
-  known.last_run = run;
+  this->failures[task].insert(run);
+}
+
+int Progress::FailuresOf(const TaskKey& task) const {
+  const auto found = this->failures.find(task);
+  return found == this->failures.end() ? 0
+                                       : static_cast<int>(found->second.size());
 }
 
 std::string EncodeProgress(const Progress& progress) {
@@ -140,9 +142,8 @@
     row["done"][fmt::format("{}.{}", step.occurrence, step.step)] =
         BitsText(bits);
   }
-  for (const auto& [task, count] : progress.failures) {
-    row["failures"][TaskText(task)] = {count.count, count.last_run};
-  }
+  for (const auto& [task, runs] : progress.failures)
+    row["failed_runs"][TaskText(task)] = runs;
   for (const auto& [task, placement] : progress.placed)
     row["placed"][TaskText(task)] = {placement.worker, placement.run};
   return row.dump();
@@ -160,7 +161,8 @@
   progress.state = *state;
   if (row.contains("done") && !ReadDone(row["done"], progress))
     return std::nullopt;
-  if (row.contains("failures") && !ReadFailures(row["failures"], progress))
+  if (row.contains("failed_runs") &&
+      !ReadFailures(row["failed_runs"], progress))
     return std::nullopt;
   if (row.contains("placed") && !ReadPlaced(row["placed"], progress))
     return std::nullopt;
@@ -176,11 +178,10 @@
         merged.MarkDone(step, static_cast<int>(i));
     }
   }
-  for (const auto& [task, count] : b.failures) {
-    Failures& known = merged.failures[task];
-    known.count = std::max(known.count, count.count);
-    known.last_run = std::max(known.last_run, count.last_run);
-  }
+  // Neither writer need know all: with counts in place of runs, of three failed
+  // runs two owners knew two each, and the task was started a fourth time.
+  for (const auto& [task, runs] : b.failures)
+    merged.failures[task].insert(runs.begin(), runs.end());
   for (const auto& [task, placement] : b.placed) {
     Placement& known = merged.placed[task];
     if (placement.run > known.run)
--- a/jobs/progress.h
+++ b/jobs/progress.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -40,14 +41,9 @@
   }
 };
 
-// How often a task has failed, and in which run last: an end that is told twice
-// counts once.
-struct Failures {
-  int count = 0;
-  int last_run = 0;
-
-  bool operator==(const Failures&) const = default;
-};
+// The runs in which a task has failed: an end that is told twice counts once,
+// and one that is told after a later run's counts too.
+using FailedRuns = std::set<int>;
 
 // Where a run of a task was placed: recorded before the worker is told, so that
 // a later owner knows which worker to ask about the task.
@@ -61,13 +57,14 @@
 struct Progress {
   JobState state = JobState::kQueued;
   std::map<StepKey, std::vector<bool>> done;
-  std::map<TaskKey, Failures> failures;
-  std::map<TaskKey, Placement> placed;  // tasks that are not done
+  std::map<TaskKey, FailedRuns> failures;  // none of them empty
+  std::map<TaskKey, Placement> placed;     // tasks that are not done
 
   bool IsDone(const StepKey& step, int index) const;
   void MarkDone(const StepKey& step, int index);
-  // Counts a failed run, unless it has been counted.
   void MarkFailed(const TaskKey& task, int run);
+  // How many of its runs have failed.
+  int FailuresOf(const TaskKey& task) const;
 };
 
 std::string EncodeProgress(const Progress& progress);
@@ -75,8 +72,8 @@
 std::optional<Progress> DecodeProgress(std::string_view text);
 
 // What two writers know together: both record facts, so a task done for one is
-// done, of two counts of failures the larger one holds, and of two placements
-// the later run.
+// done, a run that failed for one has failed, and of two placements the later
+// run holds.
 Progress Merge(const Progress& a, const Progress& b);
 
 }  // namespace quartzhoist::jobs
--- a/scheduler/job.cc
+++ b/scheduler/job.cc
@@ -1,5 +1,6 @@
 #include "scheduler/job.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace quartzhoist::scheduler {
@@ -19,7 +20,7 @@
     }
     const auto failed = progress.failures.find({.step = key, .index = index});
     if (failed != progress.failures.end())
-      runs.tasks[i].newest_run = failed->second.last_run;
+      runs.tasks[i].newest_run = *failed->second.rbegin();
   }
   return runs;
 }
@@ -155,6 +156,16 @@
   return ready;
 }
 
+bool IsOutOfAttempts(const Job& job) {
+  const jobs::Progress& progress = job.progress;
+  return std::any_of(progress.failures.begin(), progress.failures.end(),
+                     [&](const auto& entry) {
+                       const jobs::TaskKey& task = entry.first;
+                       return !progress.IsDone(task.step, task.index) &&
+                              progress.FailuresOf(task) >= job.queue.attempts;
+                     });
+}
+
 bool AllDone(const Job& job) {
   for (const Occurrence& occurrence : job.occurrences) {
     for (const StepRuns& step : occurrence.steps) {
--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -154,6 +154,8 @@
 
 // Every task of every repeat is done.
 bool AllDone(const Job& job);
+// Has a task that is not done failed as often as its queue allows?
+bool IsOutOfAttempts(const Job& job);
 
 }  // namespace quartzhoist::scheduler
 
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -363,6 +363,9 @@
   }
   if (job.finished() && !was_final)
     this->StopAll(job, now);
+  // With the failures that the other writer knew there may be enough.
+  if (!job.finished() && IsOutOfAttempts(job))
+    this->Finish(job, jobs::JobState::kFailed, now);
   this->InheritRuns(job, now);
   for (const TaskPlace& place : voided) {
     if (TaskAt(job, place).state == TaskState::kReady && !job.finished())
--- a/scheduler/scheduler_test.cc
+++ b/scheduler/scheduler_test.cc
@@ -270,6 +270,33 @@
   BOOST_TEST(bench.scheduler.WaitingJobs()["queue"] == 0);
 }
 
+// The earlier owner knew two failures that this one did not read: its row
+// stands in the way of the next placement, which must not be made.
+BOOST_AUTO_TEST_CASE(FailuresThatAnEarlierOwnerKnewCount) {
+  Bench bench(3);
+  bench.scheduler.PutWorker(Bench::Worker("w"), bench.now);
+  bench.List("w", {.clock_ms = 0, .running = {}, .ended = {}},
+             std::chrono::seconds(4));
+  bench.AddJob("j");
+  const auto saves = Only<SaveProgress>(bench.Turn());
+  BOOST_REQUIRE(saves.size() == 1U);
+  jobs::Progress stored;
+  for (int run = 1001; run < 1004; ++run)
+    stored.MarkFailed({.step = {}, .index = 0}, run);
+  bench.scheduler.Saved({.job = "j",
+                         .change = saves[0].change,
+                         .outcome = SaveOutcome::kConflict,
+                         .version = 7,
+                         .stored = stored},
+                        bench.now);
+  const std::vector<Action> after = bench.Turn();
+  BOOST_TEST(Only<StartRun>(after).empty());
+  const auto again = Only<SaveProgress>(after);
+  BOOST_REQUIRE(again.size() == 1U);
+  BOOST_CHECK(jobs::DecodeProgress(again[0].text)->state ==
+              jobs::JobState::kFailed);
+}
+
 // The row of a life that is over stays in the store for some seconds, and is
 // read again when the store has forgotten its history: a box that is down for
 // its upkeep would pass for being back, and too many would be away.
