--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -67,6 +67,10 @@
 
   enum class ConfigView { kFollowed, kAsked };
 
+  // A write whose fate is open is tried again after this, doubled with each
+  // failure in a row.
+  static constexpr base::Micros kWriteAgain{60'000};
+
   void Dispatch(const http::ExchangePtr& exchange, ConfigView view);
   void AskForConfig(const http::ExchangePtr& exchange);
   void TakeConfigRow(const std::optional<platform::ReadResult>& result,
@@ -107,7 +111,7 @@
   // Requests that wait for the store's configuration.
   std::vector<http::ExchangePtr> asking;
   std::map<std::string, PartQueue> parts;
-  base::Micros write_again;  // until writes whose fate is open go again
+  base::Micros write_again = kWriteAgain;  // until the next try
   base::Timer retry;
   bool stopping = false;
 };
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -117,6 +117,9 @@
   void SendLook(const scheduler::LookAt& order);
   void Ask(const scheduler::AskAdvice& ask);
   void ReadJob(const std::string& job);
+  void ReadRowOf(const std::string& job,
+                 const platform::RowKey& at,
+                 std::function<void(const platform::Row* row)> take);
   void ReadJobRow(const std::string& job,
                   const jobs::Progress& progress,
                   std::uint64_t version);
--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -253,52 +253,50 @@
 
 // --- Jobs that a worker tells of first ---
 
-void Manager::ReadJob(const std::string& job) {
-  const platform::RowKey at = ProgressRow(job);
+// `take` gets the row, null if there is none. While the store does not answer,
+// the job is read again later.
+void Manager::ReadRowOf(const std::string& job,
+                        const platform::RowKey& at,
+                        std::function<void(const platform::Row* row)> take) {
   const platform::ReadQuery query{
       .table = at.table, .part = at.part, .from = job, .to = {}, .limit = 1};
-  this->store.Read(query, [this, job, lives = this->alive](
-                              std::optional<platform::ReadResult> result) {
-    if (!*lives)
-      return;
-    if (!result) {
-      this->unread_jobs.insert(job);
-      return;
-    }
-    const bool is_there =
-        !result->rows.empty() && result->rows.front().at.key == job;
+  this->store.Read(
+      query, [this, job, take = std::move(take), lives = this->alive](
+                 const std::optional<platform::ReadResult>& result) {
+        if (!*lives)
+          return;
+        if (!result) {
+          this->unread_jobs.insert(job);
+          return;
+        }
+        const bool is_there =
+            !result->rows.empty() && result->rows.front().at.key == job;
+        take(is_there ? &result->rows.front() : nullptr);
+      });
+}
+
+void Manager::ReadJob(const std::string& job) {
+  this->ReadRowOf(job, ProgressRow(job), [this, job](const platform::Row* row) {
     const auto progress =
-        is_there ? ProgressOf(result->rows.front()) : std::nullopt;
-    if (is_there && !progress)
+        row ? ProgressOf(*row) : std::optional<jobs::Progress>();
+    if (row && !progress)
       base::Log(base::Event::kRowMalformed, {{"row", job}});
     const bool is_over = !progress || (jobs::IsFinal(progress->state) &&
                                        progress->placed.empty());
     if (is_over)
       this->scheduler.JobIsOver(job, base::MonotonicNow());
     else
-      this->ReadJobRow(job, *progress, result->rows.front().version);
+      this->ReadJobRow(job, *progress, row->version);
   });
 }
 
 void Manager::ReadJobRow(const std::string& job,
                          const jobs::Progress& progress,
                          std::uint64_t version) {
-  const platform::RowKey at = JobRow(job, this->shard);
-  const platform::ReadQuery query{
-      .table = at.table, .part = at.part, .from = job, .to = {}, .limit = 1};
-  this->store.Read(query, [this, job, progress, version, lives = this->alive](
-                              std::optional<platform::ReadResult> result) {
-    if (!*lives)
-      return;
-    if (!result) {
-      this->unread_jobs.insert(job);
-      return;
-    }
+  const auto take = [this, job, progress, version](const platform::Row* row) {
     const base::Micros now = base::MonotonicNow();
-    const bool is_there =
-        !result->rows.empty() && result->rows.front().at.key == job;
-    const auto accepted = is_there ? DecodeAccepted(result->rows.front().value)
-                                   : std::optional<AcceptedJob>();
+    const auto accepted =
+        row ? DecodeAccepted(row->value) : std::optional<AcceptedJob>();
     auto made = accepted ? this->MakeJob(job, *accepted, progress, version)
                          : std::optional<scheduler::Job>();
     if (!made) {
@@ -310,7 +308,8 @@
     if (this->cancels.contains(job))
       this->scheduler.CancelJob(job, now);
     this->ActSoon();
-  });
+  };
+  this->ReadRowOf(job, JobRow(job, this->shard), take);
 }
 
 void Manager::ReadJobsAgain() {
