A cancel whose first try may be written is not called refused

Cause, by reading: a cancel is tried three times, and the last answer decided what its caller was told: a try of unknown fate and a 503 after it gave 503, which says that nothing was done. Change: an unknown try is remembered, and the caller is told 504. Test: red before (503 for 504), green after, three times. The store's stand-in takes moods for the next writes, one each, for it.

--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -257,35 +257,38 @@
   this->ReadProgress(
       exchange, job, [this, exchange, job](const KeptProgress& kept) {
         const Shard shard{.number = kept.shard, .count = this->shards};
-        this->WriteCancel(exchange, job, shard, kCancelTries);
+        this->WriteCancel({.exchange = exchange,
+                           .job = job,
+                           .shard = shard,
+                           .tries = kCancelTries});
       });
 }
 
-void CallerApi::WriteCancel(const http::ExchangePtr& exchange,
-                            const std::string& job,
-                            const Shard& shard,
-                            int tries) {
+void CallerApi::WriteCancel(const Cancellation& cancel) {
   // Nothing else writes this row, so that this can be done twice or late, also
   // after the job is over.
   const platform::WriteBatch write{
       .conditions = {},
-      .puts = {{.at = CancelRow(job, shard), .value = "1"}},
+      .puts = {{.at = CancelRow(cancel.job, cancel.shard), .value = "1"}},
       .removes = {}};
-  this->store.Write(write, [this, exchange, job, shard,
-                            tries](const platform::WriteResult& result) {
+  this->store.Write(write, [this, cancel](const platform::WriteResult& result) {
     if (result.outcome == platform::WriteOutcome::kDone) {
-      base::Log(base::Event::kJobCancelled, {{"job", job}});
-      this->Reply(exchange, http::JsonResponse(kOk, "{}"));
+      base::Log(base::Event::kJobCancelled, {{"job", cancel.job}});
+      this->Reply(cancel.exchange, http::JsonResponse(kOk, "{}"));
       return;
     }
-    if (tries > 1) {
-      this->WriteCancel(exchange, job, shard, tries - 1);
-      return;
-    }
-    const bool refused = result.outcome == platform::WriteOutcome::kNotDone ||
-                         result.outcome == platform::WriteOutcome::kRefused;
-    this->Refuse(exchange, refused ? kUnavailable : kUnknownFate, job,
-                 "the store does not take writes now");
+    Cancellation next = cancel;
+    --next.tries;
+    if (result.outcome == platform::WriteOutcome::kUnknown)
+      next.uncertain = true;
+    if (next.tries > 0)
+      this->WriteCancel(next);
+    else if (next.uncertain)
+      this->Refuse(cancel.exchange, kUnknownFate, cancel.job,
+                   "it is not known whether the job is cancelled: ask again");
+    else
+      this->Refuse(cancel.exchange, kUnavailable, cancel.job,
+                   "the store does not take writes now");
   });
 }
 
--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -59,6 +59,13 @@
     bool uncertain = false;  // an earlier try may have been written
     bool alone = false;      // the write that it shared was refused
   };
+  struct Cancellation {
+    http::ExchangePtr exchange;
+    std::string job;
+    Shard shard;
+    int tries = 0;           // that are left
+    bool uncertain = false;  // an earlier try may have been written
+  };
   struct PartQueue {
     std::deque<Submission> waiting;
     std::deque<Submission> again;  // whose fate is open, until the next try
@@ -90,10 +97,7 @@
                     std::function<void(const KeptProgress& kept)> found);
   void AnswerState(const http::ExchangePtr& exchange, const std::string& job);
   void Cancel(const http::ExchangePtr& exchange, const std::string& job);
-  void WriteCancel(const http::ExchangePtr& exchange,
-                   const std::string& job,
-                   const Shard& shard,
-                   int tries);
+  void WriteCancel(const Cancellation& cancel);
   void AnswerCount(const http::ExchangePtr& exchange, const std::string& queue);
   void Reply(const http::ExchangePtr& exchange, http::Response response) const;
   void Refuse(const http::ExchangePtr& exchange,
--- a/entry/caller_api_test.cc
+++ b/entry/caller_api_test.cc
@@ -122,6 +122,20 @@
   }
 }
 
+// The first try may be written yet: what the later ones meet says nothing
+// about it.
+BOOST_AUTO_TEST_CASE(CancelOfUnknownFateIsNeverCalledRefused) {
+  using Mood = StoreStandin::Mood;
+  CallerBench bench;
+  BOOST_TEST(bench.Call("POST", kJob, kBody).status == 200);
+  // A kept connection that ends without an answer is tried once more by the
+  // HTTP library itself.
+  bench.standin.SetNextWrites(
+      {Mood::kLosesAnswers, Mood::kLosesAnswers, Mood::kBusy, Mood::kBusy});
+  BOOST_TEST(bench.Call("DELETE", kJob).status == 504);
+  BOOST_TEST(!bench.standin.Value(CancelRow(kId, {})).empty());
+}
+
 // Two daemons choose different shards for one job: the first one's holds, and a
 // cancel goes there.
 BOOST_AUTO_TEST_CASE(JobHandedInAgainStaysInItsShard) {
--- a/testing/store_standin.cc
+++ b/testing/store_standin.cc
@@ -133,24 +133,33 @@
   return "";
 }
 
+StoreStandin::Mood StoreStandin::MoodOf(bool is_write) {
+  if (!is_write || this->next_writes.empty())
+    return this->mood;
+  const Mood next = this->next_writes.front();
+  this->next_writes.pop_front();
+  return next;
+}
+
 void StoreStandin::Handle(const http::ExchangePtr& exchange) {
   const bool is_write = exchange->request().path == "/rows-tx";
+  const Mood now = this->MoodOf(is_write);
   this->write_count += is_write;
-  if (this->mood == Mood::kCuts) {
+  if (now == Mood::kCuts) {
     exchange->Cut();
     return;
   }
-  if (this->mood == Mood::kBusy) {
+  if (now == Mood::kBusy) {
     exchange->Reply(http::JsonResponse(503, "{}"));
     return;
   }
-  if (this->mood == Mood::kSilent) {
+  if (now == Mood::kSilent) {
     this->unanswered.push_back(exchange);
     return;
   }
   const std::string& path = exchange->request().path;
   if (is_write)
-    this->Write(exchange);
+    this->Write(exchange, now);
   else if (path.starts_with("/rows-get"))
     this->Read(exchange);
   else if (path.starts_with("/rows-feed"))
@@ -159,7 +168,7 @@
     exchange->Reply(http::JsonResponse(404, "{}"));
 }
 
-void StoreStandin::Write(const http::ExchangePtr& exchange) {
+void StoreStandin::Write(const http::ExchangePtr& exchange, Mood now) {
   const json body = json::parse(exchange->request().body);
   const std::string refusal = this->WhyRefused(body);
   if (!refusal.empty()) {
@@ -195,7 +204,7 @@
                              .removed = true,
                              .value = ""});
   }
-  if (this->mood == Mood::kLosesAnswers)
+  if (now == Mood::kLosesAnswers)
     exchange->Cut();
   else
     exchange->Reply(http::JsonResponse(
--- a/testing/store_standin.h
+++ b/testing/store_standin.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -40,6 +41,10 @@
 
   std::string address() const;
   void SetMood(Mood mood) { this->mood = mood; }
+  // What befalls the next writes, one each, before the mood holds for them.
+  void SetNextWrites(std::deque<Mood> moods) {
+    this->next_writes = std::move(moods);
+  }
   // Feeds from before now answer that history is lost.
   void ForgetHistory();
   // Rows of a page at most.
@@ -75,7 +80,8 @@
   };
 
   void Handle(const http::ExchangePtr& exchange);
-  void Write(const http::ExchangePtr& exchange);
+  Mood MoodOf(bool is_write);
+  void Write(const http::ExchangePtr& exchange, Mood now);
   void Read(const http::ExchangePtr& exchange);
   void Feed(const http::ExchangePtr& exchange);
   bool AnswerFeed(const Waiting& waiting, bool over);
@@ -86,6 +92,7 @@
 
   base::Loop& loop;
   Mood mood = Mood::kWell;
+  std::deque<Mood> next_writes;
   platform::Deployment can;
   std::map<platform::RowKey, Stored> rows;
   std::deque<Change> history;
