Logs say what an owner knew when it asked for a box

Cause: neither box_moved nor upkeep_begun tells under which epoch a call left, how certain the ownership was, or why the box was taken as empty; a call whose owner is replaced before the answer left no line at all. Ruled out: telling the hypotheses of docs/incidents/lasting-tasks-moved.md apart by the lines there were. Figures: scheduler, base and platform tests pass; no policy changed. No functional change

--- a/base/clock.h
+++ b/base/clock.h
@@ -4,6 +4,7 @@
 #define BASE_CLOCK_H_
 
 #include <chrono>
+#include <cstdint>
 
 namespace quartzhoist::base {
 
@@ -15,6 +16,11 @@
   return std::chrono::duration<double>(span).count();
 }
 
+// Whole milliseconds, rounded down, for logs and for the wire.
+constexpr std::int64_t Millis(Micros span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
 // The monotonic clock. Pure decisions never call this: they are handed `now`.
 inline Micros MonotonicNow() {
   return std::chrono::duration_cast<Micros>(
--- a/base/event_log.h
+++ b/base/event_log.h
@@ -45,6 +45,7 @@
   kRunStarted,
   kRunUnsettled,
   kDecision,
+  kBoxAsked,
   kBoxMoved,
   kUpkeepBegun,
   kWaveReported,
@@ -67,7 +68,7 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 30> kEvents{{
+inline constexpr std::array<EventInfo, 31> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
@@ -93,6 +94,7 @@
     {Event::kWaveReported, 833, Level::kInfo, "wave_reported"},
     {Event::kPoolState, 834, Level::kInfo, "pool_state"},
     {Event::kQuotaShared, 835, Level::kInfo, "quota_shared"},
+    {Event::kBoxAsked, 836, Level::kInfo, "box_asked"},
     {Event::kRowMalformed, 841, Level::kWarning, "row_malformed"},
     {Event::kConfigInstalled, 842, Level::kInfo, "config_installed"},
     {Event::kLinesLeftOut, 851, Level::kWarning, "lines_left_out"},
--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -50,10 +50,6 @@
   return limits;
 }
 
-std::int64_t Millis(base::Micros span) {
-  return std::chrono::duration_cast<milliseconds>(span).count();
-}
-
 void LogJobOver(const scheduler::JobOver& over) {
   const scheduler::JobStory& story = over.story;
   // A job that was cancelled before it began has no first place.
@@ -62,11 +58,11 @@
             {{"job", over.job},
              {"queue", over.queue},
              {"state", base::NameOf(jobs::kJobStateNames, over.state)},
-             {"took_ms", Millis(over.took)},
-             {"objective_ms", Millis(over.objective)},
-             {"first_place_ms", Millis(first)},
-             {"longest_wait_ms", Millis(story.longest_wait)},
-             {"longest_run_ms", Millis(story.longest_run)},
+             {"took_ms", base::Millis(over.took)},
+             {"objective_ms", base::Millis(over.objective)},
+             {"first_place_ms", base::Millis(first)},
+             {"longest_wait_ms", base::Millis(story.longest_wait)},
+             {"longest_run_ms", base::Millis(story.longest_run)},
              {"runs", story.runs},
              {"lost_runs", story.lost_runs}});
 }
@@ -453,34 +449,4 @@
   });
 }
 
-void Manager::SendBox(const scheduler::MoveBox& order) {
-  this->boxes.Move(
-      order, this->epoch,
-      [this, order, lives = this->alive](scheduler::BoxCallOutcome outcome) {
-        if (!*lives)
-          return;
-        base::Log(base::Event::kBoxMoved,
-                  {{"box", order.box},
-                   {"pool", order.pool},
-                   {"outcome", static_cast<int>(outcome)}});
-        this->scheduler.Moved(order, outcome, base::MonotonicNow());
-        this->ActSoon();
-      });
-}
-
-void Manager::SendBox(const scheduler::UpkeepBox& order) {
-  this->boxes.Upkeep(
-      order, this->epoch,
-      [this, order, lives = this->alive](scheduler::BoxCallOutcome outcome) {
-        if (!*lives)
-          return;
-        base::Log(base::Event::kUpkeepBegun,
-                  {{"box", order.box},
-                   {"wave", order.wave},
-                   {"outcome", static_cast<int>(outcome)}});
-        this->scheduler.UpkeepBegun(order, outcome, base::MonotonicNow());
-        this->ActSoon();
-      });
-}
-
 }  // namespace quartzhoist::entry
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -124,6 +124,9 @@
                   const jobs::Progress& progress,
                   std::uint64_t version);
   void ReadJobsAgain();
+  void LogBoxAsked(const char* call,
+                   const std::string& box,
+                   const scheduler::BoxEvidence& evidence) const;
   void SendBox(const scheduler::MoveBox& order);
   void SendBox(const scheduler::UpkeepBox& order);
   void SaveAll();
--- /dev/null
+++ b/entry/manager_boxes.cc
@@ -0,0 +1,99 @@
+// The owner's calls about boxes: moves, upkeeps, the platform's list.
+
+#include <utility>
+
+#include "base/event_log.h"
+#include "entry/manager.h"
+
+namespace quartzhoist::entry {
+
+namespace {
+
+std::string_view OutcomeName(scheduler::BoxCallOutcome outcome) {
+  return base::NameOf(scheduler::kBoxCallOutcomeNames, outcome);
+}
+
+}  // namespace
+
+// Before the call: one that its owner does not live to see answered leaves no
+// other line.
+void Manager::LogBoxAsked(const char* call,
+                          const std::string& box,
+                          const scheduler::BoxEvidence& evidence) const {
+  base::Log(base::Event::kBoxAsked,
+            {{"call", call},
+             {"box", box},
+             {"epoch", this->epoch},
+             {"confirmed_ms", base::Millis(evidence.confirmed_ago)},
+             {"heard_ms", evidence.heard_ago < base::Micros::zero()
+                              ? -1
+                              : base::Millis(evidence.heard_ago)},
+             {"presumed_over", evidence.runs_presumed_over}});
+}
+
+void Manager::SendBox(const scheduler::MoveBox& order) {
+  this->LogBoxAsked("move", order.box, order.evidence);
+  const base::Micros sent = base::MonotonicNow();
+  this->boxes.Move(order, this->epoch,
+                   [this, order, sent,
+                    lives = this->alive](scheduler::BoxCallOutcome outcome) {
+                     if (!*lives)
+                       return;
+                     const base::Micros now = base::MonotonicNow();
+                     base::Log(base::Event::kBoxMoved,
+                               {{"box", order.box},
+                                {"pool", order.pool},
+                                {"epoch", this->epoch},
+                                {"outcome", OutcomeName(outcome)},
+                                {"took_ms", base::Millis(now - sent)}});
+                     this->scheduler.Moved(order, outcome, now);
+                     this->ActSoon();
+                   });
+}
+
+void Manager::SendBox(const scheduler::UpkeepBox& order) {
+  this->LogBoxAsked("upkeep", order.box, order.evidence);
+  const base::Micros sent = base::MonotonicNow();
+  this->boxes.Upkeep(order, this->epoch,
+                     [this, order, sent,
+                      lives = this->alive](scheduler::BoxCallOutcome outcome) {
+                       if (!*lives)
+                         return;
+                       const base::Micros now = base::MonotonicNow();
+                       base::Log(base::Event::kUpkeepBegun,
+                                 {{"box", order.box},
+                                  {"wave", order.wave},
+                                  {"epoch", this->epoch},
+                                  {"outcome", OutcomeName(outcome)},
+                                  {"took_ms", base::Millis(now - sent)}});
+                       this->scheduler.UpkeepBegun(order, outcome, now);
+                       this->ActSoon();
+                     });
+}
+
+void Manager::ListBoxes(const std::string& page,
+                        std::vector<scheduler::BoxInfo> so_far) {
+  this->boxes.List(page,
+                   [this, so_far = std::move(so_far), lives = this->alive](
+                       std::optional<platform::BoxPage> result) mutable {
+                     if (!*lives)
+                       return;
+                     if (!result) {
+                       this->listing_boxes = false;
+                       return;
+                     }
+                     for (scheduler::BoxInfo& box : result->boxes) {
+                       if (HoldsBox(this->shard, box.name))
+                         so_far.push_back(std::move(box));
+                     }
+                     if (!result->next.empty()) {
+                       this->ListBoxes(result->next, std::move(so_far));
+                       return;
+                     }
+                     this->listing_boxes = false;
+                     this->scheduler.SetBoxes(so_far, base::MonotonicNow());
+                     this->ActSoon();
+                   });
+}
+
+}  // namespace quartzhoist::entry
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -1,4 +1,4 @@
-// What the owner writes to the store, and its list of boxes.
+// What the owner writes to the store.
 
 #include <algorithm>
 #include <set>
@@ -251,49 +251,22 @@
     return;
   this->next_pool_log = now + kPoolLogPeriod;
   for (const scheduler::PoolState& state : this->scheduler.PoolStates(now)) {
-    base::Log(
-        base::Event::kPoolState,
-        {{"shard", this->shard.number},
-         {"pool", state.pool},
-         {"boxes", state.boxes},
-         {"usable", state.usable},
-         {"leaving", state.leaving},
-         {"idle", state.idle},
-         {"pinned", state.pinned},
-         {"busy_cores", fmt::format("{:.0f}", state.busy_cores)},
-         {"load_percent", state.load_percent},
-         {"waiting", state.waiting},
-         {"waiting_cores", fmt::format("{:.0f}", state.waiting_cores)},
-         {"oldest_ms",
-          std::chrono::duration_cast<milliseconds>(state.oldest).count()}});
+    base::Log(base::Event::kPoolState,
+              {{"shard", this->shard.number},
+               {"pool", state.pool},
+               {"boxes", state.boxes},
+               {"usable", state.usable},
+               {"leaving", state.leaving},
+               {"idle", state.idle},
+               {"pinned", state.pinned},
+               {"busy_cores", fmt::format("{:.0f}", state.busy_cores)},
+               {"load_percent", state.load_percent},
+               {"waiting", state.waiting},
+               {"waiting_cores", fmt::format("{:.0f}", state.waiting_cores)},
+               {"oldest_ms", base::Millis(state.oldest)}});
   }
 }
 
-void Manager::ListBoxes(const std::string& page,
-                        std::vector<scheduler::BoxInfo> so_far) {
-  this->boxes.List(page,
-                   [this, so_far = std::move(so_far), lives = this->alive](
-                       std::optional<platform::BoxPage> result) mutable {
-                     if (!*lives)
-                       return;
-                     if (!result) {
-                       this->listing_boxes = false;
-                       return;
-                     }
-                     for (scheduler::BoxInfo& box : result->boxes) {
-                       if (HoldsBox(this->shard, box.name))
-                         so_far.push_back(std::move(box));
-                     }
-                     if (!result->next.empty()) {
-                       this->ListBoxes(result->next, std::move(so_far));
-                       return;
-                     }
-                     this->listing_boxes = false;
-                     this->scheduler.SetBoxes(so_far, base::MonotonicNow());
-                     this->ActSoon();
-                   });
-}
-
 std::string Manager::Dump() const {
   Json dump = {{"shard", this->shard.number},
                {"epoch", this->epoch},
--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -71,14 +71,24 @@
   std::string job;
 };
 
+// What an owner knew of a box when it decided on a call, for the log.
+struct BoxEvidence {
+  base::Micros confirmed_ago{};  // the ownership, by the store
+  base::Micros heard_ago{};      // of the box's worker; negative: never
+  // Runs there were taken as over with their lease; nothing was heard since.
+  bool runs_presumed_over = false;
+};
+
 struct MoveBox {
   std::string box;
   std::string pool;
+  BoxEvidence evidence;
 };
 
 struct UpkeepBox {
   std::string box;
   int wave = 0;
+  BoxEvidence evidence;
 };
 
 // How far a wave is: recorded for a later owner and for the operators.
--- a/scheduler/evacuation.cc
+++ b/scheduler/evacuation.cc
@@ -1,6 +1,7 @@
 // What the fleet's plan sees of the pools, and how boxes are emptied for it.
 
 #include <algorithm>
+#include <utility>
 
 #include "scheduler/scheduler.h"
 
@@ -236,19 +237,36 @@
   }
 }
 
+BoxEvidence Scheduler::EvidenceOf(const std::string& box,
+                                  base::Micros now) const {
+  BoxEvidence evidence{.confirmed_ago = now - this->confirmed,
+                       .heard_ago = base::Micros(-1)};
+  for (const auto& [id, worker] : this->workers) {
+    if (worker.info.box != box)
+      continue;
+    if (worker.listed)
+      evidence.heard_ago = now - worker.last_answer;
+    evidence.runs_presumed_over = worker.runs_presumed_over;
+  }
+  return evidence;
+}
+
 void Scheduler::RunFleet(base::Micros now) {
   if (now < this->next_fleet)
     return;
   this->next_fleet = now + kFleetPeriod;
   for (FleetStep& step : this->fleet.Plan(this->ViewFleet(now), now)) {
-    if (const auto* evacuate = std::get_if<Evacuate>(&step))
+    if (const auto* evacuate = std::get_if<Evacuate>(&step)) {
       this->StopForEvacuation(evacuate->box, now);
-    else if (const auto* move = std::get_if<MoveBox>(&step))
-      this->actions.emplace_back(*move);
-    else if (const auto* upkeep = std::get_if<UpkeepBox>(&step))
-      this->actions.emplace_back(*upkeep);
-    else if (const auto* report = std::get_if<ReportWave>(&step))
+    } else if (auto* move = std::get_if<MoveBox>(&step)) {
+      move->evidence = this->EvidenceOf(move->box, now);
+      this->actions.emplace_back(std::move(*move));
+    } else if (auto* upkeep = std::get_if<UpkeepBox>(&step)) {
+      upkeep->evidence = this->EvidenceOf(upkeep->box, now);
+      this->actions.emplace_back(std::move(*upkeep));
+    } else if (const auto* report = std::get_if<ReportWave>(&step)) {
       this->actions.emplace_back(*report);
+    }
   }
 }
 
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/enum_names.h"
 #include "scheduler/actions.h"
 #include "scheduler/facts.h"
 
@@ -33,6 +34,16 @@
   kThrottled,  // over the rate for all daemons
 };
 
+inline constexpr base::EnumNames<BoxCallOutcome, 7> kBoxCallOutcomeNames{{
+    {BoxCallOutcome::kDone, "done"},
+    {BoxCallOutcome::kNotSent, "not_sent"},
+    {BoxCallOutcome::kUnknown, "unknown"},
+    {BoxCallOutcome::kFenced, "fenced"},
+    {BoxCallOutcome::kBusy, "busy"},
+    {BoxCallOutcome::kRefused, "refused"},
+    {BoxCallOutcome::kThrottled, "throttled"},
+}};
+
 // One box as the plan sees it.
 struct FleetBox {
   std::string name;
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -56,6 +56,7 @@
   }
   worker.listed = true;
   worker.failed_calls = 0;
+  worker.runs_presumed_over = false;
   worker.last_answer = now;
   worker.listed_sent = worker.look_sent;
   worker.clock_ms = listing.clock_ms;
@@ -409,6 +410,7 @@
       if (job && Exists(*job, PlaceOf(task)))
         TaskAt(*job, PlaceOf(task)).lease_ended = now;
     }
+    worker.runs_presumed_over = worker.runs_presumed_over || !worker.idle();
     this->DropRuns(worker, now, "its lease is over");
     if (!worker.announced && worker.failed_calls >= kCallsUntilSilent)
       forgotten.push_back(id);
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -285,6 +285,7 @@
                         std::map<std::string, int>& least) const;
   int PriorityOf(const jobs::TaskId& task) const;
   void StopForEvacuation(const std::string& box, base::Micros now);
+  BoxEvidence EvidenceOf(const std::string& box, base::Micros now) const;
   void BoxTaken(const std::string& box, base::Micros now);
   bool MayInterrupt(const jobs::TaskId& task, base::Micros now) const;
   bool HasPlaceElsewhere(const jobs::TaskId& task, base::Micros now);
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -74,6 +74,8 @@
   // A lower bound: until when looks that it has answered granted it a lease.
   base::Micros leased_until{};
   base::Micros look_grant{};  // what the look in flight grants; 0: nothing
+  // Runs were taken as over with their lease, and it has not answered since.
+  bool runs_presumed_over = false;
   // Its clock, as read at `clock_read` on ours (when the answer came).
   std::int64_t clock_ms = 0;
   base::Micros clock_read{};
--- a/testing/scheduler_model_workers.cc
+++ b/testing/scheduler_model_workers.cc
@@ -146,8 +146,7 @@
 
 scheduler::Listing SchedulerModel::ListingOf(const Worker& worker) const {
   scheduler::Listing listing;
-  listing.clock_ms =
-      std::chrono::duration_cast<milliseconds>(this->ClockOf(worker)).count();
+  listing.clock_ms = base::Millis(this->ClockOf(worker));
   for (const auto& [task, run] : worker.running) {
     if (run.stopping)
       continue;
--- a/testing/store_standin.cc
+++ b/testing/store_standin.cc
@@ -54,7 +54,7 @@
 }
 
 std::int64_t NowMillis() {
-  return std::chrono::duration_cast<milliseconds>(base::MonotonicNow()).count();
+  return base::Millis(base::MonotonicNow());
 }
 
 }  // namespace
--- a/testing/worker_standin.cc
+++ b/testing/worker_standin.cc
@@ -17,7 +17,7 @@
 constexpr base::Micros kAway = milliseconds(400);
 
 std::int64_t NowMillis() {
-  return std::chrono::duration_cast<milliseconds>(base::MonotonicNow()).count();
+  return base::Millis(base::MonotonicNow());
 }
 
 http::Response Answer(int status, json body) {
