--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -55,7 +55,8 @@
     list(GET tests 0 first_test)
     set_source_files_properties(${first_test} PROPERTIES
       COMPILE_DEFINITIONS BOOST_TEST_MODULE=${name})
-    add_test(NAME ${name} COMMAND ${name}_tests)
+    add_test(NAME ${name} COMMAND ${PROJECT_SOURCE_DIR}/scripts/run-tests
+      ${name} $<TARGET_FILE:${name}_tests>)
     # Properties draw their cases from a fixed seed: the same verdict each run.
     set_tests_properties(${name} PROPERTIES
       ENVIRONMENT "RC_PARAMS=seed=20261202 max_success=200" TIMEOUT 300)
