An owner that is not certain calls for no box, nor for one it has not heard

Ruled out: two moves of one plan that do not count each other, and a start whose answer was lost: the boxes asked for had presumed_over true and heard_ms over 4,000. Change: the plan of boxes runs only while nobody else can have taken over (1.15 s after a confirmation was asked for); each call looks again right where it leaves; a worker whose runs were given up with their lease counts as up again only once it has answered. Conclusion: the class is knowledge that outlives its proof; calls already under way when an owner stands still are not covered yet.

--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -230,6 +230,7 @@
       epoch,
       Manager::Authority{
           .orders_until = [this, shard] { return this->OrdersUntil(shard); },
+          .certain_until = [this, shard] { return this->CertainUntil(shard); },
           .on_fenced = [this,
                         shard] { this->ownerships->At(shard).Fenced(); }});
   for (const auto& [number, wave] : this->waves)
@@ -247,15 +248,18 @@
   return manager ? manager->Load() : ShardLoad();
 }
 
-// An owner that has lost the ownership orders nothing more, though it is only
-// destroyed a moment later. Where workers and boxes refuse the orders of an
-// earlier owner, one that is not certain goes on.
-base::Micros JobDaemon::OrdersUntil(int shard) const {
+// An owner that has lost the ownership is only destroyed a moment later.
+base::Micros JobDaemon::CertainUntil(int shard) const {
   const Ownership& ownership = this->ownerships->At(shard);
-  if (!ownership.holds())
-    return base::Micros::zero();
-  return this->settings.deployment.epochs_checked ? base::Micros::max()
-                                                  : ownership.orders_until();
+  return ownership.holds() ? ownership.certain_until() : base::Micros::zero();
+}
+
+// Where workers refuse the orders of an earlier owner, one that is not certain
+// goes on.
+base::Micros JobDaemon::OrdersUntil(int shard) const {
+  const bool goes_on = this->settings.deployment.epochs_checked &&
+                       this->ownerships->At(shard).holds();
+  return goes_on ? base::Micros::max() : this->CertainUntil(shard);
 }
 
 void JobDaemon::Lost(int shard) {
--- a/entry/job_daemon.h
+++ b/entry/job_daemon.h
@@ -53,6 +53,7 @@
   ManagedShard& At(int shard) const;
   ShardLoad LoadOf(int shard) const;
   base::Micros OrdersUntil(int shard) const;
+  base::Micros CertainUntil(int shard) const;
   void Lost(int shard);
   void Stop();
   void TryToEnd();
--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -88,7 +88,7 @@
       boxes(this->order_client,
             chosen.boxes,
             chosen.id,
-            [this] { return this->MayOrder(); }),
+            [this] { return this->IsCertain(); }),
       advisor(this->order_client, chosen.advice),
       scheduler(LimitsOf(chosen, of, own_epoch)),
       waves(from,
@@ -134,7 +134,7 @@
   this->confirmed_at = asked;
   this->save_policy.Confirmed(asked);
   this->renewed_in_doubt = false;
-  this->scheduler.Confirmed(asked);
+  this->scheduler.Confirmed(asked, this->authority.certain_until());
 }
 
 // --- Whether orders may leave ---
@@ -143,6 +143,13 @@
   return base::MonotonicNow() < this->authority.orders_until();
 }
 
+// A worker refuses an earlier owner's orders from the next one's first look on.
+// A box takes them until the next one calls it: an owner that stood still sent
+// five upkeeps 2.8 s after another had begun as many as the wave allows.
+bool Manager::IsCertain() const {
+  return base::MonotonicNow() < this->authority.certain_until();
+}
+
 bool Manager::IsInDoubt() const {
   return base::MonotonicNow() > this->authority.orders_until() - kDoubt;
 }
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -38,8 +38,10 @@
  public:
   // What the ownership allows, and how the manager tells that it is over.
   struct Authority {
-    // Orders may leave before this.
+    // Orders to workers may leave before this.
     std::function<base::Micros()> orders_until;
+    // Nobody else takes over before this: calls for boxes may leave.
+    std::function<base::Micros()> certain_until;
     // A worker or the platform has seen a higher epoch.
     std::function<void()> on_fenced;
   };
@@ -96,6 +98,7 @@
 
   // Whether orders may leave, and what follows when they may not.
   bool MayOrder() const;
+  bool IsCertain() const;
   bool IsInDoubt() const;
   void HoldOrders();
   void ResumeOrders();
--- a/entry/owner_lease.h
+++ b/entry/owner_lease.h
@@ -27,7 +27,7 @@
   void Made(std::uint64_t epoch, std::uint64_t beat);
 
   // Orders may leave before this; zero before the first confirmation.
-  base::Micros orders_until() const { return this->until; }
+  base::Micros certain_until() const { return this->until; }
 
  private:
   struct Tries {
--- a/entry/ownership.h
+++ b/entry/ownership.h
@@ -25,7 +25,7 @@
     std::function<void(std::uint64_t epoch, base::Micros asked)> on_gained;
     std::function<void()> on_lost;
     // The store has confirmed the ownership as of `asked`; what orders the
-    // holder gives leave before orders_until().
+    // holder gives leave before certain_until().
     std::function<void(base::Micros asked)> on_confirmed;
     // The share of a processor that this daemon has for the shard: one with
     // more takes the ownership from one with much less.
@@ -59,7 +59,7 @@
   bool is_taking() const { return this->taking_now; }
   // No other daemon takes over before this, with some slack for what is on its
   // way.
-  base::Micros orders_until() const { return this->lease.orders_until(); }
+  base::Micros certain_until() const { return this->lease.certain_until(); }
   const std::string& holder() const { return this->record.holder; }
   std::uint64_t epoch() const { return this->record.epoch; }
   // As the holder last said.
--- a/entry/ownership_test.cc
+++ b/entry/ownership_test.cc
@@ -237,7 +237,7 @@
     lease.Made(1, beat);
     ++beat;
     // What has not been made by then never is: its condition fails.
-    RC_ASSERT(lease.orders_until() < last_change + kSilence);
+    RC_ASSERT(lease.certain_until() < last_change + kSilence);
   }
 }
 
@@ -245,16 +245,16 @@
   OwnerLease lease;
   const base::Micros now = std::chrono::seconds(5);
   lease.Asked(3, 0, now, kSilence);
-  BOOST_TEST(lease.orders_until().count() == 0);
+  BOOST_TEST(lease.certain_until().count() == 0);
   // Another try of the same beat extends nothing: the first may be the one that
   // was made.
   lease.Asked(3, 0, now + std::chrono::seconds(1), kSilence);
   lease.Made(3, 0);
-  BOOST_CHECK(lease.orders_until() > now);
-  BOOST_CHECK(lease.orders_until() < now + kSilence);
+  BOOST_CHECK(lease.certain_until() > now);
+  BOOST_CHECK(lease.certain_until() < now + kSilence);
   // Nor does a beat of another epoch.
   lease.Made(4, 0);
-  BOOST_CHECK(lease.orders_until() < now + kSilence);
+  BOOST_CHECK(lease.certain_until() < now + kSilence);
 }
 
 }  // namespace
--- a/scheduler/box_calls_test.cc
+++ b/scheduler/box_calls_test.cc
@@ -70,7 +70,7 @@
                        this->bench.now + seconds(4));
   }
 
-  void Confirm() { this->bench.scheduler.Confirmed(this->bench.now); }
+  void Confirm() { this->bench.Confirm(); }
 
   // Work for two boxes comes to the pool that has none.
   void SetOtherPoolShort() {
@@ -147,4 +147,29 @@
   BOOST_TEST(Holds(two.MovedAfter(milliseconds(300)), "box-x"));
 }
 
+// The ownership is certain, and a worker is silent until its lease is over:
+// nobody has heard that the box is empty, so it is not moved before it answers.
+BOOST_AUTO_TEST_CASE(BoxThatIsNotHeardSinceItsLeaseIsNotMoved) {
+  TwoLastingTasks two;
+  jobs::Step step = Bench::OneTask();
+  step.each.cpu_millis = 4000;
+  two.bench.AddJob("cancelled", step);
+  const StartRun start = two.bench.NextStart();
+  const std::string silent = start.worker;
+  BOOST_REQUIRE((silent == "x" || silent == "y"));
+  two.bench.scheduler.Started(start, OrderOutcome::kDone, two.bench.now);
+  two.bench.scheduler.CancelJob("cancelled", two.bench.now);
+  two.SetOtherPoolShort();
+  for (int i = 0; i < 30; ++i) {
+    two.ListBoth();
+    two.bench.scheduler.LookFailed(silent, OrderOutcome::kUnknown,
+                                   two.bench.now);
+    two.Confirm();
+    BOOST_TEST(!Holds(two.MovedAfter(milliseconds(300)), "box-" + silent));
+  }
+  two.bench.List(silent, {});
+  two.Confirm();
+  BOOST_TEST(Holds(two.MovedAfter(milliseconds(300)), "box-" + silent));
+}
+
 }  // namespace quartzhoist::scheduler
--- a/scheduler/evacuation.cc
+++ b/scheduler/evacuation.cc
@@ -43,7 +43,10 @@
     box.name = worker.info.box;
     box.pool = worker.info.service;
     box.worker = id;
-    box.up = worker.announced && worker.listed && !worker.info.draining;
+    // A lease that ran out in these books may have been renewed by another
+    // owner: only an answer says that the box is empty.
+    box.up = worker.announced && worker.listed && !worker.info.draining &&
+             !worker.runs_presumed_over;
     box.idle = worker.idle();
     box.cores = static_cast<double>(worker.info.capacity.cpu_millis) / 1000.0;
     box.busy_cores = static_cast<double>(worker.used.cpu_millis) / 1000.0;
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -102,8 +102,9 @@
   }
 }
 
-void Scheduler::Confirmed(base::Micros at) {
+void Scheduler::Confirmed(base::Micros at, base::Micros until) {
   this->confirmed = std::max(this->confirmed, at);
+  this->certain_until = std::max(this->certain_until, until);
 }
 
 // --- Jobs ---
@@ -422,10 +423,12 @@
 void Scheduler::Advance(base::Micros now) {
   this->ExpireLeases(now);
   this->ReleaseDue(now);
-  if (!this->is_fenced && this->LeaseEnd(now) > now) {
+  if (!this->is_fenced && this->LeaseEnd(now) > now)
     this->Place(now);
+  // A placement fails by its row's version when another owner has come; nothing
+  // refuses a call for a box that the other one has not called yet.
+  if (!this->is_fenced && now < this->certain_until)
     this->RunFleet(now);
-  }
   this->DueStops(now);
   this->DueLooks(now);
   this->SaveChanged(now);
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -82,8 +82,9 @@
   void SetQuotaShare(const std::string& organisation, int share) {
     this->quotas.SetShare(organisation, share);
   }
-  // A store answer confirmed the ownership; `at` is when it was asked.
-  void Confirmed(base::Micros at);
+  // A store answer confirmed the ownership; `at` is when it was asked. Nobody
+  // else takes over before `certain_until`.
+  void Confirmed(base::Micros at, base::Micros certain_until);
 
   // --- Facts about jobs ---
   void AddJob(Job&& added, base::Micros now);
@@ -307,6 +308,7 @@
   Fleet fleet;
   std::vector<Action> actions;
   base::Micros confirmed{};
+  base::Micros certain_until{};
   base::Micros next_save{};
   base::Micros next_fleet{};
   std::uint64_t ready_number = 0;
--- a/scheduler/scheduler_test.cc
+++ b/scheduler/scheduler_test.cc
@@ -42,7 +42,7 @@
   int looks = 0;
   for (int turn = 0; turn < 2000; ++turn) {
     bench.now += milliseconds(10);
-    bench.scheduler.Confirmed(bench.now);
+    bench.Confirm();
     bench.scheduler.Advance(bench.now);
     const auto asked = Only<LookAt>(bench.scheduler.TakeActions());
     if (asked.empty())
--- a/testing/scheduler_bench.h
+++ b/testing/scheduler_bench.h
@@ -29,7 +29,7 @@
     jobs::Config config;
     config.services.push_back({.name = "pool"});
     this->scheduler.SetConfig(config, this->now);
-    this->scheduler.Confirmed(this->now);
+    this->Confirm();
   }
 
   static scheduler::Limits LimitsOf(std::uint64_t epoch) {
@@ -93,10 +93,16 @@
     this->scheduler.WorkersRecorded({worker});
   }
 
+  // The store confirms the ownership; nobody else takes over for 1.15 s.
+  void Confirm() {
+    this->scheduler.Confirmed(this->now,
+                              this->now + std::chrono::milliseconds(1150));
+  }
+
   // A turn of the scheduler, later.
   std::vector<scheduler::Action> Turn() {
     this->now += std::chrono::milliseconds(300);
-    this->scheduler.Confirmed(this->now);
+    this->Confirm();
     this->scheduler.Advance(this->now);
     return this->scheduler.TakeActions();
   }
--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -19,6 +19,8 @@
 // Lines of what happened that are kept for a failing test.
 constexpr std::size_t kHistory = 60;
 constexpr base::Micros kOrderTimeout = milliseconds(800);
+// No other owner comes for so long after a confirmation.
+constexpr base::Micros kOwnerCertain = milliseconds(1150);
 // An end counts as noted once its worker was told so, or this long after it
 // was listed.
 constexpr double kClockSlack = 1.05;
@@ -180,7 +182,7 @@
   jobs::Config config;
   config.services.push_back({.name = "pool"});
   made.SetConfig(config, this->now);
-  made.Confirmed(this->now);
+  made.Confirmed(this->now, this->now + kOwnerCertain);
   const std::size_t index = this->owners.size();
   for (const auto& [id, stored] : this->jobs) {
     jobs::Progress progress = jobs::DecodeProgress(stored.progress).value();
@@ -229,7 +231,8 @@
   }
   // Only the newest owner is confirmed by the store.
   if (this->now >= this->owners.back().frozen_until)
-    this->owners.back().scheduler->Confirmed(this->now);
+    this->owners.back().scheduler->Confirmed(this->now,
+                                             this->now + kOwnerCertain);
   for (std::size_t i = 0; i < this->owners.size(); ++i)
     this->Act(i);
 }
