A list of boxes counts from when it was asked for

Ruled out: the platform's list being late; the reader is. Change: SetBoxes is told when its list was asked for; a box is back by a list that was asked for after the upkeep.

--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -262,7 +262,7 @@
       this->scheduler.wants_boxes() && !this->settings.boxes.empty()) {
     this->listing_boxes = true;
     this->next_list = now + kListPeriod;
-    this->ListBoxes("", {});
+    this->ListBoxes("", {}, now);
   }
   this->turn_time = base::MonotonicNow() - this->last_turn;
   if (this->scheduler.fenced())
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -148,7 +148,8 @@
   void WriteCounts();
   void LogPools();
   void ListBoxes(const std::string& page,
-                 std::vector<scheduler::BoxInfo> so_far);
+                 std::vector<scheduler::BoxInfo> so_far,
+                 base::Micros asked);
   platform::OrderTo To(const std::string& worker) const;
   std::optional<scheduler::Job> MakeJob(const std::string& id,
                                         const AcceptedJob& accepted,
--- a/entry/manager_boxes.cc
+++ b/entry/manager_boxes.cc
@@ -72,28 +72,29 @@
 }
 
 void Manager::ListBoxes(const std::string& page,
-                        std::vector<scheduler::BoxInfo> so_far) {
-  this->boxes.List(page,
-                   [this, so_far = std::move(so_far), lives = this->alive](
-                       std::optional<platform::BoxPage> result) mutable {
-                     if (!*lives)
-                       return;
-                     if (!result) {
-                       this->listing_boxes = false;
-                       return;
-                     }
-                     for (scheduler::BoxInfo& box : result->boxes) {
-                       if (HoldsBox(this->shard, box.name))
-                         so_far.push_back(std::move(box));
-                     }
-                     if (!result->next.empty()) {
-                       this->ListBoxes(result->next, std::move(so_far));
-                       return;
-                     }
-                     this->listing_boxes = false;
-                     this->scheduler.SetBoxes(so_far, base::MonotonicNow());
-                     this->ActSoon();
-                   });
+                        std::vector<scheduler::BoxInfo> so_far,
+                        base::Micros asked) {
+  this->boxes.List(
+      page, [this, so_far = std::move(so_far), asked, lives = this->alive](
+                std::optional<platform::BoxPage> result) mutable {
+        if (!*lives)
+          return;
+        if (!result) {
+          this->listing_boxes = false;
+          return;
+        }
+        for (scheduler::BoxInfo& box : result->boxes) {
+          if (HoldsBox(this->shard, box.name))
+            so_far.push_back(std::move(box));
+        }
+        if (!result->next.empty()) {
+          this->ListBoxes(result->next, std::move(so_far), asked);
+          return;
+        }
+        this->listing_boxes = false;
+        this->scheduler.SetBoxes(so_far, asked, base::MonotonicNow());
+        this->ActSoon();
+      });
 }
 
 }  // namespace quartzhoist::entry
--- a/scheduler/evacuation.cc
+++ b/scheduler/evacuation.cc
@@ -143,8 +143,10 @@
   }
 }
 
-void Scheduler::SetBoxes(const std::vector<BoxInfo>& boxes, base::Micros now) {
-  this->fleet.SetBoxes(boxes, now);
+void Scheduler::SetBoxes(const std::vector<BoxInfo>& boxes,
+                         base::Micros asked,
+                         base::Micros now) {
+  this->fleet.SetBoxes(boxes, asked, now);
 }
 
 void Scheduler::Moved(const MoveBox& order,
--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -39,12 +39,14 @@
   }
 }
 
-void Fleet::SetBoxes(const std::vector<BoxInfo>& boxes, base::Micros now) {
+void Fleet::SetBoxes(const std::vector<BoxInfo>& boxes,
+                     base::Micros asked,
+                     base::Micros now) {
   this->listed.clear();
   for (const BoxInfo& box : boxes)
     this->listed[box.name] = box;
   this->has_list = true;
-  this->CompareWavesWithList(now);
+  this->CompareWavesWithList(asked, now);
 }
 
 void Fleet::Moved(const MoveBox& order,
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -119,7 +119,10 @@
   void BoxSeen(const std::string& box, const std::string& worker);
   // A worker on the box has answered this owner.
   void BoxAnswered(const std::string& box);
-  void SetBoxes(const std::vector<BoxInfo>& boxes, base::Micros now);
+  // The platform's list, asked for at `asked`: it may be as old as that.
+  void SetBoxes(const std::vector<BoxInfo>& boxes,
+                base::Micros asked,
+                base::Micros now);
   void Moved(const MoveBox& order, BoxCallOutcome outcome, base::Micros now);
   void UpkeepBegun(const UpkeepBox& order,
                    BoxCallOutcome outcome,
@@ -186,11 +189,11 @@
   };
 
   ReportWave Report(const WaveProgress& progress) const;
-  void CompareWavesWithList(base::Micros now);
+  void CompareWavesWithList(base::Micros asked, base::Micros now);
   // Is, or was lately, the box in the upkeep of another wave?
   bool InUpkeepOfAnother(int wave,
                          const std::string& box,
-                         base::Micros now) const;
+                         base::Micros asked) const;
   WaveTurn CountWave(WaveProgress& progress,
                      const std::map<std::string, const FleetBox*>& boxes,
                      base::Micros now) const;
--- a/scheduler/fleet_test.cc
+++ b/scheduler/fleet_test.cc
@@ -204,7 +204,7 @@
                           .worker = box.worker,
                           .cores = 16.0});
       }
-      fleet.SetBoxes(listed, now);
+      fleet.SetBoxes(listed, now, now);
     }
   }
   RC_ASSERT(completed);
@@ -212,6 +212,37 @@
     RC_ASSERT(begun[box] >= 1);
 }
 
+// An owner that stands still reads an answer long after it was written: a list
+// of boxes that was asked for before an upkeep began shows its box as up, which
+// brings it back for nobody.
+BOOST_AUTO_TEST_CASE(ListFromBeforeAnUpkeepDoesNotBringTheBoxBack) {
+  Fleet fleet(kLimits);
+  const FleetView view{
+      .boxes = {IdleBox("b1", "pool"), IdleBox("b2", "pool")},
+      .pools = {{.name = "pool", .spare = false, .needs = {}}}};
+  const std::vector<BoxInfo> listed = {
+      {.name = "b1", .pool = "pool", .worker = "b1-life", .cores = 16.0},
+      {.name = "b2", .pool = "pool", .worker = "b2-life", .cores = 16.0}};
+  base::Micros now = seconds(10);
+  fleet.SetBoxes(listed, now, now);
+  fleet.SetWave({.number = 1,
+                 .boxes = {"b1", "b2"},
+                 .duration = seconds(60),
+                 .most_at_once = 1},
+                {}, now);
+  const auto first = Only<UpkeepBox>(fleet.Plan(view, now));
+  BOOST_REQUIRE(first.size() == 1U);
+  const base::Micros asked = now;
+  now += milliseconds(100);
+  fleet.UpkeepBegun(first[0], BoxCallOutcome::kDone, now);
+  now += seconds(3);
+  fleet.SetBoxes(listed, asked, now);
+  BOOST_TEST(Only<UpkeepBox>(fleet.Plan(view, now)).empty());
+  // One that is asked for now does.
+  fleet.SetBoxes(listed, now, now);
+  BOOST_TEST(Only<UpkeepBox>(fleet.Plan(view, now)).size() == 1U);
+}
+
 // Many idle boxes and a few with lasting tasks, which leave one after the
 // other: the latter begin with the first, or they are what is late in the end.
 BOOST_AUTO_TEST_CASE(BoxesOfLastingTasksBeginWithTheFirst) {
@@ -230,7 +261,7 @@
     view.boxes.push_back(box);
   }
   fleet.SetWave(wave, {}, seconds(1));
-  fleet.SetBoxes(listed, seconds(1));
+  fleet.SetBoxes(listed, seconds(1), seconds(1));
   const std::vector<FleetStep> steps = fleet.Plan(view, seconds(1));
   BOOST_TEST(Only<Evacuate>(steps).size() == 2U);
   BOOST_TEST(Only<UpkeepBox>(steps).size() == 14U);
@@ -252,7 +283,7 @@
   BOOST_TEST(Only<UpkeepBox>(fleet.Plan(view, seconds(2))).empty());
   fleet.SetBoxes({{.name = "b1", .pool = "pool", .worker = "b1-life"},
                   {.name = "b2", .pool = "pool", .worker = "b2-life"}},
-                 seconds(4));
+                 seconds(4), seconds(4));
   const auto begun = Only<UpkeepBox>(fleet.Plan(view, seconds(4)));
   BOOST_REQUIRE(begun.size() == 1);
   BOOST_TEST(begun[0].box == "b2");
@@ -272,11 +303,11 @@
   BOOST_TEST(Only<UpkeepBox>(fleet.Plan(view, seconds(2))).empty());
   fleet.SetBoxes({{.name = "b1", .pool = "pool", .state = BoxState::kUpkeep},
                   {.name = "b2", .pool = "pool", .worker = "b2-life"}},
-                 seconds(2));
+                 seconds(2), seconds(2));
   BOOST_TEST(Only<UpkeepBox>(fleet.Plan(view, seconds(3))).empty());
   fleet.SetBoxes({{.name = "b1", .pool = "pool"},
                   {.name = "b2", .pool = "pool", .worker = "b2-life"}},
-                 seconds(6));
+                 seconds(6), seconds(6));
   BOOST_TEST(Only<UpkeepBox>(fleet.Plan(view, seconds(6))).size() == 1U);
 }
 
@@ -297,17 +328,17 @@
   view.boxes = {IdleBox("b1", "pool")};
   view.pools = {{.name = "pool", .spare = false, .needs = {}}};
   fleet.SetWave(wave(1), {}, seconds(1));
-  fleet.SetBoxes({up}, seconds(1));
+  fleet.SetBoxes({up}, seconds(1), seconds(1));
   BOOST_TEST(Only<UpkeepBox>(fleet.Plan(view, seconds(1))).size() == 1U);
   fleet.UpkeepBegun({.box = "b1", .wave = 1}, BoxCallOutcome::kDone,
                     seconds(1));
   fleet.SetWave(wave(2), {}, seconds(2));
-  fleet.SetBoxes({down}, seconds(2));
+  fleet.SetBoxes({down}, seconds(2), seconds(2));
   // Its new life is there before the list shows it.
   fleet.BoxSeen("b1", "b1-next-life");
-  fleet.SetBoxes({down}, seconds(4));
+  fleet.SetBoxes({down}, seconds(4), seconds(4));
   view.boxes[0].worker = "b1-next-life";
-  fleet.SetBoxes({up}, seconds(6));
+  fleet.SetBoxes({up}, seconds(6), seconds(6));
   const std::vector<FleetStep> steps = fleet.Plan(view, seconds(6));
   for (const ReportWave& report : Only<ReportWave>(steps))
     BOOST_TEST((report.wave == 1 || report.state == WaveState::kRunning));
@@ -337,7 +368,7 @@
                  .duration = seconds(20),
                  .most_at_once = 1},
                 {}, seconds(1));
-  fleet.SetBoxes({}, seconds(2));
+  fleet.SetBoxes({}, seconds(2), seconds(2));
   const auto reports = Only<ReportWave>(fleet.Plan({}, seconds(3)));
   BOOST_REQUIRE(reports.size() == 1);
   BOOST_CHECK(reports[0].state == WaveState::kCompleted);
--- a/scheduler/fleet_waves.cc
+++ b/scheduler/fleet_waves.cc
@@ -14,8 +14,8 @@
 // were due, and 9 so.
 constexpr int kPinnedShare = 8;
 
-// The list of boxes may show what was true so long ago: it is read each 1.5 s,
-// in pages, by a service that may be slow.
+// A list of boxes may show what was true so long before it was asked for. Not
+// known from a run: the pages name no bound.
 constexpr base::Micros kListAge = std::chrono::seconds(4);
 
 }  // namespace
@@ -56,23 +56,25 @@
 }
 
 // What an earlier owner began without coming to record it, and what is back.
-void Fleet::CompareWavesWithList(base::Micros now) {
+void Fleet::CompareWavesWithList(base::Micros asked, base::Micros now) {
   for (auto& [number, progress] : this->waves) {
     for (auto& [name, upkeep] : progress.boxes) {
       const auto found = this->listed.find(name);
       // A box that has been taken away needs no upkeep.
       const bool gone = found == this->listed.end();
-      // The list may be older than the call's answer: wait the upkeep out.
+      // The list may have been asked for before the call, and be read by an
+      // owner that stood still meanwhile: it counts once it was asked for after
+      // the upkeep.
       const bool back = !gone && found->second.state == BoxState::kUp &&
                         upkeep.state == UpkeepState::kDown &&
-                        now > upkeep.since + this->limits.upkeep_time;
+                        asked > upkeep.since + this->limits.upkeep_time;
       if (gone || back)
         upkeep.state = UpkeepState::kDone;
       // An earlier owner began it, and did not come to record it.
       const bool begun = !gone && found->second.state == BoxState::kUpkeep &&
                          (upkeep.state == UpkeepState::kPending ||
                           upkeep.state == UpkeepState::kEmptying);
-      if (begun && !this->InUpkeepOfAnother(number, name, now)) {
+      if (begun && !this->InUpkeepOfAnother(number, name, asked)) {
         upkeep.state = UpkeepState::kDown;
         upkeep.since = now;
         progress.to_report = true;
@@ -85,7 +87,7 @@
 // taken for both, one of them was said to be completed without the box.
 bool Fleet::InUpkeepOfAnother(int wave,
                               const std::string& box,
-                              base::Micros now) const {
+                              base::Micros asked) const {
   return std::any_of(
       this->waves.begin(), this->waves.end(), [&](const auto& entry) {
         const auto found = entry.second.boxes.find(box);
@@ -94,7 +96,7 @@
         const Upkeep& upkeep = found->second;
         const bool is_back_lately =
             upkeep.state == UpkeepState::kDone &&
-            now < upkeep.since + this->limits.upkeep_time + kListAge;
+            asked < upkeep.since + this->limits.upkeep_time + kListAge;
         return upkeep.state == UpkeepState::kCalling ||
                upkeep.state == UpkeepState::kDown || is_back_lately;
       });
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -116,7 +116,9 @@
   void SetWave(const Wave& wave,
                const std::vector<std::string>& begun,
                base::Micros now);
-  void SetBoxes(const std::vector<BoxInfo>& boxes, base::Micros now);
+  void SetBoxes(const std::vector<BoxInfo>& boxes,
+                base::Micros asked,
+                base::Micros now);
   void Moved(const MoveBox& order, BoxCallOutcome outcome, base::Micros now);
   void UpkeepBegun(const UpkeepBox& order,
                    BoxCallOutcome outcome,
--- a/scheduler/scheduler_test.cc
+++ b/scheduler/scheduler_test.cc
@@ -316,7 +316,7 @@
   bench.List("other", {});
   bench.scheduler.SetBoxes({{.name = "box-1", .pool = "pool", .worker = "new"},
                             {.name = "box-2", .pool = "pool"}},
-                           bench.now);
+                           bench.now, bench.now);
   bench.scheduler.SetWave({.number = 1,
                            .boxes = {"box-1", "box-2"},
                            .duration = seconds(60),
