Calls for boxes are recorded before they are made, for the next owner

Cause: no row said that a move or an upkeep was under way; an owner that took over counted neither, while a box takes an earlier owner's call until the new one has called it. Looking at the ownership again where a call leaves narrows that gap and does not close it (an owner may stand still right after the look). Ruled out: raising the token of every box at a takeover (a call a box: 49, 350, 7,400 boxes at 64 calls a second); waiting for the earlier calls' time limit (an owner may stand still for longer). Change: a row for each shard holds the calls whose outcome is not known, written under its version before they leave; a new owner claims the row first, counts those boxes as away, and makes each call anew once the box has been heard and is empty. A box that is back when a repeated move is answered serves at once.

--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -104,6 +104,7 @@
              [this](const std::string& organisation, int share) {
                this->scheduler.SetQuotaShare(organisation, share);
              }),
+      box_calls(from, of, own_epoch, this->BoxCallEvents()),
       save_policy(from.deployment().writes_span_parts),
       timer(on, [this] { this->Act(); }),
       soon(on, [this] { this->Act(); }),
@@ -232,6 +233,7 @@
   this->act_is_due = false;
   this->last_turn = base::MonotonicNow();
   if (!this->begun) {
+    this->RecordBoxCalls();
     if (this->kept_jobs)
       this->ReadRest();
     return;
@@ -246,6 +248,7 @@
                        this->last_turn);
     this->scheduler.Advance(this->last_turn);
     this->CarryAll();
+    this->RecordBoxCalls();
   } else {
     this->HoldOrders();
   }
@@ -295,10 +298,10 @@
     }
     void operator()(const scheduler::AskAdvice& ask) const { manager.Ask(ask); }
     void operator()(const scheduler::MoveBox& order) const {
-      manager.SendBox(order);
+      manager.box_calls.Ask(order);
     }
     void operator()(const scheduler::UpkeepBox& order) const {
-      manager.SendBox(order);
+      manager.box_calls.Ask(order);
     }
     void operator()(const scheduler::ReportWave& report) const {
       manager.waves.Report(report);
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -17,6 +17,7 @@
 
 #include "base/counters.h"
 #include "base/loop.h"
+#include "entry/box_calls.h"
 #include "entry/quota_records.h"
 #include "entry/save_policy.h"
 #include "entry/save_queue.h"
@@ -130,6 +131,8 @@
   void LogBoxAsked(const char* call,
                    const std::string& box,
                    const scheduler::BoxEvidence& evidence) const;
+  BoxCalls::Events BoxCallEvents();
+  void RecordBoxCalls();
   void SendBox(const scheduler::MoveBox& order);
   void SendBox(const scheduler::UpkeepBox& order);
   void SaveAll();
@@ -182,6 +185,8 @@
   std::optional<std::map<std::string, scheduler::WorkerInfo>> announced;
   WaveRecords waves;
   QuotaRecords quotas;
+  BoxCalls box_calls;
+  std::vector<scheduler::BoxCall> kept_calls;
 
   std::set<std::string> cancels;  // of jobs not known yet
   // Jobs to be read anew: the store gave no answer.
--- a/entry/manager_boxes.cc
+++ b/entry/manager_boxes.cc
@@ -15,6 +15,45 @@
 
 }  // namespace
 
+BoxCalls::Events Manager::BoxCallEvents() {
+  return {
+      .on_claimed =
+          [this](const std::vector<scheduler::BoxCall>& calls) {
+            this->kept_calls = calls;
+            this->Begin();
+          },
+      .on_recorded =
+          [this](const scheduler::BoxCall& call) {
+            std::visit([this](const auto& one) { this->SendBox(one); }, call);
+          },
+      .on_refused =
+          [this](const scheduler::BoxCall& call) {
+            struct Visitor {
+              scheduler::Scheduler& scheduler;
+
+              void operator()(const scheduler::MoveBox& move) const {
+                this->scheduler.Moved(move, scheduler::BoxCallOutcome::kNotSent,
+                                      base::MonotonicNow());
+              }
+              void operator()(const scheduler::UpkeepBox& upkeep) const {
+                this->scheduler.UpkeepBegun(upkeep,
+                                            scheduler::BoxCallOutcome::kNotSent,
+                                            base::MonotonicNow());
+              }
+            };
+            std::visit(Visitor{this->scheduler}, call);
+          },
+      .on_fenced = [this] { this->authority.on_fenced(); }};
+}
+
+void Manager::RecordBoxCalls() {
+  this->box_calls.Act(
+      [this](const std::string& box) {
+        return this->scheduler.HasOpenBoxCall(box);
+      },
+      base::MonotonicNow());
+}
+
 // Before the call: one that its owner does not live to see answered leaves no
 // other line.
 void Manager::LogBoxAsked(const char* call,
--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -37,6 +37,7 @@
 // Jobs first: progress that is read later belongs to jobs that are known, and
 // later jobs come by the feed.
 void Manager::ReadKept() {
+  this->RecordBoxCalls();
   this->job_follower = std::make_unique<platform::TableFollower>(
       this->loop, this->store, JobTable(this->shard), JobParts(),
       platform::TableFollower::Events{
@@ -136,10 +137,13 @@
 void Manager::Begin() {
   const bool complete = this->has_config && this->kept_jobs &&
                         this->kept_progress && this->kept_leases &&
-                        this->kept_waves && this->announced;
+                        this->kept_waves && this->announced &&
+                        this->box_calls.claimed();
   if (this->begun || !complete)
     return;
   this->begun = true;
+  this->scheduler.InheritBoxCalls(std::exchange(this->kept_calls, {}),
+                                  base::MonotonicNow());
   this->AddWorkers();
   this->scheduler.SetConfig(this->config, base::MonotonicNow());
   this->AddKeptJobs();
--- a/entry/tables.cc
+++ b/entry/tables.cc
@@ -209,6 +209,46 @@
   }
 }
 
+std::string EncodeBoxCalls(const BoxCallRecord& record) {
+  struct Visitor {
+    Json operator()(const scheduler::MoveBox& move) const {
+      return {{"box", move.box}, {"life", move.life}, {"pool", move.pool}};
+    }
+    Json operator()(const scheduler::UpkeepBox& upkeep) const {
+      return {
+          {"box", upkeep.box}, {"life", upkeep.life}, {"wave", upkeep.wave}};
+    }
+  };
+  Json list = Json::array();
+  for (const scheduler::BoxCall& call : record.calls)
+    list.push_back(std::visit(Visitor{}, call));
+  return Json{{"epoch", record.epoch}, {"calls", std::move(list)}}.dump();
+}
+
+std::optional<BoxCallRecord> DecodeBoxCalls(std::string_view text) {
+  try {
+    const Json json = Json::parse(text);
+    BoxCallRecord record;
+    record.epoch = json.at("epoch").get<std::uint64_t>();
+    for (const Json& call : json.at("calls")) {
+      const auto box = call.at("box").get<std::string>();
+      const auto life = call.at("life").get<std::string>();
+      if (call.contains("wave")) {
+        record.calls.emplace_back(scheduler::UpkeepBox{
+            .box = box, .wave = call["wave"].get<int>(), .life = life});
+      } else {
+        record.calls.emplace_back(
+            scheduler::MoveBox{.box = box,
+                               .pool = call.at("pool").get<std::string>(),
+                               .life = life});
+      }
+    }
+    return record;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
 std::string EncodeShardCount(int count) {
   return std::to_string(count);
 }
--- a/entry/tables.h
+++ b/entry/tables.h
@@ -15,6 +15,7 @@
 #include "entry/shards.h"
 #include "jobs/queue.h"
 #include "platform/store.h"
+#include "scheduler/actions.h"
 #include "scheduler/facts.h"
 
 namespace quartzhoist::entry {
@@ -40,6 +41,9 @@
 // Boxes of each wave whose upkeep has begun, and the shards that are done.
 inline constexpr std::string_view kWaveTable = "waves";
 
+// What the shard's owner is about to ask of boxes: recorded before each call.
+inline constexpr std::string_view kBoxTable = "boxes";
+inline constexpr std::string_view kBoxKey = "calls";
 // How the shards share each organisation's quota: a row for each that is not
 // shared equally, and one for each shard that its owner writes when it takes
 // over. All in one part, since a write has conditions on both.
@@ -126,6 +130,15 @@
 std::string EncodeLeases(const LeaseRecord& record);
 std::optional<LeaseRecord> DecodeLeases(std::string_view text);
 
+// Calls for boxes that the owner of this epoch, or an earlier one, has recorded
+// and not seen settled.
+struct BoxCallRecord {
+  std::uint64_t epoch = 0;
+  std::vector<scheduler::BoxCall> calls;
+};
+std::string EncodeBoxCalls(const BoxCallRecord& record);
+std::optional<BoxCallRecord> DecodeBoxCalls(std::string_view text);
+
 std::string EncodeShardCount(int count);
 // Nothing if the text is no count that a fleet may be scheduled in.
 std::optional<int> DecodeShardCount(std::string_view text);
--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -82,15 +82,21 @@
 struct MoveBox {
   std::string box;
   std::string pool;
+  std::string life;  // the worker there when it was decided; empty: none
   BoxEvidence evidence;
 };
 
 struct UpkeepBox {
   std::string box;
   int wave = 0;
+  std::string life;  // as above
   BoxEvidence evidence;
 };
 
+// A call for a box, recorded before it is made: the next owner makes it again
+// under its own epoch, so that the box refuses the earlier owner's.
+using BoxCall = std::variant<MoveBox, UpkeepBox>;
+
 // How far a wave is: recorded for a later owner and for the operators.
 struct ReportWave {
   int wave = 0;
--- a/scheduler/evacuation.cc
+++ b/scheduler/evacuation.cc
@@ -149,6 +149,12 @@
   this->fleet.SetBoxes(boxes, asked, now);
 }
 
+void Scheduler::InheritBoxCalls(const std::vector<BoxCall>& calls,
+                                base::Micros now) {
+  for (const BoxCall& call : calls)
+    std::visit([&](const auto& one) { this->fleet.Inherit(one, now); }, call);
+}
+
 void Scheduler::Moved(const MoveBox& order,
                       BoxCallOutcome outcome,
                       base::Micros now) {
--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -23,7 +23,38 @@
 
 Fleet::Fleet(const FleetLimits& chosen) : limits(chosen) {}
 
-void Fleet::BoxSeen(const std::string& box, const std::string& worker) {
+void Fleet::Inherit(const MoveBox& call, base::Micros now) {
+  this->moves[call.box] = {.pool = call.pool,
+                           .worker_before = call.life,
+                           .since = now,
+                           .is_inherited = true};
+}
+
+// Counted as away from here on: the earlier owner's call may be on its way.
+void Fleet::Inherit(const UpkeepBox& call, base::Micros now) {
+  WaveProgress& progress = this->waves[call.wave];
+  progress.wave.number = call.wave;
+  progress.boxes[call.box] = {.state = UpkeepState::kCalling,
+                              .worker_before = call.life,
+                              .since = now,
+                              .may_have_begun = true,
+                              .is_inherited = true};
+}
+
+// An earlier owner calls for empty boxes only, and places nothing on them
+// before its call is settled: on a box where something runs the call was given
+// up, or carried out long ago. One that nobody hears may be on its way.
+Fleet::Inherited Fleet::JudgeInherited(const BoxesByName& boxes,
+                                       const std::string& box) {
+  const auto found = boxes.find(box);
+  if (found == boxes.end() || !found->second->up)
+    return Inherited::kWaits;
+  return found->second->idle ? Inherited::kMayBeMade : Inherited::kIsVoid;
+}
+
+void Fleet::BoxSeen(const std::string& box,
+                    const std::string& worker,
+                    const std::string& pool) {
   for (auto& [number, progress] : this->waves) {
     const auto found = progress.boxes.find(box);
     if (found == progress.boxes.end())
@@ -33,10 +64,12 @@
       upkeep.state = UpkeepState::kDone;
   }
   const auto move = this->moves.find(box);
-  if (move != this->moves.end() && move->second.done &&
-      move->second.worker_before != worker) {
+  if (move == this->moves.end() || move->second.worker_before == worker)
+    return;
+  if (move->second.done)
     this->moves.erase(move);
-  }
+  else
+    move->second.arrived = pool == move->second.pool;
 }
 
 void Fleet::SetBoxes(const std::vector<BoxInfo>& boxes,
@@ -46,6 +79,10 @@
   for (const BoxInfo& box : boxes)
     this->listed[box.name] = box;
   this->has_list = true;
+  // A box that has been taken away moves nowhere.
+  std::erase_if(this->moves, [this](const auto& entry) {
+    return entry.second.is_inherited && !this->listed.contains(entry.first);
+  });
   this->CompareWavesWithList(asked, now);
 }
 
@@ -59,6 +96,11 @@
   move.in_flight = false;
   switch (outcome) {
     case BoxCallOutcome::kDone:
+      // An earlier call without an answer had moved it: it is back already.
+      if (move.arrived) {
+        this->moves.erase(found);
+        break;
+      }
       move.done = true;
       move.since = now;
       break;
@@ -107,28 +149,37 @@
 std::vector<FleetStep> Fleet::Plan(const FleetView& seen, base::Micros now) {
   const FleetView view = this->WithBoxesAtRest(seen);
   std::vector<FleetStep> steps;
-  std::map<std::string, const FleetBox*> boxes;
+  BoxesByName boxes;
   for (const FleetBox& box : view.boxes)
     boxes[box.name] = &box;
   for (auto& [number, progress] : this->waves) {
     if (!progress.completed)
       this->PlanWave(progress, boxes, now, steps);
   }
-  this->RepeatMoves(now, steps);
+  this->RepeatMoves(boxes, now, steps);
   this->PlanMoves(view, now, steps);
   return steps;
 }
 
-void Fleet::RepeatMoves(base::Micros now, std::vector<FleetStep>& steps) {
+void Fleet::RepeatMoves(const BoxesByName& boxes,
+                        base::Micros now,
+                        std::vector<FleetStep>& steps) {
   for (auto it = this->moves.begin(); it != this->moves.end();) {
     Move& move = it->second;
-    if (move.done && now > move.since + kMoveLost) {
+    const Inherited inherited = move.is_inherited
+                                    ? JudgeInherited(boxes, it->first)
+                                    : Inherited::kMayBeMade;
+    const bool is_lost = move.done && now > move.since + kMoveLost;
+    if (is_lost || inherited == Inherited::kIsVoid) {
       it = this->moves.erase(it);
       continue;
     }
-    if (!move.done && MayBeAsked(move.in_flight, move.next_call, now)) {
+    if (!move.done && inherited == Inherited::kMayBeMade &&
+        MayBeAsked(move.in_flight, move.next_call, now)) {
       move.in_flight = true;
-      steps.emplace_back(MoveBox{.box = it->first, .pool = move.pool});
+      move.is_inherited = false;
+      steps.emplace_back(MoveBox{
+          .box = it->first, .pool = move.pool, .life = move.worker_before});
     }
     ++it;
   }
@@ -199,7 +250,8 @@
     move.worker_before = donor->worker;
     move.since = now;
     move.in_flight = true;
-    steps.emplace_back(MoveBox{.box = donor->name, .pool = shortest->name});
+    steps.emplace_back(MoveBox{
+        .box = donor->name, .pool = shortest->name, .life = donor->worker});
   }
   // 3. Boxes that are busy in a pool that has too many are to run empty.
   this->Reclaim(view, surplus, short_cores);
@@ -268,6 +320,18 @@
   }
 }
 
+bool Fleet::HasOpenCall(const std::string& box) const {
+  const auto move = this->moves.find(box);
+  if (move != this->moves.end() && !move->second.done)
+    return true;
+  return std::any_of(this->waves.begin(), this->waves.end(),
+                     [&box](const auto& entry) {
+                       const auto found = entry.second.boxes.find(box);
+                       return found != entry.second.boxes.end() &&
+                              found->second.state == UpkeepState::kCalling;
+                     });
+}
+
 bool Fleet::IsLeaving(const std::string& box) const {
   return this->moves.contains(box) || this->reclaimed.contains(box) ||
          this->InUpkeep(box);
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -115,8 +115,14 @@
   void SetWave(const Wave& wave,
                const std::vector<std::string>& begun,
                base::Micros now);
-  // A life of the box announces itself.
-  void BoxSeen(const std::string& box, const std::string& worker);
+  // A call that an earlier owner recorded: it may have been, or may yet be,
+  // carried out.
+  void Inherit(const MoveBox& call, base::Micros now);
+  void Inherit(const UpkeepBox& call, base::Micros now);
+  // A life of the box announces itself, in this pool.
+  void BoxSeen(const std::string& box,
+               const std::string& worker,
+               const std::string& pool);
   // A worker on the box has answered this owner.
   void BoxAnswered(const std::string& box);
   // The platform's list, asked for at `asked`: it may be as old as that.
@@ -130,6 +136,8 @@
 
   std::vector<FleetStep> Plan(const FleetView& view, base::Micros now);
 
+  // A call for the box is to be made, or its outcome is not known.
+  bool HasOpenCall(const std::string& box) const;
   // Nothing further is to be placed on the box.
   bool IsLeaving(const std::string& box) const;
   // The life that was on the box when its move or upkeep was asked for.
@@ -153,6 +161,7 @@
     base::Micros next_call{};
     bool in_flight = false;
     bool may_have_begun = false;  // a call got no answer
+    bool is_inherited = false;    // an earlier owner's call, not settled yet
   };
   struct WaveProgress {
     Wave wave;
@@ -167,8 +176,11 @@
     base::Micros since{};
     base::Micros next_call{};
     bool in_flight = false;
-    bool done = false;  // the platform has said so
+    bool done = false;          // the platform has said so
+    bool arrived = false;       // a life in the new pool was seen before that
+    bool is_inherited = false;  // an earlier owner's call, not settled yet
   };
+  using BoxesByName = std::map<std::string, const FleetBox*>;
 
   FleetView WithBoxesAtRest(const FleetView& view) const;
   // A call that got no answer, or that the platform was too busy for, is made
@@ -188,6 +200,11 @@
     std::vector<std::pair<const FleetBox*, Upkeep*>> pending;
   };
 
+  // An inherited call is made again on a box that has been heard and is empty.
+  enum class Inherited { kWaits, kMayBeMade, kIsVoid };
+  static Inherited JudgeInherited(const BoxesByName& boxes,
+                                  const std::string& box);
+  static bool TakeUp(Upkeep& upkeep, Inherited inherited);
   ReportWave Report(const WaveProgress& progress) const;
   void CompareWavesWithList(base::Micros asked, base::Micros now);
   // Is, or was lately, the box in the upkeep of another wave?
@@ -195,21 +212,23 @@
                          const std::string& box,
                          base::Micros asked) const;
   WaveTurn CountWave(WaveProgress& progress,
-                     const std::map<std::string, const FleetBox*>& boxes,
+                     const BoxesByName& boxes,
                      base::Micros now) const;
   static void TakeNext(const Wave& wave, WaveTurn& turn, base::Micros now);
   static void CallOrEmpty(WaveProgress& progress,
-                          const std::map<std::string, const FleetBox*>& boxes,
+                          const BoxesByName& boxes,
                           base::Micros now,
                           std::vector<FleetStep>& steps);
   void PlanWave(WaveProgress& progress,
-                const std::map<std::string, const FleetBox*>& boxes,
+                const BoxesByName& boxes,
                 base::Micros now,
                 std::vector<FleetStep>& steps);
   void PlanMoves(const FleetView& view,
                  base::Micros now,
                  std::vector<FleetStep>& steps);
-  void RepeatMoves(base::Micros now, std::vector<FleetStep>& steps);
+  void RepeatMoves(const BoxesByName& boxes,
+                   base::Micros now,
+                   std::vector<FleetStep>& steps);
   std::map<std::string, double> CoresHeld(const FleetView& view) const;
   const FleetBox* FindDonor(const FleetView& view,
                             const std::map<std::string, double>& surplus,
--- a/scheduler/fleet_test.cc
+++ b/scheduler/fleet_test.cc
@@ -164,7 +164,7 @@
       box.up = true;
       box.idle = true;
       box.worker += "x";
-      fleet.BoxSeen(box.name, box.worker);
+      fleet.BoxSeen(box.name, box.worker, box.pool);
       it = down.erase(it);
     }
     FleetView view;
@@ -243,6 +243,79 @@
   BOOST_TEST(Only<UpkeepBox>(fleet.Plan(view, now)).size() == 1U);
 }
 
+// An earlier owner's call for a box may be on its way: the box counts as away
+// from the beginning, and once it has been heard and is empty the call is made
+// anew, so that the earlier one comes too late.
+BOOST_AUTO_TEST_CASE(InheritedUpkeepCountsUntilItIsMadeAnew) {
+  Fleet fleet(kLimits);
+  FleetView view{.boxes = {IdleBox("b1", "pool"), IdleBox("b2", "pool")},
+                 .pools = {{.name = "pool", .spare = false, .needs = {}}}};
+  const base::Micros now = seconds(10);
+  fleet.Inherit(UpkeepBox{.box = "b1", .wave = 1, .life = "b1-life"}, now);
+  fleet.SetBoxes({{.name = "b1", .pool = "pool", .cores = 16.0},
+                  {.name = "b2", .pool = "pool", .cores = 16.0}},
+                 now, now);
+  fleet.SetWave({.number = 1,
+                 .boxes = {"b1", "b2"},
+                 .duration = seconds(60),
+                 .most_at_once = 1},
+                {}, now);
+  BOOST_TEST(fleet.IsLeaving("b1"));
+  view.boxes[0].up = false;  // not heard yet
+  BOOST_TEST(Only<UpkeepBox>(fleet.Plan(view, now)).empty());
+  view.boxes[0].up = true;
+  const auto made = Only<UpkeepBox>(fleet.Plan(view, now + milliseconds(250)));
+  BOOST_REQUIRE(made.size() == 1U);
+  BOOST_TEST(made[0].box == "b1");
+  BOOST_TEST(made[0].life == "b1-life");
+}
+
+// Something runs on the box: the earlier owner had given the call up, or it was
+// carried out long ago. Nothing there is ended for it.
+BOOST_AUTO_TEST_CASE(InheritedCallEndsNothingThatRuns) {
+  Fleet fleet(kLimits);
+  FleetView view{.boxes = {IdleBox("b1", "pool"), IdleBox("b2", "pool")},
+                 .pools = {{.name = "pool", .spare = false, .needs = {}}}};
+  const base::Micros now = seconds(10);
+  for (FleetBox& box : view.boxes) {
+    box.idle = false;
+    box.lasting = 1;
+  }
+  fleet.Inherit(UpkeepBox{.box = "b1", .wave = 1, .life = "b1-life"}, now);
+  fleet.Inherit(MoveBox{.box = "b2", .pool = "other", .life = "b2-life"}, now);
+  fleet.SetBoxes({{.name = "b1", .pool = "pool", .cores = 16.0},
+                  {.name = "b2", .pool = "pool", .cores = 16.0}},
+                 now, now);
+  fleet.SetWave({.number = 1,
+                 .boxes = {"b1"},
+                 .duration = seconds(60),
+                 .most_at_once = 1},
+                {}, now);
+  const auto steps = fleet.Plan(view, now);
+  BOOST_TEST(Only<UpkeepBox>(steps).empty());
+  BOOST_TEST(Only<MoveBox>(steps).empty());
+  BOOST_TEST(Only<Evacuate>(steps).size() == 1U);
+  BOOST_TEST(!fleet.HasOpenCall("b1"));
+  BOOST_TEST(!fleet.HasOpenCall("b2"));
+}
+
+// A move without an answer had been carried out: its box is back in the new
+// pool when the repeated call says so, and serves at once.
+BOOST_AUTO_TEST_CASE(BoxThatIsBackServesOnceItsMoveIsAnswered) {
+  Fleet fleet(kLimits);
+  const base::Micros now = seconds(10);
+  fleet.Inherit(MoveBox{.box = "b1", .pool = "other", .life = "b1-life"}, now);
+  fleet.BoxSeen("b1", "b1-next", "other");
+  BOOST_TEST(fleet.IsLeaving("b1"));
+  FleetBox box = IdleBox("b1", "other");
+  box.worker = "b1-next";
+  const FleetView view{.boxes = {box}, .pools = {{.name = "other"}}};
+  const auto made = Only<MoveBox>(fleet.Plan(view, now));
+  BOOST_REQUIRE(made.size() == 1U);
+  fleet.Moved(made[0], BoxCallOutcome::kDone, now + milliseconds(20));
+  BOOST_TEST(!fleet.IsLeaving("b1"));
+}
+
 // Many idle boxes and a few with lasting tasks, which leave one after the
 // other: the latter begin with the first, or they are what is late in the end.
 BOOST_AUTO_TEST_CASE(BoxesOfLastingTasksBeginWithTheFirst) {
@@ -335,7 +408,7 @@
   fleet.SetWave(wave(2), {}, seconds(2));
   fleet.SetBoxes({down}, seconds(2), seconds(2));
   // Its new life is there before the list shows it.
-  fleet.BoxSeen("b1", "b1-next-life");
+  fleet.BoxSeen("b1", "b1-next-life", "pool");
   fleet.SetBoxes({down}, seconds(4), seconds(4));
   view.boxes[0].worker = "b1-next-life";
   fleet.SetBoxes({up}, seconds(6), seconds(6));
--- a/scheduler/fleet_waves.cc
+++ b/scheduler/fleet_waves.cc
@@ -71,11 +71,14 @@
       if (gone || back)
         upkeep.state = UpkeepState::kDone;
       // An earlier owner began it, and did not come to record it.
-      const bool begun = !gone && found->second.state == BoxState::kUpkeep &&
-                         (upkeep.state == UpkeepState::kPending ||
-                          upkeep.state == UpkeepState::kEmptying);
+      const bool may_begin = upkeep.state == UpkeepState::kPending ||
+                             upkeep.state == UpkeepState::kEmptying ||
+                             upkeep.is_inherited;
+      const bool begun =
+          !gone && found->second.state == BoxState::kUpkeep && may_begin;
       if (begun && !this->InUpkeepOfAnother(number, name, asked)) {
         upkeep.state = UpkeepState::kDown;
+        upkeep.is_inherited = false;
         upkeep.since = now;
         progress.to_report = true;
       }
@@ -153,12 +156,12 @@
 
 // Boxes that are empty go first; others are emptied, as many as may be away.
 void Fleet::PlanWave(WaveProgress& progress,
-                     const std::map<std::string, const FleetBox*>& boxes,
+                     const BoxesByName& boxes,
                      base::Micros now,
                      std::vector<FleetStep>& steps) {
   // 1. What is on its way, and what is left.
   WaveTurn turn = this->CountWave(progress, boxes, now);
-  if (turn.all_done) {
+  if (turn.all_done && !progress.wave.boxes.empty()) {
     progress.completed = true;
     steps.emplace_back(this->Report(progress));
     return;
@@ -177,10 +180,9 @@
   CallOrEmpty(progress, boxes, now, steps);
 }
 
-Fleet::WaveTurn Fleet::CountWave(
-    WaveProgress& progress,
-    const std::map<std::string, const FleetBox*>& boxes,
-    base::Micros now) const {
+Fleet::WaveTurn Fleet::CountWave(WaveProgress& progress,
+                                 const BoxesByName& boxes,
+                                 base::Micros now) const {
   WaveTurn turn;
   for (auto& [name, upkeep] : progress.boxes) {
     const auto found = boxes.find(name);
@@ -232,13 +234,25 @@
   }
 }
 
+// An earlier owner's call becomes this one's: false while it must wait.
+bool Fleet::TakeUp(Upkeep& upkeep, Inherited inherited) {
+  if (inherited == Inherited::kWaits)
+    return false;
+  upkeep.is_inherited = false;
+  if (inherited == Inherited::kIsVoid)
+    upkeep.state = UpkeepState::kEmptying;
+  return true;
+}
+
 void Fleet::CallOrEmpty(WaveProgress& progress,
-                        const std::map<std::string, const FleetBox*>& boxes,
+                        const BoxesByName& boxes,
                         base::Micros now,
                         std::vector<FleetStep>& steps) {
   for (auto& [name, upkeep] : progress.boxes) {
     const auto found = boxes.find(name);
     const bool here = found != boxes.end() && found->second->up;
+    if (upkeep.is_inherited && !TakeUp(upkeep, JudgeInherited(boxes, name)))
+      continue;
     if (upkeep.state == UpkeepState::kEmptying && !here) {
       upkeep.state = UpkeepState::kPending;
       continue;
@@ -252,7 +266,9 @@
         upkeep.worker_before = found->second->worker;
       upkeep.state = UpkeepState::kCalling;
       upkeep.in_flight = true;
-      steps.emplace_back(UpkeepBox{.box = name, .wave = progress.wave.number});
+      steps.emplace_back(UpkeepBox{.box = name,
+                                   .wave = progress.wave.number,
+                                   .life = upkeep.worker_before});
     } else if (upkeep.state == UpkeepState::kEmptying) {
       steps.emplace_back(Evacuate{.box = name});
     }
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -51,7 +51,7 @@
   if (is_new) {
     ++this->worker_change_count;
     worker.next_look = now;
-    this->fleet.BoxSeen(info.box, info.id);
+    this->fleet.BoxSeen(info.box, info.id, info.service);
   }
   if (info.draining && !had_drained)
     this->actions.emplace_back(Note{info.id, "drains: nothing is placed"});
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -113,6 +113,8 @@
   void LookGrants(const std::string& worker, base::Micros end);
 
   // --- Boxes ---
+  // What an earlier owner recorded before it called; told before anything else.
+  void InheritBoxCalls(const std::vector<BoxCall>& calls, base::Micros now);
   void SetWave(const Wave& wave,
                const std::vector<std::string>& begun,
                base::Micros now);
@@ -146,6 +148,10 @@
   // Rises when a worker comes, goes, or is listed for the first time.
   std::uint64_t worker_changes() const { return this->worker_change_count; }
   bool wants_boxes() const { return this->fleet.WantsBoxes(); }
+  // A call for the box is to be made, or its outcome is not known.
+  bool HasOpenBoxCall(const std::string& box) const {
+    return this->fleet.HasOpenCall(box);
+  }
   // A worker saw a higher epoch: this ownership is over.
   bool fenced() const { return this->is_fenced; }
   // Accepted jobs of the queue none of whose tasks has been started.
