Dead workers of an earlier owner are waited out for no longer than they may run

A daemon that had seen the owner's row unchanged for 1.3 s took over though the store had answered nobody since; its write was made when the store was back (gained 0.13 s after its return). It then waited 10.5 s from its own beginning for a worker that had died meanwhile (gone at 25.6 s, "its lease is over" at 36.8 s), and kept that wait for workers that it had heard itself and that died later (gone at 22.2 s, next run at 40.3 s). Ruled out: room (twice over), quotas, the store (it answered from 25.8 s on). Change: the row is read again before a takeover, and a takeover needs an answer of the store from after 1 s of silence; an earlier owner's leases are bounded from its last confirmation, not from the takeover; a worker that has answered this owner refuses earlier ones, so one lease is the bound from then on; a confirmation counts from when the beat that the row holds was first asked for. Tests that failed before: SilentStoreIsNoSilentOwner, TaskOfAWorkerThatWasHeardWaitsForOneLease.

--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -36,6 +36,14 @@
   return std::min(kGrantBound, kOwnerSilence + settings.longest_lease);
 }
 
+// In doubt an owner that stops itself grants the longest lease there is; any
+// other grants the usual one.
+base::Micros LongestGrantOf(const Settings& settings) {
+  return settings.deployment.epochs_checked
+             ? std::min(kLease, settings.longest_lease)
+             : settings.longest_lease;
+}
+
 scheduler::Limits LimitsOf(const Settings& settings,
                            const Shard& shard,
                            std::uint64_t epoch) {
@@ -43,6 +51,7 @@
   limits.shards = shard.count;
   limits.lease = std::min(kLease, settings.longest_lease);
   limits.grant_bound = GrantBoundOf(settings);
+  limits.longest_grant = WithClockSlack(LongestGrantOf(settings));
   limits.stop_time = settings.stop_time;
   limits.epoch = epoch;
   limits.fleet = {.move_time = settings.move_time,
@@ -75,6 +84,7 @@
                  const Settings& chosen,
                  const Shard& of,
                  std::uint64_t own_epoch,
+                 base::Micros confirmed_before,
                  Authority given)
     : loop(on),
       store(from),
@@ -82,6 +92,7 @@
       settings(chosen),
       shard(of),
       epoch(own_epoch),
+      earlier_confirmed(confirmed_before),
       authority(std::move(given)),
       order_client(on, {.reset_on_close = true}),
       workers(this->order_client, [this] { return this->MayOrder(); }),
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -47,12 +47,14 @@
     std::function<void()> on_fenced;
   };
 
+  // No owner before this one was confirmed after `earlier_confirmed`.
   Manager(base::Loop& loop,
           platform::Store& store,
           base::Counters& counters,
           const Settings& settings,
           const Shard& shard,
           std::uint64_t epoch,
+          base::Micros earlier_confirmed,
           Authority authority);
   ~Manager();
   Manager(const Manager&) = delete;
@@ -165,6 +167,7 @@
   Settings settings;
   Shard shard;
   std::uint64_t epoch;
+  base::Micros earlier_confirmed;
   Authority authority;
   // Orders' own: what is closed takes along what is on its way.
   http::Client order_client;
--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -20,9 +20,6 @@
 // brings those of this time together (540 workers: 25,252 calls of four owners
 // on a calm day, a quarter of all calls of the store, before the pause).
 constexpr base::Micros kWorkerPause = milliseconds(50);
-// Clocks of boxes and workers, when another owner's grants are waited out.
-constexpr double kClockSlack = 1.05;
-
 // The store's clock is known to about its quickest answer; a slow store takes
 // some hundred ms.
 constexpr base::Micros kStoreClockSlack = milliseconds(1000);
@@ -214,15 +211,14 @@
   }
   if (record->epoch > this->epoch)
     return false;
-  const auto bound = base::Micros(static_cast<std::int64_t>(
-      static_cast<double>(this->GrantBound().count()) * kClockSlack));
   // An own write whose answer was lost.
   if (record->epoch == this->epoch) {
     this->recorded = NamesOf(*record);
     this->scheduler.WorkersRecorded(this->recorded.held);
     return true;
   }
-  const base::Micros latest = base::MonotonicNow() + bound;
+  const base::Micros latest =
+      this->earlier_confirmed + WithClockSlack(this->GrantBound());
   for (const LeaseHolder& holder : record->workers) {
     const base::Micros carried =
         this->store.LocalTime(holder.until_store_ms) + kStoreClockSlack;
--- a/entry/owner_lease.cc
+++ b/entry/owner_lease.cc
@@ -23,8 +23,10 @@
                        base::Micros silence) {
   const auto [entry, is_first] = this->open.try_emplace({epoch, beat});
   Tries& tries = entry->second;
-  if (is_first)
+  if (is_first) {
+    tries.first = now;
     tries.end = now + silence - kOrderSlack;
+  }
   ++tries.count;
 }
 
@@ -40,6 +42,7 @@
   if (found == this->open.end())
     return;
   this->until = std::max(this->until, found->second.end);
+  this->confirmed_at = std::max(this->confirmed_at, found->second.first);
   this->open.erase(this->open.begin(), std::next(found));
 }
 
--- a/entry/owner_lease.h
+++ b/entry/owner_lease.h
@@ -28,16 +28,21 @@
 
   // Orders may leave before this; zero before the first confirmation.
   base::Micros certain_until() const { return this->until; }
+  // When the newest confirmation that the row holds was first asked for: what a
+  // later holder can tell of this one's, whatever answers were lost.
+  base::Micros confirmed() const { return this->confirmed_at; }
 
  private:
   struct Tries {
-    base::Micros end{};  // that the first try gives
+    base::Micros first{};  // when the first try was asked for
+    base::Micros end{};    // that it gives
     int count = 0;
   };
 
   // Confirmations whose fate is open, by epoch and beat.
   std::map<std::pair<std::uint64_t, std::uint64_t>, Tries> open;
   base::Micros until{};
+  base::Micros confirmed_at{};
 };
 
 }  // namespace quartzhoist::entry
--- a/entry/ownership.cc
+++ b/entry/ownership.cc
@@ -28,6 +28,11 @@
 // A holder on a much weaker box is relieved after it has held for this: each
 // change of holders interrupts placement for some 0.3 s.
 constexpr base::Micros kRelieveAfter = std::chrono::seconds(2);
+// The row is read once it has not changed for this: a feed without news answers
+// after 1.5 s only, and the silence of a store that answers nobody is none of
+// the holder. Leaves a slow store (60 times 4 ms) 0.3 s until a takeover is
+// due.
+constexpr base::Micros kLookAfter = milliseconds(1000);
 // A gap between the store's answers after which the silence counts anew: the
 // holder may have confirmed meanwhile.
 constexpr base::Micros kAnswerGap = milliseconds(2600);
@@ -73,18 +78,20 @@
   const base::Micros now = base::MonotonicNow();
   if (seen->epoch != this->record.epoch)
     this->holder_since = now;
+  const bool mine = this->NamesThis(*seen);
+  if (!mine)
+    this->earlier_confirmed = now;
   this->version = shown.version;
   this->record = *seen;
   this->unchanged_since = now;
   this->patience_draw = this->DrawPatience();
-  const bool mine = this->NamesThis(*seen);
   if (mine)
     this->lease.Made(seen->epoch, seen->beat);
   if (this->holding && !mine)
     this->Lose();
   // An own write whose answer was lost.
   if (!this->holding && mine && !this->released && !this->writing)
-    this->Gain(this->unchanged_since);
+    this->Gain();
   if (this->holding && !seen->successor.empty())
     this->MakeWay();
 }
@@ -120,11 +127,37 @@
   if (now - this->last_answer > kAnswerGap)
     return false;
   const base::Micros silent = now - this->unchanged_since;
+  const bool is_seen_silent =
+      this->last_answer >= this->unchanged_since + kLookAfter;
   const bool is_free = this->version == 0 || this->record.holder.empty();
   const bool was_own = this->record.holder == this->id;
   if (is_free || was_own)
     return silent >= this->Patience();
-  return silent >= kOwnerSilence + this->Patience();
+  return is_seen_silent && silent >= kOwnerSilence + this->Patience();
+}
+
+bool Ownership::ShouldLook(base::Micros now) const {
+  return this->known && !this->released && !this->looking &&
+         this->version > 0 && now >= this->unchanged_since + kLookAfter &&
+         this->last_answer < this->unchanged_since + kLookAfter;
+}
+
+void Ownership::Look() {
+  this->looking = true;
+  const platform::ReadQuery query{.table = this->row.table,
+                                  .part = this->row.part,
+                                  .from = this->row.key,
+                                  .to = {},
+                                  .limit = 1};
+  this->store.Read(query,
+                   [this](const std::optional<platform::ReadResult>& result) {
+                     this->looking = false;
+                     if (!result)
+                       return;
+                     for (const platform::Row& found : result->rows)
+                       this->SeeRow(found, false);
+                     this->StoreAnswered();
+                   });
 }
 
 // A holder on a much weaker box is asked to give up, once; it is not taken over
@@ -171,6 +204,8 @@
     this->AskForWay();
     return;
   }
+  if (this->ShouldLook(now))
+    this->Look();
   if (!this->ShouldTake(now))
     return;
   this->Write({.holder = this->id,
@@ -200,24 +235,23 @@
       .conditions = {{.at = this->row, .version = this->version}},
       .puts = {{.at = this->row, .value = EncodeOwner(next)}},
       .removes = {}};
-  this->store.Write(
-      batch, [this, next, taking, asked](const platform::WriteResult& result) {
-        this->TakeAnswer(result, next, taking, asked);
-      });
+  this->store.Write(batch,
+                    [this, next, taking](const platform::WriteResult& result) {
+                      this->TakeAnswer(result, next, taking);
+                    });
 }
 
 void Ownership::TakeAnswer(const platform::WriteResult& result,
                            const OwnerRecord& next,
-                           bool taking,
-                           base::Micros asked) {
+                           bool taking) {
   const base::Micros now = base::MonotonicNow();
   this->writing = false;
   this->taking_now = false;
-  this->Settle(result, next, taking, asked, now);
+  this->Settle(result, next, taking, now);
   // The row showed the takeover before its write was answered, or given up.
   if (taking && this->NamesThis(this->record) && !this->holding &&
       !this->released)
-    this->Gain(asked);
+    this->Gain();
   // The stop came while another write was on its way.
   const bool may_be_written =
       result.outcome != platform::WriteOutcome::kNotDone &&
@@ -232,7 +266,6 @@
 void Ownership::Settle(const platform::WriteResult& result,
                        const OwnerRecord& next,
                        bool taking,
-                       base::Micros asked,
                        base::Micros now) {
   const bool is_own = this->NamesThis(next);
   switch (result.outcome) {
@@ -245,14 +278,14 @@
         this->unchanged_since = now;
       }
       if (taking && !this->released)
-        this->Gain(asked);
+        this->Gain();
       else if (this->holding)
-        this->events.on_confirmed(asked);
+        this->events.on_confirmed(this->lease.confirmed());
       return;
     case platform::WriteOutcome::kConflict:
       if (is_own)
         this->lease.NotMade(next.epoch, next.beat);
-      this->TakeConflict(result, asked);
+      this->TakeConflict(result);
       return;
     case platform::WriteOutcome::kUnknown:
       // The wait for its answer was long enough.
@@ -269,8 +302,7 @@
   }
 }
 
-void Ownership::TakeConflict(const platform::WriteResult& result,
-                             base::Micros asked) {
+void Ownership::TakeConflict(const platform::WriteResult& result) {
   for (const platform::Row& there : result.rows)
     this->SeeRow(there, false);
   this->unchanged_since = base::MonotonicNow();
@@ -278,10 +310,10 @@
   // this daemon.
   if (this->holding && !result.rows.empty() &&
       result.rows.front().version == this->version)
-    this->events.on_confirmed(asked);
+    this->events.on_confirmed(this->lease.confirmed());
 }
 
-void Ownership::Gain(base::Micros asked) {
+void Ownership::Gain() {
   if (this->holding || this->record.epoch <= this->lost_epoch)
     return;
   this->holding = true;
@@ -290,14 +322,16 @@
   base::Log(base::Event::kOwnershipGained, {{"shard", this->row.part},
                                             {"epoch", this->record.epoch},
                                             {"version", this->version}});
-  this->events.on_gained(this->record.epoch, asked);
-  this->events.on_confirmed(asked);
+  this->events.on_gained(this->record.epoch, this->earlier_confirmed);
+  this->events.on_confirmed(this->lease.confirmed());
 }
 
 void Ownership::Lose() {
   if (!this->holding)
     return;
   this->holding = false;
+  this->earlier_confirmed =
+      std::max(this->earlier_confirmed, this->lease.confirmed());
   this->lost_epoch = this->held_epoch;
   base::Log(base::Event::kOwnershipLost, {{"shard", this->row.part},
                                           {"epoch", this->record.epoch},
--- a/entry/ownership.h
+++ b/entry/ownership.h
@@ -22,10 +22,12 @@
 class Ownership {
  public:
   struct Events {
-    std::function<void(std::uint64_t epoch, base::Micros asked)> on_gained;
+    // No holder before this one was confirmed after `earlier_confirmed`.
+    std::function<void(std::uint64_t epoch, base::Micros earlier_confirmed)>
+        on_gained;
     std::function<void()> on_lost;
-    // The store has confirmed the ownership as of `asked`; what orders the
-    // holder gives leave before certain_until().
+    // The row holds a confirmation that was first asked for at `asked`; calls
+    // for boxes leave before certain_until().
     std::function<void(base::Micros asked)> on_confirmed;
     // The share of a processor that this daemon has for the shard: one with
     // more takes the ownership from one with much less.
@@ -70,6 +72,8 @@
   bool ShouldTake(base::Micros now) const;
   bool ShouldAskForWay(base::Micros now) const;
   void AskForWay();
+  bool ShouldLook(base::Micros now) const;
+  void Look();
   void MakeWay();
   bool IsMuchStronger() const;
   base::Micros DrawPatience();
@@ -79,16 +83,14 @@
   void Write(const OwnerRecord& next, bool taking);
   void TakeAnswer(const platform::WriteResult& result,
                   const OwnerRecord& next,
-                  bool taking,
-                  base::Micros asked);
+                  bool taking);
   void Settle(const platform::WriteResult& result,
               const OwnerRecord& next,
               bool taking,
-              base::Micros asked,
               base::Micros now);
   void WriteRelease();
-  void TakeConflict(const platform::WriteResult& result, base::Micros asked);
-  void Gain(base::Micros asked);
+  void TakeConflict(const platform::WriteResult& result);
+  void Gain();
   void Lose();
 
   platform::Store& store;
@@ -107,11 +109,15 @@
   bool makes_way = false;  // gives up for a stronger one
   bool writing = false;
   bool taking_now = false;
+  bool looking = false;  // reads the row before it takes over
   // The last epochs that this daemon held, and lost: an old row that shows up
   // late does not bring one back.
   std::uint64_t held_epoch = 0;
   std::uint64_t lost_epoch = 0;
   base::Micros unchanged_since{};
+  // When the last row of another holder was first seen: none of them was
+  // confirmed later.
+  base::Micros earlier_confirmed{};
   base::Micros holder_since{};  // when the present holder was first seen
   base::Micros last_answer{};
   base::Micros next_renewal{};
--- a/entry/ownership_test.cc
+++ b/entry/ownership_test.cc
@@ -27,23 +27,26 @@
          const std::string& id,
          double cores = 0.25,
          int shards = 1)
-      : ownerships(
-            loop,
-            store,
-            id,
-            cores,
-            shards,
-            std::hash<std::string>()(id),
-            {.on_gained =
-                 [this](int, std::uint64_t gained) { this->epoch = gained; },
-             .on_lost = [this](int) { ++this->losses; },
-             .on_confirmed = [this](int,
-                                    base::Micros) { ++this->confirmations; },
-             .load = [](int) { return ShardLoad(); },
-             .on_store_answered = [] {}}),
+      : ownerships(loop,
+                   store,
+                   id,
+                   cores,
+                   shards,
+                   std::hash<std::string>()(id),
+                   {.on_gained =
+                        [this](int, std::uint64_t gained, base::Micros before) {
+                          this->epoch = gained;
+                          this->earlier_confirmed = before;
+                        },
+                    .on_lost = [this](int) { ++this->losses; },
+                    .on_confirmed =
+                        [this](int, base::Micros) { ++this->confirmations; },
+                    .load = [](int) { return ShardLoad(); },
+                    .on_store_answered = [] {}}),
         ownership(this->ownerships.At(0)) {}
 
   std::uint64_t epoch = 0;
+  base::Micros earlier_confirmed{};
   int losses = 0;
   int confirmations = 0;
   Ownerships ownerships;
@@ -85,6 +88,31 @@
   BOOST_TEST(a.epoch == 8U);
 }
 
+// The store falls silent for all: that says nothing of the holder. A takeover
+// that was sent into the silence was made when it ended, and the next owner
+// waited 10.5 s for a worker that had died meanwhile.
+BOOST_AUTO_TEST_CASE(SilentStoreIsNoSilentOwner) {
+  StoreBench bench;
+  bench.standin.Put(OwnerRow({}), EncodeOwner({.holder = "lives",
+                                               .incarnation = "1",
+                                               .epoch = 7,
+                                               .beat = 3,
+                                               .cores = 0.25}));
+  Member a(bench.loop, bench.store, "a");
+  bench.Until([&] { return a.ownership.epoch() == 7U; });
+  const base::Micros seen = base::MonotonicNow();
+  const int written = bench.standin.writes();
+  bench.standin.SetMood(StoreStandin::Mood::kSilent);
+  BOOST_TEST(!bench.Within(std::chrono::milliseconds(2500),
+                           [&] { return bench.standin.writes() > written; }));
+  bench.standin.SetMood(StoreStandin::Mood::kWell);
+  bench.Until([&] { return a.ownership.holds(); });
+  BOOST_TEST(a.epoch == 8U);
+  // What the silent holder granted is waited out from here, not from now.
+  BOOST_CHECK(a.earlier_confirmed > base::Micros::zero());
+  BOOST_CHECK(a.earlier_confirmed <= seen);
+}
+
 BOOST_AUTO_TEST_CASE(OwnerThatIsReplacedLearnsIt) {
   StoreBench bench;
   Member a(bench.loop, bench.store, "a");
--- a/entry/ownerships.cc
+++ b/entry/ownerships.cc
@@ -85,22 +85,23 @@
 }
 
 Ownership::Events Ownerships::EventsOf(int shard) {
-  return {.on_gained =
-              [this, shard](std::uint64_t epoch, base::Micros) {
-                this->held_shards.push_back(shard);
-                this->events.on_gained(shard, epoch);
-              },
-          .on_lost =
-              [this, shard] {
-                std::erase(this->held_shards, shard);
-                this->events.on_lost(shard);
-              },
-          .on_confirmed =
-              [this, shard](base::Micros asked) {
-                this->events.on_confirmed(shard, asked);
-              },
-          .cores = [this, shard] { return this->CoresFor(shard); },
-          .load = [this, shard] { return this->events.load(shard); }};
+  return {
+      .on_gained =
+          [this, shard](std::uint64_t epoch, base::Micros earlier_confirmed) {
+            this->held_shards.push_back(shard);
+            this->events.on_gained(shard, epoch, earlier_confirmed);
+          },
+      .on_lost =
+          [this, shard] {
+            std::erase(this->held_shards, shard);
+            this->events.on_lost(shard);
+          },
+      .on_confirmed =
+          [this, shard](base::Micros asked) {
+            this->events.on_confirmed(shard, asked);
+          },
+      .cores = [this, shard] { return this->CoresFor(shard); },
+      .load = [this, shard] { return this->events.load(shard); }};
 }
 
 // A daemon's processor is shared by what it holds: with each further shard it
--- a/entry/ownerships.h
+++ b/entry/ownerships.h
@@ -21,7 +21,9 @@
  public:
   // What comes of the shard of this number; see Ownership::Events.
   struct Events {
-    std::function<void(int shard, std::uint64_t epoch)> on_gained;
+    std::function<
+        void(int shard, std::uint64_t epoch, base::Micros earlier_confirmed)>
+        on_gained;
     std::function<void(int shard)> on_lost;
     std::function<void(int shard, base::Micros asked)> on_confirmed;
     std::function<ShardLoad(int shard)> load;
--- a/entry/timing.h
+++ b/entry/timing.h
@@ -27,6 +27,14 @@
 // store that is away for less interrupts nothing (sites: up to 9 s).
 inline constexpr base::Micros kGrantBound = std::chrono::milliseconds(10'000);
 
+// A span that another box's or worker's clock measured, on ours at most: steady
+// clocks differ by 2%.
+inline base::Micros WithClockSlack(base::Micros span) {
+  constexpr double kClockSlack = 1.05;
+  return base::Micros(static_cast<std::int64_t>(
+      static_cast<double>(span.count()) * kClockSlack));
+}
+
 // What no daemon has done yet (owning a shard for the first time, counting the
 // shards) one with a whole core does after this, one with a part of a core
 // later in proportion, so that the strongest box comes first; and each after a
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -53,6 +53,10 @@
   if (!worker.listed) {
     ++this->worker_change_count;
     this->fleet.BoxAnswered(worker.info.box);
+    // From now on it refuses every earlier owner's grant: lasting tasks of one
+    // that died 3 s after a takeover had waited for 7 s more.
+    worker.lease_end =
+        std::min(worker.lease_end, now + this->limits.longest_grant);
   }
   worker.listed = true;
   worker.failed_calls = 0;
@@ -155,7 +159,8 @@
     run.takes = worker.room();
   AddRun(worker, listed.task, run);
   // It runs, so it has a lease, whoever granted it.
-  worker.lease_end = std::max(worker.lease_end, now + this->limits.grant_bound);
+  worker.lease_end =
+      std::max(worker.lease_end, now + this->limits.longest_grant);
   if (known) {
     Task& task = TaskAt(*job, PlaceOf(listed.task));
     // What runs goes before what is only planned.
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -37,6 +37,8 @@
 struct Limits {
   base::Micros lease{};        // granted to workers at a time
   base::Micros grant_bound{};  // no lease lasts longer after a confirmation
+  // No order grants more than this, on any clock.
+  base::Micros longest_grant{};
   base::Micros stop_time{};    // a stop takes at most so long
   std::uint64_t epoch = 1;     // of this ownership, from 1
   int shards = 1;              // over which the jobs are spread
--- a/scheduler/scheduler_test.cc
+++ b/scheduler/scheduler_test.cc
@@ -84,6 +84,46 @@
   BOOST_TEST(asked.back().renews);
 }
 
+// A worker of an earlier owner has answered this one, and so refuses the
+// earlier one's renewals: when it dies its lasting task waits for no longer
+// than one lease, not for the bound up to which an owner that is cut off may
+// renew.
+BOOST_AUTO_TEST_CASE(TaskOfAWorkerThatWasHeardWaitsForOneLease) {
+  Bench bench(2);
+  jobs::Queue queue;
+  queue.name = "queue";
+  queue.service = "pool";
+  jobs::JobSpec spec;
+  spec.steps.push_back(Bench::OneLastingTask());
+  jobs::Progress progress;
+  progress.placed[{.step = {}, .index = 0}] = {.worker = "dies", .run = 1};
+  bench.scheduler.InheritWorker(Bench::Worker("dies"),
+                                bench.now + milliseconds(10'500));
+  bench.scheduler.PutWorker(Bench::Worker("dies"), bench.now);
+  bench.scheduler.PutWorker(Bench::Worker("lives"), bench.now);
+  bench.scheduler.AddJob(MakeJob("job", queue, spec, progress, bench.now, {}),
+                         bench.now);
+  bench.List("lives", {});
+  bench.List("dies", {.clock_ms = 0,
+                      .running = {{.task = FirstTask("job"),
+                                   .run = 1,
+                                   .checkpoint = "",
+                                   .percent = 100}},
+                      .ended = {}});
+  const base::Micros heard = bench.now;
+  StartRun start;
+  while (start.worker.empty() && bench.now < heard + seconds(20)) {
+    bench.scheduler.LookFailed("dies", OrderOutcome::kUnknown, bench.now);
+    const std::vector<Action> actions = bench.Turn();
+    bench.Save(Only<SaveProgress>(actions));
+    for (const StartRun& one : Only<StartRun>(actions))
+      start = one;
+  }
+  BOOST_TEST(start.worker == "lives");
+  // A lease of 4 s, clocks that differ by 2%, and a few turns.
+  BOOST_CHECK(bench.now < heard + milliseconds(5500));
+}
+
 // The log of a job that is over tells people where its time went.
 BOOST_AUTO_TEST_CASE(JobThatIsOverTellsWhereItsTimeWent) {
   Bench bench(2);
--- a/scheduler/unknown_jobs.cc
+++ b/scheduler/unknown_jobs.cc
@@ -39,7 +39,8 @@
   run.percent = listed.percent;
   AddRun(worker, listed.task, std::move(run));
   // It runs, so it has a lease, whoever granted it.
-  worker.lease_end = std::max(worker.lease_end, now + this->limits.grant_bound);
+  worker.lease_end =
+      std::max(worker.lease_end, now + this->limits.longest_grant);
   this->Unknown(listed.task.job).runs.emplace_back(worker.info.id, listed.task);
 }
 
--- a/testing/scheduler_bench.h
+++ b/testing/scheduler_bench.h
@@ -36,6 +36,7 @@
     scheduler::Limits limits;
     limits.lease = std::chrono::seconds(4);
     limits.grant_bound = std::chrono::seconds(10);
+    limits.longest_grant = std::chrono::milliseconds(4200);
     limits.stop_time = std::chrono::milliseconds(400);
     limits.epoch = epoch;
     return limits;
--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -152,6 +152,8 @@
   scheduler::Limits limits;
   limits.lease = kLease;
   limits.grant_bound = kGrantBound;
+  limits.longest_grant = base::Micros(static_cast<std::int64_t>(
+      static_cast<double>(kLease.count()) * kClockSlack));
   limits.stop_time = milliseconds(400);
   limits.epoch = epoch;
   Owner owner;
