The model gets boxes; a run that is being stopped is known to the next owner

With them, the property of all promises failed at once for another reason: an earlier owner's stop of a run whose task was done elsewhere stands in no row, the run is listed nowhere until it has ended, and the next owner filled its room. Ruled out: the calls for boxes (none in that case). Change: boxes with epochs of their own, calls that are recorded, held up past their last look, late or unanswered, lists read late, a wave, a second pool; checks of what a wave and a lasting job may have away. A job's row names runs that are being stopped though their task is done.

--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -185,7 +185,7 @@
       continue;
     }
     // Runs of a job that failed or was cancelled may still take room.
-    if (jobs::IsFinal(kept->state) && kept->placed.empty())
+    if (kept->IsOver())
       continue;
     auto job = this->MakeJob(key.job, *accepted, std::move(*kept),
                              is_kept ? found->second->version : row.version);
@@ -281,8 +281,7 @@
         row ? ProgressOf(*row) : std::optional<jobs::Progress>();
     if (row && !progress)
       base::Log(base::Event::kRowMalformed, {{"row", job}});
-    const bool is_over = !progress || (jobs::IsFinal(progress->state) &&
-                                       progress->placed.empty());
+    const bool is_over = !progress || progress->IsOver();
     if (is_over)
       this->scheduler.JobIsOver(job, base::MonotonicNow());
     else
--- a/jobs/progress.cc
+++ b/jobs/progress.cc
@@ -87,7 +87,7 @@
   return true;
 }
 
-bool ReadPlaced(const Json& row, Progress& progress) {
+bool ReadPlacements(const Json& row, std::map<TaskKey, Placement>& into) {
   for (const auto& [key, placement] : row.items()) {
     const auto task = ParseTask(key);
     const bool fits = placement.is_array() && placement.size() == 2 &&
@@ -95,12 +95,22 @@
                       placement[1].is_number_integer();
     if (!task || !fits)
       return false;
-    progress.placed[*task] = {.worker = placement[0].get<std::string>(),
-                              .run = placement[1].get<int>()};
+    into[*task] = {.worker = placement[0].get<std::string>(),
+                   .run = placement[1].get<int>()};
   }
   return true;
 }
 
+// Of two runs of a task the later one holds.
+void MergePlacements(std::map<TaskKey, Placement>& into,
+                     const std::map<TaskKey, Placement>& other) {
+  for (const auto& [task, placement] : other) {
+    Placement& known = into[task];
+    if (placement.run > known.run)
+      known = placement;
+  }
+}
+
 // A final state stands; of two others the later one holds.
 JobState MergeStates(JobState a, JobState b) {
   if (IsFinal(a))
@@ -146,6 +156,8 @@
     row["failed_runs"][TaskText(task)] = runs;
   for (const auto& [task, placement] : progress.placed)
     row["placed"][TaskText(task)] = {placement.worker, placement.run};
+  for (const auto& [task, placement] : progress.stopping)
+    row["stopping"][TaskText(task)] = {placement.worker, placement.run};
   return row.dump();
 }
 
@@ -164,7 +176,10 @@
   if (row.contains("failed_runs") &&
       !ReadFailures(row["failed_runs"], progress))
     return std::nullopt;
-  if (row.contains("placed") && !ReadPlaced(row["placed"], progress))
+  if (row.contains("placed") && !ReadPlacements(row["placed"], progress.placed))
+    return std::nullopt;
+  if (row.contains("stopping") &&
+      !ReadPlacements(row["stopping"], progress.stopping))
     return std::nullopt;
   return progress;
 }
@@ -182,11 +197,8 @@
   // runs two owners knew two each, and the task was started a fourth time.
   for (const auto& [task, runs] : b.failures)
     merged.failures[task].insert(runs.begin(), runs.end());
-  for (const auto& [task, placement] : b.placed) {
-    Placement& known = merged.placed[task];
-    if (placement.run > known.run)
-      known = placement;
-  }
+  MergePlacements(merged.placed, b.placed);
+  MergePlacements(merged.stopping, b.stopping);
   std::erase_if(merged.placed, [&merged](const auto& entry) {
     return merged.IsDone(entry.first.step, entry.first.index);
   });
--- a/jobs/progress.h
+++ b/jobs/progress.h
@@ -59,8 +59,16 @@
   std::map<StepKey, std::vector<bool>> done;
   std::map<TaskKey, FailedRuns> failures;  // none of them empty
   std::map<TaskKey, Placement> placed;     // tasks that are not done
+  // Runs that were told to stop when their task was done elsewhere: they take
+  // room until they have ended, and a worker may list them nowhere meanwhile.
+  std::map<TaskKey, Placement> stopping;
 
   bool IsDone(const StepKey& step, int index) const;
+  // Nothing of the job runs or will.
+  bool IsOver() const {
+    return IsFinal(this->state) && this->placed.empty() &&
+           this->stopping.empty();
+  }
   void MarkDone(const StepKey& step, int index);
   void MarkFailed(const TaskKey& task, int run);
   // How many of its runs have failed.
--- a/scheduler/ends.cc
+++ b/scheduler/ends.cc
@@ -122,6 +122,9 @@
       const TaskPlace member{
           .occurrence = place.occurrence, .step = place.step, .index = i};
       this->Stop(other->second, IdOf(job, member), now);
+      if (other->second.runs.contains(IdOf(job, member)))
+        job.progress.stopping[KeyOf(member)] = {.worker = task.worker,
+                                                .run = task.run};
     }
     task.state = TaskState::kDone;
     ++runs.done;
@@ -168,6 +171,11 @@
   if (!job || !Exists(*job, PlaceOf(id)))
     return;
   const TaskPlace place = PlaceOf(id);
+  const auto stopping = job->progress.stopping.find(KeyOf(place));
+  if (stopping != job->progress.stopping.end() && stopping->second.run == run) {
+    job->progress.stopping.erase(stopping);
+    this->Changed(*job);
+  }
   Task& task = TaskAt(*job, place);
   if (task.state != TaskState::kPlaced || task.run != run)
     return;
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -119,8 +119,8 @@
     task.checkpoint = listed.checkpoint;
   // One that is being stopped is away, whatever an older listing says.
   task.at_work = listed.percent >= 100 && run.state == RunState::kRunning;
-  // An earlier owner's run of a job that was over by then.
-  if (job->finished())
+  // An earlier owner's run of a job, or a task, that was over by then.
+  if (job->finished() || task.state == TaskState::kDone)
     this->Stop(worker, listed.task, now);
 }
 
--- a/scheduler/model_test.cc
+++ b/scheduler/model_test.cc
@@ -216,6 +216,52 @@
   BOOST_TEST(holds);
 }
 
+// Owners stand still between a decision and its call, are replaced and wake;
+// calls are lost, late and made again; boxes take an earlier owner's call until
+// the next one has called them. A wave goes on meanwhile, and another pool
+// draws boxes: no more are away than the wave and the lasting job allow.
+BOOST_AUTO_TEST_CASE(OwnersThatStandStillTakeNoMoreThanMayBeAway) {
+  const bool holds = rc::check("no more is away than may be", [] {
+    ModelJob lasting;
+    lasting.id = "lasting";
+    lasting.spec.steps = {MakeStep(*rc::gen::inRange(2, 5), 500)};
+    MakeLasting(lasting.spec.steps[0]);
+    lasting.spec.steps[0].most_per_worker = 1;
+    lasting.spec.steps[0].may_be_away = 1;
+    std::vector<ModelJob> jobs = {lasting};
+    for (int i = 0; i < 3; ++i) {
+      ModelJob job;
+      job.id = "urgent" + std::to_string(i);
+      job.service = i == 1 ? "pool" : "other";
+      job.spec.steps = {MakeStep(*rc::gen::inRange(2, 12), 2000)};
+      for (int s = 1; s < 6; ++s) {
+        job.spec.steps.push_back(MakeStep(*rc::gen::inRange(1, 12), 2000));
+        job.spec.steps.back().after = {s - 1};
+      }
+      jobs.push_back(job);
+    }
+    ModelFaults faults;
+    faults.takeover = 0.25;
+    faults.freeze = 0.4;
+    faults.held_call = *rc::gen::inRange(0, 300) / 1000.0;
+    faults.late_call = *rc::gen::inRange(0, 150) / 1000.0;
+    faults.lost_answer = *rc::gen::inRange(0, 150) / 1000.0;
+    faults.cut = *rc::gen::inRange(0, 500) / 1000.0;
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    SchedulerModel model(seed, faults, *rc::gen::inRange(5, 9), jobs);
+    model.RunFor(seconds(2));
+    model.BeginWave(*rc::gen::inRange(1, 4));
+    model.RunFor(seconds(25));
+    model.Heal();
+    model.RunFor(seconds(60));
+    RC_LOG() << Joined(model.broken()) << model.History();
+    RC_ASSERT(model.broken().empty());
+    RC_ASSERT(model.UpkeepsDone() > 0);
+    RC_ASSERT(model.RunningTasks(lasting.id) == lasting.spec.steps[0].tasks);
+  });
+  BOOST_TEST(holds);
+}
+
 // A worker carries a start out late (2 to 6 s after it was sent), and the
 // daemon that sent it has been replaced, alone and together: what a cancelled
 // job still begins is stopped within five seconds of the last late start.
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -409,11 +409,43 @@
     task.state = TaskState::kPlaced;
     task.run = placement.run;
     task.worker = placement.worker;
-    Run run = this->RunOf(job, StepOf(job, place), placement.run,
-                          RunState::kInherited);
-    run.since = now;
-    run.adopted = true;
-    AddRun(worker->second, IdOf(job, place), std::move(run));
+    this->InheritRun(job, place, placement.run, worker->second, now);
+  }
+  this->InheritStops(job, now);
+}
+
+void Scheduler::InheritRun(Job& job,
+                           const TaskPlace& place,
+                           int number,
+                           Worker& worker,
+                           base::Micros now) {
+  Run run = this->RunOf(job, StepOf(job, place), number, RunState::kInherited);
+  run.since = now;
+  run.adopted = true;
+  AddRun(worker, IdOf(job, place), std::move(run));
+}
+
+// What an earlier owner told to stop takes room until it has ended, though no
+// listing shows it: a start was over the room of its worker by that.
+void Scheduler::InheritStops(Job& job, base::Micros now) {
+  const auto stopping = job.progress.stopping;
+  for (const auto& [key, placement] : stopping) {
+    const TaskPlace place{.occurrence = key.step.occurrence,
+                          .step = key.step.step,
+                          .index = key.index};
+    const auto worker = this->workers.find(placement.worker);
+    const bool is_known = Exists(job, place) && worker != this->workers.end() &&
+                          worker->second.runs.contains(IdOf(job, place));
+    if (is_known)
+      continue;
+    const bool may_run = Exists(job, place) && worker != this->workers.end() &&
+                         !worker->second.listed;
+    if (may_run) {
+      this->InheritRun(job, place, placement.run, worker->second, now);
+    } else {
+      job.progress.stopping.erase(key);
+      this->Changed(job);
+    }
   }
 }
 
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -292,7 +292,7 @@
                      .text = jobs::EncodeProgress(job->progress),
                      .version = job->version,
                      .change = job->change,
-                     .over = job->finished() && job->progress.placed.empty()});
+                     .over = job->progress.IsOver()});
   }
 }
 
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -39,9 +39,9 @@
   base::Micros grant_bound{};  // no lease lasts longer after a confirmation
   // No order grants more than this, on any clock.
   base::Micros longest_grant{};
-  base::Micros stop_time{};    // a stop takes at most so long
-  std::uint64_t epoch = 1;     // of this ownership, from 1
-  int shards = 1;              // over which the jobs are spread
+  base::Micros stop_time{};  // a stop takes at most so long
+  std::uint64_t epoch = 1;   // of this ownership, from 1
+  int shards = 1;            // over which the jobs are spread
   // Lists every box, and says which boxes a wave covers.
   FleetLimits fleet;
 };
@@ -273,6 +273,12 @@
   // The placements up to this change are saved: their workers are told.
   void StartSaved(Job& job, base::Micros now);
   void InheritRuns(Job& job, base::Micros now);
+  void InheritRun(Job& job,
+                  const TaskPlace& place,
+                  int number,
+                  Worker& worker,
+                  base::Micros now);
+  void InheritStops(Job& job, base::Micros now);
   bool TakeLatePlacement(Job& job,
                          const TaskPlace& place,
                          const jobs::Placement& placement);
--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -19,7 +19,9 @@
 // Lines of what happened that are kept for a failing test.
 constexpr std::size_t kHistory = 60;
 constexpr base::Micros kOrderTimeout = milliseconds(800);
-// No other owner comes for so long after a confirmation.
+// Another owner comes so long after the last confirmation; the last one knows
+// itself to be the owner for a little less.
+constexpr base::Micros kOwnerSilence = milliseconds(1300);
 constexpr base::Micros kOwnerCertain = milliseconds(1150);
 // An end counts as noted once its worker was told so, or this long after it
 // was listed.
@@ -40,8 +42,8 @@
     stored.first_version = stored.version;
   }
   for (int i = 0; i < worker_count; ++i)
-    this->AddWorker(i);
-  this->TakeOver();
+    this->AddBox("pool");
+  this->Succeed();
 }
 
 bool SchedulerModel::Chance(double odds) {
@@ -93,25 +95,35 @@
   return text;
 }
 
-void SchedulerModel::AddWorker(int number) {
+void SchedulerModel::AddBox(const std::string& pool) {
+  const std::string name = fmt::format("box{}", this->worker_lives);
+  this->boxes[name].pool = pool;
+  this->AddWorker(name);
+}
+
+void SchedulerModel::AddWorker(const std::string& box) {
   Worker worker;
-  worker.id = fmt::format("w{}-{}", number, ++this->worker_lives);
+  worker.id = fmt::format("w{}", ++this->worker_lives);
+  worker.box = box;
   worker.capacity = {.cpu_millis = 4000, .memory_mb = 4000, .gpus = 0};
   worker.clock_rate = this->Chance(0.5) ? 1.0 : 0.98;
   worker.clock_offset = this->Between(0, 1'000'000);
-  const std::string id = worker.id;
-  this->workers[id] = std::move(worker);
-  const scheduler::WorkerInfo info{.id = id,
-                                   .box = fmt::format("box{}", number),
-                                   .service = "pool",
-                                   .address = id,
-                                   .zone = "",
-                                   .labels = {},
-                                   .rack = fmt::format("rack{}", number / 2),
-                                   .capacity = this->workers[id].capacity};
-  for (Owner& owner : this->owners) {
+  const scheduler::WorkerInfo info = this->InfoOf(worker);
+  this->workers[info.id] = std::move(worker);
+  for (Owner& owner : this->owners)
     owner.scheduler->PutWorker(info, this->now);
-  }
+}
+
+scheduler::WorkerInfo SchedulerModel::InfoOf(const Worker& worker) const {
+  const auto box = this->boxes.find(worker.box);
+  return {.id = worker.id,
+          .box = worker.box,
+          .service = box == this->boxes.end() ? "pool" : box->second.pool,
+          .address = worker.id,
+          .zone = "",
+          .labels = {},
+          .rack = worker.box,
+          .capacity = worker.capacity};
 }
 
 void SchedulerModel::Darken(const std::string& job) {
@@ -128,7 +140,8 @@
     worker.alive = false;
     worker.dark = true;
     worker.running.clear();
-    this->AddWorker(static_cast<int>(this->random() % 100));
+    this->boxes.erase(worker.box);
+    this->AddBox("pool");
   }
 }
 
@@ -145,9 +158,16 @@
   owner.scheduler->WorkersRecorded(held);
 }
 
+// Others count from when they saw the last confirmation.
+void SchedulerModel::TakeOver() {
+  this->is_confirming = false;
+  this->RunFor(kOwnerSilence);
+  this->Succeed();
+}
+
 // A new owner reads the store and knows every worker that may hold a lease.
 // The old one is not told: it acts on, unconfirmed.
-void SchedulerModel::TakeOver() {
+void SchedulerModel::Succeed() {
   const std::uint64_t epoch = this->owners.size() + 1;
   scheduler::Limits limits;
   limits.lease = kLease;
@@ -162,34 +182,31 @@
   scheduler::Scheduler& made = *owner.scheduler;
   const auto bound = base::Micros(static_cast<std::int64_t>(
       static_cast<double>(kGrantBound.count()) * kClockSlack));
+  this->calls_epoch = epoch;
+  std::vector<scheduler::BoxCall> open;
+  for (const auto& [box, call] : this->calls)
+    open.push_back(call);
+  made.InheritBoxCalls(open, this->now);
   for (const auto& [id, worker] : this->workers) {
-    const scheduler::WorkerInfo info{.id = id,
-                                     .box = id,
-                                     .service = "pool",
-                                     .address = id,
-                                     .zone = "",
-                                     .labels = {},
-                                     .rack = id.substr(0, 2),
-                                     .capacity = worker.capacity};
+    const scheduler::WorkerInfo info = this->InfoOf(worker);
     const auto lease = this->leases.find(id);
     if (lease != this->leases.end()) {
       // What the earlier owner held, this one carries with its end.
       if (!lease->second)
-        lease->second = this->now + bound;
+        lease->second = this->last_confirmed + bound;
       made.InheritWorker(info, *lease->second);
     }
-    if (!worker.dark)
+    if (!worker.dark && worker.announced)
       made.PutWorker(info, this->now);
   }
   jobs::Config config;
-  config.services.push_back({.name = "pool"});
+  config.services = {{.name = "pool"}, {.name = "other"}};
   made.SetConfig(config, this->now);
-  made.Confirmed(this->now, this->now + kOwnerCertain);
   const std::size_t index = this->owners.size();
   for (const auto& [id, stored] : this->jobs) {
     jobs::Progress progress = jobs::DecodeProgress(stored.progress).value();
     // As the entry box does: what is over and placed nowhere is not read.
-    if (jobs::IsFinal(progress.state) && progress.placed.empty())
+    if (progress.IsOver())
       continue;
     if (this->Chance(this->faults.late_job)) {
       this->After(this->Between(20, 600),
@@ -202,7 +219,10 @@
     if (stored.cancelled)
       made.CancelJob(id, this->now);
   }
+  this->TellWave(made);
   this->owners.push_back(std::move(owner));
+  this->is_confirming = true;
+  this->Confirm();
 }
 
 void SchedulerModel::RunFor(base::Micros span) {
@@ -231,14 +251,24 @@
     if (worker.alive)
       this->WorkOn(worker);
   }
-  // Only the newest owner is confirmed by the store.
-  if (this->now >= this->owners.back().frozen_until)
-    this->owners.back().scheduler->Confirmed(this->now,
-                                             this->now + kOwnerCertain);
+  this->ReturnBoxes();
+  this->NotePresence();
+  this->Confirm();
+  this->ForgetSettledCalls();
   for (std::size_t i = 0; i < this->owners.size(); ++i)
     this->Act(i);
 }
 
+// Only the newest owner is confirmed by the store.
+void SchedulerModel::Confirm() {
+  Owner& owner = this->owners.back();
+  if (!this->is_confirming || this->now < owner.frozen_until || owner.gone)
+    return;
+  this->last_confirmed = this->now;
+  owner.certain_until = this->now + kOwnerCertain;
+  owner.scheduler->Confirmed(this->now, owner.certain_until);
+}
+
 void SchedulerModel::Disturb() {
   const double a_step = base::Seconds(kStep);
   if (this->Chance(this->faults.crash * a_step)) {
@@ -248,7 +278,8 @@
     if (at->second.alive) {
       at->second.alive = false;
       at->second.running.clear();
-      this->AddWorker(static_cast<int>(this->random() % 100));
+      this->boxes.erase(at->second.box);
+      this->AddBox("pool");
     }
   }
   if (this->Chance(this->faults.part_away * a_step)) {
@@ -271,8 +302,11 @@
   }
   if (this->Chance(this->faults.freeze * a_step))
     this->owners.back().frozen_until = this->now + this->Between(1000, 6000);
-  if (this->Chance(this->faults.takeover * a_step) && this->owners.size() < 6)
-    this->TakeOver();
+  if (this->Chance(this->faults.takeover * a_step) && this->owners.size() < 6 &&
+      this->is_confirming) {
+    this->is_confirming = false;
+    this->After(kOwnerSilence, [this] { this->Succeed(); });
+  }
 }
 
 void SchedulerModel::Heal() {
@@ -293,6 +327,7 @@
   Owner& owner = this->owners[index];
   if (this->now < owner.frozen_until || owner.gone)
     return;
+  this->ListBoxes(index);
   // A stale owner's list is refused for the newer one's epoch in it.
   if (index + 1 == this->owners.size())
     this->RecordListed(owner);
@@ -314,6 +349,10 @@
     this->Save(owner, *save);
   else if (const auto* read = std::get_if<scheduler::ReadJob>(&action))
     this->ReadJob(owner, read->job);
+  else if (const auto* move = std::get_if<scheduler::MoveBox>(&action))
+    this->Record(owner, *move);
+  else if (const auto* upkeep = std::get_if<scheduler::UpkeepBox>(&action))
+    this->Record(owner, *upkeep);
   else if (const auto* note = std::get_if<scheduler::Note>(&action))
     this->Record(fmt::format("owner {}: {}: {}", this->owners[owner].epoch,
                              note->subject, note->text));
@@ -406,6 +445,7 @@
         const auto run = worker.running.find(order.task);
         if (run != worker.running.end() && run->second.number == order.run &&
             !run->second.stopping) {
+          this->JudgeAway(order.task, "a stop");
           run->second.stopping = true;
           run->second.ends = this->now + this->Between(0, 380);
         }
--- a/testing/scheduler_model.h
+++ b/testing/scheduler_model.h
@@ -38,12 +38,18 @@
   double takeover = 0.0;  // a new owner comes, the old one lives on, a second
   double freeze = 0.0;    // an owner stands still for 1 to 6 s, a second
   double failing_run = 0.0;  // a run fails
+  // An owner stands still for 1 to 6 s right before a call for a box leaves,
+  // after its last look at whether it may: it leaves when the owner wakes.
+  double held_call = 0.0;
+  // A call for a box is carried out 2 to 6 s later, and never answered.
+  double late_call = 0.0;
 };
 
 struct ModelJob {
   std::string id;
   jobs::JobSpec spec;
   int attempts = 3;
+  std::string service = "pool";
 };
 
 class SchedulerModel {
@@ -60,8 +66,12 @@
   // Every worker that runs a task of the job falls silent for good: nothing
   // says that its life is over. Another comes for each.
   void Darken(const std::string& job);
-  // A new owner comes now.
+  // The owner is confirmed no more; after the silence a new one comes.
   void TakeOver();
+  // Every box is due for its upkeep, so many at a time.
+  void BeginWave(int most_at_once);
+  // Boxes that have had it.
+  int UpkeepsDone() const;
 
   // What broke a promise, in words; empty: nothing.
   const std::vector<std::string>& broken() const { return this->faults_found; }
@@ -83,9 +93,11 @@
   };
   struct Worker {
     std::string id;
+    std::string box;
     jobs::Resources capacity;
     bool alive = true;
-    bool dark = false;        // dead, and nothing answers in its place
+    bool dark = false;  // dead, and nothing answers in its place
+    bool announced = true;
     double clock_rate = 1.0;  // up to 2% slow
     base::Micros clock_offset{};
     std::uint64_t epoch = 0;  // highest seen
@@ -107,10 +119,25 @@
     std::map<scheduler::TaskPlace, int> failed;  // noted
     std::set<scheduler::TaskPlace> ever_done;    // ended as done, noted or not
   };
+  // A box, and when it is back from its move or upkeep.
+  struct Box {
+    std::string pool;
+    scheduler::BoxState state = scheduler::BoxState::kUp;
+    base::Micros back{};
+    std::uint64_t epoch = 0;  // highest seen
+    bool had_upkeep = false;
+  };
+  // A lasting task, as the rule on what may be away sees it.
+  struct Presence {
+    base::Micros last_at_work{};
+    bool is_away_by_order = false;
+  };
   struct Owner {
     std::unique_ptr<scheduler::Scheduler> scheduler;
     std::uint64_t epoch = 0;
     base::Micros frozen_until{};
+    base::Micros certain_until{};
+    base::Micros next_list{};
     std::set<std::string> cut_from;  // workers
     bool gone = false;
   };
@@ -125,7 +152,32 @@
   void After(base::Micros delay, std::function<void()> action);
   void Step();
   void Disturb();
-  void AddWorker(int number);
+  void AddWorker(const std::string& box);
+  // On a box of its own.
+  void AddBox(const std::string& pool);
+  scheduler::WorkerInfo InfoOf(const Worker& worker) const;
+  void Confirm();
+  void Succeed();
+  // boxes
+  void ReturnBoxes();
+  void ListBoxes(std::size_t owner);
+  void TellWave(scheduler::Scheduler& owner) const;
+  void ForgetSettledCalls();
+  void Record(std::size_t owner, const scheduler::BoxCall& call);
+  void Call(std::size_t owner, const scheduler::BoxCall& call);
+  void CarryOut(std::size_t owner,
+                const scheduler::BoxCall& call,
+                bool is_answered);
+  scheduler::BoxCallOutcome Move(const scheduler::MoveBox& call);
+  scheduler::BoxCallOutcome Upkeep(const scheduler::UpkeepBox& call);
+  void Answer(std::size_t owner,
+              const scheduler::BoxCall& call,
+              scheduler::BoxCallOutcome outcome);
+  void Take(const std::string& box,
+            scheduler::BoxState state,
+            base::Micros span);
+  void JudgeAway(const jobs::TaskId& task, const std::string& by);
+  void NotePresence();
   void RecordListed(Owner& owner);
   scheduler::Job Make(const std::string& id, jobs::Progress progress) const;
   // The feed brings a job as it was handed in.
@@ -166,6 +218,14 @@
   std::vector<Event> events;
   std::uint64_t event_count = 0;
   std::uint64_t version = 1;
+  std::map<std::string, Box> boxes;
+  int wave_most = 0;  // 0: no wave
+  // The row of calls for boxes: the owner that claimed it, and what it holds.
+  std::uint64_t calls_epoch = 0;
+  std::map<std::string, scheduler::BoxCall> calls;
+  std::map<jobs::TaskId, Presence> lasting;
+  bool is_confirming = true;  // the newest owner
+  base::Micros last_confirmed{};
   int worker_lives = 0;
   int start_count = 0;
   std::vector<std::string> faults_found;
--- a/testing/scheduler_model_store.cc
+++ b/testing/scheduler_model_store.cc
@@ -20,7 +20,7 @@
   const ModelJob& job = this->jobs.at(id).job;
   jobs::Queue queue;
   queue.name = "queue";
-  queue.service = "pool";
+  queue.service = job.service;
   queue.attempts = job.attempts;
   return scheduler::MakeJob(id, queue, job.spec, std::move(progress), this->now,
                             {});
@@ -41,7 +41,7 @@
     scheduler::Scheduler& owner = *this->owners[index].scheduler;
     const StoredJob& stored = this->jobs.at(id);
     jobs::Progress progress = jobs::DecodeProgress(stored.progress).value();
-    if (jobs::IsFinal(progress.state) && progress.placed.empty()) {
+    if (progress.IsOver()) {
       owner.JobIsOver(id, this->now);
       return;
     }
