An owner that gave up, or was started anew, grants nothing more

Cause: after a kill the process that was started anew took its shard back 0.7 s later and waited 10.5 s for workers that had gone with it (killed at 4.0 s, their leases taken as over at 15.3 s): the bound for an owner that is cut off and renews still. Change: a new holder knows whether the last one has ended: its row was given up, or names this box. An owner and its workers that lose power together are waited out for up to 10.5 s still.

--- a/entry/ownerships.cc
+++ b/entry/ownerships.cc
@@ -87,9 +87,9 @@
 Ownership::Events Ownerships::EventsOf(int shard) {
   return {
       .on_gained =
-          [this, shard](std::uint64_t epoch, base::Micros earlier_confirmed) {
+          [this, shard](std::uint64_t epoch, const EarlierHolders& earlier) {
             this->held_shards.push_back(shard);
-            this->events.on_gained(shard, epoch, earlier_confirmed);
+            this->events.on_gained(shard, epoch, earlier);
           },
       .on_lost =
           [this, shard] {
