--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -9,7 +9,6 @@
 
 namespace {
 
-using scheduler::OrderOutcome;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -18,13 +17,11 @@
 constexpr base::Micros kGrantBound = milliseconds(10'000);
 // Lines of what happened that are kept for a failing test.
 constexpr std::size_t kHistory = 60;
-constexpr base::Micros kOrderTimeout = milliseconds(800);
 // Another owner comes so long after the last confirmation; the last one knows
 // itself to be the owner for a little less.
 constexpr base::Micros kOwnerSilence = milliseconds(1300);
 constexpr base::Micros kOwnerCertain = milliseconds(1150);
-// An end counts as noted once its worker was told so, or this long after it
-// was listed.
+// Spans on clocks that differ by 2%, at most.
 constexpr double kClockSlack = 1.05;
 
 }  // namespace
@@ -358,136 +355,6 @@
                              note->subject, note->text));
 }
 
-// --- Messages ---
-
-void SchedulerModel::Deliver(
-    std::size_t index,
-    const std::string& id,
-    const std::function<OrderOutcome(Worker&)>& carry_out,
-    const std::function<void(OrderOutcome)>& answer) {
-  const auto answer_after = [this, index, answer](base::Micros delay,
-                                                  OrderOutcome outcome) {
-    this->After(delay, [this, index, answer, outcome] {
-      // A frozen owner reads its answers when it thaws.
-      const base::Micros thaw = this->owners[index].frozen_until;
-      if (this->now < thaw)
-        this->After(thaw - this->now, [answer, outcome] { answer(outcome); });
-      else
-        answer(outcome);
-    });
-  };
-  const bool is_cut = this->owners[index].cut_from.contains(id);
-  const auto found = this->workers.find(id);
-  const bool is_dead = found == this->workers.end() || !found->second.alive;
-  if (is_dead) {
-    const bool silent = found != this->workers.end() && found->second.dark;
-    answer_after(milliseconds(5), silent || this->Chance(0.5)
-                                      ? OrderOutcome::kUnknown
-                                      : OrderOutcome::kOtherLife);
-    return;
-  }
-  if (is_cut || this->Chance(this->faults.lost_order)) {
-    answer_after(kOrderTimeout, OrderOutcome::kUnknown);
-    return;
-  }
-  const bool late = this->Chance(this->faults.late_order);
-  const bool lost = late || this->Chance(this->faults.lost_answer);
-  const base::Micros delay =
-      late ? this->Between(2000, 6000) : this->Between(1, 30);
-  if (lost)
-    answer_after(kOrderTimeout, OrderOutcome::kUnknown);
-  this->After(delay, [this, id, carry_out, lost, answer_after] {
-    Worker& worker = this->workers.at(id);
-    if (!worker.alive) {
-      if (!lost)
-        answer_after(kOrderTimeout, OrderOutcome::kUnknown);
-      return;
-    }
-    const OrderOutcome outcome = carry_out(worker);
-    if (!lost)
-      answer_after(this->Between(1, 30), outcome);
-  });
-}
-
-void SchedulerModel::SendStart(std::size_t index,
-                               const scheduler::StartRun& order) {
-  scheduler::Scheduler& by = *this->owners[index].scheduler;
-  const base::Micros end = by.LeaseEnd(this->now);
-  const base::Micros deadline = milliseconds(by.Deadline(order.worker, end));
-  if (deadline <= base::Micros::zero() || end <= this->now ||
-      !by.StillWanted(order)) {
-    by.Started(order, OrderOutcome::kNotSent, this->now);
-    return;
-  }
-  by.Granted(order.worker, end);
-  const std::uint64_t epoch = this->owners[index].epoch;
-  this->Deliver(
-      index, order.worker,
-      [this, order, epoch, deadline](Worker& worker) {
-        return this->BeginRun(worker, order, epoch, deadline);
-      },
-      [this, index, order](OrderOutcome outcome) {
-        this->owners[index].scheduler->Started(order, outcome, this->now);
-      });
-}
-
-void SchedulerModel::SendStop(std::size_t index,
-                              const scheduler::StopRun& order) {
-  const std::uint64_t epoch = this->owners[index].epoch;
-  this->Deliver(
-      index, order.worker,
-      [this, order, epoch](Worker& worker) {
-        if (epoch < worker.epoch)
-          return OrderOutcome::kFenced;
-        worker.epoch = epoch;
-        int& over = worker.over[order.task];
-        over = std::max(over, order.run);
-        const auto run = worker.running.find(order.task);
-        if (run != worker.running.end() && run->second.number == order.run &&
-            !run->second.stopping) {
-          this->JudgeAway(order.task, "a stop");
-          run->second.stopping = true;
-          run->second.ends = this->now + this->Between(0, 380);
-        }
-        return OrderOutcome::kDone;
-      },
-      [this, index, order](OrderOutcome outcome) {
-        this->owners[index].scheduler->Stopped(order, outcome, this->now);
-      });
-}
-
-void SchedulerModel::SendLook(std::size_t index,
-                              const scheduler::LookAt& order) {
-  scheduler::Scheduler& by = *this->owners[index].scheduler;
-  const base::Micros end = by.LeaseEnd(this->now);
-  const base::Micros deadline =
-      order.renews ? milliseconds(by.Deadline(order.worker, end))
-                   : milliseconds(0);
-  by.LookSent(order.worker, this->now);
-  if (deadline > base::Micros::zero())
-    by.LookGrants(order.worker, end);
-  const std::uint64_t epoch = this->owners[index].epoch;
-  auto listing = std::make_shared<scheduler::Listing>();
-  this->Deliver(
-      index, order.worker,
-      [this, order, epoch, deadline, listing](Worker& worker) {
-        if (epoch < worker.epoch)
-          return OrderOutcome::kFenced;
-        worker.epoch = epoch;
-        worker.deadline = std::max(worker.deadline, deadline);
-        this->Note(worker, order.acknowledged);
-        *listing = this->ListingOf(worker);
-        return OrderOutcome::kDone;
-      },
-      [this, index, order, listing](OrderOutcome outcome) {
-        scheduler::Scheduler& owner = *this->owners[index].scheduler;
-        if (outcome == OrderOutcome::kDone)
-          owner.Listed(order.worker, *listing, this->now);
-        else
-          owner.LookFailed(order.worker, outcome, this->now);
-      });
-}
-
 // --- What came of it ---
 
 jobs::JobState SchedulerModel::StateOf(const std::string& job) const {
