Revert: a shorter wait after an owner that has ended

A zone was cut; the second owner carried the first one's grants to workers beyond the cut with their ends, then gave up; the third took the second's own end (4.2 s) as the bound for those too, and started a lasting task at 41.19 s whose run beyond the cut went on until 43.12 s. Ruled out: the bound from the last confirmation, which covers the first owner. Conclusion: reverted. It had mended no broken rule, only shortened a wait; it wants the bound apart for what an owner holds and what it carries, and a model of three owners.

--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -143,8 +143,8 @@
       Ownerships::Events{
           .on_gained =
               [this](int shard, std::uint64_t epoch,
-                     const EarlierHolders& earlier) {
-                this->Gained(shard, epoch, earlier);
+                     base::Micros earlier_confirmed) {
+                this->Gained(shard, epoch, earlier_confirmed);
               },
           .on_lost = [this](int shard) { this->Lost(shard); },
           .on_confirmed =
@@ -225,13 +225,13 @@
 
 void JobDaemon::Gained(int shard,
                        std::uint64_t epoch,
-                       const EarlierHolders& earlier) {
+                       base::Micros earlier_confirmed) {
   ManagedShard& one = this->At(shard);
   one.end.Stop();
   one.manager = std::make_unique<Manager>(
       this->loop, this->store, this->counters, this->settings,
       Shard{.number = shard, .count = static_cast<int>(this->by_shard.size())},
-      epoch, earlier,
+      epoch, earlier_confirmed,
       Manager::Authority{
           .orders_until = [this, shard] { return this->OrdersUntil(shard); },
           .certain_until = [this, shard] { return this->CertainUntil(shard); },
--- a/entry/job_daemon.h
+++ b/entry/job_daemon.h
@@ -49,7 +49,7 @@
   void ReloadIfChanged();
   void TakeOperatorRow(const platform::Row& row);
   void Begin(int shards, std::uint64_t seed);
-  void Gained(int shard, std::uint64_t epoch, const EarlierHolders& earlier);
+  void Gained(int shard, std::uint64_t epoch, base::Micros earlier_confirmed);
   ManagedShard& At(int shard) const;
   ShardLoad LoadOf(int shard) const;
   base::Micros OrdersUntil(int shard) const;
--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -84,7 +84,7 @@
                  const Settings& chosen,
                  const Shard& of,
                  std::uint64_t own_epoch,
-                 const EarlierHolders& before,
+                 base::Micros confirmed_before,
                  Authority given)
     : loop(on),
       store(from),
@@ -92,7 +92,7 @@
       settings(chosen),
       shard(of),
       epoch(own_epoch),
-      earlier(before),
+      earlier_confirmed(confirmed_before),
       authority(std::move(given)),
       order_client(on, {.reset_on_close = true}),
       workers(this->order_client, [this] { return this->MayOrder(); }),
@@ -170,19 +170,6 @@
   return GrantBoundOf(this->settings);
 }
 
-// The list names the last owner's grants only if it came to write one.
-base::Micros Manager::EarlierGrantsEnd(std::uint64_t listed_by) const {
-  const base::Micros by_confirmation =
-      this->earlier.confirmed + WithClockSlack(this->GrantBound());
-  const bool grants_no_more =
-      this->earlier.has_ended && listed_by + 1 == this->epoch;
-  if (!grants_no_more)
-    return by_confirmation;
-  return std::min(
-      by_confirmation,
-      base::MonotonicNow() + WithClockSlack(LongestGrantOf(this->settings)));
-}
-
 // Others may take over soon: what is on its way to workers and boxes is called
 // back, and nothing further leaves until the store confirms the ownership.
 void Manager::HoldOrders() {
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -18,7 +18,6 @@
 #include "base/counters.h"
 #include "base/loop.h"
 #include "entry/box_calls.h"
-#include "entry/ownership.h"
 #include "entry/quota_records.h"
 #include "entry/save_policy.h"
 #include "entry/save_queue.h"
@@ -48,13 +47,14 @@
     std::function<void()> on_fenced;
   };
 
+  // No owner before this one was confirmed after `earlier_confirmed`.
   Manager(base::Loop& loop,
           platform::Store& store,
           base::Counters& counters,
           const Settings& settings,
           const Shard& shard,
           std::uint64_t epoch,
-          const EarlierHolders& earlier,
+          base::Micros earlier_confirmed,
           Authority authority);
   ~Manager();
   Manager(const Manager&) = delete;
@@ -107,9 +107,6 @@
   void ResumeOrders();
   void RenewInDoubt();
   base::Micros GrantBound() const;
-  // Until when workers may hold leases that the owners before granted them, the
-  // last of them under `epoch`.
-  base::Micros EarlierGrantsEnd(std::uint64_t epoch) const;
 
   // Actions.
   void Act();
@@ -170,7 +167,7 @@
   Settings settings;
   Shard shard;
   std::uint64_t epoch;
-  EarlierHolders earlier;
+  base::Micros earlier_confirmed;
   Authority authority;
   // Orders' own: what is closed takes along what is on its way.
   http::Client order_client;
--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -217,7 +217,8 @@
     this->scheduler.WorkersRecorded(this->recorded.held);
     return true;
   }
-  const base::Micros latest = this->EarlierGrantsEnd(record->epoch);
+  const base::Micros latest =
+      this->earlier_confirmed + WithClockSlack(this->GrantBound());
   for (const LeaseHolder& holder : record->workers) {
     const base::Micros carried =
         this->store.LocalTime(holder.until_store_ms) + kStoreClockSlack;
--- a/entry/ownership.cc
+++ b/entry/ownership.cc
@@ -80,7 +80,7 @@
     this->holder_since = now;
   const bool mine = this->NamesThis(*seen);
   if (!mine)
-    this->earlier.confirmed = now;
+    this->earlier_confirmed = now;
   this->version = shown.version;
   this->record = *seen;
   this->unchanged_since = now;
@@ -208,8 +208,6 @@
     this->Look();
   if (!this->ShouldTake(now))
     return;
-  this->earlier.has_ended =
-      this->record.holder.empty() || this->record.holder == this->id;
   this->Write({.holder = this->id,
                .incarnation = this->incarnation,
                .epoch = this->record.epoch + 1,
@@ -324,7 +322,7 @@
   base::Log(base::Event::kOwnershipGained, {{"shard", this->row.part},
                                             {"epoch", this->record.epoch},
                                             {"version", this->version}});
-  this->events.on_gained(this->record.epoch, this->earlier);
+  this->events.on_gained(this->record.epoch, this->earlier_confirmed);
   this->events.on_confirmed(this->lease.confirmed());
 }
 
@@ -332,8 +330,8 @@
   if (!this->holding)
     return;
   this->holding = false;
-  this->earlier.confirmed =
-      std::max(this->earlier.confirmed, this->lease.confirmed());
+  this->earlier_confirmed =
+      std::max(this->earlier_confirmed, this->lease.confirmed());
   this->lost_epoch = this->held_epoch;
   base::Log(base::Event::kOwnershipLost, {{"shard", this->row.part},
                                           {"epoch", this->record.epoch},
--- a/entry/ownership.h
+++ b/entry/ownership.h
@@ -19,17 +19,11 @@
 
 namespace quartzhoist::entry {
 
-// What a new holder knows of those before it.
-struct EarlierHolders {
-  base::Micros confirmed{};  // none of them later
-  // The last of them gave up, or its process is gone: it orders nothing more.
-  bool has_ended = false;
-};
-
 class Ownership {
  public:
   struct Events {
-    std::function<void(std::uint64_t epoch, const EarlierHolders& earlier)>
+    // No holder before this one was confirmed after `earlier_confirmed`.
+    std::function<void(std::uint64_t epoch, base::Micros earlier_confirmed)>
         on_gained;
     std::function<void()> on_lost;
     // The row holds a confirmation that was first asked for at `asked`; calls
@@ -121,7 +115,9 @@
   std::uint64_t held_epoch = 0;
   std::uint64_t lost_epoch = 0;
   base::Micros unchanged_since{};
-  EarlierHolders earlier;
+  // When the last row of another holder was first seen: none of them was
+  // confirmed later.
+  base::Micros earlier_confirmed{};
   base::Micros holder_since{};  // when the present holder was first seen
   base::Micros last_answer{};
   base::Micros next_renewal{};
--- a/entry/ownerships.cc
+++ b/entry/ownerships.cc
@@ -87,9 +87,9 @@
 Ownership::Events Ownerships::EventsOf(int shard) {
   return {
       .on_gained =
-          [this, shard](std::uint64_t epoch, const EarlierHolders& earlier) {
+          [this, shard](std::uint64_t epoch, base::Micros earlier_confirmed) {
             this->held_shards.push_back(shard);
-            this->events.on_gained(shard, epoch, earlier);
+            this->events.on_gained(shard, epoch, earlier_confirmed);
           },
       .on_lost =
           [this, shard] {
--- a/entry/ownerships.h
+++ b/entry/ownerships.h
@@ -22,7 +22,7 @@
   // What comes of the shard of this number; see Ownership::Events.
   struct Events {
     std::function<
-        void(int shard, std::uint64_t epoch, const EarlierHolders& earlier)>
+        void(int shard, std::uint64_t epoch, base::Micros earlier_confirmed)>
         on_gained;
     std::function<void(int shard)> on_lost;
     std::function<void(int shard, base::Micros asked)> on_confirmed;
