Sight: a lost worker's line says by which sign, and what ran there since when

Cause: from the collected output it could be read only from the run_started lines of all daemons together which task was on each worker that went, and not at all whether the worker was silent or had been replaced. Change: worker_lost (QH0824) takes the place of the note that said how many runs were over: sign, time since the last answer, the newest dozen of runs with their age, and whether their start was answered. The lines of decisions, lost workers and ended jobs move to entry/decision_log. No functional change.

--- a/base/event_log.h
+++ b/base/event_log.h
@@ -45,6 +45,7 @@
   kRunStarted,
   kRunUnsettled,
   kDecision,
+  kWorkerLost,
   kBoxAsked,
   kBoxMoved,
   kUpkeepBegun,
@@ -68,7 +69,7 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 31> kEvents{{
+inline constexpr std::array<EventInfo, 32> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
@@ -89,6 +90,7 @@
     {Event::kRunStarted, 821, Level::kInfo, "run_started"},
     {Event::kRunUnsettled, 822, Level::kWarning, "run_unsettled"},
     {Event::kDecision, 823, Level::kInfo, "decision"},
+    {Event::kWorkerLost, 824, Level::kWarning, "worker_lost"},
     {Event::kBoxMoved, 831, Level::kInfo, "box_moved"},
     {Event::kUpkeepBegun, 832, Level::kInfo, "upkeep_begun"},
     {Event::kWaveReported, 833, Level::kInfo, "wave_reported"},
--- /dev/null
+++ b/entry/decision_log.cc
@@ -0,0 +1,68 @@
+#include "entry/decision_log.h"
+
+#include <algorithm>
+#include <string>
+
+#include <fmt/format.h>
+
+#include "base/event_log.h"
+#include "jobs/job.h"
+
+namespace quartzhoist::entry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A line names no more runs than this: a box of small tasks holds hundreds.
+constexpr std::size_t kMostRunsNamed = 12;
+
+std::string RunsText(const std::vector<scheduler::LostRun>& runs) {
+  std::string text;
+  const std::size_t named = std::min(runs.size(), kMostRunsNamed);
+  for (std::size_t i = 0; i < named; ++i) {
+    const scheduler::LostRun& lost = runs[i];
+    text += fmt::format("{}{}.{}.{}.{} run {} age {}{}", i == 0 ? "" : ", ",
+                        lost.task.job, lost.task.occurrence, lost.task.step,
+                        lost.task.index, lost.run, base::Millis(lost.age),
+                        lost.is_answered ? "" : " unanswered");
+  }
+  return text;
+}
+
+}  // namespace
+
+void LogJobOver(const scheduler::JobOver& over) {
+  const scheduler::JobStory& story = over.story;
+  // A job that was cancelled before it began has no first place.
+  const base::Micros first = story.first_placed.value_or(milliseconds(-1));
+  base::Log(base::Event::kJobOver,
+            {{"job", over.job},
+             {"queue", over.queue},
+             {"state", base::NameOf(jobs::kJobStateNames, over.state)},
+             {"took_ms", base::Millis(over.took)},
+             {"objective_ms", base::Millis(over.objective)},
+             {"first_place_ms", base::Millis(first)},
+             {"longest_wait_ms", base::Millis(story.longest_wait)},
+             {"longest_run_ms", base::Millis(story.longest_run)},
+             {"runs", story.runs},
+             {"lost_runs", story.lost_runs}});
+}
+
+void LogWorkerLost(const scheduler::WorkerLost& lost) {
+  const bool was_heard = lost.heard_ago >= base::Micros::zero();
+  base::Log(base::Event::kWorkerLost,
+            {{"worker", lost.worker},
+             {"box", lost.box},
+             {"sign", base::NameOf(scheduler::kLossSignNames, lost.sign)},
+             {"heard_ms", was_heard ? base::Millis(lost.heard_ago) : -1},
+             {"count", lost.runs.size()},
+             {"runs", RunsText(lost.runs)}});
+}
+
+void LogNote(const scheduler::Note& note) {
+  base::Log(base::Event::kDecision,
+            {{"subject", note.subject}, {"text", note.text}});
+}
+
+}  // namespace quartzhoist::entry
--- /dev/null
+++ b/entry/decision_log.h
@@ -0,0 +1,16 @@
+// Log lines of what the scheduler decided or found out.
+
+#ifndef ENTRY_DECISION_LOG_H_
+#define ENTRY_DECISION_LOG_H_
+
+#include "scheduler/actions.h"
+
+namespace quartzhoist::entry {
+
+void LogJobOver(const scheduler::JobOver& over);
+void LogWorkerLost(const scheduler::WorkerLost& lost);
+void LogNote(const scheduler::Note& note);
+
+}  // namespace quartzhoist::entry
+
+#endif  // ENTRY_DECISION_LOG_H_
--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "base/event_log.h"
+#include "entry/decision_log.h"
 #include "entry/timing.h"
 #include "platform/records.h"
 
@@ -59,23 +60,6 @@
   return limits;
 }
 
-void LogJobOver(const scheduler::JobOver& over) {
-  const scheduler::JobStory& story = over.story;
-  // A job that was cancelled before it began has no first place.
-  const base::Micros first = story.first_placed.value_or(milliseconds(-1));
-  base::Log(base::Event::kJobOver,
-            {{"job", over.job},
-             {"queue", over.queue},
-             {"state", base::NameOf(jobs::kJobStateNames, over.state)},
-             {"took_ms", base::Millis(over.took)},
-             {"objective_ms", base::Millis(over.objective)},
-             {"first_place_ms", base::Millis(first)},
-             {"longest_wait_ms", base::Millis(story.longest_wait)},
-             {"longest_run_ms", base::Millis(story.longest_run)},
-             {"runs", story.runs},
-             {"lost_runs", story.lost_runs}});
-}
-
 }  // namespace
 
 Manager::Manager(base::Loop& on,
@@ -318,10 +302,10 @@
       manager.waves.Report(report);
     }
     void operator()(const scheduler::JobOver& over) const { LogJobOver(over); }
-    void operator()(const scheduler::Note& note) const {
-      base::Log(base::Event::kDecision,
-                {{"subject", note.subject}, {"text", note.text}});
+    void operator()(const scheduler::WorkerLost& lost) const {
+      LogWorkerLost(lost);
     }
+    void operator()(const scheduler::Note& note) const { LogNote(note); }
   };
   std::visit(Visitor{*this}, action);
 }
--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -110,6 +110,23 @@
   std::string text;
 };
 
+// A run on a worker that was lost.
+struct LostRun {
+  jobs::TaskId task;
+  int run = 0;
+  base::Micros age{};        // since its order was decided
+  bool is_answered = false;  // its start was, or it was listed
+};
+
+// For the log: what ran on a worker is over without ends of its own.
+struct WorkerLost {
+  std::string worker;
+  std::string box;
+  LossSign sign = LossSign::kSilence;
+  base::Micros heard_ago{};   // its last answer; negative: none
+  std::vector<LostRun> runs;  // the newest first
+};
+
 // For the log: a job is over, and where its time went.
 struct JobOver {
   std::string job;
@@ -131,6 +148,7 @@
                             UpkeepBox,
                             ReportWave,
                             JobOver,
+                            WorkerLost,
                             Note>;
 
 }  // namespace quartzhoist::scheduler
--- a/scheduler/evacuation.cc
+++ b/scheduler/evacuation.cc
@@ -179,7 +179,7 @@
 void Scheduler::BoxTaken(const std::string& box, base::Micros now) {
   const std::string life = this->fleet.LifeBefore(box);
   if (!life.empty())
-    this->LifeIsOver(life, now);
+    this->LifeIsOver(life, LossSign::kBoxTaken, now);
 }
 
 // A lasting task may be interrupted while every other one of its step is at
--- a/scheduler/facts.h
+++ b/scheduler/facts.h
@@ -38,6 +38,21 @@
   double cores = 0.0;  // of its capacity
 };
 
+// By what it is known that nothing of a worker's life runs any more.
+enum class LossSign {
+  kSilence,    // it did not answer until its lease was over
+  kOtherLife,  // another life answers at its address
+  kBoxTaken,   // its box was moved or went into its upkeep
+  kLeft,       // it had said that it leaves, or withdrawn its announcement
+};
+
+inline constexpr base::EnumNames<LossSign, 4> kLossSignNames{{
+    {LossSign::kSilence, "silence"},
+    {LossSign::kOtherLife, "other_life"},
+    {LossSign::kBoxTaken, "box_taken"},
+    {LossSign::kLeft, "left"},
+}};
+
 // Why a run ended.
 enum class RunEnd { kDone, kFailed, kStopped, kLapsed, kBroken, kAlone };
 
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -237,7 +237,7 @@
   if (found == this->workers.end())
     return nullptr;
   if (outcome == OrderOutcome::kOtherLife) {
-    this->LifeIsOver(id, now);
+    this->LifeIsOver(id, LossSign::kOtherLife, now);
     return nullptr;
   }
   if (outcome == OrderOutcome::kFenced)
@@ -416,7 +416,7 @@
         TaskAt(*job, PlaceOf(task)).lease_ended = now;
     }
     worker.runs_presumed_over = worker.runs_presumed_over || !worker.idle();
-    this->DropRuns(worker, now, "its lease is over");
+    this->DropRuns(worker, LossSign::kSilence, now);
     if (!worker.announced && worker.failed_calls >= kCallsUntilSilent)
       forgotten.push_back(id);
   }
@@ -425,13 +425,26 @@
   this->worker_change_count += forgotten.size();
 }
 
-void Scheduler::DropRuns(Worker& worker, base::Micros now, const char* why) {
+void Scheduler::DropRuns(Worker& worker, LossSign sign, base::Micros now) {
   if (worker.idle())
     return;
-  this->actions.emplace_back(
-      Note{worker.info.id,
-           fmt::format("{}: {} runs are over", why, worker.runs.size())});
+  const bool was_heard = worker.last_answer > base::Micros::zero();
+  WorkerLost lost{
+      .worker = worker.info.id,
+      .box = worker.info.box,
+      .sign = sign,
+      .heard_ago = was_heard ? now - worker.last_answer : base::Micros(-1)};
   const std::map<jobs::TaskId, Run> runs = TakeRuns(worker);
+  for (const auto& [task, run] : runs) {
+    lost.runs.push_back({.task = task,
+                         .run = run.number,
+                         .age = now - run.since,
+                         .is_answered = run.answered > base::Micros::zero()});
+  }
+  std::stable_sort(
+      lost.runs.begin(), lost.runs.end(),
+      [](const LostRun& a, const LostRun& b) { return a.age < b.age; });
+  this->actions.emplace_back(std::move(lost));
   for (const auto& [task, run] : runs)
     this->TaskLost(task, run.number, now);
 }
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -64,23 +64,27 @@
     return;
   found->second.announced = false;
   if (found->second.idle() && !found->second.look_in_flight)
-    this->WorkerDied(id, now);
+    this->WorkerDied(id, LossSign::kLeft, now);
 }
 
-void Scheduler::WorkerDied(const std::string& id, base::Micros now) {
+void Scheduler::WorkerDied(const std::string& id,
+                           LossSign sign,
+                           base::Micros now) {
   const auto found = this->workers.find(id);
   if (found == this->workers.end())
     return;
-  this->DropRuns(found->second, now, "the worker's life is over");
+  this->DropRuns(found->second, sign, now);
   this->workers.erase(found);
   ++this->worker_change_count;
 }
 
 // A store that has forgotten its history is read anew, rows of ended lives
 // included: such a life on a box in upkeep would pass for the one after it.
-void Scheduler::LifeIsOver(const std::string& id, base::Micros now) {
+void Scheduler::LifeIsOver(const std::string& id,
+                           LossSign sign,
+                           base::Micros now) {
   this->ended_lives.insert(id);
-  this->WorkerDied(id, now);
+  this->WorkerDied(id, sign, now);
 }
 
 void Scheduler::InheritWorker(const WorkerInfo& info, base::Micros lease_end) {
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -71,10 +71,6 @@
   void PutWorker(const WorkerInfo& info, base::Micros now);
   // Its announcement is gone; it may still run what it has.
   void WorkerUnlisted(const std::string& id, base::Micros now);
-  // This life is over: nothing of it runs.
-  void WorkerDied(const std::string& id, base::Micros now);
-  // The same for good: its announcement may still stand, and be read again.
-  void LifeIsOver(const std::string& id, base::Micros now);
   // A worker that an earlier owner may have granted a lease until then. Until
   // it has been listed and recorded anew, this owner grants it none.
   void InheritWorker(const WorkerInfo& info, base::Micros lease_end);
@@ -248,7 +244,11 @@
 
   // leases and looks
   void ExpireLeases(base::Micros now);
-  void DropRuns(Worker& worker, base::Micros now, const char* why);
+  // This life is over: nothing of it runs.
+  void WorkerDied(const std::string& id, LossSign sign, base::Micros now);
+  // The same for good: its announcement may still stand, and be read again.
+  void LifeIsOver(const std::string& id, LossSign sign, base::Micros now);
+  void DropRuns(Worker& worker, LossSign sign, base::Micros now);
   void DueLooks(base::Micros now);
   void DueStops(base::Micros now);
   void Stop(Worker& worker, const jobs::TaskId& task, base::Micros now);
