Red test: a task that crashes its workers is started without end

Symptom, as on real machines: a task under which each worker crashes 10 ms after the start is started as soon as each loss is noted (3.3 to 3.6 s), together with what ran beside it, by one owner and by owners that follow one another: 16 and 14 workers lost in 60 and 53 s, the third start after the third crash at 18.9 and 19.6 s, and the jobs beside it never completed. The model gets tasks that end the life of the worker that starts them, boxes that come back with another life some seconds later, and the check: no third start more once three workers have crashed under a task.

--- a/testing/scheduler_model.h
+++ b/testing/scheduler_model.h
@@ -50,6 +50,10 @@
   jobs::JobSpec spec;
   int attempts = 3;
   std::string service = "pool";
+  // Tasks that end the life of each worker that starts them, so long after the
+  // start. Another life comes on the box.
+  std::set<scheduler::TaskPlace> crashing;
+  base::Micros crash_after = std::chrono::milliseconds(10);
 };
 
 class SchedulerModel {
@@ -82,6 +86,8 @@
   // Tasks of the job that run now.
   int RunningTasks(const std::string& job) const;
   int starts() const { return this->start_count; }
+  // Lives that crashing tasks have ended.
+  int crashed_workers() const { return this->crash_count; }
   int takeovers() const { return static_cast<int>(this->owners.size()) - 1; }
 
  private:
@@ -97,6 +103,8 @@
     jobs::Resources capacity;
     bool alive = true;
     bool dark = false;  // dead, and nothing answers in its place
+    // Dead, and its box is back with another life from then on.
+    std::optional<base::Micros> reborn_at;
     bool announced = true;
     double clock_rate = 1.0;  // up to 2% slow
     base::Micros clock_offset{};
@@ -116,8 +124,10 @@
     bool cancelled = false;
     base::Micros away_until{};            // its row's part of the store
     std::set<scheduler::TaskPlace> done;  // noted ends, as workers saw them
-    std::map<scheduler::TaskPlace, int> failed;  // noted
-    std::set<scheduler::TaskPlace> ever_done;    // ended as done, noted or not
+    std::map<scheduler::TaskPlace, int> failed;   // noted
+    std::set<scheduler::TaskPlace> ever_done;     // ended as done, noted or not
+    std::map<scheduler::TaskPlace, int> crashes;  // of workers that started it
+    std::map<scheduler::TaskPlace, int> starts_since_third_crash;
   };
   // A box, and when it is back from its move or upkeep.
   struct Box {
@@ -198,6 +208,9 @@
                                    std::uint64_t epoch,
                                    base::Micros deadline);
   void JudgeStart(const Worker& worker, const scheduler::StartRun& order);
+  void JudgeCrashes(const scheduler::StartRun& order);
+  void CrashLater(const Worker& worker, const scheduler::StartRun& order);
+  void EndLife(Worker& worker);
   void EndRun(Worker& worker, const jobs::TaskId& task, scheduler::RunEnd how);
   void WorkOn(Worker& worker);
   void Note(Worker& worker, std::int64_t acknowledged);
@@ -228,6 +241,7 @@
   base::Micros last_confirmed{};
   int worker_lives = 0;
   int start_count = 0;
+  int crash_count = 0;
   std::vector<std::string> faults_found;
   std::deque<std::string> history;
 };
--- a/testing/scheduler_model_messages.cc
+++ b/testing/scheduler_model_messages.cc
@@ -37,6 +37,13 @@
   const auto found = this->workers.find(id);
   const bool is_dead = found == this->workers.end() || !found->second.alive;
   if (is_dead) {
+    // Nobody listens at the address until the box is back.
+    if (found != this->workers.end() && found->second.reborn_at) {
+      answer_after(milliseconds(5), this->now < *found->second.reborn_at
+                                        ? OrderOutcome::kNotSent
+                                        : OrderOutcome::kOtherLife);
+      return;
+    }
     const bool silent = found != this->workers.end() && found->second.dark;
     answer_after(milliseconds(5), silent || this->Chance(0.5)
                                       ? OrderOutcome::kUnknown
--- a/testing/scheduler_model_workers.cc
+++ b/testing/scheduler_model_workers.cc
@@ -39,6 +39,7 @@
   if (over != worker.over.end() && order.run <= over->second)
     return OrderOutcome::kOld;
   this->JudgeStart(worker, order);
+  this->JudgeCrashes(order);
   this->Record(fmt::format("{} starts {} {}.{} run {}", worker.id,
                            order.task.job, order.task.step, order.task.index,
                            order.run));
@@ -52,9 +53,65 @@
     ends = base::Micros::max();
   worker.running[order.task] = {
       .number = order.run, .ends = ends, .fails = fails};
+  this->CrashLater(worker, order);
   return OrderOutcome::kDone;
 }
 
+void SchedulerModel::CrashLater(const Worker& worker,
+                                const scheduler::StartRun& order) {
+  const ModelJob& job = this->jobs.at(order.task.job).job;
+  const scheduler::TaskPlace place = scheduler::PlaceOf(order.task);
+  if (!job.crashing.contains(place))
+    return;
+  this->After(job.crash_after, [this, id = worker.id, order, place] {
+    Worker& by = this->workers.at(id);
+    const auto run = by.running.find(order.task);
+    if (!by.alive || run == by.running.end() || run->second.number != order.run)
+      return;
+    this->Record(fmt::format("{} crashes under {} {}.{}", id, order.task.job,
+                             place.step, place.index));
+    ++this->jobs.at(order.task.job).crashes[place];
+    ++this->crash_count;
+    this->EndLife(by);
+  });
+}
+
+// Nothing announces the end; another life comes on the box some seconds later,
+// and the announcement goes after three heartbeats.
+void SchedulerModel::EndLife(Worker& worker) {
+  worker.alive = false;
+  worker.running.clear();
+  const base::Micros away = this->Between(2800, 3600);
+  worker.reborn_at = this->now + away;
+  this->After(away, [this, box = worker.box] {
+    if (this->boxes.contains(box))
+      this->AddWorker(box);
+  });
+  this->After(this->Between(3000, 4500), [this, life = worker.id] {
+    this->workers.at(life).announced = false;
+    for (Owner& owner : this->owners)
+      owner.scheduler->WorkerUnlisted(life, this->now);
+  });
+}
+
+// A task under which three workers have crashed may be started twice more.
+void SchedulerModel::JudgeCrashes(const scheduler::StartRun& order) {
+  constexpr int kCrashes = 3;
+  constexpr int kStartsBeyond = 3;
+  StoredJob& stored = this->jobs.at(order.task.job);
+  const scheduler::TaskPlace place = scheduler::PlaceOf(order.task);
+  const auto crashes = stored.crashes.find(place);
+  if (crashes == stored.crashes.end() || crashes->second < kCrashes)
+    return;
+  if (++stored.starts_since_third_crash[place] == kStartsBeyond) {
+    this->Broke(fmt::format(
+        "{} step {} task {} run {}: started {} times more after {} workers "
+        "had crashed under it",
+        order.task.job, place.step, place.index, order.run, kStartsBeyond,
+        kCrashes));
+  }
+}
+
 void SchedulerModel::JudgeStart(const Worker& worker,
                                 const scheduler::StartRun& order) {
   const StoredJob& stored = this->jobs.at(order.task.job);
