A task under which workers crash is suspected, started alone, and given up

What callers saw: one job's task was started again each 3.6 s for two minutes, and each start took a worker and up to six runs of other jobs with it; those jobs were late or never completed. Cause: the end of a worker's life was taken for bad luck of that worker alone. TaskLost put what ran there back into the queue at once and kept nothing, so the same company was placed together again, and no owner, let alone the next, could tell a task that crashes its workers from one whose workers were cut off. Class: what an order did to its target is not part of what is known of the order. Ruled out by the logs: knowledge lost at a takeover (one owner saw five crashes), bad boxes (three zones; the company ran unharmed elsewhere), cuts (new lives answered at the same addresses). Mend: under which lives a task was lost stands in its job's row, by life, so that it counts once whoever tells it; it is written with the record of the next placement, so no start leaves without it. All that ran there is suspected. Suspects are kept apart; from two losses on a task starts where nothing runs, or after a second where least does, and nothing starts beside it for a second; after three crashes, one of them with no other suspect there, or five losses in all, the job is failed. A life that answers again is cleared; planned ends (drained, withdrawn, box taken) do not count; a placement on a worker that nobody knows any more counts as a loss. Why it holds: three crashes and two starts more are what may be; the sum of crashes and open losses never passes five, by any sequence of owners.

--- a/jobs/jobs_test.cc
+++ b/jobs/jobs_test.cc
@@ -97,6 +97,35 @@
   BOOST_TEST(Merge(later, earlier).FailuresOf(task) == 3);
 }
 
+BOOST_AUTO_TEST_CASE(LossesOfTwoWritersAddUpAndACrashStaysOne) {
+  const TaskKey task{.step = {.occurrence = 0, .step = 1}, .index = 2};
+  Progress earlier;
+  earlier.MarkLost(task, "a", {.run = 1, .box = "box-a", .has_crashed = true});
+  earlier.MarkLost(task, "b", {.run = 2});
+  Progress later;
+  later.MarkLost(task, "a", {.run = 1, .box = "box-a"});
+  later.MarkLost(task, "b", {.run = 2, .box = "box-b", .was_alone = true});
+  later.MarkLost(task, "c", {.run = 1001, .box = "box-c"});
+  const WorkerLosses both{
+      {"a", {.run = 1, .box = "box-a", .has_crashed = true}},
+      {"b", {.run = 2, .box = "box-b", .was_alone = true}},
+      {"c", {.run = 1001, .box = "box-c"}}};
+  BOOST_CHECK(Merge(later, earlier).losses.at(task) == both);
+  BOOST_CHECK(Merge(earlier, later).losses.at(task) == both);
+}
+
+BOOST_AUTO_TEST_CASE(LossesAreKeptUntilTheirTaskIsDone) {
+  const TaskKey task{.step = {.occurrence = 0, .step = 1}, .index = 2};
+  Progress progress;
+  progress.MarkLost(
+      task, "a",
+      {.run = 1, .box = "box", .has_crashed = true, .was_alone = true});
+  Progress kept = DecodeProgress(EncodeProgress(progress)).value();
+  BOOST_CHECK(kept.losses == progress.losses);
+  kept.MarkDone(task.step, task.index);
+  BOOST_TEST(Merge(progress, kept).losses.empty());
+}
+
 BOOST_AUTO_TEST_CASE(TaskThatIsDoneIsNotPlacedAnyMore) {
   Progress progress;
   const TaskKey task{.step = {.occurrence = 0, .step = 0}, .index = 3};
--- a/jobs/progress.cc
+++ b/jobs/progress.cc
@@ -101,6 +101,28 @@
   return true;
 }
 
+// [run, box, has crashed, was alone] by life.
+bool ReadLosses(const Json& row, Progress& progress) {
+  for (const auto& [key, lives] : row.items()) {
+    const auto task = ParseTask(key);
+    if (!task || !lives.is_object())
+      return false;
+    for (const auto& [life, loss] : lives.items()) {
+      const bool fits = loss.is_array() && loss.size() == 4 &&
+                        loss[0].is_number_integer() && loss[1].is_string() &&
+                        loss[2].is_boolean() && loss[3].is_boolean();
+      if (!fits)
+        return false;
+      progress.MarkLost(*task, life,
+                        {.run = loss[0].get<int>(),
+                         .box = loss[1].get<std::string>(),
+                         .has_crashed = loss[2].get<bool>(),
+                         .was_alone = loss[3].get<bool>()});
+    }
+  }
+  return true;
+}
+
 // Of two runs of a task the later one holds.
 void MergePlacements(std::map<TaskKey, Placement>& into,
                      const std::map<TaskKey, Placement>& other) {
@@ -134,12 +156,25 @@
     bits.resize(at + 1);
   bits[at] = true;
   this->placed.erase({.step = step, .index = index});
+  this->losses.erase({.step = step, .index = index});
 }
 
 void Progress::MarkFailed(const TaskKey& task, int run) {
   this->failures[task].insert(run);
 }
 
+void Progress::MarkLost(const TaskKey& task,
+                        const std::string& life,
+                        const WorkerLoss& loss) {
+  WorkerLoss& known = this->losses[task][life];
+  const bool has_crashed = known.has_crashed || loss.has_crashed;
+  const bool was_alone = known.was_alone || loss.was_alone;
+  if (!loss.box.empty() || known.run == 0)
+    known = loss;
+  known.has_crashed = has_crashed;
+  known.was_alone = was_alone;
+}
+
 int Progress::FailuresOf(const TaskKey& task) const {
   const auto found = this->failures.find(task);
   return found == this->failures.end() ? 0
@@ -158,6 +193,11 @@
     row["placed"][TaskText(task)] = {placement.worker, placement.run};
   for (const auto& [task, placement] : progress.stopping)
     row["stopping"][TaskText(task)] = {placement.worker, placement.run};
+  for (const auto& [task, lives] : progress.losses) {
+    for (const auto& [life, loss] : lives)
+      row["lost"][TaskText(task)][life] = {loss.run, loss.box, loss.has_crashed,
+                                           loss.was_alone};
+  }
   return row.dump();
 }
 
@@ -181,6 +221,8 @@
   if (row.contains("stopping") &&
       !ReadPlacements(row["stopping"], progress.stopping))
     return std::nullopt;
+  if (row.contains("lost") && !ReadLosses(row["lost"], progress))
+    return std::nullopt;
   return progress;
 }
 
@@ -199,6 +241,14 @@
     merged.failures[task].insert(runs.begin(), runs.end());
   MergePlacements(merged.placed, b.placed);
   MergePlacements(merged.stopping, b.stopping);
+  // Each of two owners may have seen another worker go.
+  for (const auto& [task, lives] : b.losses) {
+    for (const auto& [life, loss] : lives)
+      merged.MarkLost(task, life, loss);
+  }
+  std::erase_if(merged.losses, [&merged](const auto& entry) {
+    return merged.IsDone(entry.first.step, entry.first.index);
+  });
   std::erase_if(merged.placed, [&merged](const auto& entry) {
     return merged.IsDone(entry.first.step, entry.first.index);
   });
--- a/jobs/progress.h
+++ b/jobs/progress.h
@@ -54,6 +54,18 @@
   bool operator==(const Placement&) const = default;
 };
 
+// A worker's life that was lost while a run of the task may have been at work
+// there.
+struct WorkerLoss {
+  int run = 0;
+  std::string box;           // empty: not known
+  bool has_crashed = false;  // else it is silent, and may answer again
+  bool was_alone = false;    // nothing else there was suspected of a crash
+
+  bool operator==(const WorkerLoss&) const = default;
+};
+using WorkerLosses = std::map<std::string, WorkerLoss>;  // by life
+
 struct Progress {
   JobState state = JobState::kQueued;
   std::map<StepKey, std::vector<bool>> done;
@@ -62,6 +74,7 @@
   // Runs that were told to stop when their task was done elsewhere: they take
   // room until they have ended, and a worker may list them nowhere meanwhile.
   std::map<TaskKey, Placement> stopping;
+  std::map<TaskKey, WorkerLosses> losses;  // of tasks that are not done
 
   bool IsDone(const StepKey& step, int index) const;
   // Nothing of the job runs or will.
@@ -71,6 +84,10 @@
   }
   void MarkDone(const StepKey& step, int index);
   void MarkFailed(const TaskKey& task, int run);
+  // A life that is known to have crashed stays so.
+  void MarkLost(const TaskKey& task,
+                const std::string& life,
+                const WorkerLoss& loss);
   // How many of its runs have failed.
   int FailuresOf(const TaskKey& task) const;
 };
--- /dev/null
+++ b/scheduler/crashes.cc
@@ -0,0 +1,234 @@
+// What is kept, and done, about workers that were lost under tasks.
+//
+// All that ran on a worker when it was lost is suspected, and its job's row
+// says so before the task's next start leaves, for any later owner. One loss
+// only keeps suspects apart from each other; from two on a task starts alone.
+// Three crashes, one of them under the task alone, are not met by chance: its
+// job is given up.
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "scheduler/scheduler.h"
+
+namespace quartzhoist::scheduler {
+
+namespace {
+
+std::string LivesText(const jobs::WorkerLosses& losses) {
+  std::string text;
+  for (const auto& [life, loss] : losses) {
+    text += fmt::format("{}{} ({})", text.empty() ? "" : ", ", life,
+                        loss.has_crashed ? "crashed" : "silent");
+  }
+  return text;
+}
+
+// Several may be the cause: more than one is watched, or another owner placed
+// some, and what it had seen of them is not known.
+bool HasOtherSuspects(const std::map<jobs::TaskId, Run>& runs) {
+  int watched = 0;
+  for (const auto& [task, run] : runs) {
+    if (run.state == RunState::kInherited)
+      return true;
+    watched += run.suspicion != Suspicion::kNone;
+  }
+  return watched > 1;
+}
+
+// A lasting task at work for long has not ended its worker by its start.
+bool HasProvedItself(const Run& run, const Worker& worker) {
+  return run.lasting && run.answered > base::Micros::zero() &&
+         worker.last_answer - run.answered >= kLastingProof;
+}
+
+}  // namespace
+
+void Scheduler::NoteLosses(const Worker& worker,
+                           const std::map<jobs::TaskId, Run>& runs,
+                           LossSign sign,
+                           base::Micros now) {
+  const bool was_planned = sign == LossSign::kBoxTaken ||
+                           sign == LossSign::kLeft || worker.info.draining;
+  if (was_planned)
+    return;
+  // Another life at its address after it had withdrawn itself is no crash.
+  const bool has_crashed =
+      sign == LossSign::kOtherLife && !worker.has_withdrawn();
+  const bool leaves_doubt = HasOtherSuspects(runs);
+  for (const auto& [id, run] : runs) {
+    Job* job = this->FindJob(id.job);
+    const bool may_have_run =
+        run.state != RunState::kPlanned && !HasProvedItself(run, worker);
+    if (!may_have_run || !job || !Exists(*job, PlaceOf(id)))
+      continue;
+    const bool was_alone =
+        runs.size() == 1 ||
+        (run.suspicion >= Suspicion::kProbe && !leaves_doubt);
+    this->NoteLoss(*job, PlaceOf(id), worker.info.id,
+                   {.run = run.number,
+                    .box = worker.info.box,
+                    .has_crashed = has_crashed,
+                    .was_alone = was_alone},
+                   now);
+  }
+}
+
+void Scheduler::NoteLoss(Job& job,
+                         const TaskPlace& place,
+                         const std::string& life,
+                         const jobs::WorkerLoss& loss,
+                         base::Micros now) {
+  if (job.finished() || TaskAt(job, place).state == TaskState::kDone)
+    return;
+  job.progress.MarkLost(KeyOf(place), life, loss);
+  TaskAt(job, place).newest_loss = now;
+  if (loss.has_crashed)
+    this->GiveUpCauses(job, now);
+  else if (!loss.box.empty())
+    this->open_losses.Add(life, loss.box, job.id);
+}
+
+// An earlier owner placed the task on a worker that nobody knows any more. How
+// it went, that owner may have known and not lived to record.
+void Scheduler::NoteUnseenLoss(Job& job,
+                               const TaskPlace& place,
+                               const jobs::Placement& placement,
+                               base::Micros now) {
+  this->NoteLoss(job, place, placement.worker, {.run = placement.run}, now);
+}
+
+// Plans that were made before another owner's knowledge of the losses came to
+// light. The places whose workers have not been told.
+std::vector<TaskPlace> Scheduler::VoidSuspectPlans(Job& job, base::Micros now) {
+  std::vector<TaskPlace> voided;
+  const std::vector<PendingStart> pending = job.pending_starts;
+  for (const PendingStart& start : pending) {
+    const auto worker = this->workers.find(TaskAt(job, start.place).worker);
+    if (worker == this->workers.end())
+      continue;
+    const auto run = worker->second.runs.find(IdOf(job, start.place));
+    const bool is_outdated =
+        run != worker->second.runs.end() &&
+        run->second.suspicion < this->SuspicionOf(job, start.place, now);
+    if (!is_outdated)
+      continue;
+    this->VoidPlan(job, start.place);
+    voided.push_back(start.place);
+  }
+  return voided;
+}
+
+// The losses that the job's row tells of, as an owner reads it.
+void Scheduler::InheritLosses(Job& job, base::Micros now) {
+  for (const auto& [key, losses] : job.progress.losses) {
+    const TaskPlace place{.occurrence = key.step.occurrence,
+                          .step = key.step.step,
+                          .index = key.index};
+    if (!Exists(job, place))
+      continue;
+    TaskAt(job, place).newest_loss = now;
+    for (const auto& [life, loss] : losses) {
+      if (!loss.has_crashed && !loss.box.empty())
+        this->open_losses.Add(life, loss.box, job.id);
+    }
+  }
+  this->GiveUpCauses(job, now);
+}
+
+// The worker answers: it has not crashed, and earlier lives on its box have.
+void Scheduler::SettleLosses(const Worker& worker, base::Micros now) {
+  const std::string& life = worker.info.id;
+  for (const std::string& id : this->open_losses.Take(life)) {
+    Job* job = this->FindJob(id);
+    if (!job)
+      continue;
+    for (auto& [task, losses] : job->progress.losses)
+      losses.erase(life);
+    std::erase_if(job->progress.losses,
+                  [](const auto& entry) { return entry.second.empty(); });
+  }
+  for (const std::string& other :
+       this->open_losses.OthersOn(worker.info.box, life)) {
+    for (const std::string& id : this->open_losses.Take(other)) {
+      Job* job = this->FindJob(id);
+      if (!job)
+        continue;
+      for (auto& [task, losses] : job->progress.losses) {
+        const auto found = losses.find(other);
+        if (found != losses.end())
+          found->second.has_crashed = true;
+      }
+      this->GiveUpCauses(*job, now);
+    }
+  }
+}
+
+Suspicion Scheduler::SuspicionOf(const Job& job,
+                                 const TaskPlace& place,
+                                 base::Micros now) const {
+  if (job.progress.losses.empty())
+    return Suspicion::kNone;
+  const auto found = job.progress.losses.find(KeyOf(place));
+  if (found == job.progress.losses.end())
+    return Suspicion::kNone;
+  const auto index = static_cast<std::size_t>(place.index);
+  const Task& task = StepAt(job, place).tasks[index];
+  return Judge(found->second, now - task.newest_loss);
+}
+
+// The members of a gang start together.
+bool Scheduler::IsHeld(const Job& job,
+                       const TaskPlace& place,
+                       base::Micros now) const {
+  if (job.progress.losses.empty())
+    return false;
+  if (!StepOf(job, place).gang)
+    return this->SuspicionOf(job, place, now) == Suspicion::kHeld;
+  const auto members = static_cast<int>(StepAt(job, place).tasks.size());
+  for (int i = 0; i < members; ++i) {
+    const TaskPlace member{
+        .occurrence = place.occurrence, .step = place.step, .index = i};
+    if (this->SuspicionOf(job, member, now) == Suspicion::kHeld)
+      return true;
+  }
+  return false;
+}
+
+void Scheduler::GiveUpCauses(Job& job, base::Micros now) {
+  if (job.finished())
+    return;
+  for (const auto& [key, losses] : job.progress.losses) {
+    const TaskPlace place{.occurrence = key.step.occurrence,
+                          .step = key.step.step,
+                          .index = key.index};
+    if (!Exists(job, place) ||
+        this->SuspicionOf(job, place, now) != Suspicion::kCause)
+      continue;
+    this->actions.emplace_back(
+        Note{job.id, fmt::format("given up: workers crash under task {}.{}.{}: "
+                                 "{}",
+                                 key.step.occurrence, key.step.step, key.index,
+                                 LivesText(losses))});
+    this->Finish(job, jobs::JobState::kFailed, now);
+    return;
+  }
+}
+
+// It is listed as running: what lives on has not crashed its worker.
+void Scheduler::WatchSuspect(Worker& worker,
+                             const jobs::TaskId& id,
+                             Run& run,
+                             base::Micros now) {
+  const base::Micros ran = now - run.answered;
+  if (run.suspicion != Suspicion::kNone && ran >= kProbation)
+    ClearSuspicion(worker, run);
+  if (!run.lasting || ran < kLastingProof)
+    return;
+  Job* job = this->FindJob(id.job);
+  if (job && !job->progress.losses.empty())
+    job->progress.losses.erase(KeyOf(PlaceOf(id)));
+}
+
+}  // namespace quartzhoist::scheduler
--- a/scheduler/crashes_test.cc
+++ b/scheduler/crashes_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "jobs/progress.h"
 #include "testing/scheduler_model.h"
 
 namespace quartzhoist::testing {
@@ -77,4 +78,91 @@
   BOOST_TEST(model.crashed_workers() <= 3);
 }
 
+// Whatever owners follow one another, stand still or are cut off, whatever
+// answers and saves are lost, and though workers crash by themselves as well.
+BOOST_AUTO_TEST_CASE(CrashingTasksAreStartedNoMoreThanTheyMay) {
+  const bool holds = rc::check("crashing tasks are given up in time", [] {
+    const auto odds = [](int most_per_mille) {
+      return *rc::gen::inRange(0, most_per_mille) / 1000.0;
+    };
+    std::vector<ModelJob> jobs;
+    const int count = *rc::gen::inRange(2, 6);
+    for (int i = 0; i < count; ++i) {
+      ModelJob job =
+          MakeJob("job" + std::to_string(i), *rc::gen::inRange(1, 6));
+      job.crash_after = milliseconds(*rc::gen::element(10, 300, 1500));
+      if (i < 2)
+        job.crashing = {{.occurrence = 0, .step = 0, .index = 0}};
+      job.spec.steps[0].lasting = *rc::gen::inRange(0, 4) == 0;
+      jobs.push_back(job);
+    }
+    ModelFaults faults;
+    faults.lost_answer = odds(150);
+    faults.lost_order = odds(100);
+    faults.late_order = odds(50);
+    faults.lost_save = odds(200);
+    faults.late_save = odds(100);
+    faults.crash = odds(100);
+    faults.cut = odds(300);
+    faults.takeover = odds(200);
+    faults.late_job = odds(300);
+    faults.part_away = odds(300);
+    faults.freeze = odds(100);
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    SchedulerModel model(seed, faults, *rc::gen::inRange(3, 8), jobs);
+    model.RunFor(seconds(40));
+    model.Heal();
+    model.RunFor(seconds(60));
+    RC_LOG() << Joined(model.broken()) << model.History();
+    RC_ASSERT(model.broken().empty());
+    for (const ModelJob& job : jobs) {
+      RC_LOG() << job.id << " is "
+               << base::NameOf(jobs::kJobStateNames, model.StateOf(job.id))
+               << "\n";
+      if (!job.crashing.empty())
+        RC_ASSERT(model.StateOf(job.id) == jobs::JobState::kFailed);
+      else if (!job.spec.steps[0].lasting)
+        RC_ASSERT(jobs::IsFinal(model.StateOf(job.id)));
+    }
+  });
+  BOOST_TEST(holds);
+}
+
+// Jobs that lost workers to others' tasks are completed, whoever owned.
+BOOST_AUTO_TEST_CASE(CompanyOfCrashingTasksIsNotGivenUp) {
+  const bool holds = rc::check("healthy jobs are completed", [] {
+    std::vector<ModelJob> jobs;
+    for (int i = 0; i < 8; ++i) {
+      ModelJob job =
+          MakeJob("job" + std::to_string(i), *rc::gen::inRange(1, 6));
+      job.crash_after = milliseconds(*rc::gen::element(10, 300));
+      if (i < 3)
+        job.crashing = {{.occurrence = 0, .step = 0, .index = 0}};
+      jobs.push_back(job);
+    }
+    ModelFaults faults;
+    faults.takeover = *rc::gen::inRange(0, 200) / 1000.0;
+    faults.lost_answer = *rc::gen::inRange(0, 100) / 1000.0;
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    SchedulerModel model(seed, faults, *rc::gen::inRange(4, 10), jobs);
+    model.RunFor(seconds(30));
+    model.Heal();
+    model.RunFor(seconds(40));
+    RC_LOG() << Joined(model.broken()) << model.History();
+    RC_ASSERT(model.broken().empty());
+    int guilty = 0;
+    for (const ModelJob& job : jobs) {
+      guilty += !job.crashing.empty();
+      RC_ASSERT(model.StateOf(job.id) == (job.crashing.empty()
+                                              ? jobs::JobState::kCompleted
+                                              : jobs::JobState::kFailed));
+    }
+    // What an owner saw of a run that lived on, the next one does not know: it
+    // may need the two starts that are allowed beyond three crashes.
+    const int most = model.takeovers() == 0 ? 3 : 5;
+    RC_ASSERT(model.crashed_workers() <= most * guilty);
+  });
+  BOOST_TEST(holds);
+}
+
 }  // namespace quartzhoist::testing
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -65,6 +65,7 @@
   worker.listed_sent = worker.look_sent;
   worker.clock_ms = listing.clock_ms;
   worker.clock_read = now;
+  this->SettleLosses(worker, now);
   // 2. Ends before runs: a task that ended may be listed as running again.
   bool has_news = false;
   for (const ListedEnd& end : listing.ended) {
@@ -110,6 +111,7 @@
     run.progressed = now;
   run.percent = listed.percent;
   run.load = listed.load;
+  this->WatchSuspect(worker, listed.task, run, now);
   Job* job = this->FindJob(listed.task.job);
   if (!job || !Exists(*job, PlaceOf(listed.task)))
     return;
@@ -267,6 +269,12 @@
 void Scheduler::Started(const StartRun& order,
                         OrderOutcome outcome,
                         base::Micros now) {
+  // Another life answered: this one has not started it.
+  const auto there = this->workers.find(order.worker);
+  if (outcome == OrderOutcome::kOtherLife && there != this->workers.end()) {
+    RemoveRun(there->second, order.task);
+    this->TaskLost(order.task, order.run, now);
+  }
   Worker* found = this->TakeOutcome(order.worker, outcome, now);
   if (!found)
     return;
@@ -445,6 +453,7 @@
       lost.runs.begin(), lost.runs.end(),
       [](const LostRun& a, const LostRun& b) { return a.age < b.age; });
   this->actions.emplace_back(std::move(lost));
+  this->NoteLosses(worker, runs, sign, now);
   for (const auto& [task, run] : runs)
     this->TaskLost(task, run.number, now);
 }
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -33,6 +33,12 @@
 constexpr double kPinnedForOthers = 2.0;
 // A worker whose runs crawl.
 constexpr double kSlow = 5.0;
+// Beside a run that may crash the worker, whatever else has room is better.
+constexpr double kBesideSuspect = 3.0;
+// Suspects are kept apart, so that a second crash tells the cause from its
+// company, and lose as few other runs as can be.
+constexpr double kSuspectBesideSuspect = 12.0;
+constexpr double kLostWithSuspect = 0.5;
 // How full the worker is (0 to 1): the fullest that fits goes first, so that
 // others run empty and can move. Of a calm day's work, weighted by its value,
 // 88% was in time with the emptiest first, 98% so (48 workers, a day each); on
@@ -106,10 +112,20 @@
   Counts on_rack;
 };
 
+// What speaks for keeping the task and what runs on the worker apart, lest one
+// of them crashes the worker.
+double CostOfCompany(const Worker& worker, Suspicion suspicion) {
+  if (suspicion == Suspicion::kNone)
+    return worker.suspects > 0 ? kBesideSuspect : 0.0;
+  return kSuspectBesideSuspect * worker.suspects +
+         kLostWithSuspect * static_cast<double>(worker.runs.size());
+}
+
 // What members of a gang have been given so far, while others are chosen.
 struct GangShare {
   jobs::Resources takes;
   int members = 0;
+  bool has_probe = false;  // one of them is to start alone
 };
 
 // What speaks against a worker of its own, whatever the task: the smallest
@@ -199,6 +215,12 @@
   const auto step = std::make_pair(&job, task.place.step);
   if (turn.nowhere.contains(step))
     return Tried::kStays;
+  if (this->IsHeld(job, task.place, now))
+    return Tried::kStays;
+  if (!job.progress.losses.empty())
+    this->GiveUpCauses(job, now);
+  if (job.finished())
+    return Tried::kUnwanted;
   // What waits for its organisation's quota holds up nobody else.
   if (!this->quotas.Allows(job.organisation, NeededBy(StepOf(job, task.place))))
     return Tried::kStays;
@@ -248,6 +270,11 @@
     const Task& task = runs.tasks[static_cast<std::size_t>(i)];
     if (task.state != TaskState::kReady)
       continue;
+    const TaskPlace member{
+        .occurrence = place.occurrence, .step = place.step, .index = i};
+    const Suspicion suspicion = this->SuspicionOf(job, member, now);
+    const bool alone = suspicion == Suspicion::kProbe;
+    const bool waits_for_idle = alone && now - task.ready_since < kWaitForIdle;
     Worker* best = nullptr;
     double best_cost = 0.0;
     for (Worker* worker : candidates) {
@@ -260,6 +287,12 @@
                         now >= worker->quarantined_until;
       if (!fits)
         continue;
+      // Nothing starts beside a task that is to be alone.
+      const bool is_shared = worker->probes > 0 || share.has_probe ||
+                             (alone && share.members > 0) ||
+                             (waits_for_idle && !worker->idle());
+      if (is_shared)
+        continue;
       if (job.queue.advice.required &&
           !runs.advice.tickets.contains(worker->info.id))
         continue;
@@ -267,7 +300,7 @@
           spread.On(*worker) + share.members >= step.most_per_worker)
         continue;
       // 2. What speaks against it.
-      double cost = CostOf(*worker, now);
+      double cost = CostOf(*worker, now) + CostOfCompany(*worker, suspicion);
       if (std::find(task.failed_on.begin(), task.failed_on.end(),
                     worker->info.id) != task.failed_on.end())
         cost += kFailedHere;
@@ -294,11 +327,9 @@
       GangShare& share = given[best];
       share.takes = share.takes + takes;
       ++share.members;
+      share.has_probe = alone;
     }
-    choices.push_back({.place = {.occurrence = place.occurrence,
-                                 .step = place.step,
-                                 .index = i},
-                       .worker = best});
+    choices.push_back({.place = member, .worker = best});
   }
   return choices;
 }
@@ -337,6 +368,7 @@
   task.at_work = false;
   Run run = this->RunOf(job, step, run_number, RunState::kPlanned);
   run.since = now;
+  run.suspicion = this->SuspicionOf(job, choice.place, now);
   const jobs::TaskId id = IdOf(job, choice.place);
   AddRun(worker, id, std::move(run));
   job.progress.placed[KeyOf(choice.place)] = {.worker = worker.info.id,
@@ -390,6 +422,7 @@
 // What an earlier owner placed stays placed until its worker has been listed,
 // or its lease is over.
 void Scheduler::InheritRuns(Job& job, base::Micros now) {
+  std::vector<std::pair<TaskPlace, jobs::Placement>> lost;
   for (const auto& [key, placement] : job.progress.placed) {
     const TaskPlace place{.occurrence = key.step.occurrence,
                           .step = key.step.step,
@@ -402,15 +435,22 @@
     if (task.state == TaskState::kDone || task.state == TaskState::kPlaced)
       continue;
     task.newest_run = std::max(task.newest_run, placement.run);
-    // A worker that no owner has in its list has no lease any more.
     const auto worker = this->workers.find(placement.worker);
-    if (worker == this->workers.end() || worker->second.listed)
+    // A worker that no owner has in its list has no lease any more.
+    if (worker == this->workers.end()) {
+      if (EpochOf(placement.run) < this->limits.epoch)
+        lost.push_back({place, placement});
+      continue;
+    }
+    if (worker->second.listed)
       continue;
     task.state = TaskState::kPlaced;
     task.run = placement.run;
     task.worker = placement.worker;
     this->InheritRun(job, place, placement.run, worker->second, now);
   }
+  for (const auto& [place, placement] : lost)
+    this->NoteUnseenLoss(job, place, placement, now);
   this->InheritStops(job, now);
 }
 
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -63,6 +63,7 @@
   if (found == this->workers.end())
     return;
   found->second.announced = false;
+  found->second.unlisted = now;
   if (found->second.idle() && !found->second.look_in_flight)
     this->WorkerDied(id, LossSign::kLeft, now);
 }
@@ -142,6 +143,7 @@
                     1000.0 * base::Seconds(this->ExpectedRun(job, step));
   }
   this->demand.HandedIn(job.queue.name, core_seconds, now);
+  this->InheritLosses(job, now);
   this->InheritRuns(job, now);
   this->MeetJob(job, now);
   this->Release(job, now);
@@ -353,6 +355,8 @@
                          placement.run > TaskAt(job, place).inherited_run;
     if (is_news && this->TakeLatePlacement(job, place, placement))
       voided.push_back(place);
+    if (is_news && !this->workers.contains(placement.worker))
+      this->NoteUnseenLoss(job, place, placement, now);
   }
   const bool was_final = job.finished();
   job.progress = jobs::Merge(job.progress, stored);
@@ -371,6 +375,9 @@
   // With the failures that the other writer knew there may be enough.
   if (!job.finished() && IsOutOfAttempts(job))
     this->Finish(job, jobs::JobState::kFailed, now);
+  this->InheritLosses(job, now);
+  for (const TaskPlace& place : this->VoidSuspectPlans(job, now))
+    voided.push_back(place);
   this->InheritRuns(job, now);
   for (const TaskPlace& place : voided) {
     if (TaskAt(job, place).state == TaskState::kReady && !job.finished())
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -30,6 +30,7 @@
 #include "scheduler/quotas.h"
 #include "scheduler/ready_tasks.h"
 #include "scheduler/run_times.h"
+#include "scheduler/suspects.h"
 #include "scheduler/worker.h"
 
 namespace quartzhoist::scheduler {
@@ -219,6 +220,33 @@
                base::Micros now);
   void JudgeWorker(Worker& worker, bool failed, base::Micros now);
 
+  // workers that were lost under tasks
+  void NoteLosses(const Worker& worker,
+                  const std::map<jobs::TaskId, Run>& runs,
+                  LossSign sign,
+                  base::Micros now);
+  void NoteLoss(Job& job,
+                const TaskPlace& place,
+                const std::string& life,
+                const jobs::WorkerLoss& loss,
+                base::Micros now);
+  void NoteUnseenLoss(Job& job,
+                      const TaskPlace& place,
+                      const jobs::Placement& placement,
+                      base::Micros now);
+  std::vector<TaskPlace> VoidSuspectPlans(Job& job, base::Micros now);
+  void InheritLosses(Job& job, base::Micros now);
+  void SettleLosses(const Worker& worker, base::Micros now);
+  void GiveUpCauses(Job& job, base::Micros now);
+  Suspicion SuspicionOf(const Job& job,
+                        const TaskPlace& place,
+                        base::Micros now) const;
+  bool IsHeld(const Job& job, const TaskPlace& place, base::Micros now) const;
+  void WatchSuspect(Worker& worker,
+                    const jobs::TaskId& id,
+                    Run& run,
+                    base::Micros now);
+
   // what workers tell of jobs that are not known yet
   struct UnknownJob {
     std::vector<std::pair<std::string, ListedEnd>> ends;  // by their workers
@@ -315,8 +343,9 @@
   std::unordered_map<std::string, Job> jobs;
   std::map<std::string, UnknownJob> unknown_jobs;
   std::map<std::string, ReadyTasks> ready;  // by service
-  std::set<std::string> to_save;            // jobs whose progress changed
-  std::set<std::string> timed;              // jobs with repeats to come
+  OpenLosses open_losses;
+  std::set<std::string> to_save;  // jobs whose progress changed
+  std::set<std::string> timed;    // jobs with repeats to come
   RunTimes run_times;
   Demand demand;
   Quotas quotas;
--- /dev/null
+++ b/scheduler/suspects.cc
@@ -0,0 +1,77 @@
+#include "scheduler/suspects.h"
+
+#include <utility>
+
+namespace quartzhoist::scheduler {
+
+namespace {
+
+// With two crashes under it a task may still be innocent of both: what runs
+// beside the cause is lost with it, and may be placed together with it again.
+constexpr int kCrashesOfACause = 3;
+// From so many losses on a task starts alone.
+constexpr int kLossesUntilProbe = 2;
+// After three crashes two starts more are within the promise: with so many
+// losses none is left, though not all are known to be crashes.
+constexpr int kMostLosses = 5;
+// A worker that has crashed is back, as another life, within some seconds: so
+// long a task with three losses waits for its worker's fate to show.
+constexpr base::Micros kFateShows = std::chrono::seconds(3);
+
+}  // namespace
+
+Suspicion Judge(const jobs::WorkerLosses& losses, base::Micros since_newest) {
+  const auto count = static_cast<int>(losses.size());
+  int crashes = 0;
+  bool was_alone = false;
+  for (const auto& [life, loss] : losses) {
+    crashes += loss.has_crashed;
+    was_alone = was_alone || (loss.has_crashed && loss.was_alone);
+  }
+  if (count == 0)
+    return Suspicion::kNone;
+  if (crashes >= kCrashesOfACause && was_alone)
+    return Suspicion::kCause;
+  if (count >= kCrashesOfACause && crashes < count && since_newest < kFateShows)
+    return Suspicion::kHeld;
+  if (count >= kMostLosses)
+    return Suspicion::kCause;
+  return count >= kLossesUntilProbe ? Suspicion::kProbe : Suspicion::kSlight;
+}
+
+void OpenLosses::Add(const std::string& life,
+                     const std::string& box,
+                     const std::string& job) {
+  Life& entry = this->lives[life];
+  entry.box = box;
+  entry.jobs.insert(job);
+  this->by_box[box].insert(life);
+}
+
+std::set<std::string> OpenLosses::Take(const std::string& life) {
+  const auto found = this->lives.find(life);
+  if (found == this->lives.end())
+    return {};
+  const Life taken = std::move(found->second);
+  this->lives.erase(found);
+  const auto on_box = this->by_box.find(taken.box);
+  on_box->second.erase(life);
+  if (on_box->second.empty())
+    this->by_box.erase(on_box);
+  return taken.jobs;
+}
+
+std::vector<std::string> OpenLosses::OthersOn(const std::string& box,
+                                              const std::string& life) const {
+  const auto found = this->by_box.find(box);
+  if (found == this->by_box.end())
+    return {};
+  std::vector<std::string> others;
+  for (const std::string& lost : found->second) {
+    if (lost != life)
+      others.push_back(lost);
+  }
+  return others;
+}
+
+}  // namespace quartzhoist::scheduler
--- a/scheduler/worker.cc
+++ b/scheduler/worker.cc
@@ -11,12 +11,24 @@
     *run.counted = *run.counted - run.counts;
 }
 
+bool IsProbe(const Run& run) {
+  return run.suspicion >= Suspicion::kProbe;
+}
+
 }  // namespace
 
+void ClearSuspicion(Worker& worker, Run& run) {
+  worker.suspects -= run.suspicion != Suspicion::kNone;
+  worker.probes -= IsProbe(run);
+  run.suspicion = Suspicion::kNone;
+}
+
 Run& AddRun(Worker& worker, const jobs::TaskId& task, Run run) {
   RemoveRun(worker, task);
   worker.used = worker.used + run.takes;
   worker.lasting += run.lasting;
+  worker.suspects += run.suspicion != Suspicion::kNone;
+  worker.probes += IsProbe(run);
   if (run.counted)
     *run.counted = *run.counted + run.counts;
   return worker.runs[task] = std::move(run);
@@ -28,6 +40,7 @@
     return;
   worker.used = worker.used - found->second.takes;
   worker.lasting -= found->second.lasting;
+  ClearSuspicion(worker, found->second);
   Uncount(found->second);
   worker.runs.erase(found);
 }
@@ -37,6 +50,8 @@
     Uncount(run);
   worker.used = {};
   worker.lasting = 0;
+  worker.suspects = 0;
+  worker.probes = 0;
   return std::exchange(worker.runs, {});
 }
 
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "jobs/job.h"
 #include "scheduler/facts.h"
+#include "scheduler/suspects.h"
 
 namespace quartzhoist::scheduler {
 
@@ -43,6 +44,8 @@
   bool lasting = false;
   bool fills = false;
   bool adopted = false;  // started by an earlier owner
+  // Of crashing its worker; none once it has run on for some time.
+  Suspicion suspicion = Suspicion::kNone;
   int percent = 0;
   base::Micros progressed{};  // when its percent was last seen to change
   int pace = 100;             // the share of its speed that it is let work at
@@ -63,7 +66,8 @@
   bool listed = false;  // has answered a look under this owner's epoch
   // The stored list says that this owner grants it leases.
   bool recorded = false;
-  bool announced = true;  // its announcement stands in the store
+  bool announced = true;    // its announcement stands in the store
+  base::Micros unlisted{};  // when its announcement went
   bool look_in_flight = false;
   base::Micros look_sent{};
   base::Micros next_look{};
@@ -85,7 +89,9 @@
   std::deque<PendingEnd> pending_ends;  // taken in, not yet recorded
   std::map<jobs::TaskId, Run> runs;
   jobs::Resources used;
-  int lasting = 0;  // lasting tasks among the runs: they pin the box
+  int lasting = 0;   // lasting tasks among the runs: they pin the box
+  int suspects = 0;  // runs that are watched for crashing it
+  int probes = 0;    // of them, those beside which nothing is placed
   // Health, from the ends of tasks and failed calls.
   double failure_rate = 0.0;  // moving average of failed ends
   int failed_calls = 0;       // since the last answer
@@ -95,10 +101,16 @@
 
   jobs::Resources room() const { return this->info.capacity - this->used; }
   bool idle() const { return this->runs.empty(); }
+  // It answered on after its announcement had gone: it was to leave.
+  bool has_withdrawn() const {
+    return !this->announced && this->last_answer > this->unlisted;
+  }
 };
 
 Run& AddRun(Worker& worker, const jobs::TaskId& task, Run run);
 void RemoveRun(Worker& worker, const jobs::TaskId& task);
+// The run is not suspected any more.
+void ClearSuspicion(Worker& worker, Run& run);
 // Takes all of its runs off the worker.
 std::map<jobs::TaskId, Run> TakeRuns(Worker& worker);
 
--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -16,7 +16,7 @@
 constexpr base::Micros kLease = milliseconds(5000);
 constexpr base::Micros kGrantBound = milliseconds(10'000);
 // Lines of what happened that are kept for a failing test.
-constexpr std::size_t kHistory = 60;
+constexpr std::size_t kHistory = 120;
 // Another owner comes so long after the last confirmation; the last one knows
 // itself to be the owner for a little less.
 constexpr base::Micros kOwnerSilence = milliseconds(1300);
@@ -350,6 +350,11 @@
     this->Record(owner, *move);
   else if (const auto* upkeep = std::get_if<scheduler::UpkeepBox>(&action))
     this->Record(owner, *upkeep);
+  else if (const auto* lost = std::get_if<scheduler::WorkerLost>(&action))
+    this->Record(fmt::format(
+        "owner {}: {} is lost ({}) with {} runs", this->owners[owner].epoch,
+        lost->worker, base::NameOf(scheduler::kLossSignNames, lost->sign),
+        lost->runs.size()));
   else if (const auto* note = std::get_if<scheduler::Note>(&action))
     this->Record(fmt::format("owner {}: {}: {}", this->owners[owner].epoch,
                              note->subject, note->text));
--- a/testing/scheduler_model_workers.cc
+++ b/testing/scheduler_model_workers.cc
@@ -49,7 +49,10 @@
           .job.spec.steps[static_cast<std::size_t>(order.task.step)];
   const bool fails = this->Chance(this->faults.failing_run);
   base::Micros ends = this->now + this->Between(200, 2500);
-  if (step.lasting && !fails)
+  const bool crashes =
+      this->jobs.at(order.task.job)
+          .job.crashing.contains(scheduler::PlaceOf(order.task));
+  if (crashes || (step.lasting && !fails))
     ends = base::Micros::max();
   worker.running[order.task] = {
       .number = order.run, .ends = ends, .fails = fails};
