--- /dev/null
+++ b/scheduler/job_end_test.cc
@@ -0,0 +1,82 @@
+// How a job that ends before its tasks takes them along.
+
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "scheduler/scheduler.h"
+#include "testing/scheduler_bench.h"
+
+namespace quartzhoist::scheduler {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+using testing::FirstTask;
+using testing::Only;
+using Bench = testing::SchedulerBench;
+
+// An owner that had been replaced ended a job and stopped its other task at
+// once, a moment before its record of that end was refused. The next owner had
+// just listed the worker, which shows no run that is being stopped, took the
+// task for free and started it there again beside the first:
+//   118.82 owner 1: job0: given up
+//   119.04 w4 starts job0 0.1 run 1002   (run 3 is being stopped there)
+// So the stops wait until the record of the end stands.
+BOOST_AUTO_TEST_CASE(FailedJobStopsItsTasksOnceThatIsRecorded) {
+  Bench bench(1);
+  bench.scheduler.PutWorker(Bench::Worker("w"), bench.now);
+  bench.List("w", {});
+  jobs::Queue queue;
+  queue.name = "queue";
+  queue.service = "pool";
+  queue.attempts = 1;
+  jobs::JobSpec spec;
+  spec.steps.push_back(Bench::OneTask());
+  spec.steps[0].tasks = 2;
+  bench.scheduler.AddJob(MakeJob("job", queue, spec, {}, bench.now, {}),
+                         bench.now);
+  const StartRun first = bench.NextStart();
+  for (const int index : {0, 1}) {
+    StartRun start = first;
+    start.task.index = index;
+    bench.scheduler.Started(start, OrderOutcome::kDone, bench.now);
+  }
+  bench.List("w",
+             {.clock_ms = 0,
+              .running = {{.task = {.job = "job", .index = 1},
+                           .run = first.run,
+                           .checkpoint = "",
+                           .percent = 10}},
+              .ended = {{.number = 1,
+                         .task = FirstTask("job"),
+                         .run = first.run,
+                         .how = RunEnd::kFailed,
+                         .checkpoint = ""}}},
+             bench.now + seconds(4));
+  const std::vector<Action> actions = bench.Turn();
+  const auto saves = Only<SaveProgress>(actions);
+  BOOST_REQUIRE(saves.size() == 1U);
+  BOOST_TEST(Only<StopRun>(actions).empty());
+  bench.Save(saves);
+  const auto stops = Only<StopRun>(bench.Turn());
+  BOOST_REQUIRE(stops.size() == 1U);
+  BOOST_TEST(stops[0].task.index == 1);
+}
+
+// A cancel stands in the store before its owner hears of it.
+BOOST_AUTO_TEST_CASE(CancelledJobStopsItsTasksAtOnce) {
+  Bench bench(1);
+  bench.scheduler.PutWorker(Bench::Worker("w"), bench.now);
+  bench.List("w", {});
+  bench.AddJob("job", Bench::OneLastingTask());
+  const StartRun start = bench.NextStart();
+  bench.scheduler.Started(start, OrderOutcome::kDone, bench.now);
+  bench.scheduler.CancelJob("job", bench.now);
+  BOOST_TEST(Only<StopRun>(bench.scheduler.TakeActions()).size() == 1U);
+}
+
+}  // namespace
+}  // namespace quartzhoist::scheduler
