A job that fails stops its tasks once its end is recorded

What callers saw: nothing yet on a deployment; in the model a task ran twice at once on one worker. Cause: Finish ordered the stops in the turn in which the end was decided, so they could reach a worker though the record of the end was refused or late; what is being stopped is in no listing, and the next owner, which knew of no end, took the task for free. Mend: the stops of a failed job wait for the answer to the save that holds its end; listings do not bring them on sooner. A cancel stands in the store before its owner hears of it, and stops at once as before. Why it holds: once the end is in the row, every later save of another owner fails on its version and merges the end before any start leaves.

--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -112,9 +112,13 @@
   std::uint64_t change = 0;
   std::uint64_t saved_change = 0;
   std::uint64_t refused_change = 0;  // which the store does not take
+  // The change that holds its failure, until that is saved; else 0.
+  std::uint64_t unsaved_end = 0;
   bool saving = false;
 
   bool finished() const { return jobs::IsFinal(this->progress.state); }
+  // It is over, and the store says so.
+  bool end_stands() const { return this->finished() && this->unsaved_end == 0; }
 };
 
 // Builds the tasks of a job from its spec and what is recorded of it.
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -122,7 +122,7 @@
   // One that is being stopped is away, whatever an older listing says.
   task.at_work = listed.percent >= 100 && run.state == RunState::kRunning;
   // An earlier owner's run of a job, or a task, that was over by then.
-  if (job->finished() || task.state == TaskState::kDone)
+  if (job->end_stands() || task.state == TaskState::kDone)
     this->Stop(worker, listed.task, now);
 }
 
@@ -189,6 +189,8 @@
       this->Changed(*job);
       return;
     }
+    if (job->unsaved_end > 0)
+      return;
   }
   this->actions.emplace_back(
       Note{listed.task.job,
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -246,7 +246,12 @@
   job.progress.state = state;
   this->Changed(job);
   this->save_now = true;
-  this->StopAll(job, now);
+  // A later owner that does not know of the failure takes a task whose run is
+  // being stopped for free, and starts it beside that run.
+  if (state == jobs::JobState::kFailed)
+    job.unsaved_end = job.change;
+  else
+    this->StopAll(job, now);
   this->actions.emplace_back(JobOver{.job = job.id,
                                      .queue = job.queue.name,
                                      .state = state,
@@ -312,6 +317,10 @@
       job->version = result.version;
       job->saved_change = std::max(job->saved_change, result.change);
       this->StartSaved(*job, now);
+      if (job->unsaved_end > 0 && job->saved_change >= job->unsaved_end) {
+        job->unsaved_end = 0;
+        this->StopAll(*job, now);
+      }
       break;
     case SaveOutcome::kConflict:
       // Another owner, or an own write that was thought lost, came first.
