Giving a task up takes evidence of its own; lasting tasks beside it serve on

And, in the model over owners that are cut off and stand still: (1) a listing that an owner read 4 s late cleared a task that had crashed its worker 1.5 s after its start; (2) a run that was stopped before it could crash its worker left no loss, so that three starts followed the third crash; (3) a plan that was void kept its place in the row and hid the run that was there; (4) tasks beside a probe, or whose order was lost, were counted as crashed under. Change: of a job with lasting tasks only the task itself is not started any more. A task is given up after three crashes on several boxes, two of them under runs that their workers had told of, one with no other suspect there and within 3 s of the start; else two more tries are recorded by run when they are planned, whatever becomes of them. How long a run lived counts from when a listing was asked for. Suspects avoid the boxes where workers were lost.

--- a/jobs/progress.cc
+++ b/jobs/progress.cc
@@ -1,6 +1,7 @@
 #include "jobs/progress.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 #include <fmt/format.h>
@@ -73,7 +74,7 @@
                  .index = (*numbers)[2]};
 }
 
-bool ReadFailures(const Json& row, Progress& progress) {
+bool ReadRuns(const Json& row, std::map<TaskKey, RunNumbers>& into) {
   for (const auto& [key, runs] : row.items()) {
     const auto task = ParseTask(key);
     if (!task || !runs.is_array() || runs.empty())
@@ -81,7 +82,7 @@
     for (const Json& run : runs) {
       if (!run.is_number_integer())
         return false;
-      progress.MarkFailed(*task, run.get<int>());
+      into[*task].insert(run.get<int>());
     }
   }
   return true;
@@ -101,23 +102,44 @@
   return true;
 }
 
-// [run, box, has crashed, was alone] by life.
+// The marks of a loss: a letter for each that is set.
+struct LossMark {
+  char letter;
+  bool WorkerLoss::*is_set;
+};
+constexpr std::array<LossMark, 3> kLossMarks{{
+    {'c', &WorkerLoss::has_crashed},
+    {'a', &WorkerLoss::was_alone},
+    {'s', &WorkerLoss::was_seen},
+}};
+
+std::string MarksText(const WorkerLoss& loss) {
+  std::string text;
+  for (const LossMark& mark : kLossMarks) {
+    if (loss.*mark.is_set)
+      text += mark.letter;
+  }
+  return text;
+}
+
+// [run, box, marks] by life.
 bool ReadLosses(const Json& row, Progress& progress) {
   for (const auto& [key, lives] : row.items()) {
     const auto task = ParseTask(key);
     if (!task || !lives.is_object())
       return false;
-    for (const auto& [life, loss] : lives.items()) {
-      const bool fits = loss.is_array() && loss.size() == 4 &&
-                        loss[0].is_number_integer() && loss[1].is_string() &&
-                        loss[2].is_boolean() && loss[3].is_boolean();
+    for (const auto& [life, entry] : lives.items()) {
+      const bool fits = entry.is_array() && entry.size() == 3 &&
+                        entry[0].is_number_integer() && entry[1].is_string() &&
+                        entry[2].is_string();
       if (!fits)
         return false;
-      progress.MarkLost(*task, life,
-                        {.run = loss[0].get<int>(),
-                         .box = loss[1].get<std::string>(),
-                         .has_crashed = loss[2].get<bool>(),
-                         .was_alone = loss[3].get<bool>()});
+      WorkerLoss loss{.run = entry[0].get<int>(),
+                      .box = entry[1].get<std::string>()};
+      const auto marks = entry[2].get<std::string>();
+      for (const LossMark& mark : kLossMarks)
+        loss.*mark.is_set = marks.find(mark.letter) != std::string::npos;
+      progress.MarkLost(*task, life, loss);
     }
   }
   return true;
@@ -157,6 +179,7 @@
   bits[at] = true;
   this->placed.erase({.step = step, .index = index});
   this->losses.erase({.step = step, .index = index});
+  this->last_tries.erase({.step = step, .index = index});
 }
 
 void Progress::MarkFailed(const TaskKey& task, int run) {
@@ -167,12 +190,12 @@
                         const std::string& life,
                         const WorkerLoss& loss) {
   WorkerLoss& known = this->losses[task][life];
-  const bool has_crashed = known.has_crashed || loss.has_crashed;
-  const bool was_alone = known.was_alone || loss.was_alone;
-  if (!loss.box.empty() || known.run == 0)
-    known = loss;
-  known.has_crashed = has_crashed;
-  known.was_alone = was_alone;
+  if (!loss.box.empty() || known.run == 0) {
+    known.run = loss.run;
+    known.box = loss.box;
+  }
+  for (const LossMark& mark : kLossMarks)
+    known.*mark.is_set = known.*mark.is_set || loss.*mark.is_set;
 }
 
 int Progress::FailuresOf(const TaskKey& task) const {
@@ -193,10 +216,11 @@
     row["placed"][TaskText(task)] = {placement.worker, placement.run};
   for (const auto& [task, placement] : progress.stopping)
     row["stopping"][TaskText(task)] = {placement.worker, placement.run};
+  for (const auto& [task, runs] : progress.last_tries)
+    row["last_tries"][TaskText(task)] = runs;
   for (const auto& [task, lives] : progress.losses) {
     for (const auto& [life, loss] : lives)
-      row["lost"][TaskText(task)][life] = {loss.run, loss.box, loss.has_crashed,
-                                           loss.was_alone};
+      row["lost"][TaskText(task)][life] = {loss.run, loss.box, MarksText(loss)};
   }
   return row.dump();
 }
@@ -214,13 +238,16 @@
   if (row.contains("done") && !ReadDone(row["done"], progress))
     return std::nullopt;
   if (row.contains("failed_runs") &&
-      !ReadFailures(row["failed_runs"], progress))
+      !ReadRuns(row["failed_runs"], progress.failures))
     return std::nullopt;
   if (row.contains("placed") && !ReadPlacements(row["placed"], progress.placed))
     return std::nullopt;
   if (row.contains("stopping") &&
       !ReadPlacements(row["stopping"], progress.stopping))
     return std::nullopt;
+  if (row.contains("last_tries") &&
+      !ReadRuns(row["last_tries"], progress.last_tries))
+    return std::nullopt;
   if (row.contains("lost") && !ReadLosses(row["lost"], progress))
     return std::nullopt;
   return progress;
@@ -239,6 +266,10 @@
   // runs two owners knew two each, and the task was started a fourth time.
   for (const auto& [task, runs] : b.failures)
     merged.failures[task].insert(runs.begin(), runs.end());
+  for (const auto& [task, runs] : b.last_tries) {
+    if (!merged.IsDone(task.step, task.index))
+      merged.last_tries[task].insert(runs.begin(), runs.end());
+  }
   MergePlacements(merged.placed, b.placed);
   MergePlacements(merged.stopping, b.stopping);
   // Each of two owners may have seen another worker go.
--- a/jobs/progress.h
+++ b/jobs/progress.h
@@ -41,9 +41,9 @@
   }
 };
 
-// The runs in which a task has failed: an end that is told twice counts once,
-// and one that is told after a later run's counts too.
-using FailedRuns = std::set<int>;
+// Runs of a task by number: one that is told twice counts once, and one that is
+// told after a later one counts too.
+using RunNumbers = std::set<int>;
 
 // Where a run of a task was placed: recorded before the worker is told, so that
 // a later owner knows which worker to ask about the task.
@@ -61,6 +61,7 @@
   std::string box;           // empty: not known
   bool has_crashed = false;  // else it is silent, and may answer again
   bool was_alone = false;    // nothing else there was suspected of a crash
+  bool was_seen = false;     // the worker had said that it started the run
 
   bool operator==(const WorkerLoss&) const = default;
 };
@@ -69,12 +70,14 @@
 struct Progress {
   JobState state = JobState::kQueued;
   std::map<StepKey, std::vector<bool>> done;
-  std::map<TaskKey, FailedRuns> failures;  // none of them empty
+  std::map<TaskKey, RunNumbers> failures;  // none of them empty
   std::map<TaskKey, Placement> placed;     // tasks that are not done
   // Runs that were told to stop when their task was done elsewhere: they take
   // room until they have ended, and a worker may list them nowhere meanwhile.
   std::map<TaskKey, Placement> stopping;
   std::map<TaskKey, WorkerLosses> losses;  // of tasks that are not done
+  // Runs that were placed though many workers had been lost under the task.
+  std::map<TaskKey, RunNumbers> last_tries;  // none of them empty
 
   bool IsDone(const StepKey& step, int index) const;
   // Nothing of the job runs or will.
@@ -84,7 +87,7 @@
   }
   void MarkDone(const StepKey& step, int index);
   void MarkFailed(const TaskKey& task, int run);
-  // A life that is known to have crashed stays so.
+  // What is marked of a life stays so, whoever tells of it again.
   void MarkLost(const TaskKey& task,
                 const std::string& life,
                 const WorkerLoss& loss);
--- a/scheduler/crashes.cc
+++ b/scheduler/crashes.cc
@@ -3,8 +3,8 @@
 // All that ran on a worker when it was lost is suspected, and its job's row
 // says so before the task's next start leaves, for any later owner. One loss
 // only keeps suspects apart from each other; from two on a task starts alone.
-// Three crashes, one of them under the task alone, are not met by chance: its
-// job is given up.
+// Three crashes on several boxes, one of them soon after the task was started
+// alone, are not met by chance: it is given up.
 
 #include <algorithm>
 
@@ -37,10 +37,37 @@
   return watched > 1;
 }
 
-// A lasting task at work for long has not ended its worker by its start.
-bool HasProvedItself(const Run& run, const Worker& worker) {
-  return run.lasting && run.answered > base::Micros::zero() &&
-         worker.last_answer - run.answered >= kLastingProof;
+// For how long, at least, the run was on the worker by what that has listed. An
+// owner that stood still reads an old listing late: it counts from its asking.
+base::Micros HeardRunning(const Run& run, const Worker& worker) {
+  if (run.answered == base::Micros::zero())
+    return {};
+  return std::max(worker.listed_sent - run.answered, base::Micros::zero());
+}
+
+// The worker has told of the run; or an earlier owner placed it, and did not
+// live to note more than that.
+bool WasSeen(const Job& job,
+             const TaskPlace& place,
+             const Worker& worker,
+             const Run& run) {
+  if (run.answered > base::Micros::zero())
+    return true;
+  const auto known = job.progress.losses.find(KeyOf(place));
+  const bool is_noted = known != job.progress.losses.end() &&
+                        known->second.contains(worker.info.id);
+  return run.state == RunState::kInherited && !is_noted;
+}
+
+bool HasLastingStep(const Job& job) {
+  return std::any_of(job.spec.steps.begin(), job.spec.steps.end(),
+                     [](const jobs::Step& step) { return step.lasting; });
+}
+
+TaskPlace PlaceOfKey(const jobs::TaskKey& key) {
+  return {.occurrence = key.step.occurrence,
+          .step = key.step.step,
+          .index = key.index};
 }
 
 }  // namespace
@@ -59,18 +86,22 @@
   const bool leaves_doubt = HasOtherSuspects(runs);
   for (const auto& [id, run] : runs) {
     Job* job = this->FindJob(id.job);
-    const bool may_have_run =
-        run.state != RunState::kPlanned && !HasProvedItself(run, worker);
-    if (!may_have_run || !job || !Exists(*job, PlaceOf(id)))
+    const base::Micros ran = HeardRunning(run, worker);
+    // A lasting task that was at work for long is not what ended its worker.
+    const bool may_be_cause =
+        run.state != RunState::kPlanned && !(run.lasting && ran >= kStartProof);
+    if (!may_be_cause || !job || !Exists(*job, PlaceOf(id)))
       continue;
     const bool was_alone =
-        runs.size() == 1 ||
-        (run.suspicion >= Suspicion::kProbe && !leaves_doubt);
+        ran < kStartProof &&
+        (runs.size() == 1 ||
+         (run.suspicion >= Suspicion::kProbe && !leaves_doubt));
     this->NoteLoss(*job, PlaceOf(id), worker.info.id,
                    {.run = run.number,
                     .box = worker.info.box,
                     .has_crashed = has_crashed,
-                    .was_alone = was_alone},
+                    .was_alone = was_alone,
+                    .was_seen = WasSeen(*job, PlaceOf(id), worker, run)},
                    now);
   }
 }
@@ -99,9 +130,12 @@
   this->NoteLoss(job, place, placement.worker, {.run = placement.run}, now);
 }
 
-// Plans that were made before another owner's knowledge of the losses came to
-// light. The places whose workers have not been told.
-std::vector<TaskPlace> Scheduler::VoidSuspectPlans(Job& job, base::Micros now) {
+// Gives up plans that were made before another owner's knowledge of the losses,
+// read from its row, came to light; their own record was refused. The places
+// concerned.
+std::vector<TaskPlace> Scheduler::VoidSuspectPlans(Job& job,
+                                                   const jobs::Progress& stored,
+                                                   base::Micros now) {
   std::vector<TaskPlace> voided;
   const std::vector<PendingStart> pending = job.pending_starts;
   for (const PendingStart& start : pending) {
@@ -115,6 +149,12 @@
     if (!is_outdated)
       continue;
     this->VoidPlan(job, start.place);
+    const jobs::TaskKey key = KeyOf(start.place);
+    const auto recorded = stored.placed.find(key);
+    if (recorded != stored.placed.end())
+      job.progress.placed[key] = recorded->second;
+    else
+      job.progress.placed.erase(key);
     voided.push_back(start.place);
   }
   return voided;
@@ -123,9 +163,7 @@
 // The losses that the job's row tells of, as an owner reads it.
 void Scheduler::InheritLosses(Job& job, base::Micros now) {
   for (const auto& [key, losses] : job.progress.losses) {
-    const TaskPlace place{.occurrence = key.step.occurrence,
-                          .step = key.step.step,
-                          .index = key.index};
+    const TaskPlace place = PlaceOfKey(key);
     if (!Exists(job, place))
       continue;
     TaskAt(job, place).newest_loss = now;
@@ -165,6 +203,23 @@
   }
 }
 
+// Told when the run is planned, so that the row says so before it starts.
+void Scheduler::NoteLastTry(Job& job, const TaskPlace& place, int run) {
+  const auto found = job.progress.losses.find(KeyOf(place));
+  if (found != job.progress.losses.end() && IsLastTry(found->second))
+    job.progress.last_tries[KeyOf(place)].insert(run);
+}
+
+// The run has not been started after all.
+void Scheduler::TakeBackLastTry(Job& job, const TaskPlace& place, int run) {
+  const auto found = job.progress.last_tries.find(KeyOf(place));
+  if (found == job.progress.last_tries.end())
+    return;
+  found->second.erase(run);
+  if (found->second.empty())
+    job.progress.last_tries.erase(found);
+}
+
 Suspicion Scheduler::SuspicionOf(const Job& job,
                                  const TaskPlace& place,
                                  base::Micros now) const {
@@ -175,56 +230,59 @@
     return Suspicion::kNone;
   const auto index = static_cast<std::size_t>(place.index);
   const Task& task = StepAt(job, place).tasks[index];
-  return Judge(found->second, now - task.newest_loss);
+  const auto tries = job.progress.last_tries.find(KeyOf(place));
+  return Judge(found->second,
+               tries == job.progress.last_tries.end() ? jobs::RunNumbers()
+                                                      : tries->second,
+               now - task.newest_loss);
 }
 
 // The members of a gang start together.
-bool Scheduler::IsHeld(const Job& job,
-                       const TaskPlace& place,
-                       base::Micros now) const {
-  if (job.progress.losses.empty())
-    return false;
-  if (!StepOf(job, place).gang)
-    return this->SuspicionOf(job, place, now) == Suspicion::kHeld;
+Suspicion Scheduler::SuspicionOfStart(const Job& job,
+                                      const TaskPlace& place,
+                                      base::Micros now) const {
+  if (job.progress.losses.empty() || !StepOf(job, place).gang)
+    return this->SuspicionOf(job, place, now);
+  Suspicion worst = Suspicion::kNone;
   const auto members = static_cast<int>(StepAt(job, place).tasks.size());
   for (int i = 0; i < members; ++i) {
     const TaskPlace member{
         .occurrence = place.occurrence, .step = place.step, .index = i};
-    if (this->SuspicionOf(job, member, now) == Suspicion::kHeld)
-      return true;
+    worst = std::max(worst, this->SuspicionOf(job, member, now));
   }
-  return false;
+  return worst;
 }
 
+// A task that crashes its workers ends its job. Lasting tasks beside it serve
+// on: stopping them all at once takes away more than may be, and it alone is
+// not started any more.
 void Scheduler::GiveUpCauses(Job& job, base::Micros now) {
   if (job.finished())
     return;
   for (const auto& [key, losses] : job.progress.losses) {
-    const TaskPlace place{.occurrence = key.step.occurrence,
-                          .step = key.step.step,
-                          .index = key.index};
-    if (!Exists(job, place) ||
+    const TaskPlace place = PlaceOfKey(key);
+    if (!Exists(job, place) || TaskAt(job, place).is_given_up ||
         this->SuspicionOf(job, place, now) != Suspicion::kCause)
       continue;
+    TaskAt(job, place).is_given_up = true;
     this->actions.emplace_back(
         Note{job.id, fmt::format("given up: workers crash under task {}.{}.{}: "
                                  "{}",
                                  key.step.occurrence, key.step.step, key.index,
                                  LivesText(losses))});
+    if (HasLastingStep(job))
+      continue;
     this->Finish(job, jobs::JobState::kFailed, now);
     return;
   }
 }
 
 // It is listed as running: what lives on has not crashed its worker.
-void Scheduler::WatchSuspect(Worker& worker,
-                             const jobs::TaskId& id,
-                             Run& run,
-                             base::Micros now) {
-  const base::Micros ran = now - run.answered;
+void Scheduler::WatchSuspect(Worker& worker, const jobs::TaskId& id, Run& run) {
+  const base::Micros ran = HeardRunning(run, worker);
   if (run.suspicion != Suspicion::kNone && ran >= kProbation)
     ClearSuspicion(worker, run);
-  if (!run.lasting || ran < kLastingProof)
+  if (!run.lasting || ran < kStartProof)
     return;
   Job* job = this->FindJob(id.job);
   if (job && !job->progress.losses.empty())
--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -37,6 +37,7 @@
   // The newest run was taken as over because its lease ran out. Another owner
   // may have renewed that lease unless the store has confirmed this one since.
   base::Micros lease_ended{};
+  bool is_given_up = false;  // workers crash under it: it is not started again
   base::Micros newest_loss{};  // when a worker's was last noted under it
   std::vector<std::string> failed_on;  // workers, newest last
   int moved = 0;  // times it was taken off a stalled or slow worker
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -111,7 +111,7 @@
     run.progressed = now;
   run.percent = listed.percent;
   run.load = listed.load;
-  this->WatchSuspect(worker, listed.task, run, now);
+  this->WatchSuspect(worker, listed.task, run);
   Job* job = this->FindJob(listed.task.job);
   if (!job || !Exists(*job, PlaceOf(listed.task)))
     return;
@@ -306,6 +306,8 @@
   }
   // It has not been carried out: the room is free, the task to be placed.
   RemoveRun(worker, order.task);
+  if (job && Exists(*job, PlaceOf(order.task)))
+    this->TakeBackLastTry(*job, PlaceOf(order.task), order.run);
   if (outcome == OrderOutcome::kNotSent)
     ++worker.failed_calls;
   if (outcome == OrderOutcome::kBusy)
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -114,6 +114,20 @@
 
 // What speaks for keeping the task and what runs on the worker apart, lest one
 // of them crashes the worker.
+// A worker was lost under the task on this box: it may have been the box's own
+// fault, which another box tells.
+bool WasLostOn(const jobs::Progress& progress,
+               const TaskPlace& place,
+               const std::string& box) {
+  if (progress.losses.empty())
+    return false;
+  const auto found = progress.losses.find(KeyOf(place));
+  return found != progress.losses.end() &&
+         std::any_of(
+             found->second.begin(), found->second.end(),
+             [&box](const auto& entry) { return entry.second.box == box; });
+}
+
 double CostOfCompany(const Worker& worker, Suspicion suspicion) {
   if (suspicion == Suspicion::kNone)
     return worker.suspects > 0 ? kBesideSuspect : 0.0;
@@ -215,12 +229,11 @@
   const auto step = std::make_pair(&job, task.place.step);
   if (turn.nowhere.contains(step))
     return Tried::kStays;
-  if (this->IsHeld(job, task.place, now))
-    return Tried::kStays;
-  if (!job.progress.losses.empty())
+  const Suspicion suspicion = this->SuspicionOfStart(job, task.place, now);
+  if (suspicion == Suspicion::kCause)
     this->GiveUpCauses(job, now);
-  if (job.finished())
-    return Tried::kUnwanted;
+  if (suspicion >= Suspicion::kHeld)
+    return Tried::kStays;
   // What waits for its organisation's quota holds up nobody else.
   if (!this->quotas.Allows(job.organisation, NeededBy(StepOf(job, task.place))))
     return Tried::kStays;
@@ -302,7 +315,8 @@
       // 2. What speaks against it.
       double cost = CostOf(*worker, now) + CostOfCompany(*worker, suspicion);
       if (std::find(task.failed_on.begin(), task.failed_on.end(),
-                    worker->info.id) != task.failed_on.end())
+                    worker->info.id) != task.failed_on.end() ||
+          WasLostOn(job.progress, member, worker->info.box))
         cost += kFailedHere;
       if (!step.rack.empty() && worker->info.rack != step.rack)
         cost += kOtherRack;
@@ -369,6 +383,7 @@
   Run run = this->RunOf(job, step, run_number, RunState::kPlanned);
   run.since = now;
   run.suspicion = this->SuspicionOf(job, choice.place, now);
+  this->NoteLastTry(job, choice.place, run_number);
   const jobs::TaskId id = IdOf(job, choice.place);
   AddRun(worker, id, std::move(run));
   job.progress.placed[KeyOf(choice.place)] = {.worker = worker.info.id,
@@ -419,74 +434,4 @@
   job.pending_starts = std::move(later);
 }
 
-// What an earlier owner placed stays placed until its worker has been listed,
-// or its lease is over.
-void Scheduler::InheritRuns(Job& job, base::Micros now) {
-  std::vector<std::pair<TaskPlace, jobs::Placement>> lost;
-  for (const auto& [key, placement] : job.progress.placed) {
-    const TaskPlace place{.occurrence = key.step.occurrence,
-                          .step = key.step.step,
-                          .index = key.index};
-    if (!Exists(job, place))
-      continue;
-    Task& task = TaskAt(job, place);
-    if (EpochOf(placement.run) < this->limits.epoch)
-      task.inherited_run = std::max(task.inherited_run, placement.run);
-    if (task.state == TaskState::kDone || task.state == TaskState::kPlaced)
-      continue;
-    task.newest_run = std::max(task.newest_run, placement.run);
-    const auto worker = this->workers.find(placement.worker);
-    // A worker that no owner has in its list has no lease any more.
-    if (worker == this->workers.end()) {
-      if (EpochOf(placement.run) < this->limits.epoch)
-        lost.push_back({place, placement});
-      continue;
-    }
-    if (worker->second.listed)
-      continue;
-    task.state = TaskState::kPlaced;
-    task.run = placement.run;
-    task.worker = placement.worker;
-    this->InheritRun(job, place, placement.run, worker->second, now);
-  }
-  for (const auto& [place, placement] : lost)
-    this->NoteUnseenLoss(job, place, placement, now);
-  this->InheritStops(job, now);
-}
-
-void Scheduler::InheritRun(Job& job,
-                           const TaskPlace& place,
-                           int number,
-                           Worker& worker,
-                           base::Micros now) {
-  Run run = this->RunOf(job, StepOf(job, place), number, RunState::kInherited);
-  run.since = now;
-  run.adopted = true;
-  AddRun(worker, IdOf(job, place), std::move(run));
-}
-
-// What an earlier owner told to stop takes room until it has ended, though no
-// listing shows it: a start was over the room of its worker by that.
-void Scheduler::InheritStops(Job& job, base::Micros now) {
-  const auto stopping = job.progress.stopping;
-  for (const auto& [key, placement] : stopping) {
-    const TaskPlace place{.occurrence = key.step.occurrence,
-                          .step = key.step.step,
-                          .index = key.index};
-    const auto worker = this->workers.find(placement.worker);
-    const bool is_known = Exists(job, place) && worker != this->workers.end() &&
-                          worker->second.runs.contains(IdOf(job, place));
-    if (is_known)
-      continue;
-    const bool may_run = Exists(job, place) && worker != this->workers.end() &&
-                         !worker->second.listed;
-    if (may_run) {
-      this->InheritRun(job, place, placement.run, worker->second, now);
-    } else {
-      job.progress.stopping.erase(key);
-      this->Changed(job);
-    }
-  }
-}
-
 }  // namespace quartzhoist::scheduler
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -385,7 +385,7 @@
   if (!job.finished() && IsOutOfAttempts(job))
     this->Finish(job, jobs::JobState::kFailed, now);
   this->InheritLosses(job, now);
-  for (const TaskPlace& place : this->VoidSuspectPlans(job, now))
+  for (const TaskPlace& place : this->VoidSuspectPlans(job, stored, now))
     voided.push_back(place);
   this->InheritRuns(job, now);
   for (const TaskPlace& place : voided) {
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -234,18 +234,21 @@
                       const TaskPlace& place,
                       const jobs::Placement& placement,
                       base::Micros now);
-  std::vector<TaskPlace> VoidSuspectPlans(Job& job, base::Micros now);
+  std::vector<TaskPlace> VoidSuspectPlans(Job& job,
+                                          const jobs::Progress& stored,
+                                          base::Micros now);
+  void NoteLastTry(Job& job, const TaskPlace& place, int run);
+  void TakeBackLastTry(Job& job, const TaskPlace& place, int run);
   void InheritLosses(Job& job, base::Micros now);
   void SettleLosses(const Worker& worker, base::Micros now);
   void GiveUpCauses(Job& job, base::Micros now);
   Suspicion SuspicionOf(const Job& job,
                         const TaskPlace& place,
                         base::Micros now) const;
-  bool IsHeld(const Job& job, const TaskPlace& place, base::Micros now) const;
-  void WatchSuspect(Worker& worker,
-                    const jobs::TaskId& id,
-                    Run& run,
-                    base::Micros now);
+  Suspicion SuspicionOfStart(const Job& job,
+                             const TaskPlace& place,
+                             base::Micros now) const;
+  void WatchSuspect(Worker& worker, const jobs::TaskId& id, Run& run);
 
   // what workers tell of jobs that are not known yet
   struct UnknownJob {
--- a/scheduler/suspects.cc
+++ b/scheduler/suspects.cc
@@ -9,32 +9,50 @@
 // With two crashes under it a task may still be innocent of both: what runs
 // beside the cause is lost with it, and may be placed together with it again.
 constexpr int kCrashesOfACause = 3;
+// Of them, those under runs that the workers had told of.
+constexpr int kSeenCrashes = 2;
 // From so many losses on a task starts alone.
 constexpr int kLossesUntilProbe = 2;
-// After three crashes two starts more are within the promise: with so many
-// losses none is left, though not all are known to be crashes.
-constexpr int kMostLosses = 5;
+// After three crashes two starts more are within the promise, whatever becomes
+// of them: a run that was stopped before it could crash its worker counts too.
+constexpr std::size_t kMostLastTries = 2;
 // A worker that has crashed is back, as another life, within some seconds: so
 // long a task with three losses waits for its worker's fate to show.
 constexpr base::Micros kFateShows = std::chrono::seconds(3);
 
 }  // namespace
 
-Suspicion Judge(const jobs::WorkerLosses& losses, base::Micros since_newest) {
+bool IsLastTry(const jobs::WorkerLosses& losses) {
+  return losses.size() >= static_cast<std::size_t>(kCrashesOfACause);
+}
+
+Suspicion Judge(const jobs::WorkerLosses& losses,
+                const jobs::RunNumbers& last_tries,
+                base::Micros since_newest) {
   const auto count = static_cast<int>(losses.size());
   int crashes = 0;
+  int seen = 0;
   bool was_alone = false;
+  std::set<std::string> boxes;  // on which workers crashed
   for (const auto& [life, loss] : losses) {
-    crashes += loss.has_crashed;
-    was_alone = was_alone || (loss.has_crashed && loss.was_alone);
+    if (!loss.has_crashed)
+      continue;
+    ++crashes;
+    seen += loss.was_seen;
+    boxes.insert(loss.box);
+    was_alone = was_alone || loss.was_alone;
   }
+  // Crashes on one box alone may be the box's; a start that was not answered
+  // may never have begun there.
+  const bool is_cause = crashes >= kCrashesOfACause && seen >= kSeenCrashes &&
+                        was_alone && boxes.size() > 1;
   if (count == 0)
     return Suspicion::kNone;
-  if (crashes >= kCrashesOfACause && was_alone)
+  if (is_cause)
     return Suspicion::kCause;
-  if (count >= kCrashesOfACause && crashes < count && since_newest < kFateShows)
+  if (IsLastTry(losses) && crashes < count && since_newest < kFateShows)
     return Suspicion::kHeld;
-  if (count >= kMostLosses)
+  if (IsLastTry(losses) && last_tries.size() >= kMostLastTries)
     return Suspicion::kCause;
   return count >= kLossesUntilProbe ? Suspicion::kProbe : Suspicion::kSlight;
 }
--- a/scheduler/suspects.h
+++ b/scheduler/suspects.h
@@ -20,17 +20,21 @@
   kSlight,  // one worker was lost: whatever ran there may be the cause
   kProbe,   // it starts alone, so that nothing else is lost with it
   kHeld,    // it waits until it is known what became of the workers
-  kCause,   // it is given up
+  kCause,   // it is not started any more
 };
 
+// `last_tries`: runs that were placed though three workers had been lost.
 // `since_newest`: since the newest of the losses was noted.
-Suspicion Judge(const jobs::WorkerLosses& losses, base::Micros since_newest);
+Suspicion Judge(const jobs::WorkerLosses& losses,
+                const jobs::RunNumbers& last_tries,
+                base::Micros since_newest);
+// Is the next run one of the last tries?
+bool IsLastTry(const jobs::WorkerLosses& losses);
 
 // How long a suspected run is watched: one that lives on is not the cause.
-inline constexpr base::Micros kProbation = std::chrono::seconds(1);
-// A lasting task that has been at work for so long is not the cause of what
-// becomes of its worker.
-inline constexpr base::Micros kLastingProof = std::chrono::seconds(10);
+inline constexpr base::Micros kProbation = std::chrono::seconds(2);
+// A run that was heard of for so long has not ended its worker by its start.
+inline constexpr base::Micros kStartProof = std::chrono::seconds(3);
 // A task that is to start alone waits this long for a worker that runs nothing.
 inline constexpr base::Micros kWaitForIdle = std::chrono::seconds(1);
 
--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -23,6 +23,8 @@
 constexpr base::Micros kOwnerCertain = milliseconds(1150);
 // Spans on clocks that differ by 2%, at most.
 constexpr double kClockSlack = 1.05;
+// With so many crashes under it a task may be given up (the platform's pages).
+constexpr int kCrashesOfAGivenUpTask = 2;
 
 }  // namespace
 
@@ -273,6 +275,7 @@
         this->workers.begin(),
         static_cast<std::ptrdiff_t>(this->random() % this->workers.size()));
     if (at->second.alive) {
+      this->CountLosses(at->second);
       at->second.alive = false;
       at->second.running.clear();
       this->boxes.erase(at->second.box);
@@ -366,6 +369,14 @@
   return jobs::DecodeProgress(this->jobs.at(job).progress)->state;
 }
 
+int SchedulerModel::TasksThatMayBeGivenUp(const std::string& job) const {
+  const auto& lost = this->jobs.at(job).lost_workers;
+  return static_cast<int>(
+      std::count_if(lost.begin(), lost.end(), [](const auto& entry) {
+        return entry.second >= kCrashesOfAGivenUpTask;
+      }));
+}
+
 int SchedulerModel::RunningTasks(const std::string& job) const {
   int count = 0;
   for (const auto& [id, worker] : this->workers) {
--- a/testing/scheduler_model.h
+++ b/testing/scheduler_model.h
@@ -85,6 +85,8 @@
   jobs::JobState StateOf(const std::string& job) const;
   // Tasks of the job that run now.
   int RunningTasks(const std::string& job) const;
+  // Tasks of the job under which two workers or more have crashed.
+  int TasksThatMayBeGivenUp(const std::string& job) const;
   int starts() const { return this->start_count; }
   // Lives that crashing tasks have ended.
   int crashed_workers() const { return this->crash_count; }
@@ -128,6 +130,8 @@
     std::set<scheduler::TaskPlace> ever_done;     // ended as done, noted or not
     std::map<scheduler::TaskPlace, int> crashes;  // of workers that started it
     std::map<scheduler::TaskPlace, int> starts_since_third_crash;
+    // Lives that ended without an order while it ran there, whatever the cause.
+    std::map<scheduler::TaskPlace, int> lost_workers;
   };
   // A box, and when it is back from its move or upkeep.
   struct Box {
@@ -211,6 +215,7 @@
   void JudgeCrashes(const scheduler::StartRun& order);
   void CrashLater(const Worker& worker, const scheduler::StartRun& order);
   void EndLife(Worker& worker);
+  void CountLosses(const Worker& worker);
   void EndRun(Worker& worker, const jobs::TaskId& task, scheduler::RunEnd how);
   void WorkOn(Worker& worker);
   void Note(Worker& worker, std::int64_t acknowledged);
--- a/testing/scheduler_model_workers.cc
+++ b/testing/scheduler_model_workers.cc
@@ -82,6 +82,7 @@
 // Nothing announces the end; another life comes on the box some seconds later,
 // and the announcement goes after three heartbeats.
 void SchedulerModel::EndLife(Worker& worker) {
+  this->CountLosses(worker);
   worker.alive = false;
   worker.running.clear();
   const base::Micros away = this->Between(2800, 3600);
@@ -97,6 +98,11 @@
   });
 }
 
+void SchedulerModel::CountLosses(const Worker& worker) {
+  for (const auto& [task, run] : worker.running)
+    ++this->jobs.at(task.job).lost_workers[scheduler::PlaceOf(task)];
+}
+
 // A task under which three workers have crashed may be started twice more.
 void SchedulerModel::JudgeCrashes(const scheduler::StartRun& order) {
   constexpr int kCrashes = 3;
