Spans count the time in which the machine was suspended

What callers may have seen: nothing is reported; the platform's pages say that a machine may be suspended for seconds, in which the steady clock stands. Cause: MonotonicNow read the steady clock, so an owner that woke took its certainty, its workers' leases and its callers' deadlines for lasting, though another had taken over and placed the same tasks. Change: MonotonicNow reads CLOCK_BOOTTIME, through a reader that tests of suspensions replace. Proof: an order decided before a sleep of 3, 10 or 60 s does not leave, on new and kept connections; an owner that slept is not certain until the store has answered.

--- a/base/clock.h
+++ b/base/clock.h
@@ -21,11 +21,17 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
 }
 
-// The monotonic clock. Pure decisions never call this: they are handed `now`.
-inline Micros MonotonicNow() {
-  return std::chrono::duration_cast<Micros>(
-      std::chrono::steady_clock::now().time_since_epoch());
-}
+// The monotonic clock, which counts the time of a suspension as well. Pure
+// decisions never call this: they are handed `now`.
+Micros MonotonicNow();
+
+// The system's clock that counts suspensions.
+Micros BootTimeNow();
+
+using ClockReader = Micros (*)();
+// What MonotonicNow() reads from here on. For tests of suspensions; at the
+// start it is the system's clock.
+void ReadClockFrom(ClockReader reader);
 
 }  // namespace quartzhoist::base
 
--- /dev/null
+++ b/entry/suspension_test.cc
@@ -0,0 +1,109 @@
+// A machine that is suspended: the steady clock stands, time goes on.
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include <boost/test/unit_test.hpp>
+
+#include "base/clock.h"
+#include "entry/ownerships.h"
+#include "platform/workers.h"
+#include "testing/raw_server.h"
+#include "testing/store_bench.h"
+
+namespace quartzhoist::entry {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+base::Micros slept{};
+
+base::Micros ClockThatCountsSleep() {
+  return base::BootTimeNow() + slept;
+}
+
+// The loop's timers do not see what the clock counts while this lives.
+struct Suspensions {
+  Suspensions() {
+    slept = {};
+    base::ReadClockFrom(&ClockThatCountsSleep);
+  }
+  ~Suspensions() { base::ReadClockFrom(&base::BootTimeNow); }
+};
+
+constexpr seconds kSleeps[] = {seconds(3), seconds(10), seconds(60)};
+
+BOOST_AUTO_TEST_CASE(ClockCountsTheTimeOfASuspension) {
+  const base::Micros before = base::BootTimeNow();
+  const base::Micros now = base::MonotonicNow();
+  BOOST_CHECK(before <= now);
+  BOOST_CHECK(now <= base::BootTimeNow());
+}
+
+// An order was decided, and the machine is suspended before it leaves: on a new
+// connection, on one that was kept open, and behind another order.
+BOOST_AUTO_TEST_CASE(OrderThatWasDecidedBeforeASuspensionDoesNotLeave) {
+  const Suspensions suspensions;
+  base::Loop loop;
+  testing::RawServer server(loop, [](int) {
+    return testing::RawServer::Answer{
+        .bytes =
+            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+            "Content-Length: 13\r\n\r\n{\"clockMs\":1}"};
+  });
+  http::Client client(loop);
+  base::Micros certain_until{};
+  platform::Workers workers(
+      client, [&] { return base::MonotonicNow() < certain_until; });
+  const platform::OrderTo to{
+      .worker = "w",
+      .address = "127.0.0.1:" + std::to_string(server.port()),
+      .epoch = 1};
+  const auto order = [&](base::Micros sleep_before_it_leaves) {
+    certain_until = base::MonotonicNow() + milliseconds(1150);
+    std::optional<scheduler::OrderOutcome> outcome;
+    workers.Start(
+        to, {.worker = "w", .task = {.job = "job"}, .run = 1, .text = "text"},
+        1000, [&](scheduler::OrderOutcome got) { outcome = got; });
+    slept += sleep_before_it_leaves;
+    while (!outcome)
+      loop.RunOnce();
+    return *outcome;
+  };
+  for (const seconds sleep : kSleeps)
+    BOOST_CHECK(order(sleep) == scheduler::OrderOutcome::kNotSent);
+  BOOST_TEST(server.requests() == 0);
+  BOOST_CHECK(order({}) == scheduler::OrderOutcome::kDone);
+  for (const seconds sleep : kSleeps)
+    BOOST_CHECK(order(sleep) == scheduler::OrderOutcome::kNotSent);
+  BOOST_TEST(server.requests() == 1);
+}
+
+// What it knew before it slept proves nothing on waking, before any timer has
+// fired; the store is asked, and then it is certain again.
+BOOST_AUTO_TEST_CASE(OwnerThatWasSuspendedIsNotCertainUntilItHasAsked) {
+  const Suspensions suspensions;
+  testing::StoreBench bench;
+  int losses = 0;
+  Ownerships ownerships(bench.loop, bench.store, "a", 0.25, 1, 7,
+                        {.on_gained = [](int, std::uint64_t, base::Micros) {},
+                         .on_lost = [&](int) { ++losses; },
+                         .on_confirmed = [](int, base::Micros) {},
+                         .load = [](int) { return ShardLoad(); },
+                         .on_store_answered = [] {}});
+  const auto is_certain = [&] {
+    return ownerships.At(0).holds() &&
+           base::MonotonicNow() < ownerships.At(0).certain_until();
+  };
+  BOOST_REQUIRE(bench.Within(seconds(10), is_certain));
+  for (const seconds sleep : kSleeps) {
+    slept += sleep;
+    BOOST_TEST(!is_certain());
+    BOOST_TEST(bench.Within(seconds(10), is_certain));
+  }
+}
+
+}  // namespace
+}  // namespace quartzhoist::entry
