A plan that does not fit its worker any more is not started

What callers may have seen: nothing is reported; by the platform's pages a worker's capacity may shrink while it runs. Cause: room was looked at when a task was placed; between the plan and the save that holds it the worker may say that it has less, and the start left all the same. Mend: the plan is looked at once more where it becomes an order; a worker whose runs and plans pass its capacity starts none of them. What runs over a room that has shrunk runs on. Proof: PlanThatDoesNotFitAnyMoreIsNotStarted, red before. Not built: an owner that hears other rows but not the workers' table goes on with the room that it knew last, of whatever age; ranking what to stop.

--- /dev/null
+++ b/scheduler/capacity_test.cc
@@ -0,0 +1,75 @@
+// Workers whose capacity changes while they run.
+
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "scheduler/scheduler.h"
+#include "testing/scheduler_bench.h"
+
+namespace quartzhoist::scheduler {
+namespace {
+
+using testing::Only;
+using Bench = testing::SchedulerBench;
+
+WorkerInfo WithCores(const std::string& id, std::int64_t cpu_millis) {
+  WorkerInfo info = Bench::Worker(id);
+  info.capacity.cpu_millis = cpu_millis;
+  return info;
+}
+
+// A placement was being recorded when its worker said that it had less room:
+// the start left all the same, over the room that was left.
+BOOST_AUTO_TEST_CASE(PlanThatDoesNotFitAnyMoreIsNotStarted) {
+  Bench bench(1);
+  for (const char* id : {"a", "b"}) {
+    bench.scheduler.PutWorker(Bench::Worker(id), bench.now);
+    bench.List(id, {});
+  }
+  bench.AddJob("job");
+  std::vector<SaveProgress> saves;
+  while (saves.empty())
+    saves = Only<SaveProgress>(bench.Turn());
+  const std::string planned =
+      bench.scheduler.FindWorker("a")->idle() ? "b" : "a";
+  bench.scheduler.PutWorker(WithCores(planned, 500), bench.now);
+  bench.Save(saves);
+  BOOST_TEST(Only<StartRun>(bench.scheduler.TakeActions()).empty());
+  const StartRun start = bench.NextStart();
+  BOOST_TEST(!start.worker.empty());
+  BOOST_TEST(start.worker != planned);
+}
+
+// What runs over a room that has shrunk runs on and keeps others out; when the
+// room has grown again they come.
+BOOST_AUTO_TEST_CASE(RoomThatShrankTakesNothingUntilItFits) {
+  Bench bench(1);
+  bench.scheduler.PutWorker(Bench::Worker("w"), bench.now);
+  bench.List("w", {});
+  bench.AddJob("first");
+  const StartRun first = bench.NextStart();
+  bench.scheduler.Started(first, OrderOutcome::kDone, bench.now);
+  bench.scheduler.PutWorker(WithCores("w", 500), bench.now);
+  bench.AddJob("second");
+  const Listing running{.clock_ms = 0,
+                        .running = {{.task = first.task,
+                                     .run = first.run,
+                                     .checkpoint = "",
+                                     .percent = 50}},
+                        .ended = {}};
+  bench.List("w", running);
+  for (int turn = 0; turn < 5; ++turn) {
+    const std::vector<Action> actions = bench.Turn();
+    BOOST_TEST(Only<StartRun>(actions).empty());
+    BOOST_TEST(Only<StopRun>(actions).empty());
+    bench.Save(Only<SaveProgress>(actions));
+    bench.List("w", running);
+  }
+  bench.scheduler.PutWorker(Bench::Worker("w"), bench.now);
+  BOOST_TEST(bench.NextStart().task.job == "second");
+}
+
+}  // namespace
+}  // namespace quartzhoist::scheduler
--- a/scheduler/model_test.cc
+++ b/scheduler/model_test.cc
@@ -264,6 +264,35 @@
   BOOST_TEST(holds);
 }
 
+// Workers' capacity shrinks and grows again, also each second, while owners
+// change and orders are under way. Orders that a worker carries out seconds
+// late are left out: the platform's pages hold no owner to a time bound for
+// them.
+BOOST_AUTO_TEST_CASE(RoomThatShrinksIsNotPassed) {
+  const bool holds = rc::check("no start passes a room that has shrunk", [] {
+    std::vector<ModelJob> jobs = DrawJobs(*rc::gen::inRange(2, 8));
+    ModelFaults faults;
+    faults.shrink = *rc::gen::inRange(100, 2000) / 1000.0;
+    faults.takeover = *rc::gen::inRange(0, 200) / 1000.0;
+    faults.freeze = *rc::gen::inRange(0, 100) / 1000.0;
+    faults.lost_answer = *rc::gen::inRange(0, 150) / 1000.0;
+    faults.lost_order = *rc::gen::inRange(0, 100) / 1000.0;
+    faults.lost_save = *rc::gen::inRange(0, 200) / 1000.0;
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    SchedulerModel model(seed, faults, *rc::gen::inRange(2, 6), jobs);
+    model.RunFor(seconds(25));
+    model.Heal();
+    model.RunFor(seconds(45));
+    RC_LOG() << Joined(model.broken()) << model.History();
+    RC_ASSERT(model.broken().empty());
+    for (const ModelJob& job : jobs) {
+      if (!IsLasting(job))
+        RC_ASSERT(jobs::IsFinal(model.StateOf(job.id)));
+    }
+  });
+  BOOST_TEST(holds);
+}
+
 // A worker carries a start out late (2 to 6 s after it was sent), and the
 // daemon that sent it has been replaced, alone and together: what a cancelled
 // job still begins is stopped within five seconds of the last late start.
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -73,6 +73,11 @@
          static_cast<double>(has.cpu_millis);
 }
 
+// Its capacity may have shrunk under what it runs and what is planned.
+bool HasRoomForAll(const Worker& worker) {
+  return jobs::Fits(jobs::Resources(), worker.room());
+}
+
 // Where the placed tasks of a step are. Counted only for steps whose placement
 // looks at it: every other task is placed without a walk over its step.
 class StepSpread {
@@ -411,8 +416,8 @@
     const auto run = worker.runs.find(id);
     if (run == worker.runs.end() || run->second.state != RunState::kPlanned)
       continue;
-    // The worker may have drained or died since the plan.
-    if (!this->Usable(worker, now)) {
+    // The worker may have drained, died or lost room since the plan.
+    if (!this->Usable(worker, now) || !HasRoomForAll(worker)) {
       RemoveRun(worker, id);
       this->TaskLost(id, start.run, now);
       continue;
--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -23,6 +23,9 @@
 constexpr base::Micros kOwnerCertain = milliseconds(1150);
 // Spans on clocks that differ by 2%, at most.
 constexpr double kClockSlack = 1.05;
+constexpr jobs::Resources kCapacity{.cpu_millis = 4000,
+                                    .memory_mb = 4000,
+                                    .gpus = 0};
 // With so many crashes under it a task may be given up (the platform's pages).
 constexpr int kCrashesOfAGivenUpTask = 2;
 
@@ -104,7 +107,7 @@
   Worker worker;
   worker.id = fmt::format("w{}", ++this->worker_lives);
   worker.box = box;
-  worker.capacity = {.cpu_millis = 4000, .memory_mb = 4000, .gpus = 0};
+  worker.capacity = kCapacity;
   worker.clock_rate = this->Chance(0.5) ? 1.0 : 0.98;
   worker.clock_offset = this->Between(0, 1'000'000);
   const scheduler::WorkerInfo info = this->InfoOf(worker);
@@ -282,6 +285,20 @@
       this->AddBox("pool");
     }
   }
+  if (this->Chance(this->faults.shrink * a_step)) {
+    auto at = std::next(
+        this->workers.begin(),
+        static_cast<std::ptrdiff_t>(this->random() % this->workers.size()));
+    const jobs::Resources whole = at->second.capacity;
+    if (at->second.alive && whole == kCapacity) {
+      this->ChangeCapacity(
+          at->first,
+          {.cpu_millis = 1000, .memory_mb = whole.memory_mb / 2, .gpus = 0});
+      this->After(this->Between(1000, 6000), [this, id = at->first] {
+        this->ChangeCapacity(id, kCapacity);
+      });
+    }
+  }
   if (this->Chance(this->faults.part_away * a_step)) {
     auto at = std::next(
         this->jobs.begin(),
@@ -309,6 +326,24 @@
   }
 }
 
+// What runs there runs on; owners hear of it from the worker's announcement.
+void SchedulerModel::ChangeCapacity(const std::string& id,
+                                    const jobs::Resources& capacity) {
+  Worker& worker = this->workers.at(id);
+  worker.earlier_capacity = worker.capacity;
+  worker.capacity_changed = this->now;
+  worker.capacity = capacity;
+  this->Record(fmt::format("{} has {} thousandths of a core now", id,
+                           capacity.cpu_millis));
+  this->After(this->Between(20, 1500), [this, id] {
+    const Worker& there = this->workers.at(id);
+    if (!there.alive || !there.announced)
+      return;
+    for (Owner& owner : this->owners)
+      owner.scheduler->PutWorker(this->InfoOf(there), this->now);
+  });
+}
+
 void SchedulerModel::Heal() {
   this->faults = {};
   for (Owner& owner : this->owners) {
--- a/testing/scheduler_model.h
+++ b/testing/scheduler_model.h
@@ -38,6 +38,9 @@
   double takeover = 0.0;  // a new owner comes, the old one lives on, a second
   double freeze = 0.0;    // an owner stands still for 1 to 6 s, a second
   double failing_run = 0.0;  // a run fails
+  // A worker's capacity shrinks to a part, and is back 1 to 6 s later; owners
+  // hear of each change 20 to 1500 ms after it. A second.
+  double shrink = 0.0;
   // An owner stands still for 1 to 6 s right before a call for a box leaves,
   // after its last look at whether it may: it leaves when the owner wakes.
   double held_call = 0.0;
@@ -103,6 +106,8 @@
     std::string id;
     std::string box;
     jobs::Resources capacity;
+    jobs::Resources earlier_capacity;  // before the newest change
+    base::Micros capacity_changed{};
     bool alive = true;
     bool dark = false;  // dead, and nothing answers in its place
     // Dead, and its box is back with another life from then on.
@@ -216,6 +221,7 @@
   void CrashLater(const Worker& worker, const scheduler::StartRun& order);
   void EndLife(Worker& worker);
   void CountLosses(const Worker& worker);
+  void ChangeCapacity(const std::string& id, const jobs::Resources& capacity);
   void EndRun(Worker& worker, const jobs::TaskId& task, scheduler::RunEnd how);
   void WorkOn(Worker& worker);
   void Note(Worker& worker, std::int64_t acknowledged);
