A task that is given up has a log event and a counter; comments give purposes

task_given_up (QH0825) takes the place of a note, with each worker, the run there and what is known of it; workers_lost and tasks_given_up count. Comments of files touched here no longer tell how a value was found.

--- a/base/counters.h
+++ b/base/counters.h
@@ -21,6 +21,8 @@
   kPlatformFailures,
   kPlatformConflicts,
   kPlatformRefusals,
+  kWorkersLost,
+  kTasksGivenUp,
   kCount,
 };
 
@@ -42,6 +44,8 @@
     {"platform_failures", "Calls to the platform that failed"},
     {"platform_conflicts", "Writes that lost on a row's version"},
     {"platform_refusals", "Writes that the platform refused for good"},
+    {"workers_lost", "Workers whose runs ended with them"},
+    {"tasks_given_up", "Tasks under which workers crashed too often"},
 }};
 
 class Counters {
--- a/base/event_log.h
+++ b/base/event_log.h
@@ -46,6 +46,7 @@
   kRunUnsettled,
   kDecision,
   kWorkerLost,
+  kTaskGivenUp,
   kBoxAsked,
   kBoxMoved,
   kUpkeepBegun,
@@ -69,7 +70,7 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 32> kEvents{{
+inline constexpr std::array<EventInfo, 33> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
@@ -91,6 +92,7 @@
     {Event::kRunUnsettled, 822, Level::kWarning, "run_unsettled"},
     {Event::kDecision, 823, Level::kInfo, "decision"},
     {Event::kWorkerLost, 824, Level::kWarning, "worker_lost"},
+    {Event::kTaskGivenUp, 825, Level::kWarning, "task_given_up"},
     {Event::kBoxMoved, 831, Level::kInfo, "box_moved"},
     {Event::kUpkeepBegun, 832, Level::kInfo, "upkeep_begun"},
     {Event::kWaveReported, 833, Level::kInfo, "wave_reported"},
--- a/entry/decision_log.cc
+++ b/entry/decision_log.cc
@@ -30,6 +30,16 @@
   return text;
 }
 
+std::string LivesText(const jobs::WorkerLosses& losses) {
+  std::string text;
+  for (const auto& [life, loss] : losses) {
+    text += fmt::format("{}{} run {} {}{}", text.empty() ? "" : ", ", life,
+                        loss.run, loss.has_crashed ? "crashed" : "silent",
+                        loss.was_alone ? " alone" : "");
+  }
+  return text;
+}
+
 }  // namespace
 
 void LogJobOver(const scheduler::JobOver& over) {
@@ -60,6 +70,15 @@
              {"runs", RunsText(lost.runs)}});
 }
 
+void LogTaskGivenUp(const scheduler::TaskGivenUp& given_up) {
+  const jobs::TaskKey& task = given_up.task;
+  base::Log(
+      base::Event::kTaskGivenUp,
+      {{"task", fmt::format("{}.{}.{}.{}", given_up.job, task.step.occurrence,
+                            task.step.step, task.index)},
+       {"workers", LivesText(given_up.losses)}});
+}
+
 void LogNote(const scheduler::Note& note) {
   base::Log(base::Event::kDecision,
             {{"subject", note.subject}, {"text", note.text}});
--- a/entry/decision_log.h
+++ b/entry/decision_log.h
@@ -8,6 +8,7 @@
 namespace quartzhoist::entry {
 
 void LogJobOver(const scheduler::JobOver& over);
+void LogTaskGivenUp(const scheduler::TaskGivenUp& given_up);
 void LogWorkerLost(const scheduler::WorkerLost& lost);
 void LogNote(const scheduler::Note& note);
 
--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -303,8 +303,13 @@
     }
     void operator()(const scheduler::JobOver& over) const { LogJobOver(over); }
     void operator()(const scheduler::WorkerLost& lost) const {
+      manager.counters.Add(base::Counter::kWorkersLost);
       LogWorkerLost(lost);
     }
+    void operator()(const scheduler::TaskGivenUp& task) const {
+      manager.counters.Add(base::Counter::kTasksGivenUp);
+      LogTaskGivenUp(task);
+    }
     void operator()(const scheduler::Note& note) const { LogNote(note); }
   };
   std::visit(Visitor{*this}, action);
--- a/entry/shard_choice.cc
+++ b/entry/shard_choice.cc
@@ -14,7 +14,7 @@
 // tuned by a run.
 constexpr int kClearlyLess = 15;  // percent
 // A lasting job stays away from its pool's shard while that is fuller than
-// this: its tasks would wait, or push others out. Not tuned by a run.
+// this: its tasks would wait, or push others out.
 constexpr int kTooFull = 150;  // percent
 // Of a shard whose owner has not spoken of the pool yet: others go first.
 constexpr int kUnknownLoad = 300;  // percent
--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -127,6 +127,13 @@
   std::vector<LostRun> runs;  // the newest first
 };
 
+// For the log: workers crashed under the task, and it is not started any more.
+struct TaskGivenUp {
+  std::string job;
+  jobs::TaskKey task;
+  jobs::WorkerLosses losses;
+};
+
 // For the log: a job is over, and where its time went.
 struct JobOver {
   std::string job;
@@ -149,6 +156,7 @@
                             ReportWave,
                             JobOver,
                             WorkerLost,
+                            TaskGivenUp,
                             Note>;
 
 }  // namespace quartzhoist::scheduler
--- a/scheduler/crashes.cc
+++ b/scheduler/crashes.cc
@@ -8,23 +8,12 @@
 
 #include <algorithm>
 
-#include <fmt/format.h>
-
 #include "scheduler/scheduler.h"
 
 namespace quartzhoist::scheduler {
 
 namespace {
 
-std::string LivesText(const jobs::WorkerLosses& losses) {
-  std::string text;
-  for (const auto& [life, loss] : losses) {
-    text += fmt::format("{}{} ({})", text.empty() ? "" : ", ", life,
-                        loss.has_crashed ? "crashed" : "silent");
-  }
-  return text;
-}
-
 // Several may be the cause: more than one is watched, or another owner placed
 // some, and what it had seen of them is not known.
 bool HasOtherSuspects(const std::map<jobs::TaskId, Run>& runs) {
@@ -266,10 +255,7 @@
       continue;
     TaskAt(job, place).is_given_up = true;
     this->actions.emplace_back(
-        Note{job.id, fmt::format("given up: workers crash under task {}.{}.{}: "
-                                 "{}",
-                                 key.step.occurrence, key.step.step, key.index,
-                                 LivesText(losses))});
+        TaskGivenUp{.job = job.id, .task = key, .losses = losses});
     if (HasLastingStep(job))
       continue;
     this->Finish(job, jobs::JobState::kFailed, now);
--- a/scheduler/due_shares.cc
+++ b/scheduler/due_shares.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // An organisation may be due so much at once: jobs come in bunches, and go to
-// shards at random. Not tuned by a run.
+// shards at random.
 constexpr double kBurstSeconds = 2.0;
 
 }  // namespace
--- a/scheduler/ends.cc
+++ b/scheduler/ends.cc
@@ -15,8 +15,8 @@
 // Moving average of failed ends; the weight of one more. About the last five
 // count: a worker that fails everything is found after two or three ends.
 constexpr double kFailureWeight = 0.25;
-// Above this share of failures a worker gets nothing for a while. Poison tasks
-// (3% on the sites) fail anywhere and stay below it.
+// Above this share of failures a worker gets nothing for a while. The few tasks
+// that fail anywhere stay below it.
 constexpr double kFailureLimit = 0.4;
 constexpr base::Micros kQuarantine = std::chrono::seconds(4);
 // After it, one failure more puts the worker back.
--- a/scheduler/evacuation.cc
+++ b/scheduler/evacuation.cc
@@ -30,7 +30,7 @@
 // a plan of the fleet (0.3 s); lasting tasks are to run again within 6 s.
 constexpr base::Micros kStuck = milliseconds(1000);
 // A pool whose work takes more of its cores than this is short of cores, and
-// gets boxes for that (kFill of fleet.cc, less some slack). Not tuned by a run.
+// gets boxes for that (kFill of fleet.cc, less some slack).
 constexpr double kCoresTaken = 0.7;
 
 }  // namespace
--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -10,7 +10,7 @@
 using std::chrono::milliseconds;
 
 // A pool wants so much more than its work takes: tasks do not fill a box
-// exactly. Not tuned by a run.
+// exactly.
 constexpr double kFill = 0.85;
 
 // A pool is short from this part of a box on.
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -16,14 +16,14 @@
 using std::chrono::milliseconds;
 
 // After ends were listed the next look waits a little, so that it brings more
-// than one: 4,668 looks for the 6,852 runs of a calm day (49 workers).
+// than one: each look costs like a probe.
 constexpr base::Micros kPauseAfterEnds = milliseconds(200);
 // A worker that did not answer is asked again after this, times the failures
 // in a row, up to the second.
 constexpr base::Micros kLookAgain = milliseconds(250);
 constexpr base::Micros kLookAgainMost = milliseconds(1000);
 // So many starts in a row without an answer, and the worker gets nothing for a
-// while. Where 35% of all answers are lost, one start in 23 is the third.
+// while. Where a third of all answers is lost it does so now and then.
 constexpr int kStartsUntilRest = 3;
 constexpr base::Micros kRest = std::chrono::seconds(4);
 // An order without an answer: a look, then a stop, are sent this soon again.
--- a/scheduler/looks.cc
+++ b/scheduler/looks.cc
@@ -44,10 +44,8 @@
 // What runs on a box that a cut or a crash has taken starts elsewhere only once
 // its lease is over. Looks at a busy worker come each few 100 ms: if each of
 // them renewed, the wait would always be a whole lease. So a lease is renewed
-// when little of it is left, and the look waits no longer than until then: a
-// busy worker that falls silent has 3.2 s left in the mean, 3.8 s with a
-// renewal by each look (looks answered each 0.2 s, simulated in
-// scheduler_test).
+// when little of it is left, and the look waits no longer than until then: the
+// tasks of a busy worker that falls silent wait for less than a lease.
 LookAt NextLook(const Worker& worker, base::Micros now) {
   const base::Micros spare = worker.leased_until - now - kLeastLease;
   const bool is_due = spare < kLeastLookWait;
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -40,9 +40,7 @@
 constexpr double kSuspectBesideSuspect = 12.0;
 constexpr double kLostWithSuspect = 0.5;
 // How full the worker is (0 to 1): the fullest that fits goes first, so that
-// others run empty and can move. Of a calm day's work, weighted by its value,
-// 88% was in time with the emptiest first, 98% so (48 workers, a day each); on
-// ten days with trouble the two are not told apart.
+// others run empty and can move to the pools where work waits.
 constexpr double kFullness = -1.0;
 
 bool HasLabel(const WorkerInfo& info, const std::string& label) {
--- a/scheduler/run_times.cc
+++ b/scheduler/run_times.cc
@@ -4,7 +4,7 @@
 
 namespace {
 
-// The weight of one more run: about the last ten count. Not tuned by a run.
+// The weight of one more run: about the last ten count.
 constexpr double kWeight = 0.1;
 
 }  // namespace
--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -393,6 +393,10 @@
         "owner {}: {} is lost ({}) with {} runs", this->owners[owner].epoch,
         lost->worker, base::NameOf(scheduler::kLossSignNames, lost->sign),
         lost->runs.size()));
+  else if (const auto* task = std::get_if<scheduler::TaskGivenUp>(&action))
+    this->Record(fmt::format("owner {}: {} {}.{} is given up",
+                             this->owners[owner].epoch, task->job,
+                             task->task.step.step, task->task.index));
   else if (const auto* note = std::get_if<scheduler::Note>(&action))
     this->Record(fmt::format("owner {}: {}: {}", this->owners[owner].epoch,
                              note->subject, note->text));
