A lasting task that has served for some seconds has no tries counted against it

Cause, by reading: what was lost under a lasting task is forgotten once it has served on, but the tries beyond three losses were kept, so that three later losses by chance would have held it for good. Change: both go together.

--- a/scheduler/crashes.cc
+++ b/scheduler/crashes.cc
@@ -271,8 +271,10 @@
   if (!run.lasting || ran < kStartProof)
     return;
   Job* job = this->FindJob(id.job);
-  if (job && !job->progress.losses.empty())
-    job->progress.losses.erase(KeyOf(PlaceOf(id)));
+  if (!job || job->progress.losses.empty())
+    return;
+  job->progress.losses.erase(KeyOf(PlaceOf(id)));
+  job->progress.last_tries.erase(KeyOf(PlaceOf(id)));
 }
 
 }  // namespace quartzhoist::scheduler
