A task that waits to start alone holds up no others

Cause, by reading: a task that waits for a worker that runs nothing was counted as one that fits nowhere; the other tasks of its step were passed over for the turn, and 24 such tasks ended the turn of their pool. Mend: it stays in the queue and counts for nothing else. The test was red before; two more tests put the judgement of losses, and what settles a silent worker's, to single decisions.

--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -115,8 +115,6 @@
   Counts on_rack;
 };
 
-// What speaks for keeping the task and what runs on the worker apart, lest one
-// of them crashes the worker.
 // A worker was lost under the task on this box: it may have been the box's own
 // fault, which another box tells.
 bool WasLostOn(const jobs::Progress& progress,
@@ -131,6 +129,8 @@
              [&box](const auto& entry) { return entry.second.box == box; });
 }
 
+// What speaks for keeping the task and what runs on the worker apart, lest one
+// of them crashes the worker.
 double CostOfCompany(const Worker& worker, Suspicion suspicion) {
   if (suspicion == Suspicion::kNone)
     return worker.suspects > 0 ? kBesideSuspect : 0.0;
@@ -242,6 +242,10 @@
     return Tried::kStays;
   if (this->PlaceOne(task, turn.candidates, now))
     return Tried::kPlaced;
+  // It fits, and waits for a worker that runs nothing: the others of its step,
+  // and of the pool, do not.
+  if (suspicion == Suspicion::kProbe)
+    return Tried::kStays;
   turn.nowhere.insert(step);
   ++turn.misses;
   return Tried::kStays;
--- /dev/null
+++ b/scheduler/suspects_test.cc
@@ -0,0 +1,112 @@
+// Single decisions about tasks under which workers were lost.
+
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "scheduler/scheduler.h"
+#include "testing/scheduler_bench.h"
+
+namespace quartzhoist::scheduler {
+namespace {
+
+using std::chrono::seconds;
+
+using testing::FirstTask;
+using testing::Only;
+using Bench = testing::SchedulerBench;
+
+jobs::WorkerLoss Crash(int run, const std::string& box) {
+  return {.run = run, .box = box, .has_crashed = true, .was_seen = true};
+}
+
+// A pool's only worker is at work, so that a task that is to start alone waits.
+// Its step passed for one that fits nowhere, and the others of it waited too.
+BOOST_AUTO_TEST_CASE(TaskThatWaitsForAnIdleWorkerHoldsUpNoOther) {
+  Bench bench(2);
+  bench.scheduler.PutWorker(Bench::Worker("w"), bench.now);
+  bench.List("w", {});
+  bench.AddJob("busy", Bench::OneLastingTask());
+  const StartRun busy = bench.NextStart();
+  bench.scheduler.Started(busy, OrderOutcome::kDone, bench.now);
+  jobs::Queue queue;
+  queue.name = "queue";
+  queue.service = "pool";
+  jobs::JobSpec spec;
+  spec.steps.push_back(Bench::OneTask());
+  spec.steps[0].tasks = 2;
+  jobs::Progress progress;
+  const jobs::TaskKey suspect{.step = {}, .index = 0};
+  progress.MarkLost(suspect, "a", Crash(1, "box-a"));
+  progress.MarkLost(suspect, "b", Crash(2, "box-b"));
+  bench.scheduler.AddJob(MakeJob("job", queue, spec, progress, bench.now, {}),
+                         bench.now);
+  const std::vector<SaveProgress> saves = Only<SaveProgress>(bench.Turn());
+  bench.Save(saves);
+  const auto starts = Only<StartRun>(bench.scheduler.TakeActions());
+  BOOST_REQUIRE(starts.size() == 1U);
+  BOOST_TEST(starts[0].task.index == 1);
+}
+
+BOOST_AUTO_TEST_CASE(LossesAreJudgedByWhatIsKnownOfThem) {
+  const jobs::WorkerLosses two{{"a", Crash(1, "x")}, {"b", Crash(2, "y")}};
+  BOOST_CHECK(Judge({}, {}, seconds(9)) == Suspicion::kNone);
+  BOOST_CHECK(Judge({{"a", Crash(1, "x")}}, {}, seconds(9)) ==
+              Suspicion::kSlight);
+  BOOST_CHECK(Judge(two, {}, seconds(9)) == Suspicion::kProbe);
+  // A third one of which it is not known yet whether it was a crash.
+  jobs::WorkerLosses three = two;
+  three["c"] = {.run = 3, .box = "z", .was_alone = true};
+  BOOST_CHECK(Judge(three, {}, seconds(1)) == Suspicion::kHeld);
+  BOOST_CHECK(Judge(three, {}, seconds(9)) == Suspicion::kProbe);
+  BOOST_CHECK(Judge(three, {4}, seconds(9)) == Suspicion::kProbe);
+  BOOST_CHECK(Judge(three, {4, 5}, seconds(9)) == Suspicion::kCause);
+  three["c"].has_crashed = true;
+  BOOST_CHECK(Judge(three, {}, seconds(1)) == Suspicion::kCause);
+  // In company it tells no more than the other two.
+  three["c"].was_alone = false;
+  BOOST_CHECK(Judge(three, {}, seconds(9)) == Suspicion::kProbe);
+  // Always on the same box.
+  jobs::WorkerLosses one_box{
+      {"a", Crash(1, "x")}, {"b", Crash(2, "x")}, {"c", Crash(3, "x")}};
+  one_box["c"].was_alone = true;
+  BOOST_CHECK(Judge(one_box, {}, seconds(9)) == Suspicion::kProbe);
+}
+
+// A worker that answers again has not crashed; where another life answers on
+// its box, it has.
+BOOST_AUTO_TEST_CASE(SilentWorkersFateSettlesTheSuspicion) {
+  for (const bool answers : {true, false}) {
+    Bench bench(1);
+    bench.scheduler.PutWorker(Bench::Worker("w"), bench.now);
+    bench.List("w", {});
+    bench.AddJob("job", Bench::OneLastingTask());
+    const StartRun start = bench.NextStart();
+    bench.scheduler.Started(start, OrderOutcome::kDone, bench.now);
+    bench.scheduler.LookFailed("w", OrderOutcome::kUnknown, bench.now);
+    bench.now += seconds(8);
+    bench.Turn();
+    const auto losses = [&] {
+      const Job& job = bench.scheduler.all_jobs().at("job");
+      const auto found = job.progress.losses.find({.step = {}, .index = 0});
+      return found == job.progress.losses.end() ? jobs::WorkerLosses()
+                                                : found->second;
+    };
+    BOOST_REQUIRE(losses().size() == 1U);
+    BOOST_TEST(!losses().at("w").has_crashed);
+    if (answers) {
+      bench.List("w", {});
+      BOOST_TEST(losses().empty());
+      continue;
+    }
+    WorkerInfo next = Bench::Worker("next");
+    next.box = "box-w";
+    bench.scheduler.PutWorker(next, bench.now);
+    bench.List("next", {});
+    BOOST_TEST(losses().at("w").has_crashed);
+  }
+}
+
+}  // namespace
+}  // namespace quartzhoist::scheduler
