--- a/entry/shard_choice.cc
+++ b/entry/shard_choice.cc
@@ -10,8 +10,7 @@
 namespace {
 
 // Shards whose loads differ by less are taken as equal: the figures are up to
-// 0.6 s old, and all daemons that read the same ones would crowd into one. Not
-// tuned by a run.
+// 0.6 s old, and all daemons that read the same ones would crowd into one.
 constexpr int kClearlyLess = 15;  // percent
 // A lasting job stays away from its pool's shard while that is fuller than
 // this: its tasks would wait, or push others out.
