Sight: a worker that starts again under its id, and ends that are passed over

Neither was in any log line: the collected output of 21 runs of one failing task shows one end. worker_restarted says which life answered or announced itself, and up to which number ends of the one before were read; end_skipped says which end of a run that its owner still counts on was passed over.

--- a/base/event_log.h
+++ b/base/event_log.h
@@ -47,6 +47,8 @@
   kDecision,
   kWorkerLost,
   kTaskGivenUp,
+  kWorkerRestarted,
+  kEndSkipped,
   kBoxAsked,
   kBoxMoved,
   kUpkeepBegun,
@@ -70,7 +72,7 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 33> kEvents{{
+inline constexpr std::array<EventInfo, 35> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
@@ -93,6 +95,8 @@
     {Event::kDecision, 823, Level::kInfo, "decision"},
     {Event::kWorkerLost, 824, Level::kWarning, "worker_lost"},
     {Event::kTaskGivenUp, 825, Level::kWarning, "task_given_up"},
+    {Event::kWorkerRestarted, 826, Level::kWarning, "worker_restarted"},
+    {Event::kEndSkipped, 827, Level::kWarning, "end_skipped"},
     {Event::kBoxMoved, 831, Level::kInfo, "box_moved"},
     {Event::kUpkeepBegun, 832, Level::kInfo, "upkeep_begun"},
     {Event::kWaveReported, 833, Level::kInfo, "wave_reported"},
--- a/entry/decision_log.cc
+++ b/entry/decision_log.cc
@@ -70,6 +70,27 @@
              {"runs", RunsText(lost.runs)}});
 }
 
+void LogWorkerRestarted(const scheduler::WorkerRestarted& restarted) {
+  base::Log(base::Event::kWorkerRestarted,
+            {{"worker", restarted.worker},
+             {"born_ms", restarted.born_ms},
+             {"earlier_born_ms", restarted.earlier_born_ms},
+             {"ends_read", restarted.ends_read},
+             {"told_by", restarted.by_listing ? "listing" : "announcement"}});
+}
+
+void LogEndSkipped(const scheduler::EndSkipped& skipped) {
+  const jobs::TaskId& task = skipped.end.task;
+  base::Log(base::Event::kEndSkipped,
+            {{"worker", skipped.worker},
+             {"number", skipped.end.number},
+             {"ends_read", skipped.ends_read},
+             {"task", fmt::format("{}.{}.{}.{}", task.job, task.occurrence,
+                                  task.step, task.index)},
+             {"run", skipped.end.run},
+             {"how", base::NameOf(scheduler::kRunEndNames, skipped.end.how)}});
+}
+
 void LogTaskGivenUp(const scheduler::TaskGivenUp& given_up) {
   const jobs::TaskKey& task = given_up.task;
   base::Log(
--- a/entry/decision_log.h
+++ b/entry/decision_log.h
@@ -10,6 +10,8 @@
 void LogJobOver(const scheduler::JobOver& over);
 void LogTaskGivenUp(const scheduler::TaskGivenUp& given_up);
 void LogWorkerLost(const scheduler::WorkerLost& lost);
+void LogWorkerRestarted(const scheduler::WorkerRestarted& restarted);
+void LogEndSkipped(const scheduler::EndSkipped& skipped);
 void LogNote(const scheduler::Note& note);
 
 }  // namespace quartzhoist::entry
--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -306,6 +306,12 @@
       manager.counters.Add(base::Counter::kWorkersLost);
       LogWorkerLost(lost);
     }
+    void operator()(const scheduler::WorkerRestarted& restarted) const {
+      LogWorkerRestarted(restarted);
+    }
+    void operator()(const scheduler::EndSkipped& skipped) const {
+      LogEndSkipped(skipped);
+    }
     void operator()(const scheduler::TaskGivenUp& task) const {
       manager.counters.Add(base::Counter::kTasksGivenUp);
       LogTaskGivenUp(task);
--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -127,6 +127,23 @@
   std::vector<LostRun> runs;  // the newest first
 };
 
+// For the log: a worker has started again under its id.
+struct WorkerRestarted {
+  std::string worker;
+  std::int64_t born_ms = 0;
+  std::int64_t earlier_born_ms = 0;
+  std::int64_t ends_read = 0;  // the highest number read from the earlier life
+  bool by_listing = false;     // else its announcement told
+};
+
+// For the log: an end was passed over for its number, of a run that the owner
+// still counts on.
+struct EndSkipped {
+  std::string worker;
+  ListedEnd end;
+  std::int64_t ends_read = 0;  // the highest number read before
+};
+
 // For the log: workers crashed under the task, and it is not started any more.
 struct TaskGivenUp {
   std::string job;
@@ -156,6 +173,8 @@
                             ReportWave,
                             JobOver,
                             WorkerLost,
+                            WorkerRestarted,
+                            EndSkipped,
                             TaskGivenUp,
                             Note>;
 
--- a/scheduler/facts.h
+++ b/scheduler/facts.h
@@ -16,7 +16,8 @@
 
 // One life of a worker's process, as it announces itself.
 struct WorkerInfo {
-  std::string id;  // of this life
+  std::string id;
+  std::int64_t born_ms = 0;  // its start, since 1970; 0: not known
   std::string box;
   std::string service;
   std::string address;  // ip:port
@@ -86,6 +87,7 @@
 
 // A worker's account of itself.
 struct Listing {
+  std::int64_t born_ms = 0;   // its start, since 1970; 0: not known
   std::int64_t clock_ms = 0;  // the worker's own clock
   std::vector<ListedRun> running;
   std::vector<ListedEnd> ended;
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -58,6 +58,9 @@
     worker.lease_end =
         std::min(worker.lease_end, now + this->limits.longest_grant);
   }
+  if (worker.listed && worker.listed_born_ms != listing.born_ms)
+    this->NoteRestart(worker, worker.listed_born_ms, listing.born_ms, true);
+  worker.listed_born_ms = listing.born_ms;
   worker.listed = true;
   worker.failed_calls = 0;
   worker.runs_presumed_over = false;
@@ -69,8 +72,10 @@
   // 2. Ends before runs: a task that ended may be listed as running again.
   bool has_news = false;
   for (const ListedEnd& end : listing.ended) {
-    if (end.number <= worker.processed)
+    if (end.number <= worker.processed) {
+      this->NoteSkippedEnd(worker, end);
       continue;
+    }
     this->TakeEnd(worker, end, now);
     worker.processed = end.number;
     has_news = true;
@@ -86,6 +91,27 @@
   worker.next_look = has_news ? now + kPauseAfterEnds : now;
 }
 
+void Scheduler::NoteRestart(const Worker& worker,
+                            std::int64_t earlier_born_ms,
+                            std::int64_t born_ms,
+                            bool by_listing) {
+  this->actions.emplace_back(
+      WorkerRestarted{.worker = worker.info.id,
+                      .born_ms = born_ms,
+                      .earlier_born_ms = earlier_born_ms,
+                      .ends_read = worker.processed,
+                      .by_listing = by_listing});
+}
+
+void Scheduler::NoteSkippedEnd(const Worker& worker, const ListedEnd& end) {
+  const auto run = worker.runs.find(end.task);
+  if (run == worker.runs.end() || run->second.number != end.run)
+    return;
+  this->actions.emplace_back(EndSkipped{.worker = worker.info.id,
+                                        .end = end,
+                                        .ends_read = worker.processed});
+}
+
 void Scheduler::TakeRunning(Worker& worker,
                             const ListedRun& listed,
                             base::Micros now) {
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -46,6 +46,8 @@
   const auto [entry, is_new] = this->workers.try_emplace(info.id);
   Worker& worker = entry->second;
   const bool had_drained = worker.info.draining;
+  if (!is_new && info.born_ms != worker.info.born_ms)
+    this->NoteRestart(worker, worker.info.born_ms, info.born_ms, false);
   worker.info = info;
   worker.announced = true;
   if (is_new) {
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -268,6 +268,11 @@
                       OrderOutcome outcome,
                       base::Micros now);
   void TakeRunning(Worker& worker, const ListedRun& listed, base::Micros now);
+  void NoteRestart(const Worker& worker,
+                   std::int64_t earlier_born_ms,
+                   std::int64_t born_ms,
+                   bool by_listing);
+  void NoteSkippedEnd(const Worker& worker, const ListedEnd& end);
   void RestIfStartsAreLost(Worker& worker, base::Micros now);
   void AdoptRun(Worker& worker, const ListedRun& listed, base::Micros now);
   void SettleMissing(Worker& worker, const Listing& listing, base::Micros now);
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -63,6 +63,7 @@
 
 struct Worker {
   WorkerInfo info;
+  std::int64_t listed_born_ms = 0;  // the start of the life that answered last
   bool listed = false;  // has answered a look under this owner's epoch
   // The stored list says that this owner grants it leases.
   bool recorded = false;
