Red tests: ends of a worker that started again under its id are lost

The model's workers can start again under their id now, with numbers of ends, clock and epochs anew, 20 to 1500 ms after they ended; owners hear of it late. Both tests fail on this code: the end of the next life is skipped, since its number is not above the highest that was read, and acknowledged by the next poll (model: 'job0 step 1 task 0 run 4 starts though its end was noted').

--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -23,9 +23,6 @@
 constexpr base::Micros kOwnerCertain = milliseconds(1150);
 // Spans on clocks that differ by 2%, at most.
 constexpr double kClockSlack = 1.05;
-constexpr jobs::Resources kCapacity{.cpu_millis = 4000,
-                                    .memory_mb = 4000,
-                                    .gpus = 0};
 // With so many crashes under it a task may be given up (the platform's pages).
 constexpr int kCrashesOfAGivenUpTask = 2;
 
@@ -106,6 +103,7 @@
 void SchedulerModel::AddWorker(const std::string& box) {
   Worker worker;
   worker.id = fmt::format("w{}", ++this->worker_lives);
+  worker.born_ms = base::Millis(this->now);
   worker.box = box;
   worker.capacity = kCapacity;
   worker.clock_rate = this->Chance(0.5) ? 1.0 : 0.98;
@@ -119,6 +117,7 @@
 scheduler::WorkerInfo SchedulerModel::InfoOf(const Worker& worker) const {
   const auto box = this->boxes.find(worker.box);
   return {.id = worker.id,
+          .born_ms = worker.born_ms,
           .box = worker.box,
           .service = box == this->boxes.end() ? "pool" : box->second.pool,
           .address = worker.id,
@@ -285,6 +284,13 @@
       this->AddBox("pool");
     }
   }
+  if (this->Chance(this->faults.restart * a_step)) {
+    auto at = std::next(
+        this->workers.begin(),
+        static_cast<std::ptrdiff_t>(this->random() % this->workers.size()));
+    if (at->second.alive)
+      this->Restart(at->second);
+  }
   if (this->Chance(this->faults.shrink * a_step)) {
     auto at = std::next(
         this->workers.begin(),
--- a/testing/scheduler_model.h
+++ b/testing/scheduler_model.h
@@ -31,6 +31,9 @@
   // of the saves meanwhile half are lost, half are made once it is back.
   double part_away = 0.0;
   double crash = 0.0;  // a worker's life ends, a second
+  // A worker starts again under its id 20 to 1500 ms later, and knows nothing of
+  // before; owners hear of it 20 to 1500 ms after that. A second.
+  double restart = 0.0;
   double cut = 0.0;    // a worker is cut from an owner, a second
   // A job was handed in while a new owner read what is kept: it hears of it 20
   // to 600 ms later. Per job and takeover.
@@ -59,6 +62,11 @@
   base::Micros crash_after = std::chrono::milliseconds(10);
 };
 
+// Of each worker, while it has not shrunk.
+inline constexpr jobs::Resources kCapacity{.cpu_millis = 4000,
+                                           .memory_mb = 4000,
+                                           .gpus = 0};
+
 class SchedulerModel {
  public:
   SchedulerModel(std::uint64_t seed,
@@ -112,6 +120,9 @@
     bool dark = false;  // dead, and nothing answers in its place
     // Dead, and its box is back with another life from then on.
     std::optional<base::Micros> reborn_at;
+    std::int64_t born_ms = 0;  // the start of this life
+    // Dead, and it starts again under its id soon.
+    bool restarting = false;
     bool announced = true;
     double clock_rate = 1.0;  // up to 2% slow
     base::Micros clock_offset{};
@@ -221,6 +232,8 @@
   void CrashLater(const Worker& worker, const scheduler::StartRun& order);
   void EndLife(Worker& worker);
   void CountLosses(const Worker& worker);
+  void Restart(Worker& worker);
+  void BeginNextLife(Worker& worker);
   void ChangeCapacity(const std::string& id, const jobs::Resources& capacity);
   void EndRun(Worker& worker, const jobs::TaskId& task, scheduler::RunEnd how);
   void WorkOn(Worker& worker);
--- a/testing/scheduler_model_messages.cc
+++ b/testing/scheduler_model_messages.cc
@@ -37,6 +37,10 @@
   const auto found = this->workers.find(id);
   const bool is_dead = found == this->workers.end() || !found->second.alive;
   if (is_dead) {
+    if (found != this->workers.end() && found->second.restarting) {
+      answer_after(milliseconds(5), OrderOutcome::kNotSent);
+      return;
+    }
     // Nobody listens at the address until the box is back.
     if (found != this->workers.end() && found->second.reborn_at) {
       answer_after(milliseconds(5), this->now < *found->second.reborn_at
@@ -60,9 +64,11 @@
       late ? this->Between(2000, 6000) : this->Between(1, 30);
   if (lost)
     answer_after(kOrderTimeout, OrderOutcome::kUnknown);
-  this->After(delay, [this, id, carry_out, lost, answer_after] {
+  // What is on its way to a life is lost with it.
+  this->After(delay, [this, id, carry_out, lost, answer_after,
+                      born = found->second.born_ms] {
     Worker& worker = this->workers.at(id);
-    if (!worker.alive) {
+    if (!worker.alive || worker.born_ms != born) {
       if (!lost)
         answer_after(kOrderTimeout, OrderOutcome::kUnknown);
       return;
--- a/testing/scheduler_model_workers.cc
+++ b/testing/scheduler_model_workers.cc
@@ -82,6 +82,39 @@
   });
 }
 
+// The worker is back under its id before its announcement goes: that changes.
+void SchedulerModel::Restart(Worker& worker) {
+  this->Record(fmt::format("{} ends, to start again", worker.id));
+  this->CountLosses(worker);
+  worker.alive = false;
+  worker.restarting = true;
+  worker.running.clear();
+  this->After(this->Between(20, 1500), [this, id = worker.id] {
+    this->BeginNextLife(this->workers.at(id));
+  });
+}
+
+void SchedulerModel::BeginNextLife(Worker& worker) {
+  Worker next;
+  next.id = worker.id;
+  next.box = worker.box;
+  next.capacity = kCapacity;
+  next.born_ms = base::Millis(this->now);
+  next.clock_rate = worker.clock_rate;
+  next.clock_offset =
+      -base::Micros(static_cast<std::int64_t>(
+          static_cast<double>(this->now.count()) * next.clock_rate));
+  worker = next;
+  this->Record(fmt::format("{} starts again", worker.id));
+  for (std::size_t i = 0; i < this->owners.size(); ++i) {
+    this->After(this->Between(20, 1500), [this, i, id = worker.id] {
+      const Worker& there = this->workers.at(id);
+      if (there.alive && there.announced)
+        this->owners[i].scheduler->PutWorker(this->InfoOf(there), this->now);
+    });
+  }
+}
+
 // Nothing announces the end; another life comes on the box some seconds later,
 // and the announcement goes after three heartbeats.
 void SchedulerModel::EndLife(Worker& worker) {
@@ -219,6 +252,7 @@
 
 scheduler::Listing SchedulerModel::ListingOf(const Worker& worker) const {
   scheduler::Listing listing;
+  listing.born_ms = worker.born_ms;
   listing.clock_ms = base::Millis(this->ClockOf(worker));
   for (const auto& [task, run] : worker.running) {
     if (run.stopping)
