--- a/entry/decision_log.cc
+++ b/entry/decision_log.cc
@@ -33,8 +33,9 @@
 std::string LivesText(const jobs::WorkerLosses& losses) {
   std::string text;
   for (const auto& [life, loss] : losses) {
-    text += fmt::format("{}{} run {} {}{}", text.empty() ? "" : ", ", life,
-                        loss.run, loss.has_crashed ? "crashed" : "silent",
+    text += fmt::format("{}{} run {} {}{}", text.empty() ? "" : ", ",
+                        jobs::TextOf(life), loss.run,
+                        loss.has_crashed ? "crashed" : "silent",
                         loss.was_alone ? " alone" : "");
   }
   return text;
@@ -62,7 +63,8 @@
 void LogWorkerLost(const scheduler::WorkerLost& lost) {
   const bool was_heard = lost.heard_ago >= base::Micros::zero();
   base::Log(base::Event::kWorkerLost,
-            {{"worker", lost.worker},
+            {{"worker", lost.worker.id},
+             {"born_ms", lost.worker.born_ms},
              {"box", lost.box},
              {"sign", base::NameOf(scheduler::kLossSignNames, lost.sign)},
              {"heard_ms", was_heard ? base::Millis(lost.heard_ago) : -1},
@@ -72,17 +74,18 @@
 
 void LogWorkerRestarted(const scheduler::WorkerRestarted& restarted) {
   base::Log(base::Event::kWorkerRestarted,
-            {{"worker", restarted.worker},
-             {"born_ms", restarted.born_ms},
+            {{"worker", restarted.worker.id},
+             {"born_ms", restarted.worker.born_ms},
              {"earlier_born_ms", restarted.earlier_born_ms},
              {"ends_read", restarted.ends_read},
-             {"told_by", restarted.by_listing ? "listing" : "announcement"}});
+             {"moved_runs", restarted.moved_runs}});
 }
 
 void LogEndSkipped(const scheduler::EndSkipped& skipped) {
   const jobs::TaskId& task = skipped.end.task;
   base::Log(base::Event::kEndSkipped,
-            {{"worker", skipped.worker},
+            {{"worker", skipped.worker.id},
+             {"born_ms", skipped.worker.born_ms},
              {"number", skipped.end.number},
              {"ends_read", skipped.ends_read},
              {"task", fmt::format("{}.{}.{}.{}", task.job, task.occurrence,
--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -53,6 +53,7 @@
   limits.lease = std::min(kLease, settings.longest_lease);
   limits.grant_bound = GrantBoundOf(settings);
   limits.longest_grant = WithClockSlack(LongestGrantOf(settings));
+  limits.longest_lease = WithClockSlack(settings.longest_lease);
   limits.stop_time = settings.stop_time;
   limits.epoch = epoch;
   limits.fleet = {.move_time = settings.move_time,
@@ -171,10 +172,10 @@
     return;
   this->orders_held = false;
   base::Log(base::Event::kOrdersResumed, {{"epoch", this->epoch}});
-  std::vector<std::string> waiting;
+  std::vector<jobs::WorkerLife> waiting;
   for (const auto& [worker, queue] : this->orders)
     waiting.push_back(worker);
-  for (const std::string& worker : waiting)
+  for (const jobs::WorkerLife& worker : waiting)
     this->SendNext(worker);
 }
 
@@ -198,8 +199,8 @@
     // The look that waits there for an end brings the news.
     this->workers.Look(
         this->To(id),
-        {.worker = id, .acknowledged = worker.told, .wait = {}, .renews = true},
-        deadline, [](const platform::LookResult&) {});
+        {.worker = id, .acknowledged = 0, .wait = {}, .renews = true}, deadline,
+        [](const platform::LookResult&) {});
   }
 }
 
@@ -321,7 +322,7 @@
   std::visit(Visitor{*this}, action);
 }
 
-platform::OrderTo Manager::To(const std::string& worker) const {
+platform::OrderTo Manager::To(const jobs::WorkerLife& worker) const {
   const scheduler::Worker* known = this->scheduler.FindWorker(worker);
   return {.worker = worker,
           .address = known ? known->info.address : std::string(),
@@ -329,18 +330,20 @@
 }
 
 void Manager::Enqueue(Order order) {
-  const std::string to =
+  const jobs::WorkerLife to =
       std::visit([](const auto& one) { return one.worker; }, order);
   this->orders[to].waiting.push_back(std::move(order));
   this->SendNext(to);
 }
 
-void Manager::SendNext(const std::string& worker) {
+void Manager::SendNext(const jobs::WorkerLife& worker) {
   WorkerOrders& queue = this->orders[worker];
   if (queue.in_flight || queue.waiting.empty() || !this->MayOrder())
     return;
   if (!this->scheduler.FindWorker(worker)) {
+    std::deque<Order> waiting = std::move(queue.waiting);
     this->orders.erase(worker);
+    this->GiveBack(std::move(waiting));
     return;
   }
   const Order order = std::move(queue.waiting.front());
@@ -350,7 +353,16 @@
              order);
 }
 
-void Manager::OrderAnswered(const std::string& worker,
+// The life that they were meant for is over: none of them leaves.
+void Manager::GiveBack(std::deque<Order> given) {
+  for (const Order& order : given) {
+    if (const auto* start = std::get_if<scheduler::StartRun>(&order))
+      this->scheduler.Started(*start, scheduler::OrderOutcome::kNotSent,
+                              base::MonotonicNow());
+  }
+}
+
+void Manager::OrderAnswered(const jobs::WorkerLife& worker,
                             scheduler::OrderOutcome outcome) {
   const bool silent = outcome == scheduler::OrderOutcome::kUnknown;
   WorkerOrders& queue = this->orders[worker];
@@ -374,7 +386,7 @@
     this->ActSoon();
 }
 
-void Manager::Send(const std::string& worker,
+void Manager::Send(const jobs::WorkerLife& worker,
                    const scheduler::StartRun& order) {
   const base::Micros now = base::MonotonicNow();
   const scheduler::Worker* known = this->scheduler.FindWorker(worker);
@@ -394,23 +406,26 @@
   this->workers.Start(
       this->To(worker), order, deadline,
       [this, worker, order,
-       lives = this->alive](scheduler::OrderOutcome outcome) {
+       lives = this->alive](const platform::StartResult& result) {
         if (!*lives)
           return;
+        const scheduler::OrderOutcome outcome = result.outcome;
         const bool unknown = outcome == scheduler::OrderOutcome::kUnknown;
         base::Log(
             unknown ? base::Event::kRunUnsettled : base::Event::kRunStarted,
             {{"task", platform::TaskName(order.task)},
              {"run", order.run},
-             {"worker", worker},
+             {"worker", worker.id},
              {"outcome",
               base::NameOf(scheduler::kOrderOutcomeNames, outcome)}});
-        this->scheduler.Started(order, outcome, base::MonotonicNow());
+        this->scheduler.Started(order, outcome, base::MonotonicNow(),
+                                result.clock_ms);
         this->OrderAnswered(worker, outcome);
       });
 }
 
-void Manager::Send(const std::string& worker, const scheduler::StopRun& order) {
+void Manager::Send(const jobs::WorkerLife& worker,
+                   const scheduler::StopRun& order) {
   this->workers.Stop(this->To(worker), order,
                      [this, worker, order,
                       lives = this->alive](scheduler::OrderOutcome outcome) {
@@ -422,7 +437,8 @@
                      });
 }
 
-void Manager::Send(const std::string& worker, const scheduler::PaceRun& order) {
+void Manager::Send(const jobs::WorkerLife& worker,
+                   const scheduler::PaceRun& order) {
   this->workers.Pace(
       this->To(worker), order,
       [this, worker, lives = this->alive](scheduler::OrderOutcome outcome) {
@@ -435,10 +451,10 @@
 void Manager::SendLook(const scheduler::LookAt& order) {
   const base::Micros now = base::MonotonicNow();
   const base::Micros end = this->scheduler.LeaseEnd(now);
-  const std::string worker = order.worker;
+  const jobs::WorkerLife worker = order.worker;
   const std::int64_t deadline =
       order.renews ? this->scheduler.Deadline(worker, end) : 0;
-  this->scheduler.LookSent(worker, now);
+  this->scheduler.LookSent(order, now);
   if (deadline > 0)
     this->scheduler.LookGrants(worker, end);
   this->workers.Look(
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -81,8 +81,8 @@
   // Workers of the list of those that may hold a lease: held by this owner, and
   // carried from earlier ones.
   struct WorkerNames {
-    std::vector<std::string> held;
-    std::vector<std::string> carried;
+    std::vector<jobs::WorkerLife> held;
+    std::vector<jobs::WorkerLife> carried;
 
     bool operator==(const WorkerNames&) const = default;
   };
@@ -114,11 +114,12 @@
   void CarryAll();
   void Carry(scheduler::Action action);
   void Enqueue(Order order);
-  void SendNext(const std::string& worker);
-  void Send(const std::string& worker, const scheduler::StartRun& order);
-  void Send(const std::string& worker, const scheduler::StopRun& order);
-  void Send(const std::string& worker, const scheduler::PaceRun& order);
-  void OrderAnswered(const std::string& worker,
+  void SendNext(const jobs::WorkerLife& worker);
+  void Send(const jobs::WorkerLife& worker, const scheduler::StartRun& order);
+  void Send(const jobs::WorkerLife& worker, const scheduler::StopRun& order);
+  void Send(const jobs::WorkerLife& worker, const scheduler::PaceRun& order);
+  void GiveBack(std::deque<Order> orders);
+  void OrderAnswered(const jobs::WorkerLife& worker,
                      scheduler::OrderOutcome outcome);
   void SendLook(const scheduler::LookAt& order);
   void Ask(const scheduler::AskAdvice& ask);
@@ -155,7 +156,7 @@
   void ListBoxes(const std::string& page,
                  std::vector<scheduler::BoxInfo> so_far,
                  base::Micros asked);
-  platform::OrderTo To(const std::string& worker) const;
+  platform::OrderTo To(const jobs::WorkerLife& worker) const;
   std::optional<scheduler::Job> MakeJob(const std::string& id,
                                         const AcceptedJob& accepted,
                                         jobs::Progress progress,
@@ -195,7 +196,7 @@
   // Jobs to be read anew: the store gave no answer.
   std::set<std::string> unread_jobs;
   base::Micros next_job_read{};
-  std::map<std::string, WorkerOrders> orders;
+  std::map<jobs::WorkerLife, WorkerOrders> orders;
   SaveQueue saves;
   int saves_in_flight = 0;
   SavePolicy save_policy;
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -164,7 +164,7 @@
 Manager::WorkerNames Manager::NamesOf(const LeaseRecord& record) {
   WorkerNames names;
   for (const LeaseHolder& holder : record.workers)
-    (holder.held ? names.held : names.carried).push_back(holder.worker.id);
+    (holder.held ? names.held : names.carried).push_back(holder.worker.life);
   return names;
 }
 
@@ -277,7 +277,8 @@
     Json runs = Json::array();
     for (const auto& [task, run] : worker.runs)
       runs.push_back({platform::TaskName(task), run.number, run.percent});
-    dump["workers"].push_back({{"id", id},
+    dump["workers"].push_back({{"id", id.id},
+                               {"born_ms", id.born_ms},
                                {"box", worker.info.box},
                                {"pool", worker.info.service},
                                {"listed", worker.listed},
--- a/entry/save_result_test.cc
+++ b/entry/save_result_test.cc
@@ -18,7 +18,7 @@
   progress.state = jobs::JobState::kRunning;
   progress.MarkDone({.occurrence = 0, .step = 0}, 3);
   progress.placed[{.step = {.occurrence = 0, .step = 0}, .index = 1}] = {
-      .worker = "i-5e86393d3a", .run = 1};
+      .worker = {.id = "i-5e86393d3a"}, .run = 1};
   return progress;
 }
 
--- a/entry/suspension_test.cc
+++ b/entry/suspension_test.cc
@@ -58,15 +58,19 @@
   platform::Workers workers(
       client, [&] { return base::MonotonicNow() < certain_until; });
   const platform::OrderTo to{
-      .worker = "w",
+      .worker = {.id = "w"},
       .address = "127.0.0.1:" + std::to_string(server.port()),
       .epoch = 1};
   const auto order = [&](base::Micros sleep_before_it_leaves) {
     certain_until = base::MonotonicNow() + milliseconds(1150);
     std::optional<scheduler::OrderOutcome> outcome;
     workers.Start(
-        to, {.worker = "w", .task = {.job = "job"}, .run = 1, .text = "text"},
-        1000, [&](scheduler::OrderOutcome got) { outcome = got; });
+        to,
+        {.worker = {.id = "w"},
+         .task = {.job = "job"},
+         .run = 1,
+         .text = "text"},
+        1000, [&](const platform::StartResult& got) { outcome = got.outcome; });
     slept += sleep_before_it_leaves;
     while (!outcome)
       loop.RunOnce();
--- a/entry/tables.cc
+++ b/entry/tables.cc
@@ -182,8 +182,8 @@
   Json list = Json::array();
   for (const LeaseHolder& holder : record.workers) {
     const scheduler::WorkerInfo& worker = holder.worker;
-    list.push_back({worker.id, worker.address, worker.box, worker.service,
-                    holder.held, holder.until_store_ms});
+    list.push_back({worker.life.id, worker.address, worker.box, worker.service,
+                    holder.held, holder.until_store_ms, worker.life.born_ms});
   }
   return Json{{"epoch", record.epoch}, {"workers", std::move(list)}}.dump();
 }
@@ -195,12 +195,15 @@
     record.epoch = json.at("epoch").get<std::uint64_t>();
     for (const Json& row : json.at("workers")) {
       LeaseHolder holder;
-      holder.worker.id = row.at(0).get<std::string>();
+      holder.worker.life.id = row.at(0).get<std::string>();
       holder.worker.address = row.at(1).get<std::string>();
       holder.worker.box = row.at(2).get<std::string>();
       holder.worker.service = row.at(3).get<std::string>();
       holder.held = row.at(4).get<bool>();
       holder.until_store_ms = row.at(5).get<std::int64_t>();
+      // Earlier rows have no start.
+      if (row.size() > 6)
+        holder.worker.life.born_ms = row.at(6).get<std::int64_t>();
       record.workers.push_back(std::move(holder));
     }
     return record;
@@ -212,11 +215,16 @@
 std::string EncodeBoxCalls(const BoxCallRecord& record) {
   struct Visitor {
     Json operator()(const scheduler::MoveBox& move) const {
-      return {{"box", move.box}, {"life", move.life}, {"pool", move.pool}};
+      return {{"box", move.box},
+              {"life", move.life.id},
+              {"born", move.life.born_ms},
+              {"pool", move.pool}};
     }
     Json operator()(const scheduler::UpkeepBox& upkeep) const {
-      return {
-          {"box", upkeep.box}, {"life", upkeep.life}, {"wave", upkeep.wave}};
+      return {{"box", upkeep.box},
+              {"life", upkeep.life.id},
+              {"born", upkeep.life.born_ms},
+              {"wave", upkeep.wave}};
     }
   };
   Json list = Json::array();
@@ -232,7 +240,9 @@
     record.epoch = json.at("epoch").get<std::uint64_t>();
     for (const Json& call : json.at("calls")) {
       const auto box = call.at("box").get<std::string>();
-      const auto life = call.at("life").get<std::string>();
+      const jobs::WorkerLife life{
+          .id = call.at("life").get<std::string>(),
+          .born_ms = call.value("born", std::int64_t{0})};
       if (call.contains("wave")) {
         record.calls.emplace_back(scheduler::UpkeepBox{
             .box = box, .wave = call["wave"].get<int>(), .life = life});
--- a/entry/tables.h
+++ b/entry/tables.h
@@ -119,7 +119,7 @@
 // One that the owner holds gets leases from it; one that it has only heard of
 // from an earlier owner, and not listed, has none beyond that time.
 struct LeaseHolder {
-  scheduler::WorkerInfo worker;  // id, address, box and service
+  scheduler::WorkerInfo worker;  // life, address, box and service
   bool held = true;
   std::int64_t until_store_ms = 0;  // on the store's clock, if not held
 };
--- a/jobs/jobs_test.cc
+++ b/jobs/jobs_test.cc
@@ -100,16 +100,18 @@
 BOOST_AUTO_TEST_CASE(LossesOfTwoWritersAddUpAndACrashStaysOne) {
   const TaskKey task{.step = {.occurrence = 0, .step = 1}, .index = 2};
   Progress earlier;
-  earlier.MarkLost(task, "a", {.run = 1, .box = "box-a", .has_crashed = true});
-  earlier.MarkLost(task, "b", {.run = 2});
+  earlier.MarkLost(task, {.id = "a"},
+                   {.run = 1, .box = "box-a", .has_crashed = true});
+  earlier.MarkLost(task, {.id = "b"}, {.run = 2});
   Progress later;
-  later.MarkLost(task, "a", {.run = 1, .box = "box-a"});
-  later.MarkLost(task, "b", {.run = 2, .box = "box-b", .was_alone = true});
-  later.MarkLost(task, "c", {.run = 1001, .box = "box-c"});
+  later.MarkLost(task, {.id = "a"}, {.run = 1, .box = "box-a"});
+  later.MarkLost(task, {.id = "b"},
+                 {.run = 2, .box = "box-b", .was_alone = true});
+  later.MarkLost(task, {.id = "c"}, {.run = 1001, .box = "box-c"});
   const WorkerLosses both{
-      {"a", {.run = 1, .box = "box-a", .has_crashed = true}},
-      {"b", {.run = 2, .box = "box-b", .was_alone = true}},
-      {"c", {.run = 1001, .box = "box-c"}}};
+      {{.id = "a"}, {.run = 1, .box = "box-a", .has_crashed = true}},
+      {{.id = "b"}, {.run = 2, .box = "box-b", .was_alone = true}},
+      {{.id = "c"}, {.run = 1001, .box = "box-c"}}};
   BOOST_CHECK(Merge(later, earlier).losses.at(task) == both);
   BOOST_CHECK(Merge(earlier, later).losses.at(task) == both);
 }
@@ -118,7 +120,7 @@
   const TaskKey task{.step = {.occurrence = 0, .step = 1}, .index = 2};
   Progress progress;
   progress.MarkLost(
-      task, "a",
+      task, {.id = "a"},
       {.run = 1, .box = "box", .has_crashed = true, .was_alone = true});
   progress.last_tries[task] = {3, 1001};
   Progress kept = DecodeProgress(EncodeProgress(progress)).value();
@@ -172,5 +174,30 @@
   BOOST_TEST(!config.Route("c.example", "/x/1"));
 }
 
+BOOST_AUTO_TEST_CASE(LivesOfOneWorkerAreToldApart) {
+  const WorkerLife first{.id = "i-1", .born_ms = 1'700'000'000'000};
+  const WorkerLife next{.id = "i-1", .born_ms = 1'700'000'000'001};
+  BOOST_TEST(next.IsAfter(first));
+  BOOST_TEST(!first.IsAfter(next));
+  BOOST_TEST(IsOtherLife(first, next));
+  BOOST_TEST(!IsOtherLife({.id = "i-1"}, next));
+  BOOST_TEST(IsOtherLife({.id = "i-2"}, next));
+  BOOST_CHECK(ParseWorkerLife(TextOf(next)) == next);
+  BOOST_CHECK(ParseWorkerLife("i-1") == WorkerLife{.id = "i-1"});
+  BOOST_CHECK(ParseWorkerLife("i-1@x") == WorkerLife{.id = "i-1@x"});
+}
+
+BOOST_AUTO_TEST_CASE(RowsWithoutStartsOfWorkersAreRead) {
+  const auto kept = DecodeProgress(
+      R"({"state":"running","placed":{"0.0.1":["i-1",4]},)"
+      R"("stopping":{"0.0.2":["i-2",3]},"lost":{"0.0.1":{"i-3":[2,"b","c"]}}})");
+  BOOST_REQUIRE(kept.has_value());
+  const TaskKey task{.step = {}, .index = 1};
+  BOOST_CHECK(kept->placed.at(task).worker == WorkerLife{.id = "i-1"});
+  BOOST_CHECK(kept->losses.at(task).contains(WorkerLife{.id = "i-3"}));
+  BOOST_CHECK(DecodeProgress(EncodeProgress(*kept)).value().placed ==
+              kept->placed);
+}
+
 }  // namespace
 }  // namespace quartzhoist::jobs
--- a/jobs/progress.cc
+++ b/jobs/progress.cc
@@ -88,16 +88,26 @@
   return true;
 }
 
+Json PlacementRow(const Placement& placement) {
+  return {placement.worker.id, placement.run, placement.worker.born_ms};
+}
+
+// [worker, run, start of the worker's life]; earlier rows have no start.
 bool ReadPlacements(const Json& row, std::map<TaskKey, Placement>& into) {
   for (const auto& [key, placement] : row.items()) {
     const auto task = ParseTask(key);
-    const bool fits = placement.is_array() && placement.size() == 2 &&
+    const bool is_list = placement.is_array() && placement.size() >= 2;
+    const bool has_start = is_list && placement.size() == 3;
+    const bool fits = is_list && placement.size() <= 3 &&
                       placement[0].is_string() &&
-                      placement[1].is_number_integer();
+                      placement[1].is_number_integer() &&
+                      (!has_start || placement[2].is_number_integer());
     if (!task || !fits)
       return false;
-    into[*task] = {.worker = placement[0].get<std::string>(),
-                   .run = placement[1].get<int>()};
+    into[*task] = {
+        .worker = {.id = placement[0].get<std::string>(),
+                   .born_ms = has_start ? placement[2].get<std::int64_t>() : 0},
+        .run = placement[1].get<int>()};
   }
   return true;
 }
@@ -139,7 +149,7 @@
       const auto marks = entry[2].get<std::string>();
       for (const LossMark& mark : kLossMarks)
         loss.*mark.is_set = marks.find(mark.letter) != std::string::npos;
-      progress.MarkLost(*task, life, loss);
+      progress.MarkLost(*task, ParseWorkerLife(life), loss);
     }
   }
   return true;
@@ -187,7 +197,7 @@
 }
 
 void Progress::MarkLost(const TaskKey& task,
-                        const std::string& life,
+                        const WorkerLife& life,
                         const WorkerLoss& loss) {
   WorkerLoss& known = this->losses[task][life];
   if (!loss.box.empty() || known.run == 0) {
@@ -213,14 +223,15 @@
   for (const auto& [task, runs] : progress.failures)
     row["failed_runs"][TaskText(task)] = runs;
   for (const auto& [task, placement] : progress.placed)
-    row["placed"][TaskText(task)] = {placement.worker, placement.run};
+    row["placed"][TaskText(task)] = PlacementRow(placement);
   for (const auto& [task, placement] : progress.stopping)
-    row["stopping"][TaskText(task)] = {placement.worker, placement.run};
+    row["stopping"][TaskText(task)] = PlacementRow(placement);
   for (const auto& [task, runs] : progress.last_tries)
     row["last_tries"][TaskText(task)] = runs;
   for (const auto& [task, lives] : progress.losses) {
+    Json& row_of_task = row["lost"][TaskText(task)];
     for (const auto& [life, loss] : lives)
-      row["lost"][TaskText(task)][life] = {loss.run, loss.box, MarksText(loss)};
+      row_of_task[TextOf(life)] = {loss.run, loss.box, MarksText(loss)};
   }
   return row.dump();
 }
--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -17,7 +17,7 @@
 namespace quartzhoist::scheduler {
 
 struct StartRun {
-  std::string worker;
+  jobs::WorkerLife worker;
   jobs::TaskId task;
   int run = 0;
   std::string text;        // the job's, handed on
@@ -30,18 +30,18 @@
   std::string job;
   int occurrence = 0;
   int step = 0;
-  std::vector<std::string> workers;
+  std::vector<jobs::WorkerLife> workers;
 };
 
 struct StopRun {
-  std::string worker;
+  jobs::WorkerLife worker;
   jobs::TaskId task;
   int run = 0;
 };
 
 // Lets a task work at this share of its speed.
 struct PaceRun {
-  std::string worker;
+  jobs::WorkerLife worker;
   jobs::TaskId task;
   int run = 0;
   int percent = 100;
@@ -49,8 +49,8 @@
 
 // Renews the worker's lease and asks for its listing.
 struct LookAt {
-  std::string worker;
-  std::int64_t acknowledged = 0;  // ends up to this number are recorded
+  jobs::WorkerLife worker;
+  std::int64_t acknowledged = 0;  // it may forget ends up to this number
   base::Micros wait{};            // for an end, before it answers
   bool renews = true;             // grants a lease anew
 };
@@ -82,14 +82,14 @@
 struct MoveBox {
   std::string box;
   std::string pool;
-  std::string life;  // the worker there when it was decided; empty: none
+  jobs::WorkerLife life;  // there when it was decided; empty: none
   BoxEvidence evidence;
 };
 
 struct UpkeepBox {
   std::string box;
   int wave = 0;
-  std::string life;  // as above
+  jobs::WorkerLife life;  // as above
   BoxEvidence evidence;
 };
 
@@ -120,7 +120,7 @@
 
 // For the log: what ran on a worker is over without ends of its own.
 struct WorkerLost {
-  std::string worker;
+  jobs::WorkerLife worker;
   std::string box;
   LossSign sign = LossSign::kSilence;
   base::Micros heard_ago{};   // its last answer; negative: none
@@ -129,17 +129,16 @@
 
 // For the log: a worker has started again under its id.
 struct WorkerRestarted {
-  std::string worker;
-  std::int64_t born_ms = 0;
+  jobs::WorkerLife worker;
   std::int64_t earlier_born_ms = 0;
   std::int64_t ends_read = 0;  // the highest number read from the earlier life
-  bool by_listing = false;     // else its announcement told
+  int moved_runs = 0;          // that the next life may have begun
 };
 
 // For the log: an end was passed over for its number, of a run that the owner
 // still counts on.
 struct EndSkipped {
-  std::string worker;
+  jobs::WorkerLife worker;
   ListedEnd end;
   std::int64_t ends_read = 0;  // the highest number read before
 };
--- a/scheduler/advice.cc
+++ b/scheduler/advice.cc
@@ -47,7 +47,7 @@
                 .step = place.step,
                 .workers = {}};
   for (const Worker* worker : asked)
-    ask.workers.push_back(worker->info.id);
+    ask.workers.push_back(worker->info.life);
   advice.in_flight = true;
   advice.asked = now;
   this->actions.emplace_back(std::move(ask));
--- a/scheduler/box_calls_test.cc
+++ b/scheduler/box_calls_test.cc
@@ -66,7 +66,7 @@
 
   void ListBoth() {
     for (const StartRun& start : this->starts)
-      this->bench.List(start.worker, AtWork(start),
+      this->bench.List(start.worker.id, AtWork(start),
                        this->bench.now + seconds(4));
   }
 
@@ -129,8 +129,10 @@
 BOOST_AUTO_TEST_CASE(OwnerThatIsCutOffMovesNoBoxFromUnderALastingTask) {
   TwoLastingTasks two;
   for (int i = 0; i < 20; ++i) {
-    two.bench.scheduler.LookFailed("a", OrderOutcome::kUnknown, two.bench.now);
-    two.bench.scheduler.LookFailed("b", OrderOutcome::kUnknown, two.bench.now);
+    two.bench.scheduler.LookFailed(two.bench.LifeOf("a"),
+                                   OrderOutcome::kUnknown, two.bench.now);
+    two.bench.scheduler.LookFailed(two.bench.LifeOf("b"),
+                                   OrderOutcome::kUnknown, two.bench.now);
     if (i == 15)
       two.SetOtherPoolShort();
     BOOST_TEST(two.MovedAfter(milliseconds(300)).empty());
@@ -155,8 +157,8 @@
   step.each.cpu_millis = 4000;
   two.bench.AddJob("cancelled", step);
   const StartRun start = two.bench.NextStart();
-  const std::string silent = start.worker;
-  BOOST_REQUIRE((silent == "x" || silent == "y"));
+  const jobs::WorkerLife silent = start.worker;
+  BOOST_REQUIRE((silent.id == "x" || silent.id == "y"));
   two.bench.scheduler.Started(start, OrderOutcome::kDone, two.bench.now);
   two.bench.scheduler.CancelJob("cancelled", two.bench.now);
   two.SetOtherPoolShort();
@@ -165,11 +167,11 @@
     two.bench.scheduler.LookFailed(silent, OrderOutcome::kUnknown,
                                    two.bench.now);
     two.Confirm();
-    BOOST_TEST(!Holds(two.MovedAfter(milliseconds(300)), "box-" + silent));
+    BOOST_TEST(!Holds(two.MovedAfter(milliseconds(300)), "box-" + silent.id));
   }
-  two.bench.List(silent, {});
+  two.bench.List(silent.id, {});
   two.Confirm();
-  BOOST_TEST(Holds(two.MovedAfter(milliseconds(300)), "box-" + silent));
+  BOOST_TEST(Holds(two.MovedAfter(milliseconds(300)), "box-" + silent.id));
 }
 
 }  // namespace quartzhoist::scheduler
--- a/scheduler/capacity_test.cc
+++ b/scheduler/capacity_test.cc
@@ -39,7 +39,7 @@
   BOOST_TEST(Only<StartRun>(bench.scheduler.TakeActions()).empty());
   const StartRun start = bench.NextStart();
   BOOST_TEST(!start.worker.empty());
-  BOOST_TEST(start.worker != planned);
+  BOOST_TEST(start.worker.id != planned);
 }
 
 // What runs over a room that has shrunk runs on and keeps others out; when the
--- a/scheduler/crashes.cc
+++ b/scheduler/crashes.cc
@@ -44,7 +44,7 @@
     return true;
   const auto known = job.progress.losses.find(KeyOf(place));
   const bool is_noted = known != job.progress.losses.end() &&
-                        known->second.contains(worker.info.id);
+                        known->second.contains(worker.info.life);
   return run.state == RunState::kInherited && !is_noted;
 }
 
@@ -61,20 +61,23 @@
 
 }  // namespace
 
-void Scheduler::NoteLosses(const Worker& worker,
-                           const std::map<jobs::TaskId, Run>& runs,
-                           LossSign sign,
-                           base::Micros now) {
+// What is to be noted of the worker's loss, by the tasks that ran there.
+std::map<jobs::TaskId, jobs::WorkerLoss> Scheduler::LossesUnder(
+    const Worker& worker,
+    const std::map<jobs::TaskId, Run>& runs,
+    LossSign sign) {
+  std::map<jobs::TaskId, jobs::WorkerLoss> losses;
   const bool was_planned = sign == LossSign::kBoxTaken ||
                            sign == LossSign::kLeft || worker.info.draining;
   if (was_planned)
-    return;
+    return losses;
   // Another life at its address after it had withdrawn itself is no crash.
   const bool has_crashed =
-      sign == LossSign::kOtherLife && !worker.has_withdrawn();
+      (sign == LossSign::kOtherLife || sign == LossSign::kRestarted) &&
+      !worker.has_withdrawn();
   const bool leaves_doubt = HasOtherSuspects(runs);
   for (const auto& [id, run] : runs) {
-    Job* job = this->FindJob(id.job);
+    const Job* job = this->FindJob(id.job);
     const base::Micros ran = HeardRunning(run, worker);
     // A lasting task that was at work for long is not what ended its worker.
     const bool may_be_cause =
@@ -85,19 +88,18 @@
         ran < kStartProof &&
         (runs.size() == 1 ||
          (run.suspicion >= Suspicion::kProbe && !leaves_doubt));
-    this->NoteLoss(*job, PlaceOf(id), worker.info.id,
-                   {.run = run.number,
-                    .box = worker.info.box,
-                    .has_crashed = has_crashed,
-                    .was_alone = was_alone,
-                    .was_seen = WasSeen(*job, PlaceOf(id), worker, run)},
-                   now);
+    losses[id] = {.run = run.number,
+                  .box = worker.info.box,
+                  .has_crashed = has_crashed,
+                  .was_alone = was_alone,
+                  .was_seen = WasSeen(*job, PlaceOf(id), worker, run)};
   }
+  return losses;
 }
 
 void Scheduler::NoteLoss(Job& job,
                          const TaskPlace& place,
-                         const std::string& life,
+                         const jobs::WorkerLife& life,
                          const jobs::WorkerLoss& loss,
                          base::Micros now) {
   if (job.finished() || TaskAt(job, place).state == TaskState::kDone)
@@ -166,7 +168,7 @@
 
 // The worker answers: it has not crashed, and earlier lives on its box have.
 void Scheduler::SettleLosses(const Worker& worker, base::Micros now) {
-  const std::string& life = worker.info.id;
+  const jobs::WorkerLife& life = worker.info.life;
   for (const std::string& id : this->open_losses.Take(life)) {
     Job* job = this->FindJob(id);
     if (!job)
@@ -176,7 +178,7 @@
     std::erase_if(job->progress.losses,
                   [](const auto& entry) { return entry.second.empty(); });
   }
-  for (const std::string& other :
+  for (const jobs::WorkerLife& other :
        this->open_losses.OthersOn(worker.info.box, life)) {
     for (const std::string& id : this->open_losses.Take(other)) {
       Job* job = this->FindJob(id);
--- a/scheduler/ends.cc
+++ b/scheduler/ends.cc
@@ -35,7 +35,7 @@
 // How many workers on which a task failed are remembered.
 constexpr std::size_t kFailedOn = 4;
 
-void RememberFailure(Task& task, const std::string& worker) {
+void RememberFailure(Task& task, const jobs::WorkerLife& worker) {
   task.failed_on.push_back(worker);
   if (task.failed_on.size() > kFailedOn)
     task.failed_on.erase(task.failed_on.begin());
@@ -72,14 +72,14 @@
   }
   if (!Exists(*job, PlaceOf(end.task)))
     return;
-  this->TakeFate(*job, worker.info.id, end, now);
+  this->TakeFate(*job, worker.info.life, end, now);
   // 3. It is acknowledged once the job's row holds it.
   worker.pending_ends.push_back(
       {.number = end.number, .job = job->id, .change = job->change});
 }
 
 void Scheduler::TakeFate(Job& job,
-                         const std::string& worker,
+                         const jobs::WorkerLife& worker,
                          const ListedEnd& end,
                          base::Micros now) {
   const TaskPlace place = PlaceOf(end.task);
@@ -142,7 +142,7 @@
 void Scheduler::TaskFailed(Job& job,
                            const TaskPlace& place,
                            int run,
-                           const std::string& worker,
+                           const jobs::WorkerLife& worker,
                            base::Micros now) {
   const jobs::Step& step = StepOf(job, place);
   Task& task = TaskAt(job, place);
@@ -159,7 +159,7 @@
   this->actions.emplace_back(
       Note{job.id, fmt::format("task {}.{}.{} run {} failed on {}, {} of {}",
                                place.occurrence, place.step, place.index, run,
-                               worker, count, job.queue.attempts)});
+                               worker.id, count, job.queue.attempts)});
   if (count >= job.queue.attempts) {
     task.state = TaskState::kFailed;
     this->Finish(job, jobs::JobState::kFailed, now);
@@ -179,7 +179,7 @@
   Task& task = TaskAt(*job, place);
   if (task.state != TaskState::kPlaced || task.run != run)
     return;
-  task.worker.clear();
+  task.worker = {};
   task.at_work = false;
   ++job->story.lost_runs;
   if (job->finished()) {
@@ -221,7 +221,7 @@
     return;
   worker.quarantined_until = now + kQuarantine;
   this->actions.emplace_back(
-      Note{worker.info.id,
+      Note{worker.info.life.id,
            fmt::format("fails {:.0f}% of its runs: nothing is "
                        "placed for {:.0f} s",
                        worker.failure_rate * 100, base::Seconds(kQuarantine))});
@@ -280,11 +280,11 @@
   if (task.moved >= kMostMoves)
     return;
   ++task.moved;
-  RememberFailure(task, worker.info.id);
-  this->actions.emplace_back(
-      Note{id.job,
-           fmt::format("task {}.{}.{} {} on {}: it starts elsewhere",
-                       id.occurrence, id.step, id.index, why, worker.info.id)});
+  RememberFailure(task, worker.info.life);
+  this->actions.emplace_back(Note{
+      id.job,
+      fmt::format("task {}.{}.{} {} on {}: it starts elsewhere", id.occurrence,
+                  id.step, id.index, why, worker.info.life.id)});
   this->Stop(worker, id, now);
 }
 
--- a/scheduler/evacuation.cc
+++ b/scheduler/evacuation.cc
@@ -45,8 +45,8 @@
     box.worker = id;
     // A lease that ran out in these books may have been renewed by another
     // owner: only an answer says that the box is empty.
-    box.up = worker.announced && worker.listed && !worker.info.draining &&
-             !worker.runs_presumed_over;
+    box.up = worker.announced && worker.is_described && worker.listed &&
+             !worker.info.draining && !worker.runs_presumed_over;
     box.idle = worker.idle();
     box.cores = static_cast<double>(worker.info.capacity.cpu_millis) / 1000.0;
     box.busy_cores = static_cast<double>(worker.used.cpu_millis) / 1000.0;
@@ -177,7 +177,7 @@
 
 // All that ran on the box is over once the platform has taken it.
 void Scheduler::BoxTaken(const std::string& box, base::Micros now) {
-  const std::string life = this->fleet.LifeBefore(box);
+  const jobs::WorkerLife life = this->fleet.LifeBefore(box);
   if (!life.empty())
     this->LifeIsOver(life, LossSign::kBoxTaken, now);
 }
--- a/scheduler/facts.h
+++ b/scheduler/facts.h
@@ -11,13 +11,13 @@
 #include "base/clock.h"
 #include "base/enum_names.h"
 #include "jobs/job.h"
+#include "jobs/worker_life.h"
 
 namespace quartzhoist::scheduler {
 
 // One life of a worker's process, as it announces itself.
 struct WorkerInfo {
-  std::string id;
-  std::int64_t born_ms = 0;  // its start, since 1970; 0: not known
+  jobs::WorkerLife life;
   std::string box;
   std::string service;
   std::string address;  // ip:port
@@ -35,7 +35,7 @@
   std::string name;
   std::string pool;
   BoxState state = BoxState::kUp;
-  std::string worker;  // the life on it, or empty
+  std::string worker;  // the id of the life on it, or empty
   double cores = 0.0;  // of its capacity
 };
 
@@ -43,13 +43,15 @@
 enum class LossSign {
   kSilence,    // it did not answer until its lease was over
   kOtherLife,  // another life answers at its address
+  kRestarted,  // a later life of it answers or announces itself
   kBoxTaken,   // its box was moved or went into its upkeep
   kLeft,       // it had said that it leaves, or withdrawn its announcement
 };
 
-inline constexpr base::EnumNames<LossSign, 4> kLossSignNames{{
+inline constexpr base::EnumNames<LossSign, 5> kLossSignNames{{
     {LossSign::kSilence, "silence"},
     {LossSign::kOtherLife, "other_life"},
+    {LossSign::kRestarted, "restarted"},
     {LossSign::kBoxTaken, "box_taken"},
     {LossSign::kLeft, "left"},
 }};
@@ -87,7 +89,7 @@
 
 // A worker's account of itself.
 struct Listing {
-  std::int64_t born_ms = 0;   // its start, since 1970; 0: not known
+  jobs::WorkerLife life;      // that answered
   std::int64_t clock_ms = 0;  // the worker's own clock
   std::vector<ListedRun> running;
   std::vector<ListedEnd> ended;
@@ -122,8 +124,8 @@
 
 // Which workers may run a step, each with the ticket that proves it.
 struct Advice {
-  std::map<std::string, std::string> tickets;  // by worker
-  base::Micros valid{};                        // from when it was asked
+  std::map<jobs::WorkerLife, std::string> tickets;
+  base::Micros valid{};  // from when it was asked
 };
 
 // A wave: these boxes get their upkeep, at most so many at a time.
--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -53,18 +53,20 @@
 }
 
 void Fleet::BoxSeen(const std::string& box,
-                    const std::string& worker,
+                    const jobs::WorkerLife& worker,
                     const std::string& pool) {
   for (auto& [number, progress] : this->waves) {
     const auto found = progress.boxes.find(box);
     if (found == progress.boxes.end())
       continue;
     Upkeep& upkeep = found->second;
-    if (upkeep.state == UpkeepState::kDown && upkeep.worker_before != worker)
+    if (upkeep.state == UpkeepState::kDown &&
+        jobs::IsOtherLife(upkeep.worker_before, worker))
       upkeep.state = UpkeepState::kDone;
   }
   const auto move = this->moves.find(box);
-  if (move == this->moves.end() || move->second.worker_before == worker)
+  if (move == this->moves.end() ||
+      !jobs::IsOtherLife(move->second.worker_before, worker))
     return;
   if (move->second.done)
     this->moves.erase(move);
@@ -135,7 +137,7 @@
     if (at_rest) {
       view.boxes.push_back({.name = name,
                             .pool = info.pool,
-                            .worker = info.worker,
+                            .worker = {.id = info.worker},
                             .up = true,
                             .idle = true,
                             .lasting = 0,
@@ -337,7 +339,7 @@
          this->InUpkeep(box);
 }
 
-std::string Fleet::LifeBefore(const std::string& box) const {
+jobs::WorkerLife Fleet::LifeBefore(const std::string& box) const {
   const auto move = this->moves.find(box);
   if (move != this->moves.end())
     return move->second.worker_before;
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -48,11 +48,11 @@
 struct FleetBox {
   std::string name;
   std::string pool;
-  std::string worker;  // the life that announces itself; empty: none
-  bool up = false;     // it may be moved or taken down
-  bool idle = false;   // nothing runs on it
-  int lasting = 0;     // lasting tasks on it
-  double cores = 0.0;  // of its capacity
+  jobs::WorkerLife worker;  // that announces itself; empty: none
+  bool up = false;          // it may be moved or taken down
+  bool idle = false;        // nothing runs on it
+  int lasting = 0;          // lasting tasks on it
+  double cores = 0.0;       // of its capacity
   double busy_cores = 0.0;
 };
 
@@ -121,7 +121,7 @@
   void Inherit(const UpkeepBox& call, base::Micros now);
   // A life of the box announces itself, in this pool.
   void BoxSeen(const std::string& box,
-               const std::string& worker,
+               const jobs::WorkerLife& worker,
                const std::string& pool);
   // A worker on the box has answered this owner.
   void BoxAnswered(const std::string& box);
@@ -141,7 +141,7 @@
   // Nothing further is to be placed on the box.
   bool IsLeaving(const std::string& box) const;
   // The life that was on the box when its move or upkeep was asked for.
-  std::string LifeBefore(const std::string& box) const;
+  jobs::WorkerLife LifeBefore(const std::string& box) const;
   bool HasOpenWave() const;
   // Some box is away, so that the platform's list of boxes matters now.
   bool WantsBoxes() const;
@@ -156,7 +156,7 @@
   };
   struct Upkeep {
     UpkeepState state = UpkeepState::kPending;
-    std::string worker_before;  // the life that was there
+    jobs::WorkerLife worker_before;  // that was there
     base::Micros since{};
     base::Micros next_call{};
     bool in_flight = false;
@@ -172,7 +172,7 @@
   };
   struct Move {
     std::string pool;
-    std::string worker_before;
+    jobs::WorkerLife worker_before;
     base::Micros since{};
     base::Micros next_call{};
     bool in_flight = false;
--- a/scheduler/fleet_test.cc
+++ b/scheduler/fleet_test.cc
@@ -23,7 +23,7 @@
 FleetBox IdleBox(const std::string& name, const std::string& pool) {
   return {.name = name,
           .pool = pool,
-          .worker = name + "-life",
+          .worker = {.id = name + "-life"},
           .up = true,
           .idle = true,
           .lasting = 0,
@@ -163,7 +163,7 @@
       FleetBox& box = boxes[it->first];
       box.up = true;
       box.idle = true;
-      box.worker += "x";
+      box.worker.id += "x";
       fleet.BoxSeen(box.name, box.worker, box.pool);
       it = down.erase(it);
     }
@@ -201,7 +201,7 @@
         listed.push_back({.name = name,
                           .pool = "pool",
                           .state = box.up ? BoxState::kUp : BoxState::kUpkeep,
-                          .worker = box.worker,
+                          .worker = box.worker.id,
                           .cores = 16.0});
       }
       fleet.SetBoxes(listed, now, now);
@@ -251,7 +251,8 @@
   FleetView view{.boxes = {IdleBox("b1", "pool"), IdleBox("b2", "pool")},
                  .pools = {{.name = "pool", .spare = false, .needs = {}}}};
   const base::Micros now = seconds(10);
-  fleet.Inherit(UpkeepBox{.box = "b1", .wave = 1, .life = "b1-life"}, now);
+  fleet.Inherit(UpkeepBox{.box = "b1", .wave = 1, .life = {.id = "b1-life"}},
+                now);
   fleet.SetBoxes({{.name = "b1", .pool = "pool", .cores = 16.0},
                   {.name = "b2", .pool = "pool", .cores = 16.0}},
                  now, now);
@@ -267,7 +268,7 @@
   const auto made = Only<UpkeepBox>(fleet.Plan(view, now + milliseconds(250)));
   BOOST_REQUIRE(made.size() == 1U);
   BOOST_TEST(made[0].box == "b1");
-  BOOST_TEST(made[0].life == "b1-life");
+  BOOST_TEST(made[0].life.id == "b1-life");
 }
 
 // Something runs on the box: the earlier owner had given the call up, or it was
@@ -281,8 +282,10 @@
     box.idle = false;
     box.lasting = 1;
   }
-  fleet.Inherit(UpkeepBox{.box = "b1", .wave = 1, .life = "b1-life"}, now);
-  fleet.Inherit(MoveBox{.box = "b2", .pool = "other", .life = "b2-life"}, now);
+  fleet.Inherit(UpkeepBox{.box = "b1", .wave = 1, .life = {.id = "b1-life"}},
+                now);
+  fleet.Inherit(
+      MoveBox{.box = "b2", .pool = "other", .life = {.id = "b2-life"}}, now);
   fleet.SetBoxes({{.name = "b1", .pool = "pool", .cores = 16.0},
                   {.name = "b2", .pool = "pool", .cores = 16.0}},
                  now, now);
@@ -304,11 +307,12 @@
 BOOST_AUTO_TEST_CASE(BoxThatIsBackServesOnceItsMoveIsAnswered) {
   Fleet fleet(kLimits);
   const base::Micros now = seconds(10);
-  fleet.Inherit(MoveBox{.box = "b1", .pool = "other", .life = "b1-life"}, now);
-  fleet.BoxSeen("b1", "b1-next", "other");
+  fleet.Inherit(
+      MoveBox{.box = "b1", .pool = "other", .life = {.id = "b1-life"}}, now);
+  fleet.BoxSeen("b1", {.id = "b1-next"}, "other");
   BOOST_TEST(fleet.IsLeaving("b1"));
   FleetBox box = IdleBox("b1", "other");
-  box.worker = "b1-next";
+  box.worker = {.id = "b1-next"};
   const FleetView view{.boxes = {box}, .pools = {{.name = "other"}}};
   const auto made = Only<MoveBox>(fleet.Plan(view, now));
   BOOST_REQUIRE(made.size() == 1U);
@@ -408,9 +412,9 @@
   fleet.SetWave(wave(2), {}, seconds(2));
   fleet.SetBoxes({down}, seconds(2), seconds(2));
   // Its new life is there before the list shows it.
-  fleet.BoxSeen("b1", "b1-next-life", "pool");
+  fleet.BoxSeen("b1", {.id = "b1-next-life"}, "pool");
   fleet.SetBoxes({down}, seconds(4), seconds(4));
-  view.boxes[0].worker = "b1-next-life";
+  view.boxes[0].worker = {.id = "b1-next-life"};
   fleet.SetBoxes({up}, seconds(6), seconds(6));
   const std::vector<FleetStep> steps = fleet.Plan(view, seconds(6));
   for (const ReportWave& report : Only<ReportWave>(steps))
--- a/scheduler/inheritance.cc
+++ b/scheduler/inheritance.cc
@@ -23,19 +23,19 @@
     if (task.state == TaskState::kDone || task.state == TaskState::kPlaced)
       continue;
     task.newest_run = std::max(task.newest_run, placement.run);
-    const auto worker = this->workers.find(placement.worker);
+    Worker* worker = this->HolderOf(placement.worker);
     // A worker that no owner has in its list has no lease any more.
-    if (worker == this->workers.end()) {
+    if (!worker) {
       if (EpochOf(placement.run) < this->limits.epoch)
         lost.push_back({place, placement});
       continue;
     }
-    if (worker->second.listed)
+    if (worker->listed)
       continue;
     task.state = TaskState::kPlaced;
     task.run = placement.run;
-    task.worker = placement.worker;
-    this->InheritRun(job, place, placement.run, worker->second, now);
+    task.worker = worker->info.life;
+    this->InheritRun(job, place, placement.run, *worker, now);
   }
   for (const auto& [place, placement] : lost)
     this->NoteUnseenLoss(job, place, placement, now);
@@ -61,15 +61,14 @@
     const TaskPlace place{.occurrence = key.step.occurrence,
                           .step = key.step.step,
                           .index = key.index};
-    const auto worker = this->workers.find(placement.worker);
-    const bool is_known = Exists(job, place) && worker != this->workers.end() &&
-                          worker->second.runs.contains(IdOf(job, place));
+    Worker* worker = this->HolderOf(placement.worker);
+    const bool is_known =
+        Exists(job, place) && worker && worker->runs.contains(IdOf(job, place));
     if (is_known)
       continue;
-    const bool may_run = Exists(job, place) && worker != this->workers.end() &&
-                         !worker->second.listed;
+    const bool may_run = Exists(job, place) && worker && !worker->listed;
     if (may_run) {
-      this->InheritRun(job, place, placement.run, worker->second, now);
+      this->InheritRun(job, place, placement.run, *worker, now);
     } else {
       job.progress.stopping.erase(key);
       this->Changed(job);
--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -27,9 +27,9 @@
 
 struct Task {
   TaskState state = TaskState::kBlocked;
-  std::string worker;      // while placed
-  int run = 0;             // while placed: the run's number
-  int newest_run = 0;      // the highest number ever given
+  jobs::WorkerLife worker;  // while placed
+  int run = 0;              // while placed: the run's number
+  int newest_run = 0;       // the highest number ever given
   int inherited_run = 0;   // the newest of earlier owners that is accounted for
   bool at_work = false;    // lasting: has been seen at full work
   std::string checkpoint;  // newest seen; empty: none
@@ -39,15 +39,15 @@
   base::Micros lease_ended{};
   bool is_given_up = false;  // workers crash under it: it is not started again
   base::Micros newest_loss{};  // when a worker's was last noted under it
-  std::vector<std::string> failed_on;  // workers, newest last
+  std::vector<jobs::WorkerLife> failed_on;  // newest last
   int moved = 0;  // times it was taken off a stalled or slow worker
 };
 
 // What is known of the workers that may run a step.
 struct StepAdvice {
-  std::map<std::string, std::string> tickets;  // by worker
-  base::Micros until{};                        // they hold
-  base::Micros asked{};                        // when it was last asked for
+  std::map<jobs::WorkerLife, std::string> tickets;
+  base::Micros until{};  // they hold
+  base::Micros asked{};  // when it was last asked for
   bool in_flight = false;
 };
 
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -38,29 +38,29 @@
 
 }  // namespace
 
-void Scheduler::Listed(const std::string& id,
+void Scheduler::Listed(const jobs::WorkerLife& asked,
                        const Listing& listing,
                        base::Micros now) {
-  const auto found = this->workers.find(id);
-  if (found == this->workers.end())
+  Worker* answered = this->LifeThatAnswered(asked, listing.life, now);
+  if (!answered)
     return;
-  Worker& worker = found->second;
+  Worker& worker = *answered;
   // 1. It answers: its clock is known, and its lease renewed.
   worker.look_in_flight = false;
   worker.leased_until = std::max(worker.leased_until, worker.look_grant);
+  worker.told = std::max(worker.told, worker.look_acknowledged);
+  worker.is_in_doubt = false;
   if (worker.failed_calls > 0)
-    this->actions.emplace_back(Note{id, "answers again"});
+    this->actions.emplace_back(Note{worker.info.life.id, "answers again"});
   if (!worker.listed) {
     ++this->worker_change_count;
     this->fleet.BoxAnswered(worker.info.box);
     // From now on it refuses every earlier owner's grant: lasting tasks of one
     // that died 3 s after a takeover had waited for 7 s more.
-    worker.lease_end =
-        std::min(worker.lease_end, now + this->limits.longest_grant);
+    if (!worker.has_foreign_lease)
+      worker.lease_end =
+          std::min(worker.lease_end, now + this->limits.longest_grant);
   }
-  if (worker.listed && worker.listed_born_ms != listing.born_ms)
-    this->NoteRestart(worker, worker.listed_born_ms, listing.born_ms, true);
-  worker.listed_born_ms = listing.born_ms;
   worker.listed = true;
   worker.failed_calls = 0;
   worker.runs_presumed_over = false;
@@ -88,28 +88,17 @@
   this->MoveOffBadWorker(worker, now);
   this->PaceFillers(worker);
   this->Acknowledge(worker);
-  worker.next_look = has_news ? now + kPauseAfterEnds : now;
-}
-
-void Scheduler::NoteRestart(const Worker& worker,
-                            std::int64_t earlier_born_ms,
-                            std::int64_t born_ms,
-                            bool by_listing) {
-  this->actions.emplace_back(
-      WorkerRestarted{.worker = worker.info.id,
-                      .born_ms = born_ms,
-                      .earlier_born_ms = earlier_born_ms,
-                      .ends_read = worker.processed,
-                      .by_listing = by_listing});
+  // Ends that it may not be told of yet are listed again at once.
+  const bool repeats = worker.acknowledged > worker.told;
+  worker.next_look = has_news || repeats ? now + kPauseAfterEnds : now;
 }
 
 void Scheduler::NoteSkippedEnd(const Worker& worker, const ListedEnd& end) {
   const auto run = worker.runs.find(end.task);
   if (run == worker.runs.end() || run->second.number != end.run)
     return;
-  this->actions.emplace_back(EndSkipped{.worker = worker.info.id,
-                                        .end = end,
-                                        .ends_read = worker.processed});
+  this->actions.emplace_back(EndSkipped{
+      .worker = worker.info.life, .end = end, .ends_read = worker.processed});
 }
 
 void Scheduler::TakeRunning(Worker& worker,
@@ -120,7 +109,7 @@
     // An older run beside a newer one on the same worker is only ended.
     if (found != worker.runs.end()) {
       this->actions.emplace_back(StopRun{
-          .worker = worker.info.id, .task = listed.task, .run = listed.run});
+          .worker = worker.info.life, .task = listed.task, .run = listed.run});
       return;
     }
     this->AdoptRun(worker, listed, now);
@@ -133,6 +122,8 @@
   if (run.answered == base::Micros::zero())
     run.answered = now;
   run.missing_since = {};
+  run.is_seen = true;
+  run.possible_loss.reset();
   if (run.percent != listed.percent || run.progressed == base::Micros::zero())
     run.progressed = now;
   run.percent = listed.percent;
@@ -162,6 +153,7 @@
   run.since = now;
   run.answered = now;
   run.adopted = true;
+  run.is_seen = true;
   run.percent = listed.percent;
   run.progressed = now;
   run.load = listed.load;
@@ -203,7 +195,7 @@
                                              task.state == TaskState::kBlocked);
     if (wanted) {
       task.state = TaskState::kPlaced;
-      task.worker = worker.info.id;
+      task.worker = worker.info.life;
       task.run = listed.run;
       task.newest_run = std::max(task.newest_run, listed.run);
       task.at_work = listed.percent >= 100;
@@ -211,7 +203,7 @@
         task.checkpoint = listed.checkpoint;
       job->begun = true;
       job->progress.placed[KeyOf(PlaceOf(listed.task))] = {
-          .worker = worker.info.id, .run = task.run};
+          .worker = worker.info.life, .run = task.run};
       this->Changed(*job);
       return;
     }
@@ -222,7 +214,7 @@
       Note{listed.task.job,
            fmt::format("run {} of {}.{}.{} on {} is not wanted: stopped",
                        listed.run, listed.task.occurrence, listed.task.step,
-                       listed.task.index, worker.info.id)});
+                       listed.task.index, worker.info.life.id)});
   this->Stop(worker, listed.task, now);
 }
 
@@ -232,7 +224,7 @@
   std::set<jobs::TaskId> listed;
   for (const ListedRun& run : listing.running)
     listed.insert(run.task);
-  std::vector<std::pair<jobs::TaskId, int>> over;
+  std::vector<std::pair<jobs::TaskId, Run>> over;
   for (auto& [task, run] : worker.runs) {
     if (listed.contains(task))
       continue;
@@ -250,35 +242,39 @@
     if (run.missing_since == base::Micros::zero())
       run.missing_since = worker.look_sent;
     else if (worker.look_sent > run.missing_since + this->limits.stop_time)
-      over.emplace_back(task, run.number);
+      over.emplace_back(task, run);
   }
   for (const auto& [task, run] : over) {
     RemoveRun(worker, task);
-    this->TaskLost(task, run, now);
+    Job* job = this->FindJob(task.job);
+    if (run.possible_loss && job && Exists(*job, PlaceOf(task)))
+      this->NoteLoss(*job, PlaceOf(task), run.possible_loss->life,
+                     run.possible_loss->loss, now);
+    this->TaskLost(task, run.number, now);
   }
 }
 
 // What a call's outcome says of the worker and of this ownership. The worker,
 // or null if it is not known or its life is over.
-Worker* Scheduler::TakeOutcome(const std::string& id,
+Worker* Scheduler::TakeOutcome(const jobs::WorkerLife& life,
                                OrderOutcome outcome,
                                base::Micros now) {
-  const auto found = this->workers.find(id);
-  if (found == this->workers.end())
+  Worker* found = this->FindLife(life);
+  if (!found)
     return nullptr;
   if (outcome == OrderOutcome::kOtherLife) {
-    this->LifeIsOver(id, LossSign::kOtherLife, now);
+    this->LifeIsOver(life, LossSign::kOtherLife, now);
     return nullptr;
   }
   if (outcome == OrderOutcome::kFenced)
     this->is_fenced = true;
-  return &found->second;
+  return found;
 }
 
-void Scheduler::LookFailed(const std::string& id,
+void Scheduler::LookFailed(const jobs::WorkerLife& life,
                            OrderOutcome outcome,
                            base::Micros now) {
-  Worker* found = this->TakeOutcome(id, outcome, now);
+  Worker* found = this->TakeOutcome(life, outcome, now);
   if (!found)
     return;
   Worker& worker = *found;
@@ -287,8 +283,8 @@
     return;
   if (++worker.failed_calls == 1) {
     this->actions.emplace_back(
-        Note{id, fmt::format("does not answer ({})",
-                             base::NameOf(kOrderOutcomeNames, outcome))});
+        Note{life.id, fmt::format("does not answer ({})",
+                                  base::NameOf(kOrderOutcomeNames, outcome))});
   }
   worker.next_look =
       now + std::min(kLookAgain * worker.failed_calls, kLookAgainMost);
@@ -296,14 +292,17 @@
 
 void Scheduler::Started(const StartRun& order,
                         OrderOutcome outcome,
-                        base::Micros now) {
+                        base::Micros now,
+                        std::int64_t clock_ms) {
+  Worker* found = this->HolderOf(order.worker);
   // Another life answered: this one has not started it.
-  const auto there = this->workers.find(order.worker);
-  if (outcome == OrderOutcome::kOtherLife && there != this->workers.end()) {
-    RemoveRun(there->second, order.task);
+  if (outcome == OrderOutcome::kOtherLife && found) {
+    RemoveRun(*found, order.task);
     this->TaskLost(order.task, order.run, now);
   }
-  Worker* found = this->TakeOutcome(order.worker, outcome, now);
+  // Else the run is a later life's by now, which the answer says nothing of.
+  if (!found || found->info.life == order.worker)
+    found = this->TakeOutcome(order.worker, outcome, now);
   if (!found)
     return;
   Worker& worker = *found;
@@ -312,9 +311,12 @@
     return;
   Run& run = entry->second;
   Job* job = this->FindJob(order.task.job);
+  if (worker.info.life != order.worker)
+    worker.lease_end =
+        std::max(worker.lease_end, now + this->limits.longest_lease);
   if (outcome == OrderOutcome::kDone) {
     run.answered = now;
-    worker.failed_calls = 0;
+    this->NoteClock(worker, order, run, clock_ms, now);
     worker.unanswered_starts = 0;
     if (job)
       job->begun = true;
@@ -347,6 +349,24 @@
   this->TaskLost(order.task, order.run, now);
 }
 
+// Whether the life that was listed has answered the start.
+void Scheduler::NoteClock(Worker& worker,
+                          const StartRun& order,
+                          Run& run,
+                          std::int64_t clock_ms,
+                          base::Micros now) {
+  if (worker.info.life != order.worker)
+    return;
+  worker.failed_calls = 0;
+  if (clock_ms <= 0)
+    return;
+  run.is_seen = MayBeClockOf(worker, clock_ms, run.since);
+  if (run.is_seen)
+    return;
+  worker.is_in_doubt = true;
+  worker.next_look = std::min(worker.next_look, now);
+}
+
 // A worker that answers looks and no starts would take task after task.
 void Scheduler::RestIfStartsAreLost(Worker& worker, base::Micros now) {
   if (++worker.unanswered_starts < kStartsUntilRest)
@@ -354,18 +374,18 @@
   worker.unanswered_starts = 0;
   worker.quarantined_until = now + kRest;
   this->actions.emplace_back(Note{
-      worker.info.id,
+      worker.info.life.id,
       fmt::format("leaves {} starts in a row unanswered: nothing is placed "
                   "for {:.0f} s",
                   kStartsUntilRest, base::Seconds(kRest))});
 }
 
 bool Scheduler::StillWanted(const StartRun& order) const {
-  const auto worker = this->workers.find(order.worker);
-  if (worker == this->workers.end())
+  const Worker* worker = this->FindWorker(order.worker);
+  if (!worker)
     return false;
-  const auto run = worker->second.runs.find(order.task);
-  return run != worker->second.runs.end() && run->second.number == order.run &&
+  const auto run = worker->runs.find(order.task);
+  return run != worker->runs.end() && run->second.number == order.run &&
          run->second.state == RunState::kStarting;
 }
 
@@ -390,7 +410,7 @@
   // An answer to an earlier stop, of a start that was open, says nothing now.
   run.stop_answered = {};
   this->actions.emplace_back(
-      StopRun{.worker = worker.info.id, .task = task, .run = run.number});
+      StopRun{.worker = worker.info.life, .task = task, .run = run.number});
 }
 
 void Scheduler::Stopped(const StopRun& order,
@@ -436,7 +456,7 @@
 
 // Nothing runs beyond a lease: what is on a silent worker is over then.
 void Scheduler::ExpireLeases(base::Micros now) {
-  std::vector<std::string> forgotten;
+  std::vector<jobs::WorkerLife> forgotten;
   for (auto& [id, worker] : this->workers) {
     const bool over = now > worker.lease_end + kLeaseSlack;
     if (!over)
@@ -458,34 +478,9 @@
     if (!worker.announced && worker.failed_calls >= kCallsUntilSilent)
       forgotten.push_back(id);
   }
-  for (const std::string& id : forgotten)
+  for (const jobs::WorkerLife& id : forgotten)
     this->workers.erase(id);
   this->worker_change_count += forgotten.size();
 }
 
-void Scheduler::DropRuns(Worker& worker, LossSign sign, base::Micros now) {
-  if (worker.idle())
-    return;
-  const bool was_heard = worker.last_answer > base::Micros::zero();
-  WorkerLost lost{
-      .worker = worker.info.id,
-      .box = worker.info.box,
-      .sign = sign,
-      .heard_ago = was_heard ? now - worker.last_answer : base::Micros(-1)};
-  const std::map<jobs::TaskId, Run> runs = TakeRuns(worker);
-  for (const auto& [task, run] : runs) {
-    lost.runs.push_back({.task = task,
-                         .run = run.number,
-                         .age = now - run.since,
-                         .is_answered = run.answered > base::Micros::zero()});
-  }
-  std::stable_sort(
-      lost.runs.begin(), lost.runs.end(),
-      [](const LostRun& a, const LostRun& b) { return a.age < b.age; });
-  this->actions.emplace_back(std::move(lost));
-  this->NoteLosses(worker, runs, sign, now);
-  for (const auto& [task, run] : runs)
-    this->TaskLost(task, run.number, now);
-}
-
 }  // namespace quartzhoist::scheduler
--- a/scheduler/looks.cc
+++ b/scheduler/looks.cc
@@ -26,6 +26,18 @@
 // Ends that are not recorded yet are looked at this soon again.
 constexpr base::Micros kLookUnrecorded = milliseconds(20);
 
+// Ends are recorded, and the worker has not heard so.
+bool HasToTell(const Worker& worker) {
+  return worker.acknowledged > worker.told;
+}
+
+bool HasStartOnItsWay(const Worker& worker) {
+  return std::any_of(worker.runs.begin(), worker.runs.end(),
+                     [](const auto& entry) {
+                       return entry.second.state == RunState::kStarting;
+                     });
+}
+
 // How long a look may wait at the worker for an end.
 base::Micros WaitOfLook(const Worker& worker) {
   const bool stopping = std::any_of(
@@ -50,9 +62,10 @@
   const base::Micros spare = worker.leased_until - now - kLeastLease;
   const bool is_due = spare < kLeastLookWait;
   const base::Micros wait = WaitOfLook(worker);
+  const bool tells = HasToTell(worker) && MayAcknowledge(worker);
   return {
-      .worker = worker.info.id,
-      .acknowledged = worker.acknowledged,
+      .worker = worker.info.life,
+      .acknowledged = tells ? worker.acknowledged : 0,
       .wait = is_due ? wait : std::min(wait, spare),
       // A silent worker's lease is to run out, whether or not it hears this.
       .renews = is_due && worker.recorded && worker.failed_calls == 0};
@@ -60,26 +73,25 @@
 
 }  // namespace
 
-void Scheduler::Granted(const std::string& id, base::Micros end) {
-  const auto found = this->workers.find(id);
-  if (found != this->workers.end())
-    found->second.lease_end = std::max(found->second.lease_end, end);
+void Scheduler::Granted(const jobs::WorkerLife& life, base::Micros end) {
+  if (Worker* worker = this->FindLife(life))
+    worker->lease_end = std::max(worker->lease_end, end);
 }
 
-void Scheduler::LookGrants(const std::string& id, base::Micros end) {
-  this->Granted(id, end);
-  const auto found = this->workers.find(id);
-  if (found != this->workers.end())
-    found->second.look_grant = end;
+void Scheduler::LookGrants(const jobs::WorkerLife& life, base::Micros end) {
+  this->Granted(life, end);
+  if (Worker* worker = this->FindLife(life))
+    worker->look_grant = end;
 }
 
-void Scheduler::LookSent(const std::string& id, base::Micros now) {
-  const auto found = this->workers.find(id);
-  if (found == this->workers.end())
+void Scheduler::LookSent(const LookAt& order, base::Micros now) {
+  Worker* worker = this->FindLife(order.worker);
+  if (!worker)
     return;
-  found->second.look_in_flight = true;
-  found->second.look_grant = {};
-  found->second.look_sent = now;
+  worker->look_in_flight = true;
+  worker->look_grant = {};
+  worker->look_acknowledged = order.acknowledged;
+  worker->look_sent = now;
 }
 
 void Scheduler::DueLooks(base::Micros now) {
@@ -92,11 +104,14 @@
     const bool wanted = !worker.listed || !worker.idle() ||
                         worker.failed_calls > 0 ||
                         worker.acknowledged < worker.processed ||
-                        worker.acknowledged > worker.told;
+                        HasToTell(worker) || worker.is_in_doubt;
     if (!wanted || worker.look_in_flight || now < worker.next_look)
       continue;
-    // What has ended and is not recorded would be listed again at once.
-    if (worker.acknowledged < worker.processed) {
+    // What has ended and is not recorded, or may not be acknowledged while a
+    // start is on its way, would be listed again at once.
+    const bool would_repeat = worker.acknowledged < worker.processed ||
+                              (HasToTell(worker) && HasStartOnItsWay(worker));
+    if (would_repeat) {
       worker.next_look = now + kLookUnrecorded;
       const bool lease_lasts =
           worker.idle() || worker.leased_until - now > kLeastLease;
@@ -104,7 +119,6 @@
         continue;
     }
     worker.look_in_flight = true;
-    worker.told = worker.acknowledged;
     this->actions.emplace_back(NextLook(worker, now));
   }
 }
--- a/scheduler/pacing.cc
+++ b/scheduler/pacing.cc
@@ -50,7 +50,7 @@
     if (pace == run.pace)
       continue;
     run.pace = pace;
-    this->actions.emplace_back(PaceRun{.worker = worker.info.id,
+    this->actions.emplace_back(PaceRun{.worker = worker.info.life,
                                        .task = task,
                                        .run = run.number,
                                        .percent = pace});
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -58,7 +58,7 @@
           .gpus = step.each.gpus * step.tasks};
 }
 
-std::string TicketFor(const StepRuns& runs, const std::string& worker) {
+std::string TicketFor(const StepRuns& runs, const jobs::WorkerLife& worker) {
   const auto found = runs.advice.tickets.find(worker);
   return found == runs.advice.tickets.end() ? std::string() : found->second;
 }
@@ -82,7 +82,7 @@
  public:
   StepSpread(const jobs::Step& step,
              const StepRuns& runs,
-             const std::map<std::string, Worker>& workers) {
+             const std::map<jobs::WorkerLife, Worker>& workers) {
     if (!step.lasting && step.most_per_worker == 0)
       return;
     for (const Task& task : runs.tasks) {
@@ -96,7 +96,7 @@
   }
 
   int On(const Worker& worker) const {
-    return Count(this->on_worker, worker.info.id);
+    return Count(this->on_worker, worker.info.life);
   }
   // On other workers of its rack.
   int Beside(const Worker& worker) const {
@@ -104,15 +104,14 @@
   }
 
  private:
-  using Counts = std::map<std::string, int, std::less<>>;
-
-  static int Count(const Counts& counts, const std::string& name) {
+  template <typename Name>
+  static int Count(const std::map<Name, int>& counts, const Name& name) {
     const auto found = counts.find(name);
     return found == counts.end() ? 0 : found->second;
   }
 
-  Counts on_worker;
-  Counts on_rack;
+  std::map<jobs::WorkerLife, int> on_worker;
+  std::map<std::string, int> on_rack;
 };
 
 // A worker was lost under the task on this box: it may have been the box's own
@@ -158,9 +157,9 @@
 
 bool Scheduler::Usable(const Worker& worker, base::Micros now) const {
   return worker.listed && worker.recorded && worker.announced &&
-         !worker.info.draining && worker.failed_calls == 0 &&
-         now >= worker.quarantined_until && worker.clock_ms > 0 &&
-         !this->fleet.IsLeaving(worker.info.box);
+         worker.is_described && !worker.is_in_doubt && !worker.info.draining &&
+         worker.failed_calls == 0 && now >= worker.quarantined_until &&
+         worker.clock_ms > 0 && !this->fleet.IsLeaving(worker.info.box);
 }
 
 // A later owner may have renewed a lease that seems to be over here, unless the
@@ -314,7 +313,7 @@
       if (is_shared)
         continue;
       if (job.queue.advice.required &&
-          !runs.advice.tickets.contains(worker->info.id))
+          !runs.advice.tickets.contains(worker->info.life))
         continue;
       if (step.most_per_worker > 0 &&
           spread.On(*worker) + share.members >= step.most_per_worker)
@@ -322,7 +321,7 @@
       // 2. What speaks against it.
       double cost = CostOf(*worker, now) + CostOfCompany(*worker, suspicion);
       if (std::find(task.failed_on.begin(), task.failed_on.end(),
-                    worker->info.id) != task.failed_on.end() ||
+                    worker->info.life) != task.failed_on.end() ||
           WasLostOn(job.progress, member, worker->info.box))
         cost += kFailedHere;
       if (!step.rack.empty() && worker->info.rack != step.rack)
@@ -383,7 +382,7 @@
   story.longest_wait = std::max(story.longest_wait, now - task.ready_since);
   ++story.runs;
   task.state = TaskState::kPlaced;
-  task.worker = worker.info.id;
+  task.worker = worker.info.life;
   task.run = run_number;
   task.newest_run = run_number;
   task.at_work = false;
@@ -393,7 +392,7 @@
   this->NoteLastTry(job, choice.place, run_number);
   const jobs::TaskId id = IdOf(job, choice.place);
   AddRun(worker, id, std::move(run));
-  job.progress.placed[KeyOf(choice.place)] = {.worker = worker.info.id,
+  job.progress.placed[KeyOf(choice.place)] = {.worker = worker.info.life,
                                               .run = run_number};
   this->Changed(job);
   this->save_now = true;
@@ -431,7 +430,7 @@
     worker.next_look = std::min(worker.next_look, now);
     const bool resumes = StepOf(job, start.place).checkpoints;
     this->actions.emplace_back(
-        StartRun{.worker = worker.info.id,
+        StartRun{.worker = worker.info.life,
                  .task = id,
                  .run = start.run,
                  .text = job.spec.text,
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -40,72 +40,10 @@
   }
 }
 
-void Scheduler::PutWorker(const WorkerInfo& info, base::Micros now) {
-  if (this->ended_lives.contains(info.id))
-    return;
-  const auto [entry, is_new] = this->workers.try_emplace(info.id);
-  Worker& worker = entry->second;
-  const bool had_drained = worker.info.draining;
-  if (!is_new && info.born_ms != worker.info.born_ms)
-    this->NoteRestart(worker, worker.info.born_ms, info.born_ms, false);
-  worker.info = info;
-  worker.announced = true;
-  if (is_new) {
-    ++this->worker_change_count;
-    worker.next_look = now;
-    this->fleet.BoxSeen(info.box, info.id, info.service);
-  }
-  if (info.draining && !had_drained)
-    this->actions.emplace_back(Note{info.id, "drains: nothing is placed"});
-}
-
-void Scheduler::WorkerUnlisted(const std::string& id, base::Micros now) {
-  this->ended_lives.erase(id);
-  const auto found = this->workers.find(id);
-  if (found == this->workers.end())
-    return;
-  found->second.announced = false;
-  found->second.unlisted = now;
-  if (found->second.idle() && !found->second.look_in_flight)
-    this->WorkerDied(id, LossSign::kLeft, now);
-}
-
-void Scheduler::WorkerDied(const std::string& id,
-                           LossSign sign,
-                           base::Micros now) {
-  const auto found = this->workers.find(id);
-  if (found == this->workers.end())
-    return;
-  this->DropRuns(found->second, sign, now);
-  this->workers.erase(found);
-  ++this->worker_change_count;
-}
-
-// A store that has forgotten its history is read anew, rows of ended lives
-// included: such a life on a box in upkeep would pass for the one after it.
-void Scheduler::LifeIsOver(const std::string& id,
-                           LossSign sign,
-                           base::Micros now) {
-  this->ended_lives.insert(id);
-  this->WorkerDied(id, sign, now);
-}
-
-void Scheduler::InheritWorker(const WorkerInfo& info, base::Micros lease_end) {
-  const auto [entry, is_new] = this->workers.try_emplace(info.id);
-  Worker& worker = entry->second;
-  if (is_new) {
-    worker.info = info;
-    worker.announced = false;
-  }
-  worker.lease_end = std::max(worker.lease_end, lease_end);
-  ++this->worker_change_count;
-}
-
-void Scheduler::WorkersRecorded(const std::vector<std::string>& ids) {
-  for (const std::string& id : ids) {
-    const auto found = this->workers.find(id);
-    if (found != this->workers.end())
-      found->second.recorded = true;
+void Scheduler::WorkersRecorded(const std::vector<jobs::WorkerLife>& lives) {
+  for (const jobs::WorkerLife& life : lives) {
+    if (Worker* worker = this->FindLife(life))
+      worker->recorded = true;
   }
 }
 
@@ -366,7 +304,7 @@
                          placement.run > TaskAt(job, place).inherited_run;
     if (is_news && this->TakeLatePlacement(job, place, placement))
       voided.push_back(place);
-    if (is_news && !this->workers.contains(placement.worker))
+    if (is_news && !this->HolderOf(placement.worker))
       this->NoteUnseenLoss(job, place, placement, now);
   }
   const bool was_final = job.finished();
@@ -403,11 +341,10 @@
                                   const jobs::Placement& placement) {
   Task& task = TaskAt(job, place);
   task.inherited_run = placement.run;
-  const auto worker = this->workers.find(placement.worker);
+  const Worker* worker = this->HolderOf(placement.worker);
   // A worker that has been listed under this epoch showed the run then, or
   // refuses it for good.
-  if (worker == this->workers.end() || worker->second.listed ||
-      task.state == TaskState::kDone)
+  if (!worker || worker->listed || task.state == TaskState::kDone)
     return false;
   this->VoidPlan(job, place);
   job.progress.placed[KeyOf(place)] = placement;
@@ -426,7 +363,7 @@
   if (planned != this->workers.end())
     RemoveRun(planned->second, IdOf(job, place));
   task.state = TaskState::kReady;
-  task.worker.clear();
+  task.worker = {};
 }
 
 std::map<std::string, int> Scheduler::WaitingJobs() const {
@@ -473,15 +410,10 @@
                   this->confirmed + this->limits.grant_bound);
 }
 
-std::int64_t Scheduler::Deadline(const std::string& worker,
+std::int64_t Scheduler::Deadline(const jobs::WorkerLife& worker,
                                  base::Micros end) const {
-  const auto found = this->workers.find(worker);
-  return found == this->workers.end() ? 0 : DeadlineFor(found->second, end);
-}
-
-const Worker* Scheduler::FindWorker(const std::string& id) const {
-  const auto found = this->workers.find(id);
-  return found == this->workers.end() ? nullptr : &found->second;
+  const Worker* known = this->FindWorker(worker);
+  return known ? DeadlineFor(*known, end) : 0;
 }
 
 }  // namespace quartzhoist::scheduler
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -40,6 +40,8 @@
   base::Micros grant_bound{};  // no lease lasts longer after a confirmation
   // No order grants more than this, on any clock.
   base::Micros longest_grant{};
+  // Workers cut any grant to this, on any clock.
+  base::Micros longest_lease{};
   base::Micros stop_time{};  // a stop takes at most so long
   std::uint64_t epoch = 1;   // of this ownership, from 1
   int shards = 1;            // over which the jobs are spread
@@ -76,7 +78,7 @@
   // it has been listed and recorded anew, this owner grants it none.
   void InheritWorker(const WorkerInfo& info, base::Micros lease_end);
   // The stored list names these as held by this owner.
-  void WorkersRecorded(const std::vector<std::string>& ids);
+  void WorkersRecorded(const std::vector<jobs::WorkerLife>& lives);
   // This shard's share of an organisation's quota, in thousandths.
   void SetQuotaShare(const std::string& organisation, int share) {
     this->quotas.SetShare(organisation, share);
@@ -93,23 +95,28 @@
   void Saved(const SaveResult& result, base::Micros now);
 
   // --- What came of actions ---
-  void Listed(const std::string& worker,
+  // `asked` is the life that was meant; another may have answered.
+  void Listed(const jobs::WorkerLife& asked,
               const Listing& listing,
               base::Micros now);
-  void LookFailed(const std::string& worker,
+  void LookFailed(const jobs::WorkerLife& worker,
                   OrderOutcome outcome,
                   base::Micros now);
-  void Started(const StartRun& order, OrderOutcome outcome, base::Micros now);
+  // `clock_ms` is the worker's clock, as its answer gave it; 0: not known.
+  void Started(const StartRun& order,
+               OrderOutcome outcome,
+               base::Micros now,
+               std::int64_t clock_ms = 0);
   void Stopped(const StopRun& order, OrderOutcome outcome, base::Micros now);
   // The answer to AskAdvice, or nothing if there was none.
   void Advised(const AskAdvice& asked,
                const std::optional<Advice>& advice,
                base::Micros now);
   // An order that grants a lease until `end` is about to be sent.
-  void Granted(const std::string& worker, base::Micros end);
-  void LookSent(const std::string& worker, base::Micros now);
+  void Granted(const jobs::WorkerLife& worker, base::Micros end);
+  void LookSent(const LookAt& order, base::Micros now);
   // The look that is sent now grants a lease until `end`.
-  void LookGrants(const std::string& worker, base::Micros end);
+  void LookGrants(const jobs::WorkerLife& worker, base::Micros end);
 
   // --- Boxes ---
   // What an earlier owner recorded before it called; told before anything else.
@@ -136,9 +143,11 @@
   // When a lease granted now is to end, on our clock.
   base::Micros LeaseEnd(base::Micros now) const;
   // A worker's deadline for a lease until `end`, on the worker's clock.
-  std::int64_t Deadline(const std::string& worker, base::Micros end) const;
+  std::int64_t Deadline(const jobs::WorkerLife& worker, base::Micros end) const;
+  const Worker* FindWorker(const jobs::WorkerLife& life) const;
+  // The life that is known under the id.
   const Worker* FindWorker(const std::string& id) const;
-  const std::map<std::string, Worker>& all_workers() const {
+  const std::map<jobs::WorkerLife, Worker>& all_workers() const {
     return this->workers;
   }
   const std::unordered_map<std::string, Job>& all_jobs() const {
@@ -197,14 +206,14 @@
   // ends
   void TakeEnd(Worker& worker, const ListedEnd& end, base::Micros now);
   void TakeFate(Job& job,
-                const std::string& worker,
+                const jobs::WorkerLife& worker,
                 const ListedEnd& end,
                 base::Micros now);
   void TaskDone(Job& job, const TaskPlace& place, base::Micros now);
   void TaskFailed(Job& job,
                   const TaskPlace& place,
                   int run,
-                  const std::string& worker,
+                  const jobs::WorkerLife& worker,
                   base::Micros now);
   // The run is over and did not finish the task: it is to be placed again.
   void TaskLost(const jobs::TaskId& id, int run, base::Micros now);
@@ -221,13 +230,13 @@
   void JudgeWorker(Worker& worker, bool failed, base::Micros now);
 
   // workers that were lost under tasks
-  void NoteLosses(const Worker& worker,
-                  const std::map<jobs::TaskId, Run>& runs,
-                  LossSign sign,
-                  base::Micros now);
+  std::map<jobs::TaskId, jobs::WorkerLoss> LossesUnder(
+      const Worker& worker,
+      const std::map<jobs::TaskId, Run>& runs,
+      LossSign sign);
   void NoteLoss(Job& job,
                 const TaskPlace& place,
-                const std::string& life,
+                const jobs::WorkerLife& life,
                 const jobs::WorkerLoss& loss,
                 base::Micros now);
   void NoteUnseenLoss(Job& job,
@@ -252,39 +261,64 @@
 
   // what workers tell of jobs that are not known yet
   struct UnknownJob {
-    std::vector<std::pair<std::string, ListedEnd>> ends;  // by their workers
-    std::vector<std::pair<std::string, jobs::TaskId>> runs;
+    std::vector<std::pair<jobs::WorkerLife, ListedEnd>> ends;
+    std::vector<std::pair<jobs::WorkerLife, jobs::TaskId>> runs;
   };
   UnknownJob& Unknown(const std::string& job);
   void HoldEnd(Worker& worker, const ListedEnd& end);
   void HoldRun(Worker& worker, const ListedRun& listed, base::Micros now);
   void MeetJob(Job& job, base::Micros now);
-  void ReleaseEnd(const std::string& worker,
+  void ReleaseEnd(const jobs::WorkerLife& worker,
                   const ListedEnd& end,
                   std::uint64_t change);
 
   // listings
-  Worker* TakeOutcome(const std::string& id,
+  Worker* TakeOutcome(const jobs::WorkerLife& life,
                       OrderOutcome outcome,
                       base::Micros now);
   void TakeRunning(Worker& worker, const ListedRun& listed, base::Micros now);
-  void NoteRestart(const Worker& worker,
-                   std::int64_t earlier_born_ms,
-                   std::int64_t born_ms,
-                   bool by_listing);
   void NoteSkippedEnd(const Worker& worker, const ListedEnd& end);
+  void NoteClock(Worker& worker,
+                 const StartRun& order,
+                 Run& run,
+                 std::int64_t clock_ms,
+                 base::Micros now);
   void RestIfStartsAreLost(Worker& worker, base::Micros now);
   void AdoptRun(Worker& worker, const ListedRun& listed, base::Micros now);
   void SettleMissing(Worker& worker, const Listing& listing, base::Micros now);
   void Acknowledge(Worker& worker);
 
-  // leases and looks
-  void ExpireLeases(base::Micros now);
+  // lives of workers
+  Worker* FindLife(const jobs::WorkerLife& life);
+  Worker* CurrentLife(const std::string& id);
+  // This life, or a later one that may have what was meant for it.
+  Worker* HolderOf(const jobs::WorkerLife& life);
+  bool IsKnownToBeOver(const jobs::WorkerLife& life) const;
+  Worker* LifeThatAnswered(const jobs::WorkerLife& asked,
+                           const jobs::WorkerLife& answered,
+                           base::Micros now);
+  Worker& Restarted(Worker& earlier, const WorkerInfo& info, base::Micros now);
+  void MoveRun(Worker& next,
+               const jobs::TaskId& id,
+               Run run,
+               const std::optional<PossibleLoss>& loss);
   // This life is over: nothing of it runs.
-  void WorkerDied(const std::string& id, LossSign sign, base::Micros now);
+  void WorkerDied(const jobs::WorkerLife& life,
+                  LossSign sign,
+                  base::Micros now);
   // The same for good: its announcement may still stand, and be read again.
-  void LifeIsOver(const std::string& id, LossSign sign, base::Micros now);
+  void LifeIsOver(const jobs::WorkerLife& life,
+                  LossSign sign,
+                  base::Micros now);
+  void LoseRuns(const Worker& worker,
+                const std::map<jobs::TaskId, Run>& runs,
+                const std::map<jobs::TaskId, jobs::WorkerLoss>& losses,
+                LossSign sign,
+                base::Micros now);
   void DropRuns(Worker& worker, LossSign sign, base::Micros now);
+
+  // leases and looks
+  void ExpireLeases(base::Micros now);
   void DueLooks(base::Micros now);
   void DueStops(base::Micros now);
   void Stop(Worker& worker, const jobs::TaskId& task, base::Micros now);
@@ -346,8 +380,10 @@
 
   Limits limits;
   jobs::Config config;
-  std::map<std::string, Worker> workers;
-  std::set<std::string> ended_lives;  // until their announcements are gone
+  std::map<jobs::WorkerLife, Worker> workers;  // one life of each id
+  // The latest start of a life that is over, by id, until its announcement is
+  // gone.
+  std::map<std::string, std::int64_t> ended_lives;
   std::unordered_map<std::string, Job> jobs;
   std::map<std::string, UnknownJob> unknown_jobs;
   std::map<std::string, ReadyTasks> ready;  // by service
--- a/scheduler/scheduler_test.cc
+++ b/scheduler/scheduler_test.cc
@@ -27,7 +27,7 @@
   bench.List("w", {});
   bench.AddJob("job");
   const StartRun start = bench.NextStart();
-  bench.scheduler.Granted("w", bench.now + milliseconds(2500));
+  bench.scheduler.Granted(bench.LifeOf("w"), bench.now + milliseconds(2500));
   bench.scheduler.Started(start, OrderOutcome::kDone, bench.now);
   const Listing running{.clock_ms = 0,
                         .running = {{.task = start.task,
@@ -77,7 +77,7 @@
       {.clock_ms = 0,
        .running = {{.task = found, .run = 7, .checkpoint = "", .percent = 1}},
        .ended = {}});
-  bench.scheduler.Granted("w", bench.now + seconds(4));
+  bench.scheduler.Granted(bench.LifeOf("w"), bench.now + seconds(4));
   BOOST_REQUIRE(bench.scheduler.FindWorker("w")->lease_end >=
                 bench.now + seconds(4));
   const auto asked = Only<LookAt>(bench.Turn());
@@ -97,7 +97,8 @@
   jobs::JobSpec spec;
   spec.steps.push_back(Bench::OneLastingTask());
   jobs::Progress progress;
-  progress.placed[{.step = {}, .index = 0}] = {.worker = "dies", .run = 1};
+  progress.placed[{.step = {}, .index = 0}] = {.worker = {.id = "dies"},
+                                               .run = 1};
   bench.scheduler.InheritWorker(Bench::Worker("dies"),
                                 bench.now + milliseconds(10'500));
   bench.scheduler.PutWorker(Bench::Worker("dies"), bench.now);
@@ -114,13 +115,14 @@
   const base::Micros heard = bench.now;
   StartRun start;
   while (start.worker.empty() && bench.now < heard + seconds(20)) {
-    bench.scheduler.LookFailed("dies", OrderOutcome::kUnknown, bench.now);
+    bench.scheduler.LookFailed(bench.LifeOf("dies"), OrderOutcome::kUnknown,
+                               bench.now);
     const std::vector<Action> actions = bench.Turn();
     bench.Save(Only<SaveProgress>(actions));
     for (const StartRun& one : Only<StartRun>(actions))
       start = one;
   }
-  BOOST_TEST(start.worker == "lives");
+  BOOST_TEST(start.worker.id == "lives");
   // A lease of 4 s, clocks that differ by 2%, and a few turns.
   BOOST_CHECK(bench.now < heard + milliseconds(5500));
 }
@@ -182,20 +184,20 @@
   bench.now += seconds(8);
   const StartRun second = bench.NextStart();
   BOOST_REQUIRE(second.run == 2);
-  BOOST_TEST(second.worker != first.worker);
+  BOOST_CHECK(second.worker != first.worker);
   bench.scheduler.Granted(second.worker, bench.now + seconds(4));
   bench.scheduler.Started(second, OrderOutcome::kDone, bench.now);
   // The cut heals: the first run had been done before its lease ran out.
-  bench.List(first.worker, {.clock_ms = 0,
-                            .running = {},
-                            .ended = {{.number = 1,
-                                       .task = first.task,
-                                       .run = first.run,
-                                       .how = RunEnd::kDone,
-                                       .checkpoint = ""}}});
+  bench.List(first.worker.id, {.clock_ms = 0,
+                               .running = {},
+                               .ended = {{.number = 1,
+                                          .task = first.task,
+                                          .run = first.run,
+                                          .how = RunEnd::kDone,
+                                          .checkpoint = ""}}});
   const auto stops = Only<StopRun>(bench.Turn());
   BOOST_REQUIRE(stops.size() == 1);
-  BOOST_TEST(stops[0].worker == second.worker);
+  BOOST_TEST(stops[0].worker.id == second.worker.id);
 }
 
 BOOST_AUTO_TEST_CASE(FillingTasksRestWhenTheTailOfServingOnesIsOver) {
@@ -246,11 +248,11 @@
   BOOST_TEST(Only<SaveProgress>(asked).empty());
   // One question at a time.
   BOOST_TEST(Only<AskAdvice>(bench.Turn()).empty());
-  bench.scheduler.Advised(Only<AskAdvice>(asked)[0],
-                          Advice{.tickets = {{"b", "t"}}, .valid = seconds(3)},
-                          bench.now);
+  bench.scheduler.Advised(
+      Only<AskAdvice>(asked)[0],
+      Advice{.tickets = {{{.id = "b"}, "t"}}, .valid = seconds(3)}, bench.now);
   const StartRun start = bench.NextStart();
-  BOOST_TEST(start.worker == "b");
+  BOOST_TEST(start.worker.id == "b");
   BOOST_TEST(start.ticket == "t");
   // Refused there: the ticket is not used again.
   bench.scheduler.Started(start, OrderOutcome::kNoTicket, bench.now);
@@ -266,7 +268,7 @@
   bench.AddJob("job", Bench::OneLastingTask());
   const StartRun start = bench.NextStart();
   BOOST_REQUIRE(start.run == 1);
-  bench.scheduler.Granted("w", bench.now + seconds(8));
+  bench.scheduler.Granted(bench.LifeOf("w"), bench.now + seconds(8));
   bench.scheduler.Started(start, OrderOutcome::kUnknown, bench.now);
   BOOST_TEST(Only<StopRun>(bench.Turn()).empty());
   bench.List("w", {});
@@ -350,7 +352,8 @@
   };
   bench.scheduler.PutWorker(on_box("old", "box-1"), bench.now);
   bench.List("old", {});
-  bench.scheduler.LookFailed("old", OrderOutcome::kOtherLife, bench.now);
+  bench.scheduler.LookFailed(bench.LifeOf("old"), OrderOutcome::kOtherLife,
+                             bench.now);
   bench.scheduler.PutWorker(on_box("new", "box-1"), bench.now);
   bench.List("new", {});
   bench.scheduler.PutWorker(on_box("other", "box-2"), bench.now);
@@ -440,7 +443,7 @@
       starts.push_back(more);
     for (const StartRun& start : starts) {
       bench.scheduler.Started(start, OrderOutcome::kDone, bench.now);
-      running[start.worker].push_back(start);
+      running[start.worker.id].push_back(start);
       is_started = is_started || start.task.job == "large";
     }
     ++number;
--- a/scheduler/suspects.cc
+++ b/scheduler/suspects.cc
@@ -57,7 +57,7 @@
   return count >= kLossesUntilProbe ? Suspicion::kProbe : Suspicion::kSlight;
 }
 
-void OpenLosses::Add(const std::string& life,
+void OpenLosses::Add(const jobs::WorkerLife& life,
                      const std::string& box,
                      const std::string& job) {
   Life& entry = this->lives[life];
@@ -66,7 +66,7 @@
   this->by_box[box].insert(life);
 }
 
-std::set<std::string> OpenLosses::Take(const std::string& life) {
+std::set<std::string> OpenLosses::Take(const jobs::WorkerLife& life) {
   const auto found = this->lives.find(life);
   if (found == this->lives.end())
     return {};
@@ -79,13 +79,14 @@
   return taken.jobs;
 }
 
-std::vector<std::string> OpenLosses::OthersOn(const std::string& box,
-                                              const std::string& life) const {
+std::vector<jobs::WorkerLife> OpenLosses::OthersOn(
+    const std::string& box,
+    const jobs::WorkerLife& life) const {
   const auto found = this->by_box.find(box);
   if (found == this->by_box.end())
     return {};
-  std::vector<std::string> others;
-  for (const std::string& lost : found->second) {
+  std::vector<jobs::WorkerLife> others;
+  for (const jobs::WorkerLife& lost : found->second) {
     if (lost != life)
       others.push_back(lost);
   }
--- a/scheduler/suspects.h
+++ b/scheduler/suspects.h
@@ -43,14 +43,14 @@
 // its box.
 class OpenLosses {
  public:
-  void Add(const std::string& life,
+  void Add(const jobs::WorkerLife& life,
            const std::string& box,
            const std::string& job);
   // Takes what is open of this life out; the jobs concerned.
-  std::set<std::string> Take(const std::string& life);
+  std::set<std::string> Take(const jobs::WorkerLife& life);
   // Other lives than this one that were lost on the box.
-  std::vector<std::string> OthersOn(const std::string& box,
-                                    const std::string& life) const;
+  std::vector<jobs::WorkerLife> OthersOn(const std::string& box,
+                                         const jobs::WorkerLife& life) const;
   std::size_t size() const { return this->lives.size(); }
 
  private:
@@ -58,8 +58,8 @@
     std::string box;
     std::set<std::string> jobs;
   };
-  std::map<std::string, Life> lives;
-  std::map<std::string, std::set<std::string>> by_box;
+  std::map<jobs::WorkerLife, Life> lives;
+  std::map<std::string, std::set<jobs::WorkerLife>> by_box;
 };
 
 }  // namespace quartzhoist::scheduler
--- a/scheduler/suspects_test.cc
+++ b/scheduler/suspects_test.cc
@@ -17,6 +17,10 @@
 using testing::Only;
 using Bench = testing::SchedulerBench;
 
+jobs::WorkerLife Life(const char* id) {
+  return {.id = id};
+}
+
 jobs::WorkerLoss Crash(int run, const std::string& box) {
   return {.run = run, .box = box, .has_crashed = true, .was_seen = true};
 }
@@ -38,8 +42,8 @@
   spec.steps[0].tasks = 2;
   jobs::Progress progress;
   const jobs::TaskKey suspect{.step = {}, .index = 0};
-  progress.MarkLost(suspect, "a", Crash(1, "box-a"));
-  progress.MarkLost(suspect, "b", Crash(2, "box-b"));
+  progress.MarkLost(suspect, Life("a"), Crash(1, "box-a"));
+  progress.MarkLost(suspect, Life("b"), Crash(2, "box-b"));
   bench.scheduler.AddJob(MakeJob("job", queue, spec, progress, bench.now, {}),
                          bench.now);
   const std::vector<SaveProgress> saves = Only<SaveProgress>(bench.Turn());
@@ -50,27 +54,29 @@
 }
 
 BOOST_AUTO_TEST_CASE(LossesAreJudgedByWhatIsKnownOfThem) {
-  const jobs::WorkerLosses two{{"a", Crash(1, "x")}, {"b", Crash(2, "y")}};
+  const jobs::WorkerLosses two{{Life("a"), Crash(1, "x")},
+                               {Life("b"), Crash(2, "y")}};
   BOOST_CHECK(Judge({}, {}, seconds(9)) == Suspicion::kNone);
-  BOOST_CHECK(Judge({{"a", Crash(1, "x")}}, {}, seconds(9)) ==
+  BOOST_CHECK(Judge({{Life("a"), Crash(1, "x")}}, {}, seconds(9)) ==
               Suspicion::kSlight);
   BOOST_CHECK(Judge(two, {}, seconds(9)) == Suspicion::kProbe);
   // A third one of which it is not known yet whether it was a crash.
   jobs::WorkerLosses three = two;
-  three["c"] = {.run = 3, .box = "z", .was_alone = true};
+  three[Life("c")] = {.run = 3, .box = "z", .was_alone = true};
   BOOST_CHECK(Judge(three, {}, seconds(1)) == Suspicion::kHeld);
   BOOST_CHECK(Judge(three, {}, seconds(9)) == Suspicion::kProbe);
   BOOST_CHECK(Judge(three, {4}, seconds(9)) == Suspicion::kProbe);
   BOOST_CHECK(Judge(three, {4, 5}, seconds(9)) == Suspicion::kCause);
-  three["c"].has_crashed = true;
+  three[Life("c")].has_crashed = true;
   BOOST_CHECK(Judge(three, {}, seconds(1)) == Suspicion::kCause);
   // In company it tells no more than the other two.
-  three["c"].was_alone = false;
+  three[Life("c")].was_alone = false;
   BOOST_CHECK(Judge(three, {}, seconds(9)) == Suspicion::kProbe);
   // Always on the same box.
-  jobs::WorkerLosses one_box{
-      {"a", Crash(1, "x")}, {"b", Crash(2, "x")}, {"c", Crash(3, "x")}};
-  one_box["c"].was_alone = true;
+  jobs::WorkerLosses one_box{{Life("a"), Crash(1, "x")},
+                             {Life("b"), Crash(2, "x")},
+                             {Life("c"), Crash(3, "x")}};
+  one_box[Life("c")].was_alone = true;
   BOOST_CHECK(Judge(one_box, {}, seconds(9)) == Suspicion::kProbe);
 }
 
@@ -84,7 +90,7 @@
     bench.AddJob("job", Bench::OneLastingTask());
     const StartRun start = bench.NextStart();
     bench.scheduler.Started(start, OrderOutcome::kDone, bench.now);
-    bench.scheduler.LookFailed("w", OrderOutcome::kUnknown, bench.now);
+    bench.scheduler.LookFailed(Life("w"), OrderOutcome::kUnknown, bench.now);
     bench.now += seconds(8);
     bench.Turn();
     const auto losses = [&] {
@@ -94,7 +100,7 @@
                                                 : found->second;
     };
     BOOST_REQUIRE(losses().size() == 1U);
-    BOOST_TEST(!losses().at("w").has_crashed);
+    BOOST_TEST(!losses().at(Life("w")).has_crashed);
     if (answers) {
       bench.List("w", {});
       BOOST_TEST(losses().empty());
@@ -104,7 +110,7 @@
     next.box = "box-w";
     bench.scheduler.PutWorker(next, bench.now);
     bench.List("next", {});
-    BOOST_TEST(losses().at("w").has_crashed);
+    BOOST_TEST(losses().at(Life("w")).has_crashed);
   }
 }
 
--- a/scheduler/unknown_jobs.cc
+++ b/scheduler/unknown_jobs.cc
@@ -22,7 +22,7 @@
 }
 
 void Scheduler::HoldEnd(Worker& worker, const ListedEnd& end) {
-  this->Unknown(end.task.job).ends.emplace_back(worker.info.id, end);
+  this->Unknown(end.task.job).ends.emplace_back(worker.info.life, end);
   worker.pending_ends.push_back(
       {.number = end.number, .job = end.task.job, .is_held = true});
 }
@@ -36,12 +36,14 @@
   run.since = now;
   run.answered = now;
   run.adopted = true;
+  run.is_seen = true;
   run.percent = listed.percent;
   AddRun(worker, listed.task, std::move(run));
   // It runs, so it has a lease, whoever granted it.
   worker.lease_end =
       std::max(worker.lease_end, now + this->limits.longest_grant);
-  this->Unknown(listed.task.job).runs.emplace_back(worker.info.id, listed.task);
+  this->Unknown(listed.task.job)
+      .runs.emplace_back(worker.info.life, listed.task);
 }
 
 // The job has become known: what was held of it is taken now.
@@ -88,7 +90,7 @@
 }
 
 // The end may be acknowledged once this change of its job is saved.
-void Scheduler::ReleaseEnd(const std::string& id,
+void Scheduler::ReleaseEnd(const jobs::WorkerLife& id,
                            const ListedEnd& end,
                            std::uint64_t change) {
   const auto worker = this->workers.find(id);
--- a/scheduler/worker.cc
+++ b/scheduler/worker.cc
@@ -1,11 +1,15 @@
 #include "scheduler/worker.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace quartzhoist::scheduler {
 
 namespace {
 
+// By so much an answer may overtake one that was given before.
+constexpr base::Micros kOvertaken = std::chrono::milliseconds(100);
+
 void Uncount(const Run& run) {
   if (run.counted)
     *run.counted = *run.counted - run.counts;
@@ -55,6 +59,28 @@
   return std::exchange(worker.runs, {});
 }
 
+bool MayAcknowledge(const Worker& worker) {
+  const bool all_seen = std::all_of(
+      worker.runs.begin(), worker.runs.end(), [](const auto& entry) {
+        const Run& run = entry.second;
+        return run.is_seen || run.state == RunState::kPlanned ||
+               run.state == RunState::kInherited;
+      });
+  return worker.listed && worker.failed_calls == 0 && !worker.is_in_doubt &&
+         all_seen;
+}
+
+bool MayBeClockOf(const Worker& worker,
+                  std::int64_t clock_ms,
+                  base::Micros ordered) {
+  const base::Micros since =
+      std::max(ordered - worker.clock_read, base::Micros::zero());
+  const double least = static_cast<double>(worker.clock_ms) +
+                       base::Seconds(since) * 1000.0 * kSlowestClock -
+                       static_cast<double>(base::Millis(kOvertaken));
+  return worker.clock_ms > 0 && static_cast<double>(clock_ms) >= least;
+}
+
 bool IsShared(const Worker& worker) {
   bool serves = false;
   bool fills = false;
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "base/clock.h"
@@ -25,6 +26,12 @@
   kStopping,   // it is to end; the room is free once the end is listed
 };
 
+// A worker's life that was lost under a run, unless the next one has begun it.
+struct PossibleLoss {
+  jobs::WorkerLife life;
+  jobs::WorkerLoss loss;
+};
+
 struct Run {
   int number = 0;
   RunState state = RunState::kStarting;
@@ -44,6 +51,10 @@
   bool lasting = false;
   bool fills = false;
   bool adopted = false;  // started by an earlier owner
+  // Its worker's life has been heard to have it; else a later one may.
+  bool is_seen = false;
+  // Of the life before this one: what is to be noted if this one never had it.
+  std::optional<PossibleLoss> possible_loss;
   // Of crashing its worker; none once it has run on for some time.
   Suspicion suspicion = Suspicion::kNone;
   int percent = 0;
@@ -63,11 +74,17 @@
 
 struct Worker {
   WorkerInfo info;
-  std::int64_t listed_born_ms = 0;  // the start of the life that answered last
   bool listed = false;  // has answered a look under this owner's epoch
   // The stored list says that this owner grants it leases.
   bool recorded = false;
-  bool announced = true;    // its announcement stands in the store
+  bool announced = true;  // its announcement stands in the store
+  // Room and labels are its own; else those of the life before, and its own
+  // announcement has not been read.
+  bool is_described = true;
+  // It may hold a lease that was granted on the clock of the life before.
+  bool has_foreign_lease = false;
+  // A start was answered by an earlier clock: a later life may be there.
+  bool is_in_doubt = false;
   base::Micros unlisted{};  // when its announcement went
   bool look_in_flight = false;
   base::Micros look_sent{};
@@ -79,6 +96,7 @@
   // A lower bound: until when looks that it has answered granted it a lease.
   base::Micros leased_until{};
   base::Micros look_grant{};  // what the look in flight grants; 0: nothing
+  std::int64_t look_acknowledged = 0;  // what the look in flight acknowledges
   // Runs were taken as over with their lease, and it has not answered since.
   bool runs_presumed_over = false;
   // Its clock, as read at `clock_read` on ours (when the answer came).
@@ -86,7 +104,7 @@
   base::Micros clock_read{};
   std::int64_t processed = 0;           // ends up to this number were taken in
   std::int64_t acknowledged = 0;        // ends up to this number are recorded
-  std::int64_t told = 0;                // the number that the last look told it
+  std::int64_t told = 0;                // ends that it knows to be recorded
   std::deque<PendingEnd> pending_ends;  // taken in, not yet recorded
   std::map<jobs::TaskId, Run> runs;
   jobs::Resources used;
@@ -115,6 +133,17 @@
 // Takes all of its runs off the worker.
 std::map<jobs::TaskId, Run> TakeRuns(Worker& worker);
 
+// May the worker be told to forget ends? A later life that hears the number,
+// and has ended runs of its own, would forget those unread.
+bool MayAcknowledge(const Worker& worker);
+
+// Whether this reading of a clock, for a start that was ordered at `ordered`,
+// can be of the life that was listed: clocks never go back, and the next life's
+// starts anew.
+bool MayBeClockOf(const Worker& worker,
+                  std::int64_t clock_ms,
+                  base::Micros ordered);
+
 // Do tasks that serve run beside tasks that fill?
 bool IsShared(const Worker& worker);
 
--- a/scheduler/worker_lives_test.cc
+++ b/scheduler/worker_lives_test.cc
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -63,18 +64,50 @@
   return text;
 }
 
+bool IsLasting(const ModelJob& job) {
+  return job.spec.steps.back().lasting;
+}
+
+// A drawn day of workers that start again, and a calm time after it.
+std::unique_ptr<SchedulerModel> RunRestartingWorkers(
+    const std::vector<ModelJob>& jobs) {
+  const auto odds = [](int most_per_mille) {
+    return *rc::gen::inRange(0, most_per_mille) / 1000.0;
+  };
+  ModelFaults faults;
+  faults.restart = *rc::gen::inRange(100, 2000) / 1000.0;
+  faults.failing_run = odds(300);
+  faults.lost_answer = odds(100);
+  faults.lost_order = odds(100);
+  faults.lost_save = odds(200);
+  faults.late_save = odds(100);
+  faults.cut = odds(300);
+  faults.takeover = odds(200);
+  faults.freeze = odds(100);
+  const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+  auto model = std::make_unique<SchedulerModel>(seed, faults,
+                                                *rc::gen::inRange(2, 6), jobs);
+  model->RunFor(seconds(25));
+  model->Heal();
+  model->RunFor(seconds(45));
+  RC_LOG() << Joined(model->broken()) << model->History();
+  return model;
+}
+
 }  // namespace
 
 // Guards against ends of a worker's next life that pass for ends already read.
 BOOST_AUTO_TEST_CASE(EndsAfterARestartUnderTheSameIdAreRead) {
   Bench bench(1);
-  bench.scheduler.PutWorker(Bench::Worker("w"), bench.now);
-  bench.List("w", {.born_ms = kFirstBorn});
+  scheduler::WorkerInfo first = Bench::Worker("w");
+  first.life.born_ms = kFirstBorn;
+  bench.scheduler.PutWorker(first, bench.now);
+  bench.List("w", {.life = {.id = "w", .born_ms = kFirstBorn}});
   bench.AddJob("before");
   const scheduler::StartRun before = bench.NextStart();
-  bench.scheduler.Granted("w", bench.now + milliseconds(2500));
+  bench.scheduler.Granted(bench.LifeOf("w"), bench.now + milliseconds(2500));
   bench.scheduler.Started(before, scheduler::OrderOutcome::kDone, bench.now);
-  bench.List("w", {.born_ms = kFirstBorn,
+  bench.List("w", {.life = {.id = "w", .born_ms = kFirstBorn},
                    .ended = {{.number = 5,
                               .task = before.task,
                               .run = before.run,
@@ -82,15 +115,18 @@
   bench.Save(Only<SaveProgress>(bench.Turn()));
   bench.Turn();
   // It starts again, numbers its ends from 1 and hears no older number.
-  bench.List("w", {.born_ms = kNextBorn});
+  scheduler::WorkerInfo next = Bench::Worker("w");
+  next.life.born_ms = kNextBorn;
+  bench.scheduler.PutWorker(next, bench.now);
+  bench.List("w", {.life = {.id = "w", .born_ms = kNextBorn}});
   bench.AddJob("after");
   const scheduler::StartRun after = bench.NextStart();
   BOOST_REQUIRE(after.task == FirstTask("after"));
-  bench.scheduler.Granted("w", bench.now + milliseconds(2500));
+  bench.scheduler.Granted(bench.LifeOf("w"), bench.now + milliseconds(2500));
   bench.scheduler.Started(after, scheduler::OrderOutcome::kDone, bench.now);
   for (const LookAt& look : Only<LookAt>(bench.Turn()))
     BOOST_TEST(look.acknowledged == 0);
-  bench.List("w", {.born_ms = kNextBorn,
+  bench.List("w", {.life = {.id = "w", .born_ms = kNextBorn},
                    .ended = {{.number = 1,
                               .task = after.task,
                               .run = after.run,
@@ -106,34 +142,31 @@
 BOOST_AUTO_TEST_CASE(EndsOfWorkersThatKeepTheirIdAreNotLost) {
   const bool holds = rc::check("tasks on restarting workers run once", [] {
     const std::vector<ModelJob> jobs = DrawJobs(*rc::gen::inRange(2, 7));
-    ModelFaults faults;
-    faults.restart = *rc::gen::inRange(100, 2000) / 1000.0;
-    faults.failing_run = *rc::gen::inRange(0, 300) / 1000.0;
-    faults.lost_answer = *rc::gen::inRange(0, 100) / 1000.0;
-    faults.lost_order = *rc::gen::inRange(0, 100) / 1000.0;
-    faults.lost_save = *rc::gen::inRange(0, 200) / 1000.0;
-    faults.late_save = *rc::gen::inRange(0, 100) / 1000.0;
-    faults.cut = *rc::gen::inRange(0, 300) / 1000.0;
-    faults.takeover = *rc::gen::inRange(0, 200) / 1000.0;
-    faults.freeze = *rc::gen::inRange(0, 100) / 1000.0;
-    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
-    SchedulerModel model(seed, faults, *rc::gen::inRange(2, 6), jobs);
-    model.RunFor(seconds(25));
-    model.Heal();
-    model.RunFor(seconds(45));
-    RC_LOG() << Joined(model.broken()) << model.History();
-    RC_ASSERT(model.broken().empty());
+    const auto model = RunRestartingWorkers(jobs);
+    RC_ASSERT(model->broken().empty());
     for (const ModelJob& job : jobs) {
       RC_LOG() << job.id << " is "
-               << base::NameOf(jobs::kJobStateNames, model.StateOf(job.id));
-      if (job.spec.steps.back().lasting) {
-        const int missing =
-            job.spec.steps.back().tasks - model.RunningTasks(job.id);
-        RC_ASSERT(missing >= 0);
-        RC_ASSERT(missing <= model.TasksThatMayBeGivenUp(job.id));
-      } else {
-        RC_ASSERT(jobs::IsFinal(model.StateOf(job.id)));
-      }
+               << base::NameOf(jobs::kJobStateNames, model->StateOf(job.id))
+               << "\n";
+      if (!IsLasting(job))
+        RC_ASSERT(jobs::IsFinal(model->StateOf(job.id)));
+    }
+  });
+  BOOST_TEST(holds);
+}
+
+// Guards against lasting tasks that are given up for losses that were none.
+BOOST_AUTO_TEST_CASE(LastingTasksOutliveRestartsOfTheirWorkers) {
+  const bool holds = rc::check("lasting tasks run on", [] {
+    const std::vector<ModelJob> jobs = DrawJobs(*rc::gen::inRange(2, 7));
+    const auto model = RunRestartingWorkers(jobs);
+    for (const ModelJob& job : jobs) {
+      if (!IsLasting(job))
+        continue;
+      const int missing =
+          job.spec.steps.back().tasks - model->RunningTasks(job.id);
+      RC_ASSERT(missing >= 0);
+      RC_ASSERT(missing <= model->TasksThatMayBeGivenUp(job.id));
     }
   });
   BOOST_TEST(holds);
--- a/testing/scheduler_bench.h
+++ b/testing/scheduler_bench.h
@@ -37,13 +37,14 @@
     limits.lease = std::chrono::seconds(4);
     limits.grant_bound = std::chrono::seconds(10);
     limits.longest_grant = std::chrono::milliseconds(4200);
+    limits.longest_lease = std::chrono::milliseconds(8400);
     limits.stop_time = std::chrono::milliseconds(400);
     limits.epoch = epoch;
     return limits;
   }
 
   static scheduler::WorkerInfo Worker(const std::string& id) {
-    return {.id = id,
+    return {.life = {.id = id},
             .box = "box-" + id,
             .service = "pool",
             .address = id,
@@ -85,13 +86,22 @@
   void List(const std::string& worker,
             scheduler::Listing listing,
             base::Micros grant = {}) {
-    this->scheduler.LookSent(worker, this->now);
+    const jobs::WorkerLife asked = this->LifeOf(worker);
+    if (listing.life.empty())
+      listing.life = asked;
+    this->scheduler.LookSent({.worker = asked}, this->now);
     if (grant > base::Micros{})
-      this->scheduler.LookGrants(worker, grant);
+      this->scheduler.LookGrants(asked, grant);
     this->now += std::chrono::milliseconds(10);
     listing.clock_ms = this->now.count() / 1000;
-    this->scheduler.Listed(worker, listing, this->now);
-    this->scheduler.WorkersRecorded({worker});
+    this->scheduler.Listed(asked, listing, this->now);
+    this->scheduler.WorkersRecorded({this->LifeOf(worker)});
+  }
+
+  // The life that is known under the id.
+  jobs::WorkerLife LifeOf(const std::string& id) const {
+    const scheduler::Worker* known = this->scheduler.FindWorker(id);
+    return known ? known->info.life : jobs::WorkerLife{.id = id};
   }
 
   // The store confirms the ownership; nobody else takes over for 1.15 s.
--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -82,8 +82,8 @@
     for (const auto& [id, worker] : owner.scheduler->all_workers()) {
       text += fmt::format(
           "  {} listed {} failed calls {} look in flight {} lease to {:.2f}\n",
-          id, worker.listed, worker.failed_calls, worker.look_in_flight,
-          base::Seconds(worker.lease_end));
+          jobs::TextOf(id), worker.listed, worker.failed_calls,
+          worker.look_in_flight, base::Seconds(worker.lease_end));
       for (const auto& [task, run] : worker.runs) {
         text +=
             fmt::format("    {} {}.{} run {} state {}\n", task.job, task.step,
@@ -109,15 +109,14 @@
   worker.clock_rate = this->Chance(0.5) ? 1.0 : 0.98;
   worker.clock_offset = this->Between(0, 1'000'000);
   const scheduler::WorkerInfo info = this->InfoOf(worker);
-  this->workers[info.id] = std::move(worker);
+  this->workers[info.life.id] = std::move(worker);
   for (Owner& owner : this->owners)
     owner.scheduler->PutWorker(info, this->now);
 }
 
 scheduler::WorkerInfo SchedulerModel::InfoOf(const Worker& worker) const {
   const auto box = this->boxes.find(worker.box);
-  return {.id = worker.id,
-          .born_ms = worker.born_ms,
+  return {.life = {.id = worker.id, .born_ms = worker.born_ms},
           .box = worker.box,
           .service = box == this->boxes.end() ? "pool" : box->second.pool,
           .address = worker.id,
@@ -149,12 +148,12 @@
 // A worker is in the stored list, as held by this owner, before it is granted a
 // lease.
 void SchedulerModel::RecordListed(Owner& owner) {
-  std::vector<std::string> held;
-  for (const auto& [id, worker] : owner.scheduler->all_workers()) {
+  std::vector<jobs::WorkerLife> held;
+  for (const auto& [life, worker] : owner.scheduler->all_workers()) {
     if (!worker.listed || worker.recorded)
       continue;
-    held.push_back(id);
-    this->leases[id] = std::nullopt;
+    held.push_back(life);
+    this->leases[life.id] = {.life = life, .until = std::nullopt};
   }
   owner.scheduler->WorkersRecorded(held);
 }
@@ -175,6 +174,8 @@
   limits.grant_bound = kGrantBound;
   limits.longest_grant = base::Micros(static_cast<std::int64_t>(
       static_cast<double>(kLease.count()) * kClockSlack));
+  limits.longest_lease = base::Micros(static_cast<std::int64_t>(
+      static_cast<double>(kLongestLease.count()) * kClockSlack));
   limits.stop_time = milliseconds(400);
   limits.epoch = epoch;
   Owner owner;
@@ -193,9 +194,12 @@
     const auto lease = this->leases.find(id);
     if (lease != this->leases.end()) {
       // What the earlier owner held, this one carries with its end.
-      if (!lease->second)
-        lease->second = this->last_confirmed + bound;
-      made.InheritWorker(info, *lease->second);
+      std::optional<base::Micros>& until = lease->second.until;
+      if (!until)
+        until = this->last_confirmed + bound;
+      scheduler::WorkerInfo held = info;
+      held.life = lease->second.life;
+      made.InheritWorker(held, *until);
     }
     if (!worker.dark && worker.announced)
       made.PutWorker(info, this->now);
@@ -397,8 +401,12 @@
   else if (const auto* lost = std::get_if<scheduler::WorkerLost>(&action))
     this->Record(fmt::format(
         "owner {}: {} is lost ({}) with {} runs", this->owners[owner].epoch,
-        lost->worker, base::NameOf(scheduler::kLossSignNames, lost->sign),
+        lost->worker.id, base::NameOf(scheduler::kLossSignNames, lost->sign),
         lost->runs.size()));
+  else if (const auto* again = std::get_if<scheduler::WorkerRestarted>(&action))
+    this->Record(fmt::format(
+        "owner {}: {} has started again, {} runs may be there",
+        this->owners[owner].epoch, again->worker.id, again->moved_runs));
   else if (const auto* task = std::get_if<scheduler::TaskGivenUp>(&action))
     this->Record(fmt::format("owner {}: {} {}.{} is given up",
                              this->owners[owner].epoch, task->job,
--- a/testing/scheduler_model.h
+++ b/testing/scheduler_model.h
@@ -31,10 +31,10 @@
   // of the saves meanwhile half are lost, half are made once it is back.
   double part_away = 0.0;
   double crash = 0.0;  // a worker's life ends, a second
-  // A worker starts again under its id 20 to 1500 ms later, and knows nothing of
-  // before; owners hear of it 20 to 1500 ms after that. A second.
+  // A worker starts again under its id 20 to 1500 ms later, and knows nothing
+  // of before; owners hear of it 20 to 1500 ms after that. A second.
   double restart = 0.0;
-  double cut = 0.0;    // a worker is cut from an owner, a second
+  double cut = 0.0;  // a worker is cut from an owner, a second
   // A job was handed in while a new owner read what is kept: it hears of it 20
   // to 600 ms later. Per job and takeover.
   double late_job = 0.0;
@@ -67,6 +67,9 @@
                                            .memory_mb = 4000,
                                            .gpus = 0};
 
+// Workers cut any grant to this, on their own clocks.
+inline constexpr base::Micros kLongestLease = std::chrono::milliseconds(8000);
+
 class SchedulerModel {
  public:
   SchedulerModel(std::uint64_t seed,
@@ -238,6 +241,8 @@
   void EndRun(Worker& worker, const jobs::TaskId& task, scheduler::RunEnd how);
   void WorkOn(Worker& worker);
   void Note(Worker& worker, std::int64_t acknowledged);
+  // A start or a look grants a lease.
+  void Grant(Worker& worker, base::Micros deadline) const;
   base::Micros ClockOf(const Worker& worker) const;
   scheduler::Listing ListingOf(const Worker& worker) const;
   void Broke(const std::string& what);
@@ -249,7 +254,11 @@
   std::map<std::string, Worker> workers;
   // The stored list of workers that may hold a lease: until when, if the owner
   // has not listed them.
-  std::map<std::string, std::optional<base::Micros>> leases;
+  struct Lease {
+    jobs::WorkerLife life;
+    std::optional<base::Micros> until;
+  };
+  std::map<std::string, Lease> leases;
   std::map<std::string, StoredJob> jobs;
   std::vector<Owner> owners;
   std::vector<Event> events;
--- a/testing/scheduler_model_messages.cc
+++ b/testing/scheduler_model_messages.cc
@@ -91,13 +91,16 @@
   }
   by.Granted(order.worker, end);
   const std::uint64_t epoch = this->owners[index].epoch;
+  auto clock = std::make_shared<base::Micros>();
   this->Deliver(
-      index, order.worker,
-      [this, order, epoch, deadline](Worker& worker) {
+      index, order.worker.id,
+      [this, order, epoch, deadline, clock](Worker& worker) {
+        *clock = this->ClockOf(worker);
         return this->BeginRun(worker, order, epoch, deadline);
       },
-      [this, index, order](OrderOutcome outcome) {
-        this->owners[index].scheduler->Started(order, outcome, this->now);
+      [this, index, order, clock](OrderOutcome outcome) {
+        this->owners[index].scheduler->Started(order, outcome, this->now,
+                                               base::Millis(*clock));
       });
 }
 
@@ -105,7 +108,7 @@
                               const scheduler::StopRun& order) {
   const std::uint64_t epoch = this->owners[index].epoch;
   this->Deliver(
-      index, order.worker,
+      index, order.worker.id,
       [this, order, epoch](Worker& worker) {
         if (epoch < worker.epoch)
           return OrderOutcome::kFenced;
@@ -133,18 +136,18 @@
   const base::Micros deadline =
       order.renews ? milliseconds(by.Deadline(order.worker, end))
                    : milliseconds(0);
-  by.LookSent(order.worker, this->now);
+  by.LookSent(order, this->now);
   if (deadline > base::Micros::zero())
     by.LookGrants(order.worker, end);
   const std::uint64_t epoch = this->owners[index].epoch;
   auto listing = std::make_shared<scheduler::Listing>();
   this->Deliver(
-      index, order.worker,
+      index, order.worker.id,
       [this, order, epoch, deadline, listing](Worker& worker) {
         if (epoch < worker.epoch)
           return OrderOutcome::kFenced;
         worker.epoch = epoch;
-        worker.deadline = std::max(worker.deadline, deadline);
+        this->Grant(worker, deadline);
         this->Note(worker, order.acknowledged);
         *listing = this->ListingOf(worker);
         return OrderOutcome::kDone;
--- a/testing/scheduler_model_workers.cc
+++ b/testing/scheduler_model_workers.cc
@@ -25,6 +25,11 @@
              static_cast<double>(this->now.count()) * worker.clock_rate));
 }
 
+void SchedulerModel::Grant(Worker& worker, base::Micros deadline) const {
+  const base::Micros latest = this->ClockOf(worker) + kLongestLease;
+  worker.deadline = std::max(worker.deadline, std::min(deadline, latest));
+}
+
 OrderOutcome SchedulerModel::BeginRun(Worker& worker,
                                       const scheduler::StartRun& order,
                                       std::uint64_t epoch,
@@ -34,7 +39,7 @@
   worker.epoch = epoch;
   if (deadline < this->ClockOf(worker))
     return OrderOutcome::kLate;
-  worker.deadline = std::max(worker.deadline, deadline);
+  this->Grant(worker, deadline);
   const auto over = worker.over.find(order.task);
   const auto run = worker.running.find(order.task);
   if (run != worker.running.end() && run->second.number == order.run)
@@ -101,9 +106,8 @@
   next.capacity = kCapacity;
   next.born_ms = base::Millis(this->now);
   next.clock_rate = worker.clock_rate;
-  next.clock_offset =
-      -base::Micros(static_cast<std::int64_t>(
-          static_cast<double>(this->now.count()) * next.clock_rate));
+  next.clock_offset = -base::Micros(static_cast<std::int64_t>(
+      static_cast<double>(this->now.count()) * next.clock_rate));
   worker = next;
   this->Record(fmt::format("{} starts again", worker.id));
   for (std::size_t i = 0; i < this->owners.size(); ++i) {
@@ -252,7 +256,7 @@
 
 scheduler::Listing SchedulerModel::ListingOf(const Worker& worker) const {
   scheduler::Listing listing;
-  listing.born_ms = worker.born_ms;
+  listing.life = {.id = worker.id, .born_ms = worker.born_ms};
   listing.clock_ms = base::Millis(this->ClockOf(worker));
   for (const auto& [task, run] : worker.running) {
     if (run.stopping)
