Runs of unknown jobs leave no room on their worker until all are known

What callers could see: a worker filled over its room (LIMIT) right after a takeover. Cause: of the runs of jobs that a new owner does not know yet, the first took all the room that was left and the others took none; once its job was known it gave back all but its own, though others were not known yet. Now a worker has no room while any run there is of a job, or a task, that is not known.

--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -175,8 +175,7 @@
       run.takes.cpu_millis = 0;
   }
   // No task of the job: what it takes is not known.
-  if (!known)
-    run.takes = worker.room();
+  run.is_held = !known;
   AddRun(worker, listed.task, run);
   // It runs, so it has a lease, whoever granted it.
   worker.lease_end =
--- a/scheduler/unknown_jobs.cc
+++ b/scheduler/unknown_jobs.cc
@@ -27,12 +27,11 @@
       {.number = end.number, .job = end.task.job, .is_held = true});
 }
 
-// What it takes is not known: all that the worker has left.
 void Scheduler::HoldRun(Worker& worker,
                         const ListedRun& listed,
                         base::Micros now) {
   Run run{.number = listed.run, .state = RunState::kRunning};
-  run.takes = worker.room();
+  run.is_held = true;
   run.since = now;
   run.answered = now;
   run.adopted = true;
--- a/scheduler/unknown_jobs_test.cc
+++ b/scheduler/unknown_jobs_test.cc
@@ -45,6 +45,24 @@
   BOOST_TEST(Only<SaveProgress>(bench.Turn()).size() == 1U);
 }
 
+// Guards against a start over the room of a worker that runs tasks of two jobs
+// that are not known, once the first of them is.
+BOOST_AUTO_TEST_CASE(RunsOfSeveralUnknownJobsLeaveNoRoomUntilAllAreKnown) {
+  Bench bench(2);
+  bench.scheduler.PutWorker(Bench::Worker("w"), bench.now);
+  bench.List("w",
+             {.running = {{.task = FirstTask("first"), .run = 1, .percent = 40},
+                          {.task = FirstTask("second"), .run = 1}}});
+  jobs::Step large = Bench::OneTask();
+  large.each.cpu_millis = 2500;
+  bench.AddJob("first");
+  bench.AddJob("next", large);
+  for (const SaveProgress& save : Only<SaveProgress>(bench.Turn()))
+    BOOST_TEST(save.job != "next");
+  bench.AddJob("second");
+  BOOST_TEST(bench.scheduler.FindWorker("w")->room().cpu_millis == 2000);
+}
+
 // Its worker tells of it before the store does: forgotten there, it would be
 // started again.
 BOOST_AUTO_TEST_CASE(EndOfAJobThatIsNotKnownYetIsHeldUntilItIs) {
--- a/scheduler/worker.cc
+++ b/scheduler/worker.cc
@@ -31,6 +31,7 @@
   RemoveRun(worker, task);
   worker.used = worker.used + run.takes;
   worker.lasting += run.lasting;
+  worker.held += run.is_held;
   worker.suspects += run.suspicion != Suspicion::kNone;
   worker.probes += IsProbe(run);
   if (run.counted)
@@ -44,6 +45,7 @@
     return;
   worker.used = worker.used - found->second.takes;
   worker.lasting -= found->second.lasting;
+  worker.held -= found->second.is_held;
   ClearSuspicion(worker, found->second);
   Uncount(found->second);
   worker.runs.erase(found);
@@ -54,6 +56,7 @@
     Uncount(run);
   worker.used = {};
   worker.lasting = 0;
+  worker.held = 0;
   worker.suspects = 0;
   worker.probes = 0;
   return std::exchange(worker.runs, {});
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -51,6 +51,7 @@
   bool lasting = false;
   bool fills = false;
   bool adopted = false;  // started by an earlier owner
+  bool is_held = false;  // its job is not known, nor what it takes
   // Its worker's life has been heard to have it; else a later one may.
   bool is_seen = false;
   // Of the life before this one: what is to be noted if this one never had it.
@@ -109,6 +110,7 @@
   std::map<jobs::TaskId, Run> runs;
   jobs::Resources used;
   int lasting = 0;   // lasting tasks among the runs: they pin the box
+  int held = 0;      // runs of jobs that are not known
   int suspects = 0;  // runs that are watched for crashing it
   int probes = 0;    // of them, those beside which nothing is placed
   // Health, from the ends of tasks and failed calls.
@@ -118,7 +120,11 @@
   base::Micros quarantined_until{};
   base::Micros slow_until{};  // its runs take much longer than elsewhere
 
-  jobs::Resources room() const { return this->info.capacity - this->used; }
+  // None while it is not known what some of the runs take.
+  jobs::Resources room() const {
+    return this->held > 0 ? jobs::Resources()
+                          : this->info.capacity - this->used;
+  }
   bool idle() const { return this->runs.empty(); }
   // It answered on after its announcement had gone: it was to leave.
   bool has_withdrawn() const {
