Boxes are asked for only where they help; a given-up task waits for nothing

Cause: a lasting task that had waited for a second, for whatever reason, made its pool ask for one box more than it has, at each plan and before any other work. Tasks that were given up stayed in the queue and did so for good. So did one caller whose quota was used up, a label that no worker has, a task larger than any worker, and missing advice. Evidence: five tests of 150 boxes in three pools, one for each reason, failed before: 63 to 97 of 140 idle boxes of two other pools moved in 30 s.

Now: TaskState::kGivenUp, in no queue and no demand, kept through takeovers; each ready task has a WaitReason, which pool_state counts with the oldest wait of each; quota and unsuitable workers are no demand, in cores or in boxes; what is asked for a task that waits for room ends while its pool has an idle box, and is tried again after pauses of 4 to 64 s (box_requests). Lasting steps need boxes for the tasks that can be placed, not for all. After: the five tests pass with no box moved; a task that one more box would hold still gets it (LastingTaskThatABoxWouldHoldGetsOne).

--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -30,6 +30,17 @@
 constexpr base::Micros kRecordGap = milliseconds(40);
 constexpr int kMaxSavesInFlight = 2;
 
+// Of each reason, how many tasks wait and the longest of their waits in ms.
+std::string WaitingText(const scheduler::PoolState& state) {
+  std::string text;
+  for (const auto& [reason, waiting] : state.waiting_for) {
+    text += fmt::format("{}{} {} oldest {}", text.empty() ? "" : ", ",
+                        base::NameOf(scheduler::kWaitReasonNames, reason),
+                        waiting.tasks, base::Millis(waiting.oldest));
+  }
+  return text;
+}
+
 std::size_t PartsOf(const std::vector<scheduler::SaveProgress>& batch) {
   std::set<std::string> parts;
   for (const scheduler::SaveProgress& save : batch)
@@ -263,7 +274,9 @@
                {"load_percent", state.load_percent},
                {"waiting", state.waiting},
                {"waiting_cores", fmt::format("{:.0f}", state.waiting_cores)},
-               {"oldest_ms", base::Millis(state.oldest)}});
+               {"oldest_ms", base::Millis(state.oldest)},
+               {"waiting_for", WaitingText(state)},
+               {"given_up", state.given_up}});
   }
 }
 
@@ -290,7 +303,8 @@
     dump["jobs"].push_back(
         {{"id", id},
          {"queue", job.queue.name},
-         {"state", base::NameOf(jobs::kJobStateNames, job.progress.state)}});
+         {"state", base::NameOf(jobs::kJobStateNames, job.progress.state)},
+         {"given_up", scheduler::GivenUpTasks(job)}});
   }
   return dump.dump();
 }
--- a/scheduler/crashes.cc
+++ b/scheduler/crashes.cc
@@ -246,20 +246,27 @@
 
 // A task that crashes its workers ends its job. Lasting tasks beside it serve
 // on: stopping them all at once takes away more than may be, and it alone is
-// not started any more.
+// not started any more. What is placed is judged once its run is over.
 void Scheduler::GiveUpCauses(Job& job, base::Micros now) {
   if (job.finished())
     return;
+  const bool serves_on = HasLastingStep(job);
   for (const auto& [key, losses] : job.progress.losses) {
     const TaskPlace place = PlaceOfKey(key);
-    if (!Exists(job, place) || TaskAt(job, place).is_given_up ||
+    if (!Exists(job, place))
+      continue;
+    Task& task = TaskAt(job, place);
+    const bool may_start =
+        task.state == TaskState::kReady || task.state == TaskState::kBlocked;
+    if ((serves_on && !may_start) || task.state == TaskState::kGivenUp ||
         this->SuspicionOf(job, place, now) != Suspicion::kCause)
       continue;
-    TaskAt(job, place).is_given_up = true;
     this->actions.emplace_back(
         TaskGivenUp{.job = job.id, .task = key, .losses = losses});
-    if (HasLastingStep(job))
+    if (serves_on) {
+      task.state = TaskState::kGivenUp;
       continue;
+    }
     this->Finish(job, jobs::JobState::kFailed, now);
     return;
   }
--- a/scheduler/evacuation.cc
+++ b/scheduler/evacuation.cc
@@ -33,9 +33,15 @@
 // gets boxes for that (kFill of fleet.cc, less some slack).
 constexpr double kCoresTaken = 0.7;
 
+// Is it work that boxes could take up, or have?
+bool CountsAsDemand(const Task& task) {
+  return task.state == TaskState::kPlaced ||
+         (task.state == TaskState::kReady && IsServedByBoxes(task.waits_for));
+}
+
 }  // namespace
 
-FleetView Scheduler::ViewFleet(base::Micros now) const {
+FleetView Scheduler::ViewFleet(base::Micros now) {
   FleetView view;
   std::map<std::string, std::map<int, PoolNeed>> needs;
   for (const auto& [id, worker] : this->workers) {
@@ -60,7 +66,7 @@
   for (const auto& [service, tasks] : this->ready) {
     for (const ReadyTask& task : tasks) {
       const jobs::Step& step = StepOf(*task.job, task.place);
-      if (!step.fills)
+      if (!step.fills && CountsAsDemand(TaskAt(*task.job, task.place)))
         needs[service][task.priority].now_cores +=
             static_cast<double>(step.each.cpu_millis) / 1000.0;
     }
@@ -87,23 +93,43 @@
   for (const auto& [id, job] : this->jobs) {
     if (job.finished())
       continue;
-    for (const jobs::Step& step : job.spec.steps) {
-      if (!step.lasting)
-        continue;
-      const std::int64_t most = step.most_per_worker;
-      const std::int64_t boxes = most > 0 ? (step.tasks + most - 1) / most : 1;
-      int& known = least[job.queue.service];
-      known = std::max(known, static_cast<int>(boxes));
+    for (const Occurrence& occurrence : job.occurrences) {
+      for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+        const jobs::Step& step = job.spec.steps[s];
+        if (!step.lasting)
+          continue;
+        const std::vector<Task>& all = occurrence.steps[s].tasks;
+        const std::int64_t tasks =
+            std::count_if(all.begin(), all.end(), CountsAsDemand);
+        const std::int64_t most = step.most_per_worker;
+        const std::int64_t boxes = most > 0 ? (tasks + most - 1) / most
+                                            : std::min<std::int64_t>(tasks, 1);
+        int& known = least[job.queue.service];
+        known = std::max(known, static_cast<int>(boxes));
+      }
     }
   }
   return least;
 }
 
+bool Scheduler::IsStuck(const ReadyTask& task,
+                        bool has_cores,
+                        base::Micros now) const {
+  const Task& waiting = TaskAt(*task.job, task.place);
+  return waiting.state == TaskState::kReady &&
+         waiting.waits_for == WaitReason::kRoom &&
+         now - waiting.ready_since > kStuck &&
+         (task.prospect == Prospect::kLasting || has_cores);
+}
+
 // Cores alone do not show that a pool needs a box when its boxes are full of
 // something else: it gets one more than it has.
 void Scheduler::AddForStuckTasks(base::Micros now,
                                  const FleetView& view,
-                                 std::map<std::string, int>& least) const {
+                                 std::map<std::string, int>& least) {
+  std::map<std::string, int> idle;
+  for (const auto& [life, worker] : this->workers)
+    idle[worker.info.service] += worker.idle() && this->Usable(worker, now);
   for (const auto& [service, tasks] : this->ready) {
     int boxes = 0;
     double cores = 0.0;
@@ -115,16 +141,18 @@
       cores += box.cores;
       taken += box.busy_cores;
     }
+    const bool has_cores = taken < kCoresTaken * cores;
     const bool is_stuck =
         std::any_of(tasks.begin(), tasks.end(), [&](const ReadyTask& task) {
-          const Task& waiting = TaskAt(*task.job, task.place);
-          return waiting.state == TaskState::kReady &&
-                 now - waiting.ready_since > kStuck &&
-                 (task.prospect == Prospect::kLasting ||
-                  taken < kCoresTaken * cores);
+          return this->IsStuck(task, has_cores, now);
         });
-    if (is_stuck)
-      least[service] = std::max(least[service], boxes + 1);
+    if (!is_stuck) {
+      this->box_requests.Forget(service);
+      continue;
+    }
+    const int asked =
+        this->box_requests.Ask(service, boxes, idle[service], now);
+    least[service] = std::max(least[service], asked);
   }
 }
 
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -79,7 +79,14 @@
   int idle = 0;
   int pinned = 0;  // by lasting tasks
   double busy_cores = 0.0;
-  int waiting = 0;  // tasks
+  // Ready tasks, and how long the first has waited.
+  struct Waiting {
+    int tasks = 0;
+    base::Micros oldest{};
+  };
+  std::map<WaitReason, Waiting> waiting_for;
+  int given_up = 0;  // tasks
+  int waiting = 0;   // tasks
   double waiting_cores = 0.0;
   base::Micros oldest{};  // how long the first of them has waited
   // Cores that its work takes or waits for, of those that it could get: its own
--- a/scheduler/job.cc
+++ b/scheduler/job.cc
@@ -166,6 +166,17 @@
                      });
 }
 
+int GivenUpTasks(const Job& job) {
+  int count = 0;
+  for (const Occurrence& occurrence : job.occurrences) {
+    for (const StepRuns& step : occurrence.steps) {
+      for (const Task& task : step.tasks)
+        count += task.state == TaskState::kGivenUp;
+    }
+  }
+  return count;
+}
+
 bool AllDone(const Job& job) {
   for (const Occurrence& occurrence : job.occurrences) {
     for (const StepRuns& step : occurrence.steps) {
--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/enum_names.h"
 #include "jobs/job.h"
 #include "jobs/progress.h"
 #include "jobs/queue.h"
@@ -22,9 +23,34 @@
   kReady,
   kPlaced,  // a run of it is, or may be, on a worker
   kDone,
-  kFailed,  // all its attempts failed
+  kFailed,   // all its attempts failed
+  kGivenUp,  // workers crash under it: it is not started again
 };
 
+// What a ready task waits for.
+enum class WaitReason {
+  kRoom,     // on the boxes of its pool, or its turn
+  kQuota,    // its organisation's is used up
+  kWorker,   // no worker has its label, or is large enough
+  kAdvice,   // on which workers it may run
+  kLease,    // one that ran out may have been renewed by another owner
+  kSuspect,  // it is to start alone, or once its workers' fate is known
+};
+
+inline constexpr base::EnumNames<WaitReason, 6> kWaitReasonNames{{
+    {WaitReason::kRoom, "room"},
+    {WaitReason::kQuota, "quota"},
+    {WaitReason::kWorker, "worker"},
+    {WaitReason::kAdvice, "advice"},
+    {WaitReason::kLease, "lease"},
+    {WaitReason::kSuspect, "suspect"},
+}};
+
+// Could a box more let the task begin?
+constexpr bool IsServedByBoxes(WaitReason reason) {
+  return reason != WaitReason::kQuota && reason != WaitReason::kWorker;
+}
+
 struct Task {
   TaskState state = TaskState::kBlocked;
   jobs::WorkerLife worker;  // while placed
@@ -37,7 +63,7 @@
   // The newest run was taken as over because its lease ran out. Another owner
   // may have renewed that lease unless the store has confirmed this one since.
   base::Micros lease_ended{};
-  bool is_given_up = false;  // workers crash under it: it is not started again
+  WaitReason waits_for = WaitReason::kRoom;  // while ready
   base::Micros newest_loss{};  // when a worker's was last noted under it
   std::vector<jobs::WorkerLife> failed_on;  // newest last
   int moved = 0;  // times it was taken off a stalled or slow worker
@@ -158,6 +184,8 @@
 // (the first task) for a gang.
 std::vector<TaskPlace> ReleaseSteps(Job& job, base::Micros now);
 
+// Of its tasks, those that are not started again for the crashes under them.
+int GivenUpTasks(const Job& job);
 // Every task of every repeat is done.
 bool AllDone(const Job& job);
 // Has a task that is not done failed as often as its queue allows?
--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -190,8 +190,10 @@
           plan->second.state == RunState::kPlanned)
         this->VoidPlan(*job, PlaceOf(listed.task));
     }
-    const bool wanted = !job->finished() && (task.state == TaskState::kReady ||
-                                             task.state == TaskState::kBlocked);
+    const bool wanted =
+        !job->finished() &&
+        (task.state == TaskState::kReady || task.state == TaskState::kBlocked ||
+         task.state == TaskState::kGivenUp);
     if (wanted) {
       task.state = TaskState::kPlaced;
       task.worker = worker.info.life;
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -229,44 +229,75 @@
   if (!wanted)
     return Tried::kUnwanted;
   const auto step = std::make_pair(&job, task.place.step);
-  if (turn.nowhere.contains(step))
+  const auto nowhere = turn.nowhere.find(step);
+  if (nowhere != turn.nowhere.end()) {
+    TaskAt(job, task.place).waits_for = nowhere->second;
     return Tried::kStays;
+  }
   const Suspicion suspicion = this->SuspicionOfStart(job, task.place, now);
-  if (suspicion == Suspicion::kCause)
+  if (suspicion == Suspicion::kCause) {
     this->GiveUpCauses(job, now);
-  if (suspicion >= Suspicion::kHeld)
-    return Tried::kStays;
-  // What waits for its organisation's quota holds up nobody else.
-  if (!this->quotas.Allows(job.organisation, NeededBy(StepOf(job, task.place))))
-    return Tried::kStays;
-  if (this->PlaceOne(task, turn.candidates, now))
+    return Tried::kUnwanted;
+  }
+  const std::optional<WaitReason> reason =
+      this->PlaceOne(task, suspicion, turn.candidates, now);
+  if (!reason)
     return Tried::kPlaced;
-  // It fits, and waits for a worker that runs nothing: the others of its step,
-  // and of the pool, do not.
-  if (suspicion == Suspicion::kProbe)
+  TaskAt(job, task.place).waits_for = *reason;
+  // What waits for its organisation's quota, or for a worker that runs nothing,
+  // holds up nobody else: neither of its step nor of the pool.
+  const bool is_its_own =
+      *reason == WaitReason::kQuota || *reason == WaitReason::kSuspect;
+  if (is_its_own)
     return Tried::kStays;
-  turn.nowhere.insert(step);
+  turn.nowhere[step] = *reason;
   ++turn.misses;
   return Tried::kStays;
 }
 
-bool Scheduler::PlaceOne(const ReadyTask& ready_task,
-                         const std::vector<Worker*>& candidates,
-                         base::Micros now) {
+// Why it has not been placed; nothing if it has.
+std::optional<WaitReason> Scheduler::PlaceOne(
+    const ReadyTask& ready_task,
+    Suspicion suspicion,
+    const std::vector<Worker*>& candidates,
+    base::Micros now) {
   Job& job = *ready_task.job;
+  const jobs::Step& step = StepOf(job, ready_task.place);
+  if (suspicion >= Suspicion::kHeld)
+    return WaitReason::kSuspect;
+  if (!this->quotas.Allows(job.organisation, NeededBy(step)))
+    return WaitReason::kQuota;
   if (this->MayHaveBeenRenewed(job, ready_task.place))
-    return false;
+    return WaitReason::kLease;
   if (job.queue.advice.required &&
       !this->HasAdvice(job, ready_task.place, candidates, now))
-    return false;
+    return WaitReason::kAdvice;
   const std::vector<Choice> choices =
       this->ChooseFor(job, ready_task.place, candidates, now);
+  if (choices.empty() && suspicion == Suspicion::kProbe)
+    return WaitReason::kSuspect;
   if (choices.empty())
-    return false;
+    return this->SuitsSomeWorker(step) ? WaitReason::kRoom
+                                       : WaitReason::kWorker;
   const int run = this->NextRun(job, ready_task.place);
   for (const Choice& choice : choices)
     this->Plan(job, choice, run, now);
-  return true;
+  return std::nullopt;
+}
+
+// Has any worker, of whatever pool, its label and, empty, room for it? Of boxes
+// at rest it is not known.
+bool Scheduler::SuitsSomeWorker(const jobs::Step& step) const {
+  const bool has_spares =
+      std::any_of(this->config.services.begin(), this->config.services.end(),
+                  [](const jobs::Service& service) { return service.spare; });
+  const jobs::Resources takes = TakenBy(step);
+  return has_spares || std::any_of(this->workers.begin(), this->workers.end(),
+                                   [&](const auto& entry) {
+                                     const WorkerInfo& info = entry.second.info;
+                                     return HasLabel(info, step.label) &&
+                                            jobs::Fits(takes, info.capacity);
+                                   });
 }
 
 // One worker for a task, or one for each member of a gang; nothing if it, or
--- a/scheduler/pool_state.cc
+++ b/scheduler/pool_state.cc
@@ -66,12 +66,22 @@
     state.pool = service;
     for (const ReadyTask& task : tasks) {
       const jobs::Step& step = StepOf(*task.job, task.place);
+      const Task& waiting = TaskAt(*task.job, task.place);
+      if (waiting.state != TaskState::kReady)
+        continue;
+      const base::Micros waited = now - waiting.ready_since;
       ++state.waiting;
       state.waiting_cores += static_cast<double>(step.each.cpu_millis) / 1000.0;
-      state.oldest = std::max(state.oldest,
-                              now - TaskAt(*task.job, task.place).ready_since);
+      state.oldest = std::max(state.oldest, waited);
+      PoolState::Waiting& alike = state.waiting_for[waiting.waits_for];
+      ++alike.tasks;
+      alike.oldest = std::max(alike.oldest, waited);
     }
   }
+  for (const auto& [id, job] : this->jobs) {
+    if (!job.finished() && !job.progress.losses.empty())
+      states[job.queue.service].given_up += GivenUpTasks(job);
+  }
   std::vector<PoolState> list;
   for (auto& [name, state] : states) {
     state.load_percent = PercentOf(state.busy_cores + state.waiting_cores,
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -155,7 +155,13 @@
 // four times the estimate leave nothing out that is of use.
 void Scheduler::Enqueue(Job& job, const TaskPlace& place, base::Micros now) {
   constexpr int kOfUseTimes = 4;
-  TaskAt(job, place).ready_since = now;
+  if (!job.progress.losses.empty())
+    this->GiveUpCauses(job, now);
+  Task& task = TaskAt(job, place);
+  if (job.finished() || task.state == TaskState::kGivenUp)
+    return;
+  task.ready_since = now;
+  task.waits_for = WaitReason::kRoom;
   const bool repeats = job.spec.repeats > 0;
   const auto k = static_cast<std::size_t>(place.occurrence);
   const base::Micros since = repeats ? job.occurrences[k].due : job.accepted;
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -22,6 +22,7 @@
 #include "jobs/job.h"
 #include "jobs/queue.h"
 #include "scheduler/actions.h"
+#include "scheduler/box_requests.h"
 #include "scheduler/demand.h"
 #include "scheduler/due_shares.h"
 #include "scheduler/facts.h"
@@ -179,7 +180,8 @@
   // One turn of a pool: its workers, and what was tried in vain.
   struct PoolTurn {
     std::vector<Worker*> candidates;
-    std::set<std::pair<const Job*, int>> nowhere;  // steps that fit nowhere
+    // Steps that cannot be placed, and why.
+    std::map<std::pair<const Job*, int>, WaitReason> nowhere;
     int misses = 0;
   };
 
@@ -331,9 +333,11 @@
   ReadyTasks::Tried TryTask(const ReadyTask& task,
                             PoolTurn& turn,
                             base::Micros now);
-  bool PlaceOne(const ReadyTask& task,
-                const std::vector<Worker*>& candidates,
-                base::Micros now);
+  std::optional<WaitReason> PlaceOne(const ReadyTask& task,
+                                     Suspicion suspicion,
+                                     const std::vector<Worker*>& candidates,
+                                     base::Micros now);
+  bool SuitsSomeWorker(const jobs::Step& step) const;
   std::vector<Choice> ChooseFor(const Job& job,
                                 const TaskPlace& place,
                                 const std::vector<Worker*>& candidates,
@@ -365,11 +369,12 @@
 
   // fleet
   void RunFleet(base::Micros now);
-  FleetView ViewFleet(base::Micros now) const;
+  FleetView ViewFleet(base::Micros now);
   std::map<std::string, int> LeastBoxes() const;
+  bool IsStuck(const ReadyTask& task, bool has_cores, base::Micros now) const;
   void AddForStuckTasks(base::Micros now,
                         const FleetView& view,
-                        std::map<std::string, int>& least) const;
+                        std::map<std::string, int>& least);
   int PriorityOf(const jobs::TaskId& task) const;
   void StopForEvacuation(const std::string& box, base::Micros now);
   BoxEvidence EvidenceOf(const std::string& box, base::Micros now) const;
@@ -395,6 +400,7 @@
   Quotas quotas;
   DueShares due_shares;
   Fleet fleet;
+  BoxRequests box_requests;
   std::vector<Action> actions;
   base::Micros confirmed{};
   base::Micros certain_until{};
