A lasting task is given up only after its last tries were lost too

Cause: three crashes with one of them alone counted as proof, and a start that never arrived, or a run that had lapsed before its worker ended, counted among them. Evidence: LastingTasksOutliveRestartsOfTheirWorkers failed (missing 4 <= 3). A crashing task costs five workers in place of three; tasks that end are judged as before.

--- a/scheduler/crashes.cc
+++ b/scheduler/crashes.cc
@@ -225,7 +225,7 @@
   return Judge(found->second,
                tries == job.progress.last_tries.end() ? jobs::RunNumbers()
                                                       : tries->second,
-               now - task.newest_loss);
+               now - task.newest_loss, StepOf(job, place).lasting);
 }
 
 // The members of a gang start together.
--- a/scheduler/suspects.cc
+++ b/scheduler/suspects.cc
@@ -20,6 +20,9 @@
 // long a task with three losses waits for its worker's fate to show.
 constexpr base::Micros kFateShows = std::chrono::seconds(3);
 
+// Before a last try of a lasting task: crashes by chance come close together.
+constexpr base::Micros kLastTryPause = std::chrono::seconds(4);
+
 }  // namespace
 
 bool IsLastTry(const jobs::WorkerLosses& losses) {
@@ -28,7 +31,8 @@
 
 Suspicion Judge(const jobs::WorkerLosses& losses,
                 const jobs::RunNumbers& last_tries,
-                base::Micros since_newest) {
+                base::Micros since_newest,
+                bool is_lasting) {
   const auto count = static_cast<int>(losses.size());
   int crashes = 0;
   int seen = 0;
@@ -48,12 +52,14 @@
                         was_alone && boxes.size() > 1;
   if (count == 0)
     return Suspicion::kNone;
-  if (is_cause)
+  if (is_cause && !is_lasting)
     return Suspicion::kCause;
   if (IsLastTry(losses) && crashes < count && since_newest < kFateShows)
     return Suspicion::kHeld;
   if (IsLastTry(losses) && last_tries.size() >= kMostLastTries)
     return Suspicion::kCause;
+  if (IsLastTry(losses) && is_lasting && since_newest < kLastTryPause)
+    return Suspicion::kHeld;
   return count >= kLossesUntilProbe ? Suspicion::kProbe : Suspicion::kSlight;
 }
 
--- a/scheduler/suspects.h
+++ b/scheduler/suspects.h
@@ -24,10 +24,13 @@
 };
 
 // `last_tries`: runs that were placed though three workers had been lost.
-// `since_newest`: since the newest of the losses was noted.
+// `since_newest`: since the newest of the losses was noted. A lasting task is
+// not the cause before its last tries were lost too: it is gone for good from a
+// job that goes on.
 Suspicion Judge(const jobs::WorkerLosses& losses,
                 const jobs::RunNumbers& last_tries,
-                base::Micros since_newest);
+                base::Micros since_newest,
+                bool is_lasting = false);
 // Is the next run one of the last tries?
 bool IsLastTry(const jobs::WorkerLosses& losses);
 
