A start without an answer is stopped at the worker's next life too

A start that gets no answer may be carried out 2 to 12 s later. It is stopped, and the worker then refuses it; a life that follows under the same id knows of no stop and would run the task beside its later run. Found by reading and by a trial of the model in which late orders outlive their worker's life ("job3 step 0 task 1 run 1 starts though its end was noted"). The next life is now told to stop each start that the one before left unanswered within that time.

--- a/scheduler/listings.cc
+++ b/scheduler/listings.cc
@@ -329,6 +329,8 @@
     if (run.state == RunState::kStarting)
       run.state = RunState::kUnsettled;
     run.unsettled = now;
+    NoteUnanswered(worker,
+                   {.task = order.task, .run = order.run, .given_up = now});
     ++worker.failed_calls;
     this->RestIfStartsAreLost(worker, now);
     return;
--- a/scheduler/worker.cc
+++ b/scheduler/worker.cc
@@ -9,6 +9,9 @@
 
 // By so much an answer may overtake one that was given before.
 constexpr base::Micros kOvertaken = std::chrono::milliseconds(100);
+// A call without an answer may be carried out so much later (the platform's
+// pages: seconds; 2 to 12 s on the sites).
+constexpr base::Micros kLatestOrder = std::chrono::seconds(12);
 
 void Uncount(const Run& run) {
   if (run.counted)
@@ -51,6 +54,13 @@
   worker.runs.erase(found);
 }
 
+void NoteUnanswered(Worker& worker, const UnansweredStart& start) {
+  while (!worker.unanswered.empty() &&
+         worker.unanswered.front().given_up + kLatestOrder < start.given_up)
+    worker.unanswered.pop_front();
+  worker.unanswered.push_back(start);
+}
+
 std::map<jobs::TaskId, Run> TakeRuns(Worker& worker) {
   for (const auto& [task, run] : worker.runs)
     Uncount(run);
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -73,6 +73,13 @@
   bool is_held = false;  // its job is not known: no row holds it
 };
 
+// A start without an answer, which may be carried out late.
+struct UnansweredStart {
+  jobs::TaskId task;
+  int run = 0;
+  base::Micros given_up{};
+};
+
 struct Worker {
   WorkerInfo info;
   bool listed = false;  // has answered a look under this owner's epoch
@@ -107,6 +114,7 @@
   std::int64_t acknowledged = 0;        // ends up to this number are recorded
   std::int64_t told = 0;                // ends that it knows to be recorded
   std::deque<PendingEnd> pending_ends;  // taken in, not yet recorded
+  std::deque<UnansweredStart> unanswered;  // of late, the oldest first
   std::map<jobs::TaskId, Run> runs;
   jobs::Resources used;
   int lasting = 0;   // lasting tasks among the runs: they pin the box
@@ -136,6 +144,8 @@
 void RemoveRun(Worker& worker, const jobs::TaskId& task);
 // The run is not suspected any more.
 void ClearSuspicion(Worker& worker, Run& run);
+// Notes a start without an answer, and forgets those that can come no more.
+void NoteUnanswered(Worker& worker, const UnansweredStart& start);
 // Takes all of its runs off the worker.
 std::map<jobs::TaskId, Run> TakeRuns(Worker& worker);
 
--- a/scheduler/worker_lives.cc
+++ b/scheduler/worker_lives.cc
@@ -143,6 +143,13 @@
   next.lease_end =
       std::max(earlier.lease_end, now + this->limits.longest_lease);
   this->actions.emplace_back(restarted);
+  // The earlier life refused what had been stopped there; this one does not.
+  for (const UnansweredStart& start : earlier.unanswered) {
+    if (!next.runs.contains(start.task))
+      this->actions.emplace_back(
+          StopRun{.worker = info.life, .task = start.task, .run = start.run});
+  }
+  next.unanswered = std::move(earlier.unanswered);
   // 3. All else is over.
   if (!runs.empty())
     this->LoseRuns(earlier, runs, losses, LossSign::kRestarted, now);
--- a/scheduler/worker_lives_test.cc
+++ b/scheduler/worker_lives_test.cc
@@ -79,6 +79,7 @@
   faults.failing_run = odds(300);
   faults.lost_answer = odds(100);
   faults.lost_order = odds(100);
+  faults.late_order = odds(100);
   faults.lost_save = odds(200);
   faults.late_save = odds(100);
   faults.cut = odds(300);
@@ -137,6 +138,33 @@
               jobs::JobState::kCompleted);
 }
 
+// Guards against a late start that the next life carries out, since it does not
+// know that the run was stopped.
+BOOST_AUTO_TEST_CASE(StartWithoutAnAnswerIsStoppedAtTheNextLifeToo) {
+  Bench bench(1);
+  scheduler::WorkerInfo info = Bench::Worker("w");
+  info.life.born_ms = kFirstBorn;
+  bench.scheduler.PutWorker(info, bench.now);
+  bench.List("w", {});
+  bench.AddJob("job");
+  const scheduler::StartRun start = bench.NextStart();
+  bench.scheduler.Granted(start.worker, bench.now + milliseconds(2500));
+  bench.scheduler.Started(start, scheduler::OrderOutcome::kUnknown, bench.now);
+  for (int i = 0; i < 4; ++i) {
+    for (const scheduler::StopRun& stop :
+         Only<scheduler::StopRun>(bench.Turn()))
+      bench.scheduler.Stopped(stop, scheduler::OrderOutcome::kDone, bench.now);
+    bench.List("w", {});
+  }
+  BOOST_REQUIRE(!bench.scheduler.FindWorker("w")->runs.contains(start.task));
+  info.life.born_ms = kNextBorn;
+  bench.scheduler.PutWorker(info, bench.now);
+  const auto stops = Only<scheduler::StopRun>(bench.scheduler.TakeActions());
+  BOOST_REQUIRE(stops.size() == 1U);
+  BOOST_CHECK(stops[0].worker == info.life);
+  BOOST_TEST(stops[0].run == start.run);
+}
+
 // Guards against repeats when workers keep their id and lose all else, at any
 // point between a call and its answer.
 BOOST_AUTO_TEST_CASE(EndsOfWorkersThatKeepTheirIdAreNotLost) {
