Property: no pool starves beside idle boxes of others

Drawn fleets of 150 boxes in three pools, work that fits on half of them, and tasks that wait for quota, a worker that suits, advice, or that are given up: all that fits is started within 36 s, and then at most six boxes move in 12 s. No functional change.

--- a/scheduler/stuck_tasks_test.cc
+++ b/scheduler/stuck_tasks_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include <rapidcheck.h>
 #include <boost/test/unit_test.hpp>
 
 #include "scheduler/scheduler.h"
@@ -18,6 +19,22 @@
 
 constexpr int kBoxes = 150;
 
+// Three crashes, and two last tries that were lost too.
+jobs::Progress LostForGood() {
+  jobs::Progress progress;
+  const jobs::TaskKey task{.step = {}, .index = 0};
+  for (int i = 1; i <= 3; ++i) {
+    progress.MarkLost(task, {.id = "x" + std::to_string(i)},
+                      {.run = i,
+                       .box = "b" + std::to_string(i),
+                       .has_crashed = true,
+                       .was_alone = true,
+                       .was_seen = true});
+  }
+  progress.last_tries[task] = {4, 5};
+  return progress;
+}
+
 // The pool of the tasks has ten boxes, two others have the rest, all idle.
 struct ThreePools {
   ThreePools() {
@@ -51,22 +68,40 @@
     this->bench.now = before;
   }
 
-  void AddJob(const jobs::Step& step,
-              const std::string& organisation = {},
-              const jobs::Progress& progress = {},
-              bool needs_advice = false) {
+  void AddJobTo(const std::string& pool,
+                const std::string& id,
+                const jobs::Step& step,
+                const std::string& organisation = {},
+                const jobs::Progress& progress = {},
+                bool needs_advice = false) {
     jobs::Queue queue;
-    queue.name = "queue";
-    queue.service = "pool";
+    queue.name = "queue-" + pool;
+    queue.service = pool;
     queue.advice.required = needs_advice;
     jobs::JobSpec spec;
     spec.steps.push_back(step);
     Job job =
-        MakeJob("job", queue, spec, progress, this->bench.now, base::Micros());
+        MakeJob(id, queue, spec, progress, this->bench.now, base::Micros());
     job.organisation = organisation;
     this->bench.scheduler.AddJob(std::move(job), this->bench.now);
   }
 
+  // One that no box helps: over its quota, without a worker that suits it, too
+  // large, without advice, given up.
+  void AddStuckJob(const std::string& pool, int reason) {
+    const std::string id = "stuck-" + pool + std::to_string(reason);
+    jobs::Step step = Bench::OneLastingTask();
+    jobs::Progress progress;
+    if (reason == 1)
+      step.label = "nowhere";
+    if (reason == 2)
+      step.each.memory_mb = 100'000;
+    if (reason == 4)
+      progress = LostForGood();
+    this->AddJobTo(pool, id, step, reason == 0 ? "full" : "", progress,
+                   reason == 3);
+  }
+
   // Plays turns of 0.3 s; boxes that are moved are back at once.
   void Play(int turns) {
     for (int i = 0; i < turns; ++i) {
@@ -107,20 +142,12 @@
   std::map<std::string, int> moved;  // boxes, by the pool they went to
 };
 
-jobs::WorkerLoss Crash(int run, const std::string& box) {
-  return {.run = run,
-          .box = box,
-          .has_crashed = true,
-          .was_alone = true,
-          .was_seen = true};
-}
-
 }  // namespace
 
 // Guards against a full quota that takes everybody's boxes.
 BOOST_AUTO_TEST_CASE(LastingTaskOverItsQuotaTakesNoBoxes) {
   ThreePools fleet;
-  fleet.AddJob(Bench::OneLastingTask(), "full");
+  fleet.AddStuckJob("pool", 0);
   fleet.Play(100);
   BOOST_TEST(fleet.starts == 0);
   BOOST_TEST(fleet.moved["pool"] == 0);
@@ -129,9 +156,7 @@
 // Guards against a label that no worker has and that takes everybody's boxes.
 BOOST_AUTO_TEST_CASE(LastingTaskThatNoWorkerSuitsTakesNoBoxes) {
   ThreePools fleet;
-  jobs::Step step = Bench::OneLastingTask();
-  step.label = "nowhere";
-  fleet.AddJob(step);
+  fleet.AddStuckJob("pool", 1);
   fleet.Play(100);
   BOOST_TEST(fleet.starts == 0);
   BOOST_TEST(fleet.moved["pool"] == 0);
@@ -140,9 +165,7 @@
 // Guards against a task larger than any worker that takes everybody's boxes.
 BOOST_AUTO_TEST_CASE(LastingTaskLargerThanAnyWorkerTakesNoBoxes) {
   ThreePools fleet;
-  jobs::Step step = Bench::OneLastingTask();
-  step.each.memory_mb = 100'000;
-  fleet.AddJob(step);
+  fleet.AddStuckJob("pool", 2);
   fleet.Play(100);
   BOOST_TEST(fleet.starts == 0);
   BOOST_TEST(fleet.moved["pool"] == 0);
@@ -151,7 +174,7 @@
 // Guards against missing advice that takes everybody's boxes.
 BOOST_AUTO_TEST_CASE(LastingTaskWithoutAdviceTakesNoBoxes) {
   ThreePools fleet;
-  fleet.AddJob(Bench::OneLastingTask(), {}, {}, true);
+  fleet.AddStuckJob("pool", 3);
   fleet.Play(100);
   BOOST_TEST(fleet.starts == 0);
   BOOST_TEST(fleet.moved["pool"] == 0);
@@ -160,13 +183,7 @@
 // Guards against given-up tasks that count as work and take everybody's boxes.
 BOOST_AUTO_TEST_CASE(GivenUpTaskTakesNoBoxesAndDoesNotWait) {
   ThreePools fleet;
-  jobs::Progress progress;
-  const jobs::TaskKey task{.step = {}, .index = 0};
-  for (int i = 1; i <= 3; ++i)
-    progress.MarkLost(task, {.id = "x" + std::to_string(i)},
-                      Crash(i, "b" + std::to_string(i)));
-  progress.last_tries[task] = {4, 5};
-  fleet.AddJob(Bench::OneLastingTask(), {}, progress);
+  fleet.AddStuckJob("pool", 4);
   fleet.Play(100);
   BOOST_TEST(fleet.starts == 0);
   BOOST_TEST(fleet.moved["pool"] == 0);
@@ -179,22 +196,53 @@
   jobs::Step many = Bench::OneLastingTask();
   many.tasks = 20;
   many.each = {.cpu_millis = 10, .memory_mb = 2000, .gpus = 0};
-  fleet.AddJob(many);
+  fleet.AddJobTo("pool", "many", many);
   fleet.Play(30);
   BOOST_REQUIRE(fleet.starts == 20);
-  jobs::Queue queue;
-  queue.name = "queue";
-  queue.service = "pool";
-  jobs::JobSpec spec;
-  spec.steps.push_back(Bench::OneLastingTask());
-  spec.steps[0].each.memory_mb = 3000;
-  fleet.bench.scheduler.AddJob(
-      MakeJob("large", queue, spec, {}, fleet.bench.now, base::Micros()),
-      fleet.bench.now);
+  jobs::Step large = Bench::OneLastingTask();
+  large.each.memory_mb = 3000;
+  fleet.AddJobTo("pool", "large", large);
   fleet.Play(20);
   BOOST_TEST(fleet.starts == 21);
   BOOST_TEST(fleet.moved["pool"] >= 1);
   BOOST_TEST(fleet.moved["pool"] <= 2);
 }
 
+// Guards against pools that starve beside idle boxes of others: drawn fleets,
+// work that fits, and tasks that wait for each other reason.
+BOOST_AUTO_TEST_CASE(NoPoolStarvesBesideIdleBoxes) {
+  const bool holds = rc::check("all work that fits is started", [] {
+    ThreePools fleet;
+    const std::vector<std::string> pools = {"pool", "second", "third"};
+    for (const std::string& pool : pools) {
+      for (int reason = 0; reason < 5; ++reason) {
+        if (*rc::gen::arbitrary<bool>())
+          fleet.AddStuckJob(pool, reason);
+      }
+    }
+    // At most 75 boxes of 150 are needed, wherever they are.
+    int tasks = 0;
+    for (const std::string& pool : pools) {
+      jobs::Step step = Bench::OneLastingTask();
+      step.tasks = *rc::gen::inRange(1, 26);
+      step.each = {.cpu_millis = *rc::gen::inRange(10, 4000),
+                   .memory_mb = *rc::gen::inRange(10, 4000),
+                   .gpus = 0};
+      step.most_per_worker = *rc::gen::inRange(0, 2);
+      fleet.AddJobTo(pool, "fits-" + pool, step);
+      tasks += static_cast<int>(step.tasks);
+    }
+    fleet.Play(120);
+    RC_ASSERT(fleet.starts == tasks);
+    // What waits for something else draws a box now and then, no more.
+    fleet.moved.clear();
+    fleet.Play(40);
+    int moved = 0;
+    for (const auto& [pool, boxes] : fleet.moved)
+      moved += boxes;
+    RC_ASSERT(moved <= 6);
+  });
+  BOOST_TEST(holds);
+}
+
 }  // namespace quartzhoist::scheduler
