A life that starts while its box is taken is not back from its upkeep

What callers saw: more boxes of a wave down at once than it allows (LIMIT). Cause: an owner took a box as back from its upkeep once any other life announced itself there. A worker that had crashed starts again just before its box is taken, and that life's announcement comes after the upkeep has begun. Now no box is back before its upkeep, or its move, can be over, counted from the first call; the platform's list settles what is left, as before. LifeThatStartsWhileItsBoxIsTakenIsNotBackFromTheUpkeep fails without the bound.

--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -19,6 +19,11 @@
 // A moved box whose new life never shows is given up after this.
 constexpr base::Micros kMoveLost = std::chrono::seconds(8);
 
+// No box is back sooner, though clocks run a little apart.
+base::Micros LeastTimeAway(base::Micros usual) {
+  return usual * 9 / 10;
+}
+
 }  // namespace
 
 Fleet::Fleet(const FleetLimits& chosen) : limits(chosen) {}
@@ -52,15 +57,20 @@
   return found->second->idle ? Inherited::kMayBeMade : Inherited::kIsVoid;
 }
 
+// A worker that crashed may have started again just before its box was taken:
+// that life announces itself while the box is away.
 void Fleet::BoxSeen(const std::string& box,
                     const jobs::WorkerLife& worker,
-                    const std::string& pool) {
+                    const std::string& pool,
+                    base::Micros now) {
   for (auto& [number, progress] : this->waves) {
     const auto found = progress.boxes.find(box);
     if (found == progress.boxes.end())
       continue;
     Upkeep& upkeep = found->second;
-    if (upkeep.state == UpkeepState::kDown &&
+    const bool can_be_back =
+        now >= upkeep.first_call + LeastTimeAway(this->limits.upkeep_time);
+    if (upkeep.state == UpkeepState::kDown && can_be_back &&
         jobs::IsOtherLife(upkeep.worker_before, worker))
       upkeep.state = UpkeepState::kDone;
   }
@@ -68,10 +78,15 @@
   if (move == this->moves.end() ||
       !jobs::IsOtherLife(move->second.worker_before, worker))
     return;
+  const bool can_be_back =
+      pool == move->second.pool &&
+      now >= move->second.first_call + LeastTimeAway(this->limits.move_time);
+  if (!can_be_back)
+    return;
   if (move->second.done)
     this->moves.erase(move);
   else
-    move->second.arrived = pool == move->second.pool;
+    move->second.arrived = true;
 }
 
 void Fleet::SetBoxes(const std::vector<BoxInfo>& boxes,
@@ -251,6 +266,7 @@
     move.pool = shortest->name;
     move.worker_before = donor->worker;
     move.since = now;
+    move.first_call = now;
     move.in_flight = true;
     steps.emplace_back(MoveBox{
         .box = donor->name, .pool = shortest->name, .life = donor->worker});
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -129,7 +129,8 @@
   // A life of the box announces itself, in this pool.
   void BoxSeen(const std::string& box,
                const jobs::WorkerLife& worker,
-               const std::string& pool);
+               const std::string& pool,
+               base::Micros now);
   // A worker on the box has answered this owner.
   void BoxAnswered(const std::string& box);
   // The platform's list, asked for at `asked`: it may be as old as that.
@@ -165,6 +166,7 @@
     UpkeepState state = UpkeepState::kPending;
     jobs::WorkerLife worker_before;  // that was there
     base::Micros since{};
+    base::Micros first_call{};  // it has not begun before
     base::Micros next_call{};
     bool in_flight = false;
     bool may_have_begun = false;  // a call got no answer
@@ -181,6 +183,7 @@
     std::string pool;
     jobs::WorkerLife worker_before;
     base::Micros since{};
+    base::Micros first_call{};  // it has not begun before
     base::Micros next_call{};
     bool in_flight = false;
     bool done = false;          // the platform has said so
--- a/scheduler/fleet_test.cc
+++ b/scheduler/fleet_test.cc
@@ -164,7 +164,7 @@
       box.up = true;
       box.idle = true;
       box.worker.id += "x";
-      fleet.BoxSeen(box.name, box.worker, box.pool);
+      fleet.BoxSeen(box.name, box.worker, box.pool, now);
       it = down.erase(it);
     }
     FleetView view;
@@ -302,6 +302,31 @@
   BOOST_TEST(!fleet.HasOpenCall("b2"));
 }
 
+// Guards against one upkeep more than may be at once, when a worker that had
+// crashed starts again on a box that is being taken.
+BOOST_AUTO_TEST_CASE(LifeThatStartsWhileItsBoxIsTakenIsNotBackFromTheUpkeep) {
+  Fleet fleet({.move_time = milliseconds(1500), .upkeep_time = seconds(2)});
+  const Wave wave{.number = 1,
+                  .boxes = {"b1", "b2"},
+                  .duration = seconds(60),
+                  .most_at_once = 1};
+  fleet.SetWave(wave, {}, seconds(1));
+  fleet.SetBoxes(
+      {{.name = "b1", .pool = "pool"}, {.name = "b2", .pool = "pool"}},
+      seconds(1), seconds(1));
+  FleetView view{.boxes = {IdleBox("b1", "pool"), IdleBox("b2", "pool")},
+                 .pools = {{.name = "pool"}}};
+  const auto first = Only<UpkeepBox>(fleet.Plan(view, seconds(1)));
+  BOOST_REQUIRE(first.size() == 1U);
+  fleet.UpkeepBegun(first[0], BoxCallOutcome::kDone, milliseconds(1020));
+  fleet.BoxSeen(first[0].box, {.id = "crashed-and-back"}, "pool",
+                milliseconds(1400));
+  BOOST_TEST(Only<UpkeepBox>(fleet.Plan(view, milliseconds(1500))).empty());
+  fleet.BoxSeen(first[0].box, {.id = "maintained"}, "pool", milliseconds(3100));
+  BOOST_TEST(Only<UpkeepBox>(fleet.Plan(view, milliseconds(3200))).size() ==
+             1U);
+}
+
 // A move without an answer had been carried out: its box is back in the new
 // pool when the repeated call says so, and serves at once.
 BOOST_AUTO_TEST_CASE(BoxThatIsBackServesOnceItsMoveIsAnswered) {
@@ -309,7 +334,7 @@
   const base::Micros now = seconds(10);
   fleet.Inherit(
       MoveBox{.box = "b1", .pool = "other", .life = {.id = "b1-life"}}, now);
-  fleet.BoxSeen("b1", {.id = "b1-next"}, "other");
+  fleet.BoxSeen("b1", {.id = "b1-next"}, "other", now);
   BOOST_TEST(fleet.IsLeaving("b1"));
   FleetBox box = IdleBox("b1", "other");
   box.worker = {.id = "b1-next"};
@@ -412,7 +437,7 @@
   fleet.SetWave(wave(2), {}, seconds(2));
   fleet.SetBoxes({down}, seconds(2), seconds(2));
   // Its new life is there before the list shows it.
-  fleet.BoxSeen("b1", {.id = "b1-next-life"}, "pool");
+  fleet.BoxSeen("b1", {.id = "b1-next-life"}, "pool", seconds(3));
   fleet.SetBoxes({down}, seconds(4), seconds(4));
   view.boxes[0].worker = {.id = "b1-next-life"};
   fleet.SetBoxes({up}, seconds(6), seconds(6));
--- a/scheduler/fleet_waves.cc
+++ b/scheduler/fleet_waves.cc
@@ -262,8 +262,10 @@
     const bool again = upkeep.state == UpkeepState::kCalling;
     if ((empty || again) &&
         MayBeAsked(upkeep.in_flight, upkeep.next_call, now)) {
-      if (empty)
+      if (empty) {
         upkeep.worker_before = found->second->worker;
+        upkeep.first_call = now;
+      }
       upkeep.state = UpkeepState::kCalling;
       upkeep.in_flight = true;
       steps.emplace_back(UpkeepBox{.box = name,
--- a/testing/scheduler_model.h
+++ b/testing/scheduler_model.h
@@ -70,6 +70,10 @@
 // Workers cut any grant to this, on their own clocks.
 inline constexpr base::Micros kLongestLease = std::chrono::milliseconds(8000);
 
+// A box is away for so long.
+inline constexpr base::Micros kMoveTime = std::chrono::milliseconds(1500);
+inline constexpr base::Micros kUpkeepTime = std::chrono::milliseconds(2000);
+
 class SchedulerModel {
  public:
   SchedulerModel(std::uint64_t seed,
--- a/testing/scheduler_model_boxes.cc
+++ b/testing/scheduler_model_boxes.cc
@@ -17,8 +17,6 @@
 using scheduler::BoxState;
 using std::chrono::milliseconds;
 
-constexpr base::Micros kMoveTime = milliseconds(1500);
-constexpr base::Micros kUpkeepTime = milliseconds(2000);
 constexpr base::Micros kListPeriod = milliseconds(1500);
 constexpr base::Micros kCallTimeout = milliseconds(2000);
 // A task that has not been at work for so long counts as away.
