Process test: workers that keep their id run each task once

The stand-in's workers can start again under their id, with 'born', numbers of ends and clock anew. No functional change.

--- a/entry/process_test.cc
+++ b/entry/process_test.cc
@@ -201,6 +201,19 @@
   bench.ExpectAllDoneOnce();
 }
 
+// Guards against ends of a worker's next life under its id that are lost.
+BOOST_AUTO_TEST_CASE(TasksOnWorkersThatKeepTheirIdRunOnce) {
+  Bench bench(2);
+  bench.cluster.workers().SetRunTime(std::chrono::milliseconds(250));
+  bench.SubmitAll();
+  // Two of them: a task under which three have crashed may be given up.
+  for (const char* box : {"box-1", "box-2", "box-1", "box-2"}) {
+    bench.Wait(std::chrono::milliseconds(400));
+    bench.cluster.workers().Restart(box);
+  }
+  bench.ExpectAllDoneOnce();
+}
+
 BOOST_AUTO_TEST_CASE(LostAnswersOfTheStoreLoseAndDoubleNothing) {
   Bench bench(2);
   bench.cluster.store().SetMood(StoreStandin::Mood::kLosesAnswers);
--- a/testing/worker_standin.h
+++ b/testing/worker_standin.h
@@ -29,6 +29,8 @@
   void AddBox(const std::string& box, const std::string& pool);
   // The life ends at once, without a word; another comes on the same box.
   void Crash(const std::string& box);
+  // The same, and the next life has the id of this one.
+  void Restart(const std::string& box);
   void SetRunTime(base::Micros span) { this->run_time = span; }
 
   // The address of the service that moves and maintains boxes.
@@ -55,7 +57,9 @@
     std::string id;
     std::string box;
     std::string pool;
-    std::int64_t deadline_ms = 0;
+    std::int64_t born_ms = 0;        // since 1970
+    std::int64_t clock_from_ms = 0;  // its clock counts from then on
+    std::int64_t deadline_ms = 0;    // on its clock
     std::map<std::string, Run> running;
     std::map<std::string, int> over;
     std::vector<nlohmann::json> ends;
@@ -64,9 +68,13 @@
     std::vector<std::pair<http::ExchangePtr, base::Micros>> looks;
   };
 
+  static std::int64_t ClockOf(const Life& life);
   void Announce(const Life& life);
   void End(Life& life);
-  std::shared_ptr<Life> Begin(const std::string& box, const std::string& pool);
+  // Under a new id if that is empty.
+  std::shared_ptr<Life> Begin(const std::string& box,
+                              const std::string& pool,
+                              const std::string& id = {});
   void Handle(Life& life, const http::ExchangePtr& exchange);
   void Hold(Life& life,
             const http::ExchangePtr& exchange,
