--- a/testing/job_cluster.cc
+++ b/testing/job_cluster.cc
@@ -100,6 +100,8 @@
     if (base::MonotonicNow() > until)
       return false;
     this->loop.RunOnce();
+    if (this->ticker)
+      this->ticker();
   }
   return true;
 }
@@ -127,7 +129,10 @@
   return response.value_or(http::Response{.status = 0});
 }
 
-int JobCluster::Submit(const std::string& job, int steps, int tasks) {
+int JobCluster::SubmitTo(const std::string& daemon,
+                         const std::string& job,
+                         int steps,
+                         int tasks) {
   json body = {{"spec", "work"}, {"steps", json::array()}};
   for (int step = 0; step < steps; ++step) {
     json one = {
@@ -136,9 +141,13 @@
       one["dependsOn"] = {step - 1};
     body["steps"].push_back(one);
   }
+  return this->Call(daemon, "POST", job, body.dump()).status;
+}
+
+int JobCluster::Submit(const std::string& job, int steps, int tasks) {
   int status = 0;
   for (const auto& [id, daemon] : this->by_id) {
-    status = this->Call(id, "POST", job, body.dump()).status;
+    status = this->SubmitTo(id, job, steps, tasks);
     if (status == 200)
       break;
   }
--- a/testing/job_cluster.h
+++ b/testing/job_cluster.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "base/loop.h"
 #include "entry/shards.h"
@@ -49,6 +50,10 @@
   StoreStandin& store() { return this->rows; }
   WorkerStandins& workers() { return this->fleet; }
 
+  // Called with each turn of the loop.
+  void SetTicker(std::function<void()> ticker) {
+    this->ticker = std::move(ticker);
+  }
   // Turns the loop until `holds`; false if it does not in time.
   bool WaitUntil(double seconds, const std::function<bool()>& holds);
   http::Response Call(const std::string& daemon,
@@ -58,6 +63,11 @@
   // Hands a job of `steps` chained steps in, trying each daemon in turn as a
   // caller would; the last answer's status.
   int Submit(const std::string& job, int steps, int tasks);
+  // The same at this daemon alone.
+  int SubmitTo(const std::string& daemon,
+               const std::string& job,
+               int steps,
+               int tasks);
   std::string StateOf(const std::string& job);
 
  private:
@@ -69,6 +79,7 @@
   http::Client client;
   std::map<std::string, std::unique_ptr<TcpLink>> links;  // by daemon
   std::map<std::string, Daemon> by_id;
+  std::function<void()> ticker;
   int workers_an_owner = 200;
   std::string access_key;
 };
--- a/testing/worker_standin.cc
+++ b/testing/worker_standin.cc
@@ -209,6 +209,7 @@
     return;
   }
   this->JudgeStart(life, task, run);
+  this->started_jobs.insert(task.substr(0, task.find('.')));
   ++this->start_count;
   int running = 1;
   for (const auto& [box, other] : this->lives)
--- a/testing/worker_standin.h
+++ b/testing/worker_standin.h
@@ -38,6 +38,10 @@
 
   // Promises that were broken, in words.
   const std::vector<std::string>& broken() const { return this->faults; }
+  // A task of the job has been started.
+  bool HasStarted(const std::string& job) const {
+    return this->started_jobs.contains(job);
+  }
   int starts() const { return this->start_count; }
   // The most tasks that ran at one time, on all boxes together.
   int most_running() const { return this->most_running_count; }
@@ -102,6 +106,7 @@
   std::map<std::string, std::string> pools;  // of boxes that are away
   std::map<std::string, std::uint64_t> box_epochs;  // highest, by box
   std::set<std::string> noted;                      // tasks whose end was noted
+  std::set<std::string> started_jobs;
   std::vector<std::string> faults;
   int start_count = 0;
   int most_running_count = 0;
