--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -341,9 +341,9 @@
   if (queue.in_flight || queue.waiting.empty() || !this->MayOrder())
     return;
   if (!this->scheduler.FindWorker(worker)) {
-    std::deque<Order> waiting = std::move(queue.waiting);
+    const std::deque<Order> waiting = std::move(queue.waiting);
     this->orders.erase(worker);
-    this->GiveBack(std::move(waiting));
+    this->GiveBack(waiting);
     return;
   }
   const Order order = std::move(queue.waiting.front());
@@ -354,7 +354,7 @@
 }
 
 // The life that they were meant for is over: none of them leaves.
-void Manager::GiveBack(std::deque<Order> given) {
+void Manager::GiveBack(const std::deque<Order>& given) {
   for (const Order& order : given) {
     if (const auto* start = std::get_if<scheduler::StartRun>(&order))
       this->scheduler.Started(*start, scheduler::OrderOutcome::kNotSent,
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -118,7 +118,7 @@
   void Send(const jobs::WorkerLife& worker, const scheduler::StartRun& order);
   void Send(const jobs::WorkerLife& worker, const scheduler::StopRun& order);
   void Send(const jobs::WorkerLife& worker, const scheduler::PaceRun& order);
-  void GiveBack(std::deque<Order> orders);
+  void GiveBack(const std::deque<Order>& given);
   void OrderAnswered(const jobs::WorkerLife& worker,
                      scheduler::OrderOutcome outcome);
   void SendLook(const scheduler::LookAt& order);
--- a/jobs/worker_life.h
+++ b/jobs/worker_life.h
@@ -3,10 +3,10 @@
 #ifndef JOBS_WORKER_LIFE_H_
 #define JOBS_WORKER_LIFE_H_
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace quartzhoist::jobs {
 
@@ -16,7 +16,11 @@
   std::string id;            // empty: none
   std::int64_t born_ms = 0;  // its start, since 1970; 0: not known
 
-  auto operator<=>(const WorkerLife&) const = default;
+  bool operator==(const WorkerLife&) const = default;
+  bool operator<(const WorkerLife& other) const {
+    return std::tie(this->id, this->born_ms) <
+           std::tie(other.id, other.born_ms);
+  }
   bool empty() const { return this->id.empty(); }
   // A later life of the same worker.
   bool IsAfter(const WorkerLife& other) const {
