--- a/jobs/jobs_test.cc
+++ b/jobs/jobs_test.cc
@@ -33,7 +33,8 @@
   for (int i = 0; i < placed; ++i) {
     const TaskKey task{.step = {.occurrence = 7, .step = 1},
                        .index = *rc::gen::inRange(0, 4)};
-    progress.placed[task] = {.worker = "w", .run = *rc::gen::inRange(1, 2000)};
+    progress.placed[task] = {.worker = {.id = "w"},
+                             .run = *rc::gen::inRange(1, 2000)};
   }
   return progress;
 }
@@ -134,7 +135,7 @@
 BOOST_AUTO_TEST_CASE(TaskThatIsDoneIsNotPlacedAnyMore) {
   Progress progress;
   const TaskKey task{.step = {.occurrence = 0, .step = 0}, .index = 3};
-  progress.placed[task] = {.worker = "w", .run = 1};
+  progress.placed[task] = {.worker = {.id = "w"}, .run = 1};
   progress.MarkDone(task.step, task.index);
   BOOST_TEST(progress.placed.empty());
 }
