--- a/scheduler/stuck_tasks_test.cc
+++ b/scheduler/stuck_tasks_test.cc
@@ -153,6 +153,19 @@
   BOOST_TEST(fleet.moved["pool"] == 0);
 }
 
+// Guards against a job over its quota that reserves a box for each of its
+// tasks.
+BOOST_AUTO_TEST_CASE(LastingJobOverItsQuotaReservesNoBoxes) {
+  ThreePools fleet;
+  jobs::Step step = Bench::OneLastingTask();
+  step.tasks = 100;
+  step.most_per_worker = 1;
+  fleet.AddJobTo("pool", "wide", step, "full");
+  fleet.Play(100);
+  BOOST_TEST(fleet.starts == 0);
+  BOOST_TEST(fleet.moved["pool"] == 0);
+}
+
 // Guards against a label that no worker has and that takes everybody's boxes.
 BOOST_AUTO_TEST_CASE(LastingTaskThatNoWorkerSuitsTakesNoBoxes) {
   ThreePools fleet;
--- a/scheduler/worker_lives_test.cc
+++ b/scheduler/worker_lives_test.cc
@@ -138,6 +138,38 @@
               jobs::JobState::kCompleted);
 }
 
+// Guards against a number that a life not known yet hears, and takes for its
+// own ends: a start that nothing tells the life of may be there.
+BOOST_AUTO_TEST_CASE(EndsAreNotAcknowledgedBesideARunThatWasNotSeen) {
+  Bench bench(1);
+  scheduler::WorkerInfo info = Bench::Worker("w");
+  info.life.born_ms = kFirstBorn;
+  bench.scheduler.PutWorker(info, bench.now);
+  bench.List("w", {});
+  bench.AddJob("first");
+  const scheduler::StartRun first = bench.NextStart();
+  bench.scheduler.Granted(first.worker, bench.now + milliseconds(2500));
+  bench.scheduler.Started(first, scheduler::OrderOutcome::kDone, bench.now);
+  bench.List("w", {.ended = {{.number = 1,
+                              .task = first.task,
+                              .run = first.run,
+                              .how = RunEnd::kDone}}});
+  bench.AddJob("next");
+  const scheduler::StartRun next = bench.NextStart();
+  BOOST_REQUIRE(next.task == FirstTask("next"));
+  bench.scheduler.Granted(next.worker, bench.now + milliseconds(2500));
+  bench.scheduler.Started(next, scheduler::OrderOutcome::kDone, bench.now);
+  // The look that was under way tells nothing of the start.
+  bench.List("w", {});
+  const auto before = Only<LookAt>(bench.Turn());
+  BOOST_REQUIRE(before.size() == 1U);
+  BOOST_TEST(before[0].acknowledged == 0);
+  bench.List("w", {.running = {{.task = next.task, .run = next.run}}});
+  const auto after = Only<LookAt>(bench.Turn());
+  BOOST_REQUIRE(after.size() == 1U);
+  BOOST_TEST(after[0].acknowledged == 1);
+}
+
 // Guards against a late start that the next life carries out, since it does not
 // know that the run was stopped.
 BOOST_AUTO_TEST_CASE(StartWithoutAnAnswerIsStoppedAtTheNextLifeToo) {
