An evacuated zone gets no starts until it is taken back

Cause: op/evacuate/ZONE was read nowhere.

The scheduler takes workers of these zones for unusable, which gives up placements that are not recorded yet, and looks again right before a start leaves. Boxes there add no capacity to their pools and are not moved (for spare boxes the platform's list names the zone); waves go on. What runs there goes on.

--- a/base/event_log.h
+++ b/base/event_log.h
@@ -55,6 +55,7 @@
   kWaveReported,
   kRowMalformed,
   kConfigInstalled,
+  kZonesEvacuated,
   kLinesLeftOut,
   kSettingsReloaded,
   kWriteRefused,
@@ -72,7 +73,7 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 35> kEvents{{
+inline constexpr std::array<EventInfo, 36> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
@@ -105,6 +106,7 @@
     {Event::kBoxAsked, 836, Level::kInfo, "box_asked"},
     {Event::kRowMalformed, 841, Level::kWarning, "row_malformed"},
     {Event::kConfigInstalled, 842, Level::kInfo, "config_installed"},
+    {Event::kZonesEvacuated, 843, Level::kInfo, "zones_evacuated"},
     {Event::kLinesLeftOut, 851, Level::kWarning, "lines_left_out"},
     {Event::kSettingsReloaded, 106, Level::kInfo, "settings_reloaded"},
     {Event::kWriteRefused, 304, Level::kError, "write_refused"},
--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -120,15 +120,11 @@
       platform::TableFollower::Events{
           .on_all =
               [this](const std::vector<platform::Row>& rows) {
-                for (const platform::Row& row : rows)
-                  this->ApplyOperatorRow(row);
+                this->ApplyOperatorTable(rows);
               },
           .on_changes =
-              [this](const std::vector<platform::ChangedRow>& rows) {
-                for (const platform::ChangedRow& changed : rows) {
-                  if (!changed.removed)
-                    this->ApplyOperatorRow(changed.row);
-                }
+              [this](const std::vector<platform::ChangedRow>& changes) {
+                this->ApplyOperatorChanges(changes);
               },
           .on_contact =
               [this](base::Micros) {
@@ -199,6 +195,54 @@
   base::Log(base::Event::kSettingsReloaded, {{"file", this->settings_file}});
 }
 
+// Evacuations are applied first: a shard whose manager waits only for the
+// configuration starts scheduling with it.
+void JobDaemon::ApplyOperatorTable(const std::vector<platform::Row>& rows) {
+  std::set<std::string> zones;
+  for (const platform::Row& row : rows) {
+    if (const auto zone = platform::EvacuatedZoneOf(row.at.key))
+      zones.insert(*zone);
+  }
+  this->SetEvacuatedZones(std::move(zones));
+  for (const platform::Row& row : rows)
+    this->ApplyOperatorRow(row);
+}
+
+void JobDaemon::ApplyOperatorChanges(
+    const std::vector<platform::ChangedRow>& changes) {
+  std::set<std::string> zones =
+      this->evacuated_zones.value_or(std::set<std::string>());
+  for (const platform::ChangedRow& changed : changes) {
+    const auto zone = platform::EvacuatedZoneOf(changed.row.at.key);
+    if (zone && changed.removed)
+      zones.erase(*zone);
+    else if (zone)
+      zones.insert(*zone);
+  }
+  this->SetEvacuatedZones(std::move(zones));
+  for (const platform::ChangedRow& changed : changes) {
+    if (!changed.removed)
+      this->ApplyOperatorRow(changed.row);
+  }
+}
+
+void JobDaemon::SetEvacuatedZones(std::set<std::string> zones) {
+  if (this->evacuated_zones == zones)
+    return;
+  const bool had_none =
+      !this->evacuated_zones || this->evacuated_zones->empty();
+  this->evacuated_zones = std::move(zones);
+  if (!had_none || !this->evacuated_zones->empty()) {
+    base::Log(
+        base::Event::kZonesEvacuated,
+        {{"zones", fmt::format("{}", fmt::join(*this->evacuated_zones, ","))}});
+  }
+  for (const auto& managed : this->managed_shards) {
+    if (managed->manager)
+      managed->manager->SetEvacuatedZones(*this->evacuated_zones);
+  }
+}
+
 void JobDaemon::ApplyOperatorRow(const platform::Row& row) {
   try {
     if (row.at.key == platform::kConfigKey) {
@@ -249,6 +293,8 @@
                         shard] { this->ownerships->At(shard).OnFenced(); }});
   for (const auto& [number, wave] : this->waves)
     managed.manager->SetWave(wave);
+  if (this->evacuated_zones)
+    managed.manager->SetEvacuatedZones(*this->evacuated_zones);
   if (this->has_config)
     managed.manager->SetConfig(this->config);
 }
--- a/entry/job_daemon.h
+++ b/entry/job_daemon.h
@@ -8,6 +8,8 @@
 #include <filesystem>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -49,7 +51,10 @@
 
   void Reload();
   void ReloadIfChanged();
+  void ApplyOperatorTable(const std::vector<platform::Row>& rows);
+  void ApplyOperatorChanges(const std::vector<platform::ChangedRow>& changes);
   void ApplyOperatorRow(const platform::Row& row);
+  void SetEvacuatedZones(std::set<std::string> zones);
   void StartOwnerships(int shards, std::uint64_t seed);
   void OnOwnershipGained(int shard,
                          std::uint64_t epoch,
@@ -80,6 +85,8 @@
   bool has_config = false;
   jobs::Config config;
   std::map<int, scheduler::Wave> waves;
+  // Empty until the operators' table has been read.
+  std::optional<std::set<std::string>> evacuated_zones;
   base::Micros last_store_answer{};
   base::Micros stop_requested{};  // time of the stop signal; 0 before it
   std::vector<std::unique_ptr<ManagedShard>> managed_shards;
--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -130,6 +130,15 @@
   this->waves.AddWave(wave);
 }
 
+void ShardManager::SetEvacuatedZones(const std::set<std::string>& zones) {
+  this->scheduler.SetEvacuatedZones(zones);
+  this->has_evacuated_zones = true;
+  if (this->started)
+    this->ScheduleCycle();
+  else
+    this->StartIfLoaded();
+}
+
 void ShardManager::OwnershipConfirmed(base::Micros asked) {
   this->confirmed_at = asked;
   this->save_policy.OnOwnershipConfirmed(asked);
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -62,6 +62,8 @@
 
   void SetConfig(const jobs::Config& config);
   void SetWave(const scheduler::Wave& wave);
+  // Nothing is scheduled before the first call.
+  void SetEvacuatedZones(const std::set<std::string>& zones);
   // The store confirmed the ownership; the request was sent at `asked`.
   void OwnershipConfirmed(base::Micros asked);
 
@@ -186,6 +188,7 @@
   // Loaded during the takeover.
   bool started = false;
   bool has_config = false;
+  bool has_evacuated_zones = false;
   std::set<std::string> tables_being_read;
   std::optional<std::vector<platform::Row>> stored_jobs;
   std::optional<std::vector<platform::Row>> stored_progress;
--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -136,10 +136,10 @@
 }
 
 void ShardManager::StartIfLoaded() {
-  const bool complete = this->has_config && this->stored_jobs &&
-                        this->stored_progress && this->stored_leases &&
-                        this->stored_waves && this->registered_workers &&
-                        this->box_calls.claimed();
+  const bool complete = this->has_config && this->has_evacuated_zones &&
+                        this->stored_jobs && this->stored_progress &&
+                        this->stored_leases && this->stored_waves &&
+                        this->registered_workers && this->box_calls.claimed();
   if (this->started || !complete)
     return;
   this->started = true;
--- a/entry/process_test.cc
+++ b/entry/process_test.cc
@@ -242,6 +242,57 @@
   fixture.ExpectAllCompletedOnce();
 }
 
+// --- Evacuated zones ---
+
+constexpr const char* kEvacuatedZone = "west";
+
+platform::RowKey EvacuationRow() {
+  return {.table = "op",
+          .part = "",
+          .key = std::string("evacuate/") + kEvacuatedZone};
+}
+
+// Without the evacuation, half of the starts are in the zone.
+BOOST_AUTO_TEST_CASE(NothingStartsInAnEvacuatedZoneUntilItIsWithdrawn) {
+  ClusterFixture fixture(2, 2);
+  WorkerStandins& workers = fixture.cluster.workers();
+  workers.AddBox("west-1", "press", kEvacuatedZone);
+  workers.AddBox("west-2", "press", kEvacuatedZone);
+  fixture.cluster.store().Put(EvacuationRow(), "{}");
+  fixture.Wait(std::chrono::milliseconds(2500));
+  fixture.SubmitAll();
+  fixture.ExpectAllCompletedOnce();
+  BOOST_TEST(workers.StartsIn(kEvacuatedZone) == 0);
+  fixture.cluster.store().Remove(EvacuationRow());
+  fixture.Wait(std::chrono::milliseconds(2500));
+  for (int i = kJobs; i < 2 * kJobs; ++i) {
+    BOOST_REQUIRE(fixture.cluster.WaitUntil(kTimeoutSeconds, [&] {
+      return fixture.cluster.Submit(JobId(i), kSteps, kTasks) == 200;
+    }));
+  }
+  fixture.ExpectAllCompletedOnce(2 * kJobs);
+  BOOST_TEST(workers.StartsIn(kEvacuatedZone) > 0);
+}
+
+// The next owner learns of the evacuation from the store before it starts any
+// task.
+BOOST_AUTO_TEST_CASE(EvacuationOutlastsTheOwner) {
+  ClusterFixture fixture(2, 2);
+  WorkerStandins& workers = fixture.cluster.workers();
+  workers.AddBox("west-1", "press", kEvacuatedZone);
+  workers.SetRunTime(std::chrono::milliseconds(800));
+  fixture.cluster.store().Put(EvacuationRow(), "{}");
+  fixture.Wait(std::chrono::milliseconds(2500));
+  const std::string first_owner = fixture.cluster.Owner();
+  fixture.SubmitAll();
+  fixture.OwnerProcess().Signal(SIGKILL);
+  BOOST_TEST(fixture.WaitForOwnerOtherThan(first_owner));
+  fixture.cluster.daemons().erase(first_owner);
+  fixture.cluster.StartDaemon("entry-3");
+  fixture.ExpectAllCompletedOnce();
+  BOOST_TEST(workers.StartsIn(kEvacuatedZone) == 0);
+}
+
 // --- Access keys and rows of other writers ---
 
 std::string KeyedConfig(int version, const std::string& key) {
--- a/scheduler/box_planning.cc
+++ b/scheduler/box_planning.cc
@@ -56,6 +56,7 @@
     box.available = worker.is_announced && worker.is_described &&
                     worker.has_reported && !worker.info.draining &&
                     !worker.runs_presumed_over;
+    box.in_evacuated_zone = this->fleet.IsEvacuated(worker.info.zone);
     box.idle = worker.idle();
     box.cores = static_cast<double>(worker.info.capacity.cpu_millis) / 1000.0;
     box.busy_cores = static_cast<double>(worker.used.cpu_millis) / 1000.0;
@@ -141,7 +142,7 @@
     double cores = 0.0;
     double taken = 0.0;
     for (const FleetBox& box : view.boxes) {
-      if (box.pool != service || !box.available)
+      if (box.pool != service || !box.available || box.in_evacuated_zone)
         continue;
       ++boxes;
       cores += box.cores;
--- a/scheduler/facts.h
+++ b/scheduler/facts.h
@@ -35,6 +35,7 @@
   std::string name;
   std::string pool;
   BoxState state = BoxState::kUp;
+  std::string zone;    // availability zone, or empty if unknown
   std::string worker;  // id of the worker on the box, or empty
   double cores = 0.0;  // CPU capacity
 };
--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -161,6 +161,7 @@
                             .pool = info.pool,
                             .worker = {.id = info.worker},
                             .available = true,
+                            .in_evacuated_zone = this->IsEvacuated(info.zone),
                             .idle = true,
                             .long_running_tasks = 0,
                             .cores = info.cores,
@@ -218,6 +219,8 @@
   for (const FleetPool& pool : view.pools)
     held[pool.name] = 0.0;
   for (const FleetBox& box : view.boxes) {
+    if (box.in_evacuated_zone)
+      continue;
     const auto move = this->moves.find(box.name);
     const bool moves_now = move != this->moves.end();
     if ((box.available || moves_now) && !this->IsInMaintenance(box.name))
@@ -295,20 +298,20 @@
   // A pool that needs boxes and has none gets its first one even if the donor
   // pool then falls short by up to one box.
   const bool has_no_box =
-      to.min_boxes > 0 && std::none_of(view.boxes.begin(), view.boxes.end(),
-                                       [this, &to](const FleetBox& box) {
-                                         return box.available &&
-                                                box.pool == to.name &&
-                                                !this->IsLeaving(box.name);
-                                       });
+      to.min_boxes > 0 &&
+      std::none_of(view.boxes.begin(), view.boxes.end(),
+                   [this, &to](const FleetBox& box) {
+                     return box.available && !box.in_evacuated_zone &&
+                            box.pool == to.name && !this->IsLeaving(box.name);
+                   });
   const FleetBox* best = nullptr;
   double best_remaining = -1e9;
   for (const FleetBox& box : view.boxes) {
     const auto pool = surplus.find(box.pool);
-    const bool may_move = box.available && box.idle && box.pool != to.name &&
-                          !this->moves.contains(box.name) &&
-                          !this->IsInMaintenance(box.name) &&
-                          pool != surplus.end();
+    const bool may_move =
+        box.available && !box.in_evacuated_zone && box.idle &&
+        box.pool != to.name && !this->moves.contains(box.name) &&
+        !this->IsInMaintenance(box.name) && pool != surplus.end();
     if (!may_move)
       continue;
     const bool is_spare = std::any_of(
@@ -331,9 +334,10 @@
                                    double short_cores) {
   std::vector<const FleetBox*> busy;
   for (const FleetBox& box : view.boxes) {
-    const bool may_move =
-        box.available && !box.idle && box.long_running_tasks == 0 &&
-        !this->moves.contains(box.name) && !this->IsInMaintenance(box.name);
+    const bool may_move = box.available && !box.in_evacuated_zone &&
+                          !box.idle && box.long_running_tasks == 0 &&
+                          !this->moves.contains(box.name) &&
+                          !this->IsInMaintenance(box.name);
     if (may_move)
       busy.push_back(&box);
   }
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -51,6 +51,7 @@
   std::string pool;
   jobs::WorkerIncarnation worker;  // the announced instance; empty: none
   bool available = false;          // can be moved or taken down
+  bool in_evacuated_zone = false;  // takes no tasks and stays in its pool
   bool idle = false;               // no runs
   int long_running_tasks = 0;
   double cores = 0.0;  // capacity
@@ -120,6 +121,14 @@
  public:
   explicit FleetPlanner(const FleetTimings& initial);
 
+  // Zones that the operator has evacuated. Their boxes add no capacity and are
+  // not moved; their maintenance goes on.
+  void SetEvacuatedZones(const std::set<std::string>& zones) {
+    this->evacuated_zones = zones;
+  }
+  bool IsEvacuated(const std::string& zone) const {
+    return this->evacuated_zones.contains(zone);
+  }
   // `begun`: boxes whose maintenance a previous owner recorded as started.
   void SetWave(const Wave& wave,
                const std::vector<std::string>& begun,
@@ -256,6 +265,7 @@
   bool IsInMaintenance(const std::string& box) const;
 
   FleetTimings timings;
+  std::set<std::string> evacuated_zones;
   std::map<int, WaveProgress> waves;
   std::map<std::string, Move> moves;  // by box, until it serves the new pool
   // Busy boxes that a pool short of cores needs more. Nothing new is placed on
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -76,6 +76,10 @@
 
   // --- Configuration and worker events ---
   void SetConfig(const jobs::Config& config, base::Micros now);
+  // No run is started in these zones any more; those that are active go on.
+  void SetEvacuatedZones(const std::set<std::string>& zones) {
+    this->fleet.SetEvacuatedZones(zones);
+  }
   void UpdateWorker(const WorkerInfo& info, base::Micros now);
   // The worker's registration was removed; its runs may still be active.
   void WorkerDeregistered(const std::string& id, base::Micros now);
@@ -149,7 +153,8 @@
   std::vector<Action> TakeActions();
 
   // --- Queries ---
-  // Whether the start is still to be sent; its run may have been given up.
+  // Whether the start is still to be sent: its run may have been given up, or
+  // the worker's zone evacuated.
   bool IsStillNeeded(const StartRun& command) const;
   // End of a lease granted at `now`, on the local clock.
   base::Micros LeaseEnd(base::Micros now) const;
--- a/scheduler/worker_reports.cc
+++ b/scheduler/worker_reports.cc
@@ -409,7 +409,7 @@
 
 bool Scheduler::IsStillNeeded(const StartRun& command) const {
   const Worker* worker = this->FindWorker(command.worker);
-  if (!worker)
+  if (!worker || this->fleet.IsEvacuated(worker->info.zone))
     return false;
   const auto run = worker->runs.find(command.task);
   return run != worker->runs.end() && run->second.number == command.run &&
--- a/testing/worker_standin.cc
+++ b/testing/worker_standin.cc
@@ -41,7 +41,10 @@
   return fmt::format("127.0.0.1:{}", this->box_server.port());
 }
 
-void WorkerStandins::AddBox(const std::string& box, const std::string& pool) {
+void WorkerStandins::AddBox(const std::string& box,
+                            const std::string& pool,
+                            const std::string& zone) {
+  this->zones[box] = zone;
   this->lives[box] = this->Begin(box, pool);
 }
 
@@ -73,11 +76,12 @@
 }
 
 void WorkerStandins::Announce(const Life& life) {
+  const auto zone = this->zones.find(life.box);
   const json row = {
       {"born", life.born_ms},
       {"service", life.pool},
       {"address", fmt::format("127.0.0.1:{}", life.server->port())},
-      {"zone", "z"},
+      {"zone", zone == this->zones.end() ? "z" : zone->second},
       {"state", "ready"},
       {"machine", life.box},
       {"labels", {"a", "rack-" + life.box}},
@@ -211,6 +215,7 @@
   this->JudgeStart(life, task, run);
   this->started_jobs.insert(task.substr(0, task.find('.')));
   ++this->start_count;
+  ++this->starts_by_zone[this->zones[life.box]];
   int running = 1;
   for (const auto& [box, other] : this->lives)
     running += static_cast<int>(other->running.size());
--- a/testing/worker_standin.h
+++ b/testing/worker_standin.h
@@ -26,7 +26,9 @@
   WorkerStandins(base::Loop& loop, StoreStandin& store);
 
   // A box in this pool, with a life that announces itself.
-  void AddBox(const std::string& box, const std::string& pool);
+  void AddBox(const std::string& box,
+              const std::string& pool,
+              const std::string& zone = "z");
   // The life ends at once, without a word; another comes on the same box.
   void Crash(const std::string& box);
   // The same, and the next life has the id of this one.
@@ -43,6 +45,11 @@
     return this->started_jobs.contains(job);
   }
   int starts() const { return this->start_count; }
+  // Of these, the starts on boxes of the zone.
+  int StartsIn(const std::string& zone) const {
+    const auto found = this->starts_by_zone.find(zone);
+    return found == this->starts_by_zone.end() ? 0 : found->second;
+  }
   // The most tasks that ran at one time, on all boxes together.
   int most_running() const { return this->most_running_count; }
   int ends_done() const { return this->done_count; }
@@ -104,6 +111,8 @@
   std::vector<std::shared_ptr<Life>> ended;  // kept until the loop is done
   std::map<std::string, base::Micros> away;  // boxes, until when
   std::map<std::string, std::string> pools;  // of boxes that are away
+  std::map<std::string, std::string> zones;  // by box
+  std::map<std::string, int> starts_by_zone;
   std::map<std::string, std::uint64_t> box_epochs;  // highest, by box
   std::set<std::string> noted;                      // tasks whose end was noted
   std::set<std::string> started_jobs;
