A daemon counts its calls to the store and their bytes by table

The store's client counts calls and the bytes of bodies by table (tables of single shards together); the metrics address shows them, and a log event does every ten seconds, with the number of shards held. Test: platform TrafficIsCountedByTableOfAllShards.

No functional change of scheduling.

--- a/base/event_log.h
+++ b/base/event_log.h
@@ -35,6 +35,7 @@
   kDaemonFailed,
   kPlatformLost,
   kPlatformAnswerBad,
+  kStoreTraffic,
   kOwnershipGained,
   kOwnershipLost,
   kOwnershipReady,
@@ -73,7 +74,7 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 36> kEvents{{
+inline constexpr std::array<EventInfo, 37> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
@@ -81,6 +82,7 @@
     {Event::kDaemonFailed, 105, Level::kError, "daemon_failed"},
     {Event::kPlatformLost, 301, Level::kWarning, "platform_lost"},
     {Event::kPlatformAnswerBad, 303, Level::kWarning, "platform_answer_bad"},
+    {Event::kStoreTraffic, 305, Level::kInfo, "store_traffic"},
     {Event::kOwnershipGained, 801, Level::kInfo, "ownership_gained"},
     {Event::kOwnershipLost, 802, Level::kWarning, "ownership_lost"},
     {Event::kOwnershipReady, 803, Level::kInfo, "ownership_ready"},
--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -49,6 +49,8 @@
 // load balancer and a metrics scraper.
 constexpr std::int64_t kMaxMonitoringConnections = 64;
 
+constexpr base::Micros kTrafficLogPeriod = std::chrono::seconds(10);
+
 // Interval of checks for a changed settings file; the platform may change it
 // without sending a signal.
 constexpr base::Micros kReloadPeriod = std::chrono::seconds(2);
@@ -97,8 +99,10 @@
       stop_signal(this->loop, SIGTERM, [this] { this->Stop(); }),
       interrupt_signal(this->loop, SIGINT, [this] { this->Stop(); }),
       reload_signal(this->loop, SIGHUP, [this] { this->Reload(); }),
-      reload_timer(this->loop, [this] { this->ReloadIfChanged(); }) {
+      reload_timer(this->loop, [this] { this->ReloadIfChanged(); }),
+      traffic_timer(this->loop, [this] { this->LogTraffic(); }) {
   this->reload_timer.StartEvery(kReloadPeriod);
+  this->traffic_timer.StartEvery(kTrafficLogPeriod);
   if (!chosen.metrics_address.empty()) {
     this->metrics_server = std::make_unique<http::Server>(
         this->loop,
@@ -370,9 +374,16 @@
       "quartzhoist_log_lines_left_out_total {}\n",
       this->ownerships ? this->ownerships->held().size() : 0,
       base::LinesLeftOut());
+  response.body += this->store.traffic().PrometheusText();
   exchange->Reply(std::move(response));
 }
 
+void JobDaemon::LogTraffic() const {
+  base::Log(base::Event::kStoreTraffic,
+            {{"shards", this->ownerships ? this->ownerships->held().size() : 0},
+             {"total", this->store.traffic().Summary()}});
+}
+
 // Releases all shards, so that other daemons take over at once. Requests that
 // the load balancer still routes here are served until the process exits.
 void JobDaemon::Stop() {
--- a/entry/job_daemon.h
+++ b/entry/job_daemon.h
@@ -68,6 +68,7 @@
   void ExitIfDrained();
   void AnswerReadiness(const http::ExchangePtr& exchange) const;
   void AnswerMetrics(const http::ExchangePtr& exchange) const;
+  void LogTraffic() const;
   bool IsReady() const;
   std::string Dump() const;
 
@@ -99,6 +100,7 @@
   base::SignalWatcher interrupt_signal;
   base::SignalWatcher reload_signal;
   base::Timer reload_timer;
+  base::Timer traffic_timer;
 };
 
 }  // namespace quartzhoist::entry
