A daemon of a large fleet reads only the owner rows that it may take over

Cause: every daemon followed the rows of all owners, at each renewal (0.45 s): bytes grow as daemons times owners. 585 daemons and 32 owners read 41,000 rows a second.

Change: above four shards a daemon reads the rows of its home shards (rendezvous hashing; one, and one more for each half core), at every second renewal if its box is much weaker than the holder's, and visits one other shard each five seconds, at once again where a visit found no live owner. Loads are read when a job comes in, of two shards drawn at random (and the pool's preferred one for lasting jobs), unless they are 0.6 s old at most. Up to four shards nothing changes: one feed brings all rows. Rows keep their form and place, so old and new daemons run beside each other. A row is handed to its own ownership only, not to each.

--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -65,6 +65,9 @@
 }
 
 void CallerApi::Shutdown() {
+  for (auto& [choice, submission] : std::exchange(this->unassigned, {}))
+    this->Refuse(submission.exchange, kServiceUnavailable, submission.job,
+                 "this daemon leaves");
   for (auto& [part, queue] : this->parts) {
     for (Submission& submission : queue.to_retry)
       queue.waiting.push_back(std::move(submission));
--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -4,6 +4,7 @@
 #ifndef ENTRY_CALLER_API_H_
 #define ENTRY_CALLER_API_H_
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -33,8 +34,11 @@
             std::function<void(const platform::Row& row)> on_config_row);
 
   void SetConfig(const jobs::Config& config);
-  using ChooseShard = std::function<
-      int(const jobs::Config&, const jobs::Queue&, const jobs::JobSpec&)>;
+  // Calls `on_chosen` with the number of a shard, now or later.
+  using ChooseShard =
+      std::function<void(const jobs::Queue&,
+                         const jobs::JobSpec&,
+                         std::function<void(int shard)> on_chosen)>;
   // The number of shards and the function that assigns a job to one of them.
   // Requests are refused until this is called.
   void SetShards(int count, ChooseShard choose);
@@ -89,6 +93,7 @@
               const jobs::Queue& queue,
               const std::string& organisation,
               const std::string& job);
+  void Assign(std::uint64_t choice, int shard);
   void WritePart(const std::string& part);
   void OnWriteResult(const std::string& part,
                      std::vector<Submission> batch,
@@ -117,6 +122,9 @@
   base::Micros config_confirmed{};
   // Requests waiting for a read of the configuration.
   std::vector<http::ExchangePtr> awaiting_config;
+  // Submissions whose shard is being chosen, by the number of the choice.
+  std::map<std::uint64_t, Submission> unassigned;
+  std::uint64_t last_choice = 0;
   std::map<std::string, PartQueue> parts;
   base::Micros write_retry_delay = kWriteRetryDelay;
   base::Timer retry_timer;
--- a/entry/caller_api_test.cc
+++ b/entry/caller_api_test.cc
@@ -33,7 +33,7 @@
     config.queues.push_back(queue);
     this->api.SetConfig(config);
     this->api.SetShards(
-        1, [](const auto&, const auto&, const auto&) { return 0; });
+        1, [](const auto&, const auto&, const auto& chosen) { chosen(0); });
   }
 
   http::Response Call(const std::string& method,
@@ -142,8 +142,8 @@
 BOOST_AUTO_TEST_CASE(JobHandedInAgainStaysInItsShard) {
   CallerBench bench;
   int next = 1;
-  bench.api.SetShards(2, [&next](const auto&, const auto&, const auto&) {
-    return std::exchange(next, 0);
+  bench.api.SetShards(2, [&next](const auto&, const auto&, const auto& chosen) {
+    chosen(std::exchange(next, 0));
   });
   const Shard first{.number = 1, .count = 2};
   const Shard other{.number = 0, .count = 2};
--- a/entry/caller_submissions.cc
+++ b/entry/caller_submissions.cc
@@ -47,8 +47,10 @@
     return;
   }
   Submission submission;
+  jobs::JobSpec spec;
+  std::optional<int> home_shard;
   try {
-    const jobs::JobSpec spec = platform::ParseJob(request.body);
+    spec = platform::ParseJob(request.body);
     if (GangExceedsQuota(*this->config, organisation, spec)) {
       this->Refuse(exchange, kPayloadTooLarge, job,
                    "a gang needs more than its organisation may have running");
@@ -56,12 +58,8 @@
     }
     const jobs::Organisation* caller =
         this->config->FindOrganisation(organisation);
-    const std::optional<int> home_shard =
+    home_shard =
         caller ? HomeShardFor(*caller, spec, this->shards) : std::nullopt;
-    const int chosen = home_shard
-                           ? *home_shard
-                           : this->choose_shard(*this->config, queue, spec);
-    submission.shard = {.number = chosen, .count = this->shards};
   } catch (const platform::BadInput& problem) {
     this->Refuse(exchange, kBadRequest, job, problem.what());
     return;
@@ -82,7 +80,23 @@
                  "the job is too large for a row");
     return;
   }
-  const std::string part = ProgressRow(job).part;
+  const std::uint64_t choice = ++this->last_choice;
+  this->unassigned.emplace(choice, std::move(submission));
+  if (home_shard) {
+    this->Assign(choice, *home_shard);
+    return;
+  }
+  this->choose_shard(
+      queue, spec, [this, choice](int shard) { this->Assign(choice, shard); });
+}
+
+void CallerApi::Assign(std::uint64_t choice, int shard) {
+  auto chosen = this->unassigned.extract(choice);
+  if (chosen.empty())
+    return;
+  Submission& submission = chosen.mapped();
+  submission.shard = {.number = shard, .count = this->shards};
+  const std::string part = ProgressRow(submission.job).part;
   this->parts[part].waiting.push_back(std::move(submission));
   this->WritePart(part);
 }
--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -165,16 +165,28 @@
           .on_store_answered =
               [this] { this->last_store_answer = base::MonotonicNow(); }});
   this->callers.SetShards(
-      shards, [this](const jobs::Config& current_config,
-                     const jobs::Queue& queue, const jobs::JobSpec& job) {
-        return this->shard_choice.Select(current_config, queue, job,
-                                         this->ownerships->Loads());
+      shards, [this](const jobs::Queue& queue, const jobs::JobSpec& job,
+                     std::function<void(int)> on_chosen) {
+        this->ChooseShard(queue, job, std::move(on_chosen));
       });
   // The stop signal arrived before the shards were known.
   if (this->stop_requested > base::Micros::zero())
     this->ownerships->Release();
 }
 
+void JobDaemon::ChooseShard(const jobs::Queue& queue,
+                            const jobs::JobSpec& job,
+                            std::function<void(int)> on_chosen) {
+  const std::vector<int> candidates = this->shard_choice.DrawCandidates(
+      this->config, queue, job, this->ownerships->Loads());
+  this->ownerships->RefreshLoads(
+      candidates,
+      [this, queue, job, candidates, on_chosen = std::move(on_chosen)] {
+        on_chosen(this->shard_choice.Select(
+            this->config, queue, job, candidates, this->ownerships->Loads()));
+      });
+}
+
 void JobDaemon::ReloadIfChanged() {
   if (ModificationTime(this->settings_file) != this->settings_time)
     this->Reload();
--- a/entry/job_daemon.h
+++ b/entry/job_daemon.h
@@ -6,6 +6,7 @@
 #define ENTRY_JOB_DAEMON_H_
 
 #include <filesystem>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -56,6 +57,9 @@
   void ApplyOperatorRow(const platform::Row& row);
   void SetEvacuatedZones(std::set<std::string> zones);
   void StartOwnerships(int shards, std::uint64_t seed);
+  void ChooseShard(const jobs::Queue& queue,
+                   const jobs::JobSpec& job,
+                   std::function<void(int)> on_chosen);
   void OnOwnershipGained(int shard,
                          std::uint64_t epoch,
                          base::Micros earlier_confirmed);
--- a/entry/ownership.cc
+++ b/entry/ownership.cc
@@ -56,7 +56,23 @@
   this->incarnation = fmt::format("{:016x}", this->random());
   this->unchanged_since = base::MonotonicNow();
   this->takeover_jitter = this->DrawTakeoverJitter();
-  this->timer.StartEvery(kOwnershipTickPeriod);
+  this->UpdateTimer();
+}
+
+void Ownership::SetWatched(bool watched) {
+  this->is_watched = watched;
+  this->UpdateTimer();
+}
+
+void Ownership::UpdateTimer() {
+  const bool is_active = this->is_watched || this->is_holder;
+  if (is_active == this->is_ticking)
+    return;
+  this->is_ticking = is_active;
+  if (is_active)
+    this->timer.StartEvery(kOwnershipTickPeriod);
+  else
+    this->timer.Stop();
 }
 
 void Ownership::OnStoreAnswered() {
@@ -120,9 +136,9 @@
   const double cores = this->events.cores();
   if (this->version == 0)
     return FirstClaimDelay(cores) + this->takeover_jitter;
-  const bool is_weak = this->record.cores > kMuchStrongerFactor * cores;
-  return this->takeover_jitter +
-         (is_weak ? kWeakerBoxDelay : base::Micros::zero());
+  return this->takeover_jitter + (this->is_holder_much_stronger()
+                                      ? kWeakerBoxDelay
+                                      : base::Micros::zero());
 }
 
 bool Ownership::ShouldTakeOver(base::Micros now) const {
@@ -141,28 +157,46 @@
   return is_seen_silent && silent >= kOwnerSilence + this->TakeoverDelay();
 }
 
+bool Ownership::is_unsettled(base::Micros now) const {
+  const bool is_free = this->version == 0 || this->record.holder.empty();
+  return !this->is_holder &&
+         (is_free || now - this->unchanged_since >= kReadRowAfter ||
+          this->IsMuchStronger());
+}
+
+bool Ownership::is_holder_much_stronger() const {
+  return this->record.cores > kMuchStrongerFactor * this->events.cores();
+}
+
 bool Ownership::ShouldReadRow(base::Micros now) const {
   return this->table_read && !this->released && !this->is_read_pending &&
          this->version > 0 && now >= this->unchanged_since + kReadRowAfter &&
          this->last_answer < this->unchanged_since + kReadRowAfter;
 }
 
-void Ownership::ReadRow() {
+// Requests that arrive while a read is in flight share its result.
+void Ownership::ReadRow(std::function<void(bool answered)> on_read) {
+  this->read_waiters.push_back(std::move(on_read));
+  if (this->is_read_pending)
+    return;
   this->is_read_pending = true;
   const platform::ReadQuery query{.table = this->row.table,
                                   .part = this->row.part,
                                   .from = this->row.key,
                                   .to = {},
                                   .limit = 1};
-  this->store.Read(query,
-                   [this](const std::optional<platform::ReadResult>& result) {
-                     this->is_read_pending = false;
-                     if (!result)
-                       return;
-                     for (const platform::Row& found : result->rows)
-                       this->OnRow(found, false);
-                     this->OnStoreAnswered();
-                   });
+  this->store.Read(
+      query, [this](const std::optional<platform::ReadResult>& result) {
+        this->is_read_pending = false;
+        if (result) {
+          this->table_read = true;
+          for (const platform::Row& found : result->rows)
+            this->OnRow(found, false);
+          this->OnStoreAnswered();
+        }
+        for (const auto& waiter : std::exchange(this->read_waiters, {}))
+          waiter(result.has_value());
+      });
 }
 
 // A holder on a much weaker box is asked once to hand over. It is not taken
@@ -211,7 +245,7 @@
     return;
   }
   if (this->ShouldReadRow(now))
-    this->ReadRow();
+    this->ReadRow([](bool) {});
   if (!this->ShouldTakeOver(now))
     return;
   this->Write({.holder = this->id,
@@ -323,6 +357,7 @@
   if (this->is_holder || this->record.epoch <= this->lost_epoch)
     return;
   this->is_holder = true;
+  this->UpdateTimer();
   this->is_handing_over = false;
   this->held_epoch = this->record.epoch;
   base::Log(base::Event::kOwnershipGained, {{"shard", this->row.part},
@@ -336,6 +371,7 @@
   if (!this->is_holder)
     return;
   this->is_holder = false;
+  this->UpdateTimer();
   this->previous_owner_renewal =
       std::max(this->previous_owner_renewal, this->lease.last_renewal());
   this->lost_epoch = this->held_epoch;
--- a/entry/ownership.h
+++ b/entry/ownership.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "base/loop.h"
 #include "entry/owner_lease.h"
@@ -45,6 +46,13 @@
             std::uint64_t seed,
             Events events);
 
+  // Only the holder and daemons that watch the shard act on its row. Watched at
+  // first.
+  void SetWatched(bool watched);
+  // Reads the row instead of waiting for the follower. `on_read` is told
+  // whether the store answered, after the row has been taken in.
+  void ReadRow(std::function<void(bool answered)> on_read);
+
   // --- Notifications from the follower of the owner table ---
   // The whole table has been read; OnRow() is called with each of its rows.
   void OnTableRead() { this->table_read = true; }
@@ -59,6 +67,7 @@
   // still names this daemon.
   void OnFenced();
 
+  const platform::RowKey& row_key() const { return this->row; }
   bool holds() const { return this->is_holder; }
   // A takeover write of this daemon is in flight.
   bool is_takeover_pending() const { return this->takeover_pending; }
@@ -69,6 +78,13 @@
   std::uint64_t epoch() const { return this->record.epoch; }
   // As last reported by the holder.
   const ShardLoad& load() const { return this->record.load; }
+  // When the row was last known to be current; zero: never.
+  base::Micros last_read() const { return this->last_answer; }
+  // The holder has not been seen to renew for long enough to read the row
+  // again, or a stronger daemon should replace it.
+  bool is_unsettled(base::Micros now) const;
+  // The holder's box is much stronger than that of this daemon.
+  bool is_holder_much_stronger() const;
 
  private:
   void OnTick();
@@ -76,7 +92,7 @@
   bool ShouldRequestHandover(base::Micros now) const;
   void RequestHandover();
   bool ShouldReadRow(base::Micros now) const;
-  void ReadRow();
+  void UpdateTimer();
   void HandOver();
   bool IsMuchStronger() const;
   base::Micros DrawTakeoverJitter();
@@ -112,7 +128,10 @@
   bool is_handing_over = false;  // to a daemon on a stronger box
   bool is_write_pending = false;
   bool takeover_pending = false;
-  bool is_read_pending = false;  // of the row, before a takeover
+  bool is_watched = true;
+  bool is_ticking = false;
+  bool is_read_pending = false;  // of the row, instead of the follower
+  std::vector<std::function<void(bool answered)>> read_waiters;
   // The last epochs that this daemon held and lost. They keep an old row that
   // arrives late from restoring a lost ownership.
   std::uint64_t held_epoch = 0;
--- a/entry/ownerships.cc
+++ b/entry/ownerships.cc
@@ -1,6 +1,7 @@
 #include "entry/ownerships.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 
 #include "entry/renewal_schedule.h"
@@ -18,60 +19,90 @@
 // Pause between reads while the store's clock is unknown.
 constexpr base::Micros kReadPauseWithoutClock = std::chrono::milliseconds(150);
 
+// A load that was read this recently is not read again for another job.
+constexpr base::Micros kMaxLoadAge = std::chrono::milliseconds(600);
+// A job waits this long at most for the loads. A slow store answers in some
+// 300 ms.
+constexpr base::Micros kLoadTimeout = std::chrono::milliseconds(500);
+// A daemon that would wait for stronger ones before a takeover reads at every
+// second renewal time only.
+constexpr std::uint64_t kWeakBoxReadPeriods = 2;
+
+// Time until the next read of owner rows, which follows a renewal time.
+base::Micros TimeUntilRead(const platform::Store& store) {
+  if (!store.knows_clock())
+    return kReadPauseWithoutClock;
+  const std::int64_t now = store.StoreMillis(base::MonotonicNow());
+  return TimeUntilRenewal(now, -kReadDelayAfterRenewal + base::Micros(1)) +
+         kReadDelayAfterRenewal;
+}
+
 platform::TableFollower::Pace PaceFor(const platform::Store& store,
                                       int shards) {
   platform::TableFollower::Pace pace;
-  if (shards == 1)
-    return pace;
-  pace.pause = [&store] {
-    if (!store.knows_clock())
-      return kReadPauseWithoutClock;
-    const std::int64_t now = store.StoreMillis(base::MonotonicNow());
-    return TimeUntilRenewal(now, -kReadDelayAfterRenewal + base::Micros(1)) +
-           kReadDelayAfterRenewal;
-  };
+  if (shards > 1)
+    pace.pause = [&store] { return TimeUntilRead(store); };
   return pace;
 }
 
 }  // namespace
 
-Ownerships::Ownerships(base::Loop& loop,
-                       platform::Store& store,
+struct Ownerships::LoadRead {
+  explicit LoadRead(base::Loop& loop)
+      : timeout(loop, [this] { this->Finish(); }) {}
+
+  void Finish() {
+    this->timeout.Stop();
+    if (this->on_read)
+      std::exchange(this->on_read, nullptr)();
+  }
+
+  std::size_t pending = 0;
+  std::function<void()> on_read;
+  base::Timer timeout;
+};
+
+Ownerships::Ownerships(base::Loop& on,
+                       platform::Store& rows_in,
                        const std::string& id,
                        double own_cores,
                        int shards,
                        std::uint64_t seed,
                        Events handlers)
-    : cores(own_cores),
+    : loop(on),
+      store(rows_in),
+      cores(own_cores),
       events(std::move(handlers)),
-      follower(loop,
-               store,
-               std::string(kOwnerTable),
-               ShardParts(kOwnerTable, shards),
-               this->Feed(),
-               PaceFor(store, shards)) {
+      watch(id, own_cores, shards, seed),
+      read_timer(on, [this] { this->ReadWatchedRows(); }) {
   for (int shard = 0; shard < shards; ++shard) {
     this->rows.push_back(std::make_unique<Ownership>(
-        loop, store, Shard{.number = shard, .count = shards}, id,
+        on, rows_in, Shard{.number = shard, .count = shards}, id,
         seed + static_cast<std::uint64_t>(shard), this->EventsOf(shard)));
   }
+  if (shards <= kMaxFollowedShards) {
+    this->follower = std::make_unique<platform::TableFollower>(
+        on, rows_in, std::string(kOwnerTable), ShardParts(kOwnerTable, shards),
+        this->Feed(), PaceFor(rows_in, shards));
+    return;
+  }
+  for (int shard = 0; shard < shards; ++shard)
+    this->At(shard).SetWatched(this->watch.IsHome(shard));
+  this->ReadWatchedRows();
 }
 
 platform::TableFollower::Events Ownerships::Feed() {
   return {.on_all =
               [this](const std::vector<platform::Row>& all) {
-                for (const auto& ownership : this->rows) {
+                for (const auto& ownership : this->rows)
                   ownership->OnTableRead();
-                  for (const platform::Row& row : all)
-                    ownership->OnRow(row, false);
-                }
+                for (const platform::Row& row : all)
+                  this->ApplyRow(row, false);
               },
           .on_changes =
               [this](const std::vector<platform::ChangedRow>& changes) {
-                for (const auto& ownership : this->rows) {
-                  for (const platform::ChangedRow& changed : changes)
-                    ownership->OnRow(changed.row, changed.removed);
-                }
+                for (const platform::ChangedRow& changed : changes)
+                  this->ApplyRow(changed.row, changed.removed);
               },
           .on_contact =
               [this](base::Micros) {
@@ -86,6 +117,101 @@
               }};
 }
 
+void Ownerships::ApplyRow(const platform::Row& row, bool removed) {
+  for (const auto& ownership : this->rows) {
+    if (ownership->row_key() == row.at)
+      ownership->OnRow(row, removed);
+  }
+}
+
+bool Ownerships::IsHeld(int shard) const {
+  return std::find(this->held_shards.begin(), this->held_shards.end(), shard) !=
+         this->held_shards.end();
+}
+
+void Ownerships::ReadWatchedRows() {
+  this->read_timer.StartOnce(TimeUntilRead(this->store));
+  ++this->read_rounds;
+  for (const int shard : this->watch.home()) {
+    const bool is_due = !this->At(shard).is_holder_much_stronger() ||
+                        this->read_rounds % kWeakBoxReadPeriods == 0;
+    if (is_due && !this->IsHeld(shard))
+      this->ReadHomeRow(shard);
+  }
+  this->UpdateVisit();
+}
+
+// While the part of the store with the row does not answer, a visit tells
+// whether other parts do.
+void Ownerships::ReadHomeRow(int shard) {
+  this->At(shard).ReadRow([this, shard](bool answered) {
+    if (answered) {
+      this->events.on_store_answered();
+      return;
+    }
+    this->At(shard).OnFeedLost();
+    this->watch.VisitNow(base::MonotonicNow());
+    this->UpdateVisit();
+  });
+}
+
+ShardWatch::Finding Ownerships::FindingOfVisit(base::Micros now) {
+  if (!this->visited || this->visited_own_shard)
+    return ShardWatch::Finding::kRenewed;
+  if (this->IsHeld(*this->visited))
+    return ShardWatch::Finding::kHeld;
+  return this->At(*this->visited).is_unsettled(now)
+             ? ShardWatch::Finding::kUnsettled
+             : ShardWatch::Finding::kRenewed;
+}
+
+// The ownership of a visited shard reads its row again by itself once it has
+// not changed for a second.
+void Ownerships::UpdateVisit() {
+  const base::Micros now = base::MonotonicNow();
+  this->watch.Advance(now, this->FindingOfVisit(now));
+  const std::optional<int> next = this->watch.visited();
+  if (next == this->visited)
+    return;
+  if (this->visited)
+    this->At(*this->visited).SetWatched(false);
+  this->visited = next;
+  this->visited_own_shard = next && this->IsHeld(*next);
+  if (!next || this->visited_own_shard)
+    return;
+  this->At(*next).SetWatched(true);
+  this->At(*next).ReadRow([this](bool answered) {
+    if (answered)
+      this->events.on_store_answered();
+  });
+}
+
+void Ownerships::RefreshLoads(const std::vector<int>& shards,
+                              std::function<void()> on_read) {
+  const base::Micros now = base::MonotonicNow();
+  std::vector<int> outdated;
+  for (const int shard : shards) {
+    const bool is_recent = this->follows_table() || this->IsHeld(shard) ||
+                           now - this->At(shard).last_read() < kMaxLoadAge;
+    if (!is_recent)
+      outdated.push_back(shard);
+  }
+  if (outdated.empty()) {
+    on_read();
+    return;
+  }
+  const auto read = std::make_shared<LoadRead>(this->loop);
+  read->pending = outdated.size();
+  read->on_read = std::move(on_read);
+  read->timeout.StartOnce(kLoadTimeout);
+  for (const int shard : outdated) {
+    this->At(shard).ReadRow([read](bool) {
+      if (--read->pending == 0)
+        read->Finish();
+    });
+  }
+}
+
 Ownership::Events Ownerships::EventsOf(int shard) {
   return {.on_gained =
               [this, shard](std::uint64_t epoch,
@@ -100,6 +226,10 @@
               },
           .on_renewed =
               [this, shard](base::Micros sent_at) {
+                // With a feed, only its answers show that changes of all rows
+                // are received.
+                if (!this->follows_table())
+                  this->events.on_store_answered();
                 this->events.on_renewed(shard, sent_at);
               },
           .cores = [this, shard] { return this->CoresFor(shard); },
--- a/entry/ownerships.h
+++ b/entry/ownerships.h
@@ -1,5 +1,6 @@
-// Ownership of all shards: follows the owner rows through one table feed and
-// tracks which shards this daemon holds.
+// Ownership of all shards. A daemon of a small fleet follows the owner rows of
+// all shards through one feed; in a fleet of many shards it reads only the rows
+// of those that it watches (ShardWatch). Tracks which shards it holds.
 
 #ifndef ENTRY_OWNERSHIPS_H_
 #define ENTRY_OWNERSHIPS_H_
@@ -7,11 +8,13 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "base/loop.h"
 #include "entry/ownership.h"
+#include "entry/shard_watch.h"
 #include "platform/store.h"
 #include "platform/table_follower.h"
 
@@ -28,7 +31,7 @@
     std::function<void(int shard)> on_lost;
     std::function<void(int shard, base::Micros sent_at)> on_renewed;
     std::function<ShardLoad(int shard)> load;
-    // Called with every answer of the store to the owner table's feed.
+    // Called when the store has answered a read of owner rows, or a renewal.
     std::function<void()> on_store_answered;
   };
 
@@ -48,21 +51,44 @@
   Ownership& At(int shard) {
     return *this->rows[static_cast<std::size_t>(shard)];
   }
-  // Load of each shard, as last reported by its holder.
+  // Load of each shard, as last reported by its holder to this daemon.
   std::vector<ShardLoad> Loads() const;
+  // Reads the loads of these shards that are not recent. Calls `on_read` when
+  // the store has answered or a time limit has passed, at once if all are
+  // recent.
+  void RefreshLoads(const std::vector<int>& shards,
+                    std::function<void()> on_read);
   // Shards that this daemon holds, in the order in which it acquired them.
   const std::vector<int>& held() const { return this->held_shards; }
 
  private:
+  // Loads that one caller of RefreshLoads() waits for.
+  struct LoadRead;
+
   Ownership::Events EventsOf(int shard);
   platform::TableFollower::Events Feed();
+  void ApplyRow(const platform::Row& row, bool removed);
+  bool follows_table() const { return this->follower != nullptr; }
+  bool IsHeld(int shard) const;
   double CoresFor(int shard) const;
+  // Reads the rows of watched shards that are due, after a renewal time.
+  void ReadWatchedRows();
+  void ReadHomeRow(int shard);
+  ShardWatch::Finding FindingOfVisit(base::Micros now);
+  void UpdateVisit();
 
+  base::Loop& loop;
+  platform::Store& store;
   double cores;
   Events events;
   std::vector<int> held_shards;
-  std::vector<std::unique_ptr<Ownership>> rows;  // by shard
-  platform::TableFollower follower;
+  std::vector<std::unique_ptr<Ownership>> rows;       // by shard
+  std::unique_ptr<platform::TableFollower> follower;  // null with many shards
+  ShardWatch watch;
+  std::optional<int> visited;  // the shard whose ownership is watched for it
+  bool visited_own_shard = false;  // held when the visit began
+  std::uint64_t read_rounds = 0;
+  base::Timer read_timer;
 };
 
 }  // namespace quartzhoist::entry
--- a/entry/process_test.cc
+++ b/entry/process_test.cc
@@ -399,6 +399,33 @@
   BOOST_TEST(fixture.cluster.workers().ends_done() == kAllTasks);
 }
 
+// More shards than daemons, each of which watches only some of them.
+BOOST_AUTO_TEST_CASE(JobsOfManyShardsRunOnceAndSurviveAnOwner) {
+  ClusterFixture fixture(0, 8);
+  fixture.cluster.SetWorkersAnOwner(1);
+  for (const char* id : {"entry-1", "entry-2", "entry-3"})
+    fixture.cluster.StartDaemon(id);
+  const auto owner_of = [&](int shard) {
+    return fixture.cluster.Owner({.number = shard, .count = 8});
+  };
+  const auto all_owned_without = [&](const std::string& lost) {
+    for (int shard = 0; shard < 8; ++shard) {
+      if (owner_of(shard).empty() || owner_of(shard) == lost)
+        return false;
+    }
+    return true;
+  };
+  BOOST_REQUIRE(fixture.cluster.WaitUntil(
+      kTimeoutSeconds, [&] { return all_owned_without(""); }));
+  fixture.SubmitAll();
+  const std::string lost = owner_of(0);
+  fixture.cluster.daemons().at(lost).process->Signal(SIGKILL);
+  BOOST_REQUIRE(fixture.cluster.WaitUntil(
+      kTimeoutSeconds, [&] { return all_owned_without(lost); }));
+  fixture.cluster.daemons().erase(lost);
+  fixture.ExpectAllCompletedOnce();
+}
+
 BOOST_AUTO_TEST_CASE(ShardsOfAKilledOwnerAreTakenOver) {
   ShardedFixture fixture;
   fixture.cluster.workers().SetRunTime(std::chrono::milliseconds(800));
--- a/entry/shard_selector.cc
+++ b/entry/shard_selector.cc
@@ -1,10 +1,14 @@
 #include "entry/shard_selector.h"
 
 #include <algorithm>
+#include <iterator>
+#include <numeric>
 #include <optional>
 
 #include <xxhash.h>
 
+#include "entry/shard_watch.h"
+
 namespace quartzhoist::entry {
 
 namespace {
@@ -15,6 +19,8 @@
 // A lasting job is not assigned to its pool's preferred shard at this load or
 // above: its tasks would wait, or displace others.
 constexpr int kMaxPreferredLoad = 150;  // percent
+// Random shards among which a job's shard is chosen by load.
+constexpr std::size_t kRandomCandidates = 2;
 // Load assumed of a shard whose owner has not reported the pool yet, so that
 // other shards are preferred.
 constexpr int kAssumedLoad = 300;  // percent
@@ -49,22 +55,41 @@
       });
 }
 
-// Returns the shards that have the kinds of boxes the job requires, or all
-// shards if none has them.
+std::vector<std::string> AllKinds(const std::vector<ShardLoad>& loads) {
+  std::vector<std::string> kinds;
+  for (const ShardLoad& load : loads)
+    kinds.insert(kinds.end(), load.box_kinds.begin(), load.box_kinds.end());
+  return kinds;
+}
+
+std::vector<int> AllShards(const std::vector<ShardLoad>& loads) {
+  std::vector<int> all(loads.size());
+  std::iota(all.begin(), all.end(), 0);
+  return all;
+}
+
+// Returns the candidates that have the kinds of boxes the job requires, or all
+// candidates if none has them.
 std::vector<int> EligibleShards(const jobs::JobSpec& job,
+                                const std::vector<int>& candidates,
                                 const std::vector<ShardLoad>& loads) {
-  std::vector<std::string> all_kinds;
-  for (const ShardLoad& load : loads)
-    all_kinds.insert(all_kinds.end(), load.box_kinds.begin(),
-                     load.box_kinds.end());
+  const std::vector<std::string> all_kinds = AllKinds(loads);
   std::vector<int> eligible;
-  std::vector<int> all;
-  for (std::size_t shard = 0; shard < loads.size(); ++shard) {
-    all.push_back(static_cast<int>(shard));
-    if (HasBoxKinds(loads[shard], job, all_kinds))
-      eligible.push_back(static_cast<int>(shard));
+  for (const int shard : candidates) {
+    if (HasBoxKinds(loads[static_cast<std::size_t>(shard)], job, all_kinds))
+      eligible.push_back(shard);
   }
-  return eligible.empty() ? all : eligible;
+  return eligible.empty() ? candidates : eligible;
+}
+
+// Whether no known shard lists a label that the job requires.
+bool RequiresUnknownKind(const jobs::JobSpec& job,
+                         const std::vector<ShardLoad>& known) {
+  const std::vector<std::string> kinds = AllKinds(known);
+  return std::any_of(
+      job.steps.begin(), job.steps.end(), [&](const jobs::Step& step) {
+        return !step.label.empty() && !Contains(kinds, step.label);
+      });
 }
 
 // Assigns the pools that run jobs to shards in the order of the pools' names,
@@ -121,6 +146,28 @@
 
 ShardSelector::ShardSelector(std::uint64_t seed) : random(seed) {}
 
+// With few shards their loads are known anyway, and all are candidates. With
+// many, a job that requires a kind of box goes to shards that are known to have
+// it; a label that none lists may be a kind whose shards have not been read
+// yet.
+std::vector<int> ShardSelector::DrawCandidates(
+    const jobs::Config& config,
+    const jobs::Queue& queue,
+    const jobs::JobSpec& job,
+    const std::vector<ShardLoad>& known) {
+  std::vector<int> all = AllShards(known);
+  if (known.size() <= kMaxFollowedShards || RequiresUnknownKind(job, known))
+    return all;
+  const std::vector<int> eligible = EligibleShards(job, all, known);
+  std::vector<int> candidates;
+  if (IsLasting(job))
+    candidates.push_back(
+        PreferredShard(config, queue.service, static_cast<int>(known.size())));
+  std::sample(eligible.begin(), eligible.end(), std::back_inserter(candidates),
+              kRandomCandidates, this->random);
+  return candidates;
+}
+
 // Lasting tasks of a job (about 30) that must not share a box each pin one to
 // their pool. Spread over four shards, such jobs pinned 243 of 540 boxes on a
 // calm day, and one shard could not follow a pool's demand (waits of 10 s). In
@@ -128,11 +175,12 @@
 int ShardSelector::Select(const jobs::Config& config,
                           const jobs::Queue& queue,
                           const jobs::JobSpec& job,
+                          const std::vector<int>& candidates,
                           const std::vector<ShardLoad>& loads) {
   if (loads.size() == 1)
     return 0;
   const std::string& pool = queue.service;
-  const std::vector<int> eligible = EligibleShards(job, loads);
+  const std::vector<int> eligible = EligibleShards(job, candidates, loads);
   if (!IsLasting(job))
     return this->SelectByLoad(pool, loads, eligible);
   const int preferred =
--- a/entry/shard_selector.h
+++ b/entry/shard_selector.h
@@ -36,11 +36,19 @@
  public:
   explicit ShardSelector(std::uint64_t seed);
 
-  // Returns the number of the selected shard. `loads` has an entry for each
-  // shard and is not empty.
+  // Returns the shards among which Select() is to choose for the job, and whose
+  // current loads should be known by then: a few, however many shards there
+  // are. `known` has the last known load of each shard, of any age.
+  std::vector<int> DrawCandidates(const jobs::Config& config,
+                                  const jobs::Queue& queue,
+                                  const jobs::JobSpec& job,
+                                  const std::vector<ShardLoad>& known);
+  // Returns the number of the selected shard, one of `candidates`. `loads` has
+  // an entry for each shard.
   int Select(const jobs::Config& config,
              const jobs::Queue& queue,
              const jobs::JobSpec& job,
+             const std::vector<int>& candidates,
              const std::vector<ShardLoad>& loads);
 
  private:
--- a/entry/shards_test.cc
+++ b/entry/shards_test.cc
@@ -136,6 +136,47 @@
   return job;
 }
 
+int SelectShard(ShardSelector& selector,
+                const std::string& pool,
+                const jobs::JobSpec& job,
+                const std::vector<ShardLoad>& loads) {
+  const std::vector<int> candidates =
+      selector.DrawCandidates(FourPools(), QueueOf(pool), job, loads);
+  return selector.Select(FourPools(), QueueOf(pool), job, candidates, loads);
+}
+
+// A daemon reads the loads of the candidates for a job, so their number must
+// not grow with the fleet.
+BOOST_AUTO_TEST_CASE(CandidatesForAJobDoNotGrowWithShards) {
+  ShardSelector selector(1);
+  for (const std::size_t shards : {8, 16, 64}) {
+    std::vector<ShardLoad> loads(shards);
+    std::set<int> drawn;
+    for (int i = 0; i < 2000; ++i) {
+      const auto candidates = selector.DrawCandidates(FourPools(), QueueOf("a"),
+                                                      JobOf(i % 2 == 0), loads);
+      BOOST_REQUIRE(candidates.size() <= 3U);
+      drawn.insert(candidates.begin(), candidates.end());
+    }
+    BOOST_TEST(drawn.size() == shards);
+  }
+}
+
+// Of many shards one has the kind of box that a job requires.
+BOOST_AUTO_TEST_CASE(KindOfBoxIsFoundAmongManyShards) {
+  ShardSelector selector(1);
+  std::vector<ShardLoad> loads(16);
+  jobs::JobSpec job = JobOf(false);
+  job.steps.front().label = "rare";
+  // Not read yet: all of them may have it.
+  BOOST_TEST(
+      selector.DrawCandidates(FourPools(), QueueOf("a"), job, loads).size() ==
+      loads.size());
+  loads[11].box_kinds.emplace_back("rare");
+  for (int i = 0; i < 20; ++i)
+    BOOST_TEST(SelectShard(selector, "a", job, loads) == 11);
+}
+
 // Lasting jobs of four pools, submitted in turn: those of one pool stay in one
 // shard, and no two pools use the same shard.
 BOOST_AUTO_TEST_CASE(LastingJobsOfAPoolShareAShard) {
@@ -143,8 +184,8 @@
   std::map<std::string, std::set<int>> homes;
   for (int i = 0; i < 40; ++i) {
     for (const char* pool : {"a", "b", "c", "d"})
-      homes[pool].insert(selector.Select(
-          FourPools(), QueueOf(pool), JobOf(true), std::vector<ShardLoad>(4)));
+      homes[pool].insert(
+          SelectShard(selector, pool, JobOf(true), std::vector<ShardLoad>(4)));
   }
   std::set<int> all;
   for (const auto& [pool, shards] : homes) {
@@ -157,15 +198,13 @@
 BOOST_AUTO_TEST_CASE(LastingJobsAvoidAFullShard) {
   ShardSelector selector(1);
   std::vector<ShardLoad> loads(4);
-  const int home =
-      selector.Select(FourPools(), QueueOf("a"), JobOf(true), loads);
+  const int home = SelectShard(selector, "a", JobOf(true), loads);
   for (ShardLoad& load : loads)
     load.load_percent_by_pool["a"] = 10;
   for (const int full : {150, 300, 1000}) {
     loads[static_cast<std::size_t>(home)].load_percent_by_pool["a"] = full;
     for (int i = 0; i < 20; ++i)
-      BOOST_TEST(selector.Select(FourPools(), QueueOf("a"), JobOf(true),
-                                 loads) != home);
+      BOOST_TEST(SelectShard(selector, "a", JobOf(true), loads) != home);
   }
 }
 
@@ -180,12 +219,12 @@
   jobs::JobSpec lasting = JobOf(true);
   lasting.steps.front().label = "rare";
   for (int i = 0; i < 20; ++i) {
-    BOOST_TEST(selector.Select(FourPools(), QueueOf("a"), job, loads) == 2);
-    BOOST_TEST(selector.Select(FourPools(), QueueOf("a"), lasting, loads) == 2);
+    BOOST_TEST(SelectShard(selector, "a", job, loads) == 2);
+    BOOST_TEST(SelectShard(selector, "a", lasting, loads) == 2);
   }
   // No shard has this kind of box: any shard is accepted.
   job.steps.front().label = "unheard of";
-  BOOST_TEST(selector.Select(FourPools(), QueueOf("a"), job, loads) < 4);
+  BOOST_TEST(SelectShard(selector, "a", job, loads) < 4);
 }
 
 // At peak demand of a pool of which one shard has fewer boxes, jobs are spread
@@ -203,8 +242,7 @@
       loads[s].load_percent_by_pool["a"] =
           static_cast<int>(100 * assigned_cores[s] / cores[s]);
     for (int i = 0; i < 20; ++i) {
-      const int shard =
-          selector.Select(FourPools(), QueueOf("a"), JobOf(false), loads);
+      const int shard = SelectShard(selector, "a", JobOf(false), loads);
       assigned_cores[static_cast<std::size_t>(shard)] += kJobCores;
     }
   }
--- a/testing/store_standin.cc
+++ b/testing/store_standin.cc
@@ -235,6 +235,7 @@
     }
     answer["rows"].push_back(this->RowJson(at));
   }
+  this->sent_rows += static_cast<int>(answer["rows"].size());
   exchange->Reply(http::JsonResponse(200, answer.dump()));
 }
 
@@ -271,6 +272,7 @@
   }
   if (answer["rows"].empty() && !over)
     return false;
+  this->sent_rows += static_cast<int>(answer["rows"].size());
   feed.exchange->Reply(http::JsonResponse(200, answer.dump()));
   return true;
 }
--- a/testing/store_standin.h
+++ b/testing/store_standin.h
@@ -60,6 +60,8 @@
   int writes() const { return this->write_count; }
   // Calls of reads that were answered.
   int reads() const { return this->read_count; }
+  // Rows in the answers to reads and feeds.
+  int rows_sent() const { return this->sent_rows; }
 
  private:
   struct Stored {
@@ -103,6 +105,7 @@
   std::size_t page = 500;
   int write_count = 0;
   int read_count = 0;
+  int sent_rows = 0;
   base::Timer timer;
   http::Server server;
 };
