A throttled list of boxes goes on at the refused page

Cause: the owner of each shard lists all boxes, page by page; a refused page (429, the rate is shared by all daemons) ended the list, and the next began at the first page 1.5 s later. At 32 owners and 30 pages of 200 boxes, 960 pages for 64 a second, lists complete by luck, and calls grow as owners times boxes.

Change: entry/box_lister reads the refused page again after 1 to 1.5 s, and begins the next list so late that all owners together take half of the allowed rate ([boxes] reads_per_second, filled by the platform).

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -101,6 +101,7 @@
               : key.ends_with("_parts")    ? "true"
               : key.ends_with("_checked")  ? "false"
               : key.ends_with("_seconds")  ? "2"
+              : key.ends_with("_second")   ? "64.0"
                                            : "10.0.0.1:80");
     filled += line + "\n";
   }
--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -28,7 +28,6 @@
 // Confirmations from a slow store (about 0.4 s) leave a margin of 0.3 s, those
 // from a fast store 0.69 s.
 constexpr base::Micros kExpiryMargin = milliseconds(350);
-constexpr base::Micros kBoxListPeriod = milliseconds(1500);
 
 // Maximum time from an ownership confirmation to the end of a lease. If epochs
 // are not checked, commands stop before another owner may take over, so that
@@ -104,6 +103,12 @@
                this->scheduler.SetQuotaShare(organisation, share);
              }),
       box_calls(store, shard, epoch, this->BoxCallEvents()),
+      box_lister(loop,
+                 this->boxes,
+                 shard,
+                 settings.box_reads_per_second,
+                 epoch * kMaxShards + static_cast<std::uint64_t>(shard.number),
+                 this->OnBoxesListed()),
       save_policy(store.deployment().writes_span_parts),
       tick_timer(loop, [this] { this->RunCycle(); }),
       cycle_timer(loop, [this] { this->RunCycle(); }),
@@ -275,14 +280,8 @@
   }
   this->RetryJobReads();
   this->LogPoolStates();
-  const base::Micros now = base::MonotonicNow();
-  if (now >= this->next_box_list && !this->listing_boxes &&
-      this->scheduler.needs_box_list() &&
-      !this->settings.boxes_address.empty()) {
-    this->listing_boxes = true;
-    this->next_box_list = now + kBoxListPeriod;
-    this->ListBoxes("", {}, now);
-  }
+  if (this->scheduler.needs_box_list() && !this->settings.boxes_address.empty())
+    this->box_lister.ListIfDue(base::MonotonicNow());
   this->cycle_duration = base::MonotonicNow() - this->cycle_start;
   if (this->scheduler.fenced())
     this->authority.on_fenced();
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -18,6 +18,7 @@
 #include "base/counters.h"
 #include "base/loop.h"
 #include "entry/box_calls.h"
+#include "entry/box_lister.h"
 #include "entry/quota_records.h"
 #include "entry/save_policy.h"
 #include "entry/save_queue.h"
@@ -159,9 +160,7 @@
                           const platform::WriteResult& result);
   void WriteWaitingCounts();
   void LogPoolStates();
-  void ListBoxes(const std::string& page,
-                 std::vector<scheduler::BoxInfo> boxes_so_far,
-                 base::Micros asked);
+  BoxLister::OnListed OnBoxesListed();
   platform::OrderTo AddresseeOf(const jobs::WorkerIncarnation& worker) const;
   std::optional<scheduler::Job> MakeJob(const std::string& id,
                                         const AcceptedJob& accepted,
@@ -199,6 +198,7 @@
   WaveRecords waves;
   QuotaRecords quotas;
   BoxCalls box_calls;
+  BoxLister box_lister;
   std::vector<scheduler::BoxCall> inherited_box_calls;
 
   std::set<std::string> cancelled_jobs;  // including jobs not loaded yet
@@ -218,9 +218,7 @@
   base::Micros confirmed_at{};
   base::Micros next_count_write{};
   base::Micros next_pool_log{};
-  base::Micros next_box_list{};
   base::Micros next_lease_write{};
-  bool listing_boxes = false;
   bool commands_suspended = false;  // commands_until() has passed
   bool leases_extended = false;     // since the last confirmation
   base::Timer tick_timer;
--- a/entry/manager_boxes.cc
+++ b/entry/manager_boxes.cc
@@ -113,30 +113,12 @@
                      });
 }
 
-void ShardManager::ListBoxes(const std::string& page,
-                             std::vector<scheduler::BoxInfo> boxes_so_far,
-                             base::Micros asked) {
-  this->boxes.List(page, [this, boxes_so_far = std::move(boxes_so_far), asked,
-                          alive = this->alive](
-                             std::optional<platform::BoxPage> result) mutable {
-    if (!*alive)
-      return;
-    if (!result) {
-      this->listing_boxes = false;
-      return;
-    }
-    for (scheduler::BoxInfo& box : result->boxes) {
-      if (ShardContainsBox(this->shard, box.name))
-        boxes_so_far.push_back(std::move(box));
-    }
-    if (!result->next.empty()) {
-      this->ListBoxes(result->next, std::move(boxes_so_far), asked);
-      return;
-    }
-    this->listing_boxes = false;
-    this->scheduler.SetBoxes(boxes_so_far, asked, base::MonotonicNow());
+BoxLister::OnListed ShardManager::OnBoxesListed() {
+  return [this](const std::vector<scheduler::BoxInfo>& listed,
+                base::Micros asked) {
+    this->scheduler.SetBoxes(listed, asked, base::MonotonicNow());
     this->ScheduleCycle();
-  });
+  };
 }
 
 }  // namespace quartzhoist::entry
--- a/entry/settings.cc
+++ b/entry/settings.cc
@@ -25,7 +25,7 @@
   return base::TakeSeconds(value, 0.001, 3600.0);
 }
 
-constexpr std::array<Key, 20> kKeys{{
+constexpr std::array<Key, 21> kKeys{{
     {"daemon", "id", true,
      [](Settings& s, const std::string& v) { s.id = TakeIdentifier(v); }},
     {"daemon", "zone", true,
@@ -71,6 +71,10 @@
      [](Settings& s, const std::string& v) {
        s.boxes_address = TakeAddress(v);
      }},
+    {"boxes", "reads_per_second", false,
+     [](Settings& s, const std::string& v) {
+       s.box_reads_per_second = base::TakeNumber(v, 0.01, 1'000'000.0);
+     }},
     {"advice", "address", false,
      [](Settings& s, const std::string& v) {
        s.advice_address = TakeAddress(v);
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -25,6 +25,8 @@
   std::string store_address;
   std::string advice_address;  // empty: there is no advice service
   std::string boxes_address;   // empty: boxes are neither moved nor maintained
+  // Reads of the list of boxes a second that are answered, over all daemons.
+  double box_reads_per_second = 16.0;
   // Capabilities of the store, the workers and the boxes: keys of [store],
   // [boxes] and [limits].
   platform::Deployment deployment;
