--- a/entry/caller_rights.cc
+++ b/entry/caller_rights.cc
@@ -27,7 +27,7 @@
           : nullptr;
   if (key_owner)
     return key_owner->name;
-  const bool key_optional = queue.auth_exempt || !config.requires_api_key;
+  const bool key_optional = queue.open_to_all || !config.keys_required;
   return key_optional ? std::optional<std::string>("") : std::nullopt;
 }
 
--- a/entry/caller_submissions.cc
+++ b/entry/caller_submissions.cc
@@ -42,7 +42,7 @@
                        const std::string& organisation,
                        const std::string& job) {
   const http::Request& request = exchange->request();
-  if (request.body.size() > this->config->max_body_bytes) {
+  if (request.body.size() > this->config->max_request_bytes) {
     this->Refuse(exchange, kPayloadTooLarge, job, "the body is too large");
     return;
   }
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -28,11 +28,11 @@
 struct Step {
   std::int64_t tasks = 1;
   Resources task_resources;
-  std::int64_t estimate_ms = 0;  // caller's estimate of a task's run time
-  std::vector<int> depends_on;   // steps that must be completed first
-  bool checkpoints = false;      // a task can resume from saved progress
-  bool gang = false;             // all tasks must run at the same time
-  bool rack_local = false;       // a gang runs slower across racks
+  std::int64_t estimate_ms = 0;      // caller's estimate of a task's run time
+  std::vector<int> depends_on;       // steps that must be completed first
+  bool checkpoints = false;          // a task can resume from saved progress
+  bool gang = false;                 // all tasks must run at the same time
+  bool prefers_single_rack = false;  // a gang runs slower across racks
   bool allows_speculative_runs = false;  // runs of a task may overlap
   bool long_running = false;             // runs until the job is cancelled
   bool fills = false;  // best effort: uses only leftover CPU time
--- a/jobs/queue.h
+++ b/jobs/queue.h
@@ -31,7 +31,7 @@
   double extension = 1.0;         // objective: factor of the critical path
   base::Micros target_latency{};  // objective: added to the above
   AdviceConfig advice;
-  bool auth_exempt = false;  // callers need no API key
+  bool open_to_all = false;  // callers need no API key
 
   bool operator==(const Queue& other) const {
     return this->name == other.name && this->service == other.service &&
@@ -42,7 +42,8 @@
 // A service, whose workers form a pool.
 struct Service {
   std::string name;
-  bool enforces_capacity = false;  // its workers refuse tasks that do not fit
+  bool workers_reject_excess =
+      false;           // its workers refuse tasks that do not fit
   bool spare = false;  // its boxes are switched off and cost nothing
 };
 
@@ -51,9 +52,9 @@
   std::vector<Queue> queues;
   std::vector<Service> services;
   // Set if organisations are configured: callers need the API key of one.
-  bool requires_api_key = false;
+  bool keys_required = false;
   std::vector<Organisation> organisations;
-  std::size_t max_body_bytes = 262'144;  // of a caller's request
+  std::size_t max_request_bytes = 262'144;  // of a caller's request
 
   const Queue* FindQueue(std::string_view name) const;
   const Service* FindService(std::string_view name) const;
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -367,7 +367,7 @@
         cost += kOtherRackCost;
       // A gang that spans several racks is slower: prefer the first member's
       // rack.
-      if (step.rack_local && !choices.empty() &&
+      if (step.prefers_single_rack && !choices.empty() &&
           choices.front().worker->info.rack != worker->info.rack)
         cost += kOtherRackCost;
       if (step.long_running)
