One daemon counts the workers when a fleet starts, not each

Grows as daemons times workers.

Change: a daemon claims the count by a row of its own part, under its version; the others wait for the count, and claim it anew if the claim is 6.5 s old. Old daemons don't read that part; they count as before.

Tests that fail without it: entry OneOfTheDaemonsThatStartTogetherCountsTheWorkers (rows read by 6 and by 12 daemons), CountOfADaemonThatHasDiedIsTakenOver.

--- a/entry/shard_count_resolver.cc
+++ b/entry/shard_count_resolver.cc
@@ -14,12 +14,18 @@
 using std::chrono::milliseconds;
 
 constexpr base::Micros kReadRetryDelay = milliseconds(150);
+// Delay of the next look while another daemon counts.
+constexpr base::Micros kWaitForCounter = milliseconds(400);
 // Workers register within a few heartbeats (1 to 1.5 s on the sites) of a
 // fleet's start. The count is final when two reads, kRecountDelay apart, find
 // the same number of workers, or after kMaxCountDuration.
 constexpr base::Micros kRecountDelay = milliseconds(600);
 constexpr base::Micros kMaxCountDuration = milliseconds(5000);
 
+// The counter is presumed dead this long after its claim was seen without a
+// count: it takes kMaxCountDuration and another read at most.
+constexpr base::Micros kClaimTimeout = milliseconds(6500);
+
 base::Micros CountDelay(double cores, std::uint64_t seed) {
   std::mt19937_64 random(seed);
   return FirstClaimDelay(cores) + milliseconds(random() % kClaimJitterMillis);
@@ -37,6 +43,7 @@
       workers_per_owner(max_workers),
       on_resolved(std::move(then)),
       count_delay(CountDelay(cores, seed)),
+      claim_text(std::to_string(seed)),
       timer(loop, [this] { this->ReadCountRow(); }),
       alive(std::make_shared<bool>(true)) {
   this->ReadCountRow();
@@ -73,8 +80,69 @@
   }
   if (!this->missing_since)
     this->missing_since = now;
-  if (now - *this->missing_since >= this->count_delay)
+  if (now - *this->missing_since < this->count_delay)
+    return;
+  if (this->is_counter)
+    this->CountWorkers();
+  else
+    this->ReadClaim();
+}
+
+void ShardCountResolver::ReadClaim() {
+  this->timer.Stop();
+  platform::ReadTable(
+      this->store, std::string(kShardCountTable), {ShardCountClaimRow().part},
+      [this, is_alive = this->alive](
+          const std::optional<platform::TableContent>& content) {
+        if (*is_alive)
+          this->OnClaim(content);
+      });
+}
+
+void ShardCountResolver::OnClaim(
+    const std::optional<platform::TableContent>& content) {
+  if (!content) {
+    this->timer.StartOnce(kReadRetryDelay);
+    return;
+  }
+  // The answer to the write of the claim was lost.
+  if (!content->rows.empty() &&
+      content->rows.front().value == this->claim_text) {
+    this->is_counter = true;
     this->CountWorkers();
+    return;
+  }
+  const base::Micros now = base::MonotonicNow();
+  const std::uint64_t version =
+      content->rows.empty() ? 0 : content->rows.front().version;
+  if (version != this->claim_version) {
+    this->claim_version = version;
+    this->claim_seen = now;
+  }
+  const bool is_claimed = version > 0 && now - this->claim_seen < kClaimTimeout;
+  if (is_claimed)
+    this->timer.StartOnce(kWaitForCounter);
+  else
+    this->WriteClaim();
+}
+
+// Of several daemons that saw the same claim, or none, one succeeds.
+void ShardCountResolver::WriteClaim() {
+  const platform::WriteBatch batch{
+      .conditions = {{.at = ShardCountClaimRow(),
+                      .version = this->claim_version}},
+      .puts = {{.at = ShardCountClaimRow(), .value = this->claim_text}},
+      .removes = {}};
+  this->store.Write(batch, [this, is_alive = this->alive](
+                               const platform::WriteResult& result) {
+    if (!*is_alive)
+      return;
+    this->is_counter = result.outcome == platform::WriteOutcome::kDone;
+    if (this->is_counter)
+      this->CountWorkers();
+    else
+      this->timer.StartOnce(kReadRetryDelay);
+  });
 }
 
 void ShardCountResolver::CountWorkers() {
--- a/entry/shard_count_resolver.h
+++ b/entry/shard_count_resolver.h
@@ -1,6 +1,8 @@
 // Determines the number of shards of the fleet. The count is kept in a row of
-// the store. The first daemon that finds no row counts the workers and writes
-// it; it never changes afterwards.
+// the store. The first daemon that finds no row claims the count by another
+// row, counts the workers and writes the result; it never changes afterwards.
+// All other daemons wait for it: each of them reading all workers would cost
+// bytes in proportion to daemons times workers.
 
 #ifndef ENTRY_SHARD_COUNT_RESOLVER_H_
 #define ENTRY_SHARD_COUNT_RESOLVER_H_
@@ -11,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <string>
 
 #include "base/loop.h"
 #include "platform/store.h"
@@ -35,6 +38,9 @@
  private:
   void ReadCountRow();
   void OnCountRow(const std::optional<platform::TableContent>& content);
+  void ReadClaim();
+  void OnClaim(const std::optional<platform::TableContent>& content);
+  void WriteClaim();
   void CountWorkers();
   void OnWorkerCount(std::size_t workers);
   void WriteCount(int count);
@@ -46,6 +52,11 @@
   base::Micros count_delay{};  // before this daemon counts the workers
   std::optional<base::Micros> missing_since;
   std::optional<std::size_t> last_count;  // of workers
+  std::string claim_text;                 // distinguishes this daemon's claim
+  bool is_counter = false;                // this daemon's claim is written
+  // Another daemon's claim, and since when it has been known.
+  std::uint64_t claim_version = 0;
+  base::Micros claim_seen{};
   bool is_resolved = false;
   base::Timer timer;
   // Set to false on destruction, for callbacks of calls still in flight.
--- a/entry/shards_test.cc
+++ b/entry/shards_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -270,6 +271,41 @@
   BOOST_TEST(first == second);
 }
 
+// Rows that the store sends until `daemons` that start together know the number
+// of shards.
+int RowsReadForTheCount(int daemons, int workers) {
+  StoreBench bench;
+  for (int i = 0; i < workers; ++i)
+    bench.standin.Put({.table = "servers", .part = "", .key = BoxName(i)},
+                      "{}");
+  int resolved = 0;
+  std::vector<std::unique_ptr<ShardCountResolver>> resolvers;
+  for (int i = 0; i < daemons; ++i)
+    resolvers.push_back(std::make_unique<ShardCountResolver>(
+        bench.loop, bench.store, 0.5, 2, static_cast<std::uint64_t>(i),
+        [&](int) { ++resolved; }));
+  bench.Until([&] { return resolved == daemons; });
+  return bench.standin.rows_sent();
+}
+
+// Each of 585 daemons read 6,001 workers once or twice at the fleet's start:
+// 2.6 GB, more than all that follows in a minute.
+BOOST_AUTO_TEST_CASE(OneOfTheDaemonsThatStartTogetherCountsTheWorkers) {
+  constexpr int kWorkers = 200;
+  for (const int daemons : {6, 12})
+    BOOST_TEST(RowsReadForTheCount(daemons, kWorkers) < 3 * kWorkers);
+}
+
+BOOST_AUTO_TEST_CASE(CountOfADaemonThatHasDiedIsTakenOver) {
+  StoreBench bench;
+  bench.standin.Put({.table = "servers", .part = "", .key = BoxName(1)}, "{}");
+  bench.standin.Put(ShardCountClaimRow(), "{}");
+  int count = 0;
+  ShardCountResolver resolver(bench.loop, bench.store, 0.5, 1, 1,
+                              [&](int found) { count = found; });
+  BOOST_TEST(bench.Within(std::chrono::seconds(20), [&] { return count > 0; }));
+}
+
 BOOST_AUTO_TEST_CASE(ShardCountIsSettledOnceAndFoundByAll) {
   StoreBench bench;
   constexpr std::size_t kWorkersPerOwner = 3;
--- a/entry/tables.cc
+++ b/entry/tables.cc
@@ -52,6 +52,12 @@
   return ShardRowKey(kShardCountTable, kShardCountKey, {});
 }
 
+platform::RowKey ShardCountClaimRow() {
+  return {.table = std::string(kShardCountTable),
+          .part = "claim",
+          .key = "counter"};
+}
+
 platform::RowKey QueueLengthRow(const Shard& shard) {
   return ShardRowKey(kQueueLengthTable, std::to_string(shard.number), {});
 }
--- a/entry/tables.h
+++ b/entry/tables.h
@@ -65,6 +65,9 @@
 std::vector<std::string> ShardParts(std::string_view table, int shards);
 platform::RowKey OwnerRow(const Shard& shard);
 platform::RowKey ShardCountRow();
+// Rewritten by each daemon that is about to count the workers. In a part of its
+// own: the part of the count holds nothing else.
+platform::RowKey ShardCountClaimRow();
 platform::RowKey QueueLengthRow(const Shard& shard);
 platform::RowKey OrganisationQuotaRow(const std::string& organisation);
 // Each new owner of the shard writes this row, so that writes of an earlier
