Growth of arrivals counts only beyond its standard error

Cause: the work of a job that arrived within the last second counted as growth, four times, unless as much had arrived in the second before. Holds only while a shard gets many jobs a second.

Change: the growth less the standard error of independent arrivals (DemandTrend::ExpectedGrowth).

--- a/scheduler/box_planning.cc
+++ b/scheduler/box_planning.cc
@@ -22,8 +22,8 @@
 constexpr base::Micros kMaxReportAge = milliseconds(3000);
 
 // Weight of the growth of arrivals in a pool's expected demand. A box arrives
-// 1.5 to 2 s after it was requested: demand that keeps growing is then higher by
-// a multiple of its last second's growth.
+// 1.5 to 2 s after it was requested: demand that keeps growing is then higher
+// by a multiple of its last second's growth.
 constexpr double kTrendWeight = 4.0;
 
 // A task that has waited this long for capacity is taken to fit on none of its
@@ -78,10 +78,8 @@
     }
   }
   for (const jobs::Queue& queue : this->config.queues) {
-    const double trend =
-        std::max(0.0, this->demand.CoresTrend(queue.name, now));
     demand_by_pool[queue.service][queue.priority].expected_cores +=
-        kTrendWeight * trend;
+        kTrendWeight * this->demand.ExpectedGrowth(queue.name, now);
   }
   std::map<std::string, int> min_boxes = this->MinBoxes();
   this->AddBoxesForStuckTasks(now, view, min_boxes);
--- a/scheduler/demand.cc
+++ b/scheduler/demand.cc
@@ -1,5 +1,8 @@
 #include "scheduler/demand.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace quartzhoist::scheduler {
 
 namespace {
@@ -17,19 +20,25 @@
     recent.pop_front();
 }
 
-double DemandTrend::CoresTrend(const std::string& queue,
-                               base::Micros now) const {
+// The standard error is that of independent arrivals (a compound Poisson
+// process), whose variance is the sum of the squares. In a fleet of many shards
+// a shard gets less than a job a second of a queue: without it, each single job
+// would pass for growth by its whole work, and boxes would be moved for it.
+double DemandTrend::ExpectedGrowth(const std::string& queue,
+                                   base::Micros now) const {
   const auto found = this->arrivals.find(queue);
   if (found == this->arrivals.end())
     return 0.0;
-  double trend = 0.0;
+  double growth = 0.0;
+  double variance = 0.0;
   for (const Arrival& arrival : found->second) {
-    if (arrival.at >= now - kWindow)
-      trend += arrival.core_seconds;
-    else if (arrival.at >= now - 2 * kWindow)
-      trend -= arrival.core_seconds;
+    if (arrival.at < now - 2 * kWindow)
+      continue;
+    const bool is_recent = arrival.at >= now - kWindow;
+    growth += is_recent ? arrival.core_seconds : -arrival.core_seconds;
+    variance += arrival.core_seconds * arrival.core_seconds;
   }
-  return trend;
+  return std::max(0.0, growth - std::sqrt(variance));
 }
 
 }  // namespace quartzhoist::scheduler
--- a/scheduler/demand.h
+++ b/scheduler/demand.h
@@ -17,9 +17,10 @@
   void RecordArrival(const std::string& queue,
                      double core_seconds,
                      base::Micros now);
-  // Cores' worth of work submitted over the last second less that of the second
-  // before. Negative while the arrival rate falls.
-  double CoresTrend(const std::string& queue, base::Micros now) const;
+  // Growth, in cores, that the arrivals prove: the work submitted over the last
+  // second less that of the second before, less the standard error of this
+  // difference. Zero while the arrival rate is steady or falls.
+  double ExpectedGrowth(const std::string& queue, base::Micros now) const;
 
  private:
   struct Arrival {
