--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -20,7 +20,9 @@
 // Pause between feed requests, so that one response covers several workers.
 // They change one at a time, up to 80 a second while a pool grows. Without the
 // pause, four owners of 540 workers made 25,252 calls on a calm day, a quarter
-// of all calls to the store.
+// of all calls to the store. A response has 500 rows at most and 6,001 workers
+// change about 1,700 rows a second: an owner that paused for 400 ms would fall
+// behind.
 constexpr base::Micros kWorkerFeedPause = milliseconds(50);
 // Bound on the error of the estimated store clock, which is about the fastest
 // response time of the store: some hundred ms if the store is slow.
