--- a/scheduler/demand.cc
+++ b/scheduler/demand.cc
@@ -23,7 +23,9 @@
 // The standard error is that of independent arrivals (a compound Poisson
 // process), whose variance is the sum of the squares. In a fleet of many shards
 // a shard gets less than a job a second of a queue: without it, each single job
-// would pass for growth by its whole work, and boxes would be moved for it.
+// would pass for growth by its whole work, and boxes would be moved for it. A
+// single shard gets all jobs of a queue; there boxes that come in time for a
+// rise are worth more than those that are moved for noise cost.
 double DemandTrend::ExpectedGrowth(const std::string& queue,
                                    base::Micros now) const {
   const auto found = this->arrivals.find(queue);
@@ -38,7 +40,8 @@
     growth += is_recent ? arrival.core_seconds : -arrival.core_seconds;
     variance += arrival.core_seconds * arrival.core_seconds;
   }
-  return std::max(0.0, growth - std::sqrt(variance));
+  const double error = this->shards > 1 ? std::sqrt(variance) : 0.0;
+  return std::max(0.0, growth - error);
 }
 
 }  // namespace quartzhoist::scheduler
--- a/scheduler/demand.h
+++ b/scheduler/demand.h
@@ -13,13 +13,16 @@
 
 class DemandTrend {
  public:
+  // The jobs are partitioned into `shards`, of which this is one.
+  explicit DemandTrend(int shards) : shards(shards) {}
+
   // Records work submitted to the queue.
   void RecordArrival(const std::string& queue,
                      double core_seconds,
                      base::Micros now);
   // Growth, in cores, that the arrivals prove: the work submitted over the last
   // second less that of the second before, less the standard error of this
-  // difference. Zero while the arrival rate is steady or falls.
+  // difference if there are several shards. Zero while the arrival rate falls.
   double ExpectedGrowth(const std::string& queue, base::Micros now) const;
 
  private:
@@ -27,6 +30,7 @@
     base::Micros at{};
     double core_seconds = 0.0;
   };
+  int shards;
   std::map<std::string, std::deque<Arrival>> arrivals;
 };
 
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -17,7 +17,10 @@
 }  // namespace
 
 Scheduler::Scheduler(const SchedulerLimits& chosen)
-    : limits(chosen), guaranteed_rates(chosen.shards), fleet(chosen.fleet) {}
+    : limits(chosen),
+      demand(chosen.shards),
+      guaranteed_rates(chosen.shards),
+      fleet(chosen.fleet) {}
 
 // --- Configuration and workers ---
 
