--- a/testing/store_standin.h
+++ b/testing/store_standin.h
@@ -23,7 +23,7 @@
 
 class StoreStandin {
  public:
-  // What befalls the calls from now on.
+  // Treatment of all further calls.
   enum class Mood {
     kWell,
     kBusy,          // 503: nothing is done
@@ -34,14 +34,14 @@
 
   explicit StoreStandin(base::Loop& loop, std::uint16_t port = 0);
 
-  // What it can do; at first as little as a deployment may.
+  // Sets its capabilities; initially the fewest that a deployment may have.
   void SetAbilities(const platform::Deployment& abilities) {
     this->can = abilities;
   }
 
   std::string address() const;
   void SetMood(Mood mood) { this->mood = mood; }
-  // What befalls the next writes, one each, before the mood holds for them.
+  // Treatment of the next writes, one each, before the mood applies again.
   void SetNextWrites(std::deque<Mood> moods) {
     this->next_writes = std::move(moods);
   }
