A starved long-running task gets a worker reserved

Change: after 1 s of waiting for capacity such a task reserves the worker that comes closest to having it (scheduler/reservations); tasks of the same or a lower priority start there only beside the reserved capacity.

--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -16,6 +16,11 @@
 // waits for the next pass. This bounds a pass's duration under overload.
 constexpr int kMaxMissesPerPass = 24;
 
+// A long-running task that has waited this long for capacity gets a worker
+// reserved. Longer than the wait for a task that is about to end; short enough
+// for it to run again within the required 6 s.
+constexpr base::Micros kReserveAfter = std::chrono::milliseconds(1000);
+
 // Weights of a worker's cost for a task; the worker with the lowest sum is
 // chosen. A task that failed on a worker goes elsewhere if any other worker has
 // capacity.
@@ -205,6 +210,7 @@
     if (worker.info.service == service && this->IsUsable(worker, now))
       pass.candidates.push_back(&worker);
   }
+  this->reservations.DropObsolete(service, pass.candidates);
   if (pass.candidates.empty())
     return;
   // 2. Attempt the pool's ready tasks in scheduling order.
@@ -249,6 +255,8 @@
       *reason == WaitReason::kQuota || *reason == WaitReason::kSuspect;
   if (blocks_only_itself)
     return AttemptResult::kKept;
+  if (*reason == WaitReason::kCapacity)
+    this->ReserveIfStarved(task, pass.candidates, now);
   pass.unplaceable_steps[step] = *reason;
   ++pass.misses;
   return AttemptResult::kKept;
@@ -284,6 +292,21 @@
   return std::nullopt;
 }
 
+// Small tasks take each slot that becomes free. Without a reservation a
+// long-running task that needs several slots of one worker would wait as long
+// as the pool is full, although it has precedence.
+void Scheduler::ReserveIfStarved(const ReadyTask& task,
+                                 const std::vector<Worker*>& candidates,
+                                 base::Micros now) {
+  const jobs::Step& step = StepOf(*task.job, task.position);
+  const Task& waiting = TaskAt(*task.job, task.position);
+  const bool is_starved = step.long_running && !step.gang &&
+                          !task.job->queue.advice.required &&
+                          now - waiting.ready_since > kReserveAfter;
+  if (is_starved)
+    this->reservations.Reserve(task.job->queue.service, task, candidates);
+}
+
 // Whether a worker of any pool has the label and enough total capacity. Assumed
 // true if there is a spare pool, because the capacity of boxes at rest is
 // unknown.
@@ -336,10 +359,12 @@
       const auto found = allocations.find(worker);
       const GangAllocation allocated =
           found == allocations.end() ? GangAllocation() : found->second;
-      const bool fits =
-          jobs::Fits(takes + allocated.resources, worker->free_capacity()) &&
-          HasLabel(worker->info, step.label) &&
-          now >= worker->quarantined_until;
+      const jobs::Resources needed =
+          takes + allocated.resources +
+          this->reservations.HeldFrom(job, member, *worker);
+      const bool fits = jobs::Fits(needed, worker->free_capacity()) &&
+                        HasLabel(worker->info, step.label) &&
+                        now >= worker->quarantined_until;
       if (!fits)
         continue;
       // Nothing starts beside a suspect's probe run, which must run alone.
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -32,6 +32,7 @@
 #include "scheduler/job.h"
 #include "scheduler/quotas.h"
 #include "scheduler/ready_tasks.h"
+#include "scheduler/reservations.h"
 #include "scheduler/run_times.h"
 #include "scheduler/suspects.h"
 #include "scheduler/worker.h"
@@ -361,6 +362,9 @@
                                       Suspicion suspicion,
                                       const std::vector<Worker*>& candidates,
                                       base::Micros now);
+  void ReserveIfStarved(const ReadyTask& task,
+                        const std::vector<Worker*>& candidates,
+                        base::Micros now);
   bool HasSuitableWorker(const jobs::Step& step) const;
   std::vector<Assignment> ChooseWorkers(const Job& job,
                                         const TaskPosition& position,
@@ -435,6 +439,7 @@
   GuaranteedRates guaranteed_rates;
   FleetPlanner fleet;
   BoxRequests box_requests;
+  Reservations reservations;
   std::vector<Action> actions;
   base::Micros confirmed_at{};
   base::Micros ownership_until{};
