A job goes to a shard that has cores for its pool

Cause: with more than four shards a job's shard was the less loaded of two drawn ones, also when both reported no cores for the pool (load 1000) or nothing yet.

A shard that has not reported the pool counts like one without cores.

Test: JobsGoToTheShardsThatHaveCoresForThePool, at 4, 32 and 64 shards.

--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -174,17 +174,28 @@
     this->ownerships->Release();
 }
 
+// Reads the loads of a few shards. Only if the pool has no cores in any of them
+// are all read: in a small pool of boxes that do not move, most shards have
+// none, and a job would wait there for good.
 void JobDaemon::ChooseShard(const jobs::Queue& queue,
                             const jobs::JobSpec& job,
                             std::function<void(int)> on_chosen) {
   const std::vector<int> candidates = this->shard_choice.DrawCandidates(
       this->config, queue, job, this->ownerships->Loads());
-  this->ownerships->RefreshLoads(
-      candidates,
-      [this, queue, job, candidates, on_chosen = std::move(on_chosen)] {
-        on_chosen(this->shard_choice.Select(
-            this->config, queue, job, candidates, this->ownerships->Loads()));
-      });
+  const auto select = [this, queue, job, on_chosen = std::move(on_chosen)](
+                          const std::vector<int>& shards) {
+    on_chosen(this->shard_choice.Select(this->config, queue, job, shards,
+                                        this->ownerships->Loads()));
+  };
+  this->ownerships->RefreshLoads(candidates, [this, queue, candidates, select] {
+    const std::vector<ShardLoad> loads = this->ownerships->Loads();
+    if (ShardSelector::HaveCores(queue.service, candidates, loads)) {
+      select(candidates);
+      return;
+    }
+    const std::vector<int> all = AllShards(loads.size());
+    this->ownerships->RefreshLoads(all, [all, select] { select(all); });
+  });
 }
 
 void JobDaemon::ReloadIfChanged() {
--- a/entry/shard_selector.cc
+++ b/entry/shard_selector.cc
@@ -8,6 +8,7 @@
 #include <xxhash.h>
 
 #include "entry/shard_watch.h"
+#include "scheduler/fleet.h"
 
 namespace quartzhoist::entry {
 
@@ -21,9 +22,6 @@
 constexpr int kMaxPreferredLoad = 150;  // percent
 // Random shards among which a job's shard is chosen by load.
 constexpr std::size_t kRandomCandidates = 2;
-// Load assumed of a shard whose owner has not reported the pool yet, so that
-// other shards are preferred.
-constexpr int kAssumedLoad = 300;  // percent
 
 bool IsLasting(const jobs::JobSpec& job) {
   return std::any_of(job.steps.begin(), job.steps.end(),
@@ -62,12 +60,6 @@
   return kinds;
 }
 
-std::vector<int> AllShards(const std::vector<ShardLoad>& loads) {
-  std::vector<int> all(loads.size());
-  std::iota(all.begin(), all.end(), 0);
-  return all;
-}
-
 // Returns the candidates that have the kinds of boxes the job requires, or all
 // candidates if none has them.
 std::vector<int> EligibleShards(const jobs::JobSpec& job,
@@ -82,6 +74,28 @@
   return eligible.empty() ? candidates : eligible;
 }
 
+// A pool without cores is reported at the maximum load, like one with ten times
+// the work it can do. So counts one that its owner has not reported yet.
+int LoadOf(const ShardLoad& load, const std::string& pool) {
+  return ReportedLoad(load, pool).value_or(scheduler::kMaxLoadPercent);
+}
+
+bool HasCores(const ShardLoad& load, const std::string& pool) {
+  return LoadOf(load, pool) < scheduler::kMaxLoadPercent;
+}
+
+// Returns the shards that have cores for the pool, or all if none has.
+std::vector<int> ShardsWithCores(const std::string& pool,
+                                 const std::vector<int>& shards,
+                                 const std::vector<ShardLoad>& loads) {
+  std::vector<int> with_cores;
+  for (const int shard : shards) {
+    if (HasCores(loads[static_cast<std::size_t>(shard)], pool))
+      with_cores.push_back(shard);
+  }
+  return with_cores.empty() ? shards : with_cores;
+}
+
 // Whether no known shard lists a label that the job requires.
 bool RequiresUnknownKind(const jobs::JobSpec& job,
                          const std::vector<ShardLoad>& known) {
@@ -115,6 +129,12 @@
 
 }  // namespace
 
+std::vector<int> AllShards(std::size_t count) {
+  std::vector<int> all(count);
+  std::iota(all.begin(), all.end(), 0);
+  return all;
+}
+
 // With sixteen shards, a sixteenth of a small quota fits no job: each job would
 // first have to borrow from the other shards, which all write to the same row.
 // In a single shard the organisation's jobs borrow only once.
@@ -155,7 +175,7 @@
     const jobs::Queue& queue,
     const jobs::JobSpec& job,
     const std::vector<ShardLoad>& known) {
-  std::vector<int> all = AllShards(known);
+  std::vector<int> all = AllShards(known.size());
   if (known.size() <= kMaxFollowedShards || RequiresUnknownKind(job, known))
     return all;
   const std::vector<int> eligible = EligibleShards(job, all, known);
@@ -168,6 +188,14 @@
   return candidates;
 }
 
+bool ShardSelector::HaveCores(const std::string& pool,
+                              const std::vector<int>& shards,
+                              const std::vector<ShardLoad>& loads) {
+  return std::any_of(shards.begin(), shards.end(), [&](int shard) {
+    return HasCores(loads[static_cast<std::size_t>(shard)], pool);
+  });
+}
+
 // Lasting tasks of a job (about 30) that must not share a box each pin one to
 // their pool. Spread over four shards, such jobs pinned 243 of 540 boxes on a
 // calm day, and one shard could not follow a pool's demand (waits of 10 s). In
@@ -180,7 +208,8 @@
   if (loads.size() == 1)
     return 0;
   const std::string& pool = queue.service;
-  const std::vector<int> eligible = EligibleShards(job, candidates, loads);
+  const std::vector<int> eligible =
+      ShardsWithCores(pool, EligibleShards(job, candidates, loads), loads);
   if (!IsLasting(job))
     return this->SelectByLoad(pool, loads, eligible);
   const int preferred =
@@ -207,8 +236,7 @@
   const std::uint64_t second =
       (first + 1 + this->random() % (count - 1)) % count;
   const auto load = [&](std::uint64_t at) {
-    return ReportedLoad(loads[static_cast<std::size_t>(eligible[at])], pool)
-        .value_or(kAssumedLoad);
+    return LoadOf(loads[static_cast<std::size_t>(eligible[at])], pool);
   };
   const bool second_is_less_loaded =
       load(second) + kMinLoadDifference <= load(first);
--- a/entry/shard_selector.h
+++ b/entry/shard_selector.h
@@ -4,6 +4,7 @@
 #ifndef ENTRY_SHARD_SELECTOR_H_
 #define ENTRY_SHARD_SELECTOR_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -26,6 +27,9 @@
   std::vector<std::string> box_kinds;
 };
 
+// Returns the numbers of all `count` shards.
+std::vector<int> AllShards(std::size_t count);
+
 // Returns the shard that takes all such jobs of an organisation if its quota is
 // too small to be divided among the shards; nothing if any shard may take them.
 std::optional<int> HomeShardFor(const jobs::Organisation& organisation,
@@ -43,6 +47,11 @@
                                   const jobs::Queue& queue,
                                   const jobs::JobSpec& job,
                                   const std::vector<ShardLoad>& known);
+  // Whether the owner of one of the shards has reported cores within reach of
+  // the pool.
+  static bool HaveCores(const std::string& pool,
+                        const std::vector<int>& shards,
+                        const std::vector<ShardLoad>& loads);
   // Returns the number of the selected shard, one of `candidates`. `loads` has
   // an entry for each shard.
   int Select(const jobs::Config& config,
--- a/entry/shards_test.cc
+++ b/entry/shards_test.cc
@@ -15,6 +15,7 @@
 #include "entry/shard_count_resolver.h"
 #include "entry/shards.h"
 #include "entry/tables.h"
+#include "scheduler/fleet.h"
 #include "testing/store_bench.h"
 
 namespace quartzhoist::entry {
@@ -178,6 +179,28 @@
     BOOST_TEST(SelectShard(selector, "a", job, loads) == 11);
 }
 
+// A small pool of boxes that do not move: its owners report the maximum load
+// wherever it has no cores.
+BOOST_AUTO_TEST_CASE(JobsGoToTheShardsThatHaveCoresForThePool) {
+  for (const std::size_t shards : {4, 32, 64}) {
+    ShardSelector selector(1);
+    std::vector<ShardLoad> loads(shards);
+    for (ShardLoad& load : loads)
+      load.load_percent_by_pool["a"] = scheduler::kMaxLoadPercent;
+    loads[1].load_percent_by_pool["a"] = 90;
+    loads[3].load_percent_by_pool["a"] = 180;
+    BOOST_TEST(!ShardSelector::HaveCores("a", {0, 2}, loads));
+    BOOST_TEST(ShardSelector::HaveCores("a", {0, 3}, loads));
+    loads[0].load_percent_by_pool.clear();
+    BOOST_TEST(!ShardSelector::HaveCores("a", {0, 2}, loads));
+    std::set<int> selected;
+    for (int i = 0; i < 40; ++i)
+      selected.insert(selector.Select(FourPools(), QueueOf("a"), JobOf(false),
+                                      AllShards(shards), loads));
+    BOOST_TEST((selected == std::set<int>{1}));
+  }
+}
+
 // Lasting jobs of four pools, submitted in turn: those of one pool stay in one
 // shard, and no two pools use the same shard.
 BOOST_AUTO_TEST_CASE(LastingJobsOfAPoolShareAShard) {
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -73,6 +73,9 @@
   int min_boxes = 0;
 };
 
+// Upper limit of a pool's load; also the load of a pool without any cores.
+inline constexpr int kMaxLoadPercent = 1000;
+
 // Pool status for operators.
 struct PoolState {
   std::string pool;
--- a/scheduler/pool_state.cc
+++ b/scheduler/pool_state.cc
@@ -8,9 +8,6 @@
 
 namespace {
 
-// Upper limit of the load in percent; also that of a pool without any cores.
-constexpr int kMaxLoadPercent = 1000;
-
 // CPU cores of a box, and whether the box may move to another pool.
 struct BoxCores {
   const std::string* pool = nullptr;
