Daemons that hold shards watch more of the others

Cause: a daemon watches one to three shards, whatever the number of daemons. With few daemons for each shard (97 daemons and 64 shards at the design size) a fifth of the shards is watched by none, and a lost owner is noticed only by a visit: every 5 s x shards / daemons, and each visit lasts up to 4.5 s. In the process test with 8 shards and 3 daemons, shards of a killed owner stood still for 27 s and more.

Change: a holder of one shard watches two more, a holder of several watches all. That daemons hold shards at all shows how few there are, so no count of daemons is needed. It adds two readers for each shard at any size.

Of 32 and 64 shards with three daemons for two shards, 2 in 32 at most are unwatched (test).

--- a/entry/ownerships.cc
+++ b/entry/ownerships.cc
@@ -86,11 +86,21 @@
         this->Feed(), PaceFor(rows_in, shards));
     return;
   }
-  for (int shard = 0; shard < shards; ++shard)
-    this->At(shard).SetWatched(this->watch.IsHome(shard));
+  this->UpdateWatched();
   this->ReadWatchedRows();
 }
 
+void Ownerships::UpdateWatched() {
+  if (this->follows_table())
+    return;
+  this->watch.SetHeldShards(this->held_shards.size());
+  const int shards = static_cast<int>(this->rows.size());
+  for (int shard = 0; shard < shards; ++shard) {
+    const bool is_visited = this->visited == shard && !this->visited_own_shard;
+    this->At(shard).SetWatched(is_visited || this->watch.IsHome(shard));
+  }
+}
+
 platform::TableFollower::Events Ownerships::Feed() {
   return {.on_all =
               [this](const std::vector<platform::Row>& all) {
@@ -132,7 +142,8 @@
 void Ownerships::ReadWatchedRows() {
   this->read_timer.StartOnce(TimeUntilRead(this->store));
   ++this->read_rounds;
-  for (const int shard : this->watch.home()) {
+  const std::vector<int> home = this->watch.home();
+  for (const int shard : home) {
     const bool is_due = !this->At(shard).is_holder_much_stronger() ||
                         this->read_rounds % kWeakBoxReadPeriods == 0;
     if (is_due && !this->IsHeld(shard))
@@ -173,13 +184,11 @@
   const std::optional<int> next = this->watch.visited();
   if (next == this->visited)
     return;
-  if (this->visited)
-    this->At(*this->visited).SetWatched(false);
   this->visited = next;
   this->visited_own_shard = next && this->IsHeld(*next);
+  this->UpdateWatched();
   if (!next || this->visited_own_shard)
     return;
-  this->At(*next).SetWatched(true);
   this->At(*next).ReadRow([this](bool answered) {
     if (answered)
       this->events.on_store_answered();
@@ -217,11 +226,13 @@
               [this, shard](std::uint64_t epoch,
                             base::Micros previous_owner_renewal) {
                 this->held_shards.push_back(shard);
+                this->UpdateWatched();
                 this->events.on_gained(shard, epoch, previous_owner_renewal);
               },
           .on_lost =
               [this, shard] {
                 std::erase(this->held_shards, shard);
+                this->UpdateWatched();
                 this->events.on_lost(shard);
               },
           .on_renewed =
--- a/entry/ownerships.h
+++ b/entry/ownerships.h
@@ -76,6 +76,8 @@
   void ReadHomeRow(int shard);
   ShardWatch::Finding FindingOfVisit(base::Micros now);
   void UpdateVisit();
+  // Watches the home shards and the visited one.
+  void UpdateWatched();
 
   base::Loop& loop;
   platform::Store& store;
--- a/entry/shard_watch.cc
+++ b/entry/shard_watch.cc
@@ -15,6 +15,11 @@
 // should be on a strong box: with 60 boxes of a whole core among 585, five or
 // six of them watch each of 32 shards.
 constexpr double kCoresPerFurtherShard = 0.5;
+// A daemon that holds a shard watches this many more: that most daemons hold
+// one is the sign of a fleet with few daemons for each shard, where some shards
+// would be watched by none. Adds two readers for each shard, whatever the
+// number of daemons.
+constexpr std::size_t kFurtherShardsOfHolder = 2;
 // Covers two reads of the row that are kOwnerSilence apart, which tell a silent
 // owner from one that renews.
 constexpr base::Micros kVisitDuration = milliseconds(1500);
@@ -44,13 +49,27 @@
                        double cores,
                        int shards,
                        std::uint64_t seed) {
-  const std::vector<int> ranked = RankShards(id, shards);
-  const int further = static_cast<int>(cores / kCoresPerFurtherShard);
-  const auto homes = std::min(ranked.begin() + 1 + further, ranked.end());
-  this->home_shards.assign(ranked.begin(), homes);
-  this->other_shards.assign(homes, ranked.end());
+  this->ranked_shards = RankShards(id, shards);
+  this->homes_without_shards =
+      1 + static_cast<std::size_t>(cores / kCoresPerFurtherShard);
+  this->visit_order = this->ranked_shards;
   std::mt19937_64 random(seed);
-  std::shuffle(this->other_shards.begin(), this->other_shards.end(), random);
+  std::shuffle(this->visit_order.begin(), this->visit_order.end(), random);
+  this->SetHeldShards(0);
+}
+
+// With fewer daemons than shards, daemons hold several: each of them then
+// watches all shards, since the others may be held by few daemons that go down
+// together.
+void ShardWatch::SetHeldShards(std::size_t held) {
+  const std::size_t all = this->ranked_shards.size();
+  std::size_t homes = all;
+  if (held < 2)
+    homes = std::min(
+        all, this->homes_without_shards + held * kFurtherShardsOfHolder);
+  this->home_shards.assign(
+      this->ranked_shards.begin(),
+      this->ranked_shards.begin() + static_cast<std::ptrdiff_t>(homes));
 }
 
 bool ShardWatch::IsHome(int shard) const {
@@ -59,13 +78,17 @@
 }
 
 void ShardWatch::BeginVisit(base::Micros now) {
-  if (this->other_shards.empty())
-    return;
-  this->visited_shard = this->other_shards[this->next_visit];
-  this->next_visit = (this->next_visit + 1) % this->other_shards.size();
-  this->found_unsettled = false;
-  this->visit_begun = now;
   this->next_visit_at = now + kVisitPeriod;
+  for (std::size_t i = 0; i < this->visit_order.size(); ++i) {
+    const int shard = this->visit_order[this->next_visit];
+    this->next_visit = (this->next_visit + 1) % this->visit_order.size();
+    if (this->IsHome(shard))
+      continue;
+    this->visited_shard = shard;
+    this->found_unsettled = false;
+    this->visit_begun = now;
+    return;
+  }
 }
 
 // After a visit to a shard without a live owner, there may be more of them: the
--- a/entry/shard_watch.h
+++ b/entry/shard_watch.h
@@ -26,9 +26,11 @@
              int shards,
              std::uint64_t seed);
 
-  // Shards that this daemon watches for as long as it runs.
+  // Shards that this daemon watches all the time.
   const std::vector<int>& home() const { return this->home_shards; }
   bool IsHome(int shard) const;
+  // The daemon holds this many shards. It watches more of the others then.
+  void SetHeldShards(std::size_t held);
 
   // The shard that is visited now; nothing between two visits.
   std::optional<int> visited() const { return this->visited_shard; }
@@ -48,9 +50,11 @@
  private:
   void BeginVisit(base::Micros now);
 
+  std::vector<int> ranked_shards;  // the home shards are the first of these
+  std::size_t homes_without_shards = 0;
   std::vector<int> home_shards;
-  std::vector<int> other_shards;  // visited in this order, again and again
-  std::size_t next_visit = 0;     // index in other_shards
+  std::vector<int> visit_order;  // all shards, again and again
+  std::size_t next_visit = 0;    // index in visit_order
   std::optional<int> visited_shard;
   bool found_unsettled = false;  // in the current visit
   base::Micros visit_begun{};
--- a/entry/shard_watch_test.cc
+++ b/entry/shard_watch_test.cc
@@ -57,6 +57,45 @@
   }
 }
 
+// Two further shards, whatever the number of shards: the readers of a shard's
+// row do not grow with the fleet.
+BOOST_AUTO_TEST_CASE(HolderWatchesTwoMoreShards) {
+  for (const int shards : {8, 16, 64}) {
+    ShardWatch watch("a", kWeakCores, shards, 1);
+    const std::vector<int> before = watch.home();
+    watch.SetHeldShards(1);
+    BOOST_TEST(watch.home().size() == 3U);
+    BOOST_TEST(watch.IsHome(before.front()));
+    watch.SetHeldShards(0);
+    BOOST_TEST(watch.home() == before, boost::test_tools::per_element());
+  }
+}
+
+// A fleet with fewer daemons than shards.
+BOOST_AUTO_TEST_CASE(HolderOfSeveralShardsWatchesAll) {
+  constexpr int kShards = 8;
+  ShardWatch watch("a", kWeakCores, kShards, 1);
+  watch.SetHeldShards(2);
+  BOOST_TEST(watch.home().size() == static_cast<std::size_t>(kShards));
+}
+
+// Three daemons for two shards, two of which hold one each: a daemon's single
+// home shard would leave a fifth of the shards unwatched.
+BOOST_AUTO_TEST_CASE(FewShardsAreUnwatchedWithFewDaemonsPerShard) {
+  for (const int scale : {1, 2}) {
+    const int shards = 32 * scale;
+    std::vector<int> watchers(static_cast<std::size_t>(shards));
+    for (int i = 0; i < 48 * scale; ++i) {
+      ShardWatch watch(DaemonId(i), kWeakCores, shards, 1);
+      watch.SetHeldShards(i < shards ? 1 : 0);
+      for (const int shard : watch.home())
+        ++watchers[static_cast<std::size_t>(shard)];
+    }
+    const auto unwatched = std::count(watchers.begin(), watchers.end(), 0);
+    BOOST_TEST(unwatched <= 2 * scale);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(VisitsReachAllOtherShards) {
   constexpr int kShards = 8;
   ShardWatch watch("a", kWeakCores, kShards, 1);
