Steps that fit nowhere cost a placement pass one search, not one each

Cause: a pass gives up after 24 steps that fit no worker. 24 waiting steps of long-running tasks with much memory, which have precedence, so ended each pass before the smaller tasks behind them were looked at, although cores were free (seen under a flood of lasting jobs: 2,200 tasks waited for 16 s, docs/FINDINGS.md).

Change: a pass remembers the amounts that no worker has free; steps that take as much as one of them are passed over without a search and do not count. Free capacity only shrinks during a pass, so the decision is the same.

--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -13,7 +13,8 @@
 namespace {
 
 // After this many steps that cannot be placed the rest of the pool's queue
-// waits for the next pass. This bounds a pass's duration under overload.
+// waits for the next pass. This bounds a pass's duration under overload. Steps
+// that take as much as one of them do not count: they cost no search.
 constexpr int kMaxMissesPerPass = 24;
 
 // A long-running task that has waited this long for capacity gets a worker
@@ -219,6 +220,22 @@
   });
 }
 
+bool Scheduler::PlacementPass::IsExhausted(const jobs::Resources& takes) const {
+  return std::any_of(
+      this->exhausted.begin(), this->exhausted.end(),
+      [&](const jobs::Resources& amount) { return jobs::Fits(amount, takes); });
+}
+
+void Scheduler::PlacementPass::RecordIfExhausted(const jobs::Resources& takes) {
+  const bool fits =
+      std::any_of(this->candidates.begin(), this->candidates.end(),
+                  [&](const Worker* worker) {
+                    return jobs::Fits(takes, worker->free_capacity());
+                  });
+  if (!fits)
+    this->exhausted.push_back(takes);
+}
+
 // After one task of a step fits no worker, the step's other tasks are skipped
 // for this pass: they have the same requirements.
 ReadyTasks::AttemptResult Scheduler::TryPlace(const ReadyTask& task,
@@ -244,7 +261,7 @@
     return AttemptResult::kObsolete;
   }
   const std::optional<WaitReason> reason =
-      this->PlaceTask(task, suspicion, pass.candidates, now);
+      this->PlaceTask(task, suspicion, pass, now);
   if (!reason)
     return AttemptResult::kPlaced;
   TaskAt(job, task.position).wait_reason = *reason;
@@ -258,16 +275,19 @@
   if (*reason == WaitReason::kCapacity)
     this->ReserveIfStarved(task, pass.candidates, now);
   pass.unplaceable_steps[step] = *reason;
+  const jobs::Resources takes = ReservedBy(StepOf(job, task.position));
+  if (pass.IsExhausted(takes))
+    return AttemptResult::kKept;
+  pass.RecordIfExhausted(takes);
   ++pass.misses;
   return AttemptResult::kKept;
 }
 
 // Returns why the task was not placed, or nullopt if it was.
-std::optional<WaitReason> Scheduler::PlaceTask(
-    const ReadyTask& ready_task,
-    Suspicion suspicion,
-    const std::vector<Worker*>& candidates,
-    base::Micros now) {
+std::optional<WaitReason> Scheduler::PlaceTask(const ReadyTask& ready_task,
+                                               Suspicion suspicion,
+                                               const PlacementPass& pass,
+                                               base::Micros now) {
   Job& job = *ready_task.job;
   const jobs::Step& step = StepOf(job, ready_task.position);
   if (suspicion >= Suspicion::kDeferred)
@@ -277,21 +297,27 @@
   if (this->LeaseMayHaveBeenRenewed(job, ready_task.position))
     return WaitReason::kLease;
   if (job.queue.advice.required &&
-      !this->EnsureAdvice(job, ready_task.position, candidates, now))
+      !this->EnsureAdvice(job, ready_task.position, pass.candidates, now))
     return WaitReason::kAdvice;
-  const std::vector<Assignment> choices =
-      this->ChooseWorkers(job, ready_task.position, candidates, now);
+  std::vector<Assignment> choices;
+  if (!pass.IsExhausted(ReservedBy(step)))
+    choices =
+        this->ChooseWorkers(job, ready_task.position, pass.candidates, now);
   if (choices.empty() && suspicion == Suspicion::kProbe)
     return WaitReason::kSuspect;
   if (choices.empty())
-    return this->HasSuitableWorker(step) ? WaitReason::kCapacity
-                                         : WaitReason::kNoSuitableWorker;
+    return this->ReasonForNoWorker(step);
   const int run = this->NextRunNumber(job, ready_task.position);
   for (const Assignment& choice : choices)
     this->PlanRun(job, choice, run, now);
   return std::nullopt;
 }
 
+WaitReason Scheduler::ReasonForNoWorker(const jobs::Step& step) const {
+  return this->HasSuitableWorker(step) ? WaitReason::kCapacity
+                                       : WaitReason::kNoSuitableWorker;
+}
+
 // Small tasks take each slot that becomes free. Without a reservation a
 // long-running task that needs several slots of one worker would wait as long
 // as the pool is full, although it has precedence.
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -200,7 +200,14 @@
     std::vector<Worker*> candidates;
     // Steps that could not be placed in this pass, with the reason.
     std::map<std::pair<const Job*, int>, WaitReason> unplaceable_steps;
+    // Amounts that no candidate had free. Free capacity only shrinks during a
+    // pass, so nothing that takes as much fits either.
+    std::vector<jobs::Resources> exhausted;
     int misses = 0;
+
+    bool IsExhausted(const jobs::Resources& takes) const;
+    // Remembers the amount if no candidate has it free.
+    void RecordIfExhausted(const jobs::Resources& takes);
   };
 
   // A task of a step and the worker selected for it.
@@ -360,11 +367,12 @@
                                      base::Micros now);
   std::optional<WaitReason> PlaceTask(const ReadyTask& task,
                                       Suspicion suspicion,
-                                      const std::vector<Worker*>& candidates,
+                                      const PlacementPass& pass,
                                       base::Micros now);
   void ReserveIfStarved(const ReadyTask& task,
                         const std::vector<Worker*>& candidates,
                         base::Micros now);
+  WaitReason ReasonForNoWorker(const jobs::Step& step) const;
   bool HasSuitableWorker(const jobs::Step& step) const;
   std::vector<Assignment> ChooseWorkers(const Job& job,
                                         const TaskPosition& position,
