A silent zone is recognised by a few of its workers

Cause: idle workers are not polled, so each worker of a zone that is cut off or lost looked healthy until a start had failed there (0.8 s), and where its bytes had left, until a lease had run out (4 s).

Change: once three workers of a zone have left calls unanswered, and more than have answered since the calls were sent, its other workers get nothing before they have answered a poll (scheduler/zone_health). A wrong guess costs each of them one poll. The zone counts as back when as many answer as are silent.

--- a/scheduler/polls.cc
+++ b/scheduler/polls.cc
@@ -59,11 +59,14 @@
 // renewed the lease, that delay would always be a full lease. So a lease is
 // renewed only when little of it is left, and a poll waits no longer than until
 // then, which keeps the delay below a full lease.
-PollWorker MakePoll(const Worker& worker, base::Micros now) {
+PollWorker MakePoll(const Worker& worker, bool is_doubtful, base::Micros now) {
   const base::Micros spare =
       worker.earliest_lease_end - now - kMinRemainingLease;
   const bool is_due = spare < kMinPollWait;
   const base::Micros wait = PollWaitFor(worker);
+  // An idle worker that may be lost needs no lease.
+  const bool may_renew = worker.is_lease_recorded && worker.failed_calls == 0 &&
+                         !(is_doubtful && worker.idle());
   const bool acknowledges =
       HasUnsentAcknowledgement(worker) && CanAcknowledgeEnds(worker);
   return {.worker = worker.info.incarnation,
@@ -71,8 +74,7 @@
           .max_wait = is_due ? wait : std::min(wait, spare),
           // The lease of an unresponsive worker must run out, even if the
           // worker receives this poll.
-          .renews_lease =
-              is_due && worker.is_lease_recorded && worker.failed_calls == 0};
+          .renews_lease = is_due && may_renew};
 }
 
 }  // namespace
@@ -105,10 +107,12 @@
     return;
   for (auto& [id, worker] : this->workers) {
     this->AdvanceRecordedEnds(worker);
-    // An unresponsive worker is polled until it answers or its incarnation is
-    // over, because nothing is placed on it before.
+    // An unresponsive or doubtful worker is polled until it answers or its
+    // incarnation is over, because nothing is placed on it before.
+    const bool is_doubtful = this->zone_health.IsDoubtful(worker);
     const bool needs_poll =
-        !worker.has_reported || !worker.idle() || worker.failed_calls > 0 ||
+        is_doubtful || !worker.has_reported || !worker.idle() ||
+        worker.failed_calls > 0 ||
         worker.last_recorded_end < worker.last_processed_end ||
         HasUnsentAcknowledgement(worker) || worker.may_have_restarted;
     if (!needs_poll || worker.poll_in_flight || now < worker.next_poll_at)
@@ -127,7 +131,7 @@
         continue;
     }
     worker.poll_in_flight = true;
-    this->actions.emplace_back(MakePoll(worker, now));
+    this->actions.emplace_back(MakePoll(worker, is_doubtful, now));
   }
 }
 
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -36,6 +36,7 @@
 #include "scheduler/run_times.h"
 #include "scheduler/suspects.h"
 #include "scheduler/worker.h"
+#include "scheduler/zone_health.h"
 
 namespace quartzhoist::scheduler {
 
@@ -448,6 +449,7 @@
   FleetPlanner fleet;
   BoxRequests box_requests;
   Reservations reservations;
+  ZoneHealth zone_health;
   std::vector<Action> actions;
   base::Micros confirmed_at{};
   base::Micros ownership_until{};
--- a/scheduler/worker.cc
+++ b/scheduler/worker.cc
@@ -31,6 +31,17 @@
   run.suspicion = Suspicion::kNone;
 }
 
+void RecordContact(Worker& worker, base::Micros now) {
+  worker.failed_calls = 0;
+  worker.last_contact_at = now;
+}
+
+void RecordFailedCall(Worker& worker, base::Micros sent_at) {
+  if (worker.failed_calls == 0)
+    worker.unanswered_since = sent_at;
+  ++worker.failed_calls;
+}
+
 Run& AddRun(Worker& worker, const jobs::TaskId& task, Run run) {
   RemoveRun(worker, task);
   worker.used = worker.used + run.reserved;
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -138,6 +138,9 @@
   // Health, derived from ended runs and failed calls.
   double failure_rate = 0.0;  // moving average over ended runs
   int failed_calls = 0;       // since the last answer
+  // Send time of the first of these calls.
+  base::Micros unanswered_since{};
+  base::Micros last_contact_at{};  // latest answer to a poll or a start
   int consecutive_unanswered_starts = 0;
   base::Micros quarantined_until{};
   base::Micros slow_until{};  // its runs take much longer than elsewhere
@@ -155,6 +158,8 @@
   }
 };
 
+void RecordContact(Worker& worker, base::Micros now);
+void RecordFailedCall(Worker& worker, base::Micros sent_at);
 Run& AddRun(Worker& worker, const jobs::TaskId& task, Run run);
 void RemoveRun(Worker& worker, const jobs::TaskId& task);
 void ClearSuspicion(Worker& worker, Run& run);
--- a/scheduler/worker_reports.cc
+++ b/scheduler/worker_reports.cc
@@ -65,7 +65,7 @@
           std::min(worker.latest_lease_end, now + this->limits.max_grant);
   }
   worker.has_reported = true;
-  worker.failed_calls = 0;
+  RecordContact(worker, now);
   worker.runs_presumed_over = false;
   worker.last_answer_at = now;
   worker.report_requested_at = worker.poll_sent_at;
@@ -296,7 +296,8 @@
   worker.poll_in_flight = false;
   if (outcome == CommandOutcome::kFenced)
     return;
-  if (++worker.failed_calls == 1) {
+  RecordFailedCall(worker, worker.poll_sent_at);
+  if (worker.failed_calls == 1) {
     this->actions.emplace_back(
         LogNote{incarnation.id,
                 fmt::format("does not answer ({})",
@@ -347,16 +348,17 @@
     run.start_unsettled_at = now;
     RecordUnansweredStart(
         worker, {.task = command.task, .run = command.run, .given_up_at = now});
-    ++worker.failed_calls;
+    RecordFailedCall(worker, run.decided_at);
     this->QuarantineIfStartsUnanswered(worker, now);
     return;
   }
   // The start was not carried out: free the resources and place the task again.
+  const base::Micros decided_at = run.decided_at;
   RemoveRun(worker, command.task);
   if (job && HasTask(*job, PositionOf(command.task)))
     this->RevokeLastTry(*job, PositionOf(command.task), command.run);
   if (outcome == CommandOutcome::kNotSent)
-    ++worker.failed_calls;
+    RecordFailedCall(worker, decided_at);
   if (outcome == CommandOutcome::kBusy)
     this->UpdateFailureRate(worker, true, now);
   if (outcome == CommandOutcome::kNoTicket && job &&
@@ -378,7 +380,7 @@
                            base::Micros now) {
   if (worker.info.incarnation != command.worker)
     return;
-  worker.failed_calls = 0;
+  RecordContact(worker, now);
   if (clock_ms <= 0)
     return;
   run.is_confirmed = IsClockConsistent(worker, clock_ms, run.decided_at);
