Commands to workers have one word in platform/ and entry/

The adapter called a command an order, its addressee OrderTo, a poll a look, a throttle a pace and a maintenance an upkeep, where scheduler/ and the glossary have command, poll, throttle and maintenance. Names and comments only; names on the wire and in the log stay.

--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -314,7 +314,8 @@
             .count = static_cast<int>(this->managed_shards.size())},
       epoch, earlier_confirmed,
       ShardManager::Authority{
-          .commands_until = [this, shard] { return this->OrdersUntil(shard); },
+          .commands_until = [this,
+                             shard] { return this->CommandsUntil(shard); },
           .certain_until = [this, shard] { return this->CertainUntil(shard); },
           .on_fenced = [this,
                         shard] { this->ownerships->At(shard).OnFenced(); }});
@@ -344,7 +345,7 @@
 
 // If workers reject commands with an outdated epoch, an owner may continue
 // without certainty that it is still the owner.
-base::Micros JobDaemon::OrdersUntil(int shard) const {
+base::Micros JobDaemon::CommandsUntil(int shard) const {
   const bool may_order = this->settings.deployment.epochs_checked &&
                          this->ownerships->At(shard).holds();
   return may_order ? base::Micros::max() : this->CertainUntil(shard);
--- a/entry/job_daemon.h
+++ b/entry/job_daemon.h
@@ -65,7 +65,7 @@
                          base::Micros earlier_confirmed);
   ManagedShard& ManagedShardAt(int shard) const;
   ShardLoad LoadOf(int shard) const;
-  base::Micros OrdersUntil(int shard) const;
+  base::Micros CommandsUntil(int shard) const;
   base::Micros CertainUntil(int shard) const;
   void OnOwnershipLost(int shard);
   void Stop();
--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -215,7 +215,7 @@
       continue;
     this->scheduler.LeaseGranted(id, end);
     // The report is ignored: the pending long poll delivers run ends.
-    this->workers.Look(
+    this->workers.Poll(
         this->AddresseeOf(id),
         {.worker = id, .acknowledged = 0, .max_wait = {}, .renews_lease = true},
         deadline, [](const platform::LookResult&) {});
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -161,7 +161,7 @@
   void WriteWaitingCounts();
   void LogPoolStates();
   BoxLister::OnListed OnBoxesListed();
-  platform::OrderTo AddresseeOf(const jobs::WorkerIncarnation& worker) const;
+  platform::Addressee AddresseeOf(const jobs::WorkerIncarnation& worker) const;
   std::optional<scheduler::Job> MakeJob(const std::string& id,
                                         const AcceptedJob& accepted,
                                         jobs::Progress progress,
--- a/entry/manager_boxes.cc
+++ b/entry/manager_boxes.cc
@@ -95,22 +95,22 @@
 void ShardManager::SendBoxCall(const scheduler::MaintainBox& command) {
   this->LogBoxCall("upkeep", command.box, command.context);
   const base::Micros sent = base::MonotonicNow();
-  this->boxes.Upkeep(command, this->epoch,
-                     [this, command, sent,
-                      alive = this->alive](scheduler::BoxCallOutcome outcome) {
-                       if (!*alive)
-                         return;
-                       const base::Micros now = base::MonotonicNow();
-                       base::Log(base::Event::kUpkeepBegun,
-                                 {{"box", command.box},
-                                  {"wave", command.wave},
-                                  {"epoch", this->epoch},
-                                  {"outcome", NameOfOutcome(outcome)},
-                                  {"took_ms", base::Millis(now - sent)}});
-                       this->scheduler.MaintenanceAnswered(command, outcome,
-                                                           now);
-                       this->ScheduleCycle();
-                     });
+  this->boxes.Maintain(
+      command, this->epoch,
+      [this, command, sent,
+       alive = this->alive](scheduler::BoxCallOutcome outcome) {
+        if (!*alive)
+          return;
+        const base::Micros now = base::MonotonicNow();
+        base::Log(base::Event::kUpkeepBegun,
+                  {{"box", command.box},
+                   {"wave", command.wave},
+                   {"epoch", this->epoch},
+                   {"outcome", NameOfOutcome(outcome)},
+                   {"took_ms", base::Millis(now - sent)}});
+        this->scheduler.MaintenanceAnswered(command, outcome, now);
+        this->ScheduleCycle();
+      });
 }
 
 BoxLister::OnListed ShardManager::OnBoxesListed() {
--- a/entry/manager_commands.cc
+++ b/entry/manager_commands.cc
@@ -81,7 +81,7 @@
   std::visit(Visitor{*this}, action);
 }
 
-platform::OrderTo ShardManager::AddresseeOf(
+platform::Addressee ShardManager::AddresseeOf(
     const jobs::WorkerIncarnation& worker) const {
   const scheduler::Worker* known = this->scheduler.FindWorker(worker);
   return {.worker = worker,
@@ -202,7 +202,7 @@
 
 void ShardManager::Send(const jobs::WorkerIncarnation& worker,
                         const scheduler::ThrottleRun& command) {
-  this->workers.Pace(
+  this->workers.Throttle(
       this->AddresseeOf(worker), command,
       [this, worker, alive = this->alive](scheduler::CommandOutcome outcome) {
         if (!*alive)
@@ -220,7 +220,7 @@
   this->scheduler.PollSent(command, now);
   if (deadline > 0)
     this->scheduler.PollGrantsLease(worker, end);
-  this->workers.Look(
+  this->workers.Poll(
       this->AddresseeOf(worker), command, deadline,
       [this, worker, alive = this->alive](const platform::LookResult& result) {
         if (!*alive)
--- a/entry/owner_lease.cc
+++ b/entry/owner_lease.cc
@@ -7,10 +7,10 @@
 
 namespace {
 
-// Time between the holder's last order and the earliest takeover. Covers steady
-// clocks that differ by 2% over the owner's silence (26 ms), the transmission
-// to a worker (a few ms), and a delayed event loop on a slow box.
-constexpr base::Micros kOrderMargin = std::chrono::milliseconds(150);
+// Time between the holder's last command and the earliest takeover. Covers
+// steady clocks that differ by 2% over the owner's silence (26 ms), the
+// transmission to a worker (a few ms), and a delayed event loop on a slow box.
+constexpr base::Micros kCommandMargin = std::chrono::milliseconds(150);
 
 }  // namespace
 
@@ -25,7 +25,7 @@
   Attempts& attempts = entry->second;
   if (is_first) {
     attempts.first_sent = now;
-    attempts.expiry = now + silence - kOrderMargin;
+    attempts.expiry = now + silence - kCommandMargin;
   }
   ++attempts.count;
 }
--- a/entry/owner_lease.h
+++ b/entry/owner_lease.h
@@ -1,5 +1,5 @@
 // Validity of a shard ownership as its holder may assume it. Where workers and
-// boxes do not reject the orders of an earlier holder, the holder sends none
+// boxes do not reject the commands of an earlier holder, the holder sends none
 // after the lease has expired, which is before another daemon may take over.
 
 #ifndef ENTRY_OWNER_LEASE_H_
@@ -26,7 +26,7 @@
   // The row contains this renewal.
   void OnRenewalWritten(std::uint64_t epoch, std::uint64_t sequence);
 
-  // Orders may be sent before this time; zero before the first renewal.
+  // Commands may be sent before this time; zero before the first renewal.
   base::Micros valid_until() const { return this->expiry; }
   // When the newest renewal that the row is known to contain was first sent.
   // A later holder can tell no more from the row, whichever answers were lost.
--- a/entry/ownership.cc
+++ b/entry/ownership.cc
@@ -200,7 +200,7 @@
 }
 
 // A holder on a much weaker box is asked once to hand over. It is not taken
-// over while it is alive, since orders of it may be in flight.
+// over while it is alive, since commands of it may be in flight.
 bool Ownership::ShouldRequestHandover(base::Micros now) const {
   return this->table_read && !this->released && this->version > 0 &&
          !this->record.holder.empty() && this->record.holder != this->id &&
--- a/entry/ownership.h
+++ b/entry/ownership.h
@@ -71,7 +71,7 @@
   bool holds() const { return this->is_holder; }
   // A takeover write of this daemon is in flight.
   bool is_takeover_pending() const { return this->takeover_pending; }
-  // No other daemon takes over before this time; includes a margin for orders
+  // No other daemon takes over before this time; includes a margin for commands
   // in flight.
   base::Micros valid_until() const { return this->lease.valid_until(); }
   const std::string& holder() const { return this->record.holder; }
--- a/entry/suspension_test.cc
+++ b/entry/suspension_test.cc
@@ -43,9 +43,9 @@
   BOOST_CHECK(now <= base::BootTimeNow());
 }
 
-// The machine is suspended after an order was decided and before it is sent: on
-// a new connection, on a kept one, and after another order.
-BOOST_AUTO_TEST_CASE(OrderDecidedBeforeASuspensionIsNotSent) {
+// The machine is suspended after a command was decided and before it is sent:
+// on a new connection, on a kept one, and after another command.
+BOOST_AUTO_TEST_CASE(CommandDecidedBeforeASuspensionIsNotSent) {
   const SuspendableClock clock;
   base::Loop loop;
   testing::RawServer server(loop, [](int) {
@@ -58,11 +58,11 @@
   base::Micros valid_until{};
   platform::Workers workers(client,
                             [&] { return base::MonotonicNow() < valid_until; });
-  const platform::OrderTo to{
+  const platform::Addressee to{
       .worker = {.id = "w"},
       .address = "127.0.0.1:" + std::to_string(server.port()),
       .epoch = 1};
-  const auto order = [&](base::Micros suspension_before_sending) {
+  const auto send = [&](base::Micros suspension_before_sending) {
     valid_until = base::MonotonicNow() + milliseconds(1150);
     std::optional<scheduler::CommandOutcome> outcome;
     workers.Start(
@@ -78,11 +78,11 @@
     return *outcome;
   };
   for (const seconds suspension : kSuspensions)
-    BOOST_CHECK(order(suspension) == scheduler::CommandOutcome::kNotSent);
+    BOOST_CHECK(send(suspension) == scheduler::CommandOutcome::kNotSent);
   BOOST_TEST(server.requests() == 0);
-  BOOST_CHECK(order({}) == scheduler::CommandOutcome::kDone);
+  BOOST_CHECK(send({}) == scheduler::CommandOutcome::kDone);
   for (const seconds suspension : kSuspensions)
-    BOOST_CHECK(order(suspension) == scheduler::CommandOutcome::kNotSent);
+    BOOST_CHECK(send(suspension) == scheduler::CommandOutcome::kNotSent);
   BOOST_TEST(server.requests() == 1);
 }
 
