--- a/scheduler/fleet_test.cc
+++ b/scheduler/fleet_test.cc
@@ -10,6 +10,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include "scheduler/fleet.h"
+#include "testing/fleet_bench.h"
+#include "testing/scheduler_bench.h"
 
 namespace quartzhoist::scheduler {
 namespace {
@@ -17,29 +19,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr FleetTimings kLimits{.move_duration = milliseconds(1500),
-                               .maintenance_duration = milliseconds(2000)};
-
-FleetBox IdleBox(const std::string& name, const std::string& pool) {
-  return {.name = name,
-          .pool = pool,
-          .worker = {.id = name + "-life"},
-          .available = true,
-          .idle = true,
-          .long_running_tasks = 0,
-          .cores = 16.0,
-          .busy_cores = 0.0};
-}
-
-template <typename Step>
-std::vector<Step> Only(const std::vector<FleetAction>& steps) {
-  std::vector<Step> found;
-  for (const FleetAction& step : steps) {
-    if (const auto* one = std::get_if<Step>(&step))
-      found.push_back(*one);
-  }
-  return found;
-}
+using testing::IdleBox;
+using testing::kFleetTimings;
+using testing::Only;
 
 RC_BOOST_PROP(AllocationFitsTotalAndFavoursUrgentDemand, ()) {
   std::vector<FleetPool> pools;
@@ -68,7 +50,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(IdleBoxMovesToPoolShortOfCores) {
-  FleetPlanner fleet(kLimits);
+  FleetPlanner fleet(kFleetTimings);
   FleetView view;
   view.boxes = {IdleBox("b1", "calm"), IdleBox("b2", "calm"),
                 IdleBox("b3", "busy")};
@@ -86,7 +68,7 @@
 // Overload in one pool must not leave another without the box that its
 // long-running tasks need.
 BOOST_AUTO_TEST_CASE(MinBoxesAreMetWhenAllPoolsAreShort) {
-  FleetPlanner fleet(kLimits);
+  FleetPlanner fleet(kFleetTimings);
   FleetView view;
   view.boxes = {IdleBox("b1", "busy"), IdleBox("b2", "busy")};
   view.boxes[1].idle = false;
@@ -102,7 +84,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(UnansweredMoveIsRetried) {
-  FleetPlanner fleet(kLimits);
+  FleetPlanner fleet(kFleetTimings);
   FleetView view;
   view.boxes = {IdleBox("b1", "calm")};
   view.pools = {{.name = "calm", .spare = false, .demand = {}},
@@ -118,7 +100,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(BusyBoxOfALessUrgentPoolIsReclaimed) {
-  FleetPlanner fleet(kLimits);
+  FleetPlanner fleet(kFleetTimings);
   FleetView view;
   view.boxes = {IdleBox("b1", "patient"), IdleBox("b2", "patient")};
   for (FleetBox& box : view.boxes) {
@@ -149,7 +131,7 @@
     boxes[name] = IdleBox(name, "pool");
     boxes[name].idle = *rc::gen::arbitrary<bool>();
   }
-  FleetPlanner fleet(kLimits);
+  FleetPlanner fleet(kFleetTimings);
   fleet.SetWave(wave, {}, seconds(1));
   // Faults are drawn per call, so that each of them ends eventually.
   std::mt19937_64 random(*rc::gen::arbitrary<std::uint64_t>());
@@ -221,7 +203,7 @@
 // list requested before maintenance shows the box as up, but must not count as
 // evidence that the box is back; otherwise the wave exceeds its limit.
 BOOST_AUTO_TEST_CASE(StaleBoxListDoesNotEndMaintenance) {
-  FleetPlanner fleet(kLimits);
+  FleetPlanner fleet(kFleetTimings);
   const FleetView view{
       .boxes = {IdleBox("b1", "pool"), IdleBox("b2", "pool")},
       .pools = {{.name = "pool", .spare = false, .demand = {}}}};
@@ -252,7 +234,7 @@
 // away from the start, and once its worker has answered and is idle the call is
 // repeated, so that the box refuses the earlier one by its lower epoch.
 BOOST_AUTO_TEST_CASE(InheritedMaintenanceCountsUntilRepeated) {
-  FleetPlanner fleet(kLimits);
+  FleetPlanner fleet(kFleetTimings);
   FleetView view{.boxes = {IdleBox("b1", "pool"), IdleBox("b2", "pool")},
                  .pools = {{.name = "pool", .spare = false, .demand = {}}}};
   const base::Micros now = seconds(10);
@@ -281,7 +263,7 @@
 // A box with runs shows that the previous owner abandoned its call or that it
 // was carried out long ago. Repeating the call would end those runs.
 BOOST_AUTO_TEST_CASE(InheritedCallIsNotRepeatedOnBusyBox) {
-  FleetPlanner fleet(kLimits);
+  FleetPlanner fleet(kFleetTimings);
   FleetView view{.boxes = {IdleBox("b1", "pool"), IdleBox("b2", "pool")},
                  .pools = {{.name = "pool", .spare = false, .demand = {}}}};
   const base::Micros now = seconds(10);
@@ -344,7 +326,7 @@
 // the new pool before the repeated call is confirmed. The box must be usable as
 // soon as it is.
 BOOST_AUTO_TEST_CASE(MovedBoxIsUsableOnceMoveIsConfirmed) {
-  FleetPlanner fleet(kLimits);
+  FleetPlanner fleet(kFleetTimings);
   const base::Micros now = seconds(10);
   fleet.Inherit(
       MoveBox{.box = "b1", .pool = "other", .incarnation = {.id = "b1-life"}},
@@ -363,7 +345,7 @@
 // Boxes with long-running tasks are evacuated one after the other. Unless they
 // start along with the idle ones, they miss the wave's deadline.
 BOOST_AUTO_TEST_CASE(BoxesWithLongRunningTasksStartWithTheIdleOnes) {
-  FleetPlanner fleet(kLimits);
+  FleetPlanner fleet(kFleetTimings);
   Wave wave{
       .number = 1, .boxes = {}, .duration = seconds(25), .max_concurrent = 16};
   FleetView view;
@@ -387,7 +369,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(RecordedMaintenanceIsNotRepeatedByLaterOwner) {
-  FleetPlanner fleet(kLimits);
+  FleetPlanner fleet(kFleetTimings);
   fleet.SetWave({.number = 1,
                  .boxes = {"b1", "b2"},
                  .duration = seconds(20),
@@ -407,7 +389,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(UnrecordedMaintenanceOfEarlierOwnerCounts) {
-  FleetPlanner fleet(kLimits);
+  FleetPlanner fleet(kFleetTimings);
   fleet.SetWave({.number = 1,
                  .boxes = {"b1", "b2"},
                  .duration = seconds(20),
@@ -432,7 +414,7 @@
 // When two waves cover one box, its maintenance for one wave must not count for
 // the other, neither while the list shows it nor shortly after.
 BOOST_AUTO_TEST_CASE(MaintenanceCountsForOneWaveOnly) {
-  FleetPlanner fleet(kLimits);
+  FleetPlanner fleet(kFleetTimings);
   const auto wave = [](int number) {
     return Wave{.number = number,
                 .boxes = {"b1"},
@@ -467,7 +449,7 @@
 
 // Such a box may be used again before the box service lists it as up.
 BOOST_AUTO_TEST_CASE(WorkerAnswerEndsInheritedMaintenance) {
-  FleetPlanner fleet(kLimits);
+  FleetPlanner fleet(kFleetTimings);
   const Wave wave{.number = 1,
                   .boxes = {"b1", "b2"},
                   .duration = seconds(20),
@@ -480,7 +462,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(RemovedBoxDoesNotBlockWave) {
-  FleetPlanner fleet(kLimits);
+  FleetPlanner fleet(kFleetTimings);
   fleet.SetWave({.number = 1,
                  .boxes = {"gone"},
                  .duration = seconds(20),
--- a/scheduler/zone_evacuation_test.cc
+++ b/scheduler/zone_evacuation_test.cc
@@ -9,6 +9,7 @@
 
 #include "scheduler/fleet.h"
 #include "scheduler/scheduler.h"
+#include "testing/fleet_bench.h"
 #include "testing/scheduler_bench.h"
 
 namespace quartzhoist::scheduler {
@@ -19,28 +20,9 @@
 
 using Bench = testing::SchedulerBench;
 
-constexpr FleetTimings kLimits{.move_duration = milliseconds(1500),
-                               .maintenance_duration = milliseconds(2000)};
-
-FleetBox IdleBox(const std::string& name, const std::string& pool) {
-  return {.name = name,
-          .pool = pool,
-          .worker = {.id = name + "-life"},
-          .available = true,
-          .idle = true,
-          .long_running_tasks = 0,
-          .cores = 16.0,
-          .busy_cores = 0.0};
-}
-
-std::vector<MoveBox> OnlyMoves(const std::vector<FleetAction>& steps) {
-  std::vector<MoveBox> moves;
-  for (const FleetAction& step : steps) {
-    if (const auto* move = std::get_if<MoveBox>(&step))
-      moves.push_back(*move);
-  }
-  return moves;
-}
+using testing::IdleBox;
+using testing::kFleetTimings;
+using testing::Only;
 
 // A placement that is saved after the evacuation, or a start that still waits
 // for its turn, is given up and placed in another zone.
@@ -55,7 +37,7 @@
   BOOST_REQUIRE(start.worker.id == "west");
   BOOST_TEST(bench.scheduler.IsStillNeeded(start));
   bench.AddJob("next");
-  const auto saves = testing::Only<SaveProgress>(bench.RunPass());
+  const auto saves = Only<SaveProgress>(bench.RunPass());
   BOOST_REQUIRE(!saves.empty());
   bench.scheduler.UpdateWorker(Bench::Worker("east"), bench.now);
   bench.Report("east", {});
@@ -66,9 +48,9 @@
   std::map<std::string, std::string> worker_by_job;
   for (int i = 0; i < 8; ++i) {
     const std::vector<Action> actions = bench.RunPass();
-    for (const StartRun& next : testing::Only<StartRun>(actions))
+    for (const StartRun& next : Only<StartRun>(actions))
       worker_by_job[next.task.job] = next.worker.id;
-    bench.Save(testing::Only<SaveProgress>(actions));
+    bench.Save(Only<SaveProgress>(actions));
   }
   BOOST_TEST(worker_by_job["job"] == "east");
   BOOST_TEST(worker_by_job["next"] == "east");
@@ -77,7 +59,7 @@
 // A box in an evacuated zone can take no task, so its cores must neither
 // satisfy a pool's demand nor be moved to meet it.
 BOOST_AUTO_TEST_CASE(BoxesInEvacuatedZoneAddNoCapacityAndStay) {
-  FleetPlanner fleet(kLimits);
+  FleetPlanner fleet(kFleetTimings);
   FleetView view;
   view.boxes = {IdleBox("calm-west", "calm"), IdleBox("calm-east", "calm"),
                 IdleBox("busy-west", "busy")};
@@ -86,14 +68,14 @@
   view.pools = {{.name = "calm", .spare = false, .demand = {}},
                 {.name = "busy", .spare = false, .demand = {}}};
   view.pools[1].demand[0].current_cores = 10.0;
-  const auto moves = OnlyMoves(fleet.Plan(view, seconds(1)));
+  const auto moves = Only<MoveBox>(fleet.Plan(view, seconds(1)));
   BOOST_REQUIRE(moves.size() == 1);
   BOOST_TEST(moves[0].box == "calm-east");
 }
 
 // The platform's list names the zone of a spare box, which runs no worker.
 BOOST_AUTO_TEST_CASE(SpareBoxesInEvacuatedZoneStay) {
-  FleetPlanner fleet(kLimits);
+  FleetPlanner fleet(kFleetTimings);
   fleet.SetEvacuatedZones({"west"});
   fleet.SetBoxes({{.name = "s1",
                    .pool = "rest",
@@ -107,9 +89,9 @@
   view.pools = {{.name = "rest", .spare = true, .demand = {}},
                 {.name = "busy", .spare = false, .demand = {}}};
   view.pools[1].demand[0].current_cores = 100.0;
-  BOOST_TEST(OnlyMoves(fleet.Plan(view, seconds(1))).empty());
+  BOOST_TEST(Only<MoveBox>(fleet.Plan(view, seconds(1))).empty());
   fleet.SetEvacuatedZones({});
-  BOOST_TEST(OnlyMoves(fleet.Plan(view, seconds(2))).size() == 1);
+  BOOST_TEST(Only<MoveBox>(fleet.Plan(view, seconds(2))).size() == 1);
 }
 
 }  // namespace
--- a/testing/scheduler_bench.h
+++ b/testing/scheduler_bench.h
@@ -13,11 +13,11 @@
 
 namespace quartzhoist::testing {
 
-// Returns the actions of one type.
-template <typename Wanted>
-std::vector<Wanted> Only(const std::vector<scheduler::Action>& actions) {
+// Returns the actions of one type. `ActionType` is a variant.
+template <typename Wanted, typename ActionType>
+std::vector<Wanted> Only(const std::vector<ActionType>& actions) {
   std::vector<Wanted> found;
-  for (const scheduler::Action& action : actions) {
+  for (const ActionType& action : actions) {
     if (const auto* one = std::get_if<Wanted>(&action))
       found.push_back(*one);
   }
