--- a/entry/shard_count_resolver.cc
+++ b/entry/shard_count_resolver.cc
@@ -126,7 +126,7 @@
     this->WriteClaim();
 }
 
-// Of several daemons that saw the same claim, or none, one succeeds.
+// One of several daemons that saw the same claim, or none, succeeds.
 void ShardCountResolver::WriteClaim() {
   const platform::WriteBatch batch{
       .conditions = {{.at = ShardCountClaimRow(),
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -135,7 +135,7 @@
          kRunBesideSuspectCost * static_cast<double>(worker.runs.size());
 }
 
-// What a worker has been allocated for a gang's members while workers for the
+// Allocated on a worker for a gang's members while workers for the
 // other members are being chosen.
 struct GangAllocation {
   jobs::Resources resources;
--- a/testing/job_cluster.h
+++ b/testing/job_cluster.h
@@ -37,7 +37,7 @@
 
   // Callers show this access key from now on; empty: none.
   void SetKey(const std::string& key) { this->access_key = key; }
-  // Of daemons that are started from now on.
+  // Applies to daemons started from now on.
   void SetWorkersAnOwner(int workers) { this->workers_an_owner = workers; }
   Daemon& StartDaemon(const std::string& id);
   // One that reaches the store over a link of its own.
--- a/testing/program.h
+++ b/testing/program.h
@@ -1,5 +1,5 @@
-// What the stand-ins' programs share: settings on the command line, an end on
-// a signal or after a set time.
+// Shared by the programs of the stand-ins: settings on the command line, an end
+// on a signal or after a set time.
 
 #ifndef TESTING_PROGRAM_H_
 #define TESTING_PROGRAM_H_
--- a/testing/soak.cc
+++ b/testing/soak.cc
@@ -194,7 +194,8 @@
   }
 }
 
-// What is still there is killed, as the platform does at the end of its grace.
+// Kills the process if it still runs, as the platform does after its grace
+// period.
 void Soak::StartAgain(const std::string& id) {
   this->cluster.daemons().at(id).process.reset();
   this->cluster.StartDaemon(id);
--- a/testing/soak.h
+++ b/testing/soak.h
@@ -67,7 +67,7 @@
   // Plays the schedule, then waits until all that was accepted is over.
   void Run(base::Micros length);
 
-  // What broke a promise, in words.
+  // Broken guarantees, as text.
   const std::vector<std::string>& broken() const { return this->faults; }
   int accepted() const { return static_cast<int>(this->accepted_jobs.size()); }
   int refused() const { return static_cast<int>(this->refused_jobs.size()); }
--- a/testing/tcp_link.cc
+++ b/testing/tcp_link.cc
@@ -88,7 +88,8 @@
     this->Close(connection);
     return;
   }
-  // What comes while it is silent is lost, and so is what follows.
+  // Bytes that arrive while the link is cut are lost, and all later ones of the
+  // connection.
   connection.silent = connection.silent || this->is_cut;
   if (!connection.silent)
     SendAll(to, buffer.data(), static_cast<std::size_t>(got));
--- a/testing/worker_standin.h
+++ b/testing/worker_standin.h
@@ -45,7 +45,7 @@
     return this->started_jobs.contains(job);
   }
   int starts() const { return this->start_count; }
-  // Of these, the starts on boxes of the zone.
+  // Starts on boxes of the zone.
   int StartsIn(const std::string& zone) const {
     const auto found = this->starts_by_zone.find(zone);
     return found == this->starts_by_zone.end() ? 0 : found->second;
