A job goes to a shard that can start it at once

Cause: a shard's load counts the boxes that could move to the pool, so a shard with one box of it looks like one with fifty idle ones.

Change: owners report each pool's free cores (unused, less those waited for); of the drawn shards those that can start all of the job's first tasks go first, then the less loaded one, as before.

Test: JobsGoWhereTheyCanStartAtOnce replays the begin of a turn with 32 and 64 shards, a third of them nearly without boxes: below a seventh of the jobs goes there instead of a third.

--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -260,8 +260,10 @@
 ShardLoad ShardManager::Load() const {
   ShardLoad load;
   for (const scheduler::PoolState& state :
-       this->scheduler.PoolStates(base::MonotonicNow()))
+       this->scheduler.PoolStates(base::MonotonicNow())) {
     load.load_percent_by_pool[state.pool] = state.load_percent;
+    load.free_cores_by_pool[state.pool] = static_cast<int>(state.free_cores);
+  }
   load.box_kinds = this->scheduler.BoxKinds();
   return load;
 }
--- a/entry/shard_selector.cc
+++ b/entry/shard_selector.cc
@@ -109,6 +109,36 @@
   return owned.empty() ? shards : owned;
 }
 
+// Cores of all tasks that are ready as soon as the job is accepted.
+double CoresAtOnce(const jobs::JobSpec& job) {
+  std::int64_t cpu_millis = 0;
+  for (const jobs::Step& step : job.steps) {
+    if (step.depends_on.empty() && !step.fills)
+      cpu_millis += step.tasks * step.task_resources.cpu_millis;
+  }
+  return static_cast<double>(cpu_millis) / 1000.0;
+}
+
+// Returns the shards that can start all of the job's first tasks at once, or
+// all if none can. A shard's part of a pool may be a few boxes that one job
+// fills, while the others' parts are idle: its load counts boxes that would
+// first have to move there.
+std::vector<int> ShardsWithRoom(const std::string& pool,
+                                const jobs::JobSpec& job,
+                                const std::vector<int>& shards,
+                                const std::vector<ShardLoad>& loads) {
+  const double cores = CoresAtOnce(job);
+  std::vector<int> with_room;
+  for (const int shard : shards) {
+    const auto& free =
+        loads[static_cast<std::size_t>(shard)].free_cores_by_pool;
+    const auto found = free.find(pool);
+    if (found != free.end() && found->second >= cores)
+      with_room.push_back(shard);
+  }
+  return with_room.empty() ? shards : with_room;
+}
+
 // Whether no known shard lists a label that the job requires.
 bool RequiresUnknownKind(const jobs::JobSpec& job,
                          const std::vector<ShardLoad>& known) {
@@ -225,7 +255,8 @@
       ShardsWithCores(pool, EligibleShards(job, candidates, loads), loads);
   const std::vector<int> eligible = ShardsWithOwner(capable, loads);
   if (!IsLasting(job))
-    return this->SelectByLoad(pool, loads, eligible);
+    return this->SelectByLoad(pool, loads,
+                              ShardsWithRoom(pool, job, eligible, loads));
   const int preferred =
       PreferredShard(config, pool, static_cast<int>(loads.size()));
   const std::optional<int> load =
--- a/entry/shard_selector.h
+++ b/entry/shard_selector.h
@@ -23,6 +23,8 @@
   // By pool: cores used and queued for, in percent of the cores that the shard
   // can give to the pool.
   std::map<std::string, int> load_percent_by_pool;
+  // By pool: cores that new tasks can use at once, without a box that moves.
+  std::map<std::string, int> free_cores_by_pool;
   // Kinds of boxes in the shard.
   std::vector<std::string> box_kinds;
   // Nobody schedules the shard as far as the reader knows; not reported.
--- a/entry/shards_test.cc
+++ b/entry/shards_test.cc
@@ -222,6 +222,45 @@
   }
 }
 
+// Replays the begin of a turn: after a calm time a third of the shards has two
+// boxes of the pool left, the others have idle ones; boxes within reach, and so
+// the loads, are alike. A job of 25 cores would wait for boxes in the former.
+BOOST_AUTO_TEST_CASE(JobsGoWhereTheyCanStartAtOnce) {
+  constexpr int kJobs = 4000;
+  jobs::JobSpec job = JobOf(false);
+  job.steps.front().tasks = 8;
+  job.steps.front().task_resources.cpu_millis = 3200;
+  for (const std::size_t shards : {32, 64}) {
+    ShardSelector selector(1);
+    std::vector<ShardLoad> loads(shards);
+    for (std::size_t i = 0; i < shards; ++i) {
+      loads[i].load_percent_by_pool["a"] = 5;
+      loads[i].free_cores_by_pool["a"] = i % 3 == 0 ? 20 : 600;
+    }
+    int waiting = 0;
+    for (int i = 0; i < kJobs; ++i)
+      waiting += SelectShard(selector, "a", job, loads) % 3 == 0;
+    BOOST_TEST(waiting < kJobs / 7);
+  }
+}
+
+// While no shard has room, the less loaded one of two is chosen.
+BOOST_AUTO_TEST_CASE(WithoutRoomAnywhereTheLoadDecides) {
+  ShardSelector selector(1);
+  std::vector<ShardLoad> loads(4);
+  for (ShardLoad& load : loads) {
+    load.load_percent_by_pool["a"] = 300;
+    load.free_cores_by_pool["a"] = 0;
+  }
+  loads[2].load_percent_by_pool["a"] = 120;
+  jobs::JobSpec job = JobOf(false);
+  job.steps.front().task_resources.cpu_millis = 1000;
+  int to_lightest = 0;
+  for (int i = 0; i < 400; ++i)
+    to_lightest += SelectShard(selector, "a", job, loads) == 2;
+  BOOST_TEST(to_lightest > 150);
+}
+
 // Lasting jobs of four pools, submitted in turn: those of one pool stay in one
 // shard, and no two pools use the same shard.
 BOOST_AUTO_TEST_CASE(LastingJobsOfAPoolShareAShard) {
--- a/entry/tables.cc
+++ b/entry/tables.cc
@@ -167,6 +167,7 @@
               {"cores", record.cores},
               {"successor", record.successor},
               {"load", record.load.load_percent_by_pool},
+              {"free", record.load.free_cores_by_pool},
               {"kinds", record.load.box_kinds},
               {"renewed", record.renewed_store_ms}}
       .dump();
@@ -184,6 +185,8 @@
         .successor = json.value("successor", ""),
         .load = {.load_percent_by_pool =
                      json.value("load", std::map<std::string, int>()),
+                 .free_cores_by_pool =
+                     json.value("free", std::map<std::string, int>()),
                  .box_kinds = json.value("kinds", std::vector<std::string>())},
         .renewed_store_ms = json.value("renewed", std::int64_t{0})};
   } catch (const Json::exception&) {
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -85,6 +85,8 @@
   int idle = 0;
   int pinned = 0;  // hold long-running tasks
   double busy_cores = 0.0;
+  // Unused cores of the usable boxes, less those that tasks wait for.
+  double free_cores = 0.0;
   // Ready tasks, and the longest wait among them.
   struct Waiting {
     int tasks = 0;
--- a/scheduler/pool_state.cc
+++ b/scheduler/pool_state.cc
@@ -47,7 +47,12 @@
     PoolState& state = states[worker.info.service];
     state.pool = worker.info.service;
     ++state.boxes;
-    state.usable += this->IsUsable(worker, now);
+    const double unused =
+        static_cast<double>(worker.free_capacity().cpu_millis) / 1000.0;
+    if (this->IsUsable(worker, now)) {
+      ++state.usable;
+      state.free_cores += std::max(0.0, unused);
+    }
     state.leaving += this->fleet.IsLeaving(worker.info.box);
     state.idle += worker.idle();
     state.pinned += worker.long_running_tasks > 0;
@@ -57,8 +62,7 @@
     boxes.push_back(
         {.pool = &worker.info.service,
          .total = static_cast<double>(worker.info.capacity.cpu_millis) / 1000.0,
-         .unused =
-             static_cast<double>(worker.free_capacity().cpu_millis) / 1000.0,
+         .unused = unused,
          .may_move = worker.long_running_tasks == 0});
   }
   for (const auto& [service, tasks] : this->ready) {
@@ -85,6 +89,7 @@
   }
   std::vector<PoolState> list;
   for (auto& [name, state] : states) {
+    state.free_cores = std::max(0.0, state.free_cores - state.waiting_cores);
     state.load_percent = PercentOf(state.busy_cores + state.waiting_cores,
                                    AvailableCores(name, boxes));
     list.push_back(std::move(state));
