--- a/base/base_test.cc
+++ b/base/base_test.cc
@@ -95,7 +95,7 @@
     taken += budget.Take(0, now);
   BOOST_TEST(taken == budget.kLinesASecond);
   BOOST_TEST(budget.Take(1, now));
-  // What was left out is told once, in a later second.
+  // Omitted lines are counted in one line, in a later second.
   BOOST_TEST(budget.TakeLeftOut(0, now) == 0U);
   const Micros later = std::chrono::seconds(6);
   BOOST_TEST(budget.TakeLeftOut(0, later) == 10'000U - taken);
--- a/base/clock.h
+++ b/base/clock.h
@@ -29,7 +29,7 @@
 Micros BootTimeNow();
 
 using ClockReader = Micros (*)();
-// What MonotonicNow() reads from here on. For tests of suspensions; at the
+// Sets what MonotonicNow() reads from here on. For tests of suspensions; at the
 // start it is the system's clock.
 void ReadClockFrom(ClockReader reader);
 
--- a/base/event_log.cc
+++ b/base/event_log.cc
@@ -51,7 +51,7 @@
                      FormatEvent(event, fields).substr(1));
 }
 
-// What both tasks share.
+// State shared by both tasks.
 struct Output {
   std::mutex lock;
   LineBudget<kEvents.size()> budget;
--- a/base/ini_file.h
+++ b/base/ini_file.h
@@ -18,7 +18,7 @@
   int line = 0;
 };
 
-// What is wrong with a text that people write: says file, line and key.
+// Invalid text of a file that people write: says file, line and key.
 class TextError : public std::runtime_error {
  public:
   // `line` 0 means the file as a whole; `key` may be empty.
--- a/base/line_writer.h
+++ b/base/line_writer.h
@@ -20,7 +20,7 @@
 // the line is too long.
 bool WriteLine(int fd, std::string_view line);
 
-// How many lines of each kind may go out.
+// Limits on the number of lines of each kind.
 template <std::size_t Kinds>
 class LineBudget {
  public:
--- a/base/settings_reader.h
+++ b/base/settings_reader.h
@@ -15,7 +15,7 @@
 
 namespace quartzhoist::base {
 
-// How one key is read; `take` throws a text that says what would fit.
+// Reads one key; `take` throws a text that says what would fit.
 template <typename Settings>
 struct SettingKey {
   std::string_view section;
@@ -28,7 +28,7 @@
   }
 };
 
-// What an optional key without a value means.
+// Meaning of an optional key without a value.
 enum class EmptyValue { kIsRead, kIsLeftOut };
 
 // The key of the entry; throws TextError if there is none.
--- a/http/client.h
+++ b/http/client.h
@@ -32,7 +32,7 @@
   std::function<bool()> may_send;
 };
 
-// What came of a request.
+// Outcome of a request.
 struct ClientResult {
   // kRan: `response` is the whole answer; its status is 0 otherwise.
   // kNotRun: no byte was sent.
--- a/http/server.cc
+++ b/http/server.cc
@@ -77,7 +77,7 @@
 
 // The library's callbacks, apart so that its types stay out of the header.
 struct Server::Callbacks {
-  // What the library keeps for one request.
+  // State that the library keeps for one request.
   struct Slot {
     std::string path;
     ExchangePtr exchange;
--- a/http/server.h
+++ b/http/server.h
@@ -63,7 +63,7 @@
   std::uint16_t port = 0;             // 0: the kernel chooses
   std::size_t max_body = 1 << 20;     // bytes; more is answered with 413
   unsigned max_connections = 4096;
-  // How often callers that hung up are looked for.
+  // Interval of checks for callers that hung up.
   base::Micros sweep_period = std::chrono::milliseconds(50);
 };
 
--- a/jobs/progress.cc
+++ b/jobs/progress.cc
@@ -157,7 +157,7 @@
   return true;
 }
 
-// Of two runs of a task the later one wins.
+// The later one of two runs of a task wins.
 void MergePlacements(std::map<TaskKey, Placement>& into,
                      const std::map<TaskKey, Placement>& other) {
   for (const auto& [task, placement] : other) {
--- a/table/cells.cc
+++ b/table/cells.cc
@@ -21,7 +21,7 @@
 constexpr std::int64_t kMaxQuota = 1'000'000;
 constexpr std::size_t kMaxName = 63;
 
-// How one cell of a row type is read and written.
+// Reads and writes one cell of a row type.
 template <typename R>
 struct Cell {
   std::string_view name;
--- a/table/cells.h
+++ b/table/cells.h
@@ -13,7 +13,7 @@
 
 namespace quartzhoist::table {
 
-// What is wrong with a cell's text; what() names the cell and says what fits.
+// Invalid text of a cell; what() names the cell and says what fits.
 class CellError : public std::runtime_error {
  public:
   CellError(std::string_view cell_name, const std::string& problem);
--- a/table/check.h
+++ b/table/check.h
@@ -1,4 +1,4 @@
-// What must hold between rows before a table may be accepted.
+// Conditions between rows that a table must meet to be accepted.
 
 #ifndef TABLE_CHECK_H_
 #define TABLE_CHECK_H_
--- a/table/edit.h
+++ b/table/edit.h
@@ -26,7 +26,7 @@
   std::vector<Change> changes;
 };
 
-// What the edit would write.
+// The changes that the edit would write.
 struct Edited {
   std::vector<std::string> changed;  // ids of rows, in order
   Rows rows;                         // the whole table after it
--- a/table/snapshot.h
+++ b/table/snapshot.h
@@ -59,7 +59,7 @@
   }
   // The version of any followed row by its key; 0 if there is none.
   Version VersionOf(const std::string& key) const;
-  // What a follower at `after` lacks.
+  // The changes that a follower at `after` lacks.
   Delta Since(Version after) const;
 
   const PoolRow* FindPool(const std::string& name) const;
--- a/table/table_test.cc
+++ b/table/table_test.cc
@@ -121,7 +121,7 @@
   return history;
 }
 
-// What the platform answers at `upto` to one who has `after`.
+// The platform's answer at `upto` to a follower that has `after`.
 Delta DeltaOf(const std::vector<StoredRow>& history,
               Version after,
               Version upto) {
