A pool without boxes in a shard gets one for a task of any size

Cause: a pool counts as short once it lacks a quarter of a box, also when it has none. The rule for stuck tasks did not help: it asks for idle cores in the pool.

Tests: PoolWithoutBoxesGetsOneForASmallTask, SmallTaskInAPoolWithoutBoxesGetsOne; both fail before.

--- a/scheduler/box_planning.cc
+++ b/scheduler/box_planning.cc
@@ -148,7 +148,7 @@
       cores += box.cores;
       taken += box.busy_cores;
     }
-    const bool has_cores = taken < kFullPoolUtilization * cores;
+    const bool has_cores = boxes == 0 || taken < kFullPoolUtilization * cores;
     const bool is_stuck =
         std::any_of(tasks.begin(), tasks.end(), [&](const ReadyTask& task) {
           return this->IsStuck(task, has_cores, now);
--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -16,6 +16,12 @@
 // A pool is short of cores once it lacks this fraction of a box.
 constexpr double kShortageThreshold = 0.25;
 
+// Without any box a pool is short as soon as it needs a core: a small task
+// would wait there for good.
+double ShortageThreshold(double held_cores, double box_cores) {
+  return held_cores > 0.0 ? kShortageThreshold * box_cores : 0.0;
+}
+
 // A confirmed move is dropped if no new worker instance announces itself within
 // this time.
 constexpr base::Micros kMoveTimeout = std::chrono::seconds(8);
@@ -237,7 +243,8 @@
                              std::vector<FleetAction>& actions) {
   this->reclaimed.clear();
   // 1. Compute each pool's surplus over its allocation.
-  std::map<std::string, double> surplus = this->CoresByPool(view);
+  const std::map<std::string, double> held = this->CoresByPool(view);
+  std::map<std::string, double> surplus = held;
   double total_cores = 0.0;
   double box_cores = 0.0;
   for (const auto& [pool, cores] : surplus)
@@ -262,7 +269,8 @@
   while (true) {
     const FleetPool* shortest = nullptr;
     for (const FleetPool& pool : requesting) {
-      if (surplus[pool.name] >= -kShortageThreshold * box_cores)
+      const double threshold = ShortageThreshold(held.at(pool.name), box_cores);
+      if (surplus[pool.name] >= -threshold)
         continue;
       if (!shortest || surplus[pool.name] < surplus[shortest->name])
         shortest = &pool;
--- a/scheduler/fleet_test.cc
+++ b/scheduler/fleet_test.cc
@@ -67,6 +67,23 @@
 
 // Overload in one pool must not leave another without the box that its
 // long-running tasks need.
+// One shard of many has no box of the pool left when a small task comes: two
+// cores are less than a quarter of a box, so that no pool counted as short.
+BOOST_AUTO_TEST_CASE(PoolWithoutBoxesGetsOneForASmallTask) {
+  FleetPlanner fleet(kFleetTimings);
+  FleetView view;
+  view.boxes = {IdleBox("b1", "calm"), IdleBox("b2", "calm")};
+  view.pools = {{.name = "calm", .spare = false, .demand = {}},
+                {.name = "empty", .spare = false, .demand = {}}};
+  BOOST_TEST(Only<MoveBox>(fleet.Plan(view, seconds(1))).empty());
+  view.pools[1].demand[0].current_cores = 2.0;
+  const auto moves = Only<MoveBox>(fleet.Plan(view, seconds(2)));
+  BOOST_REQUIRE(moves.size() == 1U);
+  BOOST_TEST(moves[0].pool == "empty");
+  // The box that is on its way is enough.
+  BOOST_TEST(Only<MoveBox>(fleet.Plan(view, seconds(3))).empty());
+}
+
 BOOST_AUTO_TEST_CASE(MinBoxesAreMetWhenAllPoolsAreShort) {
   FleetPlanner fleet(kFleetTimings);
   FleetView view;
--- a/scheduler/placement_test.cc
+++ b/scheduler/placement_test.cc
@@ -1,6 +1,7 @@
 // Placement passes under overload.
 
 #include <string>
+#include <vector>
 
 #include <boost/test/unit_test.hpp>
 
@@ -36,5 +37,25 @@
   }
 }
 
+// The shard has one box, in another pool; the task needs a tenth of it.
+BOOST_AUTO_TEST_CASE(SmallTaskInAPoolWithoutBoxesGetsOne) {
+  Bench bench(1);
+  jobs::Config config;
+  config.services = {{.name = "pool"}, {.name = "other"}};
+  bench.scheduler.SetConfig(config, bench.now);
+  WorkerInfo worker = Bench::Worker("a");
+  worker.service = "other";
+  bench.scheduler.UpdateWorker(worker, bench.now);
+  bench.Report("a", {});
+  jobs::Step small = Bench::OneTask();
+  small.task_resources.cpu_millis = 400;
+  bench.AddJob("job", small);
+  std::vector<MoveBox> moves;
+  for (int i = 0; i < 8 && moves.empty(); ++i)
+    moves = Only<MoveBox>(bench.RunPass());
+  BOOST_REQUIRE(moves.size() == 1U);
+  BOOST_TEST(moves[0].pool == "pool");
+}
+
 }  // namespace
 }  // namespace quartzhoist::scheduler
