--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -78,7 +78,7 @@
     std::shared_ptr<std::vector<Submission>> in_flight;
   };
 
-  // What confirmed the configuration that a request is served under.
+  // Source that confirmed the configuration under which a request is served.
   enum class ConfigSource { kFeed, kStoreRead };
 
   // Initial delay before a write of unknown outcome is retried; it doubles with
--- a/entry/shard_watch.h
+++ b/entry/shard_watch.h
@@ -34,7 +34,7 @@
 
   // The shard that is visited now; nothing between two visits.
   std::optional<int> visited() const { return this->visited_shard; }
-  // What is known of the visited shard.
+  // State of the visited shard, as far as it is known.
   enum class Finding {
     kRenewed,    // its owner is alive, as far as is known
     kUnsettled,  // it may have to be taken over
--- a/entry/wave_records.cc
+++ b/entry/wave_records.cc
@@ -17,9 +17,9 @@
 using std::chrono::seconds;
 
 constexpr base::Micros kRetryInterval = milliseconds(500);
-// How often an owner reads whether other shards have completed an open wave; it
-// takes over their share with up to this delay. A box is unavailable for 2 s
-// during upkeep (upkeep_s).
+// Interval at which an owner reads whether other shards have completed an open
+// wave; it takes over their share with up to this delay. A box is unavailable
+// for 2 s during upkeep (upkeep_s).
 constexpr base::Micros kReadInterval = seconds(1);
 constexpr std::string_view kDoneSuffix = "!done";
 
--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -73,7 +73,7 @@
   std::string job;
 };
 
-// What the owner knew about a box when it decided on a call, for the log.
+// The owner's knowledge of a box when it decided on a call, for the log.
 struct BoxCallContext {
   base::Micros confirmed_ago{};    // of the ownership by the store
   base::Micros last_answer_ago{};  // by the box's worker; negative if never
--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -27,7 +27,7 @@
   kGivenUp,  // workers crash while running it; not started again
 };
 
-// What a ready task is waiting for.
+// Reason why a ready task waits.
 enum class WaitReason {
   kCapacity,          // free capacity in its pool, or its turn
   kQuota,             // its organisation's quota is exhausted
--- a/scheduler/run_ends.cc
+++ b/scheduler/run_ends.cc
@@ -29,7 +29,7 @@
 // this many times the expected run time (for the remainder, plus kSlowSlack).
 constexpr int kSlowFactor = 2;
 constexpr base::Micros kSlowSlack = milliseconds(500);
-// How long other workers are preferred to a worker that had a slow run.
+// Time for which other workers are preferred to one that had a slow run.
 constexpr base::Micros kSlowWorkerPenalty = std::chrono::seconds(4);
 // Maximum moves of a task off its worker, since the task itself may be the
 // cause.
--- a/scheduler/suspects.cc
+++ b/scheduler/suspects.cc
@@ -9,7 +9,7 @@
 // Two crashes don't prove that a task is the cause: a task that runs next to
 // the cause is lost with it, and both may be placed together again.
 constexpr int kCrashesToGiveUp = 3;
-// How many of these crashes must be of runs that the workers had reported.
+// Minimum number of these crashes of runs that the workers had reported.
 constexpr int kMinReportedCrashes = 2;
 // Number of losses from which on a task starts alone.
 constexpr int kLossesBeforeProbe = 2;
--- a/scheduler/suspects.h
+++ b/scheduler/suspects.h
@@ -41,7 +41,7 @@
 // A run that has been running for this long did not crash its worker by
 // starting.
 inline constexpr base::Micros kStartupCrashWindow = std::chrono::seconds(3);
-// How long a task that must start alone waits for an idle worker.
+// Time that a task which must start alone waits for an idle worker.
 inline constexpr base::Micros kIdleWorkerWait = std::chrono::seconds(1);
 
 // Worker incarnations that became unresponsive while tasks ran on them, and the
