Log the capacity and the age of announcements that starts rely on

No line told which capacity an owner knew of a worker when it placed a task there, or how old that was, so that the hypotheses of the incident LIMIT could not be told apart: worker_capacity_changed (QH0828) names both, with the age of the announcement that is replaced; run_started gives the announcement's age when the start was sent (announced_ms). An announcement holds the worker's clock, as its answers to polls do; their difference is its age, whatever the store did in between.

No functional change but the log.

--- a/base/event_log.h
+++ b/base/event_log.h
@@ -50,6 +50,7 @@
   kTaskGivenUp,
   kWorkerRestarted,
   kEndSkipped,
+  kWorkerCapacityChanged,
   kBoxAsked,
   kBoxMoved,
   kUpkeepBegun,
@@ -74,7 +75,7 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 37> kEvents{{
+inline constexpr std::array<EventInfo, 38> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
@@ -100,6 +101,8 @@
     {Event::kTaskGivenUp, 825, Level::kWarning, "task_given_up"},
     {Event::kWorkerRestarted, 826, Level::kWarning, "worker_restarted"},
     {Event::kEndSkipped, 827, Level::kWarning, "end_skipped"},
+    {Event::kWorkerCapacityChanged, 828, Level::kInfo,
+     "worker_capacity_changed"},
     {Event::kBoxMoved, 831, Level::kInfo, "box_moved"},
     {Event::kUpkeepBegun, 832, Level::kInfo, "upkeep_begun"},
     {Event::kWaveReported, 833, Level::kInfo, "wave_reported"},
--- a/entry/decision_log.cc
+++ b/entry/decision_log.cc
@@ -41,6 +41,11 @@
   return text;
 }
 
+std::string FormatResources(const jobs::Resources& resources) {
+  return fmt::format("{} {} {}", resources.cpu_millis, resources.memory_mb,
+                     resources.gpus);
+}
+
 }  // namespace
 
 void LogJobFinished(const scheduler::JobFinished& finished) {
@@ -82,6 +87,16 @@
              {"moved_runs", restarted.transferred_runs}});
 }
 
+void LogWorkerCapacityChanged(const scheduler::WorkerCapacityChanged& changed) {
+  base::Log(base::Event::kWorkerCapacityChanged,
+            {{"worker", changed.worker.id},
+             {"born_ms", changed.worker.start_ms},
+             {"earlier", FormatResources(changed.earlier)},
+             {"capacity", FormatResources(changed.current)},
+             {"used", FormatResources(changed.used)},
+             {"earlier_age_ms", base::Millis(changed.earlier_age)}});
+}
+
 void LogRunEndIgnored(const scheduler::RunEndIgnored& ignored) {
   const jobs::TaskId& task = ignored.end.task;
   base::Log(base::Event::kEndSkipped,
--- a/entry/decision_log.h
+++ b/entry/decision_log.h
@@ -11,6 +11,7 @@
 void LogTaskGivenUp(const scheduler::TaskGivenUp& given_up);
 void LogWorkerLost(const scheduler::WorkerLost& lost);
 void LogWorkerRestarted(const scheduler::WorkerRestarted& restarted);
+void LogWorkerCapacityChanged(const scheduler::WorkerCapacityChanged& changed);
 void LogRunEndIgnored(const scheduler::RunEndIgnored& ignored);
 void LogNote(const scheduler::LogNote& note);
 
--- a/entry/manager_commands.cc
+++ b/entry/manager_commands.cc
@@ -69,6 +69,9 @@
     void operator()(const scheduler::WorkerRestarted& restarted) const {
       LogWorkerRestarted(restarted);
     }
+    void operator()(const scheduler::WorkerCapacityChanged& changed) const {
+      LogWorkerCapacityChanged(changed);
+    }
     void operator()(const scheduler::RunEndIgnored& ignored) const {
       LogRunEndIgnored(ignored);
     }
@@ -169,6 +172,7 @@
   this->workers.Start(
       this->AddresseeOf(worker), command, deadline,
       [this, worker, command,
+       announcement_age = scheduler::AnnouncementAge(*known, now),
        alive = this->alive](const platform::StartResult& result) {
         if (!*alive)
           return;
@@ -179,6 +183,7 @@
             {{"task", platform::TaskName(command.task)},
              {"run", command.run},
              {"worker", worker.id},
+             {"announced_ms", base::Millis(announcement_age)},
              {"outcome",
               base::NameOf(scheduler::kCommandOutcomeNames, outcome)}});
         this->scheduler.StartAnswered(command, outcome, base::MonotonicNow(),
--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -139,6 +139,15 @@
   int transferred_runs = 0;            // may be active in the new incarnation
 };
 
+// Log entry: a worker has announced another capacity than before.
+struct WorkerCapacityChanged {
+  jobs::WorkerIncarnation worker;
+  jobs::Resources earlier;
+  jobs::Resources current;
+  jobs::Resources used;        // by the runs there, planned ones included
+  base::Micros earlier_age{};  // of the announcement that is replaced
+};
+
 // Log entry: a reported end was ignored because its sequence number is not
 // above the last one processed, although the owner still tracks its run.
 struct RunEndIgnored {
@@ -178,6 +187,7 @@
                             JobFinished,
                             WorkerLost,
                             WorkerRestarted,
+                            WorkerCapacityChanged,
                             RunEndIgnored,
                             TaskGivenUp,
                             LogNote>;
--- a/scheduler/facts.h
+++ b/scheduler/facts.h
@@ -26,6 +26,8 @@
   std::string rack;
   jobs::Resources capacity;
   bool draining = false;
+  // The worker's own clock when it registered these values; 0 if unknown.
+  std::int64_t announced_clock_ms = 0;
 };
 
 // Box as listed by the platform.
--- a/scheduler/worker.cc
+++ b/scheduler/worker.cc
@@ -108,6 +108,17 @@
   return worker.clock_ms > 0 && static_cast<double>(clock_ms) >= least;
 }
 
+// A store that was unavailable returns announcements from before its outage, so
+// the time of their arrival does not tell their age.
+base::Micros AnnouncementAge(const Worker& worker, base::Micros now) {
+  if (worker.info.announced_clock_ms == 0 || worker.clock_ms == 0)
+    return now - worker.announcement_received_at;
+  const std::int64_t age_at_reading_ms =
+      worker.clock_ms - worker.info.announced_clock_ms;
+  return std::chrono::milliseconds(age_at_reading_ms) +
+         (now - worker.clock_read_at);
+}
+
 bool MixesServingAndFillingRuns(const Worker& worker) {
   bool serves = false;
   bool fills = false;
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -102,6 +102,7 @@
   // have, so a later incarnation may be running.
   bool may_have_restarted = false;
   base::Micros withdrawn_at{};  // when its announcement was removed
+  base::Micros announcement_received_at{};
   bool poll_in_flight = false;
   base::Micros poll_sent_at{};
   base::Micros next_poll_at{};
@@ -181,6 +182,10 @@
                        std::int64_t clock_ms,
                        base::Micros decided_at);
 
+// Age of the worker's announcement, by the worker's own clock. Without both
+// clock readings, the time since the announcement was received.
+base::Micros AnnouncementAge(const Worker& worker, base::Micros now);
+
 // Whether the worker has both serving runs (with a latency target) and filling
 // runs.
 bool MixesServingAndFillingRuns(const Worker& worker);
--- a/scheduler/worker_incarnations.cc
+++ b/scheduler/worker_incarnations.cc
@@ -74,7 +74,16 @@
     this->fleet.OnBoxAnnounced(info.box, info.incarnation, info.service, now);
   }
   const bool had_drained = known->info.draining;
+  const bool was_described = known->info.capacity != jobs::Resources();
+  if (was_described && known->info.capacity != info.capacity)
+    this->actions.emplace_back(
+        WorkerCapacityChanged{.worker = info.incarnation,
+                              .earlier = known->info.capacity,
+                              .current = info.capacity,
+                              .used = known->used,
+                              .earlier_age = AnnouncementAge(*known, now)});
   known->info = info;
+  known->announcement_received_at = now;
   known->is_announced = true;
   known->is_described = true;
   if (info.draining && !had_drained)
