Announcements of workers expire: one from before a store outage is not relied on

Callers' tasks were started on workers that had shrunk while the store was away (LIMIT), by an owner that began after the outage and by one that went on alike.

Cause: the capacity, labels and state of a worker come from its announcement in the store alone, and an owner took the last one for good whatever its age. It relied on the store to remove the announcement of a worker that is not heard of for three heartbeats; while the store is away that happens only at times, and after its return the rows from before the outage are all there is until the workers write again. Class: a fact that its holder must renew, kept without its age, its expiry left to a third party.

Change: a worker whose announcement is older than two and a half heartbeats is not usable until it announces itself again; half a heartbeat is left for a start to reach it. The age comes from the worker's own clock, which stands in the announcement and in its answers to polls, so it holds whatever the store or the feed did in between, for a new owner at once, and without more calls. Without a clock it counts from when it was received. The interval of heartbeats is a setting ([limits] worker_heartbeat_ms). The stand-ins' workers now announce themselves each second.

WorkerThatShrankDuringStoreOutageIsNotOverloaded failed before (the task of 3,000 went to the worker whose announcement was 5 s old).

--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -42,6 +42,13 @@
              : settings.max_lease;
 }
 
+// The platform removes the announcement of a worker after three heartbeats of
+// silence, though not always while its store is away. Half a heartbeat is left
+// for a start to reach the worker.
+base::Micros MaxAnnouncementAgeFor(const Settings& settings) {
+  return settings.worker_heartbeat * 5 / 2;
+}
+
 scheduler::SchedulerLimits SchedulerLimitsFor(const Settings& settings,
                                               const Shard& shard,
                                               std::uint64_t epoch) {
@@ -52,6 +59,7 @@
   limits.max_grant = WithClockDrift(MaxGrantFor(settings));
   limits.max_lease = WithClockDrift(settings.max_lease);
   limits.max_stop_time = settings.max_stop_time;
+  limits.max_announcement_age = MaxAnnouncementAgeFor(settings);
   limits.epoch = epoch;
   limits.fleet = {.move_duration = settings.move_duration,
                   .maintenance_duration = settings.upkeep_duration};
--- a/entry/settings.cc
+++ b/entry/settings.cc
@@ -25,7 +25,7 @@
   return base::TakeSeconds(value, 0.001, 3600.0);
 }
 
-constexpr std::array<Key, 21> kKeys{{
+constexpr std::array<Key, 22> kKeys{{
     {"daemon", "id", true,
      [](Settings& s, const std::string& v) { s.id = TakeIdentifier(v); }},
     {"daemon", "zone", true,
@@ -87,6 +87,10 @@
      [](Settings& s, const std::string& v) {
        s.max_stop_time = ParseMilliseconds(v);
      }},
+    {"limits", "worker_heartbeat_ms", false,
+     [](Settings& s, const std::string& v) {
+       s.worker_heartbeat = ParseMilliseconds(v);
+     }},
     {"limits", "move_seconds", false,
      [](Settings& s, const std::string& v) {
        s.move_duration = ParseDuration(v);
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -34,6 +34,7 @@
   base::Micros max_lease = std::chrono::milliseconds(6000);
   base::Micros max_stop_time = std::chrono::milliseconds(900);
   base::Micros move_duration = std::chrono::milliseconds(1500);
+  base::Micros worker_heartbeat = std::chrono::milliseconds(1500);
   base::Micros upkeep_duration = std::chrono::milliseconds(2000);
   // From the stop signal until the platform kills the process.
   base::Micros stop_grace_period = std::chrono::milliseconds(6000);
--- /dev/null
+++ b/scheduler/announcements_test.cc
@@ -0,0 +1,75 @@
+// Tests of workers' announcements: how old one may be, and what happens to
+// starts that were decided before a newer one.
+
+#include <boost/test/unit_test.hpp>
+
+#include "scheduler/scheduler.h"
+#include "testing/scheduler_bench.h"
+
+namespace quartzhoist::scheduler {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+using Bench = testing::SchedulerBench;
+
+constexpr base::Micros kMaxAge = milliseconds(3750);
+
+SchedulerLimits LimitsWithMaxAge() {
+  SchedulerLimits limits = Bench::LimitsOf(2);
+  limits.max_announcement_age = kMaxAge;
+  return limits;
+}
+
+WorkerInfo AnnouncedAt(base::Micros at, std::int64_t cpu_millis) {
+  WorkerInfo info = Bench::Worker("w1");
+  info.capacity.cpu_millis = cpu_millis;
+  info.announced_clock_ms = base::Millis(at);
+  return info;
+}
+
+jobs::Step TaskOf(std::int64_t cpu_millis) {
+  jobs::Step step = Bench::OneTask();
+  step.task_resources.cpu_millis = cpu_millis;
+  return step;
+}
+
+// A new owner reads what the worker announced before the store was away.
+BOOST_AUTO_TEST_CASE(WorkerThatShrankDuringStoreOutageIsNotOverloaded) {
+  Bench bench(LimitsWithMaxAge());
+  bench.scheduler.UpdateWorker(AnnouncedAt(bench.now - seconds(5), 4000),
+                               bench.now);
+  bench.Report("w1", {});
+  bench.AddJob("large", TaskOf(3000));
+  BOOST_TEST(bench.NextStart().task.job == "");
+  bench.scheduler.UpdateWorker(AnnouncedAt(bench.now, 2000), bench.now);
+  bench.AddJob("small", TaskOf(1000));
+  BOOST_TEST(bench.NextStart().task.job == "small");
+}
+
+// A worker that announces itself in time stays usable, whatever it last told.
+BOOST_AUTO_TEST_CASE(WorkerIsUsableUntilItsAnnouncementExpires) {
+  Bench bench(LimitsWithMaxAge());
+  const base::Micros announced = bench.now;
+  bench.scheduler.UpdateWorker(AnnouncedAt(announced, 4000), bench.now);
+  bench.Report("w1", {});
+  while (bench.now + milliseconds(300) <= announced + kMaxAge)
+    bench.RunPass();
+  BOOST_TEST(bench.scheduler.PoolStates(bench.now).front().usable == 1);
+  bench.RunPass();
+  BOOST_TEST(bench.scheduler.PoolStates(bench.now).front().usable == 0);
+}
+
+// Without a clock in the announcement its age counts from when it was received.
+BOOST_AUTO_TEST_CASE(AnnouncementWithoutClockExpiresToo) {
+  Bench bench(LimitsWithMaxAge());
+  bench.scheduler.UpdateWorker(Bench::Worker("w1"), bench.now);
+  bench.Report("w1", {});
+  BOOST_TEST(bench.scheduler.PoolStates(bench.now).front().usable == 1);
+  bench.now += kMaxAge;
+  BOOST_TEST(bench.scheduler.PoolStates(bench.now).front().usable == 0);
+}
+
+}  // namespace
+}  // namespace quartzhoist::scheduler
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -159,7 +159,9 @@
          worker.is_announced && worker.is_described &&
          !worker.may_have_restarted && !worker.info.draining &&
          worker.failed_calls == 0 && now >= worker.quarantined_until &&
-         worker.clock_ms > 0 && !this->zone_health.IsDoubtful(worker) &&
+         worker.clock_ms > 0 &&
+         AnnouncementAge(worker, now) <= this->limits.max_announcement_age &&
+         !this->zone_health.IsDoubtful(worker) &&
          !this->fleet.IsLeaving(worker.info.box) &&
          !this->fleet.IsEvacuated(worker.info.zone);
 }
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -49,8 +49,10 @@
   // Workers shorten any longer grant to this, on any clock.
   base::Micros max_lease{};
   base::Micros max_stop_time{};  // upper bound for stopping a run
-  std::uint64_t epoch = 1;       // of this ownership, counted from 1
-  int shards = 1;                // the jobs are partitioned into these
+  // Nothing is started on a worker whose announcement is older.
+  base::Micros max_announcement_age = base::Micros::max();
+  std::uint64_t epoch = 1;  // of this ownership, counted from 1
+  int shards = 1;           // the jobs are partitioned into these
   // Durations of box moves and of box maintenance.
   FleetTimings fleet;
 };
--- a/testing/scheduler_bench.h
+++ b/testing/scheduler_bench.h
@@ -26,7 +26,11 @@
 
 // A scheduler with one pool. The test passes it events and reads its actions.
 struct SchedulerBench {
-  explicit SchedulerBench(std::uint64_t epoch) : scheduler(LimitsOf(epoch)) {
+  explicit SchedulerBench(std::uint64_t epoch)
+      : SchedulerBench(LimitsOf(epoch)) {}
+
+  explicit SchedulerBench(const scheduler::SchedulerLimits& limits)
+      : scheduler(limits) {
     jobs::Config config;
     config.services.push_back({.name = "pool"});
     this->scheduler.SetConfig(config, this->now);
--- a/testing/worker_standin.cc
+++ b/testing/worker_standin.cc
@@ -15,6 +15,7 @@
 constexpr std::int64_t kCpu = 4000;
 constexpr std::int64_t kMemory = 8000;
 constexpr base::Micros kAway = milliseconds(400);
+constexpr base::Micros kHeartbeat = milliseconds(1000);
 
 std::int64_t NowMillis() {
   return base::Millis(base::MonotonicNow());
@@ -31,10 +32,12 @@
     : loop(on),
       store(rows),
       timer(on, [this] { this->Work(); }),
+      heartbeat(on, [this] { this->AnnounceAll(); }),
       box_server(on, {}, [this](const http::ExchangePtr& exchange) {
         this->HandleBoxes(exchange);
       }) {
   this->timer.StartEvery(milliseconds(5));
+  this->heartbeat.StartEvery(kHeartbeat);
 }
 
 std::string WorkerStandins::boxes_address() const {
@@ -85,10 +88,16 @@
       {"state", "ready"},
       {"machine", life.box},
       {"labels", {"a", "rack-" + life.box}},
-      {"capacity", {{"cpu", kCpu}, {"memMb", kMemory}, {"gpu", 0}}}};
+      {"capacity", {{"cpu", kCpu}, {"memMb", kMemory}, {"gpu", 0}}},
+      {"clockMs", ClockOf(life)}};
   this->store.Put({.table = "servers", .part = "", .key = life.id}, row.dump());
 }
 
+void WorkerStandins::AnnounceAll() {
+  for (const auto& [box, life] : this->lives)
+    this->Announce(*life);
+}
+
 void WorkerStandins::End(Life& life) {
   this->store.Remove({.table = "servers", .part = "", .key = life.id});
   life.running.clear();
--- a/testing/worker_standin.h
+++ b/testing/worker_standin.h
@@ -81,6 +81,7 @@
 
   static std::int64_t ClockOf(const Life& life);
   void Announce(const Life& life);
+  void AnnounceAll();
   void End(Life& life);
   // Under a new id if that is empty.
   std::shared_ptr<Life> Begin(const std::string& box,
@@ -124,6 +125,7 @@
   std::size_t most_away_count = 0;
   int life_count = 0;
   base::Timer timer;
+  base::Timer heartbeat;
   http::Server box_server;
 };
 
