A start is checked against its worker's announcement again when it is sent

Callers' tasks were started on workers of which the owner knew that they had shrunk (LIMIT).

Cause: starts wait in their worker's queue, one call at a time, 5 to 20 ms each. Between the decision and the call only a given-up run and an evacuated zone were looked for. Class: time of check and time of use.

Expired announcements alone leave it: a worker may shrink at any time, and its news come while starts wait.

Change: a start whose worker has shrunk below what its runs take, drains, or has an expired announcement is not sent, and its task is placed again. Such a start no longer counts as a call that the worker failed to answer (kObsolete for kNotSent), which made the worker unusable and its zone doubtful; that was so for evacuated zones too.

QueuedStartsAreNotSentToWorkerThatHasShrunk failed before (with the old check the first of two starts of 1,500 went to a worker of 2,000).

--- a/entry/manager_commands.cc
+++ b/entry/manager_commands.cc
@@ -160,9 +160,12 @@
       std::min(std::max(known->latest_lease_end, now + kMinStartLease),
                this->scheduler.LeaseEnd(now));
   const std::int64_t deadline = this->scheduler.LeaseDeadline(worker, end);
-  const bool is_needed = this->scheduler.IsStillNeeded(command);
-  if (deadline <= 0 || end <= now || !is_needed) {
-    this->scheduler.StartAnswered(command, scheduler::CommandOutcome::kNotSent,
+  const bool is_valid = this->scheduler.IsStartStillValid(command, now);
+  if (deadline <= 0 || end <= now || !is_valid) {
+    this->scheduler.StartAnswered(command,
+                                  is_valid
+                                      ? scheduler::CommandOutcome::kNotSent
+                                      : scheduler::CommandOutcome::kObsolete,
                                   now);
     this->command_queues[worker].in_flight = false;
     this->SendNextCommand(worker);
--- a/scheduler/announcements_test.cc
+++ b/scheduler/announcements_test.cc
@@ -71,5 +71,24 @@
   BOOST_TEST(bench.scheduler.PoolStates(bench.now).front().usable == 0);
 }
 
+// Starts wait in their worker's queue while a smaller capacity is announced.
+BOOST_AUTO_TEST_CASE(QueuedStartsAreNotSentToWorkerThatHasShrunk) {
+  Bench bench(LimitsWithMaxAge());
+  bench.scheduler.UpdateWorker(AnnouncedAt(bench.now, 4000), bench.now);
+  bench.Report("w1", {});
+  bench.AddJob("a", TaskOf(1500));
+  bench.AddJob("b", TaskOf(1500));
+  bench.Save(testing::Only<SaveProgress>(bench.RunPass()));
+  const auto starts = testing::Only<StartRun>(bench.RunPass());
+  BOOST_REQUIRE(starts.size() == 2);
+  bench.scheduler.UpdateWorker(AnnouncedAt(bench.now, 2000), bench.now);
+  BOOST_TEST(!bench.scheduler.IsStartStillValid(starts[0], bench.now));
+  bench.scheduler.StartAnswered(starts[0], CommandOutcome::kObsolete,
+                                bench.now);
+  BOOST_TEST(bench.scheduler.IsStartStillValid(starts[1], bench.now));
+  // The worker left nothing unanswered.
+  BOOST_TEST(bench.scheduler.PoolStates(bench.now).front().usable == 1);
+}
+
 }  // namespace
 }  // namespace quartzhoist::scheduler
--- a/scheduler/facts.h
+++ b/scheduler/facts.h
@@ -109,6 +109,7 @@
 enum class CommandOutcome {
   kDone,
   kNotSent,       // no byte was sent; it will not be executed
+  kObsolete,      // not sent: what it was decided on no longer holds
   kUnknown,       // no answer; it may have been or may still be executed
   kFenced,        // the worker has seen a higher epoch
   kSuperseded,    // this run or a later one has already ended there
@@ -119,9 +120,10 @@
   kOtherIncarnation,  // another incarnation answers at this address
 };
 
-inline constexpr base::EnumNames<CommandOutcome, 10> kCommandOutcomeNames{{
+inline constexpr base::EnumNames<CommandOutcome, 11> kCommandOutcomeNames{{
     {CommandOutcome::kDone, "done"},
     {CommandOutcome::kNotSent, "not_sent"},
+    {CommandOutcome::kObsolete, "obsolete"},
     {CommandOutcome::kUnknown, "unknown"},
     {CommandOutcome::kFenced, "fenced"},
     {CommandOutcome::kSuperseded, "old"},
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -159,13 +159,17 @@
          worker.is_announced && worker.is_described &&
          !worker.may_have_restarted && !worker.info.draining &&
          worker.failed_calls == 0 && now >= worker.quarantined_until &&
-         worker.clock_ms > 0 &&
-         AnnouncementAge(worker, now) <= this->limits.max_announcement_age &&
+         worker.clock_ms > 0 && this->HasCurrentAnnouncement(worker, now) &&
          !this->zone_health.IsDoubtful(worker) &&
          !this->fleet.IsLeaving(worker.info.box) &&
          !this->fleet.IsEvacuated(worker.info.zone);
 }
 
+bool Scheduler::HasCurrentAnnouncement(const Worker& worker,
+                                       base::Micros now) const {
+  return AnnouncementAge(worker, now) <= this->limits.max_announcement_age;
+}
+
 // A later owner may have renewed a lease that this owner sees as expired,
 // unless the store has confirmed this ownership since.
 bool Scheduler::LeaseMayHaveBeenRenewed(const Job& job,
--- a/scheduler/planned_runs.cc
+++ b/scheduler/planned_runs.cc
@@ -117,4 +117,18 @@
   job.pending_starts = std::move(not_yet_saved);
 }
 
+// A start waits in its worker's queue, so what it was decided on may be
+// outdated when its turn comes.
+bool Scheduler::IsStartStillValid(const StartRun& command,
+                                  base::Micros now) const {
+  const Worker* worker = this->FindWorker(command.worker);
+  if (!worker || worker->info.draining || !FitsItsCapacity(*worker) ||
+      !this->HasCurrentAnnouncement(*worker, now) ||
+      this->fleet.IsEvacuated(worker->info.zone))
+    return false;
+  const auto run = worker->runs.find(command.task);
+  return run != worker->runs.end() && run->second.number == command.run &&
+         run->second.state == RunState::kStarting;
+}
+
 }  // namespace quartzhoist::scheduler
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -157,9 +157,9 @@
   std::vector<Action> TakeActions();
 
   // --- Queries ---
-  // Whether the start is still to be sent: its run may have been given up, or
-  // the worker's zone evacuated.
-  bool IsStillNeeded(const StartRun& command) const;
+  // Whether the start may still be sent: its run may have been given up, the
+  // worker have shrunk or begun to drain, or its zone been evacuated.
+  bool IsStartStillValid(const StartRun& command, base::Micros now) const;
   // End of a lease granted at `now`, on the local clock.
   base::Micros LeaseEnd(base::Micros now) const;
   // Deadline on the worker's clock for a lease until `end` on the local clock.
@@ -407,6 +407,7 @@
                            const jobs::Progress& stored,
                            base::Micros now);
   bool IsUsable(const Worker& worker, base::Micros now) const;
+  bool HasCurrentAnnouncement(const Worker& worker, base::Micros now) const;
   bool EnsureAdvice(Job& job,
                     const TaskPosition& position,
                     const std::vector<Worker*>& candidates,
--- a/scheduler/worker_reports.cc
+++ b/scheduler/worker_reports.cc
@@ -405,15 +405,6 @@
                           base::Seconds(kUnansweredStartsQuarantine))});
 }
 
-bool Scheduler::IsStillNeeded(const StartRun& command) const {
-  const Worker* worker = this->FindWorker(command.worker);
-  if (!worker || this->fleet.IsEvacuated(worker->info.zone))
-    return false;
-  const auto run = worker->runs.find(command.task);
-  return run != worker->runs.end() && run->second.number == command.run &&
-         run->second.state == RunState::kStarting;
-}
-
 // Workers stop their runs when the lease expires, so the runs of an
 // unresponsive worker are over by then.
 void Scheduler::ExpireLeases(base::Micros now) {
--- a/scheduler/zone_evacuation_test.cc
+++ b/scheduler/zone_evacuation_test.cc
@@ -35,15 +35,15 @@
   bench.AddJob("job");
   const StartRun start = bench.NextStart();
   BOOST_REQUIRE(start.worker.id == "west");
-  BOOST_TEST(bench.scheduler.IsStillNeeded(start));
+  BOOST_TEST(bench.scheduler.IsStartStillValid(start, bench.now));
   bench.AddJob("next");
   const auto saves = Only<SaveProgress>(bench.RunPass());
   BOOST_REQUIRE(!saves.empty());
   bench.scheduler.UpdateWorker(Bench::Worker("east"), bench.now);
   bench.Report("east", {});
   bench.scheduler.SetEvacuatedZones({"west"});
-  BOOST_TEST(!bench.scheduler.IsStillNeeded(start));
-  bench.scheduler.StartAnswered(start, CommandOutcome::kNotSent, bench.now);
+  BOOST_TEST(!bench.scheduler.IsStartStillValid(start, bench.now));
+  bench.scheduler.StartAnswered(start, CommandOutcome::kObsolete, bench.now);
   bench.Save(saves);
   std::map<std::string, std::string> worker_by_job;
   for (int i = 0; i < 8; ++i) {
--- a/testing/scheduler_model_messages.cc
+++ b/testing/scheduler_model_messages.cc
@@ -87,8 +87,11 @@
   const base::Micros end = sender.LeaseEnd(this->now);
   const base::Micros deadline =
       milliseconds(sender.LeaseDeadline(command.worker, end));
-  if (deadline <= base::Micros::zero() || end <= this->now ||
-      !sender.IsStillNeeded(command)) {
+  if (!sender.IsStartStillValid(command, this->now)) {
+    sender.StartAnswered(command, CommandOutcome::kObsolete, this->now);
+    return;
+  }
+  if (deadline <= base::Micros::zero() || end <= this->now) {
     sender.StartAnswered(command, CommandOutcome::kNotSent, this->now);
     return;
   }
