Model: workers announce themselves through the store

The model told owners of a changed capacity 20 to 1500 ms after the change, whatever the store did, so that no test met owners that rely on an announcement from before a store outage.

Each worker now writes its announcement (capacity and its own clock) to the model's store every 1.4 to 1.6 s. Owners learn of it 5 to 100 ms later from the feed, and a new owner reads the announcements as stored. The new fault announcement_outage ends both for 1 to 6 s; in half of the cases the store is down as a whole, so that it confirms no owner, starts none, and takes no saves. Afterwards workers write again within 1.5 s, and owners read again within 0.6 s. What is told to a paused owner (announcements and answers to saves included) is read when it resumes.

The bound of the check of reduced capacities is unchanged: 4.5 s after the change, which is three heartbeats, also while the store is down.

No functional change: only the model.

--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -112,10 +112,9 @@
   worker.capacity = kWorkerCapacity;
   worker.clock_rate = this->Chance(0.5) ? 1.0 : 0.98;
   worker.clock_offset = this->Between(0, 1'000'000);
-  const scheduler::WorkerInfo info = this->InfoOf(worker);
-  this->workers[info.incarnation.id] = std::move(worker);
-  for (Owner& owner : this->owners)
-    owner.scheduler->UpdateWorker(info, this->now);
+  Worker& added = this->workers[worker.id] = worker;
+  this->Heartbeat(added);
+  added.next_heartbeat = this->now + this->Between(0, 1500);
 }
 
 scheduler::WorkerInfo SchedulerModel::InfoOf(const Worker& worker) const {
@@ -127,7 +126,8 @@
           .zone = "",
           .labels = {},
           .rack = worker.box,
-          .capacity = worker.capacity};
+          .capacity = worker.capacity,
+          .announced_clock_ms = base::Millis(this->ClockOf(worker))};
 }
 
 void SchedulerModel::SilenceWorkersOf(const std::string& job) {
@@ -144,6 +144,7 @@
     worker.alive = false;
     worker.silent = true;
     worker.running.clear();
+    this->announcements.erase(id);
     this->boxes.erase(worker.box);
     this->AddBox("pool");
   }
@@ -152,6 +153,8 @@
 // Stores the workers that have reported as held by this owner. This precedes
 // each worker's first lease from it.
 void SchedulerModel::RecordLeaseHolders(Owner& owner) {
+  if (this->IsStoreDown())
+    return;
   std::vector<jobs::WorkerIncarnation> held;
   for (const auto& [incarnation, worker] : owner.scheduler->all_workers()) {
     if (!worker.has_reported || worker.is_lease_recorded)
@@ -167,9 +170,31 @@
 void SchedulerModel::TakeOver() {
   this->is_confirming = false;
   this->RunFor(kTakeoverDelay);
+  while (!this->TakesAnnouncements())
+    this->Step();
   this->StartNewOwner();
 }
 
+void SchedulerModel::BeginTakeover(base::Micros delay) {
+  this->ScheduleAfter(delay, [this] {
+    if (!this->is_confirming)
+      return;
+    this->is_confirming = false;
+    this->ScheduleAfter(kTakeoverDelay,
+                        [this] { this->StartNewOwnerFromStore(); });
+  });
+}
+
+void SchedulerModel::StartNewOwnerFromStore() {
+  if (this->TakesAnnouncements()) {
+    this->StartNewOwner();
+    return;
+  }
+  this->ScheduleAfter(
+      this->announcements_down_until - this->now + this->Between(0, 600),
+      [this] { this->StartNewOwnerFromStore(); });
+}
+
 // Starts an owner that reads the store, including every worker that may hold a
 // lease. The previous owner isn't told: it goes on without confirmations.
 void SchedulerModel::StartNewOwner() {
@@ -182,6 +207,7 @@
   limits.max_lease = base::Micros(static_cast<std::int64_t>(
       static_cast<double>(kLongestLease.count()) * kClockDriftFactor));
   limits.max_stop_time = milliseconds(400);
+  limits.max_announcement_age = kHeartbeat * 5 / 2;
   limits.epoch = epoch;
   limits.fleet = {.move_duration = kMoveTime,
                   .maintenance_duration = kMaintenanceTime};
@@ -197,19 +223,23 @@
     open.push_back(call);
   successor.InheritBoxCalls(open, this->now);
   for (const auto& [id, worker] : this->workers) {
-    const scheduler::WorkerInfo info = this->InfoOf(worker);
+    const auto announcement = this->announcements.find(id);
+    const bool is_announced = announcement != this->announcements.end();
     const auto lease = this->leases.find(id);
     if (lease != this->leases.end()) {
       // A lease of the previous owner is kept until its latest possible end.
       std::optional<base::Micros>& until = lease->second.until;
       if (!until)
         until = this->last_confirmed + bound;
-      scheduler::WorkerInfo held = info;
+      // As recorded: without capacity and announcement.
+      scheduler::WorkerInfo held = this->InfoOf(worker);
+      held.capacity = {};
+      held.announced_clock_ms = 0;
       held.incarnation = lease->second.incarnation;
       successor.InheritWorker(held, *until);
     }
-    if (!worker.silent && worker.announced)
-      successor.UpdateWorker(info, this->now);
+    if (is_announced)
+      successor.UpdateWorker(announcement->second, this->now);
   }
   jobs::Config config;
   config.services = {{.name = "pool"}, {.name = "other"}};
@@ -261,8 +291,10 @@
   for (const Event& event : due)
     event.action();
   for (auto& [id, worker] : this->workers) {
-    if (worker.alive)
+    if (worker.alive) {
       this->AdvanceRuns(worker);
+      this->Heartbeat(worker);
+    }
   }
   this->ReturnBoxes();
   this->UpdatePresence();
@@ -275,7 +307,8 @@
 // The store confirms only the newest owner.
 void SchedulerModel::Confirm() {
   Owner& owner = this->owners.back();
-  if (!this->is_confirming || this->now < owner.paused_until || owner.is_fenced)
+  if (!this->is_confirming || this->IsStoreDown() ||
+      this->now < owner.paused_until || owner.is_fenced)
     return;
   this->last_confirmed = this->now;
   owner.certain_until = this->now + kOwnershipValidity;
@@ -307,18 +340,11 @@
     auto picked = std::next(
         this->workers.begin(),
         static_cast<std::ptrdiff_t>(this->random() % this->workers.size()));
-    const jobs::Resources full_capacity = picked->second.capacity;
-    if (picked->second.alive && full_capacity == kWorkerCapacity) {
-      this->ChangeCapacity(picked->first,
-                           {.cpu_millis = 1000,
-                            .memory_mb = full_capacity.memory_mb / 2,
-                            .gpus = 0});
-      this->ScheduleAfter(this->Between(1000, 6000),
-                          [this, id = picked->first] {
-                            this->ChangeCapacity(id, kWorkerCapacity);
-                          });
-    }
+    this->DropCapacity(picked->second, this->Between(1000, 6000));
   }
+  if (this->Chance(this->faults.announcement_outage * step_seconds))
+    this->BeginAnnouncementOutage({}, this->Between(1000, 6000),
+                                  this->Chance(0.5));
   if (this->Chance(this->faults.store_outage * step_seconds)) {
     auto picked = std::next(
         this->jobs.begin(),
@@ -339,30 +365,66 @@
     });
   }
   if (this->Chance(this->faults.owner_pause * step_seconds))
-    this->owners.back().paused_until = this->now + this->Between(1000, 6000);
+    this->PauseOwner({}, this->Between(1000, 6000));
   if (this->Chance(this->faults.takeover * step_seconds) &&
       this->owners.size() < 6 && this->is_confirming) {
     this->is_confirming = false;
-    this->ScheduleAfter(kTakeoverDelay, [this] { this->StartNewOwner(); });
+    this->ScheduleAfter(kTakeoverDelay,
+                        [this] { this->StartNewOwnerFromStore(); });
   }
 }
 
-// Running tasks are not affected. Owners learn of the change from the worker's
-// announcement.
-void SchedulerModel::ChangeCapacity(const std::string& id,
+void SchedulerModel::PauseOwner(base::Micros delay, base::Micros span) {
+  this->ScheduleAfter(delay, [this, span] {
+    Owner& owner = this->owners.back();
+    owner.paused_until = std::max(owner.paused_until, this->now + span);
+  });
+}
+
+void SchedulerModel::DropCapacities(base::Micros delay,
+                                    base::Micros span,
+                                    int count) {
+  std::vector<std::string> ids;
+  for (const auto& [id, worker] : this->workers)
+    ids.push_back(id);
+  std::shuffle(ids.begin(), ids.end(), this->random);
+  ids.resize(std::min(ids.size(), static_cast<std::size_t>(count)));
+  this->ScheduleAfter(delay, [this, span, ids] {
+    for (const std::string& id : ids)
+      this->DropCapacity(this->workers.at(id), span);
+  });
+}
+
+void SchedulerModel::DropCapacity(Worker& worker, base::Micros span) {
+  if (!worker.alive || worker.capacity != kWorkerCapacity)
+    return;
+  this->ChangeCapacity(worker, {.cpu_millis = 1000,
+                                .memory_mb = kWorkerCapacity.memory_mb / 2,
+                                .gpus = 0});
+  this->ScheduleAfter(span, [this, id = worker.id] {
+    this->ChangeCapacity(this->workers.at(id), kWorkerCapacity);
+  });
+}
+
+// Running tasks are not affected.
+void SchedulerModel::ChangeCapacity(Worker& worker,
                                     const jobs::Resources& capacity) {
-  Worker& worker = this->workers.at(id);
   worker.earlier_capacity = worker.capacity;
   worker.capacity_changed = this->now;
   worker.capacity = capacity;
-  this->LogEvent(fmt::format("{} has {} thousandths of a core now", id,
+  this->LogEvent(fmt::format("{} has {} thousandths of a core now", worker.id,
                              capacity.cpu_millis));
-  this->ScheduleAfter(this->Between(20, 1500), [this, id] {
-    const Worker& there = this->workers.at(id);
-    if (!there.alive || !there.announced)
-      return;
-    for (Owner& owner : this->owners)
-      owner.scheduler->UpdateWorker(this->InfoOf(there), this->now);
+}
+
+void SchedulerModel::RunWhenAwake(std::size_t index,
+                                  const std::function<void()>& action) {
+  const base::Micros resume_at = this->owners[index].paused_until;
+  if (this->now >= resume_at) {
+    action();
+    return;
+  }
+  this->ScheduleAfter(resume_at - this->now, [this, index, action] {
+    this->RunWhenAwake(index, action);
   });
 }
 
--- a/testing/scheduler_model.h
+++ b/testing/scheduler_model.h
@@ -34,18 +34,24 @@
   double store_outage = 0.0;
   double crash = 0.0;  // per second: a worker's incarnation ends
   // Per second: a worker stops and starts again under its id 20 to 1500 ms
-  // later without any state. Owners are told 20 to 1500 ms after that.
+  // later without any state. It announces itself 0 to 1500 ms after that.
   double restart = 0.0;
   double partition = 0.0;  // per second: a worker is cut off from an owner
   // Per job and takeover: the job was submitted while the new owner read the
   // store, so the owner learns of it 20 to 600 ms later.
   double late_job = 0.0;
   double takeover = 0.0;  // per second: a new owner starts, the old one goes on
-  double owner_pause = 0.0;  // per second: the newest owner stops for 1 to 6 s
+  // Per second: the newest owner stops for 1 to 6 s. What is told to it in that
+  // time, it reads when it resumes.
+  double owner_pause = 0.0;
   double failing_run = 0.0;  // per run: it fails
-  // Per second: a worker's capacity drops for 1 to 6 s. Owners are told of each
-  // change 20 to 1500 ms after it.
+  // Per second: a worker's capacity drops for 1 to 6 s. Owners learn of it from
+  // the worker's next announcement.
   double capacity_drop = 0.0;
+  // Per second: for 1 to 6 s the store neither takes nor tells announcements.
+  // In half of the cases it is down as a whole: it confirms no owner, and
+  // answers as little to the rows of jobs.
+  double announcement_outage = 0.0;
   // The owner is paused for 1 to 6 s right before it sends a call for a box,
   // after the last check that it may. The call is sent when the owner resumes.
   double pause_before_call = 0.0;
@@ -69,6 +75,9 @@
                                                  .memory_mb = 4000,
                                                  .gpus = 0};
 
+// Workers announce themselves about once in this time.
+inline constexpr base::Micros kHeartbeat = std::chrono::milliseconds(1500);
+
 // Workers limit each lease to this, on their own clocks.
 inline constexpr base::Micros kLongestLease = std::chrono::milliseconds(8000);
 
@@ -91,8 +100,17 @@
   // Stops every worker that runs a task of the job, without a sign that its
   // incarnation is over. A new box with a worker is added for each.
   void SilenceWorkersOf(const std::string& job);
-  // Stops confirming the owner and starts a new one after the takeover delay.
+  // Stops confirming the owner and starts a new one after the takeover delay,
+  // once the store answers.
   void TakeOver();
+  // Each of these begins after the delay.
+  void BeginAnnouncementOutage(base::Micros delay,
+                               base::Micros span,
+                               bool is_whole_store);
+  // Of `count` workers drawn at random.
+  void DropCapacities(base::Micros delay, base::Micros span, int count);
+  void PauseOwner(base::Micros delay, base::Micros span);
+  void BeginTakeover(base::Micros delay);
   // Starts a maintenance wave over all boxes, at most `max_at_once` at a time.
   void BeginWave(int max_at_once);
   // Number of boxes that have had their maintenance.
@@ -135,7 +153,7 @@
     std::int64_t born_ms = 0;  // the start of this incarnation
     // Dead; starts again under its id soon.
     bool restarting = false;
-    bool announced = true;
+    base::Micros next_heartbeat{};
     double clock_rate = 1.0;  // up to 2% slow
     base::Micros clock_offset{};
     std::uint64_t epoch = 0;        // highest seen
@@ -197,12 +215,26 @@
   void ScheduleAfter(base::Micros delay, std::function<void()> action);
   void Step();
   void InjectFaults();
+  void DropCapacity(Worker& worker, base::Micros span);
   void AddWorker(const std::string& box);
   // Adds a box with a worker.
   void AddBox(const std::string& pool);
   scheduler::WorkerInfo InfoOf(const Worker& worker) const;
   void Confirm();
   void StartNewOwner();
+  // Starts a new owner as soon as the store answers.
+  void StartNewOwnerFromStore();
+  // Runs `action` now or, if the owner is paused, when it resumes.
+  void RunWhenAwake(std::size_t owner, const std::function<void()>& action);
+  // Announcements.
+  bool IsStoreDown() const;
+  bool TakesAnnouncements() const;
+  void Heartbeat(Worker& worker);
+  void RemoveAnnouncement(const std::string& worker);
+  // Tells all owners of the announcement or its removal, as the store's change
+  // feed does.
+  void TellOwners(const std::string& worker);
+  void TellOwner(std::size_t owner, const std::string& worker);
   // Boxes.
   void ReturnBoxes();
   void ListBoxes(std::size_t owner);
@@ -251,7 +283,7 @@
   void CountLosses(const Worker& worker);
   void Restart(Worker& worker);
   void BeginNextIncarnation(Worker& worker);
-  void ChangeCapacity(const std::string& id, const jobs::Resources& capacity);
+  void ChangeCapacity(Worker& worker, const jobs::Resources& capacity);
   void EndRun(Worker& worker,
               const jobs::TaskId& task,
               scheduler::RunEndReason reason);
@@ -275,6 +307,10 @@
     std::optional<base::Micros> until;
   };
   std::map<std::string, Lease> leases;
+  // As stored, by worker.
+  std::map<std::string, scheduler::WorkerInfo> announcements;
+  base::Micros announcements_down_until{};
+  base::Micros store_down_until{};
   std::map<std::string, StoredJob> jobs;
   std::vector<Owner> owners;
   std::vector<Event> events;
--- a/testing/scheduler_model_boxes.cc
+++ b/testing/scheduler_model_boxes.cc
@@ -46,9 +46,7 @@
     }
     worker.alive = false;
     this->ScheduleAfter(this->Between(300, 3000), [this, incarnation = id] {
-      this->workers.at(incarnation).announced = false;
-      for (Owner& owner : this->owners)
-        owner.scheduler->WorkerDeregistered(incarnation, this->now);
+      this->RemoveAnnouncement(incarnation);
     });
   }
   box.state = state;
@@ -77,14 +75,9 @@
         {.name = name, .pool = box.pool, .state = box.state, .cores = 4.0});
   const base::Micros asked = this->now;
   this->ScheduleAfter(this->Between(2, 100), [this, index, list, asked] {
-    const base::Micros resume_at = this->owners[index].paused_until;
-    const auto read = [this, index, list, asked] {
+    this->RunWhenAwake(index, [this, index, list, asked] {
       this->owners[index].scheduler->SetBoxes(list, asked, this->now);
-    };
-    if (this->now < resume_at)
-      this->ScheduleAfter(resume_at - this->now, read);
-    else
-      read();
+    });
   });
 }
 
@@ -124,6 +117,12 @@
                                 const scheduler::BoxCall& call) {
   this->ScheduleAfter(this->Between(1, 20), [this, index, call] {
     Owner& owner = this->owners[index];
+    if (this->IsStoreDown()) {
+      this->ScheduleAfter(
+          this->store_down_until - this->now,
+          [this, index, call] { this->RecordCall(index, call); });
+      return;
+    }
     if (owner.epoch != this->calls_epoch) {
       owner.is_fenced = true;
       return;
--- a/testing/scheduler_model_messages.cc
+++ b/testing/scheduler_model_messages.cc
@@ -25,13 +25,7 @@
   const auto answer_after = [this, index, answer](base::Micros delay,
                                                   CommandOutcome outcome) {
     this->ScheduleAfter(delay, [this, index, answer, outcome] {
-      // A paused owner reads its answers when it resumes.
-      const base::Micros resume_at = this->owners[index].paused_until;
-      if (this->now < resume_at)
-        this->ScheduleAfter(resume_at - this->now,
-                            [answer, outcome] { answer(outcome); });
-      else
-        answer(outcome);
+      this->RunWhenAwake(index, [answer, outcome] { answer(outcome); });
     });
   };
   const bool is_partitioned = this->owners[index].partitioned_from.contains(id);
--- a/testing/scheduler_model_store.cc
+++ b/testing/scheduler_model_store.cc
@@ -28,6 +28,12 @@
 
 void SchedulerModel::DeliverJobFromFeed(std::size_t index,
                                         const std::string& id) {
+  if (this->IsStoreDown()) {
+    this->ScheduleAfter(this->store_down_until - this->now, [this, index, id] {
+      this->DeliverJobFromFeed(index, id);
+    });
+    return;
+  }
   const StoredJob& stored = this->jobs.at(id);
   scheduler::Job job = this->MakeJob(id, {});
   job.version = stored.first_version;
@@ -39,6 +45,11 @@
 
 void SchedulerModel::ReadJob(std::size_t index, const std::string& id) {
   this->ScheduleAfter(this->Between(5, 300), [this, index, id] {
+    if (this->IsStoreDown()) {
+      this->ScheduleAfter(this->store_down_until - this->now,
+                          [this, index, id] { this->ReadJob(index, id); });
+      return;
+    }
     scheduler::Scheduler& owner = *this->owners[index].scheduler;
     const StoredJob& stored = this->jobs.at(id);
     jobs::Progress progress = jobs::DecodeProgress(stored.progress).value();
@@ -71,7 +82,9 @@
     return true;
   };
   const auto answer = [this, index](const scheduler::SaveResult& result) {
-    this->owners[index].scheduler->ProgressSaved(result, this->now);
+    this->RunWhenAwake(index, [this, index, result] {
+      this->owners[index].scheduler->ProgressSaved(result, this->now);
+    });
   };
   const base::Micros away_for =
       this->jobs.at(save.job).unavailable_until - this->now;
--- a/testing/scheduler_model_workers.cc
+++ b/testing/scheduler_model_workers.cc
@@ -14,9 +14,9 @@
 using scheduler::CommandOutcome;
 using std::chrono::milliseconds;
 
-// Time within which an owner must have learned of a changed capacity: the
-// longest time without contact, and a heartbeat.
-constexpr base::Micros kCapacityNoticeTime = milliseconds(4500);
+// An owner must not rely on a capacity for longer than the store keeps an
+// announcement that is not renewed, even while the store is down.
+constexpr base::Micros kCapacityNoticeTime = 3 * kHeartbeat;
 
 }  // namespace
 
@@ -114,15 +114,9 @@
   next.clock_rate = worker.clock_rate;
   next.clock_offset = -base::Micros(static_cast<std::int64_t>(
       static_cast<double>(this->now.count()) * next.clock_rate));
+  next.next_heartbeat = this->now + this->Between(0, 1500);
   worker = next;
   this->LogEvent(fmt::format("{} starts again", worker.id));
-  for (std::size_t i = 0; i < this->owners.size(); ++i) {
-    this->ScheduleAfter(this->Between(20, 1500), [this, i, id = worker.id] {
-      const Worker& there = this->workers.at(id);
-      if (there.alive && there.announced)
-        this->owners[i].scheduler->UpdateWorker(this->InfoOf(there), this->now);
-    });
-  }
 }
 
 // The end of the incarnation isn't announced. Another incarnation starts on the
@@ -138,12 +132,10 @@
     if (this->boxes.contains(box))
       this->AddWorker(box);
   });
-  this->ScheduleAfter(
-      this->Between(3000, 4500), [this, incarnation = worker.id] {
-        this->workers.at(incarnation).announced = false;
-        for (Owner& owner : this->owners)
-          owner.scheduler->WorkerDeregistered(incarnation, this->now);
-      });
+  this->ScheduleAfter(this->Between(3000, 4500),
+                      [this, incarnation = worker.id] {
+                        this->RemoveAnnouncement(incarnation);
+                      });
 }
 
 void SchedulerModel::CountLosses(const Worker& worker) {
