Test: workers that shrink during a store outage are overloaded

A property in which a store outage, capacity drops, an owner's pause and a takeover begin within one second of each other, twice in a case.

No functional change.

--- a/scheduler/model_test.cc
+++ b/scheduler/model_test.cc
@@ -50,6 +50,26 @@
   return jobs;
 }
 
+// Drawn from the whole range from the first case on.
+int DrawBetween(int least, int most) {
+  return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(least, most + 1));
+}
+
+base::Micros DrawMillis(int least, int most) {
+  return std::chrono::milliseconds(DrawBetween(least, most));
+}
+
+// More tasks than the workers can do in the time of a test.
+std::vector<ModelJob> DrawBacklog(int workers) {
+  std::vector<ModelJob> jobs(4);
+  for (std::size_t i = 0; i < jobs.size(); ++i) {
+    jobs[i].id = "job" + std::to_string(i);
+    jobs[i].spec.text = "text";
+    jobs[i].spec.steps = {MakeStep(20 * workers, DrawBetween(600, 1800))};
+  }
+  return jobs;
+}
+
 ModelFaults DrawFaults() {
   const auto odds = [](int max_per_mille) {
     return *rc::gen::inRange(0, max_per_mille) / 1000.0;
@@ -298,6 +318,31 @@
   BOOST_TEST(holds);
 }
 
+// Store outages, capacity drops, owner pauses and takeovers begin within one
+// second of each other, so that owners know capacities from before the outage.
+BOOST_AUTO_TEST_CASE(WorkersThatShrinkDuringStoreOutageAreNotOverloaded) {
+  const bool holds = rc::check("no start exceeds a shrunk capacity", [] {
+    const int workers = DrawBetween(2, 4);
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    SchedulerModel model(seed, {}, workers, DrawBacklog(workers));
+    for (int i = 0; i < 2; ++i) {
+      model.RunFor(DrawMillis(1000, 2500));
+      model.BeginAnnouncementOutage(DrawMillis(0, 1000), DrawMillis(1000, 6000),
+                                    *rc::gen::arbitrary<bool>());
+      model.DropCapacities(DrawMillis(0, 1000), DrawMillis(4000, 9000),
+                           DrawBetween(1, workers));
+      if (*rc::gen::arbitrary<bool>())
+        model.PauseOwner(DrawMillis(0, 1000), DrawMillis(1000, 6000));
+      if (*rc::gen::arbitrary<bool>())
+        model.BeginTakeover(DrawMillis(0, 1000));
+      model.RunFor(seconds(10));
+    }
+    RC_LOG() << Joined(model.violations()) << model.History();
+    RC_ASSERT(model.violations().empty());
+  });
+  BOOST_TEST(holds);
+}
+
 // Guards against runs that a cancelled job starts late: a worker carries out a
 // start 2 to 6 s after it was sent, the owner that sent it has been replaced,
 // or both. Each run must be stopped within 5 s of the last late start.
