A start that the next incarnation answered is not taken for confirmed

Callers saw (in the model): one task ran on two workers at once. The owner was paused between a worker's answer to a poll and its reading; meanwhile the worker restarted under its id, for the second time within seconds. The start was answered by the next incarnation, whose clock was above the last reading, so the run counted as confirmed on the earlier incarnation. When the restart became known the run counted as lost with it, and the task was started again.

Cause: the answer's clock was compared with the last reading and the time since that was read, which bounds the earlier incarnation's clock from below, but not the next one's from above. The next incarnation started after the last report was requested, so its clock is at most the time since then. A reading within that bound no longer confirms the run; it stays unconfirmed until the next report, and moves to the next incarnation if the worker turns out to have restarted.

RunAnsweredByNextIncarnationAfterPauseStartsOnce fails without the change, and passes with it. A run on a worker that started after its last poll was sent is now confirmed by a report instead of by the start's answer.

--- a/scheduler/worker.cc
+++ b/scheduler/worker.cc
@@ -119,6 +119,14 @@
          (now - worker.clock_read_at);
 }
 
+bool MayBeLaterIncarnationsClock(const Worker& worker,
+                                 std::int64_t clock_ms,
+                                 base::Micros now) {
+  const double since_ms =
+      base::Seconds(now - worker.report_requested_at) * 1000.0;
+  return static_cast<double>(clock_ms) * kMinClockRate <= since_ms;
+}
+
 bool MixesServingAndFillingRuns(const Worker& worker) {
   bool serves = false;
   bool fills = false;
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -186,6 +186,13 @@
 // clock readings, the time since the announcement was received.
 base::Micros AnnouncementAge(const Worker& worker, base::Micros now);
 
+// Whether a clock reading that has arrived may come from an incarnation that
+// started after the last report was requested. The owner may have read that
+// report much later than the worker sent it.
+bool MayBeLaterIncarnationsClock(const Worker& worker,
+                                 std::int64_t clock_ms,
+                                 base::Micros now);
+
 // Whether the worker has both serving runs (with a latency target) and filling
 // runs.
 bool MixesServingAndFillingRuns(const Worker& worker);
--- a/scheduler/worker_incarnations_test.cc
+++ b/scheduler/worker_incarnations_test.cc
@@ -209,6 +209,38 @@
   BOOST_TEST(stops[0].run == start.run);
 }
 
+// Guards against a second start of a run that the next incarnation answered:
+// the owner was paused, so the last reading of the worker's clock was seconds
+// old.
+BOOST_AUTO_TEST_CASE(RunAnsweredByNextIncarnationAfterPauseStartsOnce) {
+  Bench bench(1);
+  scheduler::WorkerInfo info = Bench::Worker("w");
+  info.incarnation.start_ms = kFirstBorn;
+  bench.scheduler.UpdateWorker(info, bench.now);
+  bench.scheduler.PollSent({.worker = info.incarnation}, bench.now);
+  bench.now += seconds(2);
+  bench.scheduler.WorkerReported(
+      info.incarnation, {.incarnation = info.incarnation, .clock_ms = 200},
+      bench.now);
+  bench.scheduler.WorkersRecorded({info.incarnation});
+  bench.AddJob("job");
+  const scheduler::StartRun start = bench.NextStart();
+  BOOST_REQUIRE(start.task == FirstTask("job"));
+  bench.scheduler.LeaseGranted(start.worker, bench.now + milliseconds(2500));
+  // The next incarnation started 1.5 s ago, while the owner was paused.
+  bench.scheduler.StartAnswered(start, scheduler::CommandOutcome::kDone,
+                                bench.now, 1500);
+  bench.scheduler.UpdateWorker(Bench::Worker("other"), bench.now);
+  bench.Report("other", {});
+  info.incarnation.start_ms = kNextBorn;
+  bench.scheduler.UpdateWorker(info, bench.now);
+  BOOST_TEST(bench.NextStart().task.job == "");
+  bench.Report("w", {.running = {{.task = start.task, .run = start.run}}});
+  const auto actions = bench.RunPass();
+  BOOST_TEST(Only<scheduler::StopRun>(actions).empty());
+  BOOST_TEST(Only<scheduler::StartRun>(actions).empty());
+}
+
 // Guards against tasks that run twice when workers restart under the same id,
 // without their state, at any point between a call and its answer.
 BOOST_AUTO_TEST_CASE(EndsSurviveWorkerRestartsUnderSameId) {
--- a/scheduler/worker_reports.cc
+++ b/scheduler/worker_reports.cc
@@ -371,8 +371,9 @@
   this->HandleLostRun(command.task, command.run, now);
 }
 
-// Confirms the run if the answer's clock shows that the known
-// incarnation, rather than a later one, answered the start.
+// Confirms the run if the answer's clock shows that the known incarnation,
+// rather than a later one, answered the start. If the clock leaves both
+// possible, the next report confirms it.
 void Scheduler::CheckClock(Worker& worker,
                            const StartRun& command,
                            Run& run,
@@ -383,10 +384,13 @@
   RecordContact(worker, now);
   if (clock_ms <= 0)
     return;
-  run.is_confirmed = IsClockConsistent(worker, clock_ms, run.decided_at);
+  const bool is_consistent =
+      IsClockConsistent(worker, clock_ms, run.decided_at);
+  run.is_confirmed =
+      is_consistent && !MayBeLaterIncarnationsClock(worker, clock_ms, now);
   if (run.is_confirmed)
     return;
-  worker.may_have_restarted = true;
+  worker.may_have_restarted = worker.may_have_restarted || !is_consistent;
   worker.next_poll_at = std::min(worker.next_poll_at, now);
 }
 
