A task waits for its run that is being stopped on another worker

Callers saw (in the model): one task ran on two workers at once. A worker reported a run of a task that the owner knew as placed elsewhere; the owner stopped that run as not needed. The stop arrived seconds late. Meanwhile the task's placement was lost, and the task was started again beside the run that was still being stopped.

Cause: when a task's placement was lost the task became ready at once, whether or not another worker still had a run of it.

Such a run now becomes the task's placement, and the task becomes ready when it is over: by its reported end, by a report without it, or by the end of its worker's lease. Tasks without a second run are not searched for.

TaskWaitsForItsRunThatIsBeingStoppedElsewhere fails without the change and passes with it; it needs no pause, restart or second owner.

--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -69,6 +69,8 @@
   base::Micros latest_loss_at{};  // last worker loss recorded for it
   std::vector<jobs::WorkerIncarnation> failed_on;  // latest last
   int migrations = 0;  // times it was moved off a stalled or slow worker
+  // Another worker than the one it is placed on may have a run of it.
+  bool has_other_run = false;
 };
 
 // Cached advice on which workers are allowed to run a step.
--- a/scheduler/run_ends.cc
+++ b/scheduler/run_ends.cc
@@ -175,6 +175,29 @@
   }
 }
 
+// If another worker has a run of the task, which is being stopped, makes it the
+// task's placement: the task starts again once that run is over.
+bool Scheduler::WaitForOtherRun(Job& job, const TaskPosition& position) {
+  Task& task = TaskAt(job, position);
+  if (!task.has_other_run)
+    return false;
+  const jobs::TaskId id = IdOf(job, position);
+  for (const auto& [incarnation, worker] : this->workers) {
+    const auto run = worker.runs.find(id);
+    if (run == worker.runs.end())
+      continue;
+    task.worker = incarnation;
+    task.run = run->second.number;
+    task.latest_run = std::max(task.latest_run, task.run);
+    job.progress.placed[KeyOf(position)] = {.worker = incarnation,
+                                            .run = task.run};
+    this->MarkChanged(job);
+    return true;
+  }
+  task.has_other_run = false;
+  return false;
+}
+
 void Scheduler::HandleLostRun(const jobs::TaskId& id,
                               int run,
                               base::Micros now) {
@@ -197,10 +220,13 @@
     task.state = TaskState::kBlocked;
     return;
   }
-  task.state = TaskState::kReady;
+  const bool waits = this->WaitForOtherRun(*job, position);
+  if (!waits)
+    task.state = TaskState::kReady;
   const jobs::Step& step = StepOf(*job, position);
   if (!step.gang) {
-    this->Enqueue(*job, position, now);
+    if (!waits)
+      this->Enqueue(*job, position, now);
     return;
   }
   // A gang is placed again as a whole, once none of its members is placed.
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -247,6 +247,7 @@
                          base::Micros now);
   // The run is over without completing its task, which is queued again.
   void HandleLostRun(const jobs::TaskId& id, int run, base::Micros now);
+  bool WaitForOtherRun(Job& job, const TaskPosition& position);
   void ThrottleFillers(Worker& worker);
   void MigrateOffUnhealthyWorker(Worker& worker, base::Micros now);
   bool IsSlow(const Job& job,
--- a/scheduler/worker_reports.cc
+++ b/scheduler/worker_reports.cc
@@ -218,6 +218,7 @@
       this->MarkChanged(*job);
       return;
     }
+    task.has_other_run = true;
     if (job->unsaved_failure > 0)
       return;
   }
