The age of an announcement counts from the request of the clock reading

Callers' tasks were started on workers that had shrunk (in the model), by an owner that was paused, after announcements expire already.

Cause: the age of an announcement was the worker's clock as last reported, and the time since that report was read. A paused owner reads a report seconds after the worker sent it, so an announcement of 6 s passed for one of 1 s until the next poll was answered; within that time starts were decided and sent.

The worker's clock was read after the poll was sent, so the age counts from then. It is too high by at most the time a worker holds a poll open (1.5 s); with heartbeats of 1.5 s an announcement's age so counted stays below the 3.75 s.

--- a/scheduler/worker.cc
+++ b/scheduler/worker.cc
@@ -109,14 +109,15 @@
 }
 
 // A store that was unavailable returns announcements from before its outage, so
-// the time of their arrival does not tell their age.
+// the time of their arrival does not tell their age. The report may have been
+// read long after the worker sent it, but not before it was requested.
 base::Micros AnnouncementAge(const Worker& worker, base::Micros now) {
   if (worker.info.announced_clock_ms == 0 || worker.clock_ms == 0)
     return now - worker.announcement_received_at;
   const std::int64_t age_at_reading_ms =
       worker.clock_ms - worker.info.announced_clock_ms;
   return std::chrono::milliseconds(age_at_reading_ms) +
-         (now - worker.clock_read_at);
+         (now - worker.report_requested_at);
 }
 
 bool MayBeLaterIncarnationsClock(const Worker& worker,
