An idle worker whose announcement looks expired is polled once

Callers saw nothing yet; a worker that had been idle for some minutes was never used again (in a test). An idle worker is not polled, so its clock is known from minutes ago. It may run 2% slow, which adds up to 3 s of age after 150 s; its announcements then look expired as soon as they come.

Such a worker is polled, once for each announcement, which takes a new reading of its clock. With a clock 2% slow that is a poll about every two minutes.

IdleWorkerWithSlowClockStaysUsable (10 minutes without a task, at most 20 polls) fails without the change and passes with it.

--- a/scheduler/announcement_age_test.cc
+++ b/scheduler/announcement_age_test.cc
@@ -9,6 +9,7 @@
 namespace quartzhoist::testing {
 namespace {
 
+using scheduler::PollWorker;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using Bench = SchedulerBench;
@@ -54,4 +55,25 @@
   BOOST_TEST(bench.NextStart().task.job == "job");
 }
 
+// Guards against idle workers that are never used again: they are not polled,
+// and after minutes a slow clock makes their announcements look old.
+BOOST_AUTO_TEST_CASE(IdleWorkerWithSlowClockStaysUsable) {
+  Bench bench(LimitsWithMaxAge());
+  Announce(bench);
+  AnswerPoll(bench, bench.now + milliseconds(10));
+  int polls = 0;
+  for (int pass = 0; pass < 2000; ++pass) {
+    if (pass % 5 == 0)
+      Announce(bench);
+    for (const PollWorker& poll : Only<PollWorker>(bench.RunPass())) {
+      BOOST_REQUIRE(poll.worker.id == "w");
+      AnswerPoll(bench, bench.now + milliseconds(10));
+      ++polls;
+    }
+  }
+  BOOST_TEST(polls < 20);
+  bench.AddJob("job");
+  BOOST_TEST(bench.NextStart().task.job == "job");
+}
+
 }  // namespace quartzhoist::testing
--- a/scheduler/polls.cc
+++ b/scheduler/polls.cc
@@ -33,6 +33,13 @@
   return worker.last_recorded_end > worker.last_acknowledged_end;
 }
 
+// While an idle worker is not polled its clock and this process's drift apart,
+// so that its announcements look older than they are. One poll tells.
+bool IsUnpolledSinceAnnouncement(const Worker& worker) {
+  return worker.is_announced &&
+         worker.poll_sent_at < worker.announcement_received_at;
+}
+
 bool HasStartInFlight(const Worker& worker) {
   return std::any_of(worker.runs.begin(), worker.runs.end(),
                      [](const auto& entry) {
@@ -114,7 +121,9 @@
         is_doubtful || !worker.has_reported || !worker.idle() ||
         worker.failed_calls > 0 ||
         worker.last_recorded_end < worker.last_processed_end ||
-        HasUnsentAcknowledgement(worker) || worker.may_have_restarted;
+        HasUnsentAcknowledgement(worker) || worker.may_have_restarted ||
+        (IsUnpolledSinceAnnouncement(worker) &&
+         !this->HasCurrentAnnouncement(worker, now));
     if (!needs_poll || worker.poll_in_flight || now < worker.next_poll_at)
       continue;
     // The worker would answer at once with the same ends if they are not
