The age of an announcement keeps the best bound of its worker's clock

Counting from the request of the latest reading alone makes an announcement look up to 2 s older than it is while a poll is held open; with a slow store, whose heartbeats come late, workers would get nothing by turns.

The worker's clock leads this process's by no more than any reading less the time of its request, and a slow clock only lowers that, so the lowest such bound holds. Answers to starts, which come within milliseconds, give readings too. One file for the tests of announcements.

--- a/scheduler/announcements_test.cc
+++ b/scheduler/announcements_test.cc
@@ -35,6 +35,27 @@
   return step;
 }
 
+// A worker whose clock runs 2% slow.
+std::int64_t SlowClock(base::Micros now) {
+  return base::Millis(now) * 98 / 100;
+}
+
+void AnswerPoll(Bench& bench, base::Micros read_at) {
+  const jobs::WorkerIncarnation worker{.id = "w"};
+  bench.scheduler.PollSent({.worker = worker}, bench.now);
+  const std::int64_t clock_ms = SlowClock(bench.now);
+  bench.now = read_at;
+  bench.scheduler.WorkerReported(
+      worker, {.incarnation = worker, .clock_ms = clock_ms}, bench.now);
+  bench.scheduler.WorkersRecorded({worker});
+}
+
+void Announce(Bench& bench) {
+  WorkerInfo info = Bench::Worker("w");
+  info.announced_clock_ms = SlowClock(bench.now);
+  bench.scheduler.UpdateWorker(info, bench.now);
+}
+
 // A new owner reads what the worker announced before the store was away.
 BOOST_AUTO_TEST_CASE(WorkerThatShrankDuringStoreOutageIsNotOverloaded) {
   Bench bench(LimitsWithMaxAge());
@@ -90,5 +111,54 @@
   BOOST_TEST(bench.scheduler.PoolStates(bench.now).front().usable == 1);
 }
 
+// Guards against a worker's clock that was sent before its owner was paused and
+// read after it, which made an old announcement look new.
+BOOST_AUTO_TEST_CASE(AnnouncementIsOldAlsoIfReportWasReadLate) {
+  Bench bench(LimitsWithMaxAge());
+  Announce(bench);
+  AnswerPoll(bench, bench.now + seconds(5));
+  bench.AddJob("job");
+  BOOST_TEST(bench.NextStart().task.job == "");
+  Announce(bench);
+  BOOST_TEST(bench.NextStart().task.job == "job");
+}
+
+// Guards against idle workers that are never used again: they are not polled,
+// and after minutes a slow clock makes their announcements look old.
+BOOST_AUTO_TEST_CASE(IdleWorkerWithSlowClockStaysUsable) {
+  Bench bench(LimitsWithMaxAge());
+  Announce(bench);
+  AnswerPoll(bench, bench.now + milliseconds(10));
+  int polls = 0;
+  for (int pass = 0; pass < 2000; ++pass) {
+    if (pass % 5 == 0)
+      Announce(bench);
+    for (const PollWorker& poll : testing::Only<PollWorker>(bench.RunPass())) {
+      BOOST_REQUIRE(poll.worker.id == "w");
+      AnswerPoll(bench, bench.now + milliseconds(10));
+      ++polls;
+    }
+  }
+  BOOST_TEST(polls < 20);
+  bench.AddJob("job");
+  BOOST_TEST(bench.NextStart().task.job == "job");
+}
+
+// Guards against workers that look expired because their polls are held open.
+BOOST_AUTO_TEST_CASE(AnnouncementStaysCurrentWhilePollsAreHeldOpen) {
+  Bench bench(LimitsWithMaxAge());
+  Announce(bench);
+  AnswerPoll(bench, bench.now + milliseconds(10));
+  bench.now += milliseconds(1500);
+  // The worker answers after 2 s.
+  bench.scheduler.PollSent({.worker = {.id = "w"}}, bench.now);
+  bench.now += seconds(2);
+  bench.scheduler.WorkerReported(
+      {.id = "w"},
+      {.incarnation = {.id = "w"}, .clock_ms = SlowClock(bench.now)},
+      bench.now);
+  BOOST_TEST(bench.scheduler.PoolStates(bench.now).front().usable == 1);
+}
+
 }  // namespace
 }  // namespace quartzhoist::scheduler
--- a/scheduler/worker.cc
+++ b/scheduler/worker.cc
@@ -109,15 +109,22 @@
 }
 
 // A store that was unavailable returns announcements from before its outage, so
-// the time of their arrival does not tell their age. The report may have been
-// read long after the worker sent it, but not before it was requested.
+// the time of their arrival does not tell their age.
 base::Micros AnnouncementAge(const Worker& worker, base::Micros now) {
   if (worker.info.announced_clock_ms == 0 || worker.clock_ms == 0)
     return now - worker.announcement_received_at;
-  const std::int64_t age_at_reading_ms =
-      worker.clock_ms - worker.info.announced_clock_ms;
-  return std::chrono::milliseconds(age_at_reading_ms) +
-         (now - worker.report_requested_at);
+  return now + worker.max_clock_lead -
+         std::chrono::milliseconds(worker.info.announced_clock_ms);
+}
+
+// The answer may have been read long after the worker sent it, but it was sent
+// after the request. The clock may run slow, so its lead never grows.
+void BoundClockLead(Worker& worker,
+                    std::int64_t clock_ms,
+                    base::Micros requested_at) {
+  worker.max_clock_lead = std::min(
+      worker.max_clock_lead,
+      base::Micros(std::chrono::milliseconds(clock_ms)) - requested_at);
 }
 
 bool MayBeLaterIncarnationsClock(const Worker& worker,
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -122,6 +122,8 @@
   // The worker's clock, and when its reading arrived on this process's clock.
   std::int64_t clock_ms = 0;
   base::Micros clock_read_at{};
+  // Upper bound of the worker's clock less this process's clock.
+  base::Micros max_clock_lead = base::Micros::max();
   // Ends are numbered per incarnation and handled in order: first processed,
   // then recorded in the store, then acknowledged to the worker. Each of these
   // is the highest number that has passed the stage.
@@ -182,8 +184,14 @@
                        std::int64_t clock_ms,
                        base::Micros decided_at);
 
-// Age of the worker's announcement, by the worker's own clock. Without both
-// clock readings, the time since the announcement was received.
+// Notes a clock reading in the answer to a call made at `requested_at`.
+void BoundClockLead(Worker& worker,
+                    std::int64_t clock_ms,
+                    base::Micros requested_at);
+
+// Upper bound of the age of the worker's announcement, by the worker's own
+// clock. Without both clock readings, the time since the announcement was
+// received.
 base::Micros AnnouncementAge(const Worker& worker, base::Micros now);
 
 // Whether a clock reading that has arrived may come from an incarnation that
--- a/scheduler/worker_reports.cc
+++ b/scheduler/worker_reports.cc
@@ -71,6 +71,7 @@
   worker.report_requested_at = worker.poll_sent_at;
   worker.clock_ms = report.clock_ms;
   worker.clock_read_at = now;
+  BoundClockLead(worker, report.clock_ms, worker.poll_sent_at);
   this->ResolveLosses(worker, now);
   // 2. Ends go before runs: a task that ended may run there again.
   bool has_new_ends = false;
@@ -389,8 +390,10 @@
       IsClockConsistent(worker, clock_ms, run.decided_at);
   run.is_confirmed =
       is_consistent && !MayBeLaterIncarnationsClock(worker, clock_ms, now);
-  if (run.is_confirmed)
+  if (run.is_confirmed) {
+    BoundClockLead(worker, clock_ms, run.decided_at);
     return;
+  }
   worker.may_have_restarted = worker.may_have_restarted || !is_consistent;
   worker.next_poll_at = std::min(worker.next_poll_at, now);
 }
