The daemons' logs of a failed process test are printed

Change: a process test that fails prints the logs of its daemons, of ended ones too, and the rows of the shards' owners; of a log longer than 32 KB its first and last 16 KB.

No functional change of the daemon.

--- a/testing/cluster_fixture.h
+++ b/testing/cluster_fixture.h
@@ -3,9 +3,12 @@
 #ifndef TESTING_CLUSTER_FIXTURE_H_
 #define TESTING_CLUSTER_FIXTURE_H_
 
+#include <exception>
+#include <iostream>
 #include <string>
 #include <vector>
 
+#include <boost/test/results_collector.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "testing/job_cluster.h"
@@ -26,6 +29,29 @@
   return text;
 }
 
+// Prints the daemons' logs at the end of a test that fails, before they go with
+// the cluster's folder.
+class LogsOfFailure {
+ public:
+  explicit LogsOfFailure(const JobCluster& cluster) : cluster(cluster) {}
+  ~LogsOfFailure() {
+    if (HasTestFailed())
+      std::cerr << this->cluster.Logs();
+  }
+  LogsOfFailure(const LogsOfFailure&) = delete;
+  LogsOfFailure& operator=(const LogsOfFailure&) = delete;
+
+ private:
+  static bool HasTestFailed() {
+    const auto test = boost::unit_test::framework::current_test_case().p_id;
+    return std::uncaught_exceptions() > 0 ||
+           boost::unit_test::results_collector.results(test)
+                   .p_assertions_failed.get() > 0;
+  }
+
+  const JobCluster& cluster;
+};
+
 struct ClusterFixture {
   explicit ClusterFixture(int daemons, int boxes = 4)
       : cluster(QUARTZHOIST_BINARY_DIR, boxes) {
@@ -82,6 +108,7 @@
   }
 
   JobCluster cluster;
+  LogsOfFailure logs_of_failure{cluster};
 };
 
 // A configuration with one organisation, which has this access key.
--- a/testing/job_cluster.cc
+++ b/testing/job_cluster.cc
@@ -6,7 +6,9 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <optional>
+#include <set>
 #include <utility>
 
 #include <fmt/format.h>
@@ -31,6 +33,23 @@
     R"("extension":1.5,"targetLatencyMs":600}],)"
     R"("services":[{"name":"press"},{"name":"rest","spare":true}]})";
 
+// A daemon's begin takes about 3 KB of log, a job of one task 1 KB.
+constexpr std::size_t kMaxExcerptPart = 16'000;
+
+std::string Excerpt(const std::string& text) {
+  if (text.size() <= 2 * kMaxExcerptPart)
+    return text;
+  return fmt::format("{}\n... {} bytes left out ...\n{}",
+                     text.substr(0, kMaxExcerptPart),
+                     text.size() - 2 * kMaxExcerptPart,
+                     text.substr(text.size() - kMaxExcerptPart));
+}
+
+std::string ReadWhole(const std::filesystem::path& file) {
+  std::ifstream in(file);
+  return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+}
+
 }  // namespace
 
 std::string JobId(int number) {
@@ -86,6 +105,28 @@
   return daemon;
 }
 
+std::string JobCluster::Logs() const {
+  std::set<std::filesystem::path> files;
+  std::error_code ignored;
+  for (const auto& entry :
+       std::filesystem::directory_iterator(this->folder, ignored)) {
+    if (entry.path().extension() != ".ini")
+      files.insert(entry.path());
+  }
+  std::string text;
+  for (const std::filesystem::path& file : files) {
+    const std::string content = ReadWhole(file);
+    if (!content.empty())
+      text += fmt::format("--- {}\n{}\n", file.filename().string(),
+                          Excerpt(content));
+  }
+  for (const platform::Row& row :
+       this->rows.Table(std::string(entry::kOwnerTable)))
+    text += fmt::format("--- row {} {} version {}: {}\n", row.at.part,
+                        row.at.key, row.version, row.value);
+  return text;
+}
+
 std::string JobCluster::Owner(const entry::Shard& shard) const {
   const std::string row = this->rows.Value(entry::OwnerRow(shard));
   const auto record = entry::DecodeOwner(row);
--- a/testing/job_cluster.h
+++ b/testing/job_cluster.h
@@ -44,6 +44,9 @@
   Daemon& StartDaemonOverLink(const std::string& id);
   TcpLink& LinkOf(const std::string& id) { return *this->links.at(id); }
   std::map<std::string, Daemon>& daemons() { return this->by_id; }
+  // The daemons' logs, of ended ones too, and the rows of the shards' owners;
+  // of a long log its begin and its end.
+  std::string Logs() const;
   // The daemon that schedules a shard, by the store's row; empty: none.
   std::string Owner(const entry::Shard& shard = {}) const;
 
