A refusal before the shards are known says so

Callers of a daemon that had the configuration but not yet the number of shards were refused with "no configuration yet"; found while a refused cancel was traced (its log had "config_installed" 1.1 s before). The status (503 with Retry-After, nothing written) is right and stays. Cause: both conditions shared one refusal. Change: each has a reason of its own, in the answer and in job_refused. Test: RefusalBeforeTheShardsAreKnownSaysSoAndWritesNothing, which failed three times (POST, GET, DELETE) without the change; it also checks that such a refusal writes nothing.

Functional change: the text of one refusal.

--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -113,10 +113,15 @@
 
 void CallerApi::Handle(const http::ExchangePtr& exchange) {
   this->counters.Add(base::Counter::kRequests);
-  if (!this->config || this->shards == 0) {
+  if (!this->config) {
     this->Refuse(exchange, kServiceUnavailable, "", "no configuration yet");
     return;
   }
+  if (this->shards == 0) {
+    this->Refuse(exchange, kServiceUnavailable, "",
+                 "the number of shards is not known yet");
+    return;
+  }
   // Fails at once instead of starting a call that is expected to fail. The
   // feeds keep polling and so detect when the store is back.
   if (this->store.SeemsAway()) {
--- a/entry/caller_api_test.cc
+++ b/entry/caller_api_test.cc
@@ -209,6 +209,23 @@
   BOOST_TEST(bench.standin.Value(CancelRow(kJobId, {})) == "1");
 }
 
+// A refusal for the missing number of shards named the configuration, which was
+// there.
+BOOST_AUTO_TEST_CASE(RefusalBeforeTheShardsAreKnownSaysSoAndWritesNothing) {
+  CallerBench bench;
+  bench.Call("POST", kJobPath, kBody);
+  const int written = bench.standin.writes();
+  bench.api.SetShards(0, nullptr);
+  for (const char* method : {"POST", "GET", "DELETE"}) {
+    const http::Response response = bench.Call(method, kJobPath, kBody);
+    BOOST_TEST(response.status == 503);
+    BOOST_TEST(http::FindHeader(response.headers, "Retry-After"));
+    BOOST_TEST(response.body.find("number of shards") != std::string::npos,
+               response.body);
+  }
+  BOOST_TEST(bench.standin.writes() == written);
+}
+
 BOOST_AUTO_TEST_CASE(StateThatCannotBeReadIsNotGuessed) {
   CallerBench bench;
   bench.Call("POST", kJobPath, kBody);
