A cancel is tested at a daemon that is ready

Timeline of a failure that was reproduced (its log): 18.471 entry-1 starts; 18.486 both daemons have the configuration; 19.389 entry-2 writes and knows the number of shards; 19.640 it owns the shard; 19.641 entry-1 refuses the job (503, it does not know the number), 19.645 entry-2 accepts it; 19.700 both tasks run; 19.70 the test cancels at entry-1: 503, it still does not know the number; 19.740 it does. Hypotheses: (a) entry-1 is not ready yet: shown, in all three failures that were reproduced. (b) it takes the store to be away, or (c) the store misses the time limit of a call: neither is in a log. Cause: the fixture waits for an owner only, and Submit tries the daemons in turn, so a job may be accepted and run before the other daemon, which looks for the number of shards every 400 ms, is ready. The 503 is right: nothing was written, it carries Retry-After, the readiness check fails at that time, and a balancer sends no callers there. Change: the test waits until entry-1's readiness check passes and then requires, as before, that one DELETE is answered 200 and the job ends. A new test makes the order certain with a daemon whose link to the store is cut: it is not ready, refuses the cancel with 503, the tasks go on, and once it is ready the same cancel is carried out.

No functional change of the daemon.

--- a/entry/process_test.cc
+++ b/entry/process_test.cc
@@ -305,18 +305,56 @@
   BOOST_TEST(fixture.cluster.Submit(JobId(1), 1, 1) == 200);
 }
 
+struct CancelFixture : ClusterFixture {
+  explicit CancelFixture(int daemons) : ClusterFixture(daemons) {}
+
+  // Hands in a job of two tasks and waits until both run.
+  void RunJob() {
+    this->cluster.workers().SetRunTime(std::chrono::seconds(30));
+    BOOST_REQUIRE(this->cluster.Submit(JobId(1), 1, 2) == 200);
+    BOOST_REQUIRE(this->cluster.WaitUntil(kTimeoutSeconds, [this] {
+      return this->cluster.workers().starts() == 2;
+    }));
+  }
+
+  int CancelAt(const std::string& daemon) {
+    return this->cluster.Call(daemon, "DELETE", JobId(1)).status;
+  }
+
+  void ExpectCancelled() {
+    BOOST_TEST(this->cluster.WaitUntil(kTimeoutSeconds, [this] {
+      return this->cluster.StateOf(JobId(1)) == "cancelled" &&
+             this->cluster.workers().RunningTasks(JobId(1)) == 0;
+    }));
+  }
+};
+
+// The job may be accepted by one daemon before the other one is ready.
 BOOST_AUTO_TEST_CASE(CancelledJobIsSaidToBe) {
-  ClusterFixture fixture(2);
-  fixture.cluster.workers().SetRunTime(std::chrono::seconds(30));
-  BOOST_REQUIRE(fixture.cluster.Submit(JobId(1), 1, 2) == 200);
-  BOOST_REQUIRE(fixture.cluster.WaitUntil(kTimeoutSeconds, [&] {
-    return fixture.cluster.workers().starts() == 2;
-  }));
-  BOOST_TEST(fixture.cluster.Call("entry-1", "DELETE", JobId(1)).status == 200);
-  BOOST_TEST(fixture.cluster.WaitUntil(kTimeoutSeconds, [&] {
-    return fixture.cluster.StateOf(JobId(1)) == "cancelled" &&
-           fixture.cluster.workers().RunningTasks(JobId(1)) == 0;
-  }));
+  CancelFixture fixture(2);
+  fixture.RunJob();
+  fixture.WaitUntilReady("entry-1");
+  BOOST_TEST(fixture.CancelAt("entry-1") == 200);
+  fixture.ExpectCancelled();
+}
+
+// A daemon that has not read the store yet is not ready, and refuses a cancel
+// of a job that another one accepted.
+BOOST_AUTO_TEST_CASE(CancelRefusedByADaemonThatIsNotReadyIsNotCarriedOut) {
+  CancelFixture fixture(0);
+  fixture.cluster.StartDaemonOverLink("entry-1");
+  fixture.cluster.LinkOf("entry-1").Cut();
+  fixture.cluster.StartDaemon("entry-2");
+  fixture.WaitForOwner();
+  fixture.RunJob();
+  BOOST_TEST(!fixture.cluster.IsReady("entry-1"));
+  BOOST_TEST(fixture.CancelAt("entry-1") == 503);
+  fixture.Wait(std::chrono::milliseconds(500));
+  BOOST_TEST(fixture.cluster.workers().RunningTasks(JobId(1)) == 2);
+  fixture.cluster.LinkOf("entry-1").Join();
+  fixture.WaitUntilReady("entry-1");
+  BOOST_TEST(fixture.CancelAt("entry-1") == 200);
+  fixture.ExpectCancelled();
 }
 
 }  // namespace
--- a/testing/cluster_fixture.h
+++ b/testing/cluster_fixture.h
@@ -66,6 +66,11 @@
         kTimeoutSeconds, [this] { return !this->cluster.Owner().empty(); }));
   }
 
+  void WaitUntilReady(const std::string& daemon) {
+    BOOST_REQUIRE(this->cluster.WaitUntil(
+        kTimeoutSeconds, [&, this] { return this->cluster.IsReady(daemon); }));
+  }
+
   void Wait(base::Micros span) {
     const base::Micros until = base::MonotonicNow() + span;
     this->cluster.WaitUntil(kTimeoutSeconds,
--- a/testing/job_cluster.cc
+++ b/testing/job_cluster.cc
@@ -151,7 +151,6 @@
                                 const std::string& method,
                                 const std::string& job,
                                 const std::string& body) {
-  std::optional<http::Response> response;
   http::ClientRequest request;
   request.method = method;
   request.url =
@@ -162,6 +161,17 @@
     request.headers.push_back(
         {.name = "Authorization", .value = "Token " + this->access_key});
   request.body = body;
+  return this->Await(std::move(request));
+}
+
+bool JobCluster::IsReady(const std::string& daemon) {
+  http::ClientRequest request;
+  request.url = fmt::format("http://{}/", this->by_id.at(daemon).readiness);
+  return this->Await(std::move(request)).status == 200;
+}
+
+http::Response JobCluster::Await(http::ClientRequest request) {
+  std::optional<http::Response> response;
   request.timeout = std::chrono::seconds(5);
   this->client.Send(std::move(request), [&](const http::ClientResult& got) {
     response = got.response;
--- a/testing/job_cluster.h
+++ b/testing/job_cluster.h
@@ -63,6 +63,9 @@
                       const std::string& method,
                       const std::string& job,
                       const std::string& body = "");
+  // Whether its readiness check passes, after which a load balancer sends it
+  // callers.
+  bool IsReady(const std::string& daemon);
   // Hands a job of `steps` chained steps in, trying each daemon in turn as a
   // caller would; the last answer's status.
   int Submit(const std::string& job, int steps, int tasks);
@@ -74,6 +77,9 @@
   std::string StateOf(const std::string& job);
 
  private:
+  // The response, with status 0 if there is none.
+  http::Response Await(http::ClientRequest request);
+
   std::string folder;
   std::string programs;
   base::Loop loop;
