--- a/entry/shards_test.cc
+++ b/entry/shards_test.cc
@@ -222,6 +222,28 @@
   }
 }
 
+// At the begin of a fleet of two shards, a daemon has read the row of one owner
+// only, or only one owner has reported its cores.
+BOOST_AUTO_TEST_CASE(AllJobsGoToTheShardThatIsKnownToRunThem) {
+  const ShardLoad unknown{.is_stalled = true};
+  const ShardLoad owned;
+  const ShardLoad reported{.load_percent_by_pool = {{"a", 0}},
+                           .free_cores_by_pool = {{"a", 16}}};
+  const auto shards_used = [](const std::vector<ShardLoad>& loads) {
+    ShardSelector selector(1);
+    std::set<int> used;
+    for (int i = 0; i < 36; ++i)
+      used.insert(SelectShard(selector, "a", JobOf(false), loads));
+    return used;
+  };
+  BOOST_TEST((shards_used({unknown, owned}) == std::set<int>{1}));
+  BOOST_TEST((shards_used({owned, unknown}) == std::set<int>{0}));
+  BOOST_TEST((shards_used({owned, reported}) == std::set<int>{1}));
+  BOOST_TEST((shards_used({unknown, unknown}) == std::set<int>{0, 1}));
+  BOOST_TEST((shards_used({owned, owned}) == std::set<int>{0, 1}));
+  BOOST_TEST((shards_used({reported, reported}) == std::set<int>{0, 1}));
+}
+
 // Replays the begin of a turn: after a calm time a third of the shards has two
 // boxes of the pool left, the others have idle ones; boxes within reach, and so
 // the loads, are alike. A job of 25 cores would wait for boxes in the former.
