The test of keys asks both daemons before it counts on both

KeysComeAndGoAndStandInNoLog failed 6 of 40 plays beside other builds (load about 25 to 33): 503 instead of 401 for a job with a wrong key. Cause, the same as of CancelledJobIsSaidToBe: the fixture waits for an owner only. The test waited until entry-1 knew the keys; Submit then tries the daemons in turn, and its last answer was the 503 of entry-2, which was not ready yet. With entry-2's link to the store cut until then (a trial), the test failed at this check at once. Change: each status is waited for at both daemons, which also checks more than before: entry-2's answers to known, unknown and changed keys.

Measured: after 0 of 40 failed (same load). No functional change of the daemon.

--- a/entry/process_test.cc
+++ b/entry/process_test.cc
@@ -230,11 +230,15 @@
   const std::vector<std::string> keys = {
       "pqk8bdk9eevyxq2yyaza", "x6pwawxdmdejk7f92bqu", "wrong4zz81kk2mmq0ppd"};
   ClusterFixture fixture(2);
+  // Each daemon becomes ready, and receives a configuration, at another time.
   const auto gets_status = [&fixture](const std::string& key, int status) {
     fixture.cluster.SetKey(key);
-    return fixture.cluster.WaitUntil(kTimeoutSeconds, [&fixture, status] {
-      return fixture.cluster.Call("entry-1", "GET", JobId(1)).status == status;
-    });
+    const auto daemon_says = [&](const std::string& id) {
+      return fixture.cluster.WaitUntil(kTimeoutSeconds, [&] {
+        return fixture.cluster.Call(id, "GET", JobId(1)).status == status;
+      });
+    };
+    return daemon_says("entry-1") && daemon_says("entry-2");
   };
   fixture.cluster.store().Put(config, KeyedConfig(2, keys[0]));
   BOOST_TEST(gets_status("", 401));
