--- a/testing/job_cluster.h
+++ b/testing/job_cluster.h
@@ -44,6 +44,9 @@
   Daemon& StartDaemonOverLink(const std::string& id);
   TcpLink& LinkOf(const std::string& id) { return *this->links.at(id); }
   std::map<std::string, Daemon>& daemons() { return this->by_id; }
+  // The daemons' logs, of ended ones too, and the rows of the shards' owners;
+  // of a long log its begin and its end.
+  std::string Logs() const;
   // The daemon that schedules a shard, by the store's row; empty: none.
   std::string Owner(const entry::Shard& shard = {}) const;
 
@@ -60,6 +63,9 @@
                       const std::string& method,
                       const std::string& job,
                       const std::string& body = "");
+  // Whether its readiness check passes, after which a load balancer sends it
+  // callers.
+  bool IsReady(const std::string& daemon);
   // Hands a job of `steps` chained steps in, trying each daemon in turn as a
   // caller would; the last answer's status.
   int Submit(const std::string& job, int steps, int tasks);
@@ -71,6 +77,9 @@
   std::string StateOf(const std::string& job);
 
  private:
+  // The response, with status 0 if there is none.
+  http::Response Await(http::ClientRequest request);
+
   std::string folder;
   std::string programs;
   base::Loop loop;
