Test of a starved large task: its flood lasts, and tasks that do not end

The former stand-in let a box complete a task only while it ran four, so that three tasks of 1000 MB stayed on each box of 4000 MB for good: no order of starts can ever give the task of 3000 MB a box, so the test could not pass without stopping tasks. The change to one task a pass, as the test's own comment says, is right.

But the new form had a margin of one pass: its 60 small tasks run out in pass 26, and without reservations both boxes have 2000 MB free in pass 29 of 30. Now there are 200 of them.

The situation of the former stand-in can happen (tasks that do not end while the large one waits); then only another box helps. Second case, equally timed: LongRunningTaskWithLargeMemoryStartsOnAMovedBox, former stand-in with an idle box of another pool that comes after the task.

The test's comment named an incident that has another cause (docs/incidents/lasting-task-of-much-memory.md). No functional change.

--- a/scheduler/scheduler_test.cc
+++ b/scheduler/scheduler_test.cc
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
@@ -420,65 +421,126 @@
   BOOST_TEST(moves[0].pool == "pool");
 }
 
-// Starvation of a large task by small ones: every box is full of tasks with
-// little memory, and each slot that becomes free is too small for a
-// long-running task with much memory and goes to the next small task, so no box
-// ever has enough, although the large task has precedence. Seen after such a
-// task had failed (at 38.0 s): it was not restarted within 10 s, while 340 to
-// 530 tasks waited in its pool at 117 to 145% of its cores.
-BOOST_AUTO_TEST_CASE(LongRunningTaskWithLargeMemoryStartsInFullPool) {
-  Bench bench(1);
-  std::map<std::string, std::vector<StartRun>> running;
-  for (const char* worker : {"a", "b"}) {
-    bench.scheduler.UpdateWorker(Bench::Worker(worker), bench.now);
-    bench.Report(worker, {});
-    running[worker];
+// Boxes full of tasks with little memory, a queue of such tasks that does not
+// run dry, and a long-running task with much memory that arrives after 3 s.
+class StarvedLargeTask {
+ public:
+  static constexpr int kArrivalPass = 10;
+
+  // In each pass of 0.3 s each box completes one task, unless it runs fewer
+  // than `keeps` + 1.
+  explicit StarvedLargeTask(std::size_t keeps) : keeps(keeps) {
+    this->AddWorker(Bench::Worker("a"));
+    this->AddWorker(Bench::Worker("b"));
+    jobs::Step small = Bench::OneTask();
+    small.tasks = 200;
+    small.task_resources = {.cpu_millis = 1000, .memory_mb = 1000, .gpus = 0};
+    this->bench.AddJob("small", small);
   }
-  jobs::Step small = Bench::OneTask();
-  small.tasks = 60;
-  small.task_resources = {.cpu_millis = 1000, .memory_mb = 1000, .gpus = 0};
-  bench.AddJob("small", small);
-  bool is_started = false;
-  std::int64_t number = 0;
-  // Each box completes one task per pass, every 0.3 s; the long-running task
-  // arrives after 3 s.
-  for (int pass = 0; pass < 30 && !is_started; ++pass) {
-    if (pass == 10) {
+
+  void AddWorker(const WorkerInfo& info) {
+    this->bench.scheduler.UpdateWorker(info, this->bench.now);
+    this->bench.Report(info.incarnation.id, {});
+    this->running[info.incarnation.id];
+  }
+
+  void AddIdleBoxOfAnotherPool() {
+    jobs::Config config;
+    config.services = {{.name = "pool"}, {.name = "other"}};
+    this->bench.scheduler.SetConfig(config, this->bench.now);
+    WorkerInfo idle = Bench::Worker("idle");
+    idle.service = "other";
+    this->AddWorker(idle);
+  }
+
+  // The box is back at once, with a new worker.
+  void Move(const MoveBox& move) {
+    this->bench.scheduler.MoveAnswered(move, BoxCallOutcome::kDone,
+                                       this->bench.now);
+    this->running.erase("idle");
+    WorkerInfo moved = Bench::Worker("moved");
+    moved.box = move.box;
+    moved.service = move.pool;
+    this->AddWorker(moved);
+  }
+
+  // Runs one pass and returns its actions.
+  std::vector<Action> RunPass() {
+    if (this->pass == kArrivalPass) {
       jobs::Step large = Bench::OneLongRunningTask();
       large.task_resources = {.cpu_millis = 500, .memory_mb = 3000, .gpus = 0};
-      bench.AddJob("large", large);
+      this->bench.AddJob("large", large);
     }
-    const std::vector<Action> actions = bench.RunPass();
-    bench.Save(Only<SaveProgress>(actions));
-    std::vector<StartRun> starts = Only<StartRun>(actions);
-    for (const StartRun& more : Only<StartRun>(bench.scheduler.TakeActions()))
-      starts.push_back(more);
-    for (const StartRun& start : starts) {
-      bench.scheduler.StartAnswered(start, CommandOutcome::kDone, bench.now);
-      running[start.worker.id].push_back(start);
-      is_started = is_started || start.task.job == "large";
+    std::vector<Action> actions = this->bench.RunPass();
+    this->bench.Save(Only<SaveProgress>(actions));
+    for (Action& action : this->bench.scheduler.TakeActions())
+      actions.push_back(std::move(action));
+    for (const StartRun& start : Only<StartRun>(actions))
+      this->Start(start);
+    for (const auto& [worker, runs] : this->running)
+      this->Report(worker);
+    ++this->pass;
+    return actions;
+  }
+
+  Bench bench{1};
+  int pass = 0;
+  std::string started_on;  // the large task's worker, empty while it waits
+
+ private:
+  void Start(const StartRun& start) {
+    this->bench.scheduler.StartAnswered(start, CommandOutcome::kDone,
+                                        this->bench.now);
+    this->running[start.worker.id].push_back(start);
+    if (start.task.job == "large")
+      this->started_on = start.worker.id;
+  }
+
+  void Report(const std::string& worker) {
+    std::vector<StartRun>& runs = this->running[worker];
+    WorkerReport report;
+    if (this->pass > 0 && runs.size() > this->keeps) {
+      report.ended.push_back({.sequence = this->pass + 1,
+                              .task = runs.front().task,
+                              .run = runs.front().run,
+                              .reason = RunEndReason::kSucceeded,
+                              .checkpoint = ""});
+      runs.erase(runs.begin());
     }
-    ++number;
-    for (auto& [worker, runs] : running) {
-      WorkerReport report;
-      if (pass > 0 && !runs.empty()) {
-        report.ended.push_back({.sequence = number,
-                                .task = runs.front().task,
-                                .run = runs.front().run,
-                                .reason = RunEndReason::kSucceeded,
-                                .checkpoint = ""});
-        runs.erase(runs.begin());
-      }
-      for (const StartRun& run : runs) {
-        report.running.push_back({.task = run.task,
-                                  .run = run.run,
-                                  .checkpoint = "",
-                                  .percent = pass % 100});
-      }
-      bench.Report(worker, report, bench.now + seconds(4));
+    for (const StartRun& run : runs) {
+      report.running.push_back({.task = run.task,
+                                .run = run.run,
+                                .checkpoint = "",
+                                .percent = this->pass % 100});
     }
+    this->bench.Report(worker, report, this->bench.now + seconds(4));
+  }
+
+  std::size_t keeps = 0;
+  std::map<std::string, std::vector<StartRun>> running;
+};
+
+// Each slot that becomes free is too small for the large task and goes to the
+// next small one, although the large task has precedence.
+BOOST_AUTO_TEST_CASE(LongRunningTaskWithLargeMemoryStartsInFullPool) {
+  StarvedLargeTask pool(0);
+  while (pool.pass < 30 && pool.started_on.empty())
+    pool.RunPass();
+  BOOST_TEST(!pool.started_on.empty());
+}
+
+// Three tasks of each box do not end, so no box of the pool ever has enough; an
+// idle box of another pool has.
+BOOST_AUTO_TEST_CASE(LongRunningTaskWithLargeMemoryStartsOnAMovedBox) {
+  StarvedLargeTask pool(3);
+  while (pool.pass <= StarvedLargeTask::kArrivalPass)
+    pool.RunPass();
+  pool.AddIdleBoxOfAnotherPool();
+  while (pool.pass < 30 && pool.started_on.empty()) {
+    for (const MoveBox& move : Only<MoveBox>(pool.RunPass()))
+      pool.Move(move);
   }
-  BOOST_TEST(is_started);
+  BOOST_TEST(pool.started_on == "moved");
 }
 
 }  // namespace
