Log line long_running_wait: what keeps long-running tasks off a pool's workers

pool_state says that tasks wait for room, and not whether it is cores, memory, a limit of tasks per box or a reservation, nor whether the tasks are long-running. Without that a pool full of tasks that never end looks like one full of small tasks. One line a second for each pool in which such a task has waited for more than 2 s, so at most as many as pool_state lines.

No change of logic.

--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -290,6 +290,30 @@
                {"waiting_for", FormatWaitReasons(state)},
                {"given_up", state.given_up}});
   }
+  this->LogLongRunningWaits(now);
+}
+
+void ShardManager::LogLongRunningWaits(base::Micros now) {
+  for (const scheduler::LongRunningWait& wait :
+       this->scheduler.LongRunningWaits(now)) {
+    base::Log(base::Event::kLongRunningWait,
+              {{"shard", this->shard.number},
+               {"pool", wait.pool},
+               {"waiting", wait.waiting},
+               {"interrupted", wait.interrupted},
+               {"task", platform::TaskName(wait.task)},
+               {"waited_ms", base::Millis(wait.waited)},
+               {"cpu_millis", wait.takes.cpu_millis},
+               {"memory_mb", wait.takes.memory_mb},
+               {"gpus", wait.takes.gpus},
+               {"usable", wait.usable},
+               {"cores", wait.with_cores},
+               {"memory", wait.with_memory},
+               {"fitting", wait.fitting},
+               {"at_limit", wait.at_limit},
+               {"unlabelled", wait.unlabelled},
+               {"reserved", wait.reserved}});
+  }
 }
 
 std::string ShardManager::Dump() const {
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -102,6 +102,24 @@
   int load_percent = 0;
 };
 
+// Long-running tasks of a pool that wait for capacity, and what keeps the first
+// of them in scheduling order off the pool's usable workers.
+struct LongRunningWait {
+  std::string pool;
+  int waiting = 0;      // such tasks
+  int interrupted = 0;  // of them, those that have run before
+  jobs::TaskId task;    // the first of them
+  base::Micros waited{};
+  jobs::Resources takes;
+  int usable = 0;
+  int with_cores = 0;
+  int with_memory = 0;
+  int fitting = 0;  // have enough of everything; the next ones are among them
+  int at_limit = 0;
+  int unlabelled = 0;
+  int reserved = 0;
+};
+
 struct FleetView {
   std::vector<FleetBox> boxes;
   std::vector<FleetPool> pools;
--- a/scheduler/placement_test.cc
+++ b/scheduler/placement_test.cc
@@ -37,6 +37,33 @@
   }
 }
 
+// The worker has cores for the waiting task, but no memory.
+BOOST_AUTO_TEST_CASE(WaitOfALongRunningTaskIsExplained) {
+  Bench bench(1);
+  bench.scheduler.UpdateWorker(Bench::Worker("a"), bench.now);
+  bench.Report("a", {});
+  jobs::Step step = Bench::OneLongRunningTask();
+  step.task_resources.memory_mb = 3000;
+  bench.AddJob("first", step);
+  bench.Save(Only<SaveProgress>(bench.RunPass()));
+  bench.AddJob("waiting", step);
+  bench.RunPass();
+  BOOST_TEST(bench.scheduler.LongRunningWaits(bench.now).empty());
+  for (int i = 0; i < 7; ++i) {
+    bench.Report("a", {});
+    bench.RunPass();
+  }
+  const auto waits = bench.scheduler.LongRunningWaits(bench.now);
+  BOOST_REQUIRE(waits.size() == 1U);
+  BOOST_TEST(waits[0].task.job == "waiting");
+  BOOST_TEST(waits[0].waiting == 1);
+  BOOST_TEST(waits[0].interrupted == 0);
+  BOOST_TEST(waits[0].usable == 1);
+  BOOST_TEST(waits[0].with_cores == 1);
+  BOOST_TEST(waits[0].with_memory == 0);
+  BOOST_TEST(waits[0].fitting == 0);
+}
+
 // The shard has one box, in another pool; the task needs a tenth of it.
 BOOST_AUTO_TEST_CASE(SmallTaskInAPoolWithoutBoxesGetsOne) {
   Bench bench(1);
--- a/scheduler/pool_state.cc
+++ b/scheduler/pool_state.cc
@@ -8,6 +8,10 @@
 
 namespace {
 
+// A long-running task's wait for capacity is reported if it is longer than
+// this.
+constexpr base::Micros kReportedWait = std::chrono::seconds(2);
+
 // CPU cores of a box, and whether the box may move to another pool.
 struct BoxCores {
   const std::string* pool = nullptr;
@@ -97,6 +101,69 @@
   return list;
 }
 
+std::vector<LongRunningWait> Scheduler::LongRunningWaits(
+    base::Micros now) const {
+  std::vector<LongRunningWait> list;
+  for (const auto& [service, tasks] : this->ready) {
+    LongRunningWait wait{.pool = service};
+    const ReadyTask* first = nullptr;
+    for (const ReadyTask& task : tasks) {
+      const Task& waiting = TaskAt(*task.job, task.position);
+      const base::Micros waited = now - waiting.ready_since;
+      if (!StepOf(*task.job, task.position).long_running ||
+          waiting.state != TaskState::kReady ||
+          waiting.wait_reason != WaitReason::kCapacity ||
+          waited <= kReportedWait)
+        continue;
+      ++wait.waiting;
+      wait.interrupted += waiting.latest_run > 0;
+      if (first)
+        continue;
+      first = &task;
+      wait.task = IdOf(*task.job, task.position);
+      wait.waited = waited;
+      wait.takes = ReservedBy(StepOf(*task.job, task.position));
+    }
+    if (!first)
+      continue;
+    for (const auto& [id, worker] : this->workers) {
+      if (worker.info.service == service && this->IsUsable(worker, now))
+        this->CountWorker(worker, *first, wait);
+    }
+    list.push_back(std::move(wait));
+  }
+  return list;
+}
+
+// Adds the worker to the counts of what keeps the task off its pool's workers.
+void Scheduler::CountWorker(const Worker& worker,
+                            const ReadyTask& task,
+                            LongRunningWait& wait) const {
+  const Job& job = *task.job;
+  const jobs::Step& step = StepOf(job, task.position);
+  const jobs::Resources free = worker.free_capacity();
+  ++wait.usable;
+  wait.with_cores += free.cpu_millis >= wait.takes.cpu_millis;
+  wait.with_memory += free.memory_mb >= wait.takes.memory_mb;
+  if (!jobs::Fits(wait.takes, free))
+    return;
+  ++wait.fitting;
+  const std::vector<Task>& all = StepAt(job, task.position).tasks;
+  const std::int64_t here =
+      std::count_if(all.begin(), all.end(), [&](const Task& one) {
+        return one.state == TaskState::kPlaced &&
+               one.worker == worker.info.incarnation;
+      });
+  wait.at_limit += step.max_per_worker > 0 && here >= step.max_per_worker;
+  const std::vector<std::string>& labels = worker.info.labels;
+  wait.unlabelled +=
+      !step.label.empty() &&
+      std::find(labels.begin(), labels.end(), step.label) == labels.end();
+  const jobs::Resources held =
+      this->reservations.HeldFrom(job, task.position, worker);
+  wait.reserved += !jobs::Fits(wait.takes + held, free);
+}
+
 // A worker's first label is the kind of its box.
 std::vector<std::string> Scheduler::BoxKinds() const {
   std::set<std::string> kinds;
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -184,6 +184,9 @@
   // Number of accepted jobs without a started task, by queue.
   std::map<std::string, int> WaitingJobs() const;
   std::vector<PoolState> PoolStates(base::Micros now) const;
+  // For each pool with a long-running task that has waited for capacity for
+  // more than 2 s.
+  std::vector<LongRunningWait> LongRunningWaits(base::Micros now) const;
   // Quota needs in this shard of the organisations that have a quota.
   std::map<std::string, QuotaNeed> QuotaNeeds() const {
     return this->quotas.Needs();
@@ -375,6 +378,9 @@
                         base::Micros now);
   WaitReason ReasonForNoWorker(const jobs::Step& step) const;
   bool HasSuitableWorker(const jobs::Step& step) const;
+  void CountWorker(const Worker& worker,
+                   const ReadyTask& task,
+                   LongRunningWait& wait) const;
   std::vector<Assignment> ChooseWorkers(const Job& job,
                                         const TaskPosition& position,
                                         const std::vector<Worker*>& candidates,
