An interrupted long-running task starts before ones that have never run

What callers saw: a long-running task that had failed, or whose worker was lost, stayed away for 10 to 25 s under a flood of long-running jobs (LOST).

Cause: long-running tasks waited in the order in which they became ready. In a pool that is full of tasks that never end, a task that fails frees exactly the capacity that it needs, and the next pass gave it to a task of another job that had waited for longer and had never run; the failed one then stood behind all of them (443 in one trace) and nothing more became free.

Change: such tasks are a scheduling class of their own, before those that have never run. A box for a stuck task is asked for by the step, not by the class.

FailedLongRunningTaskStartsBeforeOnesThatNeverRan fails without the change.

--- a/scheduler/box_planning.cc
+++ b/scheduler/box_planning.cc
@@ -126,7 +126,7 @@
   return waiting.state == TaskState::kReady &&
          waiting.wait_reason == WaitReason::kCapacity &&
          now - waiting.ready_since > kStuckAfter &&
-         (task.scheduling_class == SchedulingClass::kLongRunning || has_cores);
+         (StepOf(*task.job, task.position).long_running || has_cores);
 }
 
 // Raises the minimum of pools whose boxes are exhausted in something other than
--- a/scheduler/placement_test.cc
+++ b/scheduler/placement_test.cc
@@ -37,6 +37,33 @@
   }
 }
 
+// The failed task fits only into the capacity that it has just freed, and a
+// task that has never run has waited for longer.
+BOOST_AUTO_TEST_CASE(FailedLongRunningTaskStartsBeforeOnesThatNeverRan) {
+  Bench bench(1);
+  bench.scheduler.UpdateWorker(Bench::Worker("a"), bench.now);
+  bench.Report("a", {});
+  jobs::Step step = Bench::OneLongRunningTask();
+  step.task_resources.memory_mb = 3000;
+  bench.AddJob("running", step);
+  const StartRun start = bench.NextStart();
+  bench.scheduler.StartAnswered(start, CommandOutcome::kDone, bench.now);
+  bench.AddJob("waiting", step);
+  bench.RunPass();
+  bench.Report("a", {.ended = {{.sequence = 1,
+                                .task = start.task,
+                                .run = start.run,
+                                .reason = RunEndReason::kFailed,
+                                .checkpoint = ""}}});
+  bench.RunPass();
+  const auto is_placed = [&](const char* job) {
+    const Job& one = bench.scheduler.all_jobs().at(job);
+    return StepAt(one, {}).tasks.front().state == TaskState::kPlaced;
+  };
+  BOOST_TEST(is_placed("running"));
+  BOOST_TEST(!is_placed("waiting"));
+}
+
 // The worker has cores for the waiting task, but no memory.
 BOOST_AUTO_TEST_CASE(WaitOfALongRunningTaskIsExplained) {
   Bench bench(1);
--- a/scheduler/ready_tasks.cc
+++ b/scheduler/ready_tasks.cc
@@ -13,10 +13,11 @@
 // than a demand peak (some seconds on the sites).
 constexpr base::Micros kOverloadDuration = std::chrono::seconds(1);
 
-constexpr std::array<SchedulingClass, 6> kClassOrder{
-    SchedulingClass::kLongRunning, SchedulingClass::kStarted,
-    SchedulingClass::kNotStarted,  SchedulingClass::kLate,
-    SchedulingClass::kOverRate,    SchedulingClass::kExpired};
+constexpr std::array<SchedulingClass, 7> kClassOrder{
+    SchedulingClass::kInterrupted, SchedulingClass::kLongRunning,
+    SchedulingClass::kStarted,     SchedulingClass::kNotStarted,
+    SchedulingClass::kLate,        SchedulingClass::kOverRate,
+    SchedulingClass::kExpired};
 
 ReadyTask RangeBegin(int priority, SchedulingClass scheduling_class) {
   ReadyTask first;
@@ -37,15 +38,19 @@
 
 }  // namespace
 
-// Tasks go earliest deadline first (EDF) unless their class is overloaded. In a
-// demand peak a pool receives for some seconds more work than all the boxes it
-// can get could run. EDF then starts every job just after its deadline, so that
-// all are late. Starting the newest tasks first instead costs only jobs that
-// would be late anyway, and most of the pool's capacity goes to jobs that
-// finish on time (simulated in ready_tasks_test, 6 s at 2.5 times the capacity:
-// 24% on time with EDF, 50% with newest first). The same holds for late jobs
-// near their firm deadline (same peak: 53% useful with EDF, 61% with newest
-// first). Jobs that have started are finished first. Jobs over their
+// Long-running tasks go in the order in which they became ready, those that
+// have run before first. Otherwise a task that fails in a full pool would lose
+// its own capacity to a task that has never run, and wait for all such tasks.
+//
+// Other tasks go earliest deadline first (EDF) unless their class is
+// overloaded. In a demand peak a pool receives for some seconds more work than
+// all the boxes it can get could run. EDF then starts every job just after its
+// deadline, so that all are late. Starting the newest tasks first instead costs
+// only jobs that would be late anyway, and most of the pool's capacity goes to
+// jobs that finish on time (simulated in ready_tasks_test, 6 s at 2.5 times the
+// capacity: 24% on time with EDF, 50% with newest first). The same holds for
+// late jobs near their firm deadline (same peak: 53% useful with EDF, 61% with
+// newest first). Jobs that have started are finished first. Jobs over their
 // organisation's rate come after all jobs within theirs, so that one
 // organisation's peak does not delay the others and uses only the capacity that
 // they leave.
@@ -64,8 +69,8 @@
                                   attempt))
         return;
     }
-    next = this->tasks.lower_bound(
-        RangeBegin(priority + 1, SchedulingClass::kLongRunning));
+    next =
+        this->tasks.lower_bound(RangeBegin(priority + 1, kClassOrder.front()));
   }
 }
 
@@ -77,8 +82,8 @@
          {SchedulingClass::kStarted, SchedulingClass::kNotStarted,
           SchedulingClass::kLate, SchedulingClass::kOverRate})
       this->DemoteWithin(priority, scheduling_class, now);
-    next = this->tasks.lower_bound(
-        RangeBegin(priority + 1, SchedulingClass::kLongRunning));
+    next =
+        this->tasks.lower_bound(RangeBegin(priority + 1, kClassOrder.front()));
   }
 }
 
--- a/scheduler/ready_tasks.h
+++ b/scheduler/ready_tasks.h
@@ -17,6 +17,7 @@
 
 // Scheduling classes in descending precedence within a priority.
 enum class SchedulingClass {
+  kInterrupted,  // long-running, and has run before: an outage until it runs
   kLongRunning,  // runs until cancelled; overdue from the start
   kStarted,      // can meet the target; the job has started
   kNotStarted,   // can meet the target; the job has not started
--- a/scheduler/ready_tasks_test.cc
+++ b/scheduler/ready_tasks_test.cc
@@ -223,7 +223,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(LateTasksWaitForTasksOnTime) {
-  std::deque<Job> jobs(5);
+  std::deque<Job> jobs(6);
   const base::Micros now = seconds(50);
   auto insert = [&, number = 0](ReadyTasks& tasks, const char* id, int priority,
                                 SchedulingClass scheduling_class,
@@ -244,8 +244,10 @@
   insert(tasks, "late", 0, SchedulingClass::kStarted, -seconds(1));
   insert(tasks, "long-running", 0, SchedulingClass::kLongRunning, -seconds(9));
   insert(tasks, "on time", 0, SchedulingClass::kStarted, seconds(1));
-  const std::vector<std::string> wanted{"long-running", "on time", "late",
-                                        "expired", "less urgent"};
+  insert(tasks, "interrupted", 0, SchedulingClass::kInterrupted, seconds(0));
+  const std::vector<std::string> wanted{"interrupted", "long-running",
+                                        "on time",     "late",
+                                        "expired",     "less urgent"};
   BOOST_TEST(Order(tasks, now) == wanted, boost::test_tools::per_element());
 }
 
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -180,10 +180,13 @@
   const base::Micros left =
       this->LongestChain(job, static_cast<std::size_t>(position.step));
   const bool is_long_running = StepOf(job, position).long_running;
+  const bool has_run = task.latest_run > 0;
   const bool begun = job.has_started || position.step > 0;
   this->ready[job.queue.service].Insert(
       {.priority = job.queue.priority,
-       .scheduling_class = is_long_running    ? SchedulingClass::kLongRunning
+       .scheduling_class = is_long_running && has_run
+                               ? SchedulingClass::kInterrupted
+                           : is_long_running  ? SchedulingClass::kLongRunning
                            : begun            ? SchedulingClass::kStarted
                            : job.is_over_rate ? SchedulingClass::kOverRate
                                               : SchedulingClass::kNotStarted,
