Red test: a failed task of a box that cannot be emptied is not started again

A box that a wave has selected takes nothing more until it is empty.

The test fails with the wave and passes without it. No functional change.

--- a/scheduler/placement_test.cc
+++ b/scheduler/placement_test.cc
@@ -1,5 +1,6 @@
 // Placement passes under overload.
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,62 @@
   BOOST_TEST(!is_placed("waiting"));
 }
 
+// Both boxes are full, so the one that a wave has selected cannot be emptied,
+// and a task that fails there fits nowhere else.
+BOOST_AUTO_TEST_CASE(FailedTaskOfABoxThatCannotBeEvacuatedStartsAgain) {
+  Bench bench(1);
+  std::map<std::string, std::vector<ReportedRun>> running;
+  for (const char* worker : {"a", "b"}) {
+    bench.scheduler.UpdateWorker(Bench::Worker(worker), bench.now);
+    bench.Report(worker, {});
+  }
+  std::vector<StartRun> starts;
+  const auto run_pass = [&] {
+    const std::vector<Action> actions = bench.RunPass();
+    bench.Save(Only<SaveProgress>(actions));
+    starts = Only<StartRun>(bench.scheduler.TakeActions());
+    for (const StartRun& start : starts) {
+      bench.scheduler.StartAnswered(start, CommandOutcome::kDone, bench.now);
+      running[start.worker.id].push_back(
+          {.task = start.task, .run = start.run, .percent = 100});
+    }
+    for (const char* worker : {"a", "b"})
+      bench.Report(worker, {.running = running[worker]},
+                   bench.now + std::chrono::seconds(4));
+  };
+  jobs::Step half = Bench::OneLongRunningTask();
+  half.task_resources.memory_mb = 2000;
+  for (const char* job : {"first", "second", "third", "fourth"})
+    bench.AddJob(job, half);
+  run_pass();
+  BOOST_REQUIRE(running["a"].size() == 2U);
+  BOOST_REQUIRE(running["b"].size() == 2U);
+  bench.scheduler.SetBoxes({{.name = "box-a", .pool = "pool", .worker = "a"},
+                            {.name = "box-b", .pool = "pool", .worker = "b"}},
+                           bench.now, bench.now);
+  bench.scheduler.SetWave({.number = 1,
+                           .boxes = {"box-a"},
+                           .duration = std::chrono::seconds(60),
+                           .max_concurrent = 1},
+                          {}, bench.now);
+  run_pass();
+  const ReportedRun failed = running["a"].front();
+  running["a"].erase(running["a"].begin());
+  bench.Report("a", {.running = running["a"],
+                     .ended = {{.sequence = 1,
+                                .task = failed.task,
+                                .run = failed.run,
+                                .reason = RunEndReason::kFailed,
+                                .checkpoint = ""}}});
+  const base::Micros failed_at = bench.now;
+  bool is_started = false;
+  while (!is_started && bench.now - failed_at < std::chrono::seconds(6)) {
+    run_pass();
+    is_started = !starts.empty();
+  }
+  BOOST_TEST(is_started);
+}
+
 // The worker has cores for the waiting task, but no memory.
 BOOST_AUTO_TEST_CASE(WaitOfALongRunningTaskIsExplained) {
   Bench bench(1);
