Evacuation interrupts no more tasks than fit elsewhere together

Cause: a long-running task on a selected box is stopped if another worker has capacity for it, and each task of each such box was held against the same free capacity, also while earlier ones were still ending or waited for it.

Evidence: EvacuationStopsNoMoreTasksThanFitElsewhere, which stopped 2 tasks for one place before.

Change: a planning round counts the usable workers' free capacity once, less what stopped and waiting interrupted tasks take, and each task that is stopped takes its part.

--- a/scheduler/box_planning.cc
+++ b/scheduler/box_planning.cc
@@ -2,7 +2,9 @@
 // carries out its actions, including the evacuation of boxes.
 
 #include <algorithm>
+#include <optional>
 #include <utility>
+#include <vector>
 
 #include "scheduler/scheduler.h"
 
@@ -243,31 +245,76 @@
          now - worker->second.last_answer_at < kMaxReportAge;
 }
 
-// A task is only interrupted if another worker has capacity for it.
-bool Scheduler::CanRunElsewhere(const jobs::TaskId& id, base::Micros now) {
-  const Job* job = this->FindJob(id.job);
-  if (!job || !HasTask(*job, PositionOf(id)))
+// Free capacity of the usable workers, less what interrupted long-running tasks
+// will take: stopped ones that have not ended yet, and those that wait.
+std::vector<Scheduler::WorkerRoom> Scheduler::RoomBesideInterrupted(
+    base::Micros now) const {
+  std::vector<WorkerRoom> room;
+  for (const auto& [id, worker] : this->workers) {
+    if (this->IsUsable(worker, now))
+      room.push_back({.worker = &worker, .free = worker.free_capacity()});
+  }
+  const auto take = [&room](const std::string& pool,
+                            const jobs::Resources& taken) {
+    const auto fitting =
+        std::find_if(room.begin(), room.end(), [&](const WorkerRoom& one) {
+          return one.worker->info.service == pool &&
+                 jobs::Fits(taken, one.free);
+        });
+    if (fitting != room.end())
+      fitting->free = fitting->free - taken;
+  };
+  for (const auto& [id, worker] : this->workers) {
+    for (const auto& [task, run] : worker.runs) {
+      const auto job = this->jobs.find(task.job);
+      if (run.is_long_running && run.state == RunState::kStopping &&
+          job != this->jobs.end() && !job->second.finished())
+        take(job->second.queue.service, run.reserved);
+    }
+  }
+  for (const auto& [service, tasks] : this->ready) {
+    for (const ReadyTask& task : tasks) {
+      if (task.scheduling_class == SchedulingClass::kInterrupted &&
+          TaskAt(*task.job, task.position).state == TaskState::kReady)
+        take(service, ReservedBy(StepOf(*task.job, task.position)));
+    }
+  }
+  return room;
+}
+
+// A task is only interrupted if another worker has capacity for it. Takes the
+// capacity, so that no two tasks are interrupted for the same.
+bool Scheduler::TakeRoomElsewhere(const jobs::TaskId& id,
+                                  std::vector<WorkerRoom>& room) const {
+  const auto found = this->jobs.find(id.job);
+  if (found == this->jobs.end() || !HasTask(found->second, PositionOf(id)))
     return true;
-  const jobs::Resources takes = ReservedBy(StepOf(*job, PositionOf(id)));
-  const StepState& step_state = StepAt(*job, PositionOf(id));
-  const std::int64_t max_per_box = StepOf(*job, PositionOf(id)).max_per_worker;
-  return std::any_of(
-      this->workers.begin(), this->workers.end(), [&](const auto& entry) {
-        const Worker& worker = entry.second;
+  const Job& job = found->second;
+  const jobs::Step& step = StepOf(job, PositionOf(id));
+  const jobs::Resources takes = ReservedBy(step);
+  const StepState& step_state = StepAt(job, PositionOf(id));
+  const auto fitting =
+      std::find_if(room.begin(), room.end(), [&](const WorkerRoom& one) {
+        const WorkerInfo& info = one.worker->info;
+        if (info.service != job.queue.service || !jobs::Fits(takes, one.free))
+          return false;
         const auto here =
             std::count_if(step_state.tasks.begin(), step_state.tasks.end(),
                           [&](const Task& task) {
                             return task.state == TaskState::kPlaced &&
-                                   task.worker == entry.first;
+                                   task.worker == info.incarnation;
                           });
-        return worker.info.service == job->queue.service &&
-               this->IsUsable(worker, now) &&
-               jobs::Fits(takes, worker.free_capacity()) &&
-               (max_per_box == 0 || here < max_per_box);
+        return step.max_per_worker == 0 || here < step.max_per_worker;
       });
+  if (fitting == room.end())
+    return false;
+  fitting->free = fitting->free - takes;
+  return true;
 }
 
-void Scheduler::StopForEvacuation(const std::string& box, base::Micros now) {
+void Scheduler::StopForEvacuation(const std::string& box,
+                                  std::vector<WorkerRoom>& room,
+                                  base::Micros now) {
   for (auto& [id, worker] : this->workers) {
     if (worker.info.box != box)
       continue;
@@ -275,7 +322,7 @@
       const bool movable =
           run.is_long_running && run.state == RunState::kRunning;
       if (!movable || !this->MayInterrupt(task, now) ||
-          !this->CanRunElsewhere(task, now))
+          !this->TakeRoomElsewhere(task, room))
         continue;
       // Counts as away at once, before the worker reports its end.
       Job* job = this->FindJob(task.job);
@@ -304,9 +351,12 @@
   if (now < this->next_fleet_plan)
     return;
   this->next_fleet_plan = now + kPlanInterval;
+  std::optional<std::vector<WorkerRoom>> room;  // read for evacuations only
   for (FleetAction& action : this->fleet.Plan(this->BuildFleetView(now), now)) {
     if (const auto* evacuate = std::get_if<EvacuateBox>(&action)) {
-      this->StopForEvacuation(evacuate->box, now);
+      if (!room)
+        room = this->RoomBesideInterrupted(now);
+      this->StopForEvacuation(evacuate->box, *room, now);
     } else if (auto* move = std::get_if<MoveBox>(&action)) {
       move->context = this->BoxCallContextOf(move->box, now);
       this->actions.emplace_back(std::move(*move));
--- a/scheduler/placement_test.cc
+++ b/scheduler/placement_test.cc
@@ -1,6 +1,7 @@
 // Placement passes under overload.
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -65,62 +66,100 @@
   BOOST_TEST(!is_placed("waiting"));
 }
 
-// Both boxes are full, so the one that a wave has selected cannot be emptied,
-// and a task that fails there fits nowhere else.
-BOOST_AUTO_TEST_CASE(FailedTaskOfABoxThatCannotBeEvacuatedStartsAgain) {
-  Bench bench(1);
-  std::map<std::string, std::vector<ReportedRun>> running;
-  for (const char* worker : {"a", "b"}) {
-    bench.scheduler.UpdateWorker(Bench::Worker(worker), bench.now);
-    bench.Report(worker, {});
+// Two boxes with long-running tasks of half a box each, one of them selected by
+// a wave.
+class EvacuatedBox {
+ public:
+  explicit EvacuatedBox(int tasks) {
+    for (const char* worker : {"a", "b"}) {
+      this->bench.scheduler.UpdateWorker(Bench::Worker(worker),
+                                         this->bench.now);
+      this->bench.Report(worker, {});
+    }
+    jobs::Step half = Bench::OneLongRunningTask();
+    half.task_resources.memory_mb = 2000;
+    for (int i = 0; i < tasks; ++i)
+      this->bench.AddJob("job-" + std::to_string(i), half);
+    this->RunPass();
+    this->bench.scheduler.SetBoxes(
+        {{.name = "box-a", .pool = "pool", .worker = "a"},
+         {.name = "box-b", .pool = "pool", .worker = "b"}},
+        this->bench.now, this->bench.now);
+  }
+
+  void SelectBox(const std::string& box) {
+    this->bench.scheduler.SetWave({.number = 1,
+                                   .boxes = {box},
+                                   .duration = std::chrono::seconds(60),
+                                   .max_concurrent = 1},
+                                  {}, this->bench.now);
   }
-  std::vector<StartRun> starts;
-  const auto run_pass = [&] {
-    const std::vector<Action> actions = bench.RunPass();
-    bench.Save(Only<SaveProgress>(actions));
-    starts = Only<StartRun>(bench.scheduler.TakeActions());
-    for (const StartRun& start : starts) {
-      bench.scheduler.StartAnswered(start, CommandOutcome::kDone, bench.now);
-      running[start.worker.id].push_back(
+
+  // Runs one pass and returns its actions.
+  std::vector<Action> RunPass() {
+    std::vector<Action> actions = this->bench.RunPass();
+    this->bench.Save(Only<SaveProgress>(actions));
+    for (const Action& action : this->bench.scheduler.TakeActions())
+      actions.push_back(action);
+    for (const StartRun& start : Only<StartRun>(actions)) {
+      this->bench.scheduler.StartAnswered(start, CommandOutcome::kDone,
+                                          this->bench.now);
+      this->running[start.worker.id].push_back(
           {.task = start.task, .run = start.run, .percent = 100});
     }
     for (const char* worker : {"a", "b"})
-      bench.Report(worker, {.running = running[worker]},
-                   bench.now + std::chrono::seconds(4));
-  };
-  jobs::Step half = Bench::OneLongRunningTask();
-  half.task_resources.memory_mb = 2000;
-  for (const char* job : {"first", "second", "third", "fourth"})
-    bench.AddJob(job, half);
-  run_pass();
-  BOOST_REQUIRE(running["a"].size() == 2U);
-  BOOST_REQUIRE(running["b"].size() == 2U);
-  bench.scheduler.SetBoxes({{.name = "box-a", .pool = "pool", .worker = "a"},
-                            {.name = "box-b", .pool = "pool", .worker = "b"}},
-                           bench.now, bench.now);
-  bench.scheduler.SetWave({.number = 1,
-                           .boxes = {"box-a"},
-                           .duration = std::chrono::seconds(60),
-                           .max_concurrent = 1},
-                          {}, bench.now);
-  run_pass();
-  const ReportedRun failed = running["a"].front();
-  running["a"].erase(running["a"].begin());
-  bench.Report("a", {.running = running["a"],
-                     .ended = {{.sequence = 1,
-                                .task = failed.task,
-                                .run = failed.run,
-                                .reason = RunEndReason::kFailed,
-                                .checkpoint = ""}}});
-  const base::Micros failed_at = bench.now;
-  bool is_started = false;
-  while (!is_started && bench.now - failed_at < std::chrono::seconds(6)) {
-    run_pass();
-    is_started = !starts.empty();
+      this->bench.Report(worker, {.running = this->running[worker]},
+                         this->bench.now + std::chrono::seconds(4));
+    return actions;
   }
+
+  // Ends one of the worker's runs.
+  void Fail(const std::string& worker) {
+    std::vector<ReportedRun>& runs = this->running[worker];
+    const ReportedRun failed = runs.front();
+    runs.erase(runs.begin());
+    this->bench.Report(worker, {.running = runs,
+                                .ended = {{.sequence = 1,
+                                           .task = failed.task,
+                                           .run = failed.run,
+                                           .reason = RunEndReason::kFailed,
+                                           .checkpoint = ""}}});
+  }
+
+  Bench bench{1};
+  std::map<std::string, std::vector<ReportedRun>> running;  // by worker
+};
+
+// Both boxes are full, so the selected one cannot be emptied, and a task that
+// fails there fits nowhere else.
+BOOST_AUTO_TEST_CASE(FailedTaskOfABoxThatCannotBeEvacuatedStartsAgain) {
+  EvacuatedBox pool(4);
+  BOOST_REQUIRE(pool.running["a"].size() == 2U);
+  BOOST_REQUIRE(pool.running["b"].size() == 2U);
+  pool.SelectBox("box-a");
+  pool.RunPass();
+  pool.Fail("a");
+  const base::Micros failed_at = pool.bench.now;
+  bool is_started = false;
+  while (!is_started && pool.bench.now - failed_at < std::chrono::seconds(6))
+    is_started = !Only<StartRun>(pool.RunPass()).empty();
   BOOST_TEST(is_started);
 }
 
+// The other box has capacity for one of the two tasks.
+BOOST_AUTO_TEST_CASE(EvacuationStopsNoMoreTasksThanFitElsewhere) {
+  EvacuatedBox pool(3);
+  const std::string full = pool.running["a"].size() == 2U ? "a" : "b";
+  BOOST_REQUIRE(pool.running[full].size() == 2U);
+  pool.SelectBox("box-" + full);
+  std::set<jobs::TaskId> stopped;
+  for (int i = 0; i < 8; ++i) {
+    for (const StopRun& stop : Only<StopRun>(pool.RunPass()))
+      stopped.insert(stop.task);
+  }
+  BOOST_TEST(stopped.size() == 1U);
+}
+
 // The worker has cores for the waiting task, but no memory.
 BOOST_AUTO_TEST_CASE(WaitOfALongRunningTaskIsExplained) {
   Bench bench(1);
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -428,12 +428,21 @@
                              const FleetView& view,
                              std::map<std::string, int>& min_boxes);
   int PriorityOf(const jobs::TaskId& task) const;
-  void StopForEvacuation(const std::string& box, base::Micros now);
+  // Free capacity of a worker that is not yet spoken for.
+  struct WorkerRoom {
+    const Worker* worker = nullptr;
+    jobs::Resources free;
+  };
+  std::vector<WorkerRoom> RoomBesideInterrupted(base::Micros now) const;
+  bool TakeRoomElsewhere(const jobs::TaskId& task,
+                         std::vector<WorkerRoom>& room) const;
+  void StopForEvacuation(const std::string& box,
+                         std::vector<WorkerRoom>& room,
+                         base::Micros now);
   BoxCallContext BoxCallContextOf(const std::string& box,
                                   base::Micros now) const;
   void ReclaimBox(const std::string& box, base::Micros now);
   bool MayInterrupt(const jobs::TaskId& task, base::Micros now) const;
-  bool CanRunElsewhere(const jobs::TaskId& task, base::Micros now);
   bool IsKnownToServe(const Task& task, base::Micros now) const;
 
   SchedulerLimits limits;
