--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -186,6 +186,9 @@
   // Number of accepted jobs without a started task, by queue.
   std::map<std::string, int> WaitingJobs() const;
   std::vector<PoolState> PoolStates(base::Micros now) const;
+  // For each pool with a long-running task that has waited for capacity for
+  // more than 2 s.
+  std::vector<LongRunningWait> LongRunningWaits(base::Micros now) const;
   // Quota needs in this shard of the organisations that have a quota.
   std::map<std::string, QuotaNeed> QuotaNeeds() const {
     return this->quotas.Needs();
@@ -378,6 +381,9 @@
                         base::Micros now);
   WaitReason ReasonForNoWorker(const jobs::Step& step) const;
   bool HasSuitableWorker(const jobs::Step& step) const;
+  void CountWorker(const Worker& worker,
+                   const ReadyTask& task,
+                   LongRunningWait& wait) const;
   std::vector<Assignment> ChooseWorkers(const Job& job,
                                         const TaskPosition& position,
                                         const std::vector<Worker*>& candidates,
@@ -426,12 +432,21 @@
                              const FleetView& view,
                              std::map<std::string, int>& min_boxes);
   int PriorityOf(const jobs::TaskId& task) const;
-  void StopForEvacuation(const std::string& box, base::Micros now);
+  // Free capacity of a worker that is not yet spoken for.
+  struct WorkerRoom {
+    const Worker* worker = nullptr;
+    jobs::Resources free;
+  };
+  std::vector<WorkerRoom> RoomBesideInterrupted(base::Micros now) const;
+  bool TakeRoomElsewhere(const jobs::TaskId& task,
+                         std::vector<WorkerRoom>& room) const;
+  void StopForEvacuation(const std::string& box,
+                         std::vector<WorkerRoom>& room,
+                         base::Micros now);
   BoxCallContext BoxCallContextOf(const std::string& box,
                                   base::Micros now) const;
   void ReclaimBox(const std::string& box, base::Micros now);
   bool MayInterrupt(const jobs::TaskId& task, base::Micros now) const;
-  bool CanRunElsewhere(const jobs::TaskId& task, base::Micros now);
   bool IsKnownToServe(const Task& task, base::Micros now) const;
 
   SchedulerLimits limits;
