Log the tasks that wait longest, and why

QH0837 `task_waits` names once a second the four tasks at most that nothing has shown at work for 3 s and that wait longest: ready with its reason, placed with worker, run, its state and the lease that is waited out, or blocked in a job that has no task left.

No functional change.

--- a/base/event_log.h
+++ b/base/event_log.h
@@ -64,6 +64,7 @@
   kOrdersResumed,
   kShardsKnown,
   kPoolState,
+  kTaskWaits,
   kQuotaShared,
 };
 
@@ -74,7 +75,7 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 37> kEvents{{
+inline constexpr std::array<EventInfo, 38> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
@@ -106,6 +107,7 @@
     {Event::kPoolState, 834, Level::kInfo, "pool_state"},
     {Event::kQuotaShared, 835, Level::kInfo, "quota_shared"},
     {Event::kBoxAsked, 836, Level::kInfo, "box_asked"},
+    {Event::kTaskWaits, 837, Level::kInfo, "task_waits"},
     {Event::kRowMalformed, 841, Level::kWarning, "row_malformed"},
     {Event::kConfigInstalled, 842, Level::kInfo, "config_installed"},
     {Event::kZonesEvacuated, 843, Level::kInfo, "zones_evacuated"},
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -160,6 +160,7 @@
                           const platform::WriteResult& result);
   void WriteWaitingCounts();
   void LogPoolStates();
+  void LogLongestWaits(base::Micros now) const;
   BoxLister::OnListed OnBoxesListed();
   platform::Addressee AddresseeOf(const jobs::WorkerIncarnation& worker) const;
   std::optional<scheduler::Job> MakeJob(const std::string& id,
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -29,6 +29,7 @@
 // Minimum interval between builds of the record, which names every worker.
 constexpr base::Micros kMinLeaseWriteInterval = milliseconds(40);
 constexpr int kMaxSavesInFlight = 2;
+constexpr std::size_t kMaxWaitsLogged = 4;
 
 // For each wait reason, the number of waiting tasks and the longest wait in ms.
 std::string FormatWaitReasons(const scheduler::PoolState& state) {
@@ -41,6 +42,11 @@
   return text;
 }
 
+std::string RunStateName(const std::optional<scheduler::RunState>& state) {
+  return state ? std::string(base::NameOf(scheduler::kRunStateNames, *state))
+               : "none";
+}
+
 std::size_t CountParts(const std::vector<scheduler::SaveProgress>& batch) {
   std::set<std::string> parts;
   for (const scheduler::SaveProgress& save : batch)
@@ -273,6 +279,7 @@
   if (now < this->next_pool_log)
     return;
   this->next_pool_log = now + kPoolLogPeriod;
+  this->LogLongestWaits(now);
   for (const scheduler::PoolState& state : this->scheduler.PoolStates(now)) {
     base::Log(base::Event::kPoolState,
               {{"shard", this->shard.number},
@@ -292,6 +299,28 @@
   }
 }
 
+void ShardManager::LogLongestWaits(base::Micros now) const {
+  for (const scheduler::WaitingTask& waiting :
+       this->scheduler.LongestWaits(kMaxWaitsLogged, now)) {
+    base::Log(
+        base::Event::kTaskWaits,
+        {{"shard", this->shard.number},
+         {"task", platform::TaskName(waiting.task)},
+         {"pool", waiting.pool},
+         {"waited_ms", base::Millis(waiting.waited)},
+         {"state", base::NameOf(scheduler::kTaskStateNames, waiting.state)},
+         {"queued", waiting.is_queued},
+         {"reason", base::NameOf(scheduler::kWaitReasonNames, waiting.reason)},
+         {"worker", waiting.worker.id},
+         {"run", waiting.run},
+         {"run_state", RunStateName(waiting.run_state)},
+         {"heard_ms",
+          base::Millis(waiting.last_answer_ago.value_or(milliseconds(-1)))},
+         {"failed_calls", waiting.failed_calls},
+         {"lease_ms", base::Millis(waiting.lease_left)}});
+  }
+}
+
 std::string ShardManager::Dump() const {
   Json dump = {{"shard", this->shard.number},
                {"epoch", this->epoch},
--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -27,6 +27,15 @@
   kGivenUp,  // workers crash while running it; not started again
 };
 
+inline constexpr base::EnumNames<TaskState, 6> kTaskStateNames{{
+    {TaskState::kBlocked, "blocked"},
+    {TaskState::kReady, "ready"},
+    {TaskState::kPlaced, "placed"},
+    {TaskState::kDone, "done"},
+    {TaskState::kFailed, "failed"},
+    {TaskState::kGivenUp, "given_up"},
+}};
+
 // Reason why a ready task waits.
 enum class WaitReason {
   kCapacity,          // free capacity in its pool, or its turn
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -35,6 +35,7 @@
 #include "scheduler/reservations.h"
 #include "scheduler/run_times.h"
 #include "scheduler/suspects.h"
+#include "scheduler/waiting_tasks.h"
 #include "scheduler/worker.h"
 #include "scheduler/zone_health.h"
 
@@ -184,6 +185,10 @@
   // Number of accepted jobs without a started task, by queue.
   std::map<std::string, int> WaitingJobs() const;
   std::vector<PoolState> PoolStates(base::Micros now) const;
+  // The tasks that have waited longest, over some seconds, longest first; at
+  // most `most`.
+  std::vector<WaitingTask> LongestWaits(std::size_t most,
+                                        base::Micros now) const;
   // Quota needs in this shard of the organisations that have a quota.
   std::map<std::string, QuotaNeed> QuotaNeeds() const {
     return this->quotas.Needs();
@@ -413,6 +418,15 @@
                                const TaskPosition& position) const;
   int NextRunNumber(const Job& job, const TaskPosition& position) const;
 
+  // operators' view
+  // Empty if a run of the task is known to be at work, or the wait is short.
+  std::optional<WaitingTask> DescribeWait(const Job& job,
+                                          const TaskPosition& position,
+                                          base::Micros now) const;
+  void CollectWaits(const Job& job,
+                    base::Micros now,
+                    std::vector<WaitingTask>& waits) const;
+
   // fleet
   void RunFleet(base::Micros now);
   FleetView BuildFleetView(base::Micros now);
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "base/clock.h"
+#include "base/enum_names.h"
 #include "jobs/job.h"
 #include "scheduler/facts.h"
 #include "scheduler/suspects.h"
@@ -26,6 +27,15 @@
   kStopping,  // being stopped; its resources are freed once its end is reported
 };
 
+inline constexpr base::EnumNames<RunState, 6> kRunStateNames{{
+    {RunState::kPlanned, "planned"},
+    {RunState::kInherited, "inherited"},
+    {RunState::kStarting, "starting"},
+    {RunState::kRunning, "running"},
+    {RunState::kUnsettled, "unsettled"},
+    {RunState::kStopping, "stopping"},
+}};
+
 // The loss of a worker incarnation that may have had the run. It counts only if
 // the next incarnation turns out not to have started the run.
 struct PossibleLoss {
