A renewal is dated by its first attempt, not by the reading of its row

Cause: a new owner waits out the leases that its predecessor may have granted, 10.5 s from that one's last confirmation. It dated the confirmation by when it read the row: after an outage, or in a process that has started anew, that is seconds late. And the row told the time of the renewal's last attempt, while its owner counts its leases from the first.

Change: the row tells the first attempt of its renewal on the store's clock, and a reader takes that, with the slack for the clocks' error and drift; without a time it dates by the reading as before. `ownership_gained` shows what the wait is counted from.

Why it holds: an owner's confirmation is the first attempt of the newest renewal in the row (OwnerLease), so no confirmation of any earlier owner is younger than the row that the takeover's condition names.

Tests that failed before: RenewalIsNotDatedByTheReadingOfItsRow (with the reader's half undone), RenewalThroughAnOutageTellsItsFirstAttempt (with the writer's half undone).

--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -24,9 +24,6 @@
 // change about 1,700 rows a second: an owner that paused for 400 ms would fall
 // behind.
 constexpr base::Micros kWorkerFeedPause = milliseconds(50);
-// Bound on the error of the estimated store clock, which is about the fastest
-// response time of the store: some hundred ms if the store is slow.
-constexpr base::Micros kStoreClockSlack = milliseconds(1000);
 
 std::optional<jobs::Progress> DecodeProgressRow(const platform::Row& row) {
   const auto stored = DecodeProgressRecord(row.value);
--- a/entry/owner_lease.cc
+++ b/entry/owner_lease.cc
@@ -30,6 +30,15 @@
   ++attempts.count;
 }
 
+std::optional<base::Micros> OwnerLease::FirstAttempt(
+    std::uint64_t epoch,
+    std::uint64_t sequence) const {
+  const auto found = this->pending.find({epoch, sequence});
+  return found == this->pending.end()
+             ? std::nullopt
+             : std::optional<base::Micros>(found->second.first_sent);
+}
+
 // Earlier attempts of the same renewal may still be written.
 void OwnerLease::OnRenewalNotWritten(std::uint64_t epoch,
                                      std::uint64_t sequence) {
--- a/entry/owner_lease.h
+++ b/entry/owner_lease.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <utility>
 
 #include "base/clock.h"
@@ -26,6 +27,11 @@
   // The row contains this renewal.
   void OnRenewalWritten(std::uint64_t epoch, std::uint64_t sequence);
 
+  // When this renewal was first sent; empty if its outcome is known or no
+  // attempt was made.
+  std::optional<base::Micros> FirstAttempt(std::uint64_t epoch,
+                                           std::uint64_t sequence) const;
+
   // Commands may be sent before this time; zero before the first renewal.
   base::Micros valid_until() const { return this->expiry; }
   // When the newest renewal that the row is known to contain was first sent.
--- a/entry/ownership.cc
+++ b/entry/ownership.cc
@@ -101,7 +101,7 @@
     this->holder_since = now;
   const bool is_own = this->IsOwn(*decoded);
   if (!is_own)
-    this->previous_owner_renewal = now;
+    this->previous_owner_renewal = this->LatestRenewal(*decoded, now);
   this->version = received.version;
   this->record = *decoded;
   this->unchanged_since = now;
@@ -180,8 +180,30 @@
          kStalledAfterMillis;
 }
 
-std::int64_t Ownership::StoreMillisOrZero(base::Micros now) const {
-  return this->store.knows_clock() ? this->store.StoreMillis(now) : 0;
+// A confirmation counts from the first attempt of its renewal, whichever
+// attempt is written.
+std::int64_t Ownership::RenewalStoreMillis(std::uint64_t epoch,
+                                           std::uint64_t beat,
+                                           base::Micros now) const {
+  const base::Micros first =
+      this->lease.FirstAttempt(epoch, beat).value_or(now);
+  return this->store.knows_clock() ? this->store.StoreMillis(first) : 0;
+}
+
+// A row may be read long after it was written: by a daemon that has restarted,
+// or when the store answers again. Dating its renewal by the reading would
+// extend the leases that a new owner waits out.
+base::Micros Ownership::LatestRenewal(const OwnerRecord& other,
+                                      base::Micros now) const {
+  const auto& reading = this->store.clock_reading();
+  if (other.renewed_store_ms == 0 || !reading)
+    return now;
+  const base::Micros age =
+      milliseconds(reading->store_ms - other.renewed_store_ms) -
+      kStoreClockSlack;
+  return age > base::Micros::zero()
+             ? std::min(now, reading->at - WithoutClockDrift(age))
+             : now;
 }
 
 bool Ownership::is_holder_much_stronger() const {
@@ -257,7 +279,8 @@
     ++next.beat;
     next.cores = this->events.cores();
     next.load = this->events.load();
-    next.renewed_store_ms = this->StoreMillisOrZero(now);
+    next.renewed_store_ms =
+        this->RenewalStoreMillis(next.epoch, next.beat, now);
     this->Write(next, false);
     return;
   }
@@ -269,15 +292,17 @@
     this->ReadRow([](bool) {});
   if (!this->ShouldTakeOver(now))
     return;
-  this->Write({.holder = this->id,
-               .incarnation = this->incarnation,
-               .epoch = this->record.epoch + 1,
-               .beat = 0,
-               .cores = this->events.cores(),
-               .successor = "",
-               .load = this->record.load,
-               .renewed_store_ms = this->StoreMillisOrZero(now)},
-              true);
+  const std::uint64_t next_epoch = this->record.epoch + 1;
+  this->Write(
+      {.holder = this->id,
+       .incarnation = this->incarnation,
+       .epoch = next_epoch,
+       .beat = 0,
+       .cores = this->events.cores(),
+       .successor = "",
+       .load = this->record.load,
+       .renewed_store_ms = this->RenewalStoreMillis(next_epoch, 0, now)},
+      true);
 }
 
 base::Micros Ownership::NextRenewalDelay(base::Micros now) const {
@@ -382,9 +407,15 @@
   this->UpdateTimer();
   this->is_handing_over = false;
   this->held_epoch = this->record.epoch;
-  base::Log(base::Event::kOwnershipGained, {{"shard", this->row.part},
-                                            {"epoch", this->record.epoch},
-                                            {"version", this->version}});
+  const bool had_owner = this->previous_owner_renewal > base::Micros::zero();
+  const base::Micros renewed_ago =
+      base::MonotonicNow() - this->previous_owner_renewal;
+  base::Log(
+      base::Event::kOwnershipGained,
+      {{"shard", this->row.part},
+       {"epoch", this->record.epoch},
+       {"version", this->version},
+       {"earlier_renewed_ms", had_owner ? base::Millis(renewed_ago) : -1}});
   this->events.on_gained(this->record.epoch, this->previous_owner_renewal);
   this->events.on_renewed(this->lease.last_renewal());
 }
--- a/entry/ownership.h
+++ b/entry/ownership.h
@@ -102,7 +102,12 @@
   base::Micros TakeoverDelay() const;
   bool IsOwn(const OwnerRecord& other) const;
   base::Micros NextRenewalDelay(base::Micros now) const;
-  std::int64_t StoreMillisOrZero(base::Micros now) const;
+  // The time of this renewal on the store's clock; 0 if that is unknown.
+  std::int64_t RenewalStoreMillis(std::uint64_t epoch,
+                                  std::uint64_t beat,
+                                  base::Micros now) const;
+  // Upper bound on when the row's holder renewed it last.
+  base::Micros LatestRenewal(const OwnerRecord& other, base::Micros now) const;
   void Write(const OwnerRecord& next, bool is_takeover);
   void OnWriteResult(const platform::WriteResult& result,
                      const OwnerRecord& next,
@@ -141,8 +146,7 @@
   std::uint64_t held_epoch = 0;
   std::uint64_t lost_epoch = 0;
   base::Micros unchanged_since{};
-  // Upper bound on the last renewal by any previous holder: when the last row
-  // of another holder was first seen.
+  // Upper bound on the last renewal by any previous holder.
   base::Micros previous_owner_renewal{};
   base::Micros holder_since{};  // when the current holder was first seen
   base::Micros last_answer{};
--- a/entry/ownership_test.cc
+++ b/entry/ownership_test.cc
@@ -87,6 +87,59 @@
   BOOST_TEST(a.epoch == 8U);
 }
 
+// Guards against tasks of a lost worker that wait for a lease which ended long
+// ago: a restarted daemon dated the last renewal by its first reading.
+BOOST_AUTO_TEST_CASE(RenewalIsNotDatedByTheReadingOfItsRow) {
+  StoreBench bench;
+  const base::Micros start = base::MonotonicNow();
+  OwnerRecord record{
+      .holder = "dead", .incarnation = "1", .epoch = 7, .beat = 3};
+  // The stand-in shows this process's clock.
+  record.renewed_store_ms = base::Millis(start) - 5000;
+  bench.standin.Put(OwnerRow({}), EncodeOwner(record));
+  TestDaemon a(bench.loop, bench.store, "a");
+  bench.Until([&] { return a.ownership.holds(); });
+  // The store's clock is known to within a second, and clocks drift.
+  const base::Micros renewed = start - std::chrono::seconds(5);
+  BOOST_CHECK(a.previous_owner_renewal >= renewed);
+  BOOST_CHECK(a.previous_owner_renewal <=
+              renewed + std::chrono::milliseconds(1500));
+}
+
+// Guards against the same wait after an outage of the store: the renewal that
+// was written when it ended told the time of its last attempt.
+BOOST_AUTO_TEST_CASE(RenewalThroughAnOutageTellsItsFirstAttempt) {
+  StoreBench bench;
+  TestDaemon a(bench.loop, bench.store, "a");
+  bench.Until([&] { return a.renewals >= 2; });
+  const auto stored = [&] {
+    return DecodeOwner(bench.standin.Value(OwnerRow({})))
+        .value_or(OwnerRecord{});
+  };
+  const std::uint64_t beat = stored().beat;
+  bench.standin.SetMood(StoreStandin::Mood::kCuts);
+  BOOST_TEST(!bench.Within(std::chrono::seconds(2),
+                           [&] { return stored().beat > beat; }));
+  // The stand-in shows this process's clock.
+  const std::int64_t outage_end = base::Millis(base::MonotonicNow());
+  bench.standin.SetMood(StoreStandin::Mood::kWell);
+  bench.Until([&] { return stored().beat > beat; });
+  BOOST_TEST(stored().renewed_store_ms > 0);
+  BOOST_TEST(stored().renewed_store_ms < outage_end);
+}
+
+BOOST_AUTO_TEST_CASE(RenewalOfUnknownTimeIsDatedByTheReadingOfItsRow) {
+  StoreBench bench;
+  const base::Micros start = base::MonotonicNow();
+  bench.standin.Put(
+      OwnerRow({}),
+      EncodeOwner(
+          {.holder = "dead", .incarnation = "1", .epoch = 7, .beat = 3}));
+  TestDaemon a(bench.loop, bench.store, "a");
+  bench.Until([&] { return a.ownership.holds(); });
+  BOOST_CHECK(a.previous_owner_renewal >= start);
+}
+
 // An unresponsive store must not be mistaken for a silent holder. Once, a
 // takeover sent during such an outage was written when the outage ended, and
 // the new owner waited 10.5 s for a worker that had died meanwhile.
--- a/entry/tables.h
+++ b/entry/tables.h
@@ -123,7 +123,7 @@
   // the shard.
   std::string successor;
   ShardLoad load;  // at the time of this heartbeat
-  // When this heartbeat was sent, on the store's clock; 0 if unknown.
+  // When this heartbeat was first sent, on the store's clock; 0 if unknown.
   std::int64_t renewed_store_ms = 0;
 };
 std::string EncodeOwner(const OwnerRecord& record);
--- a/entry/timing.h
+++ b/entry/timing.h
@@ -39,6 +39,18 @@
       static_cast<double>(span.count()) * kClockDriftFactor));
 }
 
+// Bound on the error of the estimated store clock, which is about the fastest
+// response time of the store: some hundred ms if the store is slow.
+inline constexpr base::Micros kStoreClockSlack =
+    std::chrono::milliseconds(1000);
+
+// Lower bound, on the local clock, of such a time span.
+inline base::Micros WithoutClockDrift(base::Micros span) {
+  constexpr double kClockDriftFactor = 0.95;
+  return base::Micros(static_cast<std::int64_t>(
+      static_cast<double>(span.count()) * kClockDriftFactor));
+}
+
 // Delay before a daemon does what no daemon has done yet: taking a shard that
 // never had an owner, or determining the number of shards. It is inversely
 // proportional to the cores of the daemon's box, so that the strongest box goes
