An owner that ends records when the leases it granted end

The lease record says of it only that it was held, so the next owner waits out the longest lease that the one before could have granted, 10.5 s from its last confirmation, though no lease was longer than 4 s and that owner knew each one's end.

Change: an owner that loses its shard, and so sends nothing more, writes the lease record once more with the end of every lease. A worker without a lease is written as one whose lease is over (its end was 0, which reads as unknown). What another daemon recorded on the store's clock is converted by the newest reading of it (`LatestLocalTime`, shared with the renewals) instead of the largest offset ever seen, which grows wrong with the clocks' drift.

Why it holds: every lease is counted before its command is sent; the write has the version as its condition, so a next owner that has recorded its own workers is not overwritten, and one that has not merges it. A record write in flight, a killed owner: as before.

Test that failed before: StoppedOwnerRecordsWhenItsLeasesEnd (8 checks).

--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -352,7 +352,10 @@
 }
 
 void JobDaemon::OnOwnershipLost(int shard) {
-  this->ManagedShardAt(shard).destroy_timer.StartOnce(base::Micros(1));
+  ManagedShard& managed = this->ManagedShardAt(shard);
+  if (managed.manager)
+    managed.manager->RecordFinalLeases();
+  managed.destroy_timer.StartOnce(base::Micros(1));
 }
 
 bool JobDaemon::IsReady() const {
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -67,6 +67,9 @@
   void SetEvacuatedZones(const std::set<std::string>& zones);
   // The store confirmed the ownership; the request was sent at `asked`.
   void OwnershipConfirmed(base::Micros asked);
+  // The ownership is lost and no command is sent any more: records when the
+  // granted leases end.
+  void RecordFinalLeases();
 
   // Current load of the shard, on which the choice among shards is based.
   ShardLoad Load() const;
@@ -153,6 +156,8 @@
   void HandleSaveResult(const std::vector<scheduler::SaveProgress>& batch,
                         const platform::WriteResult& result);
   void RecordWorkers();
+  void WriteLeaseRecord(const LeaseRecord& record,
+                        std::function<void(platform::WriteResult)> on_written);
   LeaseRecord MakeLeaseRecord(base::Micros now) const;
   static RecordedWorkers RecordedWorkersOf(const LeaseRecord& record);
   void HandleRecordResult(const RecordedWorkers& recorded,
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -157,19 +157,37 @@
     this->scheduler.WorkersRecorded(recorded.held);
     return;
   }
+  this->WriteLeaseRecord(record, [this, recorded, change, alive = this->alive](
+                                     const platform::WriteResult& result) {
+    if (!*alive)
+      return;
+    this->lease_write_in_flight = false;
+    this->HandleRecordResult(recorded, change, result);
+  });
+}
+
+void ShardManager::WriteLeaseRecord(
+    const LeaseRecord& record,
+    std::function<void(platform::WriteResult)> on_written) {
   const platform::RowKey row = ShardRowKey(kLeaseTable, kLeaseKey, this->shard);
   const platform::WriteBatch write{
       .conditions = {{.at = row, .version = this->lease_version}},
       .puts = {{.at = row, .value = EncodeLeases(record)}},
       .removes = {}};
   this->lease_write_in_flight = true;
-  this->store.Write(write, [this, recorded, change, alive = this->alive](
-                               const platform::WriteResult& result) {
-    if (!*alive)
-      return;
-    this->lease_write_in_flight = false;
-    this->HandleRecordResult(recorded, change, result);
-  });
+  this->store.Write(write, std::move(on_written));
+}
+
+// Without the ends of the leases, the next owner waits out the longest ones
+// that this owner could have granted. If a write of the record is in flight,
+// this one would conflict with it.
+void ShardManager::RecordFinalLeases() {
+  if (!this->started || this->lease_write_in_flight)
+    return;
+  LeaseRecord record = this->MakeLeaseRecord(base::MonotonicNow());
+  for (LeaseHolder& holder : record.workers)
+    holder.held = false;
+  this->WriteLeaseRecord(record, [](const platform::WriteResult&) {});
 }
 
 LeaseRecord ShardManager::MakeLeaseRecord(base::Micros now) const {
@@ -177,10 +195,10 @@
   for (const auto& [id, worker] : this->scheduler.all_workers()) {
     if (!worker.has_reported && worker.latest_lease_end <= now)
       continue;
-    record.workers.push_back(
-        {.worker = worker.info,
-         .held = worker.has_reported,
-         .expires_store_ms = this->store.StoreMillis(worker.latest_lease_end)});
+    record.workers.push_back({.worker = worker.info,
+                              .held = worker.has_reported,
+                              .expires_store_ms = this->store.StoreMillis(
+                                  std::max(worker.latest_lease_end, now))});
   }
   return record;
 }
--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -7,6 +7,7 @@
 
 #include "base/event_log.h"
 #include "entry/manager.h"
+#include "entry/store_clock.h"
 #include "entry/timing.h"
 #include "platform/records.h"
 
@@ -226,14 +227,15 @@
       this->earlier_confirmed +
       WithClockDrift(this->MaxLeaseAfterConfirmation());
   for (const LeaseHolder& holder : record->workers) {
-    const base::Micros recorded_end =
-        this->store.LocalTime(holder.expires_store_ms) + kStoreClockSlack;
+    const auto& clock = this->store.clock_reading();
     // A time of 0 is unknown and no bound.
-    const bool is_bounded = !holder.held && holder.expires_store_ms > 0 &&
-                            this->store.knows_clock();
+    const bool is_bounded =
+        !holder.held && holder.expires_store_ms > 0 && clock;
     this->scheduler.InheritWorker(
         holder.worker,
-        is_bounded ? std::min(latest_end, recorded_end) : latest_end);
+        is_bounded ? std::min(latest_end,
+                              LatestLocalTime(*clock, holder.expires_store_ms))
+                   : latest_end);
   }
   return true;
 }
--- a/entry/ownership.cc
+++ b/entry/ownership.cc
@@ -7,6 +7,7 @@
 
 #include "base/event_log.h"
 #include "entry/renewal_schedule.h"
+#include "entry/store_clock.h"
 #include "entry/timing.h"
 
 namespace quartzhoist::entry {
@@ -198,12 +199,7 @@
   const auto& reading = this->store.clock_reading();
   if (other.renewed_store_ms == 0 || !reading)
     return now;
-  const base::Micros age =
-      milliseconds(reading->store_ms - other.renewed_store_ms) -
-      kStoreClockSlack;
-  return age > base::Micros::zero()
-             ? std::min(now, reading->at - WithoutClockDrift(age))
-             : now;
+  return std::min(now, LatestLocalTime(*reading, other.renewed_store_ms));
 }
 
 bool Ownership::is_holder_much_stronger() const {
--- a/entry/process_test.cc
+++ b/entry/process_test.cc
@@ -2,6 +2,7 @@
 // suspended, stopped or disconnected from the store, crashing workers, and
 // maintenance waves.
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <string>
@@ -9,6 +10,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "entry/tables.h"
 #include "testing/cluster_fixture.h"
 
 namespace quartzhoist::testing {
@@ -108,6 +110,34 @@
   fixture.ExpectAllCompletedOnce();
 }
 
+// Guards against tasks of a worker lost under a stopped owner that wait for the
+// longest lease which that owner could have granted.
+BOOST_AUTO_TEST_CASE(StoppedOwnerRecordsWhenItsLeasesEnd) {
+  ClusterFixture fixture(1);
+  const auto leases = [&] {
+    return entry::DecodeLeases(fixture.cluster.store().Value(entry::ShardRowKey(
+                                   entry::kLeaseTable, entry::kLeaseKey, {})))
+        .value_or(entry::LeaseRecord{});
+  };
+  const auto held = [](const entry::LeaseHolder& holder) {
+    return holder.held;
+  };
+  fixture.SubmitAll();
+  fixture.ExpectAllCompletedOnce();
+  const entry::LeaseRecord first = leases();
+  BOOST_TEST(std::any_of(first.workers.begin(), first.workers.end(), held));
+  Process& stopped = fixture.OwnerProcess();
+  stopped.Signal(SIGTERM);
+  BOOST_TEST(fixture.cluster.WaitUntil(kTimeoutSeconds,
+                                       [&] { return !stopped.running(); }));
+  const entry::LeaseRecord last = leases();
+  BOOST_TEST(last.workers.size() == 4U);
+  for (const entry::LeaseHolder& holder : last.workers) {
+    BOOST_TEST(!holder.held);
+    BOOST_TEST(holder.expires_store_ms > 0);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(OutageOfTheStoreLosesAndDoublesNothing) {
   ClusterFixture fixture(2);
   fixture.cluster.workers().SetRunTime(std::chrono::milliseconds(500));
