An inherited lease end is passed on as it was recorded

Cause, from the records that each owner read (a trial with them logged): each owner adds the slack of the store's clock (1 s) and its drift to the end that it inherits and records the sum, so the end moves by 1.3 s with each owner.

Change: for a worker that has not reported to this owner, the end is recorded as the one that granted the lease recorded it. Where that one recorded none, nothing changes.

No test of its own: open. The process tests of takeovers, stops, outages and crashes pass (13 cases).

--- a/entry/manager.h
+++ b/entry/manager.h
@@ -159,6 +159,9 @@
   void WriteLeaseRecord(const LeaseRecord& record,
                         std::function<void(platform::WriteResult)> on_written);
   LeaseRecord MakeLeaseRecord(base::Micros now) const;
+  // On the store's clock.
+  std::int64_t LeaseEndMillis(const scheduler::Worker& worker,
+                              base::Micros now) const;
   static RecordedWorkers RecordedWorkersOf(const LeaseRecord& record);
   void HandleRecordResult(const RecordedWorkers& recorded,
                           std::uint64_t change,
@@ -218,6 +221,9 @@
   RecordedWorkers recorded_workers;           // as last written
   std::uint64_t recorded_worker_changes = 0;  // worker_changes() at that time
   std::uint64_t lease_version = 0;
+  // Ends of the leases that earlier owners granted, on the store's clock, as
+  // the owner that granted them recorded them; the maximum if it did not.
+  std::map<jobs::WorkerIncarnation, std::int64_t> inherited_lease_ends_ms;
   bool lease_write_in_flight = false;
   std::map<std::string, int> written_counts;
   std::uint64_t count_version = 0;
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -195,14 +195,27 @@
   for (const auto& [id, worker] : this->scheduler.all_workers()) {
     if (!worker.has_reported && worker.latest_lease_end <= now)
       continue;
-    record.workers.push_back({.worker = worker.info,
-                              .held = worker.has_reported,
-                              .expires_store_ms = this->store.StoreMillis(
-                                  std::max(worker.latest_lease_end, now))});
+    record.workers.push_back(
+        {.worker = worker.info,
+         .held = worker.has_reported,
+         .expires_store_ms = this->LeaseEndMillis(worker, now)});
   }
   return record;
 }
 
+// The inherited end is passed on as it was recorded: with the clock's slack, it
+// would move by a second with each owner.
+std::int64_t ShardManager::LeaseEndMillis(const scheduler::Worker& worker,
+                                          base::Micros now) const {
+  const std::int64_t end =
+      this->store.StoreMillis(std::max(worker.latest_lease_end, now));
+  const auto inherited =
+      this->inherited_lease_ends_ms.find(worker.info.incarnation);
+  return worker.has_reported || inherited == this->inherited_lease_ends_ms.end()
+             ? end
+             : std::min(end, inherited->second);
+}
+
 ShardManager::RecordedWorkers ShardManager::RecordedWorkersOf(
     const LeaseRecord& record) {
   RecordedWorkers recorded;
--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
 #include <utility>
 
 #include "base/event_log.h"
@@ -231,6 +232,11 @@
     // A time of 0 is unknown and no bound.
     const bool is_bounded =
         !holder.held && holder.expires_store_ms > 0 && clock;
+    std::int64_t& inherited_end =
+        this->inherited_lease_ends_ms[holder.worker.incarnation];
+    inherited_end = std::max(
+        inherited_end, is_bounded ? holder.expires_store_ms
+                                  : std::numeric_limits<std::int64_t>::max());
     this->scheduler.InheritWorker(
         holder.worker,
         is_bounded ? std::min(latest_end,
