--- a/entry/manager.h
+++ b/entry/manager.h
@@ -67,6 +67,9 @@
   void SetEvacuatedZones(const std::set<std::string>& zones);
   // The store confirmed the ownership; the request was sent at `asked`.
   void OwnershipConfirmed(base::Micros asked);
+  // The ownership is lost and no command is sent any more: records when the
+  // granted leases end.
+  void RecordFinalLeases();
 
   // Current load of the shard, on which the choice among shards is based.
   ShardLoad Load() const;
@@ -153,7 +156,12 @@
   void HandleSaveResult(const std::vector<scheduler::SaveProgress>& batch,
                         const platform::WriteResult& result);
   void RecordWorkers();
+  void WriteLeaseRecord(const LeaseRecord& record,
+                        std::function<void(platform::WriteResult)> on_written);
   LeaseRecord MakeLeaseRecord(base::Micros now) const;
+  // On the store's clock.
+  std::int64_t LeaseEndMillis(const scheduler::Worker& worker,
+                              base::Micros now) const;
   static RecordedWorkers RecordedWorkersOf(const LeaseRecord& record);
   void HandleRecordResult(const RecordedWorkers& recorded,
                           std::uint64_t change,
@@ -161,6 +169,7 @@
   void WriteWaitingCounts();
   void LogPoolStates();
   void LogLongRunningWaits(base::Micros now);
+  void LogLongestWaits(base::Micros now) const;
   BoxLister::OnListed OnBoxesListed();
   platform::Addressee AddresseeOf(const jobs::WorkerIncarnation& worker) const;
   std::optional<scheduler::Job> MakeJob(const std::string& id,
@@ -213,6 +222,9 @@
   RecordedWorkers recorded_workers;           // as last written
   std::uint64_t recorded_worker_changes = 0;  // worker_changes() at that time
   std::uint64_t lease_version = 0;
+  // Ends of the leases that earlier owners granted, on the store's clock, as
+  // the owner that granted them recorded them; the maximum if it did not.
+  std::map<jobs::WorkerIncarnation, std::int64_t> inherited_lease_ends_ms;
   bool lease_write_in_flight = false;
   std::map<std::string, int> written_counts;
   std::uint64_t count_version = 0;
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -29,6 +29,7 @@
 // Minimum interval between builds of the record, which names every worker.
 constexpr base::Micros kMinLeaseWriteInterval = milliseconds(40);
 constexpr int kMaxSavesInFlight = 2;
+constexpr std::size_t kMaxWaitsLogged = 4;
 
 // For each wait reason, the number of waiting tasks and the longest wait in ms.
 std::string FormatWaitReasons(const scheduler::PoolState& state) {
@@ -41,6 +42,11 @@
   return text;
 }
 
+std::string RunStateName(const std::optional<scheduler::RunState>& state) {
+  return state ? std::string(base::NameOf(scheduler::kRunStateNames, *state))
+               : "none";
+}
+
 std::size_t CountParts(const std::vector<scheduler::SaveProgress>& batch) {
   std::set<std::string> parts;
   for (const scheduler::SaveProgress& save : batch)
@@ -151,19 +157,37 @@
     this->scheduler.WorkersRecorded(recorded.held);
     return;
   }
+  this->WriteLeaseRecord(record, [this, recorded, change, alive = this->alive](
+                                     const platform::WriteResult& result) {
+    if (!*alive)
+      return;
+    this->lease_write_in_flight = false;
+    this->HandleRecordResult(recorded, change, result);
+  });
+}
+
+void ShardManager::WriteLeaseRecord(
+    const LeaseRecord& record,
+    std::function<void(platform::WriteResult)> on_written) {
   const platform::RowKey row = ShardRowKey(kLeaseTable, kLeaseKey, this->shard);
   const platform::WriteBatch write{
       .conditions = {{.at = row, .version = this->lease_version}},
       .puts = {{.at = row, .value = EncodeLeases(record)}},
       .removes = {}};
   this->lease_write_in_flight = true;
-  this->store.Write(write, [this, recorded, change, alive = this->alive](
-                               const platform::WriteResult& result) {
-    if (!*alive)
-      return;
-    this->lease_write_in_flight = false;
-    this->HandleRecordResult(recorded, change, result);
-  });
+  this->store.Write(write, std::move(on_written));
+}
+
+// Without the ends of the leases, the next owner waits out the longest ones
+// that this owner could have granted. If a write of the record is in flight,
+// this one would conflict with it.
+void ShardManager::RecordFinalLeases() {
+  if (!this->started || this->lease_write_in_flight)
+    return;
+  LeaseRecord record = this->MakeLeaseRecord(base::MonotonicNow());
+  for (LeaseHolder& holder : record.workers)
+    holder.held = false;
+  this->WriteLeaseRecord(record, [](const platform::WriteResult&) {});
 }
 
 LeaseRecord ShardManager::MakeLeaseRecord(base::Micros now) const {
@@ -174,11 +198,24 @@
     record.workers.push_back(
         {.worker = worker.info,
          .held = worker.has_reported,
-         .expires_store_ms = this->store.StoreMillis(worker.latest_lease_end)});
+         .expires_store_ms = this->LeaseEndMillis(worker, now)});
   }
   return record;
 }
 
+// The inherited end is passed on as it was recorded: with the clock's slack, it
+// would move by a second with each owner.
+std::int64_t ShardManager::LeaseEndMillis(const scheduler::Worker& worker,
+                                          base::Micros now) const {
+  const std::int64_t end =
+      this->store.StoreMillis(std::max(worker.latest_lease_end, now));
+  const auto inherited =
+      this->inherited_lease_ends_ms.find(worker.info.incarnation);
+  return worker.has_reported || inherited == this->inherited_lease_ends_ms.end()
+             ? end
+             : std::min(end, inherited->second);
+}
+
 ShardManager::RecordedWorkers ShardManager::RecordedWorkersOf(
     const LeaseRecord& record) {
   RecordedWorkers recorded;
@@ -273,6 +310,7 @@
   if (now < this->next_pool_log)
     return;
   this->next_pool_log = now + kPoolLogPeriod;
+  this->LogLongestWaits(now);
   for (const scheduler::PoolState& state : this->scheduler.PoolStates(now)) {
     base::Log(base::Event::kPoolState,
               {{"shard", this->shard.number},
@@ -316,6 +354,28 @@
   }
 }
 
+void ShardManager::LogLongestWaits(base::Micros now) const {
+  for (const scheduler::WaitingTask& waiting :
+       this->scheduler.LongestWaits(kMaxWaitsLogged, now)) {
+    base::Log(
+        base::Event::kTaskWaits,
+        {{"shard", this->shard.number},
+         {"task", platform::TaskName(waiting.task)},
+         {"pool", waiting.pool},
+         {"waited_ms", base::Millis(waiting.waited)},
+         {"state", base::NameOf(scheduler::kTaskStateNames, waiting.state)},
+         {"queued", waiting.is_queued},
+         {"reason", base::NameOf(scheduler::kWaitReasonNames, waiting.reason)},
+         {"worker", waiting.worker.id},
+         {"run", waiting.run},
+         {"run_state", RunStateName(waiting.run_state)},
+         {"heard_ms",
+          base::Millis(waiting.last_answer_ago.value_or(milliseconds(-1)))},
+         {"failed_calls", waiting.failed_calls},
+         {"lease_ms", base::Millis(waiting.lease_left)}});
+  }
+}
+
 std::string ShardManager::Dump() const {
   Json dump = {{"shard", this->shard.number},
                {"epoch", this->epoch},
--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -3,10 +3,12 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
 #include <utility>
 
 #include "base/event_log.h"
 #include "entry/manager.h"
+#include "entry/store_clock.h"
 #include "entry/timing.h"
 #include "platform/records.h"
 
@@ -24,9 +26,6 @@
 // change about 1,700 rows a second: an owner that paused for 400 ms would fall
 // behind.
 constexpr base::Micros kWorkerFeedPause = milliseconds(50);
-// Bound on the error of the estimated store clock, which is about the fastest
-// response time of the store: some hundred ms if the store is slow.
-constexpr base::Micros kStoreClockSlack = milliseconds(1000);
 
 std::optional<jobs::Progress> DecodeProgressRow(const platform::Row& row) {
   const auto stored = DecodeProgressRecord(row.value);
@@ -229,14 +228,20 @@
       this->earlier_confirmed +
       WithClockDrift(this->MaxLeaseAfterConfirmation());
   for (const LeaseHolder& holder : record->workers) {
-    const base::Micros recorded_end =
-        this->store.LocalTime(holder.expires_store_ms) + kStoreClockSlack;
+    const auto& clock = this->store.clock_reading();
     // A time of 0 is unknown and no bound.
-    const bool is_bounded = !holder.held && holder.expires_store_ms > 0 &&
-                            this->store.knows_clock();
+    const bool is_bounded =
+        !holder.held && holder.expires_store_ms > 0 && clock;
+    std::int64_t& inherited_end =
+        this->inherited_lease_ends_ms[holder.worker.incarnation];
+    inherited_end = std::max(
+        inherited_end, is_bounded ? holder.expires_store_ms
+                                  : std::numeric_limits<std::int64_t>::max());
     this->scheduler.InheritWorker(
         holder.worker,
-        is_bounded ? std::min(latest_end, recorded_end) : latest_end);
+        is_bounded ? std::min(latest_end,
+                              LatestLocalTime(*clock, holder.expires_store_ms))
+                   : latest_end);
   }
   return true;
 }
