A run stopped during a long poll is not repeated before its end

Callers would see two runs of a task at the same time (TWICE), and a start beyond a worker's room (LIMIT).

Cause: a run that a report lists neither as running nor as ended may be one that is being stopped. Such a run was given up once it had been missing for as long as a stop may take, counted from when the first poll without it was sent. Where the run is not known to have been stopped before that poll (a stop whose answer was lost and that was carried out late, a stop of an earlier owner), the stop may begin at any time until the worker answers, so up to the poll's wait of 1.5 s later. With a long or slow first poll the task was placed again, and its room given away, while the stop was still under way.

Change: the time counts from the answer unless an answered stop precedes the poll.

Evidence: RunStoppedDuringALongPollIsNotRepeatedBeforeItsEnd fails without the change (second start within 400 ms of the report).

--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -47,8 +47,8 @@
   base::Micros start_unsettled_at{};  // when the start was given up
   base::Micros stop_answered_at{};    // when a stop was acknowledged; 0: never
   base::Micros stop_sent_at{};        // when a stop was last sent
-  // Send time of the first poll since which neither the run nor its end has
-  // been reported; 0 if it is not missing.
+  // Time since which neither the run nor its end has been reported and a stop
+  // of it has begun, if there is one; 0 if it is not missing.
   base::Micros missing_since{};
   bool is_long_running = false;
   bool fills = false;
--- a/scheduler/worker_reports.cc
+++ b/scheduler/worker_reports.cc
@@ -251,9 +251,11 @@
       continue;
     // A run that is being stopped keeps its resources until its end is
     // reported. A run that never started has no end, so it is dropped once it
-    // has been missing for longer than a stop can take.
+    // has been missing for longer than a stop can take. A stop that this owner
+    // does not know of, or whose answer was lost, may have been carried out
+    // while the worker held the poll open.
     if (run.missing_since == base::Micros::zero())
-      run.missing_since = worker.poll_sent_at;
+      run.missing_since = stop_settled ? worker.poll_sent_at : now;
     else if (worker.poll_sent_at >
              run.missing_since + this->limits.max_stop_time)
       missing.emplace_back(task, run);
