--- a/http/client.cc
+++ b/http/client.cc
@@ -73,6 +73,7 @@
   curl_slist* header_list = nullptr;
   Response response;
   bool over_limit = false;
+  int times_sent = 0;
 };
 
 // A socket of the library's that the loop watches.
@@ -174,9 +175,11 @@
   }
 
   static int BeforeSending(void* user, char*, char*, int, int) {
-    const auto* call = static_cast<const Call*>(user);
-    return call->request.may_send() ? CURL_PREREQFUNC_OK
-                                    : CURL_PREREQFUNC_ABORT;
+    auto* call = static_cast<Call*>(user);
+    if (call->request.may_send && !call->request.may_send())
+      return CURL_PREREQFUNC_ABORT;
+    ++call->times_sent;
+    return CURL_PREREQFUNC_OK;
   }
 
   static void SetMethod(CURL* easy, const ClientRequest& request) {
@@ -224,10 +227,8 @@
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &Callbacks::SocketOptions);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, call.client);
-    if (call.request.may_send) {
-      curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Callbacks::BeforeSending);
-      curl_easy_setopt(easy, CURLOPT_PREREQDATA, &call);
-    }
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Callbacks::BeforeSending);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &call);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     // Hosts are IP numbers. With a time to keep them, the library walks over
     // all that it has seen after each request: 14% of an owner's processor time
@@ -338,6 +339,7 @@
   const auto code = static_cast<CURLcode>(curl_code);
   ClientResult result;
   result.response.status = 0;
+  result.was_repeated = call.times_sent > 1;
   long status = 0;
   curl_easy_getinfo(call.easy, CURLINFO_RESPONSE_CODE, &status);
   call.response.status = static_cast<int>(status);
--- a/http/client.h
+++ b/http/client.h
@@ -38,6 +38,9 @@
   // kNotRun: no byte was sent.
   base::Verdict verdict = base::Verdict::kNotRun;
   Response response;
+  // The library sent the request more than once: `response` is the answer to
+  // the last one, and an earlier one may have run.
+  bool was_repeated = false;
   std::string error;  // for people; empty with a whole answer
 };
 
