Test: faults of a worker, the store and the owner that begin together

The model drew each fault on its own, a few a minute, so that few cases had three of them within a second. Faults of the model can now be begun at a point in time; the random ones are drawn in the same order as before.

No functional change.

--- a/scheduler/model_test.cc
+++ b/scheduler/model_test.cc
@@ -4,9 +4,13 @@
 #include <rapidcheck.h>
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+#include <map>
 #include <string>
 #include <vector>
 
+#include <fmt/format.h>
+
 #include "testing/scheduler_model.h"
 
 namespace quartzhoist::testing {
@@ -97,6 +101,31 @@
   return text;
 }
 
+using FaultTriple = std::array<ModelFault, 3>;
+
+// One fault of a worker, one of the store and one of the owner.
+FaultTriple DrawTriple() {
+  constexpr std::array kOfWorkers = {ModelFault::kCrash, ModelFault::kRestart,
+                                     ModelFault::kPartition,
+                                     ModelFault::kCapacityDrop};
+  constexpr std::array kOfStore = {ModelFault::kAnnouncementOutage,
+                                   ModelFault::kRowOutage};
+  constexpr std::array kOfOwners = {ModelFault::kOwnerPause,
+                                    ModelFault::kTakeover};
+  return {kOfWorkers[static_cast<std::size_t>(DrawBetween(0, 3))],
+          kOfStore[static_cast<std::size_t>(DrawBetween(0, 1))],
+          kOfOwners[static_cast<std::size_t>(DrawBetween(0, 1))]};
+}
+
+void PrintTriples(const std::map<FaultTriple, int>& counts) {
+  for (const auto& [triple, count] : counts) {
+    fmt::print("  {:>4}", count);
+    for (const ModelFault fault : triple)
+      fmt::print(" {}", base::NameOf(kModelFaultNames, fault));
+    fmt::print("\n");
+  }
+}
+
 bool IsLongRunning(const ModelJob& job) {
   return job.spec.steps.back().long_running;
 }
@@ -343,6 +372,51 @@
   BOOST_TEST(holds);
 }
 
+// Faults of a worker, the store and the owner begin within one second of each
+// other, also around the steps of a takeover: a new owner reads the store 1.3 s
+// after the last confirmation, polls, and places within 200 ms.
+BOOST_AUTO_TEST_CASE(GuaranteesHoldWhenFaultsBeginTogether) {
+  std::map<FaultTriple, int> counts;
+  const bool holds = rc::check("faults that begin together", [&counts] {
+    const int workers = DrawBetween(2, 4);
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    ModelFaults faults;
+    faults.lost_answer = DrawBetween(0, 200) / 1000.0;
+    faults.lost_command = DrawBetween(0, 100) / 1000.0;
+    faults.partition = DrawBetween(0, 500) / 1000.0;
+    faults.restart = DrawBetween(0, 500) / 1000.0;
+    faults.failing_run = DrawBetween(0, 200) / 1000.0;
+    const bool has_late_commands = DrawBetween(0, 1) == 1;
+    faults.late_command = has_late_commands ? 0.2 : 0.0;
+    faults.lost_save = DrawBetween(0, 100) / 1000.0;
+    std::vector<ModelJob> jobs = DrawBacklog(workers);
+    jobs.back().spec.steps.back().tasks = 2 * workers;
+    MakeLongRunning(jobs.back().spec.steps.back());
+    SchedulerModel model(seed, faults, workers, jobs);
+    for (int i = 0; i < 4; ++i) {
+      model.RunFor(DrawMillis(500, 2500));
+      if (DrawBetween(0, 1) == 1) {
+        model.BeginTakeover({});
+        model.RunFor(DrawMillis(1200, 1500));
+      }
+      const FaultTriple triple = DrawTriple();
+      ++counts[triple];
+      for (const ModelFault fault : triple)
+        model.BeginAfter(DrawMillis(0, 1000), fault);
+      model.RunFor(DrawMillis(1500, 5000));
+    }
+    model.Heal();
+    model.RunFor(seconds(10));
+    RC_LOG() << Joined(model.violations()) << model.History();
+    // The platform sets no bound for commands that are carried out late.
+    for (const std::string& violation : model.violations())
+      RC_ASSERT(has_late_commands &&
+                violation.find("does not fit") != std::string::npos);
+  });
+  PrintTriples(counts);
+  BOOST_TEST(holds);
+}
+
 // Guards against runs that a cancelled job starts late: a worker carries out a
 // start 2 to 6 s after it was sent, the owner that sent it has been replaced,
 // or both. Each run must be stopped within 5 s of the last late start.
--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -17,6 +17,8 @@
 constexpr base::Micros kGrantBound = milliseconds(10'000);
 // Number of events kept to diagnose a failed test.
 constexpr std::size_t kHistoryLines = 120;
+// Takeovers drawn at random end at this number of owners.
+constexpr std::size_t kMaxOwners = 6;
 // A new owner starts this long after the last confirmation. A confirmed owner
 // may act for a shorter time, so that the two don't overlap.
 constexpr base::Micros kTakeoverDelay = milliseconds(1300);
@@ -316,64 +318,86 @@
 }
 
 void SchedulerModel::InjectFaults() {
-  const double step_seconds = base::Seconds(kStep);
-  if (this->Chance(this->faults.crash * step_seconds)) {
-    auto picked = std::next(
-        this->workers.begin(),
-        static_cast<std::ptrdiff_t>(this->random() % this->workers.size()));
-    if (picked->second.alive) {
-      this->CountLosses(picked->second);
-      picked->second.alive = false;
-      picked->second.running.clear();
-      this->boxes.erase(picked->second.box);
-      this->AddBox("pool");
-    }
-  }
-  if (this->Chance(this->faults.restart * step_seconds)) {
-    auto picked = std::next(
-        this->workers.begin(),
-        static_cast<std::ptrdiff_t>(this->random() % this->workers.size()));
-    if (picked->second.alive)
-      this->Restart(picked->second);
-  }
-  if (this->Chance(this->faults.capacity_drop * step_seconds)) {
-    auto picked = std::next(
-        this->workers.begin(),
-        static_cast<std::ptrdiff_t>(this->random() % this->workers.size()));
-    this->DropCapacity(picked->second, this->Between(1000, 6000));
-  }
-  if (this->Chance(this->faults.announcement_outage * step_seconds))
-    this->BeginAnnouncementOutage({}, this->Between(1000, 6000),
-                                  this->Chance(0.5));
-  if (this->Chance(this->faults.store_outage * step_seconds)) {
-    auto picked = std::next(
-        this->jobs.begin(),
-        static_cast<std::ptrdiff_t>(this->random() % this->jobs.size()));
-    picked->second.unavailable_until = this->now + this->Between(1000, 6000);
+  const std::pair<double, ModelFault> odds_per_second[] = {
+      {this->faults.crash, ModelFault::kCrash},
+      {this->faults.restart, ModelFault::kRestart},
+      {this->faults.capacity_drop, ModelFault::kCapacityDrop},
+      {this->faults.announcement_outage, ModelFault::kAnnouncementOutage},
+      {this->faults.store_outage, ModelFault::kRowOutage},
+      {this->faults.partition, ModelFault::kPartition},
+      {this->faults.owner_pause, ModelFault::kOwnerPause},
+      {this->faults.takeover, ModelFault::kTakeover},
+  };
+  for (const auto& [odds, fault] : odds_per_second) {
+    if (this->Chance(odds * base::Seconds(kStep)))
+      this->Begin(fault);
   }
-  if (this->Chance(this->faults.partition * step_seconds)) {
-    Owner& owner = this->owners[this->random() % this->owners.size()];
-    const auto picked = std::next(
-        this->workers.begin(),
-        static_cast<std::ptrdiff_t>(this->random() % this->workers.size()));
-    const std::string id = picked->first;
-    owner.partitioned_from.insert(id);
-    const std::size_t index =
-        static_cast<std::size_t>(&owner - this->owners.data());
-    this->ScheduleAfter(this->Between(500, 8000), [this, index, id] {
-      this->owners[index].partitioned_from.erase(id);
-    });
-  }
-  if (this->Chance(this->faults.owner_pause * step_seconds))
-    this->PauseOwner({}, this->Between(1000, 6000));
-  if (this->Chance(this->faults.takeover * step_seconds) &&
-      this->owners.size() < 6 && this->is_confirming) {
-    this->is_confirming = false;
-    this->ScheduleAfter(kTakeoverDelay,
-                        [this] { this->StartNewOwnerFromStore(); });
+}
+
+void SchedulerModel::BeginAfter(base::Micros delay, ModelFault fault) {
+  this->ScheduleAfter(delay, [this, fault] { this->Begin(fault); });
+}
+
+void SchedulerModel::Begin(ModelFault fault) {
+  switch (fault) {
+    case ModelFault::kCrash:
+      this->EndIncarnation(this->AnyWorker());
+      break;
+    case ModelFault::kRestart:
+      if (Worker& worker = this->AnyWorker(); worker.alive)
+        this->Restart(worker);
+      break;
+    case ModelFault::kPartition:
+      this->BeginPartition();
+      break;
+    case ModelFault::kCapacityDrop:
+      this->DropCapacity(this->AnyWorker(), this->Between(1000, 6000));
+      break;
+    case ModelFault::kAnnouncementOutage:
+      this->BeginAnnouncementOutage({}, this->Between(1000, 6000),
+                                    this->Chance(0.5));
+      break;
+    case ModelFault::kRowOutage:
+      std::next(this->jobs.begin(),
+                static_cast<std::ptrdiff_t>(this->random() % this->jobs.size()))
+          ->second.unavailable_until = this->now + this->Between(1000, 6000);
+      break;
+    case ModelFault::kOwnerPause:
+      this->PauseOwner({}, this->Between(1000, 6000));
+      break;
+    case ModelFault::kTakeover:
+      if (this->owners.size() < kMaxOwners)
+        this->BeginTakeover({});
+      break;
   }
 }
 
+SchedulerModel::Worker& SchedulerModel::AnyWorker() {
+  return std::next(
+             this->workers.begin(),
+             static_cast<std::ptrdiff_t>(this->random() % this->workers.size()))
+      ->second;
+}
+
+void SchedulerModel::EndIncarnation(Worker& worker) {
+  if (!worker.alive)
+    return;
+  this->CountLosses(worker);
+  worker.alive = false;
+  worker.running.clear();
+  this->boxes.erase(worker.box);
+  this->AddBox("pool");
+}
+
+void SchedulerModel::BeginPartition() {
+  const std::size_t index = this->random() % this->owners.size();
+  const std::string id = this->AnyWorker().id;
+  this->owners[index].partitioned_from.insert(id);
+  this->ScheduleAfter(this->Between(500, 8000), [this, index, id] {
+    this->owners[index].partitioned_from.erase(id);
+  });
+}
+
 void SchedulerModel::PauseOwner(base::Micros delay, base::Micros span) {
   this->ScheduleAfter(delay, [this, span] {
     Owner& owner = this->owners.back();
--- a/testing/scheduler_model.h
+++ b/testing/scheduler_model.h
@@ -59,6 +59,29 @@
   double late_call = 0.0;
 };
 
+// Faults of `ModelFaults` that begin at a point in time.
+enum class ModelFault {
+  kCrash,
+  kRestart,
+  kPartition,
+  kCapacityDrop,
+  kAnnouncementOutage,
+  kRowOutage,
+  kOwnerPause,
+  kTakeover
+};
+
+inline constexpr base::EnumNames<ModelFault, 8> kModelFaultNames{{
+    {ModelFault::kCrash, "crash"},
+    {ModelFault::kRestart, "restart"},
+    {ModelFault::kPartition, "partition"},
+    {ModelFault::kCapacityDrop, "capacity_drop"},
+    {ModelFault::kAnnouncementOutage, "announcement_outage"},
+    {ModelFault::kRowOutage, "row_outage"},
+    {ModelFault::kOwnerPause, "owner_pause"},
+    {ModelFault::kTakeover, "takeover"},
+}};
+
 struct ModelJob {
   std::string id;
   jobs::JobSpec spec;
@@ -104,6 +127,7 @@
   // once the store answers.
   void TakeOver();
   // Each of these begins after the delay.
+  void BeginAfter(base::Micros delay, ModelFault fault);
   void BeginAnnouncementOutage(base::Micros delay,
                                base::Micros span,
                                bool is_whole_store);
@@ -215,6 +239,10 @@
   void ScheduleAfter(base::Micros delay, std::function<void()> action);
   void Step();
   void InjectFaults();
+  void Begin(ModelFault fault);
+  void EndIncarnation(Worker& worker);
+  void BeginPartition();
+  Worker& AnyWorker();
   void DropCapacity(Worker& worker, base::Micros span);
   void AddWorker(const std::string& box);
   // Adds a box with a worker.
