A young incarnation's lease after a takeover may be the longest one

Callers saw (in the model): one task ran twice at once, on one worker. The worker had restarted under its id 4 s before a takeover. The new owner heard it once, was cut off from it, took its lease for over after one grant's length, and started the task again beside its run.

Cause: a command that the earlier owner sent to the previous incarnation reaches the next one with a deadline far ahead on its young clock, so it holds a lease of up to 8 s. The owner that sees the restart takes that into account; the next owner does not know of it, and bounded the lease by one grant (5.25 s) from the first report on.

The first report's bound is now the longest lease if the worker's clock is below 30 s (the delay of late commands, 12 s, and the longest lease fit in). A worker that dies shortly after a takeover and within 30 s of its own start delays its tasks up to 3 s longer.

--- a/scheduler/worker_reports.cc
+++ b/scheduler/worker_reports.cc
@@ -29,6 +29,10 @@
 // happens now and then.
 constexpr int kMaxUnansweredStarts = 3;
 constexpr base::Micros kUnansweredStartsQuarantine = std::chrono::seconds(4);
+// A command of an earlier owner for a worker's previous incarnation may have
+// reached the next one, whose lease is then as long as workers allow. None does
+// once the incarnation is this old.
+constexpr base::Micros kSettledIncarnationAge = std::chrono::seconds(30);
 // Tolerance for clocks and timers before a lease is treated as expired.
 constexpr base::Micros kLeaseExpirySlack = milliseconds(200);
 // A worker whose announcement was removed and that failed this many calls is
@@ -60,9 +64,12 @@
     // From now on the worker refuses grants of earlier owners. Without this
     // bound, the long-running tasks of a worker that died 3 s after a takeover
     // waited another 7 s.
+    const bool is_settled =
+        report.clock_ms >= base::Millis(kSettledIncarnationAge);
     if (!worker.may_hold_earlier_lease)
-      worker.latest_lease_end =
-          std::min(worker.latest_lease_end, now + this->limits.max_grant);
+      worker.latest_lease_end = std::min(
+          worker.latest_lease_end,
+          now + (is_settled ? this->limits.max_grant : this->limits.max_lease));
   }
   worker.has_reported = true;
   RecordContact(worker, now);
