--- a/scheduler/model_test.cc
+++ b/scheduler/model_test.cc
@@ -390,7 +390,7 @@
     faults.late_command = has_late_commands ? 0.2 : 0.0;
     faults.lost_save = DrawBetween(0, 100) / 1000.0;
     std::vector<ModelJob> jobs = DrawBacklog(workers);
-    jobs.back().spec.steps.back().tasks = 2 * workers;
+    jobs.back().spec.steps.back().tasks = std::int64_t{2} * workers;
     MakeLongRunning(jobs.back().spec.steps.back());
     SchedulerModel model(seed, faults, workers, jobs);
     for (int i = 0; i < 4; ++i) {
