A lease record of unknown outcome is written again

Cause: the owner compares the workers to record with the last list that it knows to be written. After a write that got no answer and may stand, workers that are back to that list counted as recorded, so a worker that had left and come back could get leases without standing in the row: the next owner would take it for one without a lease.

Change: while a write's outcome is unknown nothing counts as recorded, and the list is written again; a conflict then reads the row. No test of its own: no harness drives a ShardManager against a store that loses one answer; the process tests pass over lost answers.

--- a/entry/manager.h
+++ b/entry/manager.h
@@ -219,7 +219,8 @@
   SaveQueue save_queue;
   int saves_in_flight = 0;
   SavePolicy save_policy;
-  RecordedWorkers recorded_workers;           // as last written
+  // As last written; empty while the outcome of a write is unknown.
+  std::optional<RecordedWorkers> recorded_workers;
   std::uint64_t recorded_worker_changes = 0;  // worker_changes() at that time
   std::uint64_t lease_version = 0;
   // Ends of the leases that earlier owners granted, on the store's clock, as
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -250,6 +250,7 @@
       return;
     case platform::WriteOutcome::kUnknown:
       // The write timed out; it is retried without a further delay.
+      this->recorded_workers.reset();
       this->next_lease_write = now;
       this->ScheduleCycle();
       return;
--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -221,7 +221,7 @@
   // An own write whose response was lost.
   if (record->epoch == this->epoch) {
     this->recorded_workers = RecordedWorkersOf(*record);
-    this->scheduler.WorkersRecorded(this->recorded_workers.held);
+    this->scheduler.WorkersRecorded(this->recorded_workers->held);
     return true;
   }
   const base::Micros latest_end =
