--- a/entry/ownership_test.cc
+++ b/entry/ownership_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -128,6 +129,50 @@
   BOOST_TEST(stored().renewed_store_ms < outage_end);
 }
 
+// Guards against a third owner that waits too short for the first one's leases:
+// the second one's row told the time of a takeover attempt that failed long
+// before the first one's last renewal.
+BOOST_AUTO_TEST_CASE(TakeoverIsNotDatedByAnAttemptBeforeTheLastRenewal) {
+  StoreBench bench;
+  OwnerRecord record{.holder = "lives",
+                     .incarnation = "1",
+                     .epoch = 7,
+                     .beat = 3,
+                     .cores = 0.25};
+  const auto renew = [&] {
+    ++record.beat;
+    // The stand-in shows this process's clock.
+    record.renewed_store_ms = base::Millis(base::MonotonicNow());
+    bench.standin.Put(OwnerRow({}), EncodeOwner(record));
+  };
+  renew();
+  auto a = std::make_unique<TestDaemon>(bench.loop, bench.store, "a");
+  bench.Until([&] { return a->ownership.epoch() == 7U; });
+  // The holder is silent until the first takeover attempt, which is not
+  // answered, and then renews for three seconds.
+  const int written = bench.standin.writes();
+  bench.standin.SetNextWrites({StoreStandin::Mood::kSilent});
+  bench.Until([&] { return bench.standin.writes() > written; });
+  for (int i = 0; i < 6; ++i) {
+    renew();
+    BOOST_TEST(!bench.Within(std::chrono::milliseconds(500),
+                             [&] { return a->ownership.holds(); }));
+  }
+  const std::int64_t last_renewal_ms = record.renewed_store_ms;
+  bench.Until([&] { return a->ownership.holds(); });
+  const OwnerRecord taken =
+      DecodeOwner(bench.standin.Value(OwnerRow({}))).value_or(OwnerRecord{});
+  BOOST_TEST(taken.epoch == 8U);
+  BOOST_TEST(taken.beat == 0U);
+  BOOST_TEST(taken.renewed_store_ms >= last_renewal_ms);
+  // The second owner is lost before it renews.
+  a.reset();
+  TestDaemon b(bench.loop, bench.store, "b");
+  bench.Until([&] { return b.ownership.holds(); });
+  BOOST_TEST(b.epoch == 9U);
+  BOOST_TEST(base::Millis(b.previous_owner_renewal) >= last_renewal_ms);
+}
+
 BOOST_AUTO_TEST_CASE(RenewalOfUnknownTimeIsDatedByTheReadingOfItsRow) {
   StoreBench bench;
   const base::Micros start = base::MonotonicNow();
--- a/scheduler/announcements_test.cc
+++ b/scheduler/announcements_test.cc
@@ -160,5 +160,17 @@
   BOOST_TEST(bench.scheduler.PoolStates(bench.now).front().usable == 1);
 }
 
+// The first reading of a worker's clock may be 0; it bounds nothing.
+BOOST_AUTO_TEST_CASE(AnswerWithoutClockDoesNotMakeOldAnnouncementsNew) {
+  Bench bench(LimitsWithMaxAge());
+  const base::Micros announced = bench.now - seconds(5);
+  bench.scheduler.UpdateWorker(AnnouncedAt(announced, 4000), bench.now);
+  const jobs::WorkerIncarnation worker = bench.LifeOf("w1");
+  bench.scheduler.PollSent({.worker = worker}, bench.now);
+  bench.scheduler.WorkerReported(worker, {.incarnation = worker}, bench.now);
+  bench.Report("w1", {});
+  BOOST_TEST(bench.scheduler.PoolStates(bench.now).front().usable == 0);
+}
+
 }  // namespace
 }  // namespace quartzhoist::scheduler
--- a/scheduler/duplicate_runs_test.cc
+++ b/scheduler/duplicate_runs_test.cc
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
+#include <string>
 
 #include "testing/scheduler_bench.h"
 
@@ -66,4 +67,80 @@
   BOOST_TEST(bench.NextStart().task.job == "");
 }
 
+// Ends the first run of `StopRunOnSecondWorker`.
+static void EndFirstRun(Bench& bench, const StartRun& start) {
+  bench.Report("a", {.ended = {{.sequence = 1,
+                                .task = start.task,
+                                .run = start.run,
+                                .reason = RunEndReason::kLeaseExpired}}});
+}
+
+// A task that waits for a run whose worker is lost starts once the lease ends.
+BOOST_AUTO_TEST_CASE(TaskStartsWhenTheLeaseOfItsOtherRunEnds) {
+  Bench bench(2);
+  const StartRun start = StopRunOnSecondWorker(bench);
+  EndFirstRun(bench, start);
+  BOOST_TEST(bench.NextStart().task.job == "");
+  bench.scheduler.WorkerDeregistered("b", bench.now);
+  StartRun next;
+  for (int i = 0; i < 5 && next.task.job.empty(); ++i) {
+    bench.scheduler.PollFailed(bench.LifeOf("b"), CommandOutcome::kUnknown,
+                               bench.now);
+    next = bench.NextStart();
+  }
+  BOOST_CHECK(next.task == start.task);
+}
+
+// A task that waits for a run whose worker has restarted starts.
+BOOST_AUTO_TEST_CASE(TaskStartsWhenTheWorkerOfItsOtherRunHasRestarted) {
+  Bench bench(2);
+  const StartRun start = StopRunOnSecondWorker(bench);
+  EndFirstRun(bench, start);
+  BOOST_TEST(bench.NextStart().task.job == "");
+  scheduler::WorkerInfo info = Bench::Worker("b");
+  info.incarnation.start_ms = 7;
+  bench.scheduler.UpdateWorker(info, bench.now);
+  BOOST_CHECK(bench.NextStart().task == start.task);
+}
+
+// Guards against a start beside a run that an earlier owner was stopping, on a
+// worker that has not reported to this owner yet.
+BOOST_AUTO_TEST_CASE(NextOwnerWaitsForTheRunThatIsBeingStoppedElsewhere) {
+  Bench earlier(2);
+  const StartRun start = StopRunOnSecondWorker(earlier);
+  std::string saved;
+  for (int i = 0; i < 4; ++i) {
+    earlier.Report("a", {.running = {{.task = start.task, .run = start.run}}});
+    const auto actions = earlier.RunPass();
+    const auto saves = Only<scheduler::SaveProgress>(actions);
+    earlier.Save(saves);
+    for (const scheduler::SaveProgress& save : saves)
+      saved = save.text;
+  }
+  const auto progress = jobs::DecodeProgress(saved);
+  jobs::Progress inherited;
+  inherited.placed[{.step = {}, .index = 0}] = {.worker = {.id = "a"},
+                                                .run = start.run};
+  if (progress)
+    inherited = *progress;
+  Bench bench(3);
+  for (const char* id : {"a", "b"}) {
+    bench.scheduler.InheritWorker(Bench::Worker(id),
+                                  bench.now + std::chrono::seconds(10));
+    bench.scheduler.UpdateWorker(Bench::Worker(id), bench.now);
+  }
+  bench.scheduler.UpdateWorker(Bench::Worker("c"), bench.now);
+  bench.Report("c", {});
+  jobs::Queue queue;
+  queue.name = "queue";
+  queue.service = "pool";
+  jobs::JobSpec spec;
+  spec.steps.push_back(Bench::OneTask());
+  bench.scheduler.AddJob(
+      scheduler::MakeJob("job", queue, spec, inherited, bench.now, {}),
+      bench.now);
+  EndFirstRun(bench, start);
+  BOOST_TEST(bench.NextStart().task.job == "");
+}
+
 }  // namespace quartzhoist::testing
