A takeover is dated by the attempt that its row tells

Cause: a takeover that fails stays among the pending attempts under its epoch and beat 0. If the holder renews after that and is lost later, the takeover that succeeds had the same key and told the time of the failed one; an owner after it waited too short for the leases of the first.

Change: a takeover's row tells the time of its own attempt. The row that its condition names was read before, so no confirmation of an earlier owner is younger. Renewals still tell their first attempt.

--- a/entry/ownership.cc
+++ b/entry/ownership.cc
@@ -186,9 +186,12 @@
 std::int64_t Ownership::RenewalStoreMillis(std::uint64_t epoch,
                                            std::uint64_t beat,
                                            base::Micros now) const {
-  const base::Micros first =
-      this->lease.FirstAttempt(epoch, beat).value_or(now);
-  return this->store.knows_clock() ? this->store.StoreMillis(first) : 0;
+  return this->StoreMillisOrZero(
+      this->lease.FirstAttempt(epoch, beat).value_or(now));
+}
+
+std::int64_t Ownership::StoreMillisOrZero(base::Micros at) const {
+  return this->store.knows_clock() ? this->store.StoreMillis(at) : 0;
 }
 
 // A row may be read long after it was written: by a daemon that has restarted,
@@ -288,17 +291,17 @@
     this->ReadRow([](bool) {});
   if (!this->ShouldTakeOver(now))
     return;
-  const std::uint64_t next_epoch = this->record.epoch + 1;
-  this->Write(
-      {.holder = this->id,
-       .incarnation = this->incarnation,
-       .epoch = next_epoch,
-       .beat = 0,
-       .cores = this->events.cores(),
-       .successor = "",
-       .load = this->record.load,
-       .renewed_store_ms = this->RenewalStoreMillis(next_epoch, 0, now)},
-      true);
+  // Dated by this attempt: an earlier one may have failed before the holder's
+  // last renewal, whose leases an owner after this one waits out.
+  this->Write({.holder = this->id,
+               .incarnation = this->incarnation,
+               .epoch = this->record.epoch + 1,
+               .beat = 0,
+               .cores = this->events.cores(),
+               .successor = "",
+               .load = this->record.load,
+               .renewed_store_ms = this->StoreMillisOrZero(now)},
+              true);
 }
 
 base::Micros Ownership::NextRenewalDelay(base::Micros now) const {
--- a/entry/ownership.h
+++ b/entry/ownership.h
@@ -106,6 +106,7 @@
   std::int64_t RenewalStoreMillis(std::uint64_t epoch,
                                   std::uint64_t beat,
                                   base::Micros now) const;
+  std::int64_t StoreMillisOrZero(base::Micros at) const;
   // Upper bound on when the row's holder renewed it last.
   base::Micros LatestRenewal(const OwnerRecord& other, base::Micros now) const;
   void Write(const OwnerRecord& next, bool is_takeover);
