Final leases do not replace the lease record of a later owner

Cause: an owner that learned of a later one from a conflict of its lease record took that row's version first, and its final record then passed the condition: a third owner would know nothing of the second one's leases.

Change: the version of a later owner's row is not taken.

--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -209,15 +209,16 @@
 // Adds the workers to which an earlier owner may have granted a lease. Returns
 // false if the row was written by a later owner.
 bool ShardManager::LoadLeaseRecord(const platform::Row& row) {
-  // A malformed row is overwritten, on condition of its version.
-  this->lease_version = row.version;
   const auto record = DecodeLeases(row.value);
+  // Without the version of a later owner's row, no write replaces it.
+  if (record && record->epoch > this->epoch)
+    return false;
+  this->lease_version = row.version;
   if (!record) {
+    // The row is overwritten, on condition of its version.
     base::Log(base::Event::kRowMalformed, {{"row", row.at.key}});
     return true;
   }
-  if (record->epoch > this->epoch)
-    return false;
   // An own write whose response was lost.
   if (record->epoch == this->epoch) {
     this->recorded_workers = RecordedWorkersOf(*record);
