An answer without a clock bounds no worker's clock

Cause: a missing clock was taken for a reading of 0, far behind any, after which every announcement of that worker looked new.

--- a/scheduler/worker.cc
+++ b/scheduler/worker.cc
@@ -122,6 +122,8 @@
 void BoundClockLead(Worker& worker,
                     std::int64_t clock_ms,
                     base::Micros requested_at) {
+  if (clock_ms <= 0)
+    return;
   worker.max_clock_lead = std::min(
       worker.max_clock_lead,
       base::Micros(std::chrono::milliseconds(clock_ms)) - requested_at);
