--- a/entry/manager_leases_test.cc
+++ b/entry/manager_leases_test.cc
@@ -82,5 +82,39 @@
   BOOST_TEST(stored().workers.size() == 1U);
 }
 
+// Guards against tasks of a lost worker that wait longer with each owner: each
+// one added the slack of the store's clock to the end that it had read.
+BOOST_AUTO_TEST_CASE(InheritedLeaseEndIsPassedOnAsItWasRecorded) {
+  StoreBench bench;
+  const auto stored = [&] {
+    return DecodeLeases(bench.standin.Value(LeaseRow()))
+        .value_or(LeaseRecord{});
+  };
+  LeaseRecord earlier = RecordOf(1, "w");
+  // The stand-in shows this process's clock.
+  const std::int64_t end_ms = base::Millis(base::MonotonicNow()) + 3000;
+  earlier.workers.front().held = false;
+  earlier.workers.front().expires_store_ms = end_ms;
+  bench.standin.Put(LeaseRow(), EncodeLeases(earlier));
+  Settings settings;
+  settings.id = "a";
+  ShardManager manager(
+      bench.loop, bench.store, bench.counters, settings, Shard{}, 2,
+      base::MonotonicNow(),
+      ShardManager::Authority{
+          .commands_until = [] { return base::Micros::zero(); },
+          .certain_until = [] { return base::Micros::zero(); },
+          .on_fenced = [] {}});
+  manager.SetEvacuatedZones({});
+  manager.SetConfig({});
+  BOOST_REQUIRE(bench.Within(seconds(5), [&] {
+    manager.OwnershipConfirmed(base::MonotonicNow());
+    return stored().epoch == 2U;
+  }));
+  BOOST_REQUIRE(stored().workers.size() == 1U);
+  BOOST_TEST(!stored().workers.front().held);
+  BOOST_TEST(stored().workers.front().expires_store_ms == end_ms);
+}
+
 }  // namespace
 }  // namespace quartzhoist::entry
