--- a/scheduler/duplicate_runs_test.cc
+++ b/scheduler/duplicate_runs_test.cc
@@ -103,6 +103,58 @@
   BOOST_CHECK(bench.NextStart().task == start.task);
 }
 
+// A gang waits for a member's other run, and then starts as a whole.
+BOOST_AUTO_TEST_CASE(GangStartsWhenTheOtherRunOfAMemberIsOver) {
+  Bench bench(2);
+  bench.scheduler.UpdateWorker(Bench::Worker("a"), bench.now);
+  bench.Report("a", {});
+  jobs::Step step = Bench::OneTask();
+  step.tasks = 2;
+  step.gang = true;
+  bench.AddJob("job", step);
+  const StartRun start = bench.NextStart();
+  BOOST_REQUIRE(start.task.job == "job");
+  const jobs::TaskId first = FirstTask("job");
+  jobs::TaskId second = first;
+  second.index = 1;
+  for (const jobs::TaskId& task : {first, second}) {
+    StartRun one = start;
+    one.task = task;
+    bench.scheduler.LeaseGranted(one.worker, bench.now + milliseconds(2500));
+    bench.scheduler.StartAnswered(one, CommandOutcome::kDone, bench.now);
+  }
+  bench.scheduler.UpdateWorker(Bench::Worker("b"), bench.now);
+  bench.Report("b", {.running = {{.task = first, .run = start.run + 1}}});
+  bench.Report("a", {.ended = {{.sequence = 1,
+                                .task = first,
+                                .run = start.run,
+                                .reason = RunEndReason::kLeaseExpired},
+                               {.sequence = 2,
+                                .task = second,
+                                .run = start.run,
+                                .reason = RunEndReason::kLeaseExpired}}});
+  BOOST_TEST(bench.NextStart().task.job == "");
+  bench.Report("b", {.ended = {{.sequence = 1,
+                                .task = first,
+                                .run = start.run + 1,
+                                .reason = RunEndReason::kStopped}}});
+  BOOST_TEST(bench.NextStart().task.job == "job");
+}
+
+// A cancelled job whose task waits for another run starts nothing more.
+BOOST_AUTO_TEST_CASE(CancelledJobThatWaitsForAnotherRunStartsNothing) {
+  Bench bench(2);
+  const StartRun start = StopRunOnSecondWorker(bench);
+  EndFirstRun(bench, start);
+  BOOST_TEST(bench.NextStart().task.job == "");
+  bench.scheduler.CancelJob("job", bench.now);
+  bench.Report("b", {.ended = {{.sequence = 1,
+                                .task = start.task,
+                                .run = start.run + 1,
+                                .reason = RunEndReason::kStopped}}});
+  BOOST_TEST(bench.NextStart().task.job == "");
+}
+
 // Guards against a start beside a run that an earlier owner was stopping, on a
 // worker that has not reported to this owner yet.
 BOOST_AUTO_TEST_CASE(NextOwnerWaitsForTheRunThatIsBeingStoppedElsewhere) {
