--- a/testing/scheduler_model.h
+++ b/testing/scheduler_model.h
@@ -131,7 +131,7 @@
   void BeginAnnouncementOutage(base::Micros delay,
                                base::Micros span,
                                bool is_whole_store);
-  // Of `count` workers drawn at random.
+  // Affects `count` workers, drawn at random.
   void DropCapacities(base::Micros delay, base::Micros span, int count);
   void PauseOwner(base::Micros delay, base::Micros span);
   void BeginTakeover(base::Micros delay);
@@ -238,7 +238,8 @@
   base::Micros Between(std::int64_t least_ms, std::int64_t most_ms);
   void ScheduleAfter(base::Micros delay, std::function<void()> action);
   void Step();
-  void InjectFaults();
+  // Draws the faults that begin within `span`.
+  void InjectFaults(base::Micros span);
   void Begin(ModelFault fault);
   void EndIncarnation(Worker& worker);
   void BeginPartition();
