--- a/scheduler/duplicate_runs_test.cc
+++ b/scheduler/duplicate_runs_test.cc
@@ -22,7 +22,7 @@
   bench.scheduler.UpdateWorker(Bench::Worker("a"), bench.now);
   bench.Report("a", {});
   bench.AddJob("job");
-  const StartRun start = bench.NextStart();
+  StartRun start = bench.NextStart();
   bench.scheduler.LeaseGranted(start.worker, bench.now + milliseconds(2500));
   bench.scheduler.StartAnswered(start, CommandOutcome::kDone, bench.now);
   bench.scheduler.UpdateWorker(Bench::Worker("b"), bench.now);
