--- a/bench/job_losses.h
+++ b/bench/job_losses.h
@@ -33,7 +33,7 @@
     {Fate::kCancelled, "cancelled"},
 }};
 
-// What took most of a job's objective, the first that holds.
+// The largest part of a job's objective, by the first cause that holds.
 enum class Delay {
   kOwnerBefore,  // another owner placed it: its story is not told
   kFirstPlace,   // no task of it had a place for long
