--- a/scheduler/announcements_test.cc
+++ b/scheduler/announcements_test.cc
@@ -111,6 +111,26 @@
   BOOST_TEST(bench.scheduler.PoolStates(bench.now).front().usable == 1);
 }
 
+// A start waits while its worker begins to drain, or is not heard of any more.
+BOOST_AUTO_TEST_CASE(QueuedStartIsNotSentToDrainingOrExpiredWorker) {
+  Bench bench(LimitsWithMaxAge());
+  const base::Micros announced = bench.now;
+  bench.scheduler.UpdateWorker(AnnouncedAt(announced, 4000), bench.now);
+  bench.Report("w1", {});
+  bench.AddJob("job");
+  const StartRun start = bench.NextStart();
+  BOOST_REQUIRE(start.task.job == "job");
+  // The poll took 10 ms, by which the age is bounded too high.
+  const base::Micros expiry = announced + kMaxAge - milliseconds(10);
+  BOOST_TEST(bench.scheduler.IsStartStillValid(start, expiry));
+  BOOST_TEST(
+      !bench.scheduler.IsStartStillValid(start, expiry + milliseconds(1)));
+  WorkerInfo draining = AnnouncedAt(bench.now, 4000);
+  draining.draining = true;
+  bench.scheduler.UpdateWorker(draining, bench.now);
+  BOOST_TEST(!bench.scheduler.IsStartStillValid(start, bench.now));
+}
+
 // Guards against a worker's clock that was sent before its owner was paused and
 // read after it, which made an old announcement look new.
 BOOST_AUTO_TEST_CASE(AnnouncementIsOldAlsoIfReportWasReadLate) {
