--- a/entry/manager_commands.cc
+++ b/entry/manager_commands.cc
@@ -9,6 +9,7 @@
 #include "entry/decision_log.h"
 #include "entry/manager.h"
 #include "platform/records.h"
+#include "scheduler/start_constraints.h"
 
 namespace quartzhoist::entry {
 
@@ -176,6 +177,8 @@
       this->AddresseeOf(worker), command, deadline,
       [this, worker, command,
        announcement_age = scheduler::AnnouncementAge(*known, now),
+       pool = known->info.service,
+       step_runs = scheduler::CountOtherRunsOfStep(*known, command.task),
        alive = this->alive](const platform::StartResult& result) {
         if (!*alive)
           return;
@@ -187,6 +190,8 @@
              {"run", command.run},
              {"worker", worker.id},
              {"announced_ms", base::Millis(announcement_age)},
+             {"pool", pool},
+             {"step_runs", step_runs},
              {"outcome",
               base::NameOf(scheduler::kCommandOutcomeNames, outcome)}});
         this->scheduler.StartAnswered(command, outcome, base::MonotonicNow(),
--- a/scheduler/worker_incarnations.cc
+++ b/scheduler/worker_incarnations.cc
@@ -10,6 +10,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <fmt/format.h>
+
 #include "scheduler/scheduler.h"
 
 namespace quartzhoist::scheduler {
@@ -210,9 +212,18 @@
     return;
   worker->is_announced = false;
   worker->withdrawn_at = now;
-  if (worker->idle() && !worker->poll_in_flight)
+  if (worker->idle() && !worker->poll_in_flight) {
     this->RemoveWorker(worker->info.incarnation, LossReason::kDeregistered,
                        now);
+    return;
+  }
+  this->actions.emplace_back(LogNote{
+      id, fmt::format("removed its announcement{}, with {} runs and a "
+                      "lease of {} ms at most",
+                      worker->has_reported ? "" : " before it answered",
+                      worker->runs.size(),
+                      std::max<std::int64_t>(
+                          0, base::Millis(worker->latest_lease_end - now)))});
 }
 
 void Scheduler::RemoveWorker(const jobs::WorkerIncarnation& incarnation,
