The limit of a step on a worker counts its runs, not recorded placements

Callers saw a step's tasks on one worker beyond the limit that they had set (ROUTE). The limit was checked against tasks whose recorded placement is the worker, so a run that was being stopped there because its task is placed elsewhere, or has been completed elsewhere, did not count, and another task of the step started beside it.

Evidence: the two tests fail before (a start on the worker of the stopping run).

The runs that the owner knows on the worker are the only account of what is there until its end is reported. The four counts (placement, reservations, evacuation, operators' view) are one function now, and evacuation also looks at the label of where a task could go.

--- a/scheduler/box_planning.cc
+++ b/scheduler/box_planning.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "scheduler/scheduler.h"
+#include "scheduler/start_constraints.h"
 
 namespace quartzhoist::scheduler {
 
@@ -292,19 +293,10 @@
   const Job& job = found->second;
   const jobs::Step& step = StepOf(job, PositionOf(id));
   const jobs::Resources takes = ReservedBy(step);
-  const StepState& step_state = StepAt(job, PositionOf(id));
   const auto fitting =
       std::find_if(room.begin(), room.end(), [&](const WorkerRoom& one) {
-        const WorkerInfo& info = one.worker->info;
-        if (info.service != job.queue.service || !jobs::Fits(takes, one.free))
-          return false;
-        const auto here =
-            std::count_if(step_state.tasks.begin(), step_state.tasks.end(),
-                          [&](const Task& task) {
-                            return task.state == TaskState::kPlaced &&
-                                   task.worker == info.incarnation;
-                          });
-        return step.max_per_worker == 0 || here < step.max_per_worker;
+        return jobs::Fits(takes, one.free) &&
+               IsSuitable(*one.worker, job, PositionOf(id));
       });
   if (fitting == room.end())
     return false;
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "scheduler/scheduler.h"
+#include "scheduler/start_constraints.h"
 
 namespace quartzhoist::scheduler {
 
@@ -49,11 +50,6 @@
 // waiting work.
 constexpr double kUtilizationCost = -1.0;
 
-bool HasLabel(const WorkerInfo& info, const std::string& label) {
-  return label.empty() || std::find(info.labels.begin(), info.labels.end(),
-                                    label) != info.labels.end();
-}
-
 // The quota needed to place a task of the step. The tasks of a gang are placed
 // together, so they need it all at once.
 jobs::Resources QuotaNeededBy(const jobs::Step& step) {
@@ -73,14 +69,13 @@
 }
 
 // Number of a step's placed tasks per worker and per rack. Filled only for
-// steps whose placement depends on it, to avoid iterating over all tasks of
-// every other step.
+// long-running steps, which are spread over racks.
 class StepDistribution {
  public:
   StepDistribution(const jobs::Step& step,
                    const StepState& step_state,
                    const std::map<jobs::WorkerIncarnation, Worker>& workers) {
-    if (!step.long_running && step.max_per_worker == 0)
+    if (!step.long_running)
       return;
     for (const Task& task : step_state.tasks) {
       if (task.state != TaskState::kPlaced)
@@ -92,13 +87,10 @@
     }
   }
 
-  int CountOnWorker(const Worker& worker) const {
-    return Count(this->per_worker, worker.info.incarnation);
-  }
   // Tasks on other workers of the same rack.
   int CountElsewhereOnRack(const Worker& worker) const {
     return Count(this->per_rack, worker.info.rack) -
-           this->CountOnWorker(worker);
+           Count(this->per_worker, worker.info.incarnation);
   }
 
  private:
@@ -351,9 +343,9 @@
   return has_spare_pool ||
          std::any_of(this->workers.begin(), this->workers.end(),
                      [&](const auto& entry) {
-                       const WorkerInfo& info = entry.second.info;
-                       return HasLabel(info, step.label) &&
-                              jobs::Fits(takes, info.capacity);
+                       const Worker& worker = entry.second;
+                       return HasRequiredLabel(worker, step) &&
+                              jobs::Fits(takes, worker.info.capacity);
                      });
 }
 
@@ -396,7 +388,7 @@
           takes + allocated.resources +
           this->reservations.HeldFrom(job, member, *worker);
       const bool fits = jobs::Fits(needed, worker->free_capacity()) &&
-                        HasLabel(worker->info, step.label) &&
+                        HasRequiredLabel(*worker, step) &&
                         now >= worker->quarantined_until;
       if (!fits)
         continue;
@@ -410,9 +402,7 @@
       if (job.queue.advice.required &&
           !step_state.advice.tickets.contains(worker->info.incarnation))
         continue;
-      if (step.max_per_worker > 0 &&
-          distribution.CountOnWorker(*worker) + allocated.members >=
-              step.max_per_worker)
+      if (!IsBelowStepLimit(*worker, job, member, allocated.members))
         continue;
       // 2. Cost of the worker for this task.
       double cost =
--- a/scheduler/pool_state.cc
+++ b/scheduler/pool_state.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "scheduler/scheduler.h"
+#include "scheduler/start_constraints.h"
 
 namespace quartzhoist::scheduler {
 
@@ -148,17 +149,8 @@
   if (!jobs::Fits(wait.takes, free))
     return;
   ++wait.fitting;
-  const std::vector<Task>& all = StepAt(job, task.position).tasks;
-  const std::int64_t here =
-      std::count_if(all.begin(), all.end(), [&](const Task& one) {
-        return one.state == TaskState::kPlaced &&
-               one.worker == worker.info.incarnation;
-      });
-  wait.at_limit += step.max_per_worker > 0 && here >= step.max_per_worker;
-  const std::vector<std::string>& labels = worker.info.labels;
-  wait.unlabelled +=
-      !step.label.empty() &&
-      std::find(labels.begin(), labels.end(), step.label) == labels.end();
+  wait.at_limit += !IsBelowStepLimit(worker, job, task.position);
+  wait.unlabelled += !HasRequiredLabel(worker, step);
   const jobs::Resources held =
       this->reservations.HeldFrom(job, task.position, worker);
   wait.reserved += !jobs::Fits(wait.takes + held, free);
--- a/scheduler/reservations.cc
+++ b/scheduler/reservations.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cstddef>
 
+#include "scheduler/start_constraints.h"
+
 namespace quartzhoist::scheduler {
 
 namespace {
@@ -22,27 +24,11 @@
   return attainable;
 }
 
-int TasksOfStepOn(const Worker& worker,
-                  const Job& job,
-                  const TaskPosition& position) {
-  return static_cast<int>(std::count_if(
-      worker.runs.begin(), worker.runs.end(), [&](const auto& entry) {
-        const jobs::TaskId& id = entry.first;
-        return id.job == job.id && id.occurrence == position.occurrence &&
-               id.step == position.step;
-      }));
-}
-
 bool CanEverRun(const Worker& worker, const ReadyTask& task) {
   const jobs::Step& step = StepOf(*task.job, task.position);
-  const bool has_label =
-      step.label.empty() ||
-      std::find(worker.info.labels.begin(), worker.info.labels.end(),
-                step.label) != worker.info.labels.end();
-  const bool is_below_limit =
-      step.max_per_worker == 0 ||
-      TasksOfStepOn(worker, *task.job, task.position) < step.max_per_worker;
-  return has_label && is_below_limit && worker.unknown_runs == 0 &&
+  return HasRequiredLabel(worker, step) &&
+         IsBelowStepLimit(worker, *task.job, task.position) &&
+         worker.unknown_runs == 0 &&
          jobs::Fits(ReservedBy(step), AttainableCapacity(worker));
 }
 
--- a/scheduler/start_constraints.cc
+++ b/scheduler/start_constraints.cc
@@ -1,5 +1,6 @@
 #include "scheduler/start_constraints.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace quartzhoist::scheduler {
@@ -21,4 +22,27 @@
   return count;
 }
 
+bool IsBelowStepLimit(const Worker& worker,
+                      const Job& job,
+                      const TaskPosition& position,
+                      int allocated) {
+  const std::int64_t limit = StepOf(job, position).max_per_worker;
+  return limit == 0 ||
+         CountOtherRunsOfStep(worker, IdOf(job, position)) + allocated < limit;
+}
+
+bool HasRequiredLabel(const Worker& worker, const jobs::Step& step) {
+  const std::vector<std::string>& labels = worker.info.labels;
+  return step.label.empty() ||
+         std::find(labels.begin(), labels.end(), step.label) != labels.end();
+}
+
+bool IsSuitable(const Worker& worker,
+                const Job& job,
+                const TaskPosition& position) {
+  return worker.info.service == job.queue.service &&
+         HasRequiredLabel(worker, StepOf(job, position)) &&
+         IsBelowStepLimit(worker, job, position);
+}
+
 }  // namespace quartzhoist::scheduler
--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -110,6 +110,7 @@
   worker.born_ms = base::Millis(this->now);
   worker.box = box;
   worker.capacity = kWorkerCapacity;
+  worker.labels = {this->incarnation_count % 2 == 0 ? kEvenLabel : kOddLabel};
   worker.clock_rate = this->Chance(0.5) ? 1.0 : 0.98;
   worker.clock_offset = this->Between(0, 1'000'000);
   Worker& added = this->workers[worker.id] = worker;
@@ -124,7 +125,7 @@
           .service = box == this->boxes.end() ? "pool" : box->second.pool,
           .address = worker.id,
           .zone = "",
-          .labels = {},
+          .labels = worker.labels,
           .rack = worker.box,
           .capacity = worker.capacity,
           .announced_clock_ms = base::Millis(this->ClockOf(worker))};
--- a/testing/scheduler_model.h
+++ b/testing/scheduler_model.h
@@ -57,6 +57,9 @@
   double pause_before_call = 0.0;
   // A call for a box is carried out 2 to 6 s later and never answered.
   double late_call = 0.0;
+  // Per second: a worker removes its announcement without having drained, works
+  // on for 1 to 8 s, and ends.
+  double withdrawal = 0.0;
 };
 
 // Faults of `ModelFaults` that begin at a point in time.
@@ -68,10 +71,11 @@
   kAnnouncementOutage,
   kRowOutage,
   kOwnerPause,
-  kTakeover
+  kTakeover,
+  kWithdrawal
 };
 
-inline constexpr base::EnumNames<ModelFault, 8> kModelFaultNames{{
+inline constexpr base::EnumNames<ModelFault, 9> kModelFaultNames{{
     {ModelFault::kCrash, "crash"},
     {ModelFault::kRestart, "restart"},
     {ModelFault::kPartition, "partition"},
@@ -80,6 +84,7 @@
     {ModelFault::kRowOutage, "row_outage"},
     {ModelFault::kOwnerPause, "owner_pause"},
     {ModelFault::kTakeover, "takeover"},
+    {ModelFault::kWithdrawal, "withdrawal"},
 }};
 
 struct ModelJob {
@@ -98,6 +103,10 @@
                                                  .memory_mb = 4000,
                                                  .gpus = 0};
 
+// Each worker has one of these labels.
+inline constexpr char kEvenLabel[] = "even";
+inline constexpr char kOddLabel[] = "odd";
+
 // Workers announce themselves about once in this time.
 inline constexpr base::Micros kHeartbeat = std::chrono::milliseconds(1500);
 
@@ -171,7 +180,9 @@
     jobs::Resources earlier_capacity;  // before the last change
     base::Micros capacity_changed{};
     bool alive = true;
-    bool silent = false;  // dead, and nothing answers at its address
+    bool silent = false;     // dead, and nothing answers at its address
+    bool withdrawn = false;  // announces itself no more
+    std::vector<std::string> labels;
     // Dead; another incarnation answers on its box from this time on.
     std::optional<base::Micros> replaced_at;
     std::int64_t born_ms = 0;  // the start of this incarnation
@@ -242,6 +253,7 @@
   void InjectFaults(base::Micros span);
   void Begin(ModelFault fault);
   void EndIncarnation(Worker& worker);
+  void BeginWithdrawal(Worker& worker);
   void BeginPartition();
   Worker& AnyWorker();
   void DropCapacity(Worker& worker, base::Micros span);
@@ -306,6 +318,8 @@
                                      std::uint64_t epoch,
                                      base::Micros deadline);
   void CheckStart(const Worker& worker, const scheduler::StartRun& command);
+  void CheckWorkerSuits(const Worker& worker,
+                        const scheduler::StartRun& command);
   void CheckCrashLimit(const scheduler::StartRun& command);
   void ScheduleCrash(const Worker& worker, const scheduler::StartRun& command);
   void CrashWorker(Worker& worker);
--- a/testing/scheduler_model_announcements.cc
+++ b/testing/scheduler_model_announcements.cc
@@ -45,7 +45,7 @@
 }
 
 void SchedulerModel::Heartbeat(Worker& worker) {
-  if (this->now < worker.next_heartbeat)
+  if (worker.withdrawn || this->now < worker.next_heartbeat)
     return;
   if (!this->TakesAnnouncements()) {
     worker.next_heartbeat =
--- a/testing/scheduler_model_faults.cc
+++ b/testing/scheduler_model_faults.cc
@@ -31,6 +31,11 @@
     if (this->Chance(odds * base::Seconds(span)))
       this->Begin(fault);
   }
+  // Draws no random number without this fault, which keeps the plays of the
+  // seeds that do not use it.
+  if (this->faults.withdrawal > 0.0 &&
+      this->Chance(this->faults.withdrawal * base::Seconds(span)))
+    this->Begin(ModelFault::kWithdrawal);
 }
 
 void SchedulerModel::BeginAfter(base::Micros delay, ModelFault fault) {
@@ -68,6 +73,9 @@
       if (this->owners.size() < kMaxOwners)
         this->BeginTakeover({});
       break;
+    case ModelFault::kWithdrawal:
+      this->BeginWithdrawal(this->AnyWorker());
+      break;
   }
 }
 
@@ -88,6 +96,20 @@
   this->AddBox("pool");
 }
 
+void SchedulerModel::BeginWithdrawal(Worker& worker) {
+  if (!worker.alive || worker.withdrawn)
+    return;
+  this->LogEvent(fmt::format("{} removes its announcement", worker.id));
+  worker.withdrawn = true;
+  this->RemoveAnnouncement(worker.id);
+  this->ScheduleAfter(this->Between(1000, 8000),
+                      [this, id = worker.id, born = worker.born_ms] {
+                        Worker& leaving = this->workers.at(id);
+                        if (leaving.born_ms == born)
+                          this->EndIncarnation(leaving);
+                      });
+}
+
 void SchedulerModel::BeginPartition() {
   const std::size_t index = this->random() % this->owners.size();
   const std::string id = this->AnyWorker().id;
--- a/testing/scheduler_model_workers.cc
+++ b/testing/scheduler_model_workers.cc
@@ -49,6 +49,7 @@
   if (over != worker.highest_over_run.end() && command.run <= over->second)
     return CommandOutcome::kSuperseded;
   this->CheckStart(worker, command);
+  this->CheckWorkerSuits(worker, command);
   this->CheckCrashLimit(command);
   this->LogEvent(fmt::format("{} starts {} {}.{} run {}", worker.id,
                              command.task.job, command.task.step,
@@ -110,6 +111,7 @@
   next.id = worker.id;
   next.box = worker.box;
   next.capacity = kWorkerCapacity;
+  next.labels = worker.labels;
   next.born_ms = base::Millis(this->now);
   next.clock_rate = worker.clock_rate;
   next.clock_offset = -base::Micros(static_cast<std::int64_t>(
@@ -206,6 +208,41 @@
     this->ReportViolation(name + " does not fit on " + worker.id);
 }
 
+// The worker is in the queue's pool, has the label that the step requires, and
+// runs fewer tasks of the step than its limit, including those being stopped.
+void SchedulerModel::CheckWorkerSuits(const Worker& worker,
+                                      const scheduler::StartRun& command) {
+  const ModelJob& job = this->jobs.at(command.task.job).job;
+  const jobs::Step& step =
+      job.spec.steps[static_cast<std::size_t>(command.task.step)];
+  const std::string name =
+      fmt::format("{} step {} task {} run {}", command.task.job,
+                  command.task.step, command.task.index, command.run);
+  const auto box = this->boxes.find(worker.box);
+  if (box != this->boxes.end() && box->second.pool != job.service)
+    this->ReportViolation(fmt::format("{} starts on {} of pool {}", name,
+                                      worker.id, box->second.pool));
+  const bool has_label = step.label.empty() ||
+                         std::find(worker.labels.begin(), worker.labels.end(),
+                                   step.label) != worker.labels.end();
+  if (!has_label)
+    this->ReportViolation(
+        fmt::format("{} starts on {} without its label", name, worker.id));
+  const auto here =
+      std::count_if(worker.running.begin(), worker.running.end(),
+                    [&command](const auto& entry) {
+                      const jobs::TaskId& task = entry.first;
+                      return task.job == command.task.job &&
+                             task.occurrence == command.task.occurrence &&
+                             task.step == command.task.step &&
+                             task.index != command.task.index;
+                    });
+  if (step.max_per_worker > 0 && here >= step.max_per_worker)
+    this->ReportViolation(
+        fmt::format("{} starts on {} beside {} other tasks of its step", name,
+                    worker.id, here));
+}
+
 void SchedulerModel::EndRun(Worker& worker,
                             const jobs::TaskId& task,
                             scheduler::RunEndReason reason) {
