A queued start is sent only to a worker that still suits its task

Between the save of a placement and the send of its start the queue may be given to another pool, the worker's labels may change, or a report may bring another run of the step there.

Three tests fail before (QueuedStartIsNotSentBeyondTheStepLimit, -ToAWorkerWithoutTheLabel, -ToAnotherPool). The same constraints decide now when a task is placed, when its placement is saved and when its start leaves.

--- a/scheduler/planned_runs.cc
+++ b/scheduler/planned_runs.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "scheduler/scheduler.h"
+#include "scheduler/start_constraints.h"
 
 namespace quartzhoist::scheduler {
 
@@ -93,8 +94,9 @@
     if (run == worker.runs.end() || run->second.state != RunState::kPlanned)
       continue;
     // The worker may have begun to drain, been lost or shrunk since the task
-    // was planned.
-    if (!this->IsUsable(worker, now) || !FitsItsCapacity(worker)) {
+    // was planned, or the queue may have been given to another pool.
+    if (!this->IsUsable(worker, now) || !FitsItsCapacity(worker) ||
+        !IsSuitable(worker, job, start.position)) {
       RemoveRun(worker, id);
       this->HandleLostRun(id, start.run, now);
       continue;
@@ -126,6 +128,11 @@
       !this->HasCurrentAnnouncement(*worker, now) ||
       this->fleet.IsEvacuated(worker->info.zone))
     return false;
+  const auto job = this->jobs.find(command.task.job);
+  const TaskPosition position = PositionOf(command.task);
+  if (job == this->jobs.end() || !HasTask(job->second, position) ||
+      !IsSuitable(*worker, job->second, position))
+    return false;
   const auto run = worker->runs.find(command.task);
   return run != worker->runs.end() && run->second.number == command.run &&
          run->second.state == RunState::kStarting;
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -159,7 +159,8 @@
 
   // --- Queries ---
   // Whether the start may still be sent: its run may have been given up, the
-  // worker have shrunk or begun to drain, or its zone been evacuated.
+  // worker have shrunk, begun to drain or become unsuitable for the task, or
+  // its zone been evacuated.
   bool IsStartStillValid(const StartRun& command, base::Micros now) const;
   // End of a lease granted at `now`, on the local clock.
   base::Micros LeaseEnd(base::Micros now) const;
--- a/scheduler/start_constraints_test.cc
+++ b/scheduler/start_constraints_test.cc
@@ -24,6 +24,10 @@
   return step;
 }
 
+jobs::TaskId SecondTask(const std::string& job) {
+  return {.job = job, .occurrence = 0, .step = 0, .index = 1};
+}
+
 void AnswerStart(Bench& bench, const StartRun& start) {
   bench.scheduler.LeaseGranted(start.worker, bench.now + seconds(20));
   bench.scheduler.StartAnswered(start, CommandOutcome::kDone, bench.now);
@@ -72,4 +76,52 @@
   BOOST_TEST(next.worker.id == "a");
 }
 
+// Guards against a start that is sent to a worker which has taken in another
+// run of the step since the task was planned.
+BOOST_AUTO_TEST_CASE(QueuedStartIsNotSentBeyondTheStepLimit) {
+  Bench bench(2);
+  bench.scheduler.UpdateWorker(Bench::Worker("a"), bench.now);
+  bench.Report("a", {});
+  bench.AddJob("job", LimitedStep(2));
+  const StartRun start = bench.NextStart();
+  BOOST_REQUIRE(start.worker.id == "a");
+  BOOST_TEST(bench.scheduler.IsStartStillValid(start, bench.now));
+  bench.Report("a", {.running = {{.task = SecondTask("job"), .run = 1}}});
+  BOOST_TEST(!bench.scheduler.IsStartStillValid(start, bench.now));
+}
+
+// Guards against a start that is sent to a worker whose labels have changed
+// since the task was planned.
+BOOST_AUTO_TEST_CASE(QueuedStartIsNotSentToAWorkerWithoutTheLabel) {
+  Bench bench(2);
+  scheduler::WorkerInfo info = Bench::Worker("a");
+  info.labels = {"kind-1"};
+  bench.scheduler.UpdateWorker(info, bench.now);
+  bench.Report("a", {});
+  jobs::Step step = Bench::OneTask();
+  step.label = "kind-1";
+  bench.AddJob("job", step);
+  const StartRun start = bench.NextStart();
+  BOOST_REQUIRE(start.worker.id == "a");
+  BOOST_TEST(bench.scheduler.IsStartStillValid(start, bench.now));
+  info.labels = {"kind-2"};
+  bench.scheduler.UpdateWorker(info, bench.now);
+  BOOST_TEST(!bench.scheduler.IsStartStillValid(start, bench.now));
+}
+
+// Guards against a start that is sent to a worker whose box is in another pool
+// than the queue by now.
+BOOST_AUTO_TEST_CASE(QueuedStartIsNotSentToAnotherPool) {
+  Bench bench(2);
+  scheduler::WorkerInfo info = Bench::Worker("a");
+  bench.scheduler.UpdateWorker(info, bench.now);
+  bench.Report("a", {});
+  bench.AddJob("job");
+  const StartRun start = bench.NextStart();
+  BOOST_REQUIRE(start.worker.id == "a");
+  info.service = "other";
+  bench.scheduler.UpdateWorker(info, bench.now);
+  BOOST_TEST(!bench.scheduler.IsStartStillValid(start, bench.now));
+}
+
 }  // namespace quartzhoist::testing
