A run that follows an inherited placement takes its place

Run numbers rise, and an owner starts the next run only when it has found the one before to be over, so a reported run with a higher number than the unconfirmed inherited one is the task's placement. The note of a stopped run names what the task's state was instead.

--- a/scheduler/duplicate_runs_test.cc
+++ b/scheduler/duplicate_runs_test.cc
@@ -155,6 +155,34 @@
   BOOST_TEST(bench.NextStart().task.job == "");
 }
 
+// Guards against an owner that stops a run which an earlier owner started after
+// this owner had read the job's row.
+BOOST_AUTO_TEST_CASE(RunStartedAfterTheRowWasReadIsKept) {
+  Bench bench(3);
+  for (const char* id : {"a", "b"}) {
+    bench.scheduler.InheritWorker(Bench::Worker(id),
+                                  bench.now + std::chrono::seconds(10));
+    bench.scheduler.UpdateWorker(Bench::Worker(id), bench.now);
+  }
+  jobs::Queue queue;
+  queue.name = "queue";
+  queue.service = "pool";
+  jobs::JobSpec spec;
+  spec.steps.push_back(Bench::OneLongRunningTask());
+  jobs::Progress progress;
+  progress.placed[{.step = {}, .index = 0}] = {.worker = {.id = "a"},
+                                               .run = 1001};
+  bench.scheduler.AddJob(
+      scheduler::MakeJob("job", queue, spec, progress, bench.now, {}),
+      bench.now);
+  bench.Report("b", {.running = {{.task = FirstTask("job"), .run = 1002}}});
+  BOOST_TEST(Only<scheduler::StopRun>(bench.RunPass()).empty());
+  bench.Report("a", {});
+  BOOST_TEST(bench.NextStart().task.job == "");
+  const jobs::Progress& kept = bench.scheduler.all_jobs().at("job").progress;
+  BOOST_TEST(kept.placed.at({.step = {}, .index = 0}).run == 1002);
+}
+
 // Guards against a start beside a run that an earlier owner was stopping, on a
 // worker that has not reported to this owner yet.
 BOOST_AUTO_TEST_CASE(NextOwnerWaitsForTheRunThatIsBeingStoppedElsewhere) {
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -378,7 +378,8 @@
   return task.state == TaskState::kReady;
 }
 
-// Cancels a planned run whose worker has not been contacted.
+// Cancels a planned run whose worker has not been contacted, or an inherited one
+// that its worker has not confirmed.
 void Scheduler::CancelPlan(Job& job, const TaskPosition& position) {
   Task& task = TaskAt(job, position);
   std::erase_if(job.pending_starts, [&position](const PendingStart& start) {
--- a/scheduler/worker_reports.cc
+++ b/scheduler/worker_reports.cc
@@ -39,6 +39,14 @@
 // dropped once its lease has expired.
 constexpr int kFailedCallsUntilDropped = 2;
 
+std::string DescribePlacement(const Task& task) {
+  const auto state = base::NameOf(kTaskStateNames, task.state);
+  return task.state == TaskState::kPlaced
+             ? fmt::format(" ({} on {} as run {})", state, task.worker.id,
+                           task.run)
+             : fmt::format(" ({})", state);
+}
+
 }  // namespace
 
 void Scheduler::WorkerReported(const jobs::WorkerIncarnation& asked,
@@ -200,12 +208,18 @@
       std::max(worker.latest_lease_end, now + this->limits.max_grant);
   if (known) {
     Task& task = TaskAt(*job, PositionOf(reported.task));
-    // An actual run takes precedence over a placement that is only planned.
+    // An actual run takes precedence over a placement that is only planned, and
+    // over an inherited one that it follows: the earlier owner that started it
+    // had found the run before it to be over.
     const auto other = this->workers.find(task.worker);
     if (task.state == TaskState::kPlaced && other != this->workers.end()) {
-      const auto plan = other->second.runs.find(reported.task);
-      if (plan != other->second.runs.end() &&
-          plan->second.state == RunState::kPlanned)
+      const auto placed = other->second.runs.find(reported.task);
+      const bool is_superseded =
+          placed != other->second.runs.end() &&
+          (placed->second.state == RunState::kPlanned ||
+           (placed->second.state == RunState::kInherited &&
+            placed->second.number < reported.run));
+      if (is_superseded)
         this->CancelPlan(*job, PositionOf(reported.task));
     }
     const bool wanted =
@@ -232,9 +246,12 @@
   }
   this->actions.emplace_back(LogNote{
       reported.task.job,
-      fmt::format("stopping run {} of task {}.{}.{} on {}: it is not needed",
-                  reported.run, reported.task.occurrence, reported.task.step,
-                  reported.task.index, worker.info.incarnation.id)});
+      fmt::format(
+          "stopping run {} of task {}.{}.{} on {}: it is not needed{}",
+          reported.run, reported.task.occurrence, reported.task.step,
+          reported.task.index, worker.info.incarnation.id,
+          known ? DescribePlacement(TaskAt(*job, PositionOf(reported.task)))
+                : std::string())});
   this->Stop(worker, reported.task, now);
 }
 
