A late answer to an earlier run's start keeps the planned run

Callers could wait for a task for ever (LOST): an answer to a start that tells of another worker at the address removed the task's run on the later incarnation of the worker, whatever its number. If that was the next run, planned and about to be saved, its start was never sent, and the task counted as placed.

--- a/scheduler/worker_incarnations_test.cc
+++ b/scheduler/worker_incarnations_test.cc
@@ -241,6 +241,35 @@
   BOOST_TEST(Only<scheduler::StartRun>(actions).empty());
 }
 
+// Guards against a task that is never started: the late answer to the start of
+// its run before, from an earlier incarnation's address, removed the planned
+// run.
+BOOST_AUTO_TEST_CASE(LateAnswerToTheStartBeforeKeepsThePlannedRun) {
+  Bench bench(1);
+  scheduler::WorkerInfo info = Bench::Worker("w");
+  info.incarnation.start_ms = kFirstBorn;
+  bench.scheduler.UpdateWorker(info, bench.now);
+  bench.Report("w", {});
+  bench.AddJob("job", Bench::OneLongRunningTask());
+  const scheduler::StartRun first = bench.NextStart();
+  BOOST_REQUIRE(first.task == FirstTask("job"));
+  bench.Report("w", {.ended = {{.sequence = 1,
+                                .task = first.task,
+                                .run = first.run,
+                                .reason = RunEndReason::kFailed}}});
+  info.incarnation.start_ms = kNextBorn;
+  bench.scheduler.UpdateWorker(info, bench.now);
+  bench.Report("w", {});
+  const auto saves = Only<SaveProgress>(bench.RunPass());
+  BOOST_REQUIRE(!saves.empty());
+  bench.scheduler.StartAnswered(
+      first, scheduler::CommandOutcome::kOtherIncarnation, bench.now);
+  bench.Save(saves);
+  const auto starts = Only<scheduler::StartRun>(bench.scheduler.TakeActions());
+  BOOST_REQUIRE(starts.size() == 1U);
+  BOOST_TEST(starts[0].run > first.run);
+}
+
 // Guards against a start beside a run of a worker that restarted shortly before
 // a takeover: an earlier owner's command for the previous incarnation may have
 // granted it the longest lease.
--- a/scheduler/worker_reports.cc
+++ b/scheduler/worker_reports.cc
@@ -361,7 +361,9 @@
   Worker* found = this->FindHolder(command.worker);
   // Another incarnation answered, so this one has not started the run.
   if (outcome == CommandOutcome::kOtherIncarnation && found) {
-    RemoveRun(*found, command.task);
+    const auto run = found->runs.find(command.task);
+    if (run != found->runs.end() && run->second.number == command.run)
+      RemoveRun(*found, command.task);
     this->HandleLostRun(command.task, command.run, now);
   }
   // Otherwise the run has moved to a later incarnation, and the answer tells
