The stand-in of the box service does nothing for what is already done

WaveOverSeveralShardsStaysWithinItsLimit counted 5 upkeeps of 4 boxes in 3 of 40 plays under load. A new owner repeats a recorded upkeep whose outcome it does not know, within 250 ms of its begin. The platform's page says that a move or an upkeep of a wave that is already done is answered with 200; the stand-in took the box down a second time, which no caller would see. It now keeps (box, wave) and the box's pool.

--- a/testing/worker_standin.cc
+++ b/testing/worker_standin.cc
@@ -327,12 +327,19 @@
     exchange->Reply(http::JsonResponse(409, R"({"reason":"busy"})"));
     return;
   }
+  // A call for what has been done already changes nothing.
   if (request.path == "/machine-upkeep") {
-    ++this->upkeep_count;
-    this->TakeDown(box, life->second->pool);
-    this->most_away_count = std::max(this->most_away_count, this->away.size());
-  } else {
-    this->TakeDown(box, body.at("pool").get<std::string>());
+    const bool is_new =
+        this->upkeeps_done.emplace(box, body.at("wave").get<int>()).second;
+    if (is_new) {
+      ++this->upkeep_count;
+      this->TakeDown(box, life->second->pool);
+      this->most_away_count =
+          std::max(this->most_away_count, this->away.size());
+    }
+  } else if (const auto pool = body.at("pool").get<std::string>();
+             pool != life->second->pool) {
+    this->TakeDown(box, pool);
   }
   exchange->Reply(http::JsonResponse(200, "{}"));
 }
--- a/testing/worker_standin.h
+++ b/testing/worker_standin.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -53,6 +54,7 @@
   // The most tasks that ran at one time, on all boxes together.
   int most_running() const { return this->most_running_count; }
   int ends_done() const { return this->done_count; }
+  // Upkeeps that took a box down; each box has one per wave.
   int upkeeps() const { return this->upkeep_count; }
   // Boxes that were away at once when an upkeep began, itself included.
   std::size_t most_away() const { return this->most_away_count; }
@@ -122,6 +124,7 @@
   int most_running_count = 0;
   int done_count = 0;
   int upkeep_count = 0;
+  std::set<std::pair<std::string, int>> upkeeps_done;  // box and wave
   std::size_t most_away_count = 0;
   int life_count = 0;
   base::Timer timer;
