A stale placement does not end an inherited call for a box

Callers could see more tasks of a long-running step away than it allows (AVAIL): a new owner took a recorded call for a box as over when it counted a run there. A placement that the row names from before the call, and that the worker has not reported, counted as such a run, so the owner placed a task on the box, and the earlier owner's call, sent when it woke, took it away.

InheritedCallHoldsABoxDespiteAStalePlacement fails before.

--- a/scheduler/box_calls_test.cc
+++ b/scheduler/box_calls_test.cc
@@ -176,4 +176,30 @@
   BOOST_TEST(Holds(two.MovedAfter(milliseconds(300)), "box-" + silent.id));
 }
 
+// Guards against tasks placed on a box that an earlier owner's recorded call
+// takes away later: a placement from before the call, which the worker has not
+// reported, was taken for work that started after it.
+BOOST_AUTO_TEST_CASE(InheritedCallHoldsABoxDespiteAStalePlacement) {
+  Bench bench(2);
+  const jobs::WorkerIncarnation worker{.id = "a"};
+  bench.scheduler.InheritBoxCalls(
+      {MoveBox{.box = "box-a", .pool = "other", .incarnation = worker}},
+      bench.now);
+  bench.scheduler.InheritWorker(Bench::Worker("a"), bench.now + seconds(10));
+  bench.scheduler.UpdateWorker(Bench::Worker("a"), bench.now);
+  jobs::Queue queue;
+  queue.name = "queue";
+  queue.service = "pool";
+  jobs::JobSpec spec;
+  spec.steps.push_back(Bench::OneTask());
+  jobs::Progress progress;
+  progress.placed[{.step = {}, .index = 0}] = {.worker = worker, .run = 1};
+  bench.scheduler.AddJob(MakeJob("job", queue, spec, progress, bench.now, {}),
+                         bench.now);
+  bench.Report("a", {});
+  const std::vector<Action> actions = bench.RunPass();
+  BOOST_TEST(bench.scheduler.HasOpenBoxCall("box-a"));
+  BOOST_TEST(Only<StartRun>(actions).empty());
+}
+
 }  // namespace quartzhoist::scheduler
--- a/scheduler/box_planning.cc
+++ b/scheduler/box_planning.cc
@@ -63,6 +63,12 @@
                     !worker.runs_presumed_over;
     box.in_evacuated_zone = this->fleet.IsEvacuated(worker.info.zone);
     box.idle = worker.idle();
+    box.has_only_inherited_runs =
+        !worker.idle() &&
+        std::all_of(worker.runs.begin(), worker.runs.end(),
+                    [](const auto& entry) {
+                      return entry.second.state == RunState::kInherited;
+                    });
     box.cores = static_cast<double>(worker.info.capacity.cpu_millis) / 1000.0;
     box.busy_cores = static_cast<double>(worker.used.cpu_millis) / 1000.0;
     box.long_running_tasks = worker.long_running_tasks;
--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -57,12 +57,14 @@
 
 // Owners call for idle boxes only and place nothing on them until the call is
 // resolved. So if the box has runs, the call was abandoned or carried out long
-// ago. If its worker has not answered, the box may be moving or going down.
+// ago. If its worker has not answered, the box may be moving or going down. A
+// placement that the worker has not reported may be older than the call.
 FleetPlanner::InheritedCall FleetPlanner::ClassifyInherited(
     const BoxesByName& boxes,
     const std::string& box) {
   const auto found = boxes.find(box);
-  if (found == boxes.end() || !found->second->available)
+  if (found == boxes.end() || !found->second->available ||
+      found->second->has_only_inherited_runs)
     return InheritedCall::kUnresolved;
   return found->second->idle ? InheritedCall::kRetry : InheritedCall::kObsolete;
 }
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -53,6 +53,8 @@
   bool available = false;          // can be moved or taken down
   bool in_evacuated_zone = false;  // takes no tasks and stays in its pool
   bool idle = false;               // no runs
+  // It has runs, all of them placed by earlier owners and not reported.
+  bool has_only_inherited_runs = false;
   int long_running_tasks = 0;
   double cores = 0.0;  // capacity
   double busy_cores = 0.0;
