A later run on the worker of an inherited placement is kept

Callers saw two of three tasks of a long-running step stopped at once (AVAIL) by a new owner: it had read the row, was paused, and then read reports of the same workers with the runs that the earlier owner had started since. A reported run that is not the expected one was taken for an older run beside a newer one, and stopped, also when it is the newer one.

RunStartedAfterTheRowWasReadIsKeptOnTheSameWorker fails before.

As for another worker, the later run shows that the one before is over: it takes the place of the unconfirmed inherited one.

--- a/scheduler/duplicate_runs_test.cc
+++ b/scheduler/duplicate_runs_test.cc
@@ -241,6 +241,21 @@
   BOOST_TEST(kept.placed.at({.step = {}, .index = 0}).run == 1002);
 }
 
+// As above; the later run is on the worker of the one that the row names.
+BOOST_AUTO_TEST_CASE(RunStartedAfterTheRowWasReadIsKeptOnTheSameWorker) {
+  Bench bench(2);
+  bench.scheduler.InheritWorker(Bench::Worker("a"),
+                                bench.now + std::chrono::seconds(10));
+  bench.scheduler.UpdateWorker(Bench::Worker("a"), bench.now);
+  AddPlacedJob(bench);
+  bench.Report("a", {.running = {{.task = FirstTask("job"), .run = 2}}});
+  const auto actions = bench.RunPass();
+  BOOST_TEST(Only<scheduler::StopRun>(actions).empty());
+  BOOST_TEST(Only<StartRun>(actions).empty());
+  const auto& runs = bench.scheduler.FindWorker(std::string("a"))->runs;
+  BOOST_TEST(runs.at(FirstTask("job")).number == 2);
+}
+
 // Guards against a start beside a run that an earlier owner was stopping, on a
 // worker that has not reported to this owner yet.
 BOOST_AUTO_TEST_CASE(NextOwnerWaitsForTheRunThatIsBeingStoppedElsewhere) {
--- a/scheduler/worker_reports.cc
+++ b/scheduler/worker_reports.cc
@@ -138,13 +138,19 @@
                                    base::Micros now) {
   const auto found = worker.runs.find(reported.task);
   if (found == worker.runs.end() || found->second.number != reported.run) {
+    const bool follows_inherited =
+        found != worker.runs.end() &&
+        found->second.state == RunState::kInherited &&
+        found->second.number < reported.run;
     // An older run beside a newer one of the same task is only stopped.
-    if (found != worker.runs.end()) {
+    if (found != worker.runs.end() && !follows_inherited) {
       this->actions.emplace_back(StopRun{.worker = worker.info.incarnation,
                                          .task = reported.task,
                                          .run = reported.run});
       return;
     }
+    if (follows_inherited)
+      this->DropInheritedRun(worker, reported.task);
     this->AdoptRun(worker, reported, now);
     return;
   }
@@ -188,6 +194,17 @@
     this->Stop(worker, reported.task, now);
 }
 
+// The task is ready again if the run was its placement.
+void Scheduler::DropInheritedRun(Worker& worker, const jobs::TaskId& id) {
+  Job* job = this->FindJob(id.job);
+  const int number = worker.runs.at(id).number;
+  if (job &&
+      IsPlacedAs(TaskAt(*job, PositionOf(id)), worker.info.incarnation, number))
+    this->CancelPlan(*job, PositionOf(id));
+  else
+    RemoveRun(worker, id);
+}
+
 // Takes in a run that this owner does not expect: it was started by an earlier
 // owner, or by a start that got no answer and was carried out late.
 void Scheduler::AdoptRun(Worker& worker,
