--- a/scheduler/box_calls_test.cc
+++ b/scheduler/box_calls_test.cc
@@ -185,17 +185,8 @@
   bench.scheduler.InheritBoxCalls(
       {MoveBox{.box = "box-a", .pool = "other", .incarnation = worker}},
       bench.now);
-  bench.scheduler.InheritWorker(Bench::Worker("a"), bench.now + seconds(10));
-  bench.scheduler.UpdateWorker(Bench::Worker("a"), bench.now);
-  jobs::Queue queue;
-  queue.name = "queue";
-  queue.service = "pool";
-  jobs::JobSpec spec;
-  spec.steps.push_back(Bench::OneTask());
-  jobs::Progress progress;
-  progress.placed[{.step = {}, .index = 0}] = {.worker = worker, .run = 1};
-  bench.scheduler.AddJob(MakeJob("job", queue, spec, progress, bench.now, {}),
-                         bench.now);
+  bench.InheritWorker("a", bench.now + seconds(10));
+  bench.AddPlacedJob({.worker = worker, .run = 1});
   bench.Report("a", {});
   const std::vector<Action> actions = bench.RunPass();
   BOOST_TEST(bench.scheduler.HasOpenBoxCall("box-a"));
--- a/scheduler/duplicate_runs_test.cc
+++ b/scheduler/duplicate_runs_test.cc
@@ -164,31 +164,15 @@
   BOOST_TEST(bench.NextStart().task.job == "");
 }
 
-// A job with one task that is placed on worker "a" as run 1.
-static void AddPlacedJob(Bench& bench) {
-  jobs::Queue queue;
-  queue.name = "queue";
-  queue.service = "pool";
-  jobs::JobSpec spec;
-  spec.steps.push_back(Bench::OneTask());
-  jobs::Progress progress;
-  progress.placed[{.step = {}, .index = 0}] = {.worker = {.id = "a"}, .run = 1};
-  bench.scheduler.AddJob(
-      scheduler::MakeJob("job", queue, spec, progress, bench.now, {}),
-      bench.now);
-}
-
 // Guards against a start beside a run that an earlier owner was stopping when
 // its worker reported, which is before the job is read.
 BOOST_AUTO_TEST_CASE(TaskOfAJobReadLateWaitsForItsRunThatIsBeingStopped) {
   Bench bench(2);
-  bench.scheduler.InheritWorker(Bench::Worker("a"),
-                                bench.now + std::chrono::seconds(10));
-  bench.scheduler.UpdateWorker(Bench::Worker("a"), bench.now);
+  bench.InheritWorker("a", bench.now + std::chrono::seconds(10));
   bench.Report("a", {});
   const base::Micros stopped_by = bench.now + milliseconds(400);
   bench.now += milliseconds(50);
-  AddPlacedJob(bench);
+  bench.AddPlacedJob({.worker = {.id = "a"}, .run = 1});
   std::vector<StartRun> starts;
   for (int i = 0; i < 8 && starts.empty(); ++i) {
     bench.Report("a", {});
@@ -207,7 +191,7 @@
                                 .task = FirstTask("job"),
                                 .run = 1,
                                 .reason = RunEndReason::kStopped}}});
-  AddPlacedJob(bench);
+  bench.AddPlacedJob({.worker = {.id = "a"}, .run = 1});
   BOOST_TEST(bench.scheduler.FindWorker(std::string("a"))->idle());
   bench.Save(Only<scheduler::SaveProgress>(bench.RunPass()));
   BOOST_TEST(!Only<StartRun>(bench.scheduler.TakeActions()).empty());
@@ -218,21 +202,10 @@
 BOOST_AUTO_TEST_CASE(RunStartedAfterTheRowWasReadIsKept) {
   Bench bench(3);
   for (const char* id : {"a", "b"}) {
-    bench.scheduler.InheritWorker(Bench::Worker(id),
-                                  bench.now + std::chrono::seconds(10));
-    bench.scheduler.UpdateWorker(Bench::Worker(id), bench.now);
+    bench.InheritWorker(id, bench.now + std::chrono::seconds(10));
   }
-  jobs::Queue queue;
-  queue.name = "queue";
-  queue.service = "pool";
-  jobs::JobSpec spec;
-  spec.steps.push_back(Bench::OneLongRunningTask());
-  jobs::Progress progress;
-  progress.placed[{.step = {}, .index = 0}] = {.worker = {.id = "a"},
-                                               .run = 1001};
-  bench.scheduler.AddJob(
-      scheduler::MakeJob("job", queue, spec, progress, bench.now, {}),
-      bench.now);
+  bench.AddPlacedJob({.worker = {.id = "a"}, .run = 1001},
+                     Bench::OneLongRunningTask());
   bench.Report("b", {.running = {{.task = FirstTask("job"), .run = 1002}}});
   BOOST_TEST(Only<scheduler::StopRun>(bench.RunPass()).empty());
   bench.Report("a", {});
@@ -244,10 +217,8 @@
 // As above; the later run is on the worker of the one that the row names.
 BOOST_AUTO_TEST_CASE(RunStartedAfterTheRowWasReadIsKeptOnTheSameWorker) {
   Bench bench(2);
-  bench.scheduler.InheritWorker(Bench::Worker("a"),
-                                bench.now + std::chrono::seconds(10));
-  bench.scheduler.UpdateWorker(Bench::Worker("a"), bench.now);
-  AddPlacedJob(bench);
+  bench.InheritWorker("a", bench.now + std::chrono::seconds(10));
+  bench.AddPlacedJob({.worker = {.id = "a"}, .run = 1});
   bench.Report("a", {.running = {{.task = FirstTask("job"), .run = 2}}});
   const auto actions = bench.RunPass();
   BOOST_TEST(Only<scheduler::StopRun>(actions).empty());
@@ -278,20 +249,11 @@
     inherited = *progress;
   Bench bench(3);
   for (const char* id : {"a", "b"}) {
-    bench.scheduler.InheritWorker(Bench::Worker(id),
-                                  bench.now + std::chrono::seconds(10));
-    bench.scheduler.UpdateWorker(Bench::Worker(id), bench.now);
+    bench.InheritWorker(id, bench.now + std::chrono::seconds(10));
   }
   bench.scheduler.UpdateWorker(Bench::Worker("c"), bench.now);
   bench.Report("c", {});
-  jobs::Queue queue;
-  queue.name = "queue";
-  queue.service = "pool";
-  jobs::JobSpec spec;
-  spec.steps.push_back(Bench::OneTask());
-  bench.scheduler.AddJob(
-      scheduler::MakeJob("job", queue, spec, inherited, bench.now, {}),
-      bench.now);
+  bench.AddJobWithProgress("job", Bench::OneTask(), inherited);
   EndFirstRun(bench, start);
   BOOST_TEST(bench.NextStart().task.job == "");
 }
--- a/scheduler/model_test.cc
+++ b/scheduler/model_test.cc
@@ -11,6 +11,7 @@
 
 #include <fmt/format.h>
 
+#include "testing/model_draws.h"
 #include "testing/scheduler_model.h"
 
 namespace quartzhoist::testing {
@@ -18,21 +19,6 @@
 
 using std::chrono::seconds;
 
-jobs::Step MakeStep(int tasks, std::int64_t cpu) {
-  jobs::Step step;
-  step.tasks = tasks;
-  step.task_resources = {.cpu_millis = cpu, .memory_mb = 500, .gpus = 0};
-  step.estimate_ms = 1000;
-  return step;
-}
-
-// Makes the step small enough for all long-running tasks and any other task to
-// fit on two workers.
-void MakeLongRunning(jobs::Step& step) {
-  step.long_running = true;
-  step.task_resources = {.cpu_millis = 50, .memory_mb = 100, .gpus = 0};
-}
-
 std::vector<ModelJob> DrawJobs(int count) {
   std::vector<ModelJob> jobs;
   for (int i = 0; i < count; ++i) {
@@ -54,11 +40,6 @@
   return jobs;
 }
 
-// Drawn from the whole range from the first case on.
-int DrawBetween(int least, int most) {
-  return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(least, most + 1));
-}
-
 base::Micros DrawMillis(int least, int most) {
   return std::chrono::milliseconds(DrawBetween(least, most));
 }
@@ -94,13 +75,6 @@
   return faults;
 }
 
-std::string Joined(const std::vector<std::string>& lines) {
-  std::string text;
-  for (const std::string& line : lines)
-    text += line + "\n";
-  return text;
-}
-
 using FaultTriple = std::array<ModelFault, 3>;
 
 // One fault of a worker, one of the store and one of the owner.
@@ -417,52 +391,6 @@
   BOOST_TEST(holds);
 }
 
-// Steps are limited per worker or require a label, in two pools that exchange
-// boxes. Workers withdraw, restart and are cut off, and commands are late or
-// lost, while owners are paused and replaced.
-BOOST_AUTO_TEST_CASE(TasksStartOnlyOnSuitableWorkers) {
-  const bool holds = rc::check("each start is on a suitable worker", [] {
-    std::vector<ModelJob> jobs(6);
-    for (std::size_t i = 0; i < jobs.size(); ++i) {
-      jobs[i].id = "job" + std::to_string(i);
-      jobs[i].service = i < 4 ? "pool" : "other";
-      jobs[i].spec.text = "text";
-      jobs::Step step = MakeStep(DrawBetween(2, 6), DrawBetween(300, 1200));
-      step.max_per_worker = DrawBetween(0, 2);
-      if (DrawBetween(0, 3) == 0)
-        step.label = DrawBetween(0, 1) == 0 ? kEvenLabel : kOddLabel;
-      jobs[i].spec.steps = {step};
-      if (i % 2 == 0) {
-        MakeLongRunning(jobs[i].spec.steps.back());
-      } else {
-        jobs[i].spec.steps.push_back(step);
-        jobs[i].spec.steps.back().depends_on = {0};
-      }
-    }
-    const auto odds = [](int max_per_mille) {
-      return DrawBetween(0, max_per_mille) / 1000.0;
-    };
-    ModelFaults faults;
-    faults.withdrawal = odds(300);
-    faults.lost_answer = odds(200);
-    faults.lost_command = odds(100);
-    faults.lost_save = odds(200);
-    faults.late_job = odds(500);
-    faults.failing_run = odds(300);
-    faults.crash = odds(100);
-    faults.partition = odds(600);
-    faults.takeover = odds(400);
-    faults.owner_pause = odds(300);
-    faults.store_outage = odds(200);
-    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
-    SchedulerModel model(seed, faults, DrawBetween(4, 8), jobs);
-    model.RunFor(seconds(25));
-    RC_LOG() << Joined(model.violations()) << model.History();
-    RC_ASSERT(model.violations().empty());
-  });
-  BOOST_TEST(holds);
-}
-
 // Guards against runs that a cancelled job starts late: a worker carries out a
 // start 2 to 6 s after it was sent, the owner that sent it has been replaced,
 // or both. Each run must be stopped within 5 s of the last late start.
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -34,6 +34,7 @@
 #include "scheduler/ready_tasks.h"
 #include "scheduler/reservations.h"
 #include "scheduler/run_times.h"
+#include "scheduler/scheduler_limits.h"
 #include "scheduler/suspects.h"
 #include "scheduler/waiting_tasks.h"
 #include "scheduler/worker.h"
@@ -41,23 +42,6 @@
 
 namespace quartzhoist::scheduler {
 
-struct SchedulerLimits {
-  base::Micros lease_duration{};  // granted to a worker at a time
-  // Bound on every lease, counted from the last ownership confirmation.
-  base::Micros max_lease_after_confirmation{};
-  // Longest lease that one command grants, on any clock.
-  base::Micros max_grant{};
-  // Workers shorten any longer grant to this, on any clock.
-  base::Micros max_lease{};
-  base::Micros max_stop_time{};  // upper bound for stopping a run
-  // Nothing is started on a worker whose announcement is older.
-  base::Micros max_announcement_age = base::Micros::max();
-  std::uint64_t epoch = 1;  // of this ownership, counted from 1
-  int shards = 1;           // the jobs are partitioned into these
-  // Durations of box moves and of box maintenance.
-  FleetTimings fleet;
-};
-
 enum class SaveOutcome {
   kSaved,
   kConflict,
--- a/scheduler/withdrawn_workers_test.cc
+++ b/scheduler/withdrawn_workers_test.cc
@@ -22,21 +22,11 @@
 BOOST_AUTO_TEST_CASE(WithdrawnWorkerKeepsItsInheritedLease) {
   Bench bench(2);
   const base::Micros lease_end = bench.now + seconds(6);
-  bench.scheduler.InheritWorker(Bench::Worker("a"), lease_end);
-  bench.scheduler.UpdateWorker(Bench::Worker("a"), bench.now);
+  bench.InheritWorker("a", lease_end);
   bench.scheduler.UpdateWorker(Bench::Worker("b"), bench.now);
   bench.Report("b", {});
   bench.scheduler.WorkerDeregistered("a", bench.now);
-  jobs::Queue queue;
-  queue.name = "queue";
-  queue.service = "pool";
-  jobs::JobSpec spec;
-  spec.steps.push_back(Bench::OneTask());
-  jobs::Progress progress;
-  progress.placed[{.step = {}, .index = 0}] = {.worker = {.id = "a"}, .run = 1};
-  bench.scheduler.AddJob(
-      scheduler::MakeJob("job", queue, spec, progress, bench.now, {}),
-      bench.now);
+  bench.AddPlacedJob({.worker = {.id = "a"}, .run = 1});
   BOOST_TEST(bench.NextStart().task.job == "");
   BOOST_REQUIRE(bench.now < lease_end);
   StartRun next;
@@ -55,8 +45,7 @@
   for (const bool answers : {false, true}) {
     Bench bench(2);
     const base::Micros lease_end = bench.now + seconds(3);
-    bench.scheduler.InheritWorker(Bench::Worker("a"), lease_end);
-    bench.scheduler.UpdateWorker(Bench::Worker("a"), bench.now);
+    bench.InheritWorker("a", lease_end);
     bench.scheduler.WorkerDeregistered("a", bench.now);
     BOOST_TEST(bench.scheduler.FindWorker(std::string("a")) != nullptr);
     if (answers)
--- a/scheduler/worker_incarnations_test.cc
+++ b/scheduler/worker_incarnations_test.cc
@@ -272,12 +272,13 @@
 
 // Guards against a start beside a run of a worker that restarted shortly before
 // a takeover: an earlier owner's command for the previous incarnation may have
-// granted it the longest lease.
-BOOST_AUTO_TEST_CASE(RunOfYoungIncarnationMayOutliveOneGrantAfterTakeover) {
+// granted it the longest lease, whatever the recorded end of the earlier
+// owner's leases.
+static void CheckRunOfYoungIncarnationIsWaitedFor(base::Micros recorded_lease) {
   Bench bench(2);
   scheduler::WorkerInfo info = Bench::Worker("w");
   info.incarnation.start_ms = kFirstBorn;
-  bench.scheduler.InheritWorker(info, bench.now + seconds(10));
+  bench.scheduler.InheritWorker(info, bench.now + recorded_lease);
   bench.scheduler.UpdateWorker(info, bench.now);
   bench.AddJob("job");
   bench.scheduler.PollSent({.worker = info.incarnation}, bench.now);
@@ -295,27 +296,12 @@
   BOOST_CHECK(bench.NextStart().task == FirstTask("job"));
 }
 
-// As above; the recorded end of the earlier owner's leases is near.
+BOOST_AUTO_TEST_CASE(RunOfYoungIncarnationMayOutliveOneGrantAfterTakeover) {
+  CheckRunOfYoungIncarnationIsWaitedFor(seconds(10));
+}
+
 BOOST_AUTO_TEST_CASE(RunOfYoungIncarnationMayOutliveTheRecordedLease) {
-  Bench bench(2);
-  scheduler::WorkerInfo info = Bench::Worker("w");
-  info.incarnation.start_ms = kFirstBorn;
-  bench.scheduler.InheritWorker(info, bench.now + seconds(3));
-  bench.scheduler.UpdateWorker(info, bench.now);
-  bench.AddJob("job");
-  bench.scheduler.PollSent({.worker = info.incarnation}, bench.now);
-  WorkerReport report{.incarnation = info.incarnation, .clock_ms = 4000};
-  report.running = {{.task = FirstTask("job"), .run = 1}};
-  bench.scheduler.WorkerReported(info.incarnation, report, bench.now);
-  bench.scheduler.UpdateWorker(Bench::Worker("other"), bench.now);
-  bench.Report("other", {});
-  const base::Micros reported = bench.now;
-  while (bench.now < reported + seconds(8)) {
-    const auto actions = bench.RunPass();
-    BOOST_TEST(Only<scheduler::StartRun>(actions).empty());
-    bench.Save(Only<SaveProgress>(actions));
-  }
-  BOOST_CHECK(bench.NextStart().task == FirstTask("job"));
+  CheckRunOfYoungIncarnationIsWaitedFor(seconds(3));
 }
 
 // Guards against tasks that run twice when workers restart under the same id,
--- /dev/null
+++ b/testing/model_draws.h
@@ -0,0 +1,45 @@
+// Jobs and numbers for property tests with the scheduler's model.
+
+#ifndef TESTING_MODEL_DRAWS_H_
+#define TESTING_MODEL_DRAWS_H_
+
+#include <rapidcheck.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "testing/scheduler_model.h"
+
+namespace quartzhoist::testing {
+
+inline jobs::Step MakeStep(int tasks, std::int64_t cpu) {
+  jobs::Step step;
+  step.tasks = tasks;
+  step.task_resources = {.cpu_millis = cpu, .memory_mb = 500, .gpus = 0};
+  step.estimate_ms = 1000;
+  return step;
+}
+
+// Makes the step small enough for all long-running tasks and any other task to
+// fit on two workers.
+inline void MakeLongRunning(jobs::Step& step) {
+  step.long_running = true;
+  step.task_resources = {.cpu_millis = 50, .memory_mb = 100, .gpus = 0};
+}
+
+// Drawn from the whole range from the first case on.
+inline int DrawBetween(int least, int most) {
+  return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(least, most + 1));
+}
+
+inline std::string Joined(const std::vector<std::string>& lines) {
+  std::string text;
+  for (const std::string& line : lines)
+    text += line + "\n";
+  return text;
+}
+
+}  // namespace quartzhoist::testing
+
+#endif  // TESTING_MODEL_DRAWS_H_
--- a/testing/scheduler_bench.h
+++ b/testing/scheduler_bench.h
@@ -77,6 +77,14 @@
   void AddJob(const std::string& id,
               const jobs::Step& step = OneTask(),
               bool needs_advice = false) {
+    this->AddJobWithProgress(id, step, {}, needs_advice);
+  }
+
+  // As AddJob, with the progress that an earlier owner has stored.
+  void AddJobWithProgress(const std::string& id,
+                          const jobs::Step& step,
+                          const jobs::Progress& progress,
+                          bool needs_advice = false) {
     jobs::Queue queue;
     queue.name = "queue";
     queue.service = "pool";
@@ -84,7 +92,22 @@
     jobs::JobSpec spec;
     spec.steps.push_back(step);
     this->scheduler.AddJob(
-        scheduler::MakeJob(id, queue, spec, {}, this->now, {}), this->now);
+        scheduler::MakeJob(id, queue, spec, progress, this->now, {}),
+        this->now);
+  }
+
+  // A job "job" whose only task an earlier owner has placed.
+  void AddPlacedJob(const jobs::Placement& placement,
+                    const jobs::Step& step = OneTask()) {
+    jobs::Progress progress;
+    progress.placed[{.step = {}, .index = 0}] = placement;
+    this->AddJobWithProgress("job", step, progress);
+  }
+
+  // A worker that an earlier owner has recorded as a lease holder.
+  void InheritWorker(const std::string& id, base::Micros lease_end) {
+    this->scheduler.InheritWorker(Worker(id), lease_end);
+    this->scheduler.UpdateWorker(Worker(id), this->now);
   }
 
   // Sends a poll to the worker and delivers `report` as its answer 10 ms later.
