A reported run takes the place of a plan on the same worker

Callers could see two runs of one task on one worker (TWICE): a worker reports a run of a task that the owner has just planned there, for example one that a late start began after a restart. On another worker the actual run takes precedence over a plan; on the same one the reported run was stopped as an older one, and the planned start was sent beside it as soon as its placement was saved.

It is one function now, IsSupersededBy, for a plan and for an inherited placement, wherever the run is reported. ReportedRunTakesThePlaceOfAPlanOnTheSameWorker fails before (a stop of run 1 and a start of run 1001).

--- a/scheduler/duplicate_runs_test.cc
+++ b/scheduler/duplicate_runs_test.cc
@@ -227,6 +227,24 @@
   BOOST_TEST(runs.at(FirstTask("job")).number == 2);
 }
 
+// Guards against a start beside a run of the task that its worker reports while
+// the start is planned there.
+BOOST_AUTO_TEST_CASE(ReportedRunTakesThePlaceOfAPlanOnTheSameWorker) {
+  Bench bench(2);
+  bench.scheduler.UpdateWorker(Bench::Worker("a"), bench.now);
+  bench.Report("a", {});
+  bench.AddJob("job");
+  const auto saves = Only<scheduler::SaveProgress>(bench.RunPass());
+  BOOST_REQUIRE(!saves.empty());
+  bench.Report("a", {.running = {{.task = FirstTask("job"), .run = 1}}});
+  bench.Save(saves);
+  const auto actions = bench.scheduler.TakeActions();
+  BOOST_TEST(Only<StartRun>(actions).empty());
+  BOOST_TEST(Only<scheduler::StopRun>(actions).empty());
+  const auto& runs = bench.scheduler.FindWorker(std::string("a"))->runs;
+  BOOST_TEST(runs.at(FirstTask("job")).number == 1);
+}
+
 // Guards against a start beside a run that an earlier owner was stopping, on a
 // worker that has not reported to this owner yet.
 BOOST_AUTO_TEST_CASE(NextOwnerWaitsForTheRunThatIsBeingStoppedElsewhere) {
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -313,7 +313,7 @@
                   std::int64_t clock_ms,
                   base::Micros now);
   void QuarantineIfStartsUnanswered(Worker& worker, base::Micros now);
-  void DropInheritedRun(Worker& worker, const jobs::TaskId& id);
+  void DropSupersededRun(Worker& worker, const jobs::TaskId& id);
   void AdoptRun(Worker& worker, const ReportedRun& reported, base::Micros now);
   void ResolveMissingRuns(Worker& worker,
                           const WorkerReport& report,
--- a/scheduler/worker_reports.cc
+++ b/scheduler/worker_reports.cc
@@ -29,6 +29,14 @@
 constexpr int kMaxUnansweredStarts = 3;
 constexpr base::Micros kUnansweredStartsQuarantine = std::chrono::seconds(4);
 
+// Whether a reported run takes the place of the one that is known of its task:
+// that is only planned, or it is an unconfirmed placement by an earlier owner,
+// which started the later run when it had found that one to be over.
+bool IsSupersededBy(const Run& known, int reported) {
+  return known.state == RunState::kPlanned ||
+         (known.state == RunState::kInherited && known.number < reported);
+}
+
 std::string DescribePlacement(const Task& task) {
   const auto state = base::NameOf(kTaskStateNames, task.state);
   return task.state == TaskState::kPlaced
@@ -112,19 +120,16 @@
                                    base::Micros now) {
   const auto found = worker.runs.find(reported.task);
   if (found == worker.runs.end() || found->second.number != reported.run) {
-    const bool follows_inherited =
-        found != worker.runs.end() &&
-        found->second.state == RunState::kInherited &&
-        found->second.number < reported.run;
     // An older run beside a newer one of the same task is only stopped.
-    if (found != worker.runs.end() && !follows_inherited) {
+    const bool is_known = found != worker.runs.end();
+    if (is_known && !IsSupersededBy(found->second, reported.run)) {
       this->actions.emplace_back(StopRun{.worker = worker.info.incarnation,
                                          .task = reported.task,
                                          .run = reported.run});
       return;
     }
-    if (follows_inherited)
-      this->DropInheritedRun(worker, reported.task);
+    if (is_known)
+      this->DropSupersededRun(worker, reported.task);
     this->AdoptRun(worker, reported, now);
     return;
   }
@@ -169,7 +174,7 @@
 }
 
 // The task is ready again if the run was its placement.
-void Scheduler::DropInheritedRun(Worker& worker, const jobs::TaskId& id) {
+void Scheduler::DropSupersededRun(Worker& worker, const jobs::TaskId& id) {
   Job* job = this->FindJob(id.job);
   const int number = worker.runs.at(id).number;
   if (job &&
@@ -218,18 +223,11 @@
       std::max(worker.latest_lease_end, now + this->limits.max_grant);
   if (known) {
     Task& task = TaskAt(*job, PositionOf(reported.task));
-    // An actual run takes precedence over a placement that is only planned, and
-    // over an inherited one that it follows: the earlier owner that started it
-    // had found the run before it to be over.
     const auto other = this->workers.find(task.worker);
     if (task.state == TaskState::kPlaced && other != this->workers.end()) {
       const auto placed = other->second.runs.find(reported.task);
-      const bool is_superseded =
-          placed != other->second.runs.end() &&
-          (placed->second.state == RunState::kPlanned ||
-           (placed->second.state == RunState::kInherited &&
-            placed->second.number < reported.run));
-      if (is_superseded)
+      if (placed != other->second.runs.end() &&
+          IsSupersededBy(placed->second, reported.run))
         this->CancelPlan(*job, PositionOf(reported.task));
     }
     const bool wanted =
