--- a/scheduler/duplicate_runs_test.cc
+++ b/scheduler/duplicate_runs_test.cc
@@ -47,15 +47,9 @@
 BOOST_AUTO_TEST_CASE(TaskWaitsForItsRunThatIsBeingStoppedElsewhere) {
   Bench bench(2);
   const StartRun start = StopRunOnSecondWorker(bench);
-  bench.Report("a", {.ended = {{.sequence = 1,
-                                .task = start.task,
-                                .run = start.run,
-                                .reason = RunEndReason::kLeaseExpired}}});
+  bench.ReportEnd("a", start.task, start.run, RunEndReason::kLeaseExpired);
   BOOST_TEST(bench.NextStart().task.job == "");
-  bench.Report("b", {.ended = {{.sequence = 1,
-                                .task = start.task,
-                                .run = start.run + 1,
-                                .reason = RunEndReason::kStopped}}});
+  bench.ReportEnd("b", start.task, start.run + 1, RunEndReason::kStopped);
   const StartRun next = bench.NextStart();
   BOOST_CHECK(next.task == start.task);
   BOOST_TEST(next.run > start.run + 1);
@@ -65,23 +59,14 @@
 BOOST_AUTO_TEST_CASE(TaskDoneByItsRunThatIsBeingStoppedElsewhereStaysDone) {
   Bench bench(2);
   const StartRun start = StopRunOnSecondWorker(bench);
-  bench.Report("a", {.ended = {{.sequence = 1,
-                                .task = start.task,
-                                .run = start.run,
-                                .reason = RunEndReason::kLeaseExpired}}});
-  bench.Report("b", {.ended = {{.sequence = 1,
-                                .task = start.task,
-                                .run = start.run + 1,
-                                .reason = RunEndReason::kSucceeded}}});
+  bench.ReportEnd("a", start.task, start.run, RunEndReason::kLeaseExpired);
+  bench.ReportEnd("b", start.task, start.run + 1, RunEndReason::kSucceeded);
   BOOST_TEST(bench.NextStart().task.job == "");
 }
 
 // Ends the first run of `StopRunOnSecondWorker`.
 static void EndFirstRun(Bench& bench, const StartRun& start) {
-  bench.Report("a", {.ended = {{.sequence = 1,
-                                .task = start.task,
-                                .run = start.run,
-                                .reason = RunEndReason::kLeaseExpired}}});
+  bench.ReportEnd("a", start.task, start.run, RunEndReason::kLeaseExpired);
 }
 
 // A task that waits for a run whose worker is lost starts once the lease ends.
@@ -143,10 +128,7 @@
                                 .run = start.run,
                                 .reason = RunEndReason::kLeaseExpired}}});
   BOOST_TEST(bench.NextStart().task.job == "");
-  bench.Report("b", {.ended = {{.sequence = 1,
-                                .task = first,
-                                .run = start.run + 1,
-                                .reason = RunEndReason::kStopped}}});
+  bench.ReportEnd("b", first, start.run + 1, RunEndReason::kStopped);
   BOOST_TEST(bench.NextStart().task.job == "job");
 }
 
@@ -157,10 +139,7 @@
   EndFirstRun(bench, start);
   BOOST_TEST(bench.NextStart().task.job == "");
   bench.scheduler.CancelJob("job", bench.now);
-  bench.Report("b", {.ended = {{.sequence = 1,
-                                .task = start.task,
-                                .run = start.run + 1,
-                                .reason = RunEndReason::kStopped}}});
+  bench.ReportEnd("b", start.task, start.run + 1, RunEndReason::kStopped);
   BOOST_TEST(bench.NextStart().task.job == "");
 }
 
@@ -187,10 +166,7 @@
 BOOST_AUTO_TEST_CASE(TaskOfAJobReadLateStartsAfterTheReportedEndOfItsRun) {
   Bench bench(2);
   bench.scheduler.UpdateWorker(Bench::Worker("a"), bench.now);
-  bench.Report("a", {.ended = {{.sequence = 1,
-                                .task = FirstTask("job"),
-                                .run = 1,
-                                .reason = RunEndReason::kStopped}}});
+  bench.ReportEnd("a", FirstTask("job"), 1, RunEndReason::kStopped);
   bench.AddPlacedJob({.worker = {.id = "a"}, .run = 1});
   BOOST_TEST(bench.scheduler.FindWorker(std::string("a"))->idle());
   bench.Save(Only<scheduler::SaveProgress>(bench.RunPass()));
--- a/scheduler/start_constraints_test.cc
+++ b/scheduler/start_constraints_test.cc
@@ -55,10 +55,7 @@
   Bench bench(2);
   const StartRun start = StartTaskThatAlsoRunsOnSecondWorker(bench);
   BOOST_TEST(bench.NextStart().task.job == "");
-  bench.Report("b", {.ended = {{.sequence = 1,
-                                .task = start.task,
-                                .run = start.run + 1,
-                                .reason = RunEndReason::kStopped}}});
+  bench.ReportEnd("b", start.task, start.run + 1, RunEndReason::kStopped);
   const StartRun next = bench.NextStart();
   BOOST_TEST(next.worker.id == "b");
   BOOST_CHECK(next.task != start.task);
@@ -68,10 +65,7 @@
 BOOST_AUTO_TEST_CASE(StepLimitCountsStoppingRunsOfDoneTasks) {
   Bench bench(2);
   const StartRun start = StartTaskThatAlsoRunsOnSecondWorker(bench);
-  bench.Report("a", {.ended = {{.sequence = 1,
-                                .task = start.task,
-                                .run = start.run,
-                                .reason = RunEndReason::kSucceeded}}});
+  bench.ReportEnd("a", start.task, start.run, RunEndReason::kSucceeded);
   const StartRun next = bench.NextStart();
   BOOST_TEST(next.worker.id == "a");
 }
--- a/scheduler/worker_incarnations_test.cc
+++ b/scheduler/worker_incarnations_test.cc
@@ -159,10 +159,7 @@
   bench.scheduler.LeaseGranted(first.worker, bench.now + milliseconds(2500));
   bench.scheduler.StartAnswered(first, scheduler::CommandOutcome::kDone,
                                 bench.now);
-  bench.Report("w", {.ended = {{.sequence = 1,
-                                .task = first.task,
-                                .run = first.run,
-                                .reason = RunEndReason::kSucceeded}}});
+  bench.ReportEnd("w", first.task, first.run, RunEndReason::kSucceeded);
   bench.AddJob("next");
   const scheduler::StartRun next = bench.NextStart();
   BOOST_REQUIRE(next.task == FirstTask("next"));
@@ -253,10 +250,7 @@
   bench.AddJob("job", Bench::OneLongRunningTask());
   const scheduler::StartRun first = bench.NextStart();
   BOOST_REQUIRE(first.task == FirstTask("job"));
-  bench.Report("w", {.ended = {{.sequence = 1,
-                                .task = first.task,
-                                .run = first.run,
-                                .reason = RunEndReason::kFailed}}});
+  bench.ReportEnd("w", first.task, first.run, RunEndReason::kFailed);
   info.incarnation.start_ms = kNextBorn;
   bench.scheduler.UpdateWorker(info, bench.now);
   bench.Report("w", {});
--- a/testing/scheduler_bench.h
+++ b/testing/scheduler_bench.h
@@ -127,6 +127,18 @@
     this->scheduler.WorkersRecorded({this->LifeOf(worker)});
   }
 
+  // Reports the first end of the worker's incarnation.
+  void ReportEnd(const std::string& worker,
+                 const jobs::TaskId& task,
+                 int run,
+                 scheduler::RunEndReason reason) {
+    this->Report(worker, {.ended = {{.sequence = 1,
+                                     .task = task,
+                                     .run = run,
+                                     .reason = reason,
+                                     .checkpoint = ""}}});
+  }
+
   // Returns the worker incarnation that the scheduler knows under the id.
   jobs::WorkerIncarnation LifeOf(const std::string& id) const {
     const scheduler::Worker* known = this->scheduler.FindWorker(id);
