A row records every run of a task that is being stopped

Two workers report runs of a task that is placed on a third. Both are recorded and stopped, but the row held one run per task and the later one took the place of the other. A run that is being stopped is in no report. So the next owner, to which the first of the two workers had not reported, started the task while that run was at work.

Cause: `std::map<TaskKey, Placement> stopping`. A second record, the record that a task's end makes for its placement, and the merge of two owners' rows all wrote over a run that may be at work.

The row now holds a set per task, and a merge is its union. A next owner inherits each run, and its task waits for one after the other. A record is dropped when its run is over, or when its worker is known to have another run of the task, for which the task waits there.

--- a/jobs/jobs_test.cc
+++ b/jobs/jobs_test.cc
@@ -150,7 +150,9 @@
         R"({"state":"queued","failed_runs":{"1.1.1":1}})",
         R"({"state":"queued","failed_runs":{"1.1.1":[]}})",
         R"({"state":"queued","failed_runs":{"1.1.1":["1"]}})",
-        R"({"state":"queued","placed":{"1.1.1":["w"]}})"}) {
+        R"({"state":"queued","placed":{"1.1.1":["w"]}})",
+        R"({"state":"queued","also_stopping":{"1.1.1":["w",1,0]}})",
+        R"({"state":"queued","also_stopping":{"1.1.1":[]}})"}) {
     BOOST_TEST(!DecodeProgress(text).has_value(), text);
   }
 }
@@ -201,5 +203,36 @@
               kept->placed);
 }
 
+// Guards against a run that is being stopped and stands in no merged row: each
+// writer stops another run of the task.
+BOOST_AUTO_TEST_CASE(MergeKeepsTheRunsThatEachWriterIsStopping) {
+  const auto earlier = DecodeProgress(
+      R"({"state":"running","stopping":{"0.0.0":["b",1002,7]}})");
+  const auto later = DecodeProgress(
+      R"({"state":"running","stopping":{"0.0.0":["c",1003,0]}})");
+  BOOST_REQUIRE((earlier.has_value() && later.has_value()));
+  const std::string both = EncodeProgress(Merge(*earlier, *later));
+  BOOST_TEST(both == EncodeProgress(Merge(*later, *earlier)));
+  for (const char* run : {R"(["b",1002,7])", R"(["c",1003,0])"})
+    BOOST_TEST((both.find(run) != std::string::npos), both);
+  BOOST_TEST(EncodeProgress(DecodeProgress(both).value()) == both);
+}
+
+// A version that reads one run per task finds the latest in the known form.
+BOOST_AUTO_TEST_CASE(LatestStoppingRunIsStoredInTheFormOfEarlierVersions) {
+  const char* const row =
+      R"({"state":"running","also_stopping":{"0.0.0":[["b",1002,0]]},)"
+      R"("stopping":{"0.0.0":["c",1003,0]}})";
+  const auto progress = DecodeProgress(row);
+  BOOST_REQUIRE(progress.has_value());
+  const std::string stored = EncodeProgress(*progress);
+  BOOST_TEST((stored.find(R"("stopping":{"0.0.0":["c",1003,0]})") !=
+              std::string::npos),
+             stored);
+  BOOST_TEST((stored.find(R"("also_stopping":{"0.0.0":[["b",1002,0]]})") !=
+              std::string::npos),
+             stored);
+}
+
 }  // namespace
 }  // namespace quartzhoist::jobs
--- a/jobs/progress.cc
+++ b/jobs/progress.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <iterator>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -94,26 +95,70 @@
 
 // [worker, run, start of the incarnation]; rows of earlier versions lack the
 // start.
+std::optional<Placement> DecodePlacement(const Json& placement) {
+  const bool is_list = placement.is_array() && placement.size() >= 2;
+  const bool has_start = is_list && placement.size() == 3;
+  const bool fits = is_list && placement.size() <= 3 &&
+                    placement[0].is_string() &&
+                    placement[1].is_number_integer() &&
+                    (!has_start || placement[2].is_number_integer());
+  if (!fits)
+    return std::nullopt;
+  return Placement{
+      .worker = {.id = placement[0].get<std::string>(),
+                 .start_ms = has_start ? placement[2].get<std::int64_t>() : 0},
+      .run = placement[1].get<int>()};
+}
+
 bool DecodePlacements(const Json& row, std::map<TaskKey, Placement>& into) {
-  for (const auto& [key, placement] : row.items()) {
+  for (const auto& [key, entry] : row.items()) {
     const auto task = ParseTaskKey(key);
-    const bool is_list = placement.is_array() && placement.size() >= 2;
-    const bool has_start = is_list && placement.size() == 3;
-    const bool fits = is_list && placement.size() <= 3 &&
-                      placement[0].is_string() &&
-                      placement[1].is_number_integer() &&
-                      (!has_start || placement[2].is_number_integer());
-    if (!task || !fits)
+    const auto placement = DecodePlacement(entry);
+    if (!task || !placement)
       return false;
-    into[*task] = {
-        .worker = {.id = placement[0].get<std::string>(),
-                   .start_ms =
-                       has_start ? placement[2].get<std::int64_t>() : 0},
-        .run = placement[1].get<int>()};
+    into[*task] = *placement;
   }
   return true;
 }
 
+// The latest run of each task that is being stopped.
+bool DecodeStopping(const Json& row, Progress& progress) {
+  std::map<TaskKey, Placement> latest;
+  if (!DecodePlacements(row, latest))
+    return false;
+  for (const auto& [task, run] : latest)
+    progress.stopping[task].insert(run);
+  return true;
+}
+
+// The earlier runs of these tasks that are being stopped too.
+bool DecodeAlsoStopping(const Json& row, Progress& progress) {
+  for (const auto& [key, runs] : row.items()) {
+    const auto task = ParseTaskKey(key);
+    if (!task || !runs.is_array() || runs.empty())
+      return false;
+    for (const Json& run : runs) {
+      const auto placement = DecodePlacement(run);
+      if (!placement)
+        return false;
+      progress.stopping[*task].insert(*placement);
+    }
+  }
+  return true;
+}
+
+// Versions that know one run per task read it from "stopping" and ignore
+// "also_stopping".
+void EncodeStopping(const Progress& progress, Json& row) {
+  for (const auto& [task, runs] : progress.stopping) {
+    const std::string key = FormatTaskKey(task);
+    const auto latest = std::prev(runs.end());
+    row["stopping"][key] = EncodePlacement(*latest);
+    for (auto run = runs.begin(); run != latest; ++run)
+      row["also_stopping"][key].push_back(EncodePlacement(*run));
+  }
+}
+
 // A boolean field of a loss, and the letter that is stored if it is set.
 struct LossFlag {
   char letter;
@@ -210,6 +255,25 @@
     known.*flag.is_set = known.*flag.is_set || loss.*flag.is_set;
 }
 
+bool Progress::IsStopping(const TaskKey& task, int run) const {
+  const auto found = this->stopping.find(task);
+  return found != this->stopping.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [run](const Placement& one) { return one.run == run; });
+}
+
+bool Progress::MarkStopEnded(const TaskKey& task, int run) {
+  const auto found = this->stopping.find(task);
+  if (found == this->stopping.end())
+    return false;
+  const bool was_stopping =
+      std::erase_if(found->second,
+                    [run](const Placement& one) { return one.run == run; }) > 0;
+  if (found->second.empty())
+    this->stopping.erase(found);
+  return was_stopping;
+}
+
 int Progress::FailureCount(const TaskKey& task) const {
   const auto found = this->failures.find(task);
   return found == this->failures.end() ? 0
@@ -226,8 +290,7 @@
     row["failed_runs"][FormatTaskKey(task)] = runs;
   for (const auto& [task, placement] : progress.placed)
     row["placed"][FormatTaskKey(task)] = EncodePlacement(placement);
-  for (const auto& [task, placement] : progress.stopping)
-    row["stopping"][FormatTaskKey(task)] = EncodePlacement(placement);
+  EncodeStopping(progress, row);
   for (const auto& [task, runs] : progress.last_tries)
     row["last_tries"][FormatTaskKey(task)] = runs;
   for (const auto& [task, lives] : progress.losses) {
@@ -257,8 +320,10 @@
   if (row.contains("placed") &&
       !DecodePlacements(row["placed"], progress.placed))
     return std::nullopt;
-  if (row.contains("stopping") &&
-      !DecodePlacements(row["stopping"], progress.stopping))
+  if (row.contains("stopping") && !DecodeStopping(row["stopping"], progress))
+    return std::nullopt;
+  if (row.contains("also_stopping") &&
+      !DecodeAlsoStopping(row["also_stopping"], progress))
     return std::nullopt;
   if (row.contains("last_tries") &&
       !DecodeRuns(row["last_tries"], progress.last_tries))
@@ -287,7 +352,8 @@
       merged.last_tries[task].insert(runs.begin(), runs.end());
   }
   MergePlacements(merged.placed, b.placed);
-  MergePlacements(merged.stopping, b.stopping);
+  for (const auto& [task, runs] : b.stopping)
+    merged.stopping[task].insert(runs.begin(), runs.end());
   // The two owners may have seen different workers being lost.
   for (const auto& [task, lives] : b.losses) {
     for (const auto& [life, loss] : lives)
--- a/jobs/progress.h
+++ b/jobs/progress.h
@@ -52,7 +52,13 @@
   int run = 0;
 
   bool operator==(const Placement&) const = default;
+  // Later runs sort last.
+  bool operator<(const Placement& other) const {
+    return std::tie(this->run, this->worker) <
+           std::tie(other.run, other.worker);
+  }
 };
+using Placements = std::set<Placement>;
 
 // The loss of a worker incarnation that may have been executing a run of the
 // task.
@@ -72,9 +78,10 @@
   std::map<StepKey, std::vector<bool>> done;
   std::map<TaskKey, RunNumbers> failures;  // no value is empty
   std::map<TaskKey, Placement> placed;     // tasks that are not done
-  // Runs ordered to stop because their task was done elsewhere. They occupy
-  // resources until they end, and may be missing from the worker's listing.
-  std::map<TaskKey, Placement> stopping;
+  // Runs ordered to stop because their task is done or placed elsewhere. They
+  // occupy resources until they end, and may be missing from their workers'
+  // listings. No value is empty.
+  std::map<TaskKey, Placements> stopping;
   std::map<TaskKey, WorkerLosses> losses;  // of tasks that are not done
   // Runs placed although many workers had been lost while executing the task.
   std::map<TaskKey, RunNumbers> last_tries;  // no value is empty
@@ -86,6 +93,9 @@
            this->stopping.empty();
   }
   void MarkDone(const StepKey& step, int index);
+  bool IsStopping(const TaskKey& task, int run) const;
+  // Removes the run from those that are being stopped. False if it was none.
+  bool MarkStopEnded(const TaskKey& task, int run);
   void MarkFailed(const TaskKey& task, int run);
   // Flags set for an incarnation are kept when its loss is reported again.
   void MarkLost(const TaskKey& task,
@@ -100,8 +110,9 @@
 std::optional<Progress> DecodeProgress(std::string_view text);
 
 // Combines the progress recorded by two writers. Both record facts: a task that
-// is done or a run that failed for either is so in the result, and of two
-// placements of a task the later run wins.
+// is done or a run that failed for either is so in the result, a run that
+// either was stopping is stopping, and of two placements of a task the later
+// run wins.
 Progress Merge(const Progress& a, const Progress& b);
 
 }  // namespace quartzhoist::jobs
--- a/scheduler/inheritance.cc
+++ b/scheduler/inheritance.cc
@@ -66,25 +66,36 @@
 // worker's capacity.
 void Scheduler::InheritStops(Job& job, base::Micros now) {
   const auto stopping = job.progress.stopping;
-  for (const auto& [key, placement] : stopping) {
+  for (const auto& [key, placements] : stopping) {
     const TaskPosition position{.occurrence = key.step.occurrence,
                                 .step = key.step.step,
                                 .index = key.index};
-    Worker* worker = this->FindHolder(placement.worker);
-    const bool is_known = HasTask(job, position) && worker &&
-                          worker->runs.contains(IdOf(job, position));
-    if (is_known)
-      continue;
-    const bool may_run = HasTask(job, position) && worker &&
-                         MayHideRuns(*worker, this->limits.max_stop_time, now);
-    if (may_run) {
-      this->InheritRun(job, position, placement.run, *worker, now);
-      TaskAt(job, position).has_other_run = true;
-    } else {
-      job.progress.stopping.erase(key);
+    for (const jobs::Placement& placement : placements) {
+      if (this->InheritStop(job, position, placement, now))
+        continue;
+      job.progress.MarkStopEnded(key, placement.run);
       this->MarkChanged(job);
     }
   }
 }
 
+// Returns false if the run is over, or if its worker has another run of the
+// task, for which the task waits there.
+bool Scheduler::InheritStop(Job& job,
+                            const TaskPosition& position,
+                            const jobs::Placement& placement,
+                            base::Micros now) {
+  Worker* worker = this->FindHolder(placement.worker);
+  if (!worker || !HasTask(job, position))
+    return false;
+  const auto known = worker->runs.find(IdOf(job, position));
+  if (known != worker->runs.end())
+    return known->second.number == placement.run;
+  if (!MayHideRuns(*worker, this->limits.max_stop_time, now))
+    return false;
+  this->InheritRun(job, position, placement.run, *worker, now);
+  TaskAt(job, position).has_other_run = true;
+  return true;
+}
+
 }  // namespace quartzhoist::scheduler
--- a/scheduler/run_ends.cc
+++ b/scheduler/run_ends.cc
@@ -132,8 +132,8 @@
           .occurrence = position.occurrence, .step = position.step, .index = i};
       this->Stop(other->second, IdOf(job, member), now);
       if (other->second.runs.contains(IdOf(job, member)))
-        job.progress.stopping[KeyOf(member)] = {.worker = task.worker,
-                                                .run = task.run};
+        job.progress.stopping[KeyOf(member)].insert(
+            {.worker = task.worker, .run = task.run});
     }
     task.state = TaskState::kDone;
     ++step_state.tasks_done;
@@ -192,11 +192,8 @@
     job.progress.placed[KeyOf(position)] = {.worker = incarnation,
                                             .run = task.run};
     // A run that has not been stopped yet goes on as the task's placement.
-    const auto stopping = job.progress.stopping.find(KeyOf(position));
-    if (run->second.state != RunState::kStopping &&
-        stopping != job.progress.stopping.end() &&
-        stopping->second.run == task.run)
-      job.progress.stopping.erase(stopping);
+    if (run->second.state != RunState::kStopping)
+      job.progress.MarkStopEnded(KeyOf(position), task.run);
     this->MarkChanged(job);
     return true;
   }
@@ -211,11 +208,8 @@
   if (!job || !HasTask(*job, PositionOf(id)))
     return;
   const TaskPosition position = PositionOf(id);
-  const auto stopping = job->progress.stopping.find(KeyOf(position));
-  if (stopping != job->progress.stopping.end() && stopping->second.run == run) {
-    job->progress.stopping.erase(stopping);
+  if (job->progress.MarkStopEnded(KeyOf(position), run))
     this->MarkChanged(*job);
-  }
   Task& task = TaskAt(*job, position);
   if (task.state != TaskState::kPlaced || task.run != run)
     return;
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -404,6 +404,10 @@
                   Worker& worker,
                   base::Micros now);
   void InheritStops(Job& job, base::Micros now);
+  bool InheritStop(Job& job,
+                   const TaskPosition& position,
+                   const jobs::Placement& placement,
+                   base::Micros now);
   bool ApplyLatePlacement(Job& job,
                           const TaskPosition& position,
                           const jobs::Placement& placement,
--- a/scheduler/stops.cc
+++ b/scheduler/stops.cc
@@ -50,7 +50,7 @@
 void Scheduler::StopOnceSaved(Job& job,
                               const TaskPosition& position,
                               const jobs::Placement& run) {
-  job.progress.stopping[KeyOf(position)] = run;
+  job.progress.stopping[KeyOf(position)].insert(run);
   this->MarkChanged(job);
   this->save_immediately = true;
   job.pending_stops.push_back(
--- a/scheduler/worker_reports.cc
+++ b/scheduler/worker_reports.cc
@@ -160,11 +160,9 @@
   task.is_serving = reported.percent >= 100 && run.state == RunState::kRunning;
   // The run may be an earlier owner's, of a job or task that is over by now, or
   // one that an earlier owner had recorded as stopping.
-  const auto stopping =
-      job->progress.stopping.find(KeyOf(PositionOf(reported.task)));
   const bool is_recorded_as_stopping =
-      stopping != job->progress.stopping.end() &&
-      stopping->second.run == reported.run && job->pending_stops.empty();
+      job->pending_stops.empty() &&
+      job->progress.IsStopping(KeyOf(PositionOf(reported.task)), reported.run);
   const bool is_placed_elsewhere =
       task.state == TaskState::kPlaced &&
       !IsPlacedAs(task, worker.info.incarnation, reported.run);
