The reports about a job that is not loaded have their type in facts.h

UnknownJob holds reports and no state of the scheduler, so it stands with the other facts that are passed in. No functional change.

--- a/scheduler/facts.h
+++ b/scheduler/facts.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -105,6 +106,12 @@
   std::vector<ReportedEnd> ended;
 };
 
+// What workers have reported about a job that has not been loaded.
+struct UnknownJob {
+  std::vector<std::pair<jobs::WorkerIncarnation, ReportedEnd>> ends;
+  std::vector<std::pair<jobs::WorkerIncarnation, jobs::TaskId>> runs;
+};
+
 // Outcome of a command sent to a worker.
 enum class CommandOutcome {
   kDone,
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -284,10 +284,6 @@
   void UpdateSuspicion(Worker& worker, const jobs::TaskId& id, Run& run);
 
   // reports about jobs that have not been loaded
-  struct UnknownJob {
-    std::vector<std::pair<jobs::WorkerIncarnation, ReportedEnd>> ends;
-    std::vector<std::pair<jobs::WorkerIncarnation, jobs::TaskId>> runs;
-  };
   UnknownJob& UnknownJobFor(const std::string& job);
   void BufferRunEnd(Worker& worker, const ReportedEnd& end);
   void BufferRun(Worker& worker, const ReportedRun& reported, base::Micros now);
--- a/scheduler/unknown_jobs.cc
+++ b/scheduler/unknown_jobs.cc
@@ -16,7 +16,7 @@
 
 namespace quartzhoist::scheduler {
 
-Scheduler::UnknownJob& Scheduler::UnknownJobFor(const std::string& job) {
+UnknownJob& Scheduler::UnknownJobFor(const std::string& job) {
   const auto [entry, is_new] = this->unknown_jobs.try_emplace(job);
   if (is_new)
     this->actions.emplace_back(LoadJob{job});
