The row of a refused save is merged in inheritance.cc

The conversion of a task's key to its position stood in four places and is one function. No functional change.

--- a/scheduler/crashes.cc
+++ b/scheduler/crashes.cc
@@ -58,12 +58,6 @@
                      [](const jobs::Step& step) { return step.long_running; });
 }
 
-TaskPosition PositionOfKey(const jobs::TaskKey& key) {
-  return {.occurrence = key.step.occurrence,
-          .step = key.step.step,
-          .index = key.index};
-}
-
 }  // namespace
 
 // Returns the loss to record for each task that may have caused it.
@@ -166,7 +160,7 @@
 // Takes over the losses stored in the job's row.
 void Scheduler::InheritLosses(Job& job, base::Micros now) {
   for (const auto& [key, losses] : job.progress.losses) {
-    const TaskPosition position = PositionOfKey(key);
+    const TaskPosition position = PositionOf(key);
     if (!HasTask(job, position))
       continue;
     TaskAt(job, position).latest_loss_at = now;
@@ -269,7 +263,7 @@
     return;
   const bool keeps_running = HasLongRunningStep(job);
   for (const auto& [key, losses] : job.progress.losses) {
-    const TaskPosition position = PositionOfKey(key);
+    const TaskPosition position = PositionOf(key);
     if (!HasTask(job, position))
       continue;
     Task& task = TaskAt(job, position);
--- a/scheduler/inheritance.cc
+++ b/scheduler/inheritance.cc
@@ -1,5 +1,5 @@
 // Takeover of placements and stops that an earlier owner recorded in a job's
-// row.
+// row, as it is read or as it comes with a refused save.
 
 #include <utility>
 #include <vector>
@@ -14,9 +14,7 @@
 void Scheduler::InheritRuns(Job& job, base::Micros now) {
   std::vector<std::pair<TaskPosition, jobs::Placement>> lost;
   for (const auto& [key, placement] : job.progress.placed) {
-    const TaskPosition position{.occurrence = key.step.occurrence,
-                                .step = key.step.step,
-                                .index = key.index};
+    const TaskPosition position = PositionOf(key);
     if (!HasTask(job, position))
       continue;
     Task& task = TaskAt(job, position);
@@ -67,9 +65,7 @@
 void Scheduler::InheritStops(Job& job, base::Micros now) {
   const auto stopping = job.progress.stopping;
   for (const auto& [key, placements] : stopping) {
-    const TaskPosition position{.occurrence = key.step.occurrence,
-                                .step = key.step.step,
-                                .index = key.index};
+    const TaskPosition position = PositionOf(key);
     for (const jobs::Placement& placement : placements) {
       if (this->InheritStop(job, position, placement, now))
         continue;
@@ -121,4 +117,78 @@
     this->Stop(*placed_on, id, now);
 }
 
+void Scheduler::MergeStoredProgress(Job& job,
+                                    const jobs::Progress& stored,
+                                    base::Micros now) {
+  std::vector<TaskPosition> cancelled_plans;
+  for (const auto& [key, placement] : stored.placed) {
+    const TaskPosition position = PositionOf(key);
+    if (!HasTask(job, position))
+      continue;
+    const std::uint64_t epoch = EpochOf(placement.run);
+    // A later owner has loaded the job and continues it.
+    if (epoch > this->limits.epoch) {
+      this->is_fenced = true;
+      return;
+    }
+    const bool is_new = epoch < this->limits.epoch &&
+                        placement.run > TaskAt(job, position).inherited_run;
+    if (is_new && this->ApplyLatePlacement(job, position, placement, now))
+      cancelled_plans.push_back(position);
+    if (is_new && !this->FindHolder(placement.worker))
+      this->RecordUnobservedLoss(job, position, placement, now);
+  }
+  const bool was_final = job.finished();
+  job.progress = jobs::Merge(job.progress, stored);
+  for (const auto& [step, bits] : job.progress.done) {
+    for (std::size_t i = 0; i < bits.size(); ++i) {
+      const TaskPosition position{.occurrence = step.occurrence,
+                                  .step = step.step,
+                                  .index = static_cast<int>(i)};
+      if (bits[i] && HasTask(job, position) &&
+          TaskAt(job, position).state != TaskState::kDone)
+        this->MarkTaskDone(job, position, now);
+    }
+  }
+  if (job.finished() && !was_final)
+    this->StopAllRuns(job, now);
+  // The merged failures may have used up a task's attempts.
+  if (!job.finished() && HasExhaustedAttempts(job))
+    this->FinishJob(job, jobs::JobState::kFailed, now);
+  this->InheritLosses(job, now);
+  for (const TaskPosition& position :
+       this->CancelSuspectPlans(job, stored, now))
+    cancelled_plans.push_back(position);
+  this->InheritRuns(job, now);
+  for (const TaskPosition& position : cancelled_plans) {
+    if (TaskAt(job, position).state == TaskState::kReady && !job.finished())
+      this->Enqueue(job, position, now);
+  }
+}
+
+// Handles a placement that an earlier owner wrote after this owner had read the
+// job. Returns true if this cancels the run planned by this owner, so that the
+// task is ready again.
+bool Scheduler::ApplyLatePlacement(Job& job,
+                                   const TaskPosition& position,
+                                   const jobs::Placement& placement,
+                                   base::Micros now) {
+  Task& task = TaskAt(job, position);
+  task.inherited_run = placement.run;
+  const Worker* worker = this->FindHolder(placement.worker);
+  if (!worker || task.state == TaskState::kDone)
+    return false;
+  // A worker that has reported under this epoch has included the run, is
+  // stopping it, or will reject its start, since it comes with a lower epoch.
+  const bool is_settled =
+      worker->has_reported &&
+      (worker->runs.contains(IdOf(job, position)) ||
+       !MayHideRuns(*worker, this->limits.max_stop_time, now));
+  if (is_settled)
+    return false;
+  this->CancelPlan(job, position);
+  job.progress.placed[KeyOf(position)] = placement;
+  return task.state == TaskState::kReady;
+}
+
 }  // namespace quartzhoist::scheduler
--- a/scheduler/job.cc
+++ b/scheduler/job.cc
@@ -85,6 +85,12 @@
       .occurrence = task.occurrence, .step = task.step, .index = task.index};
 }
 
+TaskPosition PositionOf(const jobs::TaskKey& key) {
+  return {.occurrence = key.step.occurrence,
+          .step = key.step.step,
+          .index = key.index};
+}
+
 jobs::TaskId IdOf(const Job& job, const TaskPosition& position) {
   return {.job = job.id,
           .occurrence = position.occurrence,
--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -191,6 +191,7 @@
 // Key of the task in the job's stored progress.
 jobs::TaskKey KeyOf(const TaskPosition& position);
 TaskPosition PositionOf(const jobs::TaskId& task);
+TaskPosition PositionOf(const jobs::TaskKey& key);
 jobs::TaskId IdOf(const Job& job, const TaskPosition& position);
 // Whether the job contains this task.
 bool HasTask(const Job& job, const TaskPosition& position);
