--- a/scheduler/facts.h
+++ b/scheduler/facts.h
@@ -106,7 +106,7 @@
   std::vector<ReportedEnd> ended;
 };
 
-// What workers have reported about a job that has not been loaded.
+// Reports of workers about a job that has not been loaded.
 struct UnknownJob {
   std::vector<std::pair<jobs::WorkerIncarnation, ReportedEnd>> ends;
   std::vector<std::pair<jobs::WorkerIncarnation, jobs::TaskId>> runs;
