pool_state tells why boxes take no tasks

Operators saw how many boxes of a pool are leaving, but not whether they move, are reclaimed for another pool or belong to a wave.

LeavingReason and FleetPlanner::LeavingReasonOf; the log event pool_state has leaving_for, the number of boxes by reason. A box that an earlier owner called and that needs no maintenance any more has no reason, as it is not leaving.

--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -42,6 +42,17 @@
   return text;
 }
 
+// For each reason why boxes take no tasks, the number of these boxes.
+std::string FormatLeavingReasons(const scheduler::PoolState& state) {
+  std::string text;
+  for (const auto& [reason, boxes] : state.leaving_for) {
+    text += fmt::format("{}{} {}", text.empty() ? "" : ", ",
+                        base::NameOf(scheduler::kLeavingReasonNames, reason),
+                        boxes);
+  }
+  return text;
+}
+
 std::string RunStateName(const std::optional<scheduler::RunState>& state) {
   return state ? std::string(base::NameOf(scheduler::kRunStateNames, *state))
                : "none";
@@ -319,6 +330,7 @@
                {"boxes", state.boxes},
                {"usable", state.usable},
                {"leaving", state.leaving},
+               {"leaving_for", FormatLeavingReasons(state)},
                {"idle", state.idle},
                {"pinned", state.pinned},
                {"busy_cores", fmt::format("{:.0f}", state.busy_cores)},
--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -385,6 +385,39 @@
          this->IsInMaintenance(box);
 }
 
+std::optional<LeavingReason> FleetPlanner::LeavingReasonOf(
+    const std::string& box) const {
+  const auto found = this->moves.find(box);
+  if (found != this->moves.end()) {
+    const Move& move = found->second;
+    if (move.done)
+      return LeavingReason::kMoved;
+    return move.is_inherited ? LeavingReason::kInheritedMove
+                             : LeavingReason::kMoving;
+  }
+  for (const auto& [number, progress] : this->waves) {
+    const auto listed = progress.boxes.find(box);
+    if (listed == progress.boxes.end())
+      continue;
+    const Maintenance& maintenance = listed->second;
+    switch (maintenance.state) {
+      case MaintenanceState::kEvacuating:
+        return LeavingReason::kEvacuating;
+      case MaintenanceState::kRequested:
+        return maintenance.is_inherited ? LeavingReason::kInheritedMaintenance
+                                        : LeavingReason::kMaintenanceCalled;
+      case MaintenanceState::kDown:
+        return LeavingReason::kInMaintenance;
+      case MaintenanceState::kPending:
+      case MaintenanceState::kDone:
+        break;
+    }
+  }
+  if (this->reclaimed.contains(box))
+    return LeavingReason::kReclaimed;
+  return std::nullopt;
+}
+
 jobs::WorkerIncarnation FleetPlanner::WorkerBeforeCall(
     const std::string& box) const {
   const auto move = this->moves.find(box);
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -6,6 +6,7 @@
 #define SCHEDULER_FLEET_H_
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -78,12 +79,36 @@
 // Upper limit of a pool's load; also the load of a pool without any cores.
 inline constexpr int kMaxLoadPercent = 1000;
 
+// Why a box takes no further tasks.
+enum class LeavingReason {
+  kReclaimed,          // emptied for a move to a pool that is short of cores
+  kMoving,             // a move is about to be called, or has no outcome yet
+  kMoved,              // the move is done; the worker has not announced itself
+  kInheritedMove,      // an earlier owner's move, which is not resolved
+  kEvacuating,         // emptied for a maintenance wave
+  kMaintenanceCalled,  // maintenance called; the outcome is not known
+  kInMaintenance,      // down for maintenance
+  kInheritedMaintenance,  // an earlier owner's call, which is not resolved
+};
+
+inline constexpr base::EnumNames<LeavingReason, 8> kLeavingReasonNames{{
+    {LeavingReason::kReclaimed, "reclaimed"},
+    {LeavingReason::kMoving, "moving"},
+    {LeavingReason::kMoved, "moved"},
+    {LeavingReason::kInheritedMove, "inherited_move"},
+    {LeavingReason::kEvacuating, "evacuating"},
+    {LeavingReason::kMaintenanceCalled, "maintenance_called"},
+    {LeavingReason::kInMaintenance, "in_maintenance"},
+    {LeavingReason::kInheritedMaintenance, "inherited_maintenance"},
+}};
+
 // Pool status for operators.
 struct PoolState {
   std::string pool;
   int boxes = 0;    // that have a worker
   int usable = 0;   // of them, those that accept further tasks
   int leaving = 0;  // moving, selected to move, or in maintenance
+  std::map<LeavingReason, int> leaving_for;
   int idle = 0;
   int pinned = 0;  // hold long-running tasks
   double busy_cores = 0.0;
@@ -186,6 +211,8 @@
   bool HasPendingCall(const std::string& box) const;
   // True while nothing more may be placed on the box.
   bool IsLeaving(const std::string& box) const;
+  // Why nothing more may be placed on the box; empty if it may.
+  std::optional<LeavingReason> LeavingReasonOf(const std::string& box) const;
   // The worker instance on the box when its move or maintenance was requested.
   jobs::WorkerIncarnation WorkerBeforeCall(const std::string& box) const;
   bool HasOpenWave() const;
--- a/scheduler/fleet_test.cc
+++ b/scheduler/fleet_test.cc
@@ -1,7 +1,9 @@
 // Tests of the fleet planner: core allocation, moves and waves.
 
 #include <algorithm>
+#include <cstddef>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -134,6 +136,68 @@
   BOOST_TEST(!fleet.IsLeaving("b2"));
 }
 
+// Guards against log lines that name no reason, or a wrong one, for boxes that
+// take no tasks, and against boxes with a reason that do take tasks.
+BOOST_AUTO_TEST_CASE(LeavingBoxesHaveAReason) {
+  FleetPlanner fleet(kFleetTimings);
+  const base::Micros now = seconds(10);
+  FleetView view;
+  const std::vector<std::string> names = {
+      "reclaimed", "moving", "moved",    "old-move", "evacuating",
+      "called",    "down",   "old-call", "removed",  "stays"};
+  std::vector<BoxInfo> listed;
+  for (const std::string& name : names) {
+    view.boxes.push_back(IdleBox(name, "patient"));
+    view.boxes.back().idle = name == "moving" || name == "moved" ||
+                             name == "called" || name == "down";
+    if (name != "removed")
+      listed.push_back({.name = name, .pool = "patient", .cores = 16.0});
+  }
+  view.boxes[0].busy_cores = 1.0;
+  for (std::size_t i = 1; i < view.boxes.size(); ++i)
+    view.boxes[i].busy_cores = 10.0;
+  view.pools = {{.name = "patient"}, {.name = "urgent"}};
+  fleet.Inherit(MoveBox{.box = "old-move", .pool = "urgent"}, now);
+  fleet.Inherit(MaintainBox{.box = "old-call", .wave = 1}, now);
+  fleet.Inherit(MaintainBox{.box = "removed", .wave = 1}, now);
+  for (const std::size_t inherited : {3U, 7U, 8U})
+    view.boxes[inherited].has_only_inherited_runs = true;
+  fleet.SetBoxes(listed, now, now);
+  fleet.SetWave({.number = 1,
+                 .boxes = {"evacuating", "called", "down", "old-call"},
+                 .duration = seconds(60),
+                 .max_concurrent = 4},
+                {}, now);
+  for (const MaintainBox& call : Only<MaintainBox>(fleet.Plan(view, now))) {
+    if (call.box == "down")
+      fleet.OnMaintenanceOutcome(call, BoxCallOutcome::kDone, now);
+  }
+  // The urgent pool needs three boxes beside the one of the earlier owner.
+  view.pools[1].demand[0].current_cores = 4 * 16.0 * 0.85;
+  for (const MoveBox& call : Only<MoveBox>(fleet.Plan(view, now))) {
+    if (call.box == "moved")
+      fleet.OnMoveOutcome(call, BoxCallOutcome::kDone, now);
+  }
+  const std::map<std::string, LeavingReason> expected = {
+      {"reclaimed", LeavingReason::kReclaimed},
+      {"moving", LeavingReason::kMoving},
+      {"moved", LeavingReason::kMoved},
+      {"old-move", LeavingReason::kInheritedMove},
+      {"evacuating", LeavingReason::kEvacuating},
+      {"called", LeavingReason::kMaintenanceCalled},
+      {"down", LeavingReason::kInMaintenance},
+      {"old-call", LeavingReason::kInheritedMaintenance}};
+  for (const std::string& name : names) {
+    const auto found = expected.find(name);
+    const std::optional<LeavingReason> reason = fleet.LeavingReasonOf(name);
+    BOOST_TEST_CONTEXT(name) {
+      BOOST_TEST(reason.has_value() == fleet.IsLeaving(name));
+      BOOST_TEST(reason.has_value() == (found != expected.end()));
+      BOOST_CHECK(!reason || reason == found->second);
+    }
+  }
+}
+
 RC_BOOST_PROP(WaveStaysWithinLimitAndCoversEveryBox, ()) {
   const int count = *rc::gen::inRange(1, 12);
   const int most = *rc::gen::inRange(1, 5);
--- a/scheduler/placement_test.cc
+++ b/scheduler/placement_test.cc
@@ -95,6 +95,10 @@
                                   {}, this->bench.now);
   }
 
+  scheduler::PoolState PoolState() const {
+    return this->bench.scheduler.PoolStates(this->bench.now).front();
+  }
+
   // Runs one pass and returns its actions.
   std::vector<Action> RunPass() {
     std::vector<Action> actions = this->bench.RunPass();
@@ -146,6 +150,18 @@
   BOOST_TEST(is_started);
 }
 
+// Guards against leaving boxes that operators see without their reason.
+BOOST_AUTO_TEST_CASE(PoolStateCountsLeavingBoxesByReason) {
+  EvacuatedBox pool(4);
+  BOOST_TEST(pool.PoolState().leaving_for.empty());
+  pool.SelectBox("box-a");
+  pool.RunPass();
+  const PoolState state = pool.PoolState();
+  BOOST_TEST(state.leaving == 1);
+  BOOST_REQUIRE(state.leaving_for.size() == 1U);
+  BOOST_TEST(state.leaving_for.at(LeavingReason::kEvacuating) == 1);
+}
+
 // The other box has capacity for one of the two tasks.
 BOOST_AUTO_TEST_CASE(EvacuationStopsNoMoreTasksThanFitElsewhere) {
   EvacuatedBox pool(3);
--- a/scheduler/pool_state.cc
+++ b/scheduler/pool_state.cc
@@ -58,7 +58,10 @@
       ++state.usable;
       state.free_cores += std::max(0.0, unused);
     }
-    state.leaving += this->fleet.IsLeaving(worker.info.box);
+    if (const auto reason = this->fleet.LeavingReasonOf(worker.info.box)) {
+      ++state.leaving;
+      ++state.leaving_for[*reason];
+    }
     state.idle += worker.idle();
     state.pinned += worker.long_running_tasks > 0;
     state.busy_cores += static_cast<double>(worker.used.cpu_millis) / 1000.0;
