Leaving boxes are no free cores for stuck tasks

Cause: while a pool's boxes were reclaimed and emptied out, their free cores made the pool's waiting tasks count as stuck. The pool's minimum rose to all its boxes plus one, the next plan reclaimed nothing, the boxes filled up again, and so on. In a trace 105 to 119 boxes stayed reclaimed for seven seconds, and one to four a second moved.

Boxes that are leaving count neither by number nor by cores. A pool all of whose boxes are leaving does not count as one without boxes: it would keep its last box in every other plan.

Also in AllocateCores: where the cores run out, the remainder is exactly zero. A rounding error went to the next level as its allocation, so that the last box of a pool was never reclaimed.

Test: ReclaimedBoxesMoveWithoutBeingFilledAgain replays a pool of 16 busy boxes beside a more urgent one.

--- a/scheduler/box_planning.cc
+++ b/scheduler/box_planning.cc
@@ -148,16 +148,23 @@
     idle[worker.info.service] += worker.idle() && this->IsUsable(worker, now);
   for (const auto& [service, tasks] : this->ready) {
     int boxes = 0;
+    bool has_leaving = false;
     double cores = 0.0;
     double taken = 0.0;
     for (const FleetBox& box : view.boxes) {
       if (box.pool != service || !box.available || box.in_evacuated_zone)
         continue;
+      if (this->fleet.IsLeaving(box.name)) {
+        has_leaving = true;
+        continue;
+      }
       ++boxes;
       cores += box.cores;
       taken += box.busy_cores;
     }
-    const bool has_cores = boxes == 0 || taken < kFullPoolUtilization * cores;
+    // While boxes are leaving, the pool's allocation decides how many it keeps.
+    const bool has_cores =
+        (boxes == 0 && !has_leaving) || taken < kFullPoolUtilization * cores;
     const bool is_stuck =
         std::any_of(tasks.begin(), tasks.end(), [&](const ReadyTask& task) {
           return this->IsStuck(task, has_cores, now);
--- a/scheduler/core_allocation.cc
+++ b/scheduler/core_allocation.cc
@@ -41,7 +41,9 @@
     const double fraction = std::min(1.0, remaining / total_wanted);
     for (const auto& [pool, cores] : wanted)
       allocated[pool] += fraction * cores;
-    remaining -= fraction * total_wanted;
+    // Exactly zero once the cores have run out: a rounding error that is
+    // allocated to the next level keeps a box from being reclaimed.
+    remaining = fraction < 1.0 ? 0.0 : remaining - total_wanted;
   };
   for (const int priority : priorities) {
     allocate(priority, &PoolDemand::current_cores);
--- a/scheduler/stuck_tasks_test.cc
+++ b/scheduler/stuck_tasks_test.cc
@@ -3,6 +3,7 @@
 // pools.
 
 #include <array>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -157,6 +158,111 @@
   std::map<std::string, int> moved;  // number of boxes by destination pool
 };
 
+// A pool whose tasks are of priority 1 and keep all boxes busy, and one without
+// boxes whose tasks are of priority 0.
+class ReclaimedPool {
+ public:
+  static constexpr int kBoxCount = 16;
+
+  ReclaimedPool() {
+    jobs::Config config;
+    config.services = {{.name = "patient"}, {.name = "urgent"}};
+    this->bench.scheduler.SetConfig(config, this->bench.now);
+    for (int i = 0; i < kBoxCount; ++i)
+      this->AddWorkerOn("box" + std::to_string(i), "patient");
+  }
+
+  // Adds a job of 400 tasks, which is more than all boxes can run.
+  void AddJobTo(const std::string& pool, int priority) {
+    jobs::Queue queue;
+    queue.name = "queue-" + pool;
+    queue.service = pool;
+    queue.priority = priority;
+    jobs::Step step = Bench::OneTask();
+    step.tasks = 400;
+    jobs::JobSpec spec;
+    spec.steps.push_back(step);
+    this->bench.scheduler.AddJob(
+        MakeJob("job-" + pool, queue, spec, {}, this->bench.now, {}),
+        this->bench.now);
+  }
+
+  // Runs one pass. Runs take 0.9 to 2.7 s; moved boxes are back at once.
+  void RunPass() {
+    const std::vector<Action> actions = this->bench.RunPass();
+    this->bench.Save(Only<SaveProgress>(actions));
+    for (const StartRun& start :
+         Only<StartRun>(this->bench.scheduler.TakeActions())) {
+      this->bench.scheduler.StartAnswered(start, CommandOutcome::kDone,
+                                          this->bench.now);
+      const base::Micros length =
+          std::chrono::milliseconds(900 + 300 * (++this->starts % 7));
+      this->workers[start.worker.id].runs.push_back(
+          {.run = {.task = start.task, .run = start.run, .percent = 100},
+           .ends_at = this->bench.now + length});
+    }
+    for (const MoveBox& move : Only<MoveBox>(actions)) {
+      this->bench.scheduler.MoveAnswered(move, BoxCallOutcome::kDone,
+                                         this->bench.now);
+      this->workers.erase(move.incarnation.id);
+      this->AddWorkerOn(move.box, move.pool);
+      ++this->moved[move.pool];
+    }
+    for (auto& [id, worker] : this->workers)
+      this->Report(id, worker);
+  }
+
+  PoolState Patient() const {
+    return this->bench.scheduler.PoolStates(this->bench.now).front();
+  }
+
+  std::map<std::string, int> moved;  // number of boxes by destination pool
+
+ private:
+  struct SimulatedRun {
+    ReportedRun run;
+    base::Micros ends_at{};
+  };
+  struct SimulatedWorker {
+    std::vector<SimulatedRun> runs;
+    std::int64_t ends = 0;
+  };
+
+  void AddWorkerOn(const std::string& box, const std::string& pool) {
+    WorkerInfo info = Bench::Worker("w" + std::to_string(++this->worker_count));
+    info.box = box;
+    info.service = pool;
+    this->bench.scheduler.UpdateWorker(info, this->bench.now);
+    this->Report(info.incarnation.id, this->workers[info.incarnation.id]);
+  }
+
+  void Report(const std::string& id, SimulatedWorker& worker) {
+    const base::Micros before = this->bench.now;
+    WorkerReport report;
+    for (const SimulatedRun& run : worker.runs) {
+      if (run.ends_at > before) {
+        report.running.push_back(run.run);
+        continue;
+      }
+      report.ended.push_back({.sequence = ++worker.ends,
+                              .task = run.run.task,
+                              .run = run.run.run,
+                              .reason = RunEndReason::kSucceeded,
+                              .checkpoint = ""});
+    }
+    std::erase_if(worker.runs, [before](const SimulatedRun& run) {
+      return run.ends_at <= before;
+    });
+    this->bench.Report(id, report, before + std::chrono::seconds(4));
+    this->bench.now = before;
+  }
+
+  Bench bench{1};
+  int worker_count = 0;
+  int starts = 0;
+  std::map<std::string, SimulatedWorker> workers;
+};
+
 }  // namespace
 
 // Guards against a task over its quota that takes boxes from other pools.
@@ -239,6 +345,27 @@
   BOOST_TEST(fleet.moved["pool"] <= 2);
 }
 
+// Guards against a pool whose tasks count as stuck while its boxes empty out
+// for a more urgent pool. It then kept all of its boxes until they were full
+// again, over and over.
+BOOST_AUTO_TEST_CASE(ReclaimedBoxesMoveWithoutBeingFilledAgain) {
+  ReclaimedPool fleet;
+  fleet.AddJobTo("patient", 1);
+  for (int i = 0; i < 10; ++i)
+    fleet.RunPass();
+  BOOST_REQUIRE(fleet.Patient().usable == ReclaimedPool::kBoxCount);
+  BOOST_REQUIRE(fleet.Patient().busy_cores >
+                0.7 * 4 * ReclaimedPool::kBoxCount);
+  fleet.AddJobTo("urgent", 0);
+  // The boxes are selected by the first pass; the longest run takes nine.
+  for (int i = 0; i < 11; ++i) {
+    fleet.RunPass();
+    BOOST_TEST(fleet.Patient().usable == 0);
+  }
+  BOOST_TEST(fleet.moved["urgent"] == ReclaimedPool::kBoxCount);
+  BOOST_TEST(fleet.moved["patient"] == 0);
+}
+
 // Guards against pools that starve while other pools have idle boxes. Draws
 // work that fits on half of the boxes, and stuck tasks for each reason.
 BOOST_AUTO_TEST_CASE(NoPoolStarvesBesideIdleBoxes) {
