Stored jobs count as arrivals at their acceptance

Cause: jobs that a new owner read from the store counted as arrivals of the last second. After a takeover a growth of 52,000 cores was expected for a pool that uses 1,100, so that a pool without demand kept half of the boxes.

DemandTrend::RecordArrival takes the time of the arrival, in any order, and AddJob passes the job's acceptance time.

ArrivalsCountWhenTheyArrived covers the order; it passes before as well.

--- a/scheduler/demand.cc
+++ b/scheduler/demand.cc
@@ -13,10 +13,15 @@
 
 void DemandTrend::RecordArrival(const std::string& queue,
                                 double core_seconds,
-                                base::Micros now) {
+                                base::Micros at) {
   std::deque<Arrival>& recent = this->arrivals[queue];
-  recent.push_back({.at = now, .core_seconds = core_seconds});
-  while (recent.front().at < now - 2 * kWindow)
+  const auto later =
+      std::upper_bound(recent.begin(), recent.end(), at,
+                       [](base::Micros time, const Arrival& arrival) {
+                         return time < arrival.at;
+                       });
+  recent.insert(later, {.at = at, .core_seconds = core_seconds});
+  while (recent.front().at < recent.back().at - 2 * kWindow)
     recent.pop_front();
 }
 
--- a/scheduler/demand.h
+++ b/scheduler/demand.h
@@ -16,10 +16,10 @@
   // The jobs are partitioned into `shards`, of which this is one.
   explicit DemandTrend(int shards) : shards(shards) {}
 
-  // Records work submitted to the queue.
+  // Records work submitted to the queue at `at`, in any order.
   void RecordArrival(const std::string& queue,
                      double core_seconds,
-                     base::Micros now);
+                     base::Micros at);
   // Growth, in cores, that the arrivals prove: the work submitted over the last
   // second less that of the second before, less the standard error of this
   // difference if there are several shards. Zero while the arrival rate falls.
@@ -31,7 +31,7 @@
     double core_seconds = 0.0;
   };
   int shards;
-  std::map<std::string, std::deque<Arrival>> arrivals;
+  std::map<std::string, std::deque<Arrival>> arrivals;  // oldest first
 };
 
 }  // namespace quartzhoist::scheduler
--- a/scheduler/demand_test.cc
+++ b/scheduler/demand_test.cc
@@ -1,5 +1,6 @@
 // Tests of the growth that is expected from recent arrivals.
 
+#include <cstddef>
 #include <cstdint>
 #include <random>
 #include <string>
@@ -8,6 +9,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include "scheduler/demand.h"
+#include "scheduler/scheduler.h"
+#include "testing/scheduler_bench.h"
 
 namespace quartzhoist::scheduler {
 namespace {
@@ -42,6 +45,53 @@
   BOOST_TEST(demand.ExpectedGrowth("q", seconds(11)) > 30 * kJobCoreSeconds);
 }
 
+// Guards against jobs that are recorded late, or in another order than they
+// arrived in, and pass for arrivals of the last second.
+BOOST_AUTO_TEST_CASE(ArrivalsCountWhenTheyArrived) {
+  DemandTrend demand(1);
+  demand.RecordArrival("q", kJobCoreSeconds, milliseconds(10'500));
+  demand.RecordArrival("q", kJobCoreSeconds, milliseconds(9700));
+  demand.RecordArrival("q", kJobCoreSeconds, milliseconds(10'600));
+  demand.RecordArrival("q", kJobCoreSeconds, seconds(2));
+  BOOST_TEST(demand.ExpectedGrowth("q", seconds(11)) == kJobCoreSeconds);
+}
+
+// Guards against a takeover that expects the growth of all stored jobs and
+// moves the other pools' boxes. The stored jobs need five cores, and more work
+// than that if they had arrived within a second.
+BOOST_AUTO_TEST_CASE(StoredJobsAreNoGrowthAtATakeover) {
+  for (const bool are_new : {false, true}) {
+    testing::SchedulerBench bench(2);
+    jobs::Config config;
+    config.services = {{.name = "pool"}, {.name = "other"}};
+    jobs::Queue queue;
+    queue.name = "queue";
+    queue.service = "pool";
+    config.queues = {queue};
+    bench.scheduler.SetConfig(config, bench.now);
+    for (int i = 0; i < 12; ++i) {
+      WorkerInfo worker =
+          testing::SchedulerBench::Worker("w" + std::to_string(i));
+      worker.service = i < 4 ? "pool" : "other";
+      bench.scheduler.UpdateWorker(worker, bench.now);
+      bench.Report(worker.incarnation.id, {});
+    }
+    jobs::Step step = testing::SchedulerBench::OneTask();
+    step.task_resources.cpu_millis = 100;
+    step.estimate_ms = 60'000;
+    jobs::JobSpec spec;
+    spec.steps.push_back(step);
+    const base::Micros accepted = are_new ? bench.now : bench.now - seconds(30);
+    for (int i = 0; i < 50; ++i) {
+      bench.scheduler.AddJob(
+          MakeJob("job-" + std::to_string(i), queue, spec, {}, accepted, {}),
+          bench.now);
+    }
+    const std::size_t moves = testing::Only<MoveBox>(bench.RunPass()).size();
+    BOOST_TEST((moves > 0) == are_new);
+  }
+}
+
 // Mean growth, over time, that all shards together expect while `jobs_a_second`
 // arrive at random at a steady rate, each in a random shard.
 double GrowthOfSteadyLoad(int shards, double jobs_a_second) {
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -89,7 +89,9 @@
         static_cast<double>(step.tasks * step.task_resources.cpu_millis) /
         1000.0 * base::Seconds(this->ExpectedRun(job, step));
   }
-  this->demand.RecordArrival(job.queue.name, core_seconds, now);
+  // A job that is read at a takeover arrived earlier.
+  this->demand.RecordArrival(job.queue.name, core_seconds,
+                             std::min(job.accepted_at, now));
   this->InheritLosses(job, now);
   this->InheritRuns(job, now);
   this->ApplyBufferedReports(job, now);
