A box that a wave cannot empty takes tasks that fit nowhere else

Cause: a box selected for a wave took nothing, also while its long-running tasks fit nowhere else. One that failed there waited although its capacity was free.

Each attempt to evacuate a box tells the planner whether it proceeds, waits for availability limits, or is blocked because the tasks fit nowhere else. After 1 s blocked, or 6 s waiting, the box counts as stalled. A stalled box takes long-running tasks of its pool that fit on no usable box, as long as the wave's end leaves time to move them once more before the maintenance. Gangs, tasks that need advice and suspects are left out.

New: StalledBoxTakesWorkUntilTheWavesEndIsNear.

--- a/scheduler/box_planning.cc
+++ b/scheduler/box_planning.cc
@@ -317,19 +317,32 @@
   return true;
 }
 
-void Scheduler::StopForEvacuation(const std::string& box,
-                                  std::vector<WorkerRoom>& room,
-                                  base::Micros now) {
+EvacuationStep Scheduler::StopForEvacuation(const std::string& box,
+                                            std::vector<WorkerRoom>& room,
+                                            base::Micros now) {
+  bool stops = false;
+  bool waits = false;
+  bool is_blocked = false;
   for (auto& [id, worker] : this->workers) {
     if (worker.info.box != box)
       continue;
     for (auto& [task, run] : worker.runs) {
+      stops =
+          stops || (run.is_long_running && run.state == RunState::kStopping);
       const bool movable = run.is_long_running &&
                            run.state == RunState::kRunning &&
                            this->IsRecorded(task, run);
-      if (!movable || !this->MayInterrupt(task, now) ||
-          !this->TakeRoomElsewhere(task, room))
+      if (!movable)
         continue;
+      if (!this->MayInterrupt(task, now)) {
+        waits = true;
+        continue;
+      }
+      if (!this->TakeRoomElsewhere(task, room)) {
+        is_blocked = true;
+        continue;
+      }
+      stops = true;
       // Counts as away at once, before the worker reports its end.
       Job* job = this->FindJob(task.job);
       if (job && HasTask(*job, PositionOf(task)))
@@ -337,6 +350,10 @@
       this->Stop(worker, task, now);
     }
   }
+  return stops        ? EvacuationStep::kProceeds
+         : waits      ? EvacuationStep::kWaits
+         : is_blocked ? EvacuationStep::kBlocked
+                      : EvacuationStep::kProceeds;
 }
 
 BoxCallContext Scheduler::BoxCallContextOf(const std::string& box,
@@ -362,7 +379,9 @@
     if (const auto* evacuate = std::get_if<EvacuateBox>(&action)) {
       if (!room)
         room = this->RoomBesideInterrupted(now);
-      this->StopForEvacuation(evacuate->box, *room, now);
+      this->fleet.OnEvacuationStep(
+          evacuate->box, this->StopForEvacuation(evacuate->box, *room, now),
+          now);
     } else if (auto* move = std::get_if<MoveBox>(&action)) {
       move->context = this->BoxCallContextOf(move->box, now);
       this->actions.emplace_back(std::move(*move));
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -158,6 +158,13 @@
   std::string box;
 };
 
+// Result of the latest attempt to evacuate a box.
+enum class EvacuationStep {
+  kProceeds,  // runs are being stopped, or all of them end by themselves
+  kWaits,     // availability limits put the next stop off
+  kBlocked,   // its long-running tasks fit nowhere else
+};
+
 using FleetAction = std::variant<MoveBox, MaintainBox, ReportWave, EvacuateBox>;
 
 // Returns the target number of cores per pool. Minimum boxes are served first,
@@ -204,6 +211,9 @@
   void OnMaintenanceOutcome(const MaintainBox& command,
                             BoxCallOutcome outcome,
                             base::Micros now);
+  void OnEvacuationStep(const std::string& box,
+                        EvacuationStep step,
+                        base::Micros now);
 
   std::vector<FleetAction> Plan(const FleetView& view, base::Micros now);
 
@@ -213,6 +223,11 @@
   bool IsLeaving(const std::string& box) const;
   // Why nothing more may be placed on the box; empty if it may.
   std::optional<LeavingReason> LeavingReasonOf(const std::string& box) const;
+  // True while a wave evacuates the box.
+  bool IsEvacuating(const std::string& box) const;
+  // True while a wave cannot evacuate the box, and its end is far enough for
+  // the box to take long-running tasks that fit nowhere else.
+  bool MayTakeWorkInWave(const std::string& box, base::Micros now) const;
   // The worker instance on the box when its move or maintenance was requested.
   jobs::WorkerIncarnation WorkerBeforeCall(const std::string& box) const;
   bool HasOpenWave() const;
@@ -236,6 +251,8 @@
     bool in_flight = false;
     bool may_have_begun = false;  // a call got no answer
     bool is_inherited = false;    // a previous owner's call, unresolved
+    // When the evacuation counts as stalled; empty while it proceeds.
+    std::optional<base::Micros> stalls_at;
   };
   struct WaveProgress {
     Wave wave;
@@ -281,6 +298,7 @@
                                          const std::string& box);
   static bool ResolveInherited(Maintenance& maintenance,
                                InheritedCall inherited);
+  static bool IsStalled(const Maintenance& maintenance, base::Micros now);
   ReportWave MakeReport(const WaveProgress& progress) const;
   void ReconcileWaves(base::Micros asked, base::Micros now);
   // Whether the box is, or recently was, in maintenance for another wave.
--- a/scheduler/fleet_test.cc
+++ b/scheduler/fleet_test.cc
@@ -5,7 +5,9 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include <rapidcheck/boost_test.h>
@@ -449,6 +451,104 @@
   BOOST_TEST(Only<EvacuateBox>(fleet.Plan(view, seconds(2))).size() == 2U);
 }
 
+// A wave of boxes that all hold long-running tasks. Evacuations of some of them
+// are blocked; the others are empty after a while.
+class PinnedWave {
+ public:
+  PinnedWave(int boxes, int max_concurrent) {
+    Wave wave{.number = 1,
+              .boxes = {},
+              .duration = seconds(60),
+              .max_concurrent = max_concurrent};
+    std::vector<BoxInfo> listed;
+    this->view.pools = {{.name = "pool"}};
+    for (int i = 0; i < boxes; ++i) {
+      FleetBox box = IdleBox("b" + std::to_string(i), "pool");
+      box.idle = false;
+      box.long_running_tasks = 1;
+      box.busy_cores = i;  // the order of their selection
+      wave.boxes.push_back(box.name);
+      listed.push_back({.name = box.name, .pool = "pool", .cores = 16.0});
+      this->view.boxes.push_back(box);
+    }
+    this->fleet.SetWave(wave, {}, this->now);
+    this->fleet.SetBoxes(listed, this->now, this->now);
+  }
+
+  // Plans every 250 ms until `end`. Boxes are back from maintenance at once.
+  void RunUntil(base::Micros end) {
+    for (; this->now < end; this->now += milliseconds(250)) {
+      for (const FleetAction& action : this->fleet.Plan(this->view, this->now))
+        std::visit([this](const auto& one) { this->Handle(one); }, action);
+    }
+  }
+
+  int CountLeaving() const {
+    return static_cast<int>(
+        std::count_if(this->view.boxes.begin(), this->view.boxes.end(),
+                      [this](const FleetBox& box) {
+                        return this->fleet.IsLeaving(box.name);
+                      }));
+  }
+
+  FleetPlanner fleet{kFleetTimings};
+  FleetView view;
+  base::Micros now = seconds(10);
+  std::set<std::string> blocked;
+  base::Micros needed{};  // time in which the others are emptied
+  // Times of the plans that evacuated a box.
+  std::map<std::string, std::vector<base::Micros>> evacuated;
+  std::map<std::string, base::Micros> maintained;
+  bool is_completed = false;
+
+ private:
+  void Handle(const EvacuateBox& action) {
+    std::vector<base::Micros>& times = this->evacuated[action.box];
+    times.push_back(this->now);
+    if (this->blocked.contains(action.box)) {
+      this->fleet.OnEvacuationStep(action.box, EvacuationStep::kBlocked,
+                                   this->now);
+      return;
+    }
+    this->fleet.OnEvacuationStep(action.box, EvacuationStep::kWaits, this->now);
+    if (this->now < times.front() + this->needed)
+      return;
+    for (FleetBox& box : this->view.boxes) {
+      if (box.name != action.box)
+        continue;
+      box.idle = true;
+      box.long_running_tasks = 0;
+    }
+  }
+  void Handle(const MaintainBox& call) {
+    this->maintained[call.box] = this->now;
+    this->fleet.OnMaintenanceOutcome(call, BoxCallOutcome::kDone, this->now);
+    this->fleet.OnBoxAnnounced(call.box, {.id = call.box + "-next"}, "pool",
+                               this->now + kFleetTimings.maintenance_duration);
+  }
+  void Handle(const ReportWave& report) {
+    this->is_completed = report.state == WaveState::kCompleted;
+  }
+  void Handle(const MoveBox&) {}
+};
+
+// Guards against a box that is released though no other one needs its slot, and
+// against work that it takes too early or too late in the wave.
+BOOST_AUTO_TEST_CASE(StalledBoxTakesWorkUntilTheWavesEndIsNear) {
+  PinnedWave wave(1, 1);
+  wave.blocked = {"b0"};
+  wave.RunUntil(wave.now + seconds(1));
+  BOOST_TEST(!wave.fleet.MayTakeWorkInWave("b0", wave.now - milliseconds(250)));
+  wave.RunUntil(wave.now + seconds(2));
+  BOOST_TEST(wave.fleet.IsEvacuating("b0"));
+  BOOST_TEST(wave.fleet.MayTakeWorkInWave("b0", wave.now));
+  // The wave began at 10 s and takes 60 s.
+  BOOST_TEST(wave.fleet.MayTakeWorkInWave("b0", seconds(62)));
+  BOOST_TEST(!wave.fleet.MayTakeWorkInWave("b0", seconds(63)));
+  wave.fleet.OnEvacuationStep("b0", EvacuationStep::kProceeds, wave.now);
+  BOOST_TEST(!wave.fleet.MayTakeWorkInWave("b0", wave.now));
+}
+
 BOOST_AUTO_TEST_CASE(RecordedMaintenanceIsNotRepeatedByLaterOwner) {
   FleetPlanner fleet(kFleetTimings);
   fleet.SetWave({.number = 1,
--- a/scheduler/fleet_waves.cc
+++ b/scheduler/fleet_waves.cc
@@ -19,6 +19,17 @@
 // The platform documents none.
 constexpr base::Micros kMaxListAge = std::chrono::seconds(4);
 
+// A box whose long-running tasks fit nowhere else counts as stalled after this
+// time. Longer than a planning round (0.25 s) plus the end of a stopped run.
+constexpr base::Micros kStallsAfterBlocked = std::chrono::seconds(1);
+// Where availability limits put the next stop off, another task of the step is
+// away, and has to serve again within 6 s. After that the box can't be emptied
+// either.
+constexpr base::Micros kStallsAfterWait = std::chrono::seconds(6);
+// Time in which a long-running task that a box takes during a wave can be moved
+// once more before the box's maintenance.
+constexpr base::Micros kTimeToMoveATask = std::chrono::seconds(6);
+
 }  // namespace
 
 void FleetPlanner::SetWave(const Wave& wave,
@@ -213,6 +224,31 @@
   return counts;
 }
 
+bool FleetPlanner::IsStalled(const Maintenance& maintenance, base::Micros now) {
+  return maintenance.state == MaintenanceState::kEvacuating &&
+         maintenance.stalls_at && now >= *maintenance.stalls_at;
+}
+
+void FleetPlanner::OnEvacuationStep(const std::string& box,
+                                    EvacuationStep step,
+                                    base::Micros now) {
+  for (auto& [number, progress] : this->waves) {
+    const auto found = progress.boxes.find(box);
+    if (found == progress.boxes.end() ||
+        found->second.state != MaintenanceState::kEvacuating)
+      continue;
+    std::optional<base::Micros>& stalls_at = found->second.stalls_at;
+    if (step == EvacuationStep::kProceeds) {
+      stalls_at.reset();
+      continue;
+    }
+    const base::Micros after = step == EvacuationStep::kBlocked
+                                   ? kStallsAfterBlocked
+                                   : kStallsAfterWait;
+    stalls_at = std::min(stalls_at.value_or(now + after), now + after);
+  }
+}
+
 // Prefers idle, then lightly loaded boxes. One slot in kPinnedDivisor goes to
 // boxes with long-running tasks first.
 void FleetPlanner::SelectNext(const Wave& wave,
@@ -229,6 +265,7 @@
   const auto take = [&](Maintenance& maintenance) {
     maintenance.state = MaintenanceState::kEvacuating;
     maintenance.since = now;
+    maintenance.stalls_at.reset();
     ++counts.away;
   };
   const int max_pinned = wave.max_concurrent / kPinnedDivisor;
@@ -307,6 +344,41 @@
   return false;
 }
 
+bool FleetPlanner::IsEvacuating(const std::string& box) const {
+  bool is_evacuating = false;
+  for (const auto& [number, progress] : this->waves) {
+    const auto found = progress.boxes.find(box);
+    if (found == progress.boxes.end())
+      continue;
+    const MaintenanceState state = found->second.state;
+    if (state == MaintenanceState::kRequested ||
+        state == MaintenanceState::kDown)
+      return false;
+    is_evacuating = is_evacuating || state == MaintenanceState::kEvacuating;
+  }
+  return is_evacuating && !this->moves.contains(box);
+}
+
+// A later owner does not know when the wave began, and counts from its own
+// beginning.
+bool FleetPlanner::MayTakeWorkInWave(const std::string& box,
+                                     base::Micros now) const {
+  if (!this->IsEvacuating(box))
+    return false;
+  return std::all_of(
+      this->waves.begin(), this->waves.end(), [&](const auto& entry) {
+        const WaveProgress& progress = entry.second;
+        const auto found = progress.boxes.find(box);
+        if (found == progress.boxes.end() ||
+            found->second.state != MaintenanceState::kEvacuating)
+          return true;
+        const base::Micros needed =
+            this->timings.maintenance_duration + kTimeToMoveATask;
+        return IsStalled(found->second, now) &&
+               now + needed <= progress.since + progress.wave.duration;
+      });
+}
+
 bool FleetPlanner::HasOpenWave() const {
   return std::any_of(this->waves.begin(), this->waves.end(),
                      [](const auto& entry) { return !entry.second.completed; });
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -147,13 +147,17 @@
 }  // namespace
 
 bool Scheduler::IsUsable(const Worker& worker, base::Micros now) const {
+  return this->IsOperational(worker, now) &&
+         !this->fleet.IsLeaving(worker.info.box);
+}
+
+bool Scheduler::IsOperational(const Worker& worker, base::Micros now) const {
   return worker.has_reported && worker.is_lease_recorded &&
          worker.is_announced && worker.is_described &&
          !worker.may_have_restarted && !worker.info.draining &&
          worker.failed_calls == 0 && now >= worker.quarantined_until &&
          worker.clock_ms > 0 && this->HasCurrentAnnouncement(worker, now) &&
          !this->zone_health.IsDoubtful(worker) &&
-         !this->fleet.IsLeaving(worker.info.box) &&
          !this->fleet.IsEvacuated(worker.info.zone);
 }
 
@@ -207,11 +211,15 @@
   // 1. Collect the pool's usable workers.
   PlacementPass pass;
   for (auto& [id, worker] : this->workers) {
-    if (worker.info.service == service && this->IsUsable(worker, now))
+    if (worker.info.service != service || !this->IsOperational(worker, now))
+      continue;
+    if (!this->fleet.IsLeaving(worker.info.box))
       pass.candidates.push_back(&worker);
+    else if (this->fleet.MayTakeWorkInWave(worker.info.box, now))
+      pass.stalled.push_back(&worker);
   }
   this->reservations.DropObsolete(service, pass.candidates);
-  if (pass.candidates.empty())
+  if (pass.candidates.empty() && pass.stalled.empty())
     return;
   // 2. Attempt the pool's ready tasks in scheduling order.
   tasks.TryInOrder(now, [&](const ReadyTask& task) {
@@ -305,6 +313,13 @@
   if (!pass.IsExhausted(ReservedBy(step)))
     choices =
         this->ChooseWorkers(job, ready_task.position, pass.candidates, now);
+  // A box that a wave can't empty keeps its long-running tasks, so that another
+  // one does not put the wave off any further.
+  const bool may_use_stalled = suspicion == Suspicion::kNone &&
+                               step.long_running && !step.gang &&
+                               !job.queue.advice.required;
+  if (choices.empty() && may_use_stalled)
+    choices = this->ChooseWorkers(job, ready_task.position, pass.stalled, now);
   if (choices.empty() && suspicion == Suspicion::kProbe)
     return WaitReason::kSuspect;
   if (choices.empty())
--- a/scheduler/planned_runs.cc
+++ b/scheduler/planned_runs.cc
@@ -93,9 +93,13 @@
     const auto run = worker.runs.find(id);
     if (run == worker.runs.end() || run->second.state != RunState::kPlanned)
       continue;
+    const bool may_take =
+        this->IsUsable(worker, now) ||
+        (run->second.is_long_running && this->IsOperational(worker, now) &&
+         this->fleet.MayTakeWorkInWave(worker.info.box, now));
     // The worker may have begun to drain, been lost or shrunk since the task
     // was planned, or the queue may have been given to another pool.
-    if (!this->IsUsable(worker, now) || !FitsItsCapacity(worker) ||
+    if (!may_take || !FitsItsCapacity(worker) ||
         !IsSuitable(worker, job, start.position)) {
       RemoveRun(worker, id);
       this->HandleLostRun(id, start.run, now);
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -194,6 +194,8 @@
   // that could not be placed.
   struct PlacementPass {
     std::vector<Worker*> candidates;
+    // Workers on boxes that a wave can't evacuate.
+    std::vector<Worker*> stalled;
     // Steps that could not be placed in this pass, with the reason.
     std::map<std::pair<const Job*, int>, WaitReason> unplaceable_steps;
     // Amounts that no candidate had free. Free capacity only shrinks during a
@@ -420,6 +422,8 @@
                            const jobs::Progress& stored,
                            base::Micros now);
   bool IsUsable(const Worker& worker, base::Micros now) const;
+  // As IsUsable, also while the worker's box is leaving.
+  bool IsOperational(const Worker& worker, base::Micros now) const;
   bool HasCurrentAnnouncement(const Worker& worker, base::Micros now) const;
   bool EnsureAdvice(Job& job,
                     const TaskPosition& position,
@@ -455,9 +459,10 @@
   std::vector<WorkerRoom> RoomBesideInterrupted(base::Micros now) const;
   bool TakeRoomElsewhere(const jobs::TaskId& task,
                          std::vector<WorkerRoom>& room) const;
-  void StopForEvacuation(const std::string& box,
-                         std::vector<WorkerRoom>& room,
-                         base::Micros now);
+  // Stops the long-running tasks of the box that may be moved now.
+  EvacuationStep StopForEvacuation(const std::string& box,
+                                   std::vector<WorkerRoom>& room,
+                                   base::Micros now);
   BoxCallContext BoxCallContextOf(const std::string& box,
                                   base::Micros now) const;
   void ReclaimBox(const std::string& box, base::Micros now);
