A box that a wave cannot empty gives its slot back

Cause: boxes whose long-running tasks fit nowhere else kept their slots of a wave, so that boxes that could be emptied were not selected.

A stalled box becomes pending again if other boxes of the wave wait for a slot, the longest stalled first and only as many as there are boxes to use the slots. It is selected again after 5 s at the earliest, unless it has no long-running tasks any more. Of the pending boxes with long-running tasks, those that gave their slot back longest ago go first, after those that never did.

--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -253,6 +253,7 @@
     bool is_inherited = false;    // a previous owner's call, unresolved
     // When the evacuation counts as stalled; empty while it proceeds.
     std::optional<base::Micros> stalls_at;
+    base::Micros released_at{};  // when it last gave its slot back; 0: never
   };
   struct WaveProgress {
     Wave wave;
@@ -308,6 +309,9 @@
   WaveCounts CountWave(WaveProgress& progress,
                        const BoxesByName& boxes,
                        base::Micros now) const;
+  static void ReleaseStalled(WaveProgress& progress,
+                             WaveCounts& counts,
+                             base::Micros now);
   static void SelectNext(const Wave& wave,
                          WaveCounts& counts,
                          base::Micros now);
--- a/scheduler/fleet_test.cc
+++ b/scheduler/fleet_test.cc
@@ -532,6 +532,58 @@
   void Handle(const MoveBox&) {}
 };
 
+// Guards against a wave whose slots are all taken by boxes that cannot be
+// emptied, so that it ends late with none of the others maintained.
+BOOST_AUTO_TEST_CASE(BoxThatCannotBeEvacuatedGivesItsSlotBack) {
+  PinnedWave wave(8, 2);
+  wave.blocked = {"b0", "b1", "b2", "b3"};
+  wave.RunUntil(seconds(15));
+  BOOST_TEST(wave.maintained.size() == 4U);
+  for (const std::string& box : wave.blocked) {
+    BOOST_TEST_CONTEXT(box) {
+      // Released after a second, and not selected again within some seconds.
+      const std::vector<base::Micros>& times = wave.evacuated[box];
+      BOOST_REQUIRE(!times.empty());
+      const auto later = std::upper_bound(times.begin(), times.end(),
+                                          times.front() + seconds(1));
+      BOOST_TEST(
+          (later == times.end() || *later >= times.front() + seconds(5)));
+    }
+  }
+  BOOST_TEST(wave.CountLeaving() <= 2);
+}
+
+// Guards against boxes that wait behind released ones for ever. All of them are
+// blocked, and trying each for 1 s takes longer than the time after which a
+// released box is selected again. One after the other can then be emptied.
+BOOST_AUTO_TEST_CASE(ReleasedBoxesAreTriedInTurn) {
+  PinnedWave wave(20, 2);
+  for (const FleetBox& box : wave.view.boxes)
+    wave.blocked.insert(box.name);
+  wave.RunUntil(seconds(22));
+  for (const FleetBox& box : wave.view.boxes)
+    BOOST_TEST(wave.evacuated.contains(box.name));
+  for (const char* box : {"b0", "b9", "b19"}) {
+    wave.blocked.erase(box);
+    wave.RunUntil(wave.now + seconds(12));
+    BOOST_TEST(wave.maintained.contains(box));
+  }
+  wave.blocked.clear();
+  wave.RunUntil(wave.now + seconds(12));
+  BOOST_TEST(wave.is_completed);
+}
+
+// Guards against a slot that is given back while tasks are moved one after the
+// other: each of them has to serve elsewhere before the next is stopped.
+BOOST_AUTO_TEST_CASE(BoxWhoseTasksMoveOneByOneKeepsItsSlot) {
+  PinnedWave wave(2, 1);
+  wave.needed = seconds(4);
+  wave.RunUntil(seconds(15));
+  BOOST_TEST(wave.maintained.contains("b0"));
+  BOOST_REQUIRE(wave.evacuated.contains("b1"));
+  BOOST_TEST((wave.evacuated["b1"].front() >= wave.maintained["b0"]));
+}
+
 // Guards against a box that is released though no other one needs its slot, and
 // against work that it takes too early or too late in the wave.
 BOOST_AUTO_TEST_CASE(StalledBoxTakesWorkUntilTheWavesEndIsNear) {
@@ -549,6 +601,85 @@
   BOOST_TEST(!wave.fleet.MayTakeWorkInWave("b0", wave.now));
 }
 
+// Guards against a new owner that keeps boxes from work which the earlier one
+// was done with, or takes more boxes away than the wave allows. Of the wave's
+// boxes b0 and b1 are back, b2 and b3 down and b4 called; of four moves two are
+// done, one was not made, and one box's worker never answers.
+BOOST_AUTO_TEST_CASE(TakeoverAmidAWaveAndMovesFreesTheBoxesThatAnswer) {
+  FleetPlanner fleet(kFleetTimings);
+  base::Micros now = seconds(10);
+  Wave wave{
+      .number = 1, .boxes = {}, .duration = seconds(60), .max_concurrent = 3};
+  FleetView view{.boxes = {}, .pools = {{.name = "calm"}, {.name = "busy"}}};
+  std::vector<BoxInfo> listed;
+  for (int i = 0; i < 8; ++i) {
+    const std::string name = "b" + std::to_string(i);
+    wave.boxes.push_back(name);
+    view.boxes.push_back(IdleBox(name, "calm"));
+    view.boxes.back().available = i != 2 && i != 3;
+    listed.push_back(
+        {.name = name,
+         .pool = "calm",
+         .state = i == 2 || i == 3 ? BoxState::kMaintenance : BoxState::kUp,
+         .cores = 16.0});
+  }
+  for (int i = 0; i < 4; ++i) {
+    const std::string name = "m" + std::to_string(i);
+    const char* pool = i < 2 ? "busy" : "calm";
+    view.boxes.push_back(IdleBox(name, pool));
+    view.boxes.back().available = i != 3;
+    listed.push_back({.name = name, .pool = pool, .cores = 16.0});
+    fleet.Inherit(
+        MoveBox{.box = name,
+                .pool = "busy",
+                .incarnation = {.id = i < 2 ? "before" : name + "-life"}},
+        now);
+  }
+  view.pools[1].demand[0].current_cores = 4 * 16.0 * 0.85;
+  fleet.SetWave(wave, {"b0", "b1", "b2", "b3"}, now);
+  fleet.Inherit(
+      MaintainBox{.box = "b4", .wave = 1, .incarnation = {.id = "b4-life"}},
+      now);
+  fleet.SetBoxes(listed, now, now);
+  for (const FleetBox& box : view.boxes) {
+    if (!box.available)
+      continue;
+    fleet.OnBoxAnnounced(box.name, box.worker, box.pool, now);
+    fleet.OnBoxAnswered(box.name);
+  }
+  std::set<std::string> called;
+  const auto plan = [&] {
+    for (const FleetAction& action : fleet.Plan(view, now)) {
+      if (const auto* move = std::get_if<MoveBox>(&action)) {
+        called.insert(move->box);
+        fleet.OnMoveOutcome(*move, BoxCallOutcome::kDone, now);
+      } else if (const auto* call = std::get_if<MaintainBox>(&action)) {
+        called.insert(call->box);
+        fleet.OnMaintenanceOutcome(*call, BoxCallOutcome::kDone, now);
+      }
+    }
+  };
+  for (; now <= seconds(11); now += milliseconds(250))
+    plan();
+  // The calls are made again; no box beyond the wave's limit is called.
+  BOOST_TEST((called == std::set<std::string>{"b4", "m0", "m1", "m2"}));
+  for (const char* box : {"b0", "b1", "b5", "b6", "b7", "m0", "m1"})
+    BOOST_TEST(!fleet.IsLeaving(box), box);
+  for (const char* box : {"b2", "b3", "b4", "m2", "m3"})
+    BOOST_TEST(fleet.IsLeaving(box), box);
+  // b2 answers; b3 never does, and the list shows it up.
+  fleet.OnBoxAnswered("b2");
+  plan();
+  BOOST_TEST(called.contains("b5"));
+  BOOST_TEST(!called.contains("b6"));
+  for (BoxInfo& box : listed)
+    box.state = BoxState::kUp;
+  now = seconds(14);
+  fleet.SetBoxes(listed, now, now);
+  plan();
+  BOOST_TEST(called.contains("b6"));
+}
+
 BOOST_AUTO_TEST_CASE(RecordedMaintenanceIsNotRepeatedByLaterOwner) {
   FleetPlanner fleet(kFleetTimings);
   fleet.SetWave({.number = 1,
--- a/scheduler/fleet_waves.cc
+++ b/scheduler/fleet_waves.cc
@@ -26,10 +26,21 @@
 // away, and has to serve again within 6 s. After that the box can't be emptied
 // either.
 constexpr base::Micros kStallsAfterWait = std::chrono::seconds(6);
+// A box that gave its slot back is not selected again within this time: as it
+// is emptied, its pool lacks the box's free capacity.
+constexpr base::Micros kReselectAfter = std::chrono::seconds(5);
 // Time in which a long-running task that a box takes during a wave can be moved
 // once more before the box's maintenance.
 constexpr base::Micros kTimeToMoveATask = std::chrono::seconds(6);
 
+// A box that has no long-running tasks any more becomes empty by itself.
+bool MayBeReselected(const FleetBox& box,
+                     base::Micros released_at,
+                     base::Micros now) {
+  return box.long_running_tasks == 0 || released_at == base::Micros{} ||
+         now >= released_at + kReselectAfter;
+}
+
 }  // namespace
 
 void FleetPlanner::SetWave(const Wave& wave,
@@ -194,6 +205,7 @@
   if (!this->has_list)
     return;
   // 2. Select further boxes, up to the wave's limit.
+  ReleaseStalled(progress, counts, now);
   SelectNext(progress.wave, counts, now);
   // 3. Request maintenance for the idle ones and evacuate the others.
   RequestOrEvacuate(progress, boxes, now, actions);
@@ -217,7 +229,8 @@
     const bool can_go = maintenance.state == MaintenanceState::kPending &&
                         box && box->available &&
                         now >= maintenance.next_call_at &&
-                        !this->moves.contains(name);
+                        !this->moves.contains(name) &&
+                        MayBeReselected(*box, maintenance.released_at, now);
     if (can_go)
       counts.pending.emplace_back(box, &maintenance);
   }
@@ -249,19 +262,55 @@
   }
 }
 
-// Prefers idle, then lightly loaded boxes. One slot in kPinnedDivisor goes to
-// boxes with long-running tasks first.
+// Only as many slots as there are boxes to use them. A box that has been
+// stalled for longer goes first, so that all of them get their turn.
+void FleetPlanner::ReleaseStalled(WaveProgress& progress,
+                                  WaveCounts& counts,
+                                  base::Micros now) {
+  std::vector<Maintenance*> stalled;
+  for (auto& [name, maintenance] : progress.boxes) {
+    if (IsStalled(maintenance, now))
+      stalled.push_back(&maintenance);
+  }
+  std::stable_sort(stalled.begin(), stalled.end(),
+                   [](const Maintenance* a, const Maintenance* b) {
+                     return *a->stalls_at < *b->stalls_at;
+                   });
+  const int free_slots =
+      std::max(0, progress.wave.max_concurrent - counts.away);
+  int lacking = static_cast<int>(counts.pending.size()) - free_slots;
+  for (Maintenance* maintenance : stalled) {
+    if (lacking <= 0)
+      return;
+    maintenance->state = MaintenanceState::kPending;
+    maintenance->stalls_at.reset();
+    maintenance->released_at = now;
+    --counts.away;
+    --counts.pinned_evacuating;
+    --lacking;
+  }
+}
+
+// Prefers idle, then lightly loaded boxes. Of those with long-running tasks,
+// the ones that gave their slot back longest ago go first, after those that
+// never did. One slot in kPinnedDivisor goes to boxes with long-running tasks
+// first.
 void FleetPlanner::SelectNext(const Wave& wave,
                               WaveCounts& counts,
                               base::Micros now) {
-  std::stable_sort(counts.pending.begin(), counts.pending.end(),
-                   [](const auto& a, const auto& b) {
-                     const FleetBox& x = *a.first;
-                     const FleetBox& y = *b.first;
-                     if (x.long_running_tasks != y.long_running_tasks)
-                       return x.long_running_tasks < y.long_running_tasks;
-                     return x.busy_cores < y.busy_cores;
-                   });
+  std::stable_sort(
+      counts.pending.begin(), counts.pending.end(),
+      [](const auto& a, const auto& b) {
+        const FleetBox& x = *a.first;
+        const FleetBox& y = *b.first;
+        const bool both_pinned =
+            x.long_running_tasks > 0 && y.long_running_tasks > 0;
+        if (both_pinned && a.second->released_at != b.second->released_at)
+          return a.second->released_at < b.second->released_at;
+        if (x.long_running_tasks != y.long_running_tasks)
+          return x.long_running_tasks < y.long_running_tasks;
+        return x.busy_cores < y.busy_cores;
+      });
   const auto take = [&](Maintenance& maintenance) {
     maintenance.state = MaintenanceState::kEvacuating;
     maintenance.since = now;
