Reports of stalled long-running tasks and of failed jobs

Cause: nothing told operators that a long-running task stands still, and a failed job stood only among all ended ones, once for each owner that found the failure (part 6 of docs/design/admission-and-idle-capacity.md).

Change: scheduler/stalled_tasks looks at the tasks of long-running steps twice a second. What has not been known to be at work for 3 s is reported by job (long_running_stalled, QH0845), once per change, and counted (quartzhoist_long_running_stalled_total, gauge quartzhoist_long_running_stalled). A stall counts from the last report that showed the task at work, or from the owner's beginning; a step that never had a place from its first placement or 3 s after its release. Time in which the owner did not poll does not count. An owner that is not confirmed and hears of no worker reports nothing.

A failure is reported (job_failed, QH0846, counter jobs_failed) by the owner whose write stores it. The owner keeps the progress texts with the failure that it has sent, so that it knows its own row when the answer to a save was lost. HasExhaustedAttempts becomes FindExhaustedTask, since the report names the task.

--- a/base/counters.h
+++ b/base/counters.h
@@ -23,6 +23,8 @@
   kPlatformRefusals,
   kWorkersLost,
   kTasksGivenUp,
+  kLongRunningStalled,
+  kJobsFailed,
   kCount,
 };
 
@@ -46,6 +48,9 @@
     {"platform_refusals", "Writes that the platform refused for good"},
     {"workers_lost", "Workers whose runs ended with them"},
     {"tasks_given_up", "Tasks under which workers crashed too often"},
+    {"long_running_stalled",
+     "Stalls of long-running tasks, and each further 10 s of one"},
+    {"jobs_failed", "Jobs that failed"},
 }};
 
 class Counters {
--- a/entry/decision_log.cc
+++ b/entry/decision_log.cc
@@ -30,6 +30,11 @@
   return text;
 }
 
+std::string FormatTask(const std::string& job, const jobs::TaskKey& task) {
+  return fmt::format("{}.{}.{}.{}", job, task.step.occurrence, task.step.step,
+                     task.index);
+}
+
 std::string FormatLosses(const jobs::WorkerLosses& losses) {
   std::string text;
   for (const auto& [life, loss] : losses) {
@@ -112,12 +117,26 @@
 }
 
 void LogTaskGivenUp(const scheduler::TaskGivenUp& given_up) {
-  const jobs::TaskKey& task = given_up.task;
+  base::Log(base::Event::kTaskGivenUp,
+            {{"task", FormatTask(given_up.job, given_up.task)},
+             {"workers", FormatLosses(given_up.losses)}});
+}
+
+void LogLongRunningStalled(const scheduler::LongRunningStalled& stalled) {
+  base::Log(base::Event::kLongRunningStalled,
+            {{"job", stalled.job},
+             {"queue", stalled.queue},
+             {"tasks", stalled.tasks},
+             {"stalled_ms", base::Millis(stalled.stalled_for)}});
+}
+
+void LogJobFailed(const scheduler::JobFailed& failed) {
   base::Log(
-      base::Event::kTaskGivenUp,
-      {{"task", fmt::format("{}.{}.{}.{}", given_up.job, task.step.occurrence,
-                            task.step.step, task.index)},
-       {"workers", FormatLosses(given_up.losses)}});
+      base::Event::kJobFailed,
+      {{"job", failed.job},
+       {"queue", failed.queue},
+       {"task", FormatTask(failed.job, failed.task)},
+       {"cause", base::NameOf(scheduler::kFailureCauseNames, failed.cause)}});
 }
 
 void LogNote(const scheduler::LogNote& note) {
--- a/entry/decision_log.h
+++ b/entry/decision_log.h
@@ -13,6 +13,8 @@
 void LogWorkerRestarted(const scheduler::WorkerRestarted& restarted);
 void LogWorkerCapacityChanged(const scheduler::WorkerCapacityChanged& changed);
 void LogRunEndIgnored(const scheduler::RunEndIgnored& ignored);
+void LogLongRunningStalled(const scheduler::LongRunningStalled& stalled);
+void LogJobFailed(const scheduler::JobFailed& failed);
 void LogNote(const scheduler::LogNote& note);
 
 }  // namespace quartzhoist::entry
--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -389,6 +389,11 @@
     exchange->Reply(http::JsonResponse(200, this->Dump()));
     return;
   }
+  int stalled_tasks = 0;
+  for (const auto& managed : this->managed_shards) {
+    if (managed->manager)
+      stalled_tasks += managed->manager->CountStalledTasks();
+  }
   http::Response response;
   response.headers.push_back(
       {.name = "Content-Type", .value = "text/plain; version=0.0.4"});
@@ -396,10 +401,14 @@
   response.body += fmt::format(
       "# HELP quartzhoist_owner Shards that this daemon schedules\n"
       "# TYPE quartzhoist_owner gauge\nquartzhoist_owner {}\n"
+      "# HELP quartzhoist_long_running_stalled Long-running tasks that are "
+      "stalled\n"
+      "# TYPE quartzhoist_long_running_stalled gauge\n"
+      "quartzhoist_long_running_stalled {}\n"
       "# HELP quartzhoist_log_lines_left_out_total Log lines left out\n"
       "# TYPE quartzhoist_log_lines_left_out_total counter\n"
       "quartzhoist_log_lines_left_out_total {}\n",
-      this->ownerships ? this->ownerships->held().size() : 0,
+      this->ownerships ? this->ownerships->held().size() : 0, stalled_tasks,
       base::LinesLeftOut());
   response.body += this->store.traffic().PrometheusText();
   exchange->Reply(std::move(response));
--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -120,6 +120,7 @@
 }
 
 ShardManager::~ShardManager() {
+  this->ReportSavedFailures();
   *this->alive = false;
 }
 
@@ -252,6 +253,15 @@
     this->Perform(std::move(action));
 }
 
+// The owner that has saved a failure is the only one to report it, also if its
+// commands were suspended by the time the store answered.
+void ShardManager::ReportSavedFailures() {
+  for (scheduler::Action& action : this->scheduler.TakeActions()) {
+    if (std::holds_alternative<scheduler::JobFailed>(action))
+      this->Perform(std::move(action));
+  }
+}
+
 void ShardManager::RunCycle() {
   this->cycle_is_scheduled = false;
   this->cycle_start = base::MonotonicNow();
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -73,6 +73,8 @@
 
   // Current load of the shard, on which the choice among shards is based.
   ShardLoad Load() const;
+  // Number of long-running tasks that are stalled.
+  int CountStalledTasks() const { return this->scheduler.CountStalledTasks(); }
   // JSON for the state dump.
   std::string Dump() const;
 
@@ -120,6 +122,7 @@
   void ScheduleCycle();
   void PerformActions();
   void Perform(scheduler::Action action);
+  void ReportSavedFailures();
   void EnqueueCommand(Command command);
   void SendNextCommand(const jobs::WorkerIncarnation& worker);
   void Send(const jobs::WorkerIncarnation& worker,
--- a/entry/manager_commands.cc
+++ b/entry/manager_commands.cc
@@ -80,6 +80,17 @@
       manager.counters.Add(base::Counter::kTasksGivenUp);
       LogTaskGivenUp(task);
     }
+    void operator()(const scheduler::LongRunningStalled& stalled) const {
+      LogLongRunningStalled(stalled);
+    }
+    void operator()(const scheduler::CountStalls& stalls) const {
+      manager.counters.Add(base::Counter::kLongRunningStalled,
+                           static_cast<std::uint64_t>(stalls.count));
+    }
+    void operator()(const scheduler::JobFailed& failed) const {
+      manager.counters.Add(base::Counter::kJobsFailed);
+      LogJobFailed(failed);
+    }
     void operator()(const scheduler::LogNote& note) const { LogNote(note); }
   };
   std::visit(Visitor{*this}, action);
--- a/entry/process_test.cc
+++ b/entry/process_test.cc
@@ -363,6 +363,23 @@
   }
 };
 
+// Guards against findings of the scheduler that do not reach the log.
+BOOST_AUTO_TEST_CASE(StalledLongRunningTaskIsLogged) {
+  ClusterFixture fixture(1);
+  const std::string body =
+      R"({"spec":"work","steps":[{"count":1,"cpu":500,"memMb":1000000,)"
+      R"("estimateMs":100,"longRunning":true}]})";
+  BOOST_REQUIRE(fixture.cluster.WaitUntil(kTimeoutSeconds, [&] {
+    return fixture.cluster.Call("entry-1", "POST", JobId(1), body).status ==
+           200;
+  }));
+  BOOST_TEST(fixture.cluster.WaitUntil(kTimeoutSeconds, [&] {
+    return fixture.cluster.Logs().find(
+               R"("event":"long_running_stalled","job":")" + JobId(1) +
+               R"(","queue":"q","tasks":1,)") != std::string::npos;
+  }));
+}
+
 // The job may be accepted by one daemon before the other one is ready.
 BOOST_AUTO_TEST_CASE(CancelledJobIsSaidToBe) {
   CancelFixture fixture(2);
--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -174,6 +174,29 @@
   JobTimings timings;
 };
 
+// Log entry: other long-running tasks of the job are stalled than before.
+struct LongRunningStalled {
+  std::string job;
+  std::string queue;
+  int tasks = 0;  // stalled now
+  // The longest stall; if none is left, the longest of those that ended.
+  base::Micros stalled_for{};
+};
+
+// Adds to the counter of stalls: those that have begun, and those that have
+// lasted for another period.
+struct CountStalls {
+  int count = 0;
+};
+
+// Log entry: this owner has saved the job's failure.
+struct JobFailed {
+  std::string job;
+  std::string queue;
+  jobs::TaskKey task;  // that made the job fail
+  FailureCause cause = FailureCause::kAttempts;
+};
+
 using Action = std::variant<StartRun,
                             StopRun,
                             ThrottleRun,
@@ -190,6 +213,9 @@
                             WorkerCapacityChanged,
                             RunEndIgnored,
                             TaskGivenUp,
+                            LongRunningStalled,
+                            CountStalls,
+                            JobFailed,
                             LogNote>;
 
 }  // namespace quartzhoist::scheduler
--- a/scheduler/crashes.cc
+++ b/scheduler/crashes.cc
@@ -278,7 +278,7 @@
       task.state = TaskState::kGivenUp;
       continue;
     }
-    this->FinishJob(job, jobs::JobState::kFailed, now);
+    this->FailJob(job, key, FailureCause::kGivenUp, now);
     return;
   }
 }
--- a/scheduler/inheritance.cc
+++ b/scheduler/inheritance.cc
@@ -1,6 +1,7 @@
 // Takeover of placements and stops that an earlier owner recorded in a job's
 // row, as it is read or as it comes with a refused save.
 
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -155,6 +156,7 @@
       this->RecordUnobservedLoss(job, position, placement, now);
   }
   const bool was_final = job.finished();
+  this->DropFailureSavedByOther(job, stored);
   job.progress = jobs::Merge(job.progress, stored);
   // The row names the run that its worker reports, also where the other writer
   // has placed a later one: that one is over.
@@ -180,8 +182,9 @@
   if (job.finished() && !was_final)
     this->StopAllRuns(job, now);
   // The merged failures may have used up a task's attempts.
-  if (!job.finished() && HasExhaustedAttempts(job))
-    this->FinishJob(job, jobs::JobState::kFailed, now);
+  const std::optional<jobs::TaskKey> exhausted = FindExhaustedTask(job);
+  if (!job.finished() && exhausted)
+    this->FailJob(job, *exhausted, FailureCause::kAttempts, now);
   this->InheritLosses(job, now);
   for (const TaskPosition& position :
        this->CancelSuspectPlans(job, stored, now))
--- a/scheduler/job.cc
+++ b/scheduler/job.cc
@@ -172,14 +172,14 @@
   return ready;
 }
 
-bool HasExhaustedAttempts(const Job& job) {
+std::optional<jobs::TaskKey> FindExhaustedTask(const Job& job) {
   const jobs::Progress& progress = job.progress;
-  return std::any_of(progress.failures.begin(), progress.failures.end(),
-                     [&](const auto& entry) {
-                       const jobs::TaskKey& task = entry.first;
-                       return !progress.IsDone(task.step, task.index) &&
-                              progress.FailureCount(task) >= job.queue.attempts;
-                     });
+  for (const auto& [task, runs] : progress.failures) {
+    if (!progress.IsDone(task.step, task.index) &&
+        progress.FailureCount(task) >= job.queue.attempts)
+      return task;
+  }
+  return std::nullopt;
 }
 
 bool IsGangWithPlacedMember(const Job& job, const TaskPosition& position) {
--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -61,14 +62,26 @@
          reason != WaitReason::kNoSuitableWorker;
 }
 
+// Why a job has failed.
+enum class FailureCause {
+  kAttempts,  // a task's attempts are used up
+  kGivenUp,   // workers crash while running a task
+};
+
+inline constexpr base::EnumNames<FailureCause, 2> kFailureCauseNames{{
+    {FailureCause::kAttempts, "attempts"},
+    {FailureCause::kGivenUp, "given_up"},
+}};
+
 struct Task {
   TaskState state = TaskState::kBlocked;
   jobs::WorkerIncarnation worker;  // while placed
   int run = 0;                     // run number, while placed
   int latest_run = 0;              // highest run number assigned so far
   int inherited_run = 0;           // latest run of earlier owners accounted for
-  bool is_serving = false;  // long-running task: reported in full service
-  std::string checkpoint;   // latest reported; empty if none
+  bool is_serving = false;        // long-running task: reported in full service
+  base::Micros last_served_at{};  // latest report that showed it so
+  std::string checkpoint;         // latest reported; empty if none
   base::Micros ready_since{};
   // When the latest run was presumed over because its lease had expired.
   // Another owner may have renewed that lease unless the store has confirmed
@@ -139,6 +152,14 @@
   std::uint64_t change = 0;
 };
 
+// A failure that this owner has found and not reported yet.
+struct UnreportedFailure {
+  jobs::TaskKey task;
+  FailureCause cause = FailureCause::kAttempts;
+  // Progress texts with the failure that were sent to the store.
+  std::set<std::string> sent;
+};
+
 struct Job {
   std::string id;
   std::string organisation;  // charged with its quota; empty if none
@@ -162,6 +183,7 @@
   std::uint64_t rejected_change = 0;  // not accepted by the store
   // The change that contains the job's failure, until it is saved; else 0.
   std::uint64_t unsaved_failure = 0;
+  std::optional<UnreportedFailure> unreported_failure;
   bool save_in_flight = false;
 
   bool finished() const { return jobs::IsFinal(this->progress.state); }
@@ -220,8 +242,8 @@
 int CountGivenUpTasks(const Job& job);
 // Whether every task of every repeat is done.
 bool AreAllTasksDone(const Job& job);
-// Whether an unfinished task has failed as often as its queue allows.
-bool HasExhaustedAttempts(const Job& job);
+// An unfinished task that has failed as often as its queue allows.
+std::optional<jobs::TaskKey> FindExhaustedTask(const Job& job);
 
 }  // namespace quartzhoist::scheduler
 
--- a/scheduler/run_ends.cc
+++ b/scheduler/run_ends.cc
@@ -171,7 +171,7 @@
                           run, worker.id, count, job.queue.attempts)});
   if (count >= job.queue.attempts) {
     task.state = TaskState::kFailed;
-    this->FinishJob(job, jobs::JobState::kFailed, now);
+    this->FailJob(job, key, FailureCause::kAttempts, now);
   }
 }
 
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -78,6 +78,7 @@
     this->ApplyBufferedReports(job, now);
     return;
   }
+  this->stalled_tasks.Watch(job);
   job.is_over_rate = !this->guaranteed_rates.Consume(job.organisation, now);
   if (job.spec.repeat_count > 0)
     this->repeating_jobs.insert(job.id);
@@ -221,6 +222,39 @@
                                          .timings = job.timings});
 }
 
+void Scheduler::FailJob(Job& job,
+                        const jobs::TaskKey& task,
+                        FailureCause cause,
+                        base::Micros now) {
+  job.unreported_failure = {.task = task, .cause = cause, .sent = {}};
+  this->FinishJob(job, jobs::JobState::kFailed, now);
+}
+
+// A failure is reported by the owner whose write put it into the job's row, so
+// that owners which find the same failure report it once. An owner that is
+// replaced before its write leaves the report to its successor.
+void Scheduler::ReportSavedFailure(Job& job) {
+  if (!job.unreported_failure)
+    return;
+  if (job.progress.state == jobs::JobState::kFailed) {
+    this->actions.emplace_back(
+        JobFailed{.job = job.id,
+                  .queue = job.queue.name,
+                  .task = job.unreported_failure->task,
+                  .cause = job.unreported_failure->cause});
+  }
+  job.unreported_failure.reset();
+}
+
+// A refused save shows a failure in the row: another owner has saved it, unless
+// this owner sent that row and the answer was lost.
+void Scheduler::DropFailureSavedByOther(Job& job,
+                                        const jobs::Progress& stored) const {
+  if (job.unreported_failure && stored.state == jobs::JobState::kFailed &&
+      !job.unreported_failure->sent.contains(jobs::EncodeProgress(stored)))
+    job.unreported_failure.reset();
+}
+
 void Scheduler::StopAllRuns(Job& job, base::Micros now) {
   for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
     for (std::size_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
@@ -261,12 +295,14 @@
     if (!job)
       continue;
     job->save_in_flight = true;
-    this->actions.emplace_back(
-        SaveProgress{.job = job->id,
-                     .text = jobs::EncodeProgress(job->progress),
-                     .version = job->version,
-                     .change = job->change,
-                     .is_over = job->progress.IsOver()});
+    std::string text = jobs::EncodeProgress(job->progress);
+    if (job->unreported_failure)
+      job->unreported_failure->sent.insert(text);
+    this->actions.emplace_back(SaveProgress{.job = job->id,
+                                            .text = std::move(text),
+                                            .version = job->version,
+                                            .change = job->change,
+                                            .is_over = job->progress.IsOver()});
   }
 }
 
@@ -284,6 +320,7 @@
       if (job->unsaved_failure > 0 &&
           job->saved_change >= job->unsaved_failure) {
         job->unsaved_failure = 0;
+        this->ReportSavedFailure(*job);
         this->StopAllRuns(*job, now);
       }
       break;
@@ -355,6 +392,7 @@
   this->IssueDueStops(now);
   this->IssueDuePolls(now);
   this->SaveChangedJobs(now);
+  this->ReportStalledTasks(now);
 }
 
 bool Scheduler::KnowsAllRuns(base::Micros now) const {
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -35,6 +35,7 @@
 #include "scheduler/reservations.h"
 #include "scheduler/run_times.h"
 #include "scheduler/scheduler_limits.h"
+#include "scheduler/stalled_tasks.h"
 #include "scheduler/suspects.h"
 #include "scheduler/waiting_tasks.h"
 #include "scheduler/worker.h"
@@ -179,6 +180,8 @@
   // most `most`.
   std::vector<WaitingTask> LongestWaits(std::size_t most,
                                         base::Micros now) const;
+  // Number of long-running tasks that are stalled.
+  int CountStalledTasks() const { return this->stalled_tasks.count(); }
   // Quota needs in this shard of the organisations that have a quota.
   std::map<std::string, QuotaNeed> QuotaNeeds() const {
     return this->quotas.Needs();
@@ -222,6 +225,12 @@
   base::Micros ObjectiveOf(const Job& job) const;
   void MarkChanged(Job& job);
   void FinishJob(Job& job, jobs::JobState state, base::Micros now);
+  void FailJob(Job& job,
+               const jobs::TaskKey& task,
+               FailureCause cause,
+               base::Micros now);
+  void ReportSavedFailure(Job& job);
+  void DropFailureSavedByOther(Job& job, const jobs::Progress& stored) const;
   void StopAllRuns(Job& job, base::Micros now);
   void SaveChangedJobs(base::Micros now);
   void ReleaseDueRepeats(base::Micros now);
@@ -437,6 +446,8 @@
   void CollectWaits(const Job& job,
                     base::Micros now,
                     std::vector<WaitingTask>& waits) const;
+  void ReportStalledTasks(base::Micros now);
+  bool CanTellWhatIsAtWork(base::Micros now) const;
 
   // fleet
   void RunFleet(base::Micros now);
@@ -484,6 +495,7 @@
   BoxRequests box_requests;
   Reservations reservations;
   ZoneHealth zone_health;
+  StalledTasks stalled_tasks;
   std::vector<Action> actions;
   base::Micros confirmed_at{};
   base::Micros ownership_until{};
--- a/scheduler/worker_reports.cc
+++ b/scheduler/worker_reports.cc
@@ -160,6 +160,8 @@
   // A run that is being stopped does not count as at work, even if an older
   // report shows it at 100%.
   task.is_serving = reported.percent >= 100 && run.state == RunState::kRunning;
+  if (task.is_serving)
+    task.last_served_at = now;
   // The run may be an earlier owner's, of a job or task that is over by now, or
   // one that an earlier owner had recorded as stopping.
   const bool is_recorded_as_stopping =
@@ -241,6 +243,8 @@
       task.run = reported.run;
       task.latest_run = std::max(task.latest_run, reported.run);
       task.is_serving = reported.percent >= 100;
+      if (task.is_serving)
+        task.last_served_at = now;
       if (!reported.checkpoint.empty())
         task.checkpoint = reported.checkpoint;
       job->has_started = true;
--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -388,11 +388,26 @@
     this->LogEvent(fmt::format("owner {}: {} {}.{} is given up",
                                this->owners[owner].epoch, task->job,
                                task->task.step.step, task->task.index));
+  else if (const auto* failed = std::get_if<scheduler::JobFailed>(&action))
+    this->CheckFailureReport(owner, *failed);
+  else if (const auto* stalled =
+               std::get_if<scheduler::LongRunningStalled>(&action))
+    this->reported_stalls.push_back(*stalled);
   else if (const auto* note = std::get_if<scheduler::LogNote>(&action))
     this->LogEvent(fmt::format("owner {}: {}: {}", this->owners[owner].epoch,
                                note->subject, note->text));
 }
 
+void SchedulerModel::CheckFailureReport(std::size_t owner,
+                                        const scheduler::JobFailed& failed) {
+  if (this->StateOf(failed.job) != jobs::JobState::kFailed)
+    this->ReportViolation(
+        fmt::format("the failure of {} is reported unsaved", failed.job));
+  if (!this->reported_failures.insert({failed.job, owner}).second)
+    this->ReportViolation(
+        fmt::format("the failure of {} is reported twice", failed.job));
+}
+
 // --- Results ---
 
 jobs::JobState SchedulerModel::StateOf(const std::string& job) const {
--- a/testing/scheduler_model.h
+++ b/testing/scheduler_model.h
@@ -15,6 +15,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "scheduler/scheduler.h"
@@ -164,6 +165,10 @@
   int starts() const { return this->start_count; }
   // Number of workers crashed by tasks.
   int crashed_workers() const { return this->crash_count; }
+  // Reports of stalled long-running tasks, in order.
+  const std::vector<scheduler::LongRunningStalled>& stall_reports() const {
+    return this->reported_stalls;
+  }
   int takeovers() const { return static_cast<int>(this->owners.size()) - 1; }
 
  private:
@@ -295,6 +300,10 @@
   void ShutDownBox(const std::string& box,
                    scheduler::BoxState state,
                    base::Micros span);
+  // A failure is reported once by an owner, and only if it is stored. Owners
+  // that have stored the same text both report it.
+  void CheckFailureReport(std::size_t owner,
+                          const scheduler::JobFailed& failed);
   void CheckDisruption(const jobs::TaskId& task, const std::string& by);
   void UpdatePresence();
   void RecordLeaseHolders(Owner& owner);
@@ -370,6 +379,9 @@
   int incarnation_count = 0;
   int start_count = 0;
   int crash_count = 0;
+  std::vector<scheduler::LongRunningStalled> reported_stalls;
+  // Jobs whose failure was reported, and by which owner.
+  std::set<std::pair<std::string, std::size_t>> reported_failures;
   std::vector<std::string> violations_found;
   std::deque<std::string> history;
 };
