Move a job's longest chain and objective to jobs/

A daemon that admits jobs needs the objective of a job that no scheduler knows yet. The computation moves from Scheduler to jobs/objective with the run times as a parameter; the scheduler passes its measured ones as before.

--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "jobs/objective.h"
+
 namespace quartzhoist::scheduler {
 
 namespace {
@@ -129,34 +131,17 @@
   return this->run_times.Estimate(kind, milliseconds(step.estimate_ms));
 }
 
-// Duration of the longest chain of steps that starts at step `from`. If `from`
-// is the number of steps, the longest chain of the whole job.
+// By the run times known here, not by the caller's estimates.
 base::Micros Scheduler::LongestChain(const Job& job, std::size_t from) const {
-  const std::size_t count = job.spec.steps.size();
-  std::vector<base::Micros> chain_after(count);  // chain after each step
-  base::Micros longest{};
-  for (std::size_t s = count; s-- > 0;) {
-    const jobs::Step& step = job.spec.steps[s];
-    const base::Micros chain = chain_after[s] + this->ExpectedRun(job, step);
-    if (s == from)
-      return chain;
-    longest = std::max(longest, chain);
-    for (const int earlier : step.depends_on) {
-      base::Micros& successor_chain =
-          chain_after[static_cast<std::size_t>(earlier)];
-      successor_chain = std::max(successor_chain, chain);
-    }
-  }
-  return longest;
+  return jobs::LongestChain(job.spec.steps, from,
+                            [this, &job](const jobs::Step& step) {
+                              return this->ExpectedRun(job, step);
+                            });
 }
 
-// The objective is the queue's target latency plus the job's longest chain
-// multiplied by the queue's extension factor.
 base::Micros Scheduler::ObjectiveOf(const Job& job) const {
-  const base::Micros chain = this->LongestChain(job, job.spec.steps.size());
-  return job.queue.target_latency +
-         base::Micros(static_cast<std::int64_t>(
-             job.queue.extension * static_cast<double>(chain.count())));
+  return jobs::ObjectiveFor(job.queue,
+                            this->LongestChain(job, job.spec.steps.size()));
 }
 
 // A job is useful for up to three times its objective. The chain is computed
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -216,6 +216,7 @@
   Job* FindJob(const std::string& id);
   void Enqueue(Job& job, const TaskPosition& position, base::Micros now);
   void Release(Job& job, base::Micros now);
+  // See jobs::LongestChain().
   base::Micros LongestChain(const Job& job, std::size_t from) const;
   base::Micros ExpectedRun(const Job& job, const jobs::Step& step) const;
   // Latency objective of the whole job, counted from its acceptance.
