Reject jobs that cannot be done in time, and prefer shards where they can

In a pool's peak more is submitted than it can do, and capacity goes to jobs that are useless to their callers when done.

- entry/admission decides from the expected waits of the chosen shard: 503 within the organisation's guaranteed rate, 429 over it, with a Retry-After that is spread and grows with less urgent priorities.
- Before a rejection the job's progress row is read, at most 100 times in any second: a stored job is answered 200; without an answer within 0.5 s, or beyond the limit, the job is admitted.
A job with a pending submission at the daemon, or one that ended there with an unknown outcome, is admitted.
- Waits of an owner that is new (1 s), stalled or was not read for 1 s are empty in Ownerships::Load().

--- a/base/counters.h
+++ b/base/counters.h
@@ -23,6 +23,8 @@
   kPlatformRefusals,
   kWorkersLost,
   kTasksGivenUp,
+  kRejectedByWait,
+  kRejectedOverRate,
   kCount,
 };
 
@@ -46,6 +48,10 @@
     {"platform_refusals", "Writes that the platform refused for good"},
     {"workers_lost", "Workers whose runs ended with them"},
     {"tasks_given_up", "Tasks under which workers crashed too often"},
+    {"rejected_by_wait", "Jobs rejected since they could not be done in time"},
+    {"rejected_over_rate",
+     "Jobs over their organisation's rate rejected since they could not be "
+     "done in time"},
 }};
 
 class Counters {
--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -22,6 +22,9 @@
 // was confirmed this recently; otherwise the store is read first, which takes a
 // few ms. Limits the reads under a flood of such requests to four a second.
 constexpr base::Micros kMaxConfigAge = milliseconds(250);
+// Reads of progress rows before rejections. More would cost a store that serves
+// 6,000 reads a second, shared by some 30 daemons, too much under overload.
+constexpr std::size_t kMaxReadsBeforeRejectionPerSecond = 100;
 
 std::string_view StripPort(std::string_view host) {
   return host.substr(0, host.find(':'));
@@ -44,7 +47,9 @@
     : store(store),
       counters(counters),
       on_config_row(std::move(on_config_row)),
-      retry_timer(loop, [this] { this->RetryWrites(); }) {}
+      reads_before_rejection(kMaxReadsBeforeRejectionPerSecond),
+      retry_timer(loop, [this] { this->RetryWrites(); }),
+      rejection_timer(loop, [this] { this->AdmitOverdue(); }) {}
 
 void CallerApi::SetConfig(const jobs::Config& next) {
   this->config = next;
@@ -56,6 +61,11 @@
   this->choose_shard = std::move(choose);
 }
 
+void CallerApi::SetAdmission(LoadSource source, std::uint64_t seed) {
+  this->loads = std::move(source);
+  this->admission.emplace(seed);
+}
+
 void CallerApi::OnConfigConfirmed(base::Micros time) {
   this->config_confirmed = std::max(this->config_confirmed, time);
 }
@@ -96,11 +106,13 @@
 void CallerApi::Refuse(const http::ExchangePtr& exchange,
                        int status,
                        std::string_view job,
-                       std::string_view reason) const {
+                       std::string_view reason,
+                       std::chrono::seconds retry_after) const {
   http::Response response =
       http::JsonResponse(status, platform::ProblemBody(reason));
-  if (status == kServiceUnavailable)
-    response.headers.push_back({.name = "Retry-After", .value = "1"});
+  if (status == kServiceUnavailable || status == kTooManyRequests)
+    response.headers.push_back(
+        {.name = "Retry-After", .value = std::to_string(retry_after.count())});
   if (status == kUnauthorized)
     response.headers.push_back({.name = "WWW-Authenticate", .value = "Token"});
   this->counters.Add(status == kGatewayTimeout
--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -4,6 +4,7 @@
 #ifndef ENTRY_CALLER_API_H_
 #define ENTRY_CALLER_API_H_
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -16,6 +17,7 @@
 
 #include "base/counters.h"
 #include "base/loop.h"
+#include "entry/admission.h"
 #include "entry/tables.h"
 #include "http/server.h"
 #include "jobs/queue.h"
@@ -38,10 +40,20 @@
   using ChooseShard =
       std::function<void(const jobs::Queue&,
                          const jobs::JobSpec&,
+                         const std::string& organisation,
                          std::function<void(int shard)> on_chosen)>;
   // The number of shards and the function that assigns a job to one of them.
   // Requests are refused until this is called.
   void SetShards(int count, ChooseShard choose);
+  struct LoadSource {
+    // Reads the shard's load unless it is recent, and calls `on_read` then or
+    // after a time limit.
+    std::function<void(int shard, std::function<void()> on_read)> refresh;
+    std::function<ShardLoad(int shard)> load_of;
+  };
+  // Rejects jobs that cannot be done in time by these loads. Until this is
+  // called no job is rejected for its expected wait.
+  void SetAdmission(LoadSource loads, std::uint64_t seed);
   // The store confirmed that the configuration was the newest at `time`.
   void OnConfigConfirmed(base::Micros time);
   // Makes all further responses close their connections.
@@ -62,6 +74,8 @@
     base::Micros deadline{};
     bool may_be_written = false;  // by an earlier attempt
     bool write_alone = false;     // the batch that contained it was refused
+    // Set if it may be rejected for its expected wait.
+    std::optional<AdmissionRequest> admission;
   };
   struct Cancellation {
     http::ExchangePtr exchange;
@@ -70,6 +84,11 @@
     int tries_left = 0;
     bool may_be_written = false;  // by an earlier attempt
   };
+  // A submission that is to be rejected unless its job is stored already.
+  struct PendingRejection {
+    Rejection rejection;
+    base::Micros expiry{};  // when it is admitted without an answer
+  };
   // The submissions whose rows lie in one part of the store.
   struct PartQueue {
     std::deque<Submission> waiting;   // for the next write
@@ -94,6 +113,13 @@
               const std::string& organisation,
               const std::string& job);
   void Assign(std::uint64_t choice, int shard);
+  void Admit(std::uint64_t choice);
+  bool IsPendingWrite(const std::string& job) const;
+  void ReadBeforeRejection(std::uint64_t choice, const Rejection& rejection);
+  void OnReadBeforeRejection(std::uint64_t choice,
+                             const std::optional<platform::ReadResult>& result);
+  void AdmitOverdue();
+  void Enqueue(std::uint64_t choice);
   void WritePart(const std::string& part);
   void OnWriteResult(const std::string& part,
                      std::vector<Submission> batch,
@@ -111,7 +137,8 @@
   void Refuse(const http::ExchangePtr& exchange,
               int status,
               std::string_view job,
-              std::string_view reason) const;
+              std::string_view reason,
+              std::chrono::seconds retry_after = std::chrono::seconds(1)) const;
 
   platform::Store& store;
   base::Counters& counters;
@@ -122,12 +149,21 @@
   base::Micros config_confirmed{};
   // Requests waiting for a read of the configuration.
   std::vector<http::ExchangePtr> awaiting_config;
-  // Submissions whose shard is being chosen, by the number of the choice.
+  // Absent until SetAdmission().
+  std::optional<Admission> admission;
+  LoadSource loads;
+  CallLimit reads_before_rejection;
+  // By the number of the choice.
+  std::map<std::uint64_t, PendingRejection> pending_rejections;
+  UnknownOutcomes unknown_outcomes;
+  // Submissions whose shard is being chosen or whose admission is being
+  // decided, by the number of the choice.
   std::map<std::uint64_t, Submission> unassigned;
   std::uint64_t last_choice = 0;
   std::map<std::string, PartQueue> parts;
   base::Micros write_retry_delay = kWriteRetryDelay;
   base::Timer retry_timer;
+  base::Timer rejection_timer;
   bool stopping = false;
 };
 
--- a/entry/caller_submissions.cc
+++ b/entry/caller_submissions.cc
@@ -25,6 +25,9 @@
 constexpr std::size_t kEntriesPerJob = 3;
 // Maximum delay before a write of unknown outcome is retried.
 constexpr base::Micros kMaxWriteRetryDelay = milliseconds(480);
+// A submission waits this long at most for the read before its rejection, and
+// is admitted then. A slow store answers in some 300 ms.
+constexpr base::Micros kMaxReadTime = milliseconds(500);
 // Retries end this long before the caller's deadline, so that the response
 // still reaches it.
 constexpr base::Micros kReplyMargin = milliseconds(150);
@@ -80,22 +83,155 @@
                  "the job is too large for a row");
     return;
   }
+  if (this->admission && IsAdmissionInForce(*this->config))
+    submission.admission =
+        MakeAdmissionRequest(*this->config, queue, spec, organisation);
+  // Of two submissions of a job, a rejection of one would be wrong once the
+  // other is written.
+  for (auto& [other_choice, other] : this->unassigned) {
+    if (other.job != job)
+      continue;
+    other.admission.reset();
+    submission.admission.reset();
+  }
+  const bool needs_load = submission.admission.has_value();
   const std::uint64_t choice = ++this->last_choice;
   this->unassigned.emplace(choice, std::move(submission));
-  if (home_shard) {
-    this->Assign(choice, *home_shard);
+  if (!home_shard) {
+    this->choose_shard(queue, spec, organisation, [this, choice](int shard) {
+      this->Assign(choice, shard);
+    });
     return;
   }
-  this->choose_shard(
-      queue, spec, [this, choice](int shard) { this->Assign(choice, shard); });
+  const auto assign = [this, choice, home = *home_shard] {
+    this->Assign(choice, home);
+  };
+  if (needs_load)
+    this->loads.refresh(*home_shard, assign);
+  else
+    assign();
 }
 
 void CallerApi::Assign(std::uint64_t choice, int shard) {
-  auto chosen = this->unassigned.extract(choice);
-  if (chosen.empty())
+  const auto chosen = this->unassigned.find(choice);
+  if (chosen == this->unassigned.end())
+    return;
+  chosen->second.shard = {.number = shard, .count = this->shards};
+  this->Admit(choice);
+}
+
+// --- Rejection of jobs that cannot be done in time ---
+
+// Whether this daemon is writing the job, or may still do so.
+bool CallerApi::IsPendingWrite(const std::string& job) const {
+  const auto found = this->parts.find(ProgressRow(job).part);
+  if (found == this->parts.end())
+    return false;
+  const auto contains = [&job](const auto& submissions) {
+    return std::any_of(
+        submissions.begin(), submissions.end(),
+        [&job](const Submission& other) { return other.job == job; });
+  };
+  const PartQueue& queue = found->second;
+  return contains(queue.waiting) || contains(queue.to_retry) ||
+         (queue.in_flight && contains(*queue.in_flight));
+}
+
+// A rejection says that the job never runs. A job that may be stored, by this
+// submission's caller or by an earlier one, is therefore admitted: its write
+// fails on the row that is there.
+void CallerApi::Admit(std::uint64_t choice) {
+  const Submission& submission = this->unassigned.at(choice);
+  std::optional<Rejection> rejection;
+  if (submission.admission)
+    rejection = this->admission->Decide(
+        *submission.admission, this->loads.load_of(submission.shard.number));
+  const base::Micros now = base::MonotonicNow();
+  const bool is_rejected =
+      rejection && !this->IsPendingWrite(submission.job) &&
+      !this->unknown_outcomes.MayContain(submission.job, now) &&
+      this->reads_before_rejection.Take(now);
+  if (is_rejected)
+    this->ReadBeforeRejection(choice, *rejection);
+  else
+    this->Enqueue(choice);
+}
+
+void CallerApi::ReadBeforeRejection(std::uint64_t choice,
+                                    const Rejection& rejection) {
+  const base::Micros now = base::MonotonicNow();
+  this->pending_rejections.emplace(
+      choice,
+      PendingRejection{.rejection = rejection, .expiry = now + kMaxReadTime});
+  if (this->pending_rejections.size() == 1)
+    this->rejection_timer.StartOnce(kMaxReadTime);
+  const std::string& job = this->unassigned.at(choice).job;
+  const platform::RowKey at = ProgressRow(job);
+  const platform::ReadQuery query{
+      .table = at.table, .part = at.part, .from = job, .to = {}, .limit = 1};
+  this->store.Read(
+      query, [this, choice](const std::optional<platform::ReadResult>& result) {
+        this->OnReadBeforeRejection(choice, result);
+      });
+}
+
+void CallerApi::OnReadBeforeRejection(
+    std::uint64_t choice,
+    const std::optional<platform::ReadResult>& result) {
+  const auto pending = this->pending_rejections.extract(choice);
+  const auto found = this->unassigned.find(choice);
+  if (pending.empty() || found == this->unassigned.end())
+    return;
+  // Reset if the same job was submitted again meanwhile.
+  if (!result || !found->second.admission) {
+    this->Enqueue(choice);
+    return;
+  }
+  const auto submission = this->unassigned.extract(found);
+  const std::string& job = submission.mapped().job;
+  const http::ExchangePtr& exchange = submission.mapped().exchange;
+  const bool is_stored =
+      !result->rows.empty() && result->rows.front().at.key == job;
+  if (is_stored) {
+    this->counters.Add(base::Counter::kAnswered);
+    base::Log(base::Event::kJobAccepted, {{"job", job}, {"again", true}});
+    this->Reply(exchange, http::JsonResponse(kOk, "{}"));
+    return;
+  }
+  const Rejection& rejection = pending.mapped().rejection;
+  this->counters.Add(base::Counter::kRejectedByWait);
+  if (rejection.status == kTooManyRequests)
+    this->counters.Add(base::Counter::kRejectedOverRate);
+  this->Refuse(exchange, rejection.status, job, rejection.reason,
+               rejection.retry_after);
+}
+
+// Admits the submissions whose read has not been answered in time.
+void CallerApi::AdmitOverdue() {
+  const base::Micros now = base::MonotonicNow();
+  std::vector<std::uint64_t> overdue;
+  base::Micros next_expiry = base::Micros::max();
+  for (const auto& [choice, pending] : this->pending_rejections) {
+    if (pending.expiry <= now)
+      overdue.push_back(choice);
+    else
+      next_expiry = std::min(next_expiry, pending.expiry);
+  }
+  if (next_expiry != base::Micros::max())
+    this->rejection_timer.StartOnce(next_expiry - now);
+  for (const std::uint64_t choice : overdue) {
+    this->pending_rejections.erase(choice);
+    this->Enqueue(choice);
+  }
+}
+
+// --- Writes ---
+
+void CallerApi::Enqueue(std::uint64_t choice) {
+  auto admitted = this->unassigned.extract(choice);
+  if (admitted.empty())
     return;
-  Submission& submission = chosen.mapped();
-  submission.shard = {.number = shard, .count = this->shards};
+  Submission& submission = admitted.mapped();
   const std::string part = ProgressRow(submission.job).part;
   this->parts[part].waiting.push_back(std::move(submission));
   this->WritePart(part);
@@ -202,6 +338,7 @@
   const bool past_deadline =
       base::MonotonicNow() + this->write_retry_delay > submission.deadline;
   if (past_deadline || this->store.SeemsAway()) {
+    this->unknown_outcomes.Add(submission.job, base::MonotonicNow());
     this->Refuse(submission.exchange, kGatewayTimeout, submission.job,
                  "it is not known whether the job was taken: ask again");
     return;
--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -166,9 +166,17 @@
               [this] { this->last_store_answer = base::MonotonicNow(); }});
   this->callers.SetShards(
       shards, [this](const jobs::Queue& queue, const jobs::JobSpec& job,
+                     const std::string& organisation,
                      std::function<void(int)> on_chosen) {
-        this->ChooseShard(queue, job, std::move(on_chosen));
+        this->ChooseShard(queue, job, organisation, std::move(on_chosen));
       });
+  this->callers.SetAdmission(
+      {.refresh =
+           [this](int shard, std::function<void()> on_read) {
+             this->ownerships->RefreshLoads({shard}, std::move(on_read));
+           },
+       .load_of = [this](int shard) { return this->ownerships->Load(shard); }},
+      seed);
   // The stop signal arrived before the shards were known.
   if (this->stop_requested > base::Micros::zero())
     this->ownerships->Release();
@@ -179,14 +187,17 @@
 // none, and a job would wait there for good.
 void JobDaemon::ChooseShard(const jobs::Queue& queue,
                             const jobs::JobSpec& job,
+                            const std::string& organisation,
                             std::function<void(int)> on_chosen) {
   const std::vector<int> candidates = this->shard_choice.DrawCandidates(
       this->config, queue, job, this->ownerships->Loads());
-  const auto select = [this, queue, job, on_chosen = std::move(on_chosen)](
-                          const std::vector<int>& shards) {
-    on_chosen(this->shard_choice.Select(this->config, queue, job, shards,
-                                        this->ownerships->Loads()));
-  };
+  const auto select =
+      [this, queue, job, organisation,
+       on_chosen = std::move(on_chosen)](const std::vector<int>& shards) {
+        on_chosen(this->shard_choice.Select(this->config, queue, job, shards,
+                                            this->ownerships->Loads(),
+                                            organisation));
+      };
   this->ownerships->RefreshLoads(candidates, [this, queue, candidates, select] {
     const std::vector<ShardLoad> loads = this->ownerships->Loads();
     if (ShardSelector::HaveCores(queue.service, candidates, loads)) {
--- a/entry/job_daemon.h
+++ b/entry/job_daemon.h
@@ -59,6 +59,7 @@
   void StartOwnerships(int shards, std::uint64_t seed);
   void ChooseShard(const jobs::Queue& queue,
                    const jobs::JobSpec& job,
+                   const std::string& organisation,
                    std::function<void(int)> on_chosen);
   void OnOwnershipGained(int shard,
                          std::uint64_t epoch,
--- a/entry/ownership.cc
+++ b/entry/ownership.cc
@@ -39,6 +39,12 @@
 // are missing by then; a slow store (60 times 4 ms) delays one by half a
 // second.
 constexpr std::int64_t kStalledAfterMillis = 1000;
+// A new holder repeats its predecessor's figures when it takes over and knows
+// all jobs and workers only some renewals later.
+constexpr base::Micros kWaitsUnknownAfterTakeover = std::chrono::seconds(1);
+// Rows are read again at every renewal time (0.45 s), or for a job when they
+// were read more than 0.6 s ago.
+constexpr base::Micros kMaxWaitsAge = std::chrono::seconds(1);
 // After a longer gap between answers of the store, the holder's silence is
 // measured from the new answer: the holder may have renewed during the gap.
 constexpr base::Micros kMaxAnswerGap = milliseconds(2600);
@@ -181,6 +187,17 @@
          kStalledAfterMillis;
 }
 
+bool Ownership::has_current_waits(base::Micros now) const {
+  if (now - this->holder_since < kWaitsUnknownAfterTakeover)
+    return false;
+  if (this->is_holder)
+    return now - this->lease.last_renewal() < kMaxWaitsAge;
+  const bool is_dated =
+      this->record.renewed_store_ms > 0 && this->store.knows_clock();
+  return is_dated && !this->is_stalled() &&
+         now - this->last_answer < kMaxWaitsAge;
+}
+
 // A confirmation counts from the first attempt of its renewal, whichever
 // attempt is written.
 std::int64_t Ownership::RenewalStoreMillis(std::uint64_t epoch,
@@ -403,6 +420,7 @@
   if (this->is_holder || this->record.epoch <= this->lost_epoch)
     return;
   this->is_holder = true;
+  this->holder_since = base::MonotonicNow();
   this->UpdateTimer();
   this->is_handing_over = false;
   this->held_epoch = this->record.epoch;
--- a/entry/ownership.h
+++ b/entry/ownership.h
@@ -81,6 +81,9 @@
   // When the row was last known to be current, no owner had renewed it for some
   // time: a new job would wait for a takeover.
   bool is_stalled() const;
+  // Whether the expected waits in load() are those of the present holder, and
+  // recent.
+  bool has_current_waits(base::Micros now) const;
   // When the row was last known to be current; zero: never.
   base::Micros last_read() const { return this->last_answer; }
   // The holder has not been seen to renew for long enough to read the row
--- a/entry/ownerships.cc
+++ b/entry/ownerships.cc
@@ -262,12 +262,23 @@
   return this->cores / (1.0 + earlier_shards);
 }
 
+// Jobs are rejected by waits, so that they must hold now. Older figures of the
+// load still tell which shard is likely to be the less loaded one.
+ShardLoad Ownerships::Load(int shard) const {
+  const Ownership& ownership = *this->rows[static_cast<std::size_t>(shard)];
+  ShardLoad load = ownership.load();
+  load.is_stalled = ownership.is_stalled();
+  if (!ownership.has_current_waits(base::MonotonicNow())) {
+    load.waits.clear();
+    load.over_rate.clear();
+  }
+  return load;
+}
+
 std::vector<ShardLoad> Ownerships::Loads() const {
   std::vector<ShardLoad> loads;
-  for (const auto& ownership : this->rows) {
-    loads.push_back(ownership->load());
-    loads.back().is_stalled = ownership->is_stalled();
-  }
+  for (std::size_t shard = 0; shard < this->rows.size(); ++shard)
+    loads.push_back(this->Load(static_cast<int>(shard)));
   return loads;
 }
 
--- a/entry/ownerships.h
+++ b/entry/ownerships.h
@@ -51,7 +51,10 @@
   Ownership& At(int shard) {
     return *this->rows[static_cast<std::size_t>(shard)];
   }
-  // Load of each shard, as last reported by its holder to this daemon.
+  // The load of a shard, as last reported by its holder to this daemon. Its
+  // waits are empty unless they are known to be current.
+  ShardLoad Load(int shard) const;
+  // The load of each shard.
   std::vector<ShardLoad> Loads() const;
   // Reads the loads of these shards that are not recent. Calls `on_read` when
   // the store has answered or a time limit has passed, at once if all are
--- a/entry/shard_selector.cc
+++ b/entry/shard_selector.cc
@@ -7,6 +7,7 @@
 
 #include <xxhash.h>
 
+#include "entry/admission.h"
 #include "entry/shard_watch.h"
 #include "scheduler/fleet.h"
 
@@ -139,6 +140,26 @@
   return with_room.empty() ? shards : with_room;
 }
 
+// Returns the shards in which the job would be done on time; if there are none,
+// those in which it would at least be useful when done, or else all.
+std::vector<int> ShardsInTime(const AdmissionRequest& request,
+                              const std::vector<int>& shards,
+                              const std::vector<ShardLoad>& loads) {
+  std::vector<int> on_time;
+  std::vector<int> useful;
+  for (const int shard : shards) {
+    const Timeliness timeliness =
+        TimelinessIn(request, loads[static_cast<std::size_t>(shard)]);
+    if (timeliness == Timeliness::kOnTime)
+      on_time.push_back(shard);
+    if (timeliness != Timeliness::kUseless)
+      useful.push_back(shard);
+  }
+  if (!on_time.empty())
+    return on_time;
+  return useful.empty() ? shards : useful;
+}
+
 // Whether no known shard lists a label that the job requires.
 bool RequiresUnknownKind(const jobs::JobSpec& job,
                          const std::vector<ShardLoad>& known) {
@@ -247,16 +268,22 @@
                           const jobs::Queue& queue,
                           const jobs::JobSpec& job,
                           const std::vector<int>& candidates,
-                          const std::vector<ShardLoad>& loads) {
+                          const std::vector<ShardLoad>& loads,
+                          const std::string& organisation) {
   if (loads.size() == 1)
     return 0;
   const std::string& pool = queue.service;
   const std::vector<int> capable =
       ShardsWithCores(pool, EligibleShards(job, candidates, loads), loads);
   const std::vector<int> eligible = ShardsWithOwner(capable, loads);
-  if (!IsLasting(job))
-    return this->SelectByLoad(pool, loads,
-                              ShardsWithRoom(pool, job, eligible, loads));
+  if (!IsLasting(job)) {
+    std::vector<int> selected = ShardsWithRoom(pool, job, eligible, loads);
+    if (IsAdmissionInForce(config))
+      selected =
+          ShardsInTime(MakeAdmissionRequest(config, queue, job, organisation),
+                       selected, loads);
+    return this->SelectByLoad(pool, loads, selected);
+  }
   const int preferred =
       PreferredShard(config, pool, static_cast<int>(loads.size()));
   const std::optional<int> load =
--- a/entry/shard_selector.h
+++ b/entry/shard_selector.h
@@ -1,5 +1,6 @@
-// Selects the shard for a new job by the loads that the shards' owners last
-// reported and by where lasting tasks of the same pool run. Performs no I/O.
+// Selects the shard for a new job by the loads and waits that the shards'
+// owners last reported and by where lasting tasks of the same pool run.
+// Performs no I/O.
 
 #ifndef ENTRY_SHARD_SELECTOR_H_
 #define ENTRY_SHARD_SELECTOR_H_
@@ -69,12 +70,13 @@
                         const std::vector<int>& shards,
                         const std::vector<ShardLoad>& loads);
   // Returns the number of the selected shard, one of `candidates`. `loads` has
-  // an entry for each shard.
+  // an entry for each shard; `organisation` is the caller's.
   int Select(const jobs::Config& config,
              const jobs::Queue& queue,
              const jobs::JobSpec& job,
              const std::vector<int>& candidates,
-             const std::vector<ShardLoad>& loads);
+             const std::vector<ShardLoad>& loads,
+             const std::string& organisation = "");
 
  private:
   int SelectByLoad(const std::string& pool,
