--- a/base/counters.h
+++ b/base/counters.h
@@ -25,6 +25,8 @@
   kTasksGivenUp,
   kLongRunningStalled,
   kJobsFailed,
+  kRejectedByWait,
+  kRejectedOverRate,
   kCount,
 };
 
@@ -51,6 +53,10 @@
     {"long_running_stalled",
      "Stalls of long-running tasks, and each further 10 s of one"},
     {"jobs_failed", "Jobs that failed"},
+    {"rejected_by_wait", "Jobs rejected since they could not be done in time"},
+    {"rejected_over_rate",
+     "Jobs over their organisation's rate rejected since they could not be "
+     "done in time"},
 }};
 
 class Counters {
--- a/entry/shard_selector.h
+++ b/entry/shard_selector.h
@@ -1,5 +1,6 @@
-// Selects the shard for a new job by the loads that the shards' owners last
-// reported and by where lasting tasks of the same pool run. Performs no I/O.
+// Selects the shard for a new job by the loads and waits that the shards'
+// owners last reported and by where lasting tasks of the same pool run.
+// Performs no I/O.
 
 #ifndef ENTRY_SHARD_SELECTOR_H_
 #define ENTRY_SHARD_SELECTOR_H_
@@ -18,6 +19,14 @@
 
 namespace quartzhoist::entry {
 
+// Expected wait of a new job of a queue for its first start.
+struct ReportedWait {
+  int within_rate_ms = 0;  // of an organisation within its guaranteed rate
+  int over_rate_ms = 0;    // of an organisation over it
+
+  bool operator==(const ReportedWait&) const = default;
+};
+
 // Load of a shard, reported by its owner with each renewal.
 struct ShardLoad {
   // By pool: cores used and queued for, in percent of the cores that the shard
@@ -27,6 +36,10 @@
   std::map<std::string, int> free_cores_by_pool;
   // Kinds of boxes in the shard.
   std::vector<std::string> box_kinds;
+  // By queue; only queues whose jobs would wait.
+  std::map<std::string, ReportedWait> waits;
+  // Organisations that submit more than their guaranteed rate.
+  std::vector<std::string> over_rate;
   // Nobody schedules the shard as far as the reader knows; not reported.
   bool is_stalled = false;
 };
@@ -57,12 +70,13 @@
                         const std::vector<int>& shards,
                         const std::vector<ShardLoad>& loads);
   // Returns the number of the selected shard, one of `candidates`. `loads` has
-  // an entry for each shard.
+  // an entry for each shard; `organisation` is the caller's.
   int Select(const jobs::Config& config,
              const jobs::Queue& queue,
              const jobs::JobSpec& job,
              const std::vector<int>& candidates,
-             const std::vector<ShardLoad>& loads);
+             const std::vector<ShardLoad>& loads,
+             const std::string& organisation = "");
 
  private:
   int SelectByLoad(const std::string& pool,
