A key reaches only its own organisation's jobs

Cause: any known access key could read, cancel and appear to resubmit the job of any organisation, since a job was found by its id alone.

Change: the accepting write stores the organisation and the queue in the job's progress row, and each owner keeps them in every save; Merge keeps what either writer knows. For rows of earlier versions the accepted row names them. entry/job_access decides. GET and DELETE of another organisation's job answer 410 as for a job that does not exist, POST of a taken id answers 409. Before access is denied under a configuration that was not confirmed for 250 ms, the one in the store is read, since the key may have moved. A state query still takes one store call where the row names the organisation.

The queue is stored because a request through an open queue can name any job: the queue that accepted the job decides, not that of the request. The store stand-in can treat the next reads by a mood, as it could the next writes.

--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -17,10 +17,12 @@
 
 using std::chrono::milliseconds;
 
+constexpr std::string_view kNoSuchJob = "there is no such job";
 constexpr int kCancelAttempts = 3;
-// A queue or access key is rejected as unknown only under a configuration that
-// was confirmed this recently; otherwise the store is read first, which takes a
-// few ms. Limits the reads under a flood of such requests to four a second.
+// A queue or access key is rejected as unknown, and another organisation's job
+// withheld, only under a configuration that was confirmed this recently;
+// otherwise the store is read first, which takes a few ms. Limits the reads
+// under a flood of such requests to four a second.
 constexpr base::Micros kMaxConfigAge = milliseconds(250);
 
 std::string_view StripPort(std::string_view host) {
@@ -176,6 +178,11 @@
   }
 }
 
+bool CallerApi::MayConfigBeOutdated(ConfigSource source) const {
+  return source == ConfigSource::kFeed &&
+         base::MonotonicNow() - this->config_confirmed > kMaxConfigAge;
+}
+
 void CallerApi::Dispatch(const http::ExchangePtr& exchange,
                          ConfigSource source) {
   const http::Request& request = exchange->request();
@@ -189,8 +196,7 @@
   const std::optional<std::string> organisation =
       queue ? AuthenticateCaller(*this->config, *queue, request.headers)
             : std::nullopt;
-  const base::Micros age = base::MonotonicNow() - this->config_confirmed;
-  if (!organisation && source == ConfigSource::kFeed && age > kMaxConfigAge) {
+  if (!organisation && this->MayConfigBeOutdated(source)) {
     this->ReadConfig(exchange);
     return;
   }
@@ -212,12 +218,16 @@
     this->Refuse(exchange, kBadRequest, job, "a job's id is 16 hex digits");
     return;
   }
+  const JobRequest job_request{.exchange = exchange,
+                               .job = job,
+                               .organisation = *organisation,
+                               .config_source = source};
   if (request.method == "POST")
-    this->Submit(exchange, *queue, *organisation, job);
+    this->Submit(job_request, *queue);
   else if (request.method == "GET")
-    this->AnswerState(exchange, job);
+    this->AnswerState(job_request);
   else if (request.method == "DELETE")
-    this->Cancel(exchange, job);
+    this->Cancel(job_request);
   else
     this->Refuse(exchange, kMethodNotAllowed, job, "POST, GET or DELETE");
 }
@@ -241,7 +251,7 @@
       return;
     }
     if (result->rows.empty() || result->rows.front().at.key != job) {
-      this->Refuse(exchange, kGone, job, "there is no such job");
+      this->Refuse(exchange, kGone, job, kNoSuchJob);
       return;
     }
     const auto stored = DecodeProgressRecord(result->rows.front().value);
@@ -255,31 +265,91 @@
   });
 }
 
-void CallerApi::AnswerState(const http::ExchangePtr& exchange,
-                            const std::string& job) {
+// Passes on whether the caller may access the job; kUndecided if the store does
+// not answer the read that this takes. A key may have moved to another
+// organisation: before access is denied under a configuration that may be
+// outdated, the request is dispatched again under the one in the store.
+void CallerApi::CheckAccess(const JobRequest& request,
+                            const JobOrigin& origin,
+                            int shard,
+                            std::function<void(JobAccess)> on_decided) {
+  const JobAccess access =
+      DecideJobAccess(*this->config, request.organisation, origin);
+  if (access == JobAccess::kDenied &&
+      this->MayConfigBeOutdated(request.config_source)) {
+    this->ReadConfig(request.exchange);
+    return;
+  }
+  if (access != JobAccess::kUndecided) {
+    on_decided(access);
+    return;
+  }
+  ReadAcceptedOrigin(
+      this->store, request.job, {.number = shard, .count = this->shards},
+      [this, request, shard,
+       on_decided = std::move(on_decided)](const AcceptedOrigin& accepted) {
+        if (accepted.origin)
+          this->CheckAccess(request, *accepted.origin, shard, on_decided);
+        else
+          on_decided(accepted.is_known ? JobAccess::kAllowed
+                                       : JobAccess::kUndecided);
+      });
+}
+
+// Another organisation's job is answered like one that does not exist, so that
+// the answer reveals nothing about it.
+void CallerApi::IfAllowed(const JobRequest& request,
+                          const JobOrigin& origin,
+                          int shard,
+                          std::function<void()> on_allowed) {
+  this->CheckAccess(
+      request, origin, shard,
+      [this, request, on_allowed = std::move(on_allowed)](JobAccess access) {
+        if (access == JobAccess::kAllowed)
+          on_allowed();
+        else if (access == JobAccess::kDenied)
+          this->Refuse(request.exchange, kGone, request.job, kNoSuchJob);
+        else
+          this->Refuse(request.exchange, kServiceUnavailable, request.job,
+                       "it cannot be read whose job it is");
+      });
+}
+
+void CallerApi::AnswerState(const JobRequest& request) {
   this->ReadProgress(
-      exchange, job, [this, exchange, job](const ProgressRecord& stored) {
+      request.exchange, request.job,
+      [this, request](const ProgressRecord& stored) {
         const auto progress = jobs::DecodeProgress(stored.text);
         if (!progress) {
-          base::Log(base::Event::kRowMalformed, {{"row", job}});
-          this->Refuse(exchange, kServiceUnavailable, job,
+          base::Log(base::Event::kRowMalformed, {{"row", request.job}});
+          this->Refuse(request.exchange, kServiceUnavailable, request.job,
                        "its state cannot be read");
           return;
         }
-        this->Reply(exchange, http::JsonResponse(
-                                  kOk, platform::StateBody(progress->state)));
+        this->IfAllowed(
+            request, OriginOf(*progress), stored.shard,
+            [this, request, state = progress->state] {
+              this->Reply(request.exchange,
+                          http::JsonResponse(kOk, platform::StateBody(state)));
+            });
       });
 }
 
-void CallerApi::Cancel(const http::ExchangePtr& exchange,
-                       const std::string& job) {
+// A job of which only the shard can be read can still be cancelled.
+void CallerApi::Cancel(const JobRequest& request) {
   this->ReadProgress(
-      exchange, job, [this, exchange, job](const ProgressRecord& stored) {
-        const Shard shard{.number = stored.shard, .count = this->shards};
-        this->WriteCancel({.exchange = exchange,
-                           .job = job,
-                           .shard = shard,
-                           .tries_left = kCancelAttempts});
+      request.exchange, request.job,
+      [this, request](const ProgressRecord& stored) {
+        const auto progress = jobs::DecodeProgress(stored.text);
+        const int shard = stored.shard;
+        this->IfAllowed(request, progress ? OriginOf(*progress) : JobOrigin(),
+                        shard, [this, request, shard] {
+                          this->WriteCancel({.exchange = request.exchange,
+                                             .job = request.job,
+                                             .shard = {.number = shard,
+                                                       .count = this->shards},
+                                             .tries_left = kCancelAttempts});
+                        });
       });
 }
 
--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -16,6 +16,7 @@
 
 #include "base/counters.h"
 #include "base/loop.h"
+#include "entry/job_access.h"
 #include "entry/tables.h"
 #include "http/server.h"
 #include "jobs/queue.h"
@@ -52,10 +53,22 @@
   void Shutdown();
 
  private:
+  // Source that confirmed the configuration under which a request is served.
+  enum class ConfigSource { kFeed, kStoreRead };
+
+  // A request about a job, by the organisation of its access key.
+  struct JobRequest {
+    http::ExchangePtr exchange;
+    std::string job;
+    std::string organisation;  // empty without a key
+    ConfigSource config_source = ConfigSource::kFeed;
+  };
   // A job whose write is pending.
   struct Submission {
     http::ExchangePtr exchange;
     std::string job;
+    JobOrigin origin;
+    ConfigSource config_source = ConfigSource::kFeed;
     std::string row;
     Shard shard;
     base::Micros arrived{};
@@ -78,9 +91,6 @@
     std::shared_ptr<std::vector<Submission>> in_flight;
   };
 
-  // Source that confirmed the configuration under which a request is served.
-  enum class ConfigSource { kFeed, kStoreRead };
-
   // Initial delay before a write of unknown outcome is retried; it doubles with
   // each consecutive unknown outcome.
   static constexpr base::Micros kWriteRetryDelay{60'000};
@@ -89,22 +99,31 @@
   void ReadConfig(const http::ExchangePtr& exchange);
   void OnConfigRead(const std::optional<platform::ReadResult>& result,
                     base::Micros sent_at);
-  void Submit(const http::ExchangePtr& exchange,
-              const jobs::Queue& queue,
-              const std::string& organisation,
-              const std::string& job);
+  bool MayConfigBeOutdated(ConfigSource source) const;
+  void Submit(const JobRequest& job_request, const jobs::Queue& queue);
   void Assign(std::uint64_t choice, int shard);
   void WritePart(const std::string& part);
   void OnWriteResult(const std::string& part,
                      std::vector<Submission> batch,
                      const platform::WriteResult& result);
+  void AnswerStoredJob(const Submission& submission,
+                       const platform::Row& stored);
+  void AnswerAccepted(const Submission& submission, bool again);
   void ScheduleRetry(const std::string& part, Submission submission);
   void RetryWrites();
   void ReadProgress(const http::ExchangePtr& exchange,
                     const std::string& job,
                     std::function<void(const ProgressRecord& stored)> on_found);
-  void AnswerState(const http::ExchangePtr& exchange, const std::string& job);
-  void Cancel(const http::ExchangePtr& exchange, const std::string& job);
+  void CheckAccess(const JobRequest& request,
+                   const JobOrigin& origin,
+                   int shard,
+                   std::function<void(JobAccess)> on_decided);
+  void IfAllowed(const JobRequest& request,
+                 const JobOrigin& origin,
+                 int shard,
+                 std::function<void()> on_allowed);
+  void AnswerState(const JobRequest& request);
+  void Cancel(const JobRequest& request);
   void WriteCancel(const Cancellation& cancel);
   void AnswerCount(const http::ExchangePtr& exchange, const std::string& queue);
   void Reply(const http::ExchangePtr& exchange, http::Response response) const;
--- a/entry/caller_status.h
+++ b/entry/caller_status.h
@@ -10,6 +10,7 @@
 inline constexpr int kUnauthorized = 401;
 inline constexpr int kNotFound = 404;
 inline constexpr int kMethodNotAllowed = 405;
+inline constexpr int kConflict = 409;
 inline constexpr int kGone = 410;
 inline constexpr int kPayloadTooLarge = 413;
 inline constexpr int kServiceUnavailable = 503;  // not carried out
--- a/entry/caller_submissions.cc
+++ b/entry/caller_submissions.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -37,10 +38,11 @@
 
 }  // namespace
 
-void CallerApi::Submit(const http::ExchangePtr& exchange,
-                       const jobs::Queue& queue,
-                       const std::string& organisation,
-                       const std::string& job) {
+void CallerApi::Submit(const JobRequest& job_request,
+                       const jobs::Queue& queue) {
+  const http::ExchangePtr& exchange = job_request.exchange;
+  const std::string& job = job_request.job;
+  const std::string& organisation = job_request.organisation;
   const http::Request& request = exchange->request();
   if (request.body.size() > this->config->max_request_bytes) {
     this->Refuse(exchange, kPayloadTooLarge, job, "the body is too large");
@@ -67,6 +69,8 @@
   const base::Micros now = base::MonotonicNow();
   submission.exchange = exchange;
   submission.job = job;
+  submission.origin = {.organisation = organisation, .queue = queue.name};
+  submission.config_source = job_request.config_source;
   submission.row = EncodeAccepted({.queue = queue,
                                    .accepted_ms = NowMillis(),
                                    .organisation = organisation,
@@ -111,7 +115,6 @@
   std::vector<Submission> duplicates;
   platform::WriteBatch write;
   platform::BatchRoom batch_room(false);
-  const std::string queued = jobs::EncodeProgress({});
   while (!queue.waiting.empty()) {
     Submission& front = queue.waiting.front();
     const bool must_wait = front.write_alone && !batch.empty();
@@ -131,9 +134,13 @@
     write.conditions.push_back({.at = ProgressRow(next.job), .version = 0});
     write.puts.push_back(
         {.at = JobRow(next.job, next.shard), .value = next.row});
+    jobs::Progress queued;
+    queued.organisation = next.origin.organisation;
+    queued.queue = next.origin.queue;
     write.puts.push_back({.at = ProgressRow(next.job),
                           .value = EncodeProgressRecord(
-                              {.shard = next.shard.number, .text = queued})});
+                              {.shard = next.shard.number,
+                               .text = jobs::EncodeProgress(queued)})});
     batch.push_back(std::move(next));
     if (write_alone)
       break;
@@ -153,21 +160,22 @@
 void CallerApi::OnWriteResult(const std::string& part,
                               std::vector<Submission> batch,
                               const platform::WriteResult& result) {
-  std::set<std::string> stored_jobs;
+  std::map<std::string, const platform::Row*> stored_jobs;
   for (const platform::Row& row : result.rows) {
     if (row.version > 0)
-      stored_jobs.insert(row.at.key);
+      stored_jobs[row.at.key] = &row;
   }
   for (Submission& submission : batch) {
     const bool written = result.outcome == platform::WriteOutcome::kDone;
     const bool already_stored =
         result.outcome == platform::WriteOutcome::kConflict &&
         stored_jobs.contains(submission.job);
-    if (written || already_stored) {
-      this->counters.Add(base::Counter::kAnswered);
-      base::Log(base::Event::kJobAccepted,
-                {{"job", submission.job}, {"again", already_stored}});
-      this->Reply(submission.exchange, http::JsonResponse(kOk, "{}"));
+    if (written) {
+      this->AnswerAccepted(submission, false);
+      continue;
+    }
+    if (already_stored) {
+      this->AnswerStoredJob(submission, *stored_jobs.at(submission.job));
       continue;
     }
     if (result.outcome == platform::WriteOutcome::kUnknown)
@@ -195,6 +203,43 @@
               : kWriteRetryDelay;
 }
 
+void CallerApi::AnswerAccepted(const Submission& submission, bool again) {
+  this->counters.Add(base::Counter::kAnswered);
+  base::Log(base::Event::kJobAccepted,
+            {{"job", submission.job}, {"again", again}});
+  this->Reply(submission.exchange, http::JsonResponse(kOk, "{}"));
+}
+
+// The id has a progress row, by this caller's earlier submission or by another
+// organisation's. While it is not known by whose, the job may have been
+// accepted, so that the answer is 504.
+void CallerApi::AnswerStoredJob(const Submission& submission,
+                                const platform::Row& stored) {
+  const auto record = DecodeProgressRecord(stored.value);
+  if (!record) {
+    base::Log(base::Event::kRowMalformed, {{"row", submission.job}});
+    this->AnswerAccepted(submission, true);
+    return;
+  }
+  const auto progress = jobs::DecodeProgress(record->text);
+  const JobRequest request{.exchange = submission.exchange,
+                           .job = submission.job,
+                           .organisation = *submission.origin.organisation,
+                           .config_source = submission.config_source};
+  this->CheckAccess(
+      request, progress ? OriginOf(*progress) : JobOrigin(), record->shard,
+      [this, submission](JobAccess access) {
+        if (access == JobAccess::kAllowed)
+          this->AnswerAccepted(submission, true);
+        else if (access == JobAccess::kDenied)
+          this->Refuse(submission.exchange, kConflict, submission.job,
+                       "the id is taken");
+        else
+          this->Refuse(submission.exchange, kGatewayTimeout, submission.job,
+                       "it is not known whether the job was taken: ask again");
+      });
+}
+
 // If the job cannot be retried before its deadline, or the store seems
 // unreachable, the caller is answered at once: its own retry may reach another
 // daemon that can write.
--- /dev/null
+++ b/entry/job_access.cc
@@ -0,0 +1,61 @@
+#include "entry/job_access.h"
+
+#include <utility>
+
+#include "base/event_log.h"
+
+namespace quartzhoist::entry {
+
+JobOrigin OriginOf(const jobs::Progress& progress) {
+  return {.organisation = progress.organisation, .queue = progress.queue};
+}
+
+JobOrigin OriginOf(const AcceptedJob& accepted) {
+  return {.organisation = accepted.organisation, .queue = accepted.queue.name};
+}
+
+// The queue is the one that accepted the job, not the one of the request: a job
+// is found by its id alone, so that any job could otherwise be read through an
+// open queue.
+JobAccess DecideJobAccess(const jobs::Config& config,
+                          const std::string& caller,
+                          const JobOrigin& origin) {
+  if (!config.keys_required)
+    return JobAccess::kAllowed;
+  if (!origin.organisation)
+    return JobAccess::kUndecided;
+  if (origin.organisation->empty() || *origin.organisation == caller)
+    return JobAccess::kAllowed;
+  const jobs::Queue* queue = config.FindQueue(origin.queue);
+  return queue && queue->open_to_all ? JobAccess::kAllowed : JobAccess::kDenied;
+}
+
+void ReadAcceptedOrigin(
+    platform::Store& store,
+    const std::string& job,
+    const Shard& shard,
+    std::function<void(const AcceptedOrigin& accepted)> on_read) {
+  const platform::RowKey at = JobRow(job, shard);
+  const platform::ReadQuery query{
+      .table = at.table, .part = at.part, .from = at.key, .to = {}, .limit = 1};
+  store.Read(query, [job, on_read = std::move(on_read)](
+                        const std::optional<platform::ReadResult>& result) {
+    if (!result) {
+      on_read({});
+      return;
+    }
+    AcceptedOrigin read{.is_known = true};
+    if (!result->rows.empty() && result->rows.front().at.key == job) {
+      const auto accepted = DecodeAccepted(result->rows.front().value);
+      if (accepted)
+        read.origin = OriginOf(*accepted);
+      else
+        base::Log(base::Event::kRowMalformed, {{"row", job}});
+      // Whose job it is cannot be told from a malformed row.
+      read.is_known = accepted.has_value();
+    }
+    on_read(read);
+  });
+}
+
+}  // namespace quartzhoist::entry
--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -253,6 +253,12 @@
     jobs::Progress progress,
     std::uint64_t version) const {
   const base::Micros offset = MonotonicTimeAt1970();
+  // Rows saved by earlier versions lack them. Once the job is over, its
+  // accepted row is removed and nothing else names them.
+  if (!progress.organisation)
+    progress.organisation = accepted.organisation;
+  if (progress.queue.empty())
+    progress.queue = accepted.queue.name;
   try {
     scheduler::Job job = scheduler::MakeJob(
         id, accepted.queue, platform::ParseJob(accepted.body),
--- a/jobs/jobs_test.cc
+++ b/jobs/jobs_test.cc
@@ -17,6 +17,10 @@
   Progress progress;
   progress.state = *rc::gen::element(JobState::kQueued, JobState::kRunning,
                                      JobState::kFailed);
+  const std::string organisation = *rc::gen::element("", "ants", "bees");
+  if (*rc::gen::arbitrary<bool>())
+    progress.organisation = organisation;
+  progress.queue = *rc::gen::element("", "q");
   const int done = *rc::gen::inRange(0, 6);
   for (int i = 0; i < done; ++i) {
     progress.MarkDone({.occurrence = *rc::gen::inRange(0, 3),
@@ -40,7 +44,8 @@
 }
 
 bool Same(const Progress& a, const Progress& b) {
-  return a.state == b.state && a.done == b.done && a.failures == b.failures &&
+  return a.state == b.state && a.organisation == b.organisation &&
+         a.queue == b.queue && a.done == b.done && a.failures == b.failures &&
          a.placed == b.placed;
 }
 
@@ -70,6 +75,25 @@
   RC_ASSERT(Same(Merge(merged, a), merged));
 }
 
+// Guards against a job that any key may access after an owner of an earlier
+// version, which does not know the fields, has saved its row.
+BOOST_AUTO_TEST_CASE(MergeKeepsTheOriginThatOneWriterDropped) {
+  Progress known;
+  known.organisation = "bees";
+  known.queue = "q";
+  const Progress earlier = DecodeProgress(R"({"state":"running"})").value();
+  BOOST_TEST(!earlier.organisation.has_value());
+  for (const Progress& merged :
+       {Merge(known, earlier), Merge(earlier, known)}) {
+    BOOST_TEST(merged.organisation.value_or("") == "bees");
+    BOOST_TEST(merged.queue == "q");
+  }
+  // Accepted without an organisation is not the same as unknown.
+  known.organisation = "";
+  const auto stored = DecodeProgress(EncodeProgress(known));
+  BOOST_TEST((stored && stored->organisation == ""));
+}
+
 BOOST_AUTO_TEST_CASE(FailedRunReportedTwiceCountsOnce) {
   Progress progress;
   const TaskKey task{.step = {.occurrence = 0, .step = 0}, .index = 3};
@@ -143,6 +167,8 @@
 BOOST_AUTO_TEST_CASE(MalformedProgressIsRejected) {
   for (const char* text :
        {"", "x", "[]", "{}", R"({"state":7})", R"({"state":"unheard"})",
+        R"({"state":"queued","organisation":7})",
+        R"({"state":"queued","queue":null})",
         R"({"state":"queued","done":{"1":"#"}})",
         R"({"state":"queued","done":{"1.1":5}})",
         R"({"state":"queued","done":{"1.-1":"#"}})",
--- a/jobs/progress.cc
+++ b/jobs/progress.cc
@@ -212,6 +212,18 @@
   }
 }
 
+// Rows of earlier versions have neither field.
+bool DecodeOrigin(const Json& row, Progress& progress) {
+  for (const char* field : {"organisation", "queue"}) {
+    if (row.contains(field) && !row[field].is_string())
+      return false;
+  }
+  if (row.contains("organisation"))
+    progress.organisation = row["organisation"].get<std::string>();
+  progress.queue = row.value("queue", "");
+  return true;
+}
+
 // A final state wins; of two other states, the later one.
 JobState MergeStates(JobState a, JobState b) {
   if (IsFinal(a))
@@ -282,6 +294,10 @@
 
 std::string EncodeProgress(const Progress& progress) {
   Json row = {{"state", base::NameOf(kJobStateNames, progress.state)}};
+  if (progress.organisation)
+    row["organisation"] = *progress.organisation;
+  if (!progress.queue.empty())
+    row["queue"] = progress.queue;
   for (const auto& [step, bits] : progress.done) {
     row["done"][fmt::format("{}.{}", step.occurrence, step.step)] =
         EncodeBits(bits);
@@ -312,6 +328,8 @@
     return std::nullopt;
   Progress progress;
   progress.state = *state;
+  if (!DecodeOrigin(row, progress))
+    return std::nullopt;
   if (row.contains("done") && !DecodeDone(row["done"], progress))
     return std::nullopt;
   if (row.contains("failed_runs") &&
@@ -336,6 +354,9 @@
 Progress Merge(const Progress& a, const Progress& b) {
   Progress merged = a;
   merged.state = MergeStates(a.state, b.state);
+  // An earlier version that saved the row in between dropped both fields.
+  merged.organisation = std::max(a.organisation, b.organisation);
+  merged.queue = std::max(a.queue, b.queue);
   for (const auto& [step, bits] : b.done) {
     for (std::size_t i = 0; i < bits.size(); ++i) {
       if (bits[i])
--- a/jobs/progress.h
+++ b/jobs/progress.h
@@ -75,6 +75,10 @@
 
 struct Progress {
   JobState state = JobState::kQueued;
+  // The organisation whose key submitted the job; empty if it was accepted
+  // without one. Nothing in rows of versions that did not store it.
+  std::optional<std::string> organisation;
+  std::string queue;  // that accepted the job; empty in rows without it
   std::map<StepKey, std::vector<bool>> done;
   std::map<TaskKey, RunNumbers> failures;  // no value is empty
   std::map<TaskKey, Placement> placed;     // tasks that are not done
@@ -112,7 +116,7 @@
 // Combines the progress recorded by two writers. Both record facts: a task that
 // is done or a run that failed for either is so in the result, a run that
 // either was stopping is stopping, and of two placements of a task the later
-// run wins.
+// run wins. An organisation or queue that either names is kept.
 Progress Merge(const Progress& a, const Progress& b);
 
 }  // namespace quartzhoist::jobs
--- a/testing/store_standin.cc
+++ b/testing/store_standin.cc
@@ -133,17 +133,22 @@
   return "";
 }
 
-StoreStandin::Mood StoreStandin::MoodOf(bool is_write) {
-  if (!is_write || this->next_writes.empty())
+StoreStandin::Mood StoreStandin::MoodOf(const std::string& path) {
+  std::deque<Mood> none;
+  std::deque<Mood>& next_moods = path == "/rows-tx" ? this->next_writes
+                                 : path.starts_with("/rows-get")
+                                     ? this->next_reads
+                                     : none;
+  if (next_moods.empty())
     return this->mood;
-  const Mood next = this->next_writes.front();
-  this->next_writes.pop_front();
+  const Mood next = next_moods.front();
+  next_moods.pop_front();
   return next;
 }
 
 void StoreStandin::Handle(const http::ExchangePtr& exchange) {
   const bool is_write = exchange->request().path == "/rows-tx";
-  const Mood now = this->MoodOf(is_write);
+  const Mood now = this->MoodOf(exchange->request().path);
   this->write_count += is_write;
   if (now == Mood::kCuts) {
     exchange->Cut();
--- a/testing/store_standin.h
+++ b/testing/store_standin.h
@@ -45,6 +45,9 @@
   void SetNextWrites(std::deque<Mood> moods) {
     this->next_writes = std::move(moods);
   }
+  void SetNextReads(std::deque<Mood> moods) {
+    this->next_reads = std::move(moods);
+  }
   // Feeds from before now answer that history is lost.
   void ForgetHistory();
   // Rows of a page at most.
@@ -82,7 +85,7 @@
   };
 
   void Handle(const http::ExchangePtr& exchange);
-  Mood MoodOf(bool is_write);
+  Mood MoodOf(const std::string& path);
   void Write(const http::ExchangePtr& exchange, Mood now);
   void Read(const http::ExchangePtr& exchange);
   void Feed(const http::ExchangePtr& exchange);
@@ -95,6 +98,7 @@
   base::Loop& loop;
   Mood mood = Mood::kWell;
   std::deque<Mood> next_writes;
+  std::deque<Mood> next_reads;
   platform::Deployment can;
   std::map<platform::RowKey, Stored> rows;
   std::deque<Change> history;
