--- a/entry/shard_selector.h
+++ b/entry/shard_selector.h
@@ -18,6 +18,14 @@
 
 namespace quartzhoist::entry {
 
+// Expected wait of a new job of a queue for its first start.
+struct ReportedWait {
+  int within_rate_ms = 0;  // of an organisation within its guaranteed rate
+  int over_rate_ms = 0;    // of an organisation over it
+
+  bool operator==(const ReportedWait&) const = default;
+};
+
 // Load of a shard, reported by its owner with each renewal.
 struct ShardLoad {
   // By pool: cores used and queued for, in percent of the cores that the shard
@@ -27,6 +35,10 @@
   std::map<std::string, int> free_cores_by_pool;
   // Kinds of boxes in the shard.
   std::vector<std::string> box_kinds;
+  // By queue; only queues whose jobs would wait.
+  std::map<std::string, ReportedWait> waits;
+  // Organisations that submit more than their guaranteed rate.
+  std::vector<std::string> over_rate;
   // Nobody schedules the shard as far as the reader knows; not reported.
   bool is_stalled = false;
 };
