Guaranteed rates tell which organisations exceed theirs

Admission rejects jobs over their organisation's rate first and needs to know the organisations. An organisation is over its rate if its latest job was and the next one would be. An empty bucket alone does not show it: where a shard's part of a rate is below half a job a second, each job empties the bucket.

--- a/scheduler/guaranteed_rates.h
+++ b/scheduler/guaranteed_rates.h
@@ -6,6 +6,7 @@
 #define SCHEDULER_GUARANTEED_RATES_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,12 +24,20 @@
   // Counts a submitted job. Returns whether it is within the rate; always true
   // for an organisation without one.
   bool Consume(const std::string& organisation, base::Micros now);
+  // Organisations whose latest job was over the rate and whose next one would
+  // be, those with the latest such job first.
+  std::vector<std::string> OverRate(base::Micros now) const;
 
  private:
   struct Bucket {
+    double Capacity() const;
+    double TokensAt(base::Micros now) const;
+
     double jobs_per_second = 0.0;  // in this shard
     double tokens = 0.0;           // jobs that may still be submitted now
     base::Micros refilled{};       // when `tokens` was last updated
+    // When the latest job was submitted, if it was over the rate.
+    std::optional<base::Micros> over_rate_at;
   };
 
   int shard_count;
--- a/scheduler/guaranteed_rates_test.cc
+++ b/scheduler/guaranteed_rates_test.cc
@@ -1,5 +1,8 @@
 // Tests which jobs are within an organisation's guaranteed rate.
 
+#include <string>
+#include <vector>
+
 #include <boost/test/unit_test.hpp>
 
 #include "scheduler/guaranteed_rates.h"
@@ -37,5 +40,27 @@
   BOOST_TEST(CountWithinRate(rates, "", 50, seconds(1)) == 50);
 }
 
+// An organisation that keeps to its rate must not be taken for one that exceeds
+// it just because its bucket is empty, and one that exceeded it must not stay
+// on the list once its bucket has been refilled.
+BOOST_AUTO_TEST_CASE(OnlyOrganisationsBeyondTheirRateAreOver) {
+  GuaranteedRates rates(4);
+  rates.SetOrganisations({{.name = "ants", .keys = {}, .jobs_per_second = 4},
+                          {.name = "bees", .keys = {}, .jobs_per_second = 4},
+                          {.name = "wasps", .keys = {}, .jobs_per_second = 4},
+                          {.name = "free"}});
+  CountWithinRate(rates, "ants", 2, seconds(1));
+  CountWithinRate(rates, "bees", 3, seconds(1));
+  CountWithinRate(rates, "wasps", 3, seconds(1) + milliseconds(1));
+  CountWithinRate(rates, "free", 50, seconds(1));
+  const std::vector<std::string> latest_first{"wasps", "bees"};
+  BOOST_TEST(rates.OverRate(seconds(1) + milliseconds(2)) == latest_first,
+             boost::test_tools::per_element());
+  BOOST_TEST(rates.OverRate(seconds(3)).empty());
+  // Within the rate again: the bucket is emptied, but not exceeded.
+  CountWithinRate(rates, "bees", 2, seconds(10));
+  BOOST_TEST(rates.OverRate(seconds(10)).empty());
+}
+
 }  // namespace
 }  // namespace quartzhoist::scheduler
