Owner row holds the expected waits and the organisations over their rate

At most 64 queues, the longest waits first, and 32 organisations: the row is rewritten every 0.45 s, and stays below 4 KB with names of 23 characters. A field that is missing, malformed or above these bounds reads as empty, and the rest of the row is read: figures that are not understood reject nobody.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -110,6 +110,60 @@
   BOOST_TEST(ParseError(filled) == "");
 }
 
+// The row keeps its size however many queues wait, and loses the shortest
+// waits.
+BOOST_AUTO_TEST_CASE(OwnerRowHoldsTheLongestWaits) {
+  OwnerRecord record;
+  for (int i = 0; i < 100; ++i) {
+    const std::string name = "name-of-twenty-chars-" + std::to_string(i);
+    record.load.waits[name] = {.within_rate_ms = i, .over_rate_ms = 1000 + i};
+    record.load.over_rate.push_back(name);
+  }
+  const std::string row = EncodeOwner(record);
+  BOOST_TEST(row.size() < 4096U);
+  const auto decoded = DecodeOwner(row);
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST(decoded->load.waits.size() == 64U);
+  const ReportedWait longest{.within_rate_ms = 99, .over_rate_ms = 1099};
+  BOOST_CHECK(decoded->load.waits.at("name-of-twenty-chars-99") == longest);
+  BOOST_TEST(!decoded->load.waits.contains("name-of-twenty-chars-35"));
+  BOOST_TEST(decoded->load.over_rate.size() == 32U);
+  BOOST_TEST(decoded->load.over_rate.front() == "name-of-twenty-chars-0");
+}
+
+// A row without the fields is an earlier version's, one with other contents may
+// be a later one's: neither may hide the owner or name a wait.
+BOOST_AUTO_TEST_CASE(OwnerRowWithMalformedWaitsIsReadWithoutThem) {
+  const std::string row = EncodeOwner({.holder = "x", .epoch = 7});
+  const auto with = [&row](const std::string& key, const std::string& content) {
+    const std::string empty = key == "waits" ? "{}" : "[]";
+    std::string text = row;
+    const std::string found = "\"" + key + "\":" + empty;
+    return text.replace(text.find(found), found.size(),
+                        "\"" + key + "\":" + content);
+  };
+  for (const char* content :
+       {"null", "7", "[]", R"({"q":5})", R"({"q":[5]})", R"({"q":[5,5,5]})",
+        R"({"q":[-1,5]})", R"({"q":[5,"5"]})", R"({"q":[5,5.5]})",
+        R"({"q":[5,2147483648]})", R"({"q":[5,18446744073709551615]})",
+        R"({"good":[5,5],"q":[null,5]})"}) {
+    const auto decoded = DecodeOwner(with("waits", content));
+    BOOST_TEST_REQUIRE(decoded.has_value(), content);
+    BOOST_TEST(decoded->epoch == 7U);
+    BOOST_TEST(decoded->load.waits.empty(), content);
+  }
+  for (const char* content : {"null", "{}", R"("x")", R"(["x",5])"}) {
+    const auto decoded = DecodeOwner(with("over_rate", content));
+    BOOST_TEST_REQUIRE(decoded.has_value(), content);
+    BOOST_TEST(decoded->load.over_rate.empty(), content);
+  }
+  const auto earlier =
+      DecodeOwner(R"({"holder":"x","incarnation":"y","epoch":7,"beat":1})");
+  BOOST_REQUIRE(earlier.has_value());
+  BOOST_TEST(earlier->load.waits.empty());
+  BOOST_TEST(earlier->load.over_rate.empty());
+}
+
 BOOST_AUTO_TEST_CASE(RowEncodingsRoundTrip) {
   AcceptedJob job;
   job.queue.name = "q";
--- a/entry/tables.cc
+++ b/entry/tables.cc
@@ -1,6 +1,10 @@
 #include "entry/tables.h"
 
+#include <algorithm>
 #include <charconv>
+#include <limits>
+#include <tuple>
+#include <utility>
 
 #include <fmt/format.h>
 #include <xxhash.h>
@@ -18,10 +22,74 @@
 constexpr std::string_view kCancelSuffix = "!cancel";
 constexpr std::string_view kQuotaPrefix = "of/";
 
+// Bounds of an owner row's waits and of its organisations over their rate: the
+// row is rewritten every 0.45 s and read by other daemons, and must stay small.
+constexpr std::size_t kMaxWaits = 64;
+constexpr std::size_t kMaxOverRate = 32;
+
 std::string PartOf(const std::string& job) {
   return std::to_string(XXH32(job.data(), job.size(), 0) % kPartCount);
 }
 
+// The longest waits first, as far as the bound allows.
+Json EncodeWaits(const std::map<std::string, ReportedWait>& waits) {
+  std::vector<std::pair<std::string, ReportedWait>> longest(waits.begin(),
+                                                            waits.end());
+  std::stable_sort(
+      longest.begin(), longest.end(), [](const auto& a, const auto& b) {
+        return std::tie(a.second.over_rate_ms, a.second.within_rate_ms) >
+               std::tie(b.second.over_rate_ms, b.second.within_rate_ms);
+      });
+  longest.resize(std::min(longest.size(), kMaxWaits));
+  Json json = Json::object();
+  for (const auto& [queue, wait] : longest)
+    json[queue] = {wait.within_rate_ms, wait.over_rate_ms};
+  return json;
+}
+
+std::optional<int> DecodeWaitMillis(const Json& json) {
+  if (!json.is_number_integer())
+    return std::nullopt;
+  // Of an unsigned number above the range this is negative.
+  const auto wait_ms = json.get<std::int64_t>();
+  if (wait_ms < 0 || wait_ms > std::numeric_limits<int>::max())
+    return std::nullopt;
+  return static_cast<int>(wait_ms);
+}
+
+// Empty if any part is malformed: no job is rejected because of figures that
+// are not understood.
+std::map<std::string, ReportedWait> DecodeWaits(const Json& row) {
+  const auto field = row.find("waits");
+  if (field == row.end() || !field->is_object() || field->size() > kMaxWaits)
+    return {};
+  std::map<std::string, ReportedWait> waits;
+  for (const auto& [queue, pair] : field->items()) {
+    if (!pair.is_array() || pair.size() != 2)
+      return {};
+    const std::optional<int> within_rate = DecodeWaitMillis(pair[0]);
+    const std::optional<int> over_rate = DecodeWaitMillis(pair[1]);
+    if (!within_rate || !over_rate)
+      return {};
+    waits[queue] = {.within_rate_ms = *within_rate, .over_rate_ms = *over_rate};
+  }
+  return waits;
+}
+
+// Empty if any part is malformed.
+std::vector<std::string> DecodeOverRate(const Json& row) {
+  const auto field = row.find("over_rate");
+  if (field == row.end() || !field->is_array() || field->size() > kMaxOverRate)
+    return {};
+  std::vector<std::string> names;
+  for (const Json& name : *field) {
+    if (!name.is_string())
+      return {};
+    names.push_back(name.get<std::string>());
+  }
+  return names;
+}
+
 }  // namespace
 
 std::string ShardPart(std::string_view table, const Shard& shard) {
@@ -160,6 +228,8 @@
 }
 
 std::string EncodeOwner(const OwnerRecord& record) {
+  std::vector<std::string> over_rate = record.load.over_rate;
+  over_rate.resize(std::min(over_rate.size(), kMaxOverRate));
   return Json{{"holder", record.holder},
               {"incarnation", record.incarnation},
               {"epoch", record.epoch},
@@ -169,6 +239,8 @@
               {"load", record.load.load_percent_by_pool},
               {"free", record.load.free_cores_by_pool},
               {"kinds", record.load.box_kinds},
+              {"waits", EncodeWaits(record.load.waits)},
+              {"over_rate", std::move(over_rate)},
               {"renewed", record.renewed_store_ms}}
       .dump();
 }
@@ -187,7 +259,9 @@
                      json.value("load", std::map<std::string, int>()),
                  .free_cores_by_pool =
                      json.value("free", std::map<std::string, int>()),
-                 .box_kinds = json.value("kinds", std::vector<std::string>())},
+                 .box_kinds = json.value("kinds", std::vector<std::string>()),
+                 .waits = DecodeWaits(json),
+                 .over_rate = DecodeOverRate(json)},
         .renewed_store_ms = json.value("renewed", std::int64_t{0})};
   } catch (const Json::exception&) {
     return std::nullopt;
