Scheduler computes the expected wait of new jobs by queue

Nothing kept the time that a new job waits for its first start. It is the work of the tasks that would be placed before the job, by the cores that its pool has or is about to get; the planner keeps the cores that its last plan allocates. The class of a ready task at a given time moves into ReadyTask::ClassAt, since placement does not reclassify the tasks of a pool without usable workers.

--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -244,6 +244,7 @@
                              base::Micros now,
                              std::vector<FleetAction>& actions) {
   this->reclaimed.clear();
+  this->allocated_cores.clear();
   // 1. Compute each pool's surplus over its allocation.
   const std::map<std::string, double> held = this->CoresByPool(view);
   std::map<std::string, double> surplus = held;
@@ -263,8 +264,11 @@
   const std::map<std::string, double> allocated =
       AllocateCores(requesting, total_cores * kTargetUtilization,
                     box_cores * kTargetUtilization);
-  for (const FleetPool& pool : requesting)
-    surplus[pool.name] -= allocated.at(pool.name) / kTargetUtilization;
+  for (const FleetPool& pool : requesting) {
+    const double cores = allocated.at(pool.name) / kTargetUtilization;
+    this->allocated_cores[pool.name] = cores;
+    surplus[pool.name] -= cores;
+  }
   // 2. Move boxes to the pool with the largest shortage until no pool is short
   // or no donor is left.
   double short_cores = 0.0;
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -186,6 +186,10 @@
   bool HasPendingCall(const std::string& box) const;
   // True while nothing more may be placed on the box.
   bool IsLeaving(const std::string& box) const;
+  // Cores that the last plan allocates to each pool.
+  const std::map<std::string, double>& AllocatedCores() const {
+    return this->allocated_cores;
+  }
   // The worker instance on the box when its move or maintenance was requested.
   jobs::WorkerIncarnation WorkerBeforeCall(const std::string& box) const;
   bool HasOpenWave() const;
@@ -296,6 +300,8 @@
   // Busy boxes that a pool short of cores needs more. Nothing new is placed on
   // them so that they become idle and can move. Recomputed by each plan.
   std::set<std::string> reclaimed;
+  // By pool, by the last plan.
+  std::map<std::string, double> allocated_cores;
   std::map<std::string, BoxInfo> listed;  // the platform's latest list
   bool has_list = false;
 };
--- a/scheduler/ready_tasks.cc
+++ b/scheduler/ready_tasks.cc
@@ -38,6 +38,16 @@
 
 }  // namespace
 
+SchedulingClass ReadyTask::ClassAt(base::Micros now) const {
+  const bool is_long_running =
+      this->scheduling_class == SchedulingClass::kInterrupted ||
+      this->scheduling_class == SchedulingClass::kLongRunning;
+  if (is_long_running || this->deadline() >= now)
+    return this->scheduling_class;
+  return this->firm_deadline >= now ? SchedulingClass::kLate
+                                    : SchedulingClass::kExpired;
+}
+
 // Long-running tasks go in the order in which they became ready, those that
 // have run before first. Otherwise a task that fails in a full pool would lose
 // its own capacity to a task that has never run, and wait for all such tasks.
@@ -95,12 +105,10 @@
   while (it != this->tasks.end() && it->priority == priority &&
          it->scheduling_class == scheduling_class && it->deadline() < now) {
     ReadyTask demoted = *it;
+    demoted.scheduling_class = it->ClassAt(now);
     it = this->tasks.erase(it);
     if (scheduling_class != SchedulingClass::kStarted)
       this->overloaded_until[scheduling_class] = now + kOverloadDuration;
-    demoted.scheduling_class = demoted.firm_deadline >= now
-                                   ? SchedulingClass::kLate
-                                   : SchedulingClass::kExpired;
     this->tasks.insert(demoted);
   }
 }
--- a/scheduler/ready_tasks.h
+++ b/scheduler/ready_tasks.h
@@ -26,6 +26,12 @@
   kExpired,      // too late to be useful, but runs anyway
 };
 
+// After this multiple of its objective a job counts as expired. A job is useful
+// for up to three times its objective. The chain is computed from mean run
+// times, while a step ends with its slowest task; a factor of four on the
+// estimate therefore excludes no job that is still useful.
+inline constexpr int kUsefulnessFactor = 4;
+
 // The deadlines are latest start times: after the soft one the task misses its
 // target, after the firm one its result is no longer useful.
 struct ReadyTask {
@@ -44,6 +50,8 @@
         this->scheduling_class == SchedulingClass::kOverRate;
     return uses_firm_deadline ? this->firm_deadline : this->soft_deadline;
   }
+  // The class after the deadlines that have passed by `now`.
+  SchedulingClass ClassAt(base::Micros now) const;
   bool operator<(const ReadyTask& other) const {
     return std::make_tuple(this->priority, this->scheduling_class,
                            this->deadline(), this->sequence) <
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -159,13 +159,9 @@
              job.queue.extension * static_cast<double>(chain.count())));
 }
 
-// A job is useful for up to three times its objective. The chain is computed
-// from mean run times, while a step ends with its slowest task; a factor of
-// four on the estimate therefore excludes no job that is still useful.
 void Scheduler::Enqueue(Job& job,
                         const TaskPosition& position,
                         base::Micros now) {
-  constexpr int kUsefulnessFactor = 4;
   if (!job.progress.losses.empty())
     this->GiveUpCrashingTasks(job, now);
   Task& task = TaskAt(job, position);
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -26,6 +26,7 @@
 #include "scheduler/actions.h"
 #include "scheduler/box_requests.h"
 #include "scheduler/demand.h"
+#include "scheduler/expected_waits.h"
 #include "scheduler/facts.h"
 #include "scheduler/fleet.h"
 #include "scheduler/guaranteed_rates.h"
@@ -179,6 +180,13 @@
   // most `most`.
   std::vector<WaitingTask> LongestWaits(std::size_t most,
                                         base::Micros now) const;
+  // By queue of the configuration; queues without a figure are left out.
+  std::map<std::string, ExpectedWait> ExpectedWaits(base::Micros now) const;
+  // Organisations that submit more than their guaranteed rate, in the order in
+  // which they exceeded it, latest first.
+  std::vector<std::string> OrganisationsOverRate(base::Micros now) const {
+    return this->guaranteed_rates.OverRate(now);
+  }
   // Quota needs in this shard of the organisations that have a quota.
   std::map<std::string, QuotaNeed> QuotaNeeds() const {
     return this->quotas.Needs();
@@ -429,6 +437,14 @@
                                const TaskPosition& position) const;
   int NextRunNumber(const Job& job, const TaskPosition& position) const;
 
+  // expected waits
+  void AddWorkerCapacities(std::map<std::string, PoolWork>& pools,
+                           base::Micros now) const;
+  void AddWorkOfBegunJobs(std::map<std::string, PoolWork>& pools,
+                          const BegunOccurrences& begun,
+                          base::Micros now) const;
+  Work WorkOf(const Job& job, const jobs::Step& step) const;
+
   // operators' view
   // Empty if a run of the task is known to be at work, or the wait is short.
   std::optional<WaitingTask> DescribeWait(const Job& job,
