Owners publish and log the expected waits

The load that an owner reports with each renewal has the waits of 250 ms and more and the organisations over their rate, and the log event expected_wait (QH0844) has the waits once a second. Both are left out in the first second after a takeover: the jobs are loaded at once, the workers report one after the other, and the inherited jobs have just been counted against the rates.

No test shows a figure or an expected_wait line of a running daemon yet.

--- a/base/event_log.h
+++ b/base/event_log.h
@@ -68,6 +68,7 @@
   kTaskWaits,
   kQuotaShared,
   kLongRunningWait,
+  kExpectedWait,
 };
 
 struct EventInfo {
@@ -77,7 +78,7 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 40> kEvents{{
+inline constexpr std::array<EventInfo, 41> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
@@ -116,6 +117,7 @@
     {Event::kRowMalformed, 841, Level::kWarning, "row_malformed"},
     {Event::kConfigInstalled, 842, Level::kInfo, "config_installed"},
     {Event::kZonesEvacuated, 843, Level::kInfo, "zones_evacuated"},
+    {Event::kExpectedWait, 844, Level::kInfo, "expected_wait"},
     {Event::kLinesLeftOut, 851, Level::kWarning, "lines_left_out"},
     {Event::kSettingsReloaded, 106, Level::kInfo, "settings_reloaded"},
     {Event::kWriteRefused, 304, Level::kError, "write_refused"},
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -30,6 +30,12 @@
 constexpr base::Micros kMinLeaseWriteInterval = milliseconds(40);
 constexpr int kMaxSavesInFlight = 2;
 constexpr std::size_t kMaxWaitsLogged = 4;
+// Shorter expected waits are not reported: a pass of placement and a plan of
+// boxes take as long.
+constexpr base::Micros kMinReportedWait = milliseconds(250);
+// The takeover loads all jobs at once, while the workers' reports arrive one
+// after the other.
+constexpr base::Micros kUnknownLoadPeriod = seconds(1);
 
 // For each wait reason, the number of waiting tasks and the longest wait in ms.
 std::string FormatWaitReasons(const scheduler::PoolState& state) {
@@ -296,16 +302,49 @@
 }
 
 ShardLoad ShardManager::Load() const {
+  const base::Micros now = base::MonotonicNow();
   ShardLoad load;
-  for (const scheduler::PoolState& state :
-       this->scheduler.PoolStates(base::MonotonicNow())) {
+  for (const scheduler::PoolState& state : this->scheduler.PoolStates(now)) {
     load.load_percent_by_pool[state.pool] = state.load_percent;
     load.free_cores_by_pool[state.pool] = static_cast<int>(state.free_cores);
   }
   load.box_kinds = this->scheduler.BoxKinds();
+  load.waits = this->Waits(now);
+  if (this->KnowsLoad(now))
+    load.over_rate = this->scheduler.OrganisationsOverRate(now);
   return load;
 }
 
+// Right after a takeover the jobs are known and most workers are not, and the
+// inherited jobs have just been counted against their organisations' rates.
+bool ShardManager::KnowsLoad(base::Micros now) const {
+  return this->started && now - this->started_at >= kUnknownLoadPeriod;
+}
+
+std::map<std::string, ReportedWait> ShardManager::Waits(
+    base::Micros now) const {
+  std::map<std::string, ReportedWait> waits;
+  if (!this->KnowsLoad(now))
+    return waits;
+  for (const auto& [queue, wait] : this->scheduler.ExpectedWaits(now)) {
+    if (std::max(wait.within_rate, wait.over_rate) >= kMinReportedWait)
+      waits[queue] = {
+          .within_rate_ms = static_cast<int>(base::Millis(wait.within_rate)),
+          .over_rate_ms = static_cast<int>(base::Millis(wait.over_rate))};
+  }
+  return waits;
+}
+
+void ShardManager::LogExpectedWaits(base::Micros now) const {
+  for (const auto& [queue, wait] : this->Waits(now)) {
+    base::Log(base::Event::kExpectedWait,
+              {{"shard", this->shard.number},
+               {"queue", queue},
+               {"within_rate_ms", wait.within_rate_ms},
+               {"over_rate_ms", wait.over_rate_ms}});
+  }
+}
+
 void ShardManager::LogPoolStates() {
   const base::Micros now = base::MonotonicNow();
   if (now < this->next_pool_log)
@@ -330,6 +369,7 @@
                {"given_up", state.given_up}});
   }
   this->LogLongRunningWaits(now);
+  this->LogExpectedWaits(now);
 }
 
 void ShardManager::LogLongRunningWaits(base::Micros now) {
