--- a/base/event_log.h
+++ b/base/event_log.h
@@ -70,6 +70,7 @@
   kLongRunningWait,
   kLongRunningStalled,
   kJobFailed,
+  kExpectedWait,
 };
 
 struct EventInfo {
@@ -79,7 +80,7 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 42> kEvents{{
+inline constexpr std::array<EventInfo, 43> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
@@ -118,6 +119,7 @@
     {Event::kRowMalformed, 841, Level::kWarning, "row_malformed"},
     {Event::kConfigInstalled, 842, Level::kInfo, "config_installed"},
     {Event::kZonesEvacuated, 843, Level::kInfo, "zones_evacuated"},
+    {Event::kExpectedWait, 844, Level::kInfo, "expected_wait"},
     {Event::kLongRunningStalled, 845, Level::kWarning, "long_running_stalled"},
     {Event::kJobFailed, 846, Level::kWarning, "job_failed"},
     {Event::kLinesLeftOut, 851, Level::kWarning, "lines_left_out"},
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -228,6 +228,10 @@
   // True while a wave cannot evacuate the box, and its end is far enough for
   // the box to take long-running tasks that fit nowhere else.
   bool MayTakeWorkInWave(const std::string& box, base::Micros now) const;
+  // Cores that the last plan allocates to each pool.
+  const std::map<std::string, double>& AllocatedCores() const {
+    return this->allocated_cores;
+  }
   // The worker instance on the box when its move or maintenance was requested.
   jobs::WorkerIncarnation WorkerBeforeCall(const std::string& box) const;
   bool HasOpenWave() const;
@@ -345,6 +349,8 @@
   // Busy boxes that a pool short of cores needs more. Nothing new is placed on
   // them so that they become idle and can move. Recomputed by each plan.
   std::set<std::string> reclaimed;
+  // By pool, by the last plan.
+  std::map<std::string, double> allocated_cores;
   std::map<std::string, BoxInfo> listed;  // the platform's latest list
   bool has_list = false;
 };
