quartzhoist explain says why a job's tasks wait

Cause: an operator could not see what a job's tasks wait for; task_waits names only the longest waits of a shard, and /dump only the job's state.

Change: any daemon answers GET /explain/JOB at its metrics address. The owner of the job's shard answers from its scheduler (Scheduler::ExplainJob), without a call to the store; any other daemon reads the progress row and the owner row and names the holder. entry/explain builds the answers and limits them to four a second; entry/explain_api reads the rows and checks the key, which must belong to the job's organisation also where its queue is open to callers. quartzhoist explain reads the key from a file or the standard input. daemon_started tells metrics_port, so that tests find the address. expected_start_ms is left out until expected waits are known.

--- a/client/client_main.cc
+++ b/client/client_main.cc
@@ -22,6 +22,7 @@
   check FILE          check a table file, without any daemon
   status DAEMON ...   what each daemon schedules
   dump DAEMON         one daemon's whole state
+  explain JOB DAEMON  why a job's tasks wait, as the daemon knows it
 
 DAEMON is the metrics address of a daemon, an IP number and port.
 
@@ -29,6 +30,10 @@
   quartzhoist check examples/thenkoodu.table
   quartzhoist status 10.0.0.1:8082 10.0.0.2:8082 10.0.0.3:8082
   quartzhoist dump 10.0.0.1:8082 --json
+  quartzhoist explain --key-file bees.key 5c0e7a21d94b36f8 10.0.0.1:8082
+
+Where organisations are configured, explain needs an access key of the job's
+organisation: in the file that --key-file names, or "-" for the standard input.
 
 Exit codes: 0 done, 1 failed, 2 usage or a faulty file, 3 the table would not
 hold together, 5 a daemon is out of reach.
@@ -39,6 +44,8 @@
   options.custom_help("COMMAND [OPTION...]");
   options.positional_help("");
   options.add_options()("json", "Print JSON")("h,help", "Show this help")(
+      "key-file", "File with the access key; - for the standard input",
+      cxxopts::value<std::string>()->default_value(""))(
       "words", "", cxxopts::value<std::vector<std::string>>());
   options.parse_positional({"words"});
   return options;
@@ -52,13 +59,21 @@
   return words.front();
 }
 
-void RunCommand(std::vector<std::string> words, bool json) {
+void RunCommand(std::vector<std::string> words,
+                const std::string& key_file,
+                bool json) {
   const std::string command = words.front();
   words.erase(words.begin());
   if (command == "check")
     return Check(OnlyWord(words, "table file"), json);
   if (command == "dump")
     return Dump(OnlyWord(words, "daemon"), json);
+  constexpr std::size_t kExplainWords = 2;
+  if (command == "explain" && words.size() == kExplainWords)
+    return Explain(words[0], words[1], key_file, json);
+  if (command == "explain")
+    throw CommandError(ExitCode::kUsage,
+                       "name a job and a daemon; see 'quartzhoist --help'");
   if (command == "status" && !words.empty())
     return Status(words, json);
   if (command == "status")
@@ -80,7 +95,7 @@
     }
     curl_global_init(CURL_GLOBAL_ALL);
     RunCommand(given["words"].as<std::vector<std::string>>(),
-               given.count("json") > 0);
+               given["key-file"].as<std::string>(), given.count("json") > 0);
     return ExitCode::kOk;
   } catch (const CommandError& error) {
     fmt::print(stderr, "quartzhoist: {}\n", error.what());
--- a/client/commands.h
+++ b/client/commands.h
@@ -17,6 +17,13 @@
 void Status(const std::vector<std::string>& daemons, bool json);
 // One daemon's whole state, as JSON.
 void Dump(const std::string& daemon, bool json);
+// Why a job's tasks wait, as a daemon knows it. `key_file` holds the access
+// key,
+// "-" is the standard input; empty: no key is sent.
+void Explain(const std::string& job,
+             const std::string& daemon,
+             const std::string& key_file,
+             bool json);
 
 }  // namespace quartzhoist::client
 
--- a/client/daemon_api.cc
+++ b/client/daemon_api.cc
@@ -30,9 +30,10 @@
         fmt::format("'{}' is not an IP number and port", this->address));
 }
 
-json DaemonApi::Get(const std::string& path) {
+http::Response DaemonApi::Send(const std::string& path, http::Headers headers) {
   http::ClientRequest request{.method = "GET",
-                              .url = "http://" + this->address + path};
+                              .url = "http://" + this->address + path,
+                              .headers = std::move(headers)};
   request.timeout = kTimeout;
   std::optional<http::ClientResult> result;
   this->http.Send(std::move(request), [&](http::ClientResult got) {
@@ -44,14 +45,35 @@
     throw CommandError(ExitCode::kUnavailable,
                        fmt::format("the daemon at {} cannot be asked: {}",
                                    this->address, result->error));
-  const int status = result->response.status;
-  json answer = json::parse(result->response.body, nullptr, false);
-  if (status != kOk || answer.is_discarded())
+  return std::move(result->response);
+}
+
+json DaemonApi::Get(const std::string& path) {
+  const http::Response response = this->Send(path, {});
+  json answer = json::parse(response.body, nullptr, false);
+  if (response.status != kOk || answer.is_discarded())
     throw CommandError(
         ExitCode::kFailed,
         fmt::format("the daemon at {} answered {}; is it its metrics address?",
-                    this->address, status));
+                    this->address, response.status));
   return answer;
 }
 
+json DaemonApi::GetWithKey(const std::string& path, const std::string& key) {
+  http::Headers headers;
+  if (!key.empty())
+    headers.push_back({.name = "Authorization", .value = "Token " + key});
+  const http::Response response = this->Send(path, std::move(headers));
+  json answer = json::parse(response.body, nullptr, false);
+  if (response.status == kOk && answer.is_object())
+    return answer;
+  const bool has_reason = answer.is_object() && answer.contains("error") &&
+                          answer["error"].is_string();
+  throw CommandError(ExitCode::kFailed,
+                     fmt::format("the daemon at {} answered {}: {}",
+                                 this->address, response.status,
+                                 has_reason ? answer["error"].get<std::string>()
+                                            : "is it its metrics address?"));
+}
+
 }  // namespace quartzhoist::client
--- a/client/daemon_api.h
+++ b/client/daemon_api.h
@@ -29,8 +29,13 @@
 
   // Throws CommandError unless the daemon answers with JSON.
   nlohmann::json Get(const std::string& path);
+  // As Get, with an access key if `key` is not empty. The error quotes the
+  // reason that the daemon gives.
+  nlohmann::json GetWithKey(const std::string& path, const std::string& key);
 
  private:
+  http::Response Send(const std::string& path, http::Headers headers);
+
   std::string address;
   base::Loop loop;
   http::Client http;
--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -29,13 +29,6 @@
   return host.substr(0, host.find(':'));
 }
 
-bool IsJobId(std::string_view text) {
-  constexpr std::size_t kDigits = 16;
-  return text.size() == kDigits &&
-         text.find_first_not_of("0123456789abcdefABCDEF") ==
-             std::string_view::npos;
-}
-
 }  // namespace
 
 CallerApi::CallerApi(
--- a/entry/caller_status.h
+++ b/entry/caller_status.h
@@ -13,6 +13,7 @@
 inline constexpr int kConflict = 409;
 inline constexpr int kGone = 410;
 inline constexpr int kPayloadTooLarge = 413;
+inline constexpr int kTooManyRequests = 429;
 inline constexpr int kServiceUnavailable = 503;  // not carried out
 inline constexpr int kGatewayTimeout = 504;      // may have been carried out
 
--- a/entry/job_access.cc
+++ b/entry/job_access.cc
@@ -6,6 +6,13 @@
 
 namespace quartzhoist::entry {
 
+bool IsJobId(std::string_view text) {
+  constexpr std::size_t kDigits = 16;
+  return text.size() == kDigits &&
+         text.find_first_not_of("0123456789abcdefABCDEF") ==
+             std::string_view::npos;
+}
+
 JobOrigin OriginOf(const jobs::Progress& progress) {
   return {.organisation = progress.organisation, .queue = progress.queue};
 }
--- a/entry/job_access.h
+++ b/entry/job_access.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "entry/shards.h"
 #include "entry/tables.h"
@@ -15,6 +16,8 @@
 
 namespace quartzhoist::entry {
 
+bool IsJobId(std::string_view text);
+
 // Who submitted a job, and to which queue.
 struct JobOrigin {
   // Empty if the job was accepted without one; nothing if it is not known.
--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -82,6 +82,7 @@
           this->store,
           this->counters,
           [this](const platform::Row& row) { this->ApplyOperatorRow(row); }),
+      explain(this->store, this->ExplainSources()),
       caller_server(
           this->loop,
           ServerOptionsFor(chosen.callers_address, chosen.max_connections),
@@ -117,6 +118,8 @@
              {"zone", chosen.zone},
              {"callers_port", this->caller_server.port()},
              {"readiness_port", this->readiness_server.port()},
+             {"metrics_port",
+              this->metrics_server ? this->metrics_server->port() : 0},
              {"seed", seed}});
   this->operator_follower = std::make_unique<platform::TableFollower>(
       this->loop, this->store, std::string(platform::kOperatorTable),
@@ -384,7 +387,27 @@
   return "[" + list + "]";
 }
 
-void JobDaemon::AnswerMetrics(const http::ExchangePtr& exchange) const {
+ExplainApi::Sources JobDaemon::ExplainSources() const {
+  return {
+      .config = [this] { return this->has_config ? &this->config : nullptr; },
+      .shards =
+          [this] { return static_cast<int>(this->managed_shards.size()); },
+      .owned =
+          [this](const std::string& job) {
+            std::optional<OwnedJob> owned;
+            for (const auto& managed : this->managed_shards) {
+              if (managed->manager && !owned)
+                owned = managed->manager->Explain(job);
+            }
+            return owned;
+          }};
+}
+
+void JobDaemon::AnswerMetrics(const http::ExchangePtr& exchange) {
+  if (exchange->request().path.starts_with(ExplainApi::kPathPrefix)) {
+    this->explain.Handle(exchange);
+    return;
+  }
   if (exchange->request().path == "/dump") {
     exchange->Reply(http::JsonResponse(200, this->Dump()));
     return;
--- a/entry/job_daemon.h
+++ b/entry/job_daemon.h
@@ -17,6 +17,7 @@
 #include "base/counters.h"
 #include "base/loop.h"
 #include "entry/caller_api.h"
+#include "entry/explain_api.h"
 #include "entry/manager.h"
 #include "entry/ownerships.h"
 #include "entry/settings.h"
@@ -71,7 +72,8 @@
   void Stop();
   void ExitIfDrained();
   void AnswerReadiness(const http::ExchangePtr& exchange) const;
-  void AnswerMetrics(const http::ExchangePtr& exchange) const;
+  void AnswerMetrics(const http::ExchangePtr& exchange);
+  ExplainApi::Sources ExplainSources() const;
   void LogTraffic() const;
   bool IsReady() const;
   std::string Dump() const;
@@ -84,6 +86,7 @@
   http::Client client;
   platform::Store store;
   CallerApi callers;
+  ExplainApi explain;
   http::Server caller_server;
   http::Server readiness_server;
   std::unique_ptr<http::Server> metrics_server;
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -19,6 +19,7 @@
 #include "base/loop.h"
 #include "entry/box_calls.h"
 #include "entry/box_lister.h"
+#include "entry/explain.h"
 #include "entry/quota_records.h"
 #include "entry/save_policy.h"
 #include "entry/save_queue.h"
@@ -73,6 +74,8 @@
 
   // Current load of the shard, on which the choice among shards is based.
   ShardLoad Load() const;
+  // The job, if it is known; valid until the next event.
+  std::optional<OwnedJob> Explain(const std::string& job) const;
   // JSON for the state dump.
   std::string Dump() const;
 
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -377,6 +377,22 @@
   }
 }
 
+// While the store does not confirm the ownership, nothing is placed.
+std::optional<OwnedJob> ShardManager::Explain(const std::string& job) const {
+  const base::Micros now = base::MonotonicNow();
+  auto tasks = this->scheduler.ExplainJob(job, kMaxExplainedTasks, now);
+  if (!tasks)
+    return std::nullopt;
+  for (scheduler::ExplainedTask& task : tasks->tasks) {
+    if (this->commands_suspended && task.state == scheduler::TaskState::kReady)
+      task.waits_for = scheduler::kWaitsForStore;
+  }
+  return OwnedJob{.job = &this->scheduler.all_jobs().at(job),
+                  .tasks = std::move(*tasks),
+                  .shard = this->shard.number,
+                  .age = now - this->confirmed_at};
+}
+
 std::string ShardManager::Dump() const {
   Json dump = {{"shard", this->shard.number},
                {"epoch", this->epoch},
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -179,6 +179,11 @@
   // most `most`.
   std::vector<WaitingTask> LongestWaits(std::size_t most,
                                         base::Micros now) const;
+  // The job's tasks that are not over, at most `most`; nothing if the job is
+  // not known.
+  std::optional<ExplainedTasks> ExplainJob(const std::string& id,
+                                           std::size_t most,
+                                           base::Micros now) const;
   // Quota needs in this shard of the organisations that have a quota.
   std::map<std::string, QuotaNeed> QuotaNeeds() const {
     return this->quotas.Needs();
@@ -437,6 +442,12 @@
   void CollectWaits(const Job& job,
                     base::Micros now,
                     std::vector<WaitingTask>& waits) const;
+  ExplainedTask ExplainTask(const Job& job,
+                            const TaskPosition& position,
+                            base::Micros now) const;
+  bool FitsInEvacuatedZone(const Job& job, const TaskPosition& position) const;
+  void AddQueuePositions(const Job& job,
+                         std::vector<ExplainedTask>& tasks) const;
 
   // fleet
   void RunFleet(base::Micros now);
--- a/scheduler/waiting_tasks.h
+++ b/scheduler/waiting_tasks.h
@@ -1,11 +1,12 @@
-// Tasks that have waited long, for operators: why no run of them is known to be
-// at work.
+// Tasks that wait, for operators: why no run of them is known to be at work.
 
 #ifndef SCHEDULER_WAITING_TASKS_H_
 #define SCHEDULER_WAITING_TASKS_H_
 
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "base/clock.h"
 #include "jobs/job.h"
@@ -31,6 +32,28 @@
   int failed_calls = 0;       // to the worker, since its last answer
 };
 
+// A task of a job that an operator asked about.
+struct ExplainedTask {
+  TaskPosition position;
+  TaskState state = TaskState::kBlocked;
+  bool is_at_work = false;  // placed, and known to run or be stopping
+  base::Micros since{};     // how long it has been so
+  // A name of kWaitReasonNames, kWaitsForEvacuation or kWaitsForStore; empty if
+  // it waits for other tasks, for its start's answer, or not at all.
+  std::string_view waits_for;
+  // Tasks before it in its pool's queue; nothing if it is not in the queue.
+  std::optional<int> ahead;
+};
+struct ExplainedTasks {
+  // Those that wait, then those at work, then those blocked by other tasks.
+  std::vector<ExplainedTask> tasks;
+  int left_out = 0;
+};
+// It would fit on a worker in a zone that an operator has evacuated.
+inline constexpr std::string_view kWaitsForEvacuation = "evacuation";
+// Its placement is being saved, or the store has not confirmed the ownership.
+inline constexpr std::string_view kWaitsForStore = "store";
+
 }  // namespace quartzhoist::scheduler
 
 #endif  // SCHEDULER_WAITING_TASKS_H_
--- a/scheduler/waiting_tasks_test.cc
+++ b/scheduler/waiting_tasks_test.cc
@@ -67,5 +67,42 @@
   BOOST_TEST(waits[1].task.job == "second");
 }
 
+// Guards against an operator who adds boxes for a task that waits for the end
+// of an evacuation.
+BOOST_AUTO_TEST_CASE(ExplanationNamesTheEvacuationAndTheTasksAhead) {
+  Bench bench(1);
+  WorkerInfo info = Bench::Worker("w");
+  info.zone = "z";
+  bench.scheduler.UpdateWorker(info, bench.now);
+  bench.Report("w", {});
+  bench.scheduler.SetEvacuatedZones({"z"});
+  jobs::Step step = Bench::OneTask();
+  step.tasks = 3;
+  bench.AddJob("first", step);
+  bench.now += seconds(1);
+  bench.AddJob("second");
+  bench.RunPass();
+  const auto explained = bench.scheduler.ExplainJob("second", 4, bench.now);
+  BOOST_REQUIRE((explained && explained->tasks.size() == 1U));
+  BOOST_TEST(explained->tasks[0].waits_for == kWaitsForEvacuation);
+  BOOST_TEST(explained->tasks[0].ahead.value_or(-1) == 3);
+}
+
+BOOST_AUTO_TEST_CASE(ExplanationNamesTheStoreUntilThePlacementIsSaved) {
+  Bench bench(1);
+  bench.scheduler.UpdateWorker(Bench::Worker("w"), bench.now);
+  bench.Report("w", {});
+  bench.AddJob("job");
+  const auto task = [&bench] {
+    return bench.scheduler.ExplainJob("job", 4, bench.now).value().tasks.at(0);
+  };
+  const auto saves = Only<SaveProgress>(bench.RunPass());
+  BOOST_TEST((task().state == TaskState::kPlaced));
+  BOOST_TEST(task().waits_for == kWaitsForStore);
+  bench.Save(saves);
+  BOOST_TEST(task().waits_for.empty());
+  BOOST_TEST(!task().is_at_work);
+}
+
 }  // namespace
 }  // namespace quartzhoist::scheduler
--- a/testing/job_cluster.cc
+++ b/testing/job_cluster.cc
@@ -86,7 +86,7 @@
   std::ofstream(settings) << fmt::format(
       "[daemon]\nid = {}\nzone = z\n"
       "[listen]\ncallers = 127.0.0.1:0\n"
-      "readiness = 127.0.0.1:0\n"
+      "readiness = 127.0.0.1:0\nmetrics = 127.0.0.1:0\n"
       "[store]\naddress = {}\n[boxes]\naddress = {}\n"
       "[limits]\nmove_seconds = 0.4\nupkeep_seconds = 0.4\n"
       "stop_ms = 100\nworkers_an_owner = {}\n",
@@ -102,6 +102,7 @@
   const std::string host = "127.0.0.1:";
   daemon.callers = host + daemon.process->WaitForField("callers_port");
   daemon.readiness = host + daemon.process->WaitForField("readiness_port");
+  daemon.metrics = host + daemon.process->WaitForField("metrics_port");
   return daemon;
 }
 
--- a/testing/job_cluster.h
+++ b/testing/job_cluster.h
@@ -33,6 +33,7 @@
     std::unique_ptr<Process> process;
     std::string callers;  // ip:port
     std::string readiness;
+    std::string metrics;
   };
 
   // Callers show this access key from now on; empty: none.
