--- a/entry/manager.h
+++ b/entry/manager.h
@@ -19,6 +19,7 @@
 #include "base/loop.h"
 #include "entry/box_calls.h"
 #include "entry/box_lister.h"
+#include "entry/explain.h"
 #include "entry/quota_records.h"
 #include "entry/save_policy.h"
 #include "entry/save_queue.h"
@@ -75,6 +76,8 @@
   ShardLoad Load() const;
   // Number of long-running tasks that are stalled.
   int CountStalledTasks() const { return this->scheduler.CountStalledTasks(); }
+  // The job, if it is known; valid until the next event.
+  std::optional<OwnedJob> Explain(const std::string& job) const;
   // JSON for the state dump.
   std::string Dump() const;
 
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -190,6 +190,11 @@
   std::vector<std::string> OrganisationsOverRate(base::Micros now) const {
     return this->guaranteed_rates.OverRate(now);
   }
+  // The job's tasks that are not over, at most `most`; nothing if the job is
+  // not known.
+  std::optional<ExplainedTasks> ExplainJob(const std::string& id,
+                                           std::size_t most,
+                                           base::Micros now) const;
   // Quota needs in this shard of the organisations that have a quota.
   std::map<std::string, QuotaNeed> QuotaNeeds() const {
     return this->quotas.Needs();
@@ -469,6 +474,12 @@
                     std::vector<WaitingTask>& waits) const;
   void ReportStalledTasks(base::Micros now);
   bool CanTellWhatIsAtWork(base::Micros now) const;
+  ExplainedTask ExplainTask(const Job& job,
+                            const TaskPosition& position,
+                            base::Micros now) const;
+  bool FitsInEvacuatedZone(const Job& job, const TaskPosition& position) const;
+  void AddQueuePositions(const Job& job,
+                         std::vector<ExplainedTask>& tasks) const;
 
   // fleet
   void RunFleet(base::Micros now);
