--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -30,6 +30,9 @@
 constexpr base::Micros kMinLeaseWriteInterval = milliseconds(40);
 constexpr int kMaxSavesInFlight = 2;
 constexpr std::size_t kMaxWaitsLogged = 4;
+
+// Maximum number of queues whose expected waits are logged each second.
+constexpr std::size_t kMaxExpectedWaitsLogged = 8;
 // Shorter expected waits are not reported: a pass of placement and a plan of
 // boxes take as long.
 constexpr base::Micros kMinReportedWait = milliseconds(250);
@@ -346,8 +349,17 @@
   return waits;
 }
 
+// Queues of one pool and priority have the same wait, and a pool may have
+// dozens of queues.
 void ShardManager::LogExpectedWaits(base::Micros now) const {
-  for (const auto& [queue, wait] : this->Waits(now)) {
+  const std::map<std::string, ReportedWait> waits = this->Waits(now);
+  std::vector<std::pair<std::string, ReportedWait>> longest(
+      std::min(waits.size(), kMaxExpectedWaitsLogged));
+  std::partial_sort_copy(waits.begin(), waits.end(), longest.begin(),
+                         longest.end(), [](const auto& a, const auto& b) {
+                           return a.second.over_rate_ms > b.second.over_rate_ms;
+                         });
+  for (const auto& [queue, wait] : longest) {
     base::Log(base::Event::kExpectedWait,
               {{"shard", this->shard.number},
                {"queue", queue},
