One limit of calls a second, and one rule of access

Cause: admission and wait explanations each had a limit of calls a second, and the rule whose job it is stood twice. Change: entry/call_limit serves both; the explanations' rule is that of job access without any open queue.

--- a/entry/admission.cc
+++ b/entry/admission.cc
@@ -135,15 +135,6 @@
                              : "cannot be done in time"};
 }
 
-bool CallLimit::Take(base::Micros now) {
-  while (!this->calls.empty() && now - this->calls.front() >= seconds(1))
-    this->calls.pop_front();
-  if (this->calls.size() >= this->max_calls)
-    return false;
-  this->calls.push_back(now);
-  return true;
-}
-
 void UnknownOutcomes::Add(const std::string& job, base::Micros now) {
   this->Rotate(now);
   Generation& current = this->generations.front();
--- a/entry/admission.h
+++ b/entry/admission.h
@@ -8,7 +8,6 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <random>
 #include <set>
@@ -66,20 +65,6 @@
   std::mt19937_64 random;
 };
 
-// Limits calls to a number in any second.
-class CallLimit {
- public:
-  explicit CallLimit(std::size_t calls_per_second)
-      : max_calls(calls_per_second) {}
-
-  // Returns whether a call may be made now, and counts it if so.
-  bool Take(base::Micros now);
-
- private:
-  std::size_t max_calls;
-  std::deque<base::Micros> calls;  // of the last second, oldest first
-};
-
 // Jobs whose submission ended with an unknown outcome. Their rows may still
 // appear in the store after a read did not find them.
 class UnknownOutcomes {
--- a/entry/admission_test.cc
+++ b/entry/admission_test.cc
@@ -13,6 +13,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "entry/admission.h"
+#include "entry/call_limit.h"
 #include "entry/ownerships.h"
 #include "testing/store_bench.h"
 
--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -18,6 +18,7 @@
 #include "base/counters.h"
 #include "base/loop.h"
 #include "entry/admission.h"
+#include "entry/call_limit.h"
 #include "entry/job_access.h"
 #include "entry/tables.h"
 #include "http/server.h"
--- a/entry/explain.cc
+++ b/entry/explain.cc
@@ -151,22 +151,8 @@
 JobAccess DecideExplainAccess(const jobs::Config& config,
                               const std::string& caller,
                               const JobOrigin& origin) {
-  if (!config.keys_required)
-    return JobAccess::kAllowed;
-  if (!origin.organisation)
-    return JobAccess::kUndecided;
-  const bool is_allowed =
-      origin.organisation->empty() || *origin.organisation == caller;
-  return is_allowed ? JobAccess::kAllowed : JobAccess::kDenied;
-}
-
-bool ExplainLimit::Take(base::Micros now) {
-  std::optional<base::Micros>& slot = this->taken[this->oldest];
-  if (slot && now - *slot < std::chrono::seconds(1))
-    return false;
-  slot = now;
-  this->oldest = (this->oldest + 1) % kPerSecond;
-  return true;
+  return DecideJobAccess(config, caller,
+                         {.organisation = origin.organisation, .queue = {}});
 }
 
 }  // namespace quartzhoist::entry
--- a/entry/explain.h
+++ b/entry/explain.h
@@ -3,7 +3,6 @@
 #ifndef ENTRY_EXPLAIN_H_
 #define ENTRY_EXPLAIN_H_
 
-#include <array>
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -19,6 +18,9 @@
 namespace quartzhoist::entry {
 
 inline constexpr std::size_t kMaxExplainedTasks = 50;
+// Explanations of a daemon: they must take nothing from scheduling on a small
+// box.
+inline constexpr std::size_t kMaxExplanationsPerSecond = 4;
 
 // A job as the owner of its shard sees it.
 struct OwnedJob {
@@ -49,21 +51,6 @@
                               const std::string& caller,
                               const JobOrigin& origin);
 
-// Limits the explanations that a daemon gives per second, so that they take
-// nothing from scheduling on a small box.
-class ExplainLimit {
- public:
-  // False if the limit is reached; the request is then not counted.
-  bool Take(base::Micros now);
-
- private:
-  static constexpr std::size_t kPerSecond = 4;
-
-  // Times of the latest requests, in a ring that begins at `oldest`.
-  std::array<std::optional<base::Micros>, kPerSecond> taken;
-  std::size_t oldest = 0;
-};
-
 }  // namespace quartzhoist::entry
 
 #endif  // ENTRY_EXPLAIN_H_
--- a/entry/explain_api.h
+++ b/entry/explain_api.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "base/clock.h"
+#include "entry/call_limit.h"
 #include "entry/explain.h"
 #include "entry/job_access.h"
 #include "http/server.h"
@@ -52,7 +53,7 @@
 
   platform::Store& store;
   Sources sources;
-  ExplainLimit limit;
+  CallLimit limit{kMaxExplanationsPerSecond};
 };
 
 }  // namespace quartzhoist::entry
--- a/entry/explain_test.cc
+++ b/entry/explain_test.cc
@@ -11,6 +11,7 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
+#include "entry/call_limit.h"
 #include "entry/explain.h"
 #include "entry/explain_api.h"
 #include "entry/tables.h"
@@ -99,7 +100,7 @@
 
 // Guards against explanations that take a small box's time from scheduling.
 BOOST_AUTO_TEST_CASE(FourExplanationsAreGivenInAnySecond) {
-  ExplainLimit limit;
+  CallLimit limit(kMaxExplanationsPerSecond);
   const base::Micros start = seconds(100);
   for (int i = 0; i < 4; ++i)
     BOOST_TEST(limit.Take(start + i * milliseconds(200)));
