Briefs of the new modules say what each does

Cause: comments that began with What, Who, Why or Of named a question instead of the thing. Change: comments only, in the headers of the new modules.

--- a/client/commands.h
+++ b/client/commands.h
@@ -17,8 +17,8 @@
 void Status(const std::vector<std::string>& daemons, bool json);
 // One daemon's whole state, as JSON.
 void Dump(const std::string& daemon, bool json);
-// Why a job's tasks wait, as a daemon knows it. `key_file` holds the access
-// key,
+// Prints a daemon's explanation why a job's tasks wait. `key_file` holds the
+// access key,
 // "-" is the standard input; empty: no key is sent.
 void Explain(const std::string& job,
              const std::string& daemon,
--- a/entry/admission.h
+++ b/entry/admission.h
@@ -39,7 +39,7 @@
 // Whether expected waits affect any job under this configuration.
 bool IsAdmissionInForce(const jobs::Config& config);
 
-// What the expected wait in a shard means for a job.
+// Consequence of a shard's expected wait for a job.
 enum class Timeliness {
   kOnTime,  // done within its objective, or nothing is known of its wait
   kLate,    // done later, but still useful
--- a/entry/job_access.h
+++ b/entry/job_access.h
@@ -18,7 +18,7 @@
 
 bool IsJobId(std::string_view text);
 
-// Who submitted a job, and to which queue.
+// Organisation that submitted a job, and its queue.
 struct JobOrigin {
   // Empty if the job was accepted without one; nothing if it is not known.
   std::optional<std::string> organisation;
@@ -38,7 +38,7 @@
                           const std::string& caller,
                           const JobOrigin& origin);
 
-// What a job's accepted row says of its origin.
+// Origin of a job as its accepted row names it.
 struct AcceptedOrigin {
   bool is_known = false;            // the store has answered
   std::optional<JobOrigin> origin;  // nothing if the row is gone
--- a/scheduler/expected_waits.cc
+++ b/scheduler/expected_waits.cc
@@ -212,7 +212,7 @@
   }
 }
 
-// Of one task of the step.
+// Work of one task of the step.
 Work Scheduler::WorkOf(const Job& job, const jobs::Step& step) const {
   const double cores = CoresOf(ReservedBy(step).cpu_millis);
   return {.core_seconds = cores * base::Seconds(this->ExpectedRun(job, step)),
--- a/scheduler/expected_waits.h
+++ b/scheduler/expected_waits.h
@@ -1,5 +1,5 @@
-// Expected wait of a new job for its first start, by queue: the work of the
-// tasks that would be placed before it, divided by the cores of its pool.
+// Estimates how long a new job of each queue waits for its first start: the
+// work of the tasks placed before it, divided by the cores of its pool.
 
 #ifndef SCHEDULER_EXPECTED_WAITS_H_
 #define SCHEDULER_EXPECTED_WAITS_H_
@@ -39,7 +39,7 @@
   Work late_or_over_rate;
 };
 
-// What the expected waits for one pool are computed from.
+// Input of the expected waits of one pool.
 struct PoolWork {
   // Adds work of a task of this class; expired work is left out.
   void Add(int priority, SchedulingClass scheduling_class, const Work& work);
--- a/scheduler/expected_waits_test.cc
+++ b/scheduler/expected_waits_test.cc
@@ -1,4 +1,4 @@
-// Expected waits of new jobs: from the work of pools, and from a scheduler's
+// Tests of the expected waits, computed from pools' work and from a scheduler's
 // tasks, workers and plan of boxes.
 
 #include <cstdint>
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -79,7 +79,7 @@
 // Upper limit of a pool's load; also the load of a pool without any cores.
 inline constexpr int kMaxLoadPercent = 1000;
 
-// Why a box takes no further tasks.
+// Reason for which a box takes no further tasks.
 enum class LeavingReason {
   kReclaimed,          // emptied for a move to a pool that is short of cores
   kMoving,             // a move is about to be called, or has no outcome yet
--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -62,7 +62,7 @@
          reason != WaitReason::kNoSuitableWorker;
 }
 
-// Why a job has failed.
+// Cause of a job's failure.
 enum class FailureCause {
   kAttempts,  // a task's attempts are used up
   kGivenUp,   // workers crash while running a task
--- a/scheduler/stalled_tasks.h
+++ b/scheduler/stalled_tasks.h
@@ -1,5 +1,5 @@
-// Long-running tasks that have not been known to be at work for some seconds:
-// which there are, and what is to be reported of them.
+// Detects long-running tasks that have not been known to be at work for some
+// seconds, and reports them.
 
 #ifndef SCHEDULER_STALLED_TASKS_H_
 #define SCHEDULER_STALLED_TASKS_H_
@@ -49,7 +49,7 @@
     std::map<StepPosition, base::Micros> expected_since;
     std::map<TaskPosition, Stall> stalls;
   };
-  // What one evaluation finds in a job.
+  // Result of one evaluation of a job.
   struct Findings {
     bool has_changed = false;
     int counted = 0;
