Probe a store that seems away

Cause: a daemon whose store seemed away learned of its return only from calls in flight, whose time limits are 1.5 s and more. After a store that had answered nothing daemons accepted jobs after up to 2.1 s. Calls on connections that had stopped answering held up whatever waited for them.

Change: while the store seems away, a read of an empty range is sent on a new connection every 200 to 250 ms with a time limit of 450 ms, above what a slow store takes. If calls got no answer and a probe's answer ends the outage, calls that have been in flight for much longer than the probe are given up, and connections used before are not used again. The daemon is ready as soon as the store has answered, not only after its feed has.

Nothing is sent outside outages.

--- a/base/counters.h
+++ b/base/counters.h
@@ -27,6 +27,8 @@
   kJobsFailed,
   kRejectedByWait,
   kRejectedOverRate,
+  kStoreOutages,
+  kStoreOutageMillis,
   kCount,
 };
 
@@ -57,6 +59,8 @@
     {"rejected_over_rate",
      "Jobs over their organisation's rate rejected since they could not be "
      "done in time"},
+    {"store_outages", "Outages of the store as seen by this daemon"},
+    {"store_outage_ms", "Milliseconds of them"},
 }};
 
 class Counters {
--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -113,6 +113,10 @@
         });
   }
   const std::uint64_t seed = MakeSeed(chosen.id);
+  // The feed of the owner rows answers later, after its wait.
+  this->store.EnableProbes(this->loop, seed, [this] {
+    this->last_store_answer = base::MonotonicNow();
+  });
   base::Log(base::Event::kDaemonStarted,
             {{"id", chosen.id},
              {"zone", chosen.zone},
--- a/http/client.cc
+++ b/http/client.cc
@@ -28,6 +28,8 @@
 // After a silence on a used connection its siblings are passed over for so
 // long: until those that are dead as well have been found by their probes.
 constexpr base::Micros kFreshAfterSilence = std::chrono::seconds(3);
+// The library's own limit: an idle connection is not used after so long.
+constexpr long kMaxIdleSeconds = 118;
 
 // The "ip:port" of "http://ip:port/path".
 std::string HostOf(const std::string& url) {
@@ -67,6 +69,7 @@
 struct Client::Call {
   Client* client;
   RequestId id;
+  base::Micros sent_at{};
   CURL* easy;
   ClientRequest request;
   std::function<void(ClientResult)> done;
@@ -242,6 +245,8 @@
     curl_easy_setopt(
         easy, CURLOPT_TIMEOUT_MS,
         static_cast<long>(std::max<std::int64_t>(1, millis.count())));
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
+                     call.client->MaxIdleSeconds(HostOf(call.request.url)));
     if (call.request.fresh_connection ||
         call.client->WantsFresh(HostOf(call.request.url))) {
       curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
@@ -280,6 +285,7 @@
   auto call = std::make_unique<Call>();
   call->client = this;
   call->id = ++this->last_id;
+  call->sent_at = base::MonotonicNow();
   call->request = std::move(request);
   call->done = std::move(done);
   if (this->idle_handles.empty()) {
@@ -315,6 +321,22 @@
   }
 }
 
+void Client::GiveUpSilent(const std::string& host, base::Micros limit) {
+  const base::Micros now = base::MonotonicNow();
+  std::vector<RequestId> ids;
+  for (const auto& [id, call] : this->calls) {
+    if (now - call->sent_at > limit && HostOf(call->request.url) == host)
+      ids.push_back(id);
+  }
+  this->fresh_until[host] = now + kFreshAfterSilence;
+  this->silent_at[host] = now;
+  for (const RequestId id : ids) {
+    const auto found = this->calls.find(id);
+    if (found != this->calls.end())
+      this->Complete(*found->second, CURLE_OPERATION_TIMEDOUT);
+  }
+}
+
 void Client::Act(int fd, int events) {
   const int mask = ((events & EV_READ) ? CURL_CSELECT_IN : 0) |
                    ((events & EV_WRITE) ? CURL_CSELECT_OUT : 0);
@@ -383,6 +405,17 @@
   return false;
 }
 
+// The library counts whole seconds, rounded down. No connection is kept in the
+// first kFreshAfterSilence, so that the second less excludes none of later.
+long Client::MaxIdleSeconds(const std::string& host) const {
+  const auto found = this->silent_at.find(host);
+  if (found == this->silent_at.end())
+    return kMaxIdleSeconds;
+  const auto since = std::chrono::duration_cast<std::chrono::seconds>(
+      base::MonotonicNow() - found->second);
+  return std::clamp(static_cast<long>(since.count()) - 1, 1L, kMaxIdleSeconds);
+}
+
 void Client::Release(RequestId id) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end())
--- a/http/client.h
+++ b/http/client.h
@@ -69,6 +69,10 @@
   // Gives up all requests: each `done` is called, before this returns, as if
   // no answer had come.
   void GiveUpAll();
+  // The same for requests to `host` ("ip:port") that have been in flight for
+  // longer than `limit`, and never uses again a connection to it that was used
+  // before now: all of them may have fallen silent.
+  void GiveUpSilent(const std::string& host, base::Micros limit);
 
   std::size_t in_flight() const { return this->calls.size(); }
   std::uint64_t bytes_sent() const { return this->total_sent; }
@@ -85,6 +89,7 @@
   void Release(RequestId id);
   void NoteSilence(const Call& call);
   bool WantsFresh(const std::string& host);
+  long MaxIdleSeconds(const std::string& host) const;
 
   base::Loop& loop;
   Options options;
@@ -94,6 +99,8 @@
   std::unordered_map<int, std::unique_ptr<Watched>> sockets;
   // By "ip:port": until when no used connection to it is trusted.
   std::unordered_map<std::string, base::Micros> fresh_until;
+  // By "ip:port": connections to it that were last used before are not trusted.
+  std::unordered_map<std::string, base::Micros> silent_at;
   std::vector<void*> idle_handles;
   std::vector<std::unique_ptr<Watched>> retired;
   RequestId last_id = 0;
