Retry-After grows with an outage of the store

Cause: "the store is away" and "the store does not take writes now" told all callers to come back after 1 s, so that those who were refused together returned together.

Change: OutageRetryAfter adds a random part whose bound is the length of the outage so far, up to 2 s, in whole seconds. The length counts from the first failure in a row, or from the first write that failed without a later one that was answered.

Result: 1 s at the beginning, evenly 1 to 3 s from 2 s on.

--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -7,6 +7,7 @@
 #include "base/event_log.h"
 #include "entry/caller_rights.h"
 #include "entry/caller_status.h"
+#include "entry/outage_retry.h"
 #include "jobs/progress.h"
 #include "platform/records.h"
 #include "platform/table_reader.h"
@@ -59,6 +60,7 @@
 void CallerApi::SetAdmission(LoadSource source, std::uint64_t seed) {
   this->loads = std::move(source);
   this->admission.emplace(seed);
+  this->random.seed(seed + 1);
 }
 
 void CallerApi::OnConfigConfirmed(base::Micros time) {
@@ -130,9 +132,10 @@
     return;
   }
   // Fails at once instead of starting a call that is expected to fail. The
-  // feeds keep polling and so detect when the store is back.
+  // store's probes and the feeds detect when it is back.
   if (this->store.SeemsAway()) {
-    this->Refuse(exchange, kServiceUnavailable, "", "the store is away");
+    this->Refuse(exchange, kServiceUnavailable, "", "the store is away",
+                 this->RetryAfterOutage());
     return;
   }
   // A configuration that the feed has not confirmed for half of the time in
@@ -237,6 +240,10 @@
     this->Refuse(exchange, kMethodNotAllowed, job, "POST, GET or DELETE");
 }
 
+std::chrono::seconds CallerApi::RetryAfterOutage() {
+  return OutageRetryAfter(this->store.OutageLength(), this->random);
+}
+
 // --- Queries, cancellation, counts ---
 
 // Passes the job's progress row to `on_found`. Answers the caller itself if the
@@ -382,7 +389,8 @@
                    "it is not known whether the job is cancelled: ask again");
     else
       this->Refuse(cancel.exchange, kServiceUnavailable, cancel.job,
-                   "the store does not take writes now");
+                   "the store does not take writes now",
+                   this->RetryAfterOutage());
   });
 }
 
--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -159,6 +160,7 @@
               std::string_view job,
               std::string_view reason,
               std::chrono::seconds retry_after = std::chrono::seconds(1)) const;
+  std::chrono::seconds RetryAfterOutage();
 
   platform::Store& store;
   base::Counters& counters;
@@ -169,6 +171,8 @@
   base::Micros config_confirmed{};
   // Requests waiting for a read of the configuration.
   std::vector<http::ExchangePtr> awaiting_config;
+  // For the answers while the store is away.
+  std::mt19937_64 random;
   // Absent until SetAdmission().
   std::optional<Admission> admission;
   LoadSource loads;
--- a/entry/caller_submissions.cc
+++ b/entry/caller_submissions.cc
@@ -326,7 +326,8 @@
         permanent || result.outcome == platform::WriteOutcome::kNotDone;
     if (refused && !submission.may_be_written) {
       this->Refuse(submission.exchange, kServiceUnavailable, submission.job,
-                   "the store does not take writes now");
+                   "the store does not take writes now",
+                   this->RetryAfterOutage());
       continue;
     }
     this->ScheduleRetry(part, std::move(submission));
