Hold requests briefly at the start of a daemon

Change: a daemon without a configuration or the number of shards holds up to 64 requests for up to 100 ms and serves them once it knows both; otherwise it answers 503 as before. It holds none while the store seems away. Counter held_at_start.

Result: a request that arrives before the configuration is served.

--- a/base/counters.h
+++ b/base/counters.h
@@ -29,6 +29,7 @@
   kRejectedOverRate,
   kStoreOutages,
   kStoreOutageMillis,
+  kHeldAtStart,
   kCount,
 };
 
@@ -61,6 +62,9 @@
      "done in time"},
     {"store_outages", "Outages of the store as seen by this daemon"},
     {"store_outage_ms", "Milliseconds of them"},
+    {"held_at_start",
+     "Requests held by a daemon that had just started until it could serve "
+     "them"},
 }};
 
 class Counters {
--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -43,6 +43,7 @@
     : store(store),
       counters(counters),
       on_config_row(std::move(on_config_row)),
+      hold_timer(loop, [this] { this->AnswerHeld(); }),
       reads_before_rejection(kMaxReadsBeforeRejectionPerSecond),
       retry_timer(loop, [this] { this->RetryWrites(); }),
       rejection_timer(loop, [this] { this->AdmitOverdue(); }) {}
@@ -50,11 +51,13 @@
 void CallerApi::SetConfig(const jobs::Config& next) {
   this->config = next;
   this->OnConfigConfirmed(base::MonotonicNow());
+  this->ScheduleHeld();
 }
 
 void CallerApi::SetShards(int count, ChooseShard choose) {
   this->shards = count;
   this->choose_shard = std::move(choose);
+  this->ScheduleHeld();
 }
 
 void CallerApi::SetAdmission(LoadSource source, std::uint64_t seed) {
@@ -72,6 +75,9 @@
 }
 
 void CallerApi::Shutdown() {
+  for (const http::ExchangePtr& exchange :
+       this->held_at_start.Take(base::Micros::max(), false))
+    this->Refuse(exchange, kServiceUnavailable, "", "this daemon leaves");
   for (auto& [choice, submission] : std::exchange(this->unassigned, {}))
     this->Refuse(submission.exchange, kServiceUnavailable, submission.job,
                  "this daemon leaves");
@@ -122,6 +128,35 @@
 
 void CallerApi::Handle(const http::ExchangePtr& exchange) {
   this->counters.Add(base::Counter::kRequests);
+  const bool is_held = !this->CanServe() && !this->store.SeemsAway() &&
+                       this->held_at_start.Add(exchange, base::MonotonicNow());
+  if (!is_held) {
+    this->Serve(exchange);
+    return;
+  }
+  this->counters.Add(base::Counter::kHeldAtStart);
+  this->ScheduleHeld();
+}
+
+// Held requests are served from the timer, after whoever called SetShards has
+// set everything else.
+void CallerApi::ScheduleHeld() {
+  const std::optional<base::Micros> expiry = this->held_at_start.next_expiry();
+  if (!expiry)
+    return;
+  const base::Micros delay =
+      this->CanServe() ? base::Micros(1) : *expiry - base::MonotonicNow();
+  this->hold_timer.StartOnce(std::max(delay, base::Micros(1)));
+}
+
+void CallerApi::AnswerHeld() {
+  for (const http::ExchangePtr& exchange :
+       this->held_at_start.Take(base::MonotonicNow(), this->CanServe()))
+    this->Serve(exchange);
+  this->ScheduleHeld();
+}
+
+void CallerApi::Serve(const http::ExchangePtr& exchange) {
   if (!this->config) {
     this->Refuse(exchange, kServiceUnavailable, "", "no configuration yet");
     return;
--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -21,6 +21,7 @@
 #include "entry/admission.h"
 #include "entry/call_limit.h"
 #include "entry/job_access.h"
+#include "entry/start_hold.h"
 #include "entry/tables.h"
 #include "http/server.h"
 #include "jobs/queue.h"
@@ -46,7 +47,7 @@
                          const std::string& organisation,
                          std::function<void(int shard)> on_chosen)>;
   // The number of shards and the function that assigns a job to one of them.
-  // Requests are refused until this is called.
+  // Until this is called, requests are held briefly and then refused.
   void SetShards(int count, ChooseShard choose);
   struct LoadSource {
     // Reads the shard's load unless it is recent, and calls `on_read` then or
@@ -116,6 +117,10 @@
   // each consecutive unknown outcome.
   static constexpr base::Micros kWriteRetryDelay{60'000};
 
+  bool CanServe() const { return this->config && this->shards > 0; }
+  void Serve(const http::ExchangePtr& exchange);
+  void ScheduleHeld();
+  void AnswerHeld();
   void Dispatch(const http::ExchangePtr& exchange, ConfigSource source);
   void ReadConfig(const http::ExchangePtr& exchange);
   void OnConfigRead(const std::optional<platform::ReadResult>& result,
@@ -154,13 +159,13 @@
   void Cancel(const JobRequest& request);
   void WriteCancel(const Cancellation& cancel);
   void AnswerCount(const http::ExchangePtr& exchange, const std::string& queue);
+  std::chrono::seconds RetryAfterOutage();
   void Reply(const http::ExchangePtr& exchange, http::Response response) const;
   void Refuse(const http::ExchangePtr& exchange,
               int status,
               std::string_view job,
               std::string_view reason,
               std::chrono::seconds retry_after = std::chrono::seconds(1)) const;
-  std::chrono::seconds RetryAfterOutage();
 
   platform::Store& store;
   base::Counters& counters;
@@ -171,6 +176,8 @@
   base::Micros config_confirmed{};
   // Requests waiting for a read of the configuration.
   std::vector<http::ExchangePtr> awaiting_config;
+  StartHold<http::ExchangePtr> held_at_start;
+  base::Timer hold_timer;
   // For the answers while the store is away.
   std::mt19937_64 random;
   // Absent until SetAdmission().
