Process tests of outages of the store

Cause: no test with real daemons played a slow store, a narrow link, or the time until each daemon accepts jobs after an outage.

Change: the store stand-in can answer late and the link can pass few bytes a second.

--- a/testing/store_standin.cc
+++ b/testing/store_standin.cc
@@ -61,7 +61,11 @@
 
 StoreStandin::StoreStandin(base::Loop& on, std::uint16_t port)
     : loop(on),
-      timer(on, [this] { this->AnswerWaiting(); }),
+      timer(on,
+            [this] {
+              this->HandleDelayed();
+              this->AnswerWaiting();
+            }),
       server(on, {.port = port}, [this](const http::ExchangePtr& exchange) {
         this->Handle(exchange);
       }) {
@@ -147,6 +151,13 @@
 }
 
 void StoreStandin::Handle(const http::ExchangePtr& exchange) {
+  if (this->delay > base::Micros::zero())
+    this->delayed.emplace_back(base::MonotonicNow() + this->delay, exchange);
+  else
+    this->HandleNow(exchange);
+}
+
+void StoreStandin::HandleNow(const http::ExchangePtr& exchange) {
   const bool is_write = exchange->request().path == "/rows-tx";
   const Mood now = this->MoodOf(exchange->request().path);
   this->write_count += is_write;
@@ -282,6 +293,15 @@
   return true;
 }
 
+void StoreStandin::HandleDelayed() {
+  const base::Micros now = base::MonotonicNow();
+  while (!this->delayed.empty() && this->delayed.front().first <= now) {
+    const http::ExchangePtr exchange = this->delayed.front().second;
+    this->delayed.pop_front();
+    this->HandleNow(exchange);
+  }
+}
+
 void StoreStandin::AnswerWaiting() {
   if (this->mood == Mood::kSilent)
     return;
--- a/testing/store_standin.h
+++ b/testing/store_standin.h
@@ -41,6 +41,8 @@
 
   std::string address() const;
   void SetMood(Mood mood) { this->mood = mood; }
+  // All further calls are carried out, and answered, after this delay.
+  void SetDelay(base::Micros span) { this->delay = span; }
   // Treatment of the next writes, one each, before the mood applies again.
   void SetNextWrites(std::deque<Mood> moods) {
     this->next_writes = std::move(moods);
@@ -85,11 +87,13 @@
   };
 
   void Handle(const http::ExchangePtr& exchange);
+  void HandleNow(const http::ExchangePtr& exchange);
   Mood MoodOf(const std::string& path);
   void Write(const http::ExchangePtr& exchange, Mood now);
   void Read(const http::ExchangePtr& exchange);
   void Feed(const http::ExchangePtr& exchange);
   bool AnswerFeed(const Waiting& waiting, bool over);
+  void HandleDelayed();
   void AnswerWaiting();
   nlohmann::json RowJson(const platform::RowKey& at) const;
   // Why it can never take the write; empty: it can.
@@ -97,6 +101,8 @@
 
   base::Loop& loop;
   Mood mood = Mood::kWell;
+  base::Micros delay{};
+  std::deque<std::pair<base::Micros, http::ExchangePtr>> delayed;  // until
   std::deque<Mood> next_writes;
   std::deque<Mood> next_reads;
   platform::Deployment can;
--- a/testing/tcp_link.h
+++ b/testing/tcp_link.h
@@ -1,9 +1,10 @@
-// A loopback link to a server that can fall silent, without a reset: only a
-// time limit shows it.
+// A loopback link to a server that can fall silent, without a reset, so that
+// only a time limit shows it, or become narrow.
 
 #ifndef TESTING_TCP_LINK_H_
 #define TESTING_TCP_LINK_H_
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <vector>
@@ -28,6 +29,9 @@
   void SilenceOpen();
   // Nothing passes, on old connections or on new ones, until Join.
   void Cut() { this->is_cut = true; }
+  // Passes so many bytes a second in each direction, over all connections; 0:
+  // without a limit.
+  void SetRate(std::size_t bytes_per_second);
   // New connections work; those from before stay silent.
   void Join();
 
@@ -41,7 +45,8 @@
   };
 
   void Accept();
-  void Pass(Connection& connection, int from, int to);
+  void Pass(Connection& connection, bool from_caller);
+  void Refill();
   void Close(Connection& connection);
 
   base::Loop& loop;
@@ -49,6 +54,11 @@
   base::IpAddress bound;
   int listener = -1;
   bool is_cut = false;
+  std::size_t rate = 0;  // bytes a second; 0: not limited
+  // Bytes that may pass until the next refill.
+  std::size_t budget_to_server = 0;
+  std::size_t budget_to_caller = 0;
+  base::Timer refill_timer;
   std::vector<std::unique_ptr<Connection>> open;
   // A connection's own callback may close it: kept until the next one comes.
   std::vector<std::unique_ptr<Connection>> closed;
