--- a/base/counters.h
+++ b/base/counters.h
@@ -27,6 +27,9 @@
   kJobsFailed,
   kRejectedByWait,
   kRejectedOverRate,
+  kStoreOutages,
+  kStoreOutageMillis,
+  kHeldAtStart,
   kCount,
 };
 
@@ -57,6 +60,11 @@
     {"rejected_over_rate",
      "Jobs over their organisation's rate rejected since they could not be "
      "done in time"},
+    {"store_outages", "Outages of the store as seen by this daemon"},
+    {"store_outage_ms", "Milliseconds of them"},
+    {"held_at_start",
+     "Requests held by a daemon that had just started until it could serve "
+     "them"},
 }};
 
 class Counters {
--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -7,6 +7,7 @@
 #include "base/event_log.h"
 #include "entry/caller_rights.h"
 #include "entry/caller_status.h"
+#include "entry/outage_retry.h"
 #include "jobs/progress.h"
 #include "platform/records.h"
 #include "platform/table_reader.h"
@@ -24,6 +25,12 @@
 // otherwise the store is read first, which takes a few ms. Limits the reads
 // under a flood of such requests to four a second.
 constexpr base::Micros kMaxConfigAge = milliseconds(250);
+// A read of the configuration without an answer is made once more after this,
+// so that one that was lost at the end of an outage does not hold up requests
+// for the time limit of reads. A slow store (80 times 4 ms) stays below it.
+constexpr base::Micros kFirstConfigReadTimeout = milliseconds(450);
+// The HTTP library ends a call in whole milliseconds of its own clock.
+constexpr base::Micros kTimeoutPrecision = milliseconds(5);
 // Reads of progress rows before rejections. More would cost a store that serves
 // 6,000 reads a second, shared by some 30 daemons, too much under overload.
 constexpr std::size_t kMaxReadsBeforeRejectionPerSecond = 100;
@@ -42,6 +49,7 @@
     : store(store),
       counters(counters),
       on_config_row(std::move(on_config_row)),
+      hold_timer(loop, [this] { this->AnswerHeld(); }),
       reads_before_rejection(kMaxReadsBeforeRejectionPerSecond),
       retry_timer(loop, [this] { this->RetryWrites(); }),
       rejection_timer(loop, [this] { this->AdmitOverdue(); }) {}
@@ -49,16 +57,19 @@
 void CallerApi::SetConfig(const jobs::Config& next) {
   this->config = next;
   this->OnConfigConfirmed(base::MonotonicNow());
+  this->ScheduleHeld();
 }
 
 void CallerApi::SetShards(int count, ChooseShard choose) {
   this->shards = count;
   this->choose_shard = std::move(choose);
+  this->ScheduleHeld();
 }
 
 void CallerApi::SetAdmission(LoadSource source, std::uint64_t seed) {
   this->loads = std::move(source);
   this->admission.emplace(seed);
+  this->random.seed(seed + 1);
 }
 
 void CallerApi::OnConfigConfirmed(base::Micros time) {
@@ -70,6 +81,9 @@
 }
 
 void CallerApi::Shutdown() {
+  for (const http::ExchangePtr& exchange :
+       this->held_at_start.Take(base::Micros::max(), false))
+    this->Refuse(exchange, kServiceUnavailable, "", "this daemon leaves");
   for (auto& [choice, submission] : std::exchange(this->unassigned, {}))
     this->Refuse(submission.exchange, kServiceUnavailable, submission.job,
                  "this daemon leaves");
@@ -120,6 +134,35 @@
 
 void CallerApi::Handle(const http::ExchangePtr& exchange) {
   this->counters.Add(base::Counter::kRequests);
+  const bool is_held = !this->CanServe() && !this->store.SeemsAway() &&
+                       this->held_at_start.Add(exchange, base::MonotonicNow());
+  if (!is_held) {
+    this->Serve(exchange);
+    return;
+  }
+  this->counters.Add(base::Counter::kHeldAtStart);
+  this->ScheduleHeld();
+}
+
+// Held requests are served from the timer, after whoever called SetShards has
+// set everything else.
+void CallerApi::ScheduleHeld() {
+  const std::optional<base::Micros> expiry = this->held_at_start.next_expiry();
+  if (!expiry)
+    return;
+  const base::Micros delay =
+      this->CanServe() ? base::Micros(1) : *expiry - base::MonotonicNow();
+  this->hold_timer.StartOnce(std::max(delay, base::Micros(1)));
+}
+
+void CallerApi::AnswerHeld() {
+  for (const http::ExchangePtr& exchange :
+       this->held_at_start.Take(base::MonotonicNow(), this->CanServe()))
+    this->Serve(exchange);
+  this->ScheduleHeld();
+}
+
+void CallerApi::Serve(const http::ExchangePtr& exchange) {
   if (!this->config) {
     this->Refuse(exchange, kServiceUnavailable, "", "no configuration yet");
     return;
@@ -130,9 +173,10 @@
     return;
   }
   // Fails at once instead of starting a call that is expected to fail. The
-  // feeds keep polling and so detect when the store is back.
+  // store's probes and the feeds detect when it is back.
   if (this->store.SeemsAway()) {
-    this->Refuse(exchange, kServiceUnavailable, "", "the store is away");
+    this->Refuse(exchange, kServiceUnavailable, "", "the store is away",
+                 this->RetryAfterOutage());
     return;
   }
   // A configuration that the feed has not confirmed for half of the time in
@@ -148,20 +192,30 @@
 // Requests that arrive while a read is in flight share its result.
 void CallerApi::ReadConfig(const http::ExchangePtr& exchange) {
   this->awaiting_config.push_back(exchange);
-  if (this->awaiting_config.size() > 1)
-    return;
+  if (this->awaiting_config.size() == 1)
+    this->SendConfigRead(kFirstConfigReadTimeout);
+}
+
+void CallerApi::SendConfigRead(std::optional<base::Micros> timeout) {
   const platform::ReadQuery query{
       .table = std::string(platform::kOperatorTable),
       .part = "",
       .from = std::string(platform::kConfigKey),
       .to = {},
       .limit = 1,
-      .fresh_connection = true};
+      .fresh_connection = true,
+      .timeout = timeout};
   const base::Micros sent_at = base::MonotonicNow();
   this->store.Read(
-      query,
-      [this, sent_at](const std::optional<platform::ReadResult>& result) {
-        this->OnConfigRead(result, sent_at);
+      query, [this, sent_at,
+              timeout](const std::optional<platform::ReadResult>& result) {
+        const base::Micros took = base::MonotonicNow() - sent_at;
+        const bool is_lost =
+            !result && timeout && took >= *timeout - kTimeoutPrecision;
+        if (is_lost && !this->store.SeemsAway())
+          this->SendConfigRead(std::nullopt);
+        else
+          this->OnConfigRead(result, sent_at);
       });
 }
 
@@ -237,6 +291,10 @@
     this->Refuse(exchange, kMethodNotAllowed, job, "POST, GET or DELETE");
 }
 
+std::chrono::seconds CallerApi::RetryAfterOutage() {
+  return OutageRetryAfter(this->store.OutageLength(), this->random);
+}
+
 // --- Queries, cancellation, counts ---
 
 // Passes the job's progress row to `on_found`. Answers the caller itself if the
@@ -382,7 +440,8 @@
                    "it is not known whether the job is cancelled: ask again");
     else
       this->Refuse(cancel.exchange, kServiceUnavailable, cancel.job,
-                   "the store does not take writes now");
+                   "the store does not take writes now",
+                   this->RetryAfterOutage());
   });
 }
 
