Idle boxes return to the spare pool

Boxes in pools are paid for by the second, and a box that had left the spare pool never returned. Where the configuration has a spare pool, idle boxes now move there while the pools hold more than 1.15 times the highest need of the last 20 s, the longest idle first. The need counts no expected growth, and spare boxes leave for the need alone. A move to the spare pool ends with a box list requested after its outcome. Fleets without a spare pool are planned as before.

--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -18,7 +18,8 @@
 
 }  // namespace
 
-FleetPlanner::FleetPlanner(const FleetTimings& initial) : timings(initial) {}
+FleetPlanner::FleetPlanner(const FleetTimings& initial, bool rest)
+    : timings(initial), idle_boxes_rest(rest) {}
 
 void FleetPlanner::Inherit(const MoveBox& call, base::Micros now) {
   this->moves[call.box] = {.pool = call.pool,
@@ -98,6 +99,15 @@
   std::erase_if(this->moves, [this](const auto& entry) {
     return entry.second.is_inherited && !this->listed.contains(entry.first);
   });
+  // No worker announces itself in a spare pool. Only a list requested after the
+  // outcome of the call shows the box after its move.
+  std::erase_if(this->moves, [this, asked](const auto& entry) {
+    const Move& move = entry.second;
+    const auto found = this->listed.find(entry.first);
+    return move.done && asked > move.since && found != this->listed.end() &&
+           found->second.state == BoxState::kUp &&
+           found->second.pool == move.pool && this->IsSparePool(move.pool);
+  });
   this->ReconcileWaves(asked, now);
 }
 
@@ -119,6 +129,7 @@
       }
       move.done = true;
       move.since = now;
+      this->SetListedMoving(command.box, move.pool);
       break;
     case BoxCallOutcome::kUnknown:
       move.next_call_at = now + kCallRetryDelay;
@@ -133,6 +144,22 @@
   }
 }
 
+// The list in hand is older than the move. Were the box still taken as shown
+// there, it would count as a spare box once its worker is gone.
+void FleetPlanner::SetListedMoving(const std::string& box,
+                                   const std::string& pool) {
+  const auto found = this->listed.find(box);
+  if (found == this->listed.end())
+    return;
+  found->second.pool = pool;
+  found->second.state = BoxState::kMoving;
+}
+
+bool FleetPlanner::IsSparePool(const std::string& pool) const {
+  return std::find(this->spare_pools.begin(), this->spare_pools.end(), pool) !=
+         this->spare_pools.end();
+}
+
 // Adds the boxes of spare pools. They run no worker that would announce itself,
 // so only the platform's list has them.
 FleetView FleetPlanner::WithSpareBoxes(const FleetView& seen) const {
@@ -143,12 +170,7 @@
   for (const auto& [name, info] : this->listed) {
     if (known.contains(name) || info.state != BoxState::kUp)
       continue;
-    const bool is_spare =
-        std::any_of(view.pools.begin(), view.pools.end(),
-                    [&info = info](const FleetPool& pool) {
-                      return pool.spare && pool.name == info.pool;
-                    });
-    if (is_spare) {
+    if (this->IsSparePool(info.pool)) {
       view.boxes.push_back({.name = name,
                             .pool = info.pool,
                             .worker = {.id = info.worker},
@@ -165,6 +187,11 @@
 
 std::vector<FleetAction> FleetPlanner::Plan(const FleetView& seen,
                                             base::Micros now) {
+  this->spare_pools.clear();
+  for (const FleetPool& pool : seen.pools) {
+    if (pool.spare)
+      this->spare_pools.push_back(pool.name);
+  }
   const FleetView view = this->WithSpareBoxes(seen);
   std::vector<FleetAction> actions;
   BoxesByName boxes;
@@ -226,10 +253,11 @@
   const auto found = this->moves.find(box);
   if (found != this->moves.end()) {
     const Move& move = found->second;
-    if (move.done)
-      return LeavingReason::kMoved;
-    return move.is_inherited ? LeavingReason::kInheritedMove
-                             : LeavingReason::kMoving;
+    if (move.is_inherited)
+      return LeavingReason::kInheritedMove;
+    if (this->IsSparePool(move.pool))
+      return LeavingReason::kResting;
+    return move.done ? LeavingReason::kMoved : LeavingReason::kMoving;
   }
   for (const auto& [number, progress] : this->waves) {
     const auto listed = progress.boxes.find(box);
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -17,6 +17,7 @@
 #include "base/enum_names.h"
 #include "scheduler/actions.h"
 #include "scheduler/facts.h"
+#include "scheduler/idle_boxes.h"
 
 namespace quartzhoist::scheduler {
 
@@ -84,6 +85,7 @@
   kReclaimed,          // emptied for a move to a pool that is short of cores
   kMoving,             // a move is about to be called, or has no outcome yet
   kMoved,              // the move is done; the worker has not announced itself
+  kResting,            // a move to the spare pool is called or under way
   kInheritedMove,      // an earlier owner's move, which is not resolved
   kEvacuating,         // emptied for a maintenance wave
   kMaintenanceCalled,  // maintenance called; the outcome is not known
@@ -91,10 +93,11 @@
   kInheritedMaintenance,  // an earlier owner's call, which is not resolved
 };
 
-inline constexpr base::EnumNames<LeavingReason, 8> kLeavingReasonNames{{
+inline constexpr base::EnumNames<LeavingReason, 9> kLeavingReasonNames{{
     {LeavingReason::kReclaimed, "reclaimed"},
     {LeavingReason::kMoving, "moving"},
     {LeavingReason::kMoved, "moved"},
+    {LeavingReason::kResting, "resting"},
     {LeavingReason::kInheritedMove, "inherited_move"},
     {LeavingReason::kEvacuating, "evacuating"},
     {LeavingReason::kMaintenanceCalled, "maintenance_called"},
@@ -176,7 +179,10 @@
 
 class FleetPlanner {
  public:
-  explicit FleetPlanner(const FleetTimings& initial);
+  // `idle_boxes_rest`: idle boxes return to the spare pool, and boxes leave it
+  // for the need alone. Without a spare pool it makes no difference.
+  explicit FleetPlanner(const FleetTimings& initial,
+                        bool idle_boxes_rest = true);
 
   // Zones that the operator has evacuated. Their boxes add no capacity and are
   // not moved; their maintenance goes on.
@@ -278,6 +284,18 @@
     bool is_inherited = false;  // a previous owner's call, unresolved
   };
   using BoxesByName = std::map<std::string, const FleetBox*>;
+  // The fleet's cores in one planning round. Moves are applied to it.
+  struct CoreBalance {
+    std::map<std::string, double> held;     // by pool, at the beginning
+    std::map<std::string, double> surplus;  // beyond each pool's allocation
+    // The same with the growth counted at kSpareGrowthFraction.
+    std::map<std::string, double> need_surplus;
+    std::set<std::string> served;  // pools that were given a box
+    double need_cores = 0.0;       // of all pools that are not spare
+    double box_cores = 0.0;        // of the largest box
+    // No pool that lacks cores found a donor any more.
+    bool donors_exhausted = false;
+  };
 
   FleetView WithSpareBoxes(const FleetView& view) const;
   // Delay before repeating a call that got no answer or was turned down.
@@ -334,15 +352,45 @@
                   base::Micros now,
                   std::vector<FleetAction>& actions);
   std::map<std::string, double> CoresByPool(const FleetView& view) const;
+  // Whether idle boxes return to the spare pool.
+  bool BoxesMayRest() const {
+    return this->idle_boxes_rest && !this->spare_pools.empty();
+  }
+  bool IsSparePool(const std::string& pool) const;
+  void SetListedMoving(const std::string& box, const std::string& pool);
+  // Whether the box is neither moving nor in maintenance nor evacuated.
+  bool MayMove(const FleetBox& box) const;
+  CoreBalance BalanceCores(const FleetView& view,
+                           const std::vector<FleetPool>& requesting);
+  void ServeShortages(const FleetView& view,
+                      const std::vector<FleetPool>& requesting,
+                      CoreBalance& balance,
+                      base::Micros now,
+                      std::vector<FleetAction>& actions);
+  bool MayUseSpareBox(const CoreBalance& balance, const FleetPool& to) const;
+  void RestIdleBoxes(const FleetView& view,
+                     const CoreBalance& balance,
+                     base::Micros now,
+                     std::vector<FleetAction>& actions);
+  void BeginMove(const FleetBox& box,
+                 const std::string& pool,
+                 base::Micros now,
+                 std::vector<FleetAction>& actions);
   const FleetBox* FindDonor(const FleetView& view,
                             const std::map<std::string, double>& surplus,
-                            const FleetPool& to) const;
+                            const FleetPool& to,
+                            bool may_use_spare) const;
   void SelectReclaimed(const FleetView& view,
                        std::map<std::string, double>& surplus,
                        double short_cores);
   bool IsInMaintenance(const std::string& box) const;
+  // Whether an open wave has yet to complete the box's maintenance.
+  bool IsDueInWave(const std::string& box) const;
 
   FleetTimings timings;
+  bool idle_boxes_rest;
+  IdleBoxes idle_boxes;
+  std::vector<std::string> spare_pools;  // by the last plan
   std::set<std::string> evacuated_zones;
   std::map<int, WaveProgress> waves;
   std::map<std::string, Move> moves;  // by box, until it serves the new pool
--- a/scheduler/fleet_moves.cc
+++ b/scheduler/fleet_moves.cc
@@ -37,81 +37,198 @@
     if ((box.available || moves_now) && !this->IsInMaintenance(box.name))
       held[moves_now ? move->second.pool : box.pool] += box.cores;
   }
+  if (!this->BoxesMayRest())
+    return held;
+  // A box that moves has no worker for a while, and a box that leaves the spare
+  // pool has none before. Were these left out, further boxes would be moved in
+  // their place.
+  std::set<std::string> seen;
+  for (const FleetBox& box : view.boxes)
+    seen.insert(box.name);
+  for (const auto& [name, move] : this->moves) {
+    const auto found = this->listed.find(name);
+    if (!seen.contains(name) && found != this->listed.end() &&
+        !this->IsEvacuated(found->second.zone) && !this->IsInMaintenance(name))
+      held[move.pool] += found->second.cores;
+  }
   return held;
 }
 
-// Moves idle boxes from pools above their allocation to the pool with the
-// largest shortage. Spare boxes are used last, since boxes in pools are paid
-// for anyway. Where no idle box is left, busy ones are reclaimed.
+bool FleetPlanner::MayMove(const FleetBox& box) const {
+  return box.available && !box.in_evacuated_zone &&
+         !this->moves.contains(box.name) && !this->IsInMaintenance(box.name);
+}
+
+// Moves idle boxes from pools above their allocation to the pools that lack
+// cores, reclaims busy ones where no idle box is left, and moves idle boxes
+// that no pool needs to the spare pool.
 void FleetPlanner::PlanMoves(const FleetView& view,
                              base::Micros now,
                              std::vector<FleetAction>& actions) {
   this->reclaimed.clear();
   this->allocated_cores.clear();
-  // 1. Compute each pool's surplus over its allocation.
-  const std::map<std::string, double> held = this->CoresByPool(view);
-  std::map<std::string, double> surplus = held;
-  double total_cores = 0.0;
-  double box_cores = 0.0;
-  for (const auto& [pool, cores] : surplus)
-    total_cores += cores;
-  for (const FleetBox& box : view.boxes)
-    box_cores = std::max(box_cores, box.cores);
-  if (box_cores <= 0.0)
-    return;
   std::vector<FleetPool> requesting;
   for (const FleetPool& pool : view.pools) {
     if (!pool.spare)
       requesting.push_back(pool);
   }
-  const std::map<std::string, double> allocated =
-      AllocateCores(requesting, total_cores * kTargetUtilization,
-                    box_cores * kTargetUtilization);
-  for (const FleetPool& pool : requesting) {
-    const double cores = allocated.at(pool.name) / kTargetUtilization;
-    this->allocated_cores[pool.name] = cores;
-    surplus[pool.name] -= cores;
-  }
-  // 2. Move boxes to the pool with the largest shortage until no pool is short
-  // or no donor is left.
+  CoreBalance balance = this->BalanceCores(view, requesting);
+  if (balance.box_cores <= 0.0)
+    return;
+  this->ServeShortages(view, requesting, balance, now, actions);
   double short_cores = 0.0;
+  for (const FleetPool& pool : requesting)
+    short_cores += std::max(0.0, -balance.surplus[pool.name]);
+  this->SelectReclaimed(view, balance.surplus,
+                        balance.donors_exhausted ? short_cores : 0.0);
+  if (this->BoxesMayRest())
+    this->RestIdleBoxes(view, balance, now, actions);
+}
+
+// Computes each pool's allocation and its surplus over it.
+FleetPlanner::CoreBalance FleetPlanner::BalanceCores(
+    const FleetView& view,
+    const std::vector<FleetPool>& requesting) {
+  CoreBalance balance;
+  balance.held = this->CoresByPool(view);
+  double total_cores = 0.0;
+  for (const auto& [pool, cores] : balance.held)
+    total_cores += cores;
+  for (const FleetBox& box : view.boxes)
+    balance.box_cores = std::max(balance.box_cores, box.cores);
+  if (balance.box_cores <= 0.0)
+    return balance;
+  const auto allocate = [&](const std::vector<FleetPool>& pools) {
+    std::map<std::string, double> allocated =
+        AllocateCores(pools, total_cores * kTargetUtilization,
+                      balance.box_cores * kTargetUtilization);
+    for (auto& [pool, cores] : allocated)
+      cores /= kTargetUtilization;
+    return allocated;
+  };
+  this->allocated_cores = allocate(requesting);
+  balance.surplus = balance.held;
+  for (const auto& [pool, cores] : this->allocated_cores)
+    balance.surplus[pool] -= cores;
+  balance.need_surplus = balance.surplus;
+  if (!this->BoxesMayRest())
+    return balance;
+  balance.need_surplus = balance.held;
+  for (const auto& [pool, cores] :
+       allocate(ScaleGrowth(requesting, kSpareGrowthFraction))) {
+    balance.need_surplus[pool] -= cores;
+    balance.need_cores += cores;
+  }
+  return balance;
+}
+
+// Moves boxes to the pool with the largest shortage until no pool is short or
+// no donor is left.
+void FleetPlanner::ServeShortages(const FleetView& view,
+                                  const std::vector<FleetPool>& requesting,
+                                  CoreBalance& balance,
+                                  base::Micros now,
+                                  std::vector<FleetAction>& actions) {
+  std::set<std::string> without_donor;
   while (true) {
     const FleetPool* shortest = nullptr;
     for (const FleetPool& pool : requesting) {
-      const double threshold = ShortageThreshold(held.at(pool.name), box_cores);
-      if (surplus[pool.name] >= -threshold)
+      const double threshold =
+          ShortageThreshold(balance.held.at(pool.name), balance.box_cores);
+      if (balance.surplus[pool.name] >= -threshold ||
+          without_donor.contains(pool.name))
         continue;
-      if (!shortest || surplus[pool.name] < surplus[shortest->name])
+      if (!shortest ||
+          balance.surplus[pool.name] < balance.surplus[shortest->name])
         shortest = &pool;
     }
     if (!shortest)
-      break;
-    const FleetBox* donor = this->FindDonor(view, surplus, *shortest);
+      return;
+    const FleetBox* donor =
+        this->FindDonor(view, balance.surplus, *shortest,
+                        this->MayUseSpareBox(balance, *shortest));
     if (!donor) {
-      for (const FleetPool& pool : requesting)
-        short_cores += std::max(0.0, -surplus[pool.name]);
-      break;
+      // Without a donor only since spare boxes are kept from the growth, the
+      // pool makes no other one give busy boxes away.
+      balance.donors_exhausted =
+          balance.donors_exhausted ||
+          !this->FindDonor(view, balance.surplus, *shortest, true);
+      if (!this->BoxesMayRest())
+        return;
+      without_donor.insert(shortest->name);
+      continue;
     }
-    surplus[donor->pool] -= donor->cores;
-    surplus[shortest->name] += donor->cores;
-    Move& move = this->moves[donor->name];
-    move.pool = shortest->name;
-    move.worker_before_call = donor->worker;
-    move.since = now;
-    move.first_call_at = now;
-    move.in_flight = true;
-    actions.emplace_back(MoveBox{.box = donor->name,
-                                 .pool = shortest->name,
-                                 .incarnation = donor->worker});
+    balance.surplus[donor->pool] -= donor->cores;
+    balance.surplus[shortest->name] += donor->cores;
+    balance.need_surplus[donor->pool] -= donor->cores;
+    balance.need_surplus[shortest->name] += donor->cores;
+    balance.served.insert(shortest->name);
+    this->BeginMove(*donor, shortest->name, now, actions);
+  }
+}
+
+// A box at rest is free, so that it comes for what is short without the growth.
+// The first box of a pool comes for any demand: tasks would wait there for
+// good.
+bool FleetPlanner::MayUseSpareBox(const CoreBalance& balance,
+                                  const FleetPool& to) const {
+  const double held = balance.held.at(to.name);
+  const bool is_first = held <= 0.0 && !balance.served.contains(to.name);
+  return !this->BoxesMayRest() || is_first ||
+         balance.need_surplus.at(to.name) <
+             -ShortageThreshold(held, balance.box_cores);
+}
+
+void FleetPlanner::RestIdleBoxes(const FleetView& view,
+                                 const CoreBalance& balance,
+                                 base::Micros now,
+                                 std::vector<FleetAction>& actions) {
+  std::vector<IdleBoxes::Candidate> idle;
+  BoxesByName boxes;
+  for (const FleetBox& box : view.boxes) {
+    // A box that a wave is about to take would keep it waiting for its move.
+    const bool may_rest =
+        box.idle && this->MayMove(box) && !this->IsSparePool(box.pool) &&
+        this->listed.contains(box.name) && !this->IsDueInWave(box.name);
+    if (!may_rest)
+      continue;
+    boxes[box.name] = &box;
+    idle.push_back({.name = box.name,
+                    .pool = box.pool,
+                    .worker = box.worker,
+                    .cores = box.cores});
+  }
+  this->idle_boxes.Observe(balance.need_cores, idle, now);
+  // With the moves of this plan.
+  double pool_cores = 0.0;
+  for (const auto& [pool, cores] : this->CoresByPool(view)) {
+    if (!this->IsSparePool(pool))
+      pool_cores += cores;
   }
-  // 3. For the remaining shortage, reclaim busy boxes of pools with a surplus.
-  this->SelectReclaimed(view, surplus, short_cores);
+  for (const std::string& box :
+       this->idle_boxes.Select(pool_cores, balance.surplus, now))
+    this->BeginMove(*boxes.at(box), this->spare_pools.front(), now, actions);
+}
+
+void FleetPlanner::BeginMove(const FleetBox& box,
+                             const std::string& pool,
+                             base::Micros now,
+                             std::vector<FleetAction>& actions) {
+  Move& move = this->moves[box.name];
+  move.pool = pool;
+  move.worker_before_call = box.worker;
+  move.since = now;
+  move.first_call_at = now;
+  move.in_flight = true;
+  actions.emplace_back(
+      MoveBox{.box = box.name, .pool = pool, .incarnation = box.worker});
 }
 
 const FleetBox* FleetPlanner::FindDonor(
     const FleetView& view,
     const std::map<std::string, double>& surplus,
-    const FleetPool& to) const {
+    const FleetPool& to,
+    bool may_use_spare) const {
   // A pool that needs boxes and has none gets its first one even if the donor
   // pool then falls short by up to one box.
   const bool has_no_box =
@@ -125,16 +242,12 @@
   double best_remaining = -1e9;
   for (const FleetBox& box : view.boxes) {
     const auto pool = surplus.find(box.pool);
-    const bool may_move =
-        box.available && !box.in_evacuated_zone && box.idle &&
-        box.pool != to.name && !this->moves.contains(box.name) &&
-        !this->IsInMaintenance(box.name) && pool != surplus.end();
+    const bool is_spare = this->IsSparePool(box.pool);
+    const bool may_move = this->MayMove(box) && box.idle &&
+                          box.pool != to.name && pool != surplus.end() &&
+                          (may_use_spare || !is_spare);
     if (!may_move)
       continue;
-    const bool is_spare = std::any_of(
-        view.pools.begin(), view.pools.end(), [&box](const FleetPool& known) {
-          return known.name == box.pool && known.spare;
-        });
     // Surplus that the donor pool keeps.
     const double remaining = is_spare ? 0.0 : pool->second - box.cores;
     const double min_remaining = has_no_box ? -box.cores : 0.0;
@@ -151,11 +264,7 @@
                                    double short_cores) {
   std::vector<const FleetBox*> busy;
   for (const FleetBox& box : view.boxes) {
-    const bool may_move = box.available && !box.in_evacuated_zone &&
-                          !box.idle && box.long_running_tasks == 0 &&
-                          !this->moves.contains(box.name) &&
-                          !this->IsInMaintenance(box.name);
-    if (may_move)
+    if (this->MayMove(box) && !box.idle && box.long_running_tasks == 0)
       busy.push_back(&box);
   }
   // Least loaded boxes first: they should become idle soonest.
--- a/scheduler/fleet_waves.cc
+++ b/scheduler/fleet_waves.cc
@@ -393,6 +393,15 @@
   return false;
 }
 
+bool FleetPlanner::IsDueInWave(const std::string& box) const {
+  return std::any_of(
+      this->waves.begin(), this->waves.end(), [&box](const auto& entry) {
+        const auto found = entry.second.boxes.find(box);
+        return !entry.second.completed && found != entry.second.boxes.end() &&
+               found->second.state != MaintenanceState::kDone;
+      });
+}
+
 bool FleetPlanner::IsEvacuating(const std::string& box) const {
   bool is_evacuating = false;
   for (const auto& [number, progress] : this->waves) {
