Boxes moved to the spare pool are logged and counted

Operators could not see how many boxes the owners switch off, and why. The log event boxes_rested (QH0847) names the boxes moved, the need and the cores in pools, once a second and shard at most; the counter boxes_rested counts them once their move is confirmed.

--- a/base/counters.h
+++ b/base/counters.h
@@ -27,6 +27,7 @@
   kJobsFailed,
   kRejectedByWait,
   kRejectedOverRate,
+  kBoxesRested,
   kCount,
 };
 
@@ -57,6 +58,7 @@
     {"rejected_over_rate",
      "Jobs over their organisation's rate rejected since they could not be "
      "done in time"},
+    {"boxes_rested", "Boxes moved to the spare pool"},
 }};
 
 class Counters {
--- a/base/event_log.h
+++ b/base/event_log.h
@@ -70,6 +70,7 @@
   kLongRunningWait,
   kLongRunningStalled,
   kJobFailed,
+  kBoxesRested,
   kExpectedWait,
 };
 
@@ -80,7 +81,7 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 43> kEvents{{
+inline constexpr std::array<EventInfo, 44> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
@@ -122,6 +123,7 @@
     {Event::kExpectedWait, 844, Level::kInfo, "expected_wait"},
     {Event::kLongRunningStalled, 845, Level::kWarning, "long_running_stalled"},
     {Event::kJobFailed, 846, Level::kWarning, "job_failed"},
+    {Event::kBoxesRested, 847, Level::kInfo, "boxes_rested"},
     {Event::kLinesLeftOut, 851, Level::kWarning, "lines_left_out"},
     {Event::kSettingsReloaded, 106, Level::kInfo, "settings_reloaded"},
     {Event::kWriteRefused, 304, Level::kError, "write_refused"},
--- a/entry/decision_log.cc
+++ b/entry/decision_log.cc
@@ -139,6 +139,14 @@
        {"cause", base::NameOf(scheduler::kFailureCauseNames, failed.cause)}});
 }
 
+void LogBoxesRested(int shard, const scheduler::BoxesRested& rested) {
+  base::Log(base::Event::kBoxesRested,
+            {{"shard", shard},
+             {"boxes", rested.boxes},
+             {"need_cores", fmt::format("{:.0f}", rested.need_cores)},
+             {"pool_cores", fmt::format("{:.0f}", rested.pool_cores)}});
+}
+
 void LogNote(const scheduler::LogNote& note) {
   base::Log(base::Event::kDecision,
             {{"subject", note.subject}, {"text", note.text}});
--- a/entry/decision_log.h
+++ b/entry/decision_log.h
@@ -14,6 +14,7 @@
 void LogWorkerCapacityChanged(const scheduler::WorkerCapacityChanged& changed);
 void LogRunEndIgnored(const scheduler::RunEndIgnored& ignored);
 void LogLongRunningStalled(const scheduler::LongRunningStalled& stalled);
+void LogBoxesRested(int shard, const scheduler::BoxesRested& rested);
 void LogJobFailed(const scheduler::JobFailed& failed);
 void LogNote(const scheduler::LogNote& note);
 
--- a/entry/manager_commands.cc
+++ b/entry/manager_commands.cc
@@ -91,6 +91,11 @@
       manager.counters.Add(base::Counter::kJobsFailed);
       LogJobFailed(failed);
     }
+    void operator()(const scheduler::BoxesRested& rested) const {
+      manager.counters.Add(base::Counter::kBoxesRested,
+                           static_cast<std::uint64_t>(rested.boxes));
+      LogBoxesRested(manager.shard.number, rested);
+    }
     void operator()(const scheduler::LogNote& note) const { LogNote(note); }
   };
   std::visit(Visitor{*this}, action);
--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -189,6 +189,13 @@
   int count = 0;
 };
 
+// Log entry: boxes have been moved to the spare pool since the last entry.
+struct BoxesRested {
+  int boxes = 0;
+  double need_cores = 0.0;  // the highest need of the pools that counts
+  double pool_cores = 0.0;  // in pools that are not spare
+};
+
 // Log entry: this owner has saved the job's failure.
 struct JobFailed {
   std::string job;
@@ -216,6 +223,7 @@
                             LongRunningStalled,
                             CountStalls,
                             JobFailed,
+                            BoxesRested,
                             LogNote>;
 
 }  // namespace quartzhoist::scheduler
--- a/scheduler/box_planning.cc
+++ b/scheduler/box_planning.cc
@@ -392,6 +392,8 @@
       this->actions.emplace_back(*report);
     }
   }
+  if (const auto rested = this->fleet.TakeRestReport(now))
+    this->actions.emplace_back(*rested);
 }
 
 }  // namespace quartzhoist::scheduler
--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -130,6 +130,7 @@
       move.done = true;
       move.since = now;
       this->SetListedMoving(command.box, move.pool);
+      this->rested += this->IsSparePool(move.pool);
       break;
     case BoxCallOutcome::kUnknown:
       move.next_call_at = now + kCallRetryDelay;
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -223,6 +223,10 @@
 
   std::vector<FleetAction> Plan(const FleetView& view, base::Micros now);
 
+  // The boxes that were moved to the spare pool since the last report; empty if
+  // there are none, or if the last one was made less than a second ago.
+  std::optional<BoxesRested> TakeRestReport(base::Micros now);
+
   // True while a call for the box is due or has no known outcome.
   bool HasPendingCall(const std::string& box) const;
   // True while nothing more may be placed on the box.
@@ -391,6 +395,9 @@
   bool idle_boxes_rest;
   IdleBoxes idle_boxes;
   std::vector<std::string> spare_pools;  // by the last plan
+  double pool_cores = 0.0;               // by the last plan
+  int rested = 0;                        // boxes, since the last report
+  base::Micros next_rest_report{};
   std::set<std::string> evacuated_zones;
   std::map<int, WaveProgress> waves;
   std::map<std::string, Move> moves;  // by box, until it serves the new pool
--- a/scheduler/fleet_moves.cc
+++ b/scheduler/fleet_moves.cc
@@ -1,6 +1,7 @@
 // Moves of boxes between pools.
 
 #include <algorithm>
+#include <utility>
 
 #include "scheduler/fleet.h"
 
@@ -15,6 +16,9 @@
 // A pool is short of cores once it lacks this fraction of a box.
 constexpr double kShortageThreshold = 0.25;
 
+// Minimum time between two reports of boxes that were moved to the spare pool.
+constexpr base::Micros kRestReportPeriod = std::chrono::seconds(1);
+
 // Without any box a pool is short as soon as it needs a core: a small task
 // would wait there for good.
 double ShortageThreshold(double held_cores, double box_cores) {
@@ -200,16 +204,25 @@
   }
   this->idle_boxes.Observe(balance.need_cores, idle, now);
   // With the moves of this plan.
-  double pool_cores = 0.0;
+  this->pool_cores = 0.0;
   for (const auto& [pool, cores] : this->CoresByPool(view)) {
     if (!this->IsSparePool(pool))
-      pool_cores += cores;
+      this->pool_cores += cores;
   }
   for (const std::string& box :
-       this->idle_boxes.Select(pool_cores, balance.surplus, now))
+       this->idle_boxes.Select(this->pool_cores, balance.surplus, now))
     this->BeginMove(*boxes.at(box), this->spare_pools.front(), now, actions);
 }
 
+std::optional<BoxesRested> FleetPlanner::TakeRestReport(base::Micros now) {
+  if (this->rested == 0 || now < this->next_rest_report)
+    return std::nullopt;
+  this->next_rest_report = now + kRestReportPeriod;
+  return BoxesRested{.boxes = std::exchange(this->rested, 0),
+                     .need_cores = this->idle_boxes.HighestNeed(),
+                     .pool_cores = this->pool_cores};
+}
+
 void FleetPlanner::BeginMove(const FleetBox& box,
                              const std::string& pool,
                              base::Micros now,
