Box lists resolve inherited calls of boxes that do not answer

An inherited move or maintenance call whose box's worker never answers was kept without a time limit, and the box of a move counted for its destination. A list requested after the time limit of the earlier owner's calls (2 s, now kBoxCallTimeLimit) resolves it: a box up in the destination is done; one up elsewhere gets the call again, unless runs are recorded there or presumed over, in which case the call is dropped; one that moves or is in maintenance stays as it is.

--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -4,6 +4,7 @@
 #ifndef SCHEDULER_ACTIONS_H_
 #define SCHEDULER_ACTIONS_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -97,6 +98,10 @@
   BoxCallContext context;
 };
 
+// Time limit of a box call. A call may be in flight for as long, also after its
+// owner was replaced. The platform may be slow: 60 times its usual answer.
+inline constexpr base::Micros kBoxCallTimeLimit = std::chrono::seconds(2);
+
 // A box call is recorded before it is made. The next owner repeats it under its
 // own epoch, so that the box rejects a late call of the earlier owner.
 using BoxCall = std::variant<MoveBox, MaintainBox>;
--- a/scheduler/box_planning.cc
+++ b/scheduler/box_planning.cc
@@ -63,6 +63,7 @@
                     !worker.runs_presumed_over;
     box.in_evacuated_zone = this->fleet.IsEvacuated(worker.info.zone);
     box.idle = worker.idle();
+    box.runs_presumed_over = worker.runs_presumed_over;
     box.has_only_inherited_runs =
         !worker.idle() &&
         std::all_of(worker.runs.begin(), worker.runs.end(),
--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -42,16 +42,51 @@
 
 // Owners call for idle boxes only and place nothing on them until the call is
 // resolved. So if the box has runs, the call was abandoned or carried out long
-// ago. If its worker has not answered, the box may be moving or going down. A
-// placement that the worker has not reported may be older than the call.
+// ago. If its worker has not answered, the box may be moving or going down,
+// until a list shows otherwise. A placement that the worker has not reported
+// may be older than the call.
 FleetPlanner::InheritedCall FleetPlanner::ClassifyInherited(
     const BoxesByName& boxes,
-    const std::string& box) {
+    const std::string& box,
+    bool is_listed_up) {
   const auto found = boxes.find(box);
-  if (found == boxes.end() || !found->second->available ||
-      found->second->has_only_inherited_runs)
+  if (found == boxes.end())
+    return is_listed_up ? InheritedCall::kRetry : InheritedCall::kUnresolved;
+  const FleetBox& seen = *found->second;
+  // Repeated, the call keeps a late one of the earlier owner from the box. But
+  // only an answer shows that runs which are presumed over have ended.
+  if (!seen.available && is_listed_up)
+    return seen.idle && !seen.runs_presumed_over ? InheritedCall::kRetry
+                                                 : InheritedCall::kObsolete;
+  if (!seen.available || seen.has_only_inherited_runs)
     return InheritedCall::kUnresolved;
-  return found->second->idle ? InheritedCall::kRetry : InheritedCall::kObsolete;
+  return seen.idle ? InheritedCall::kRetry : InheritedCall::kObsolete;
+}
+
+bool FleetPlanner::IsListedUpAfter(const std::string& box,
+                                   base::Micros since,
+                                   base::Micros asked) const {
+  const auto found = this->listed.find(box);
+  return found != this->listed.end() && found->second.state == BoxState::kUp &&
+         asked >= since + kBoxCallTimeLimit;
+}
+
+// A box that is gone or up in its destination needs no call. One that is moving
+// or in maintenance is shown up by a later list.
+void FleetPlanner::ReconcileInheritedMoves(base::Micros asked) {
+  for (auto it = this->moves.begin(); it != this->moves.end();) {
+    Move& move = it->second;
+    const auto found = this->listed.find(it->first);
+    const bool is_removed = found == this->listed.end();
+    const bool is_up = this->IsListedUpAfter(it->first, move.since, asked);
+    if (move.is_inherited &&
+        (is_removed || (is_up && found->second.pool == move.pool))) {
+      it = this->moves.erase(it);
+      continue;
+    }
+    move.is_listed_up = move.is_inherited && is_up;
+    ++it;
+  }
 }
 
 // A new worker instance alone does not show that the box is back: a crashed
@@ -95,10 +130,7 @@
   for (const BoxInfo& box : boxes)
     this->listed[box.name] = box;
   this->has_list = true;
-  // Drop inherited moves of boxes that no longer exist.
-  std::erase_if(this->moves, [this](const auto& entry) {
-    return entry.second.is_inherited && !this->listed.contains(entry.first);
-  });
+  this->ReconcileInheritedMoves(asked);
   // No worker announces itself in a spare pool. Only a list requested after the
   // outcome of the call shows the box after its move.
   std::erase_if(this->moves, [this, asked](const auto& entry) {
@@ -212,9 +244,10 @@
                               std::vector<FleetAction>& actions) {
   for (auto it = this->moves.begin(); it != this->moves.end();) {
     Move& move = it->second;
-    const InheritedCall inherited = move.is_inherited
-                                        ? ClassifyInherited(boxes, it->first)
-                                        : InheritedCall::kRetry;
+    const InheritedCall inherited =
+        move.is_inherited
+            ? ClassifyInherited(boxes, it->first, move.is_listed_up)
+            : InheritedCall::kRetry;
     const bool is_lost = move.done && now > move.since + kMoveTimeout;
     if (is_lost || inherited == InheritedCall::kObsolete) {
       it = this->moves.erase(it);
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -55,6 +55,8 @@
   bool available = false;          // can be moved or taken down
   bool in_evacuated_zone = false;  // takes no tasks and stays in its pool
   bool idle = false;               // no runs
+  // Runs were presumed over when their lease expired; no answer since.
+  bool runs_presumed_over = false;
   // It has runs, all of them placed by earlier owners and not reported.
   bool has_only_inherited_runs = false;
   int long_running_tasks = 0;
@@ -265,6 +267,7 @@
     bool in_flight = false;
     bool may_have_begun = false;  // a call got no answer
     bool is_inherited = false;    // a previous owner's call, unresolved
+    bool is_listed_up = false;    // of an inherited call: it had no effect
     // When the evacuation counts as stalled; empty while it proceeds.
     std::optional<base::Micros> stalls_at;
     base::Micros released_at{};  // when it last gave its slot back; 0: never
@@ -286,6 +289,7 @@
     bool done = false;          // confirmed by the platform
     bool arrived = false;       // announced in the new pool before that
     bool is_inherited = false;  // a previous owner's call, unresolved
+    bool is_listed_up = false;  // of an inherited call: it had no effect
   };
   using BoxesByName = std::map<std::string, const FleetBox*>;
   // The fleet's cores in one planning round. Moves are applied to it.
@@ -319,10 +323,18 @@
     std::vector<std::pair<const FleetBox*, Maintenance*>> pending;
   };
 
-  // An inherited call is repeated once its box is available and idle.
+  // An inherited call is repeated once its box is available and idle, or a list
+  // shows the box up although the call is over (`is_listed_up`).
   enum class InheritedCall { kUnresolved, kRetry, kObsolete };
   static InheritedCall ClassifyInherited(const BoxesByName& boxes,
-                                         const std::string& box);
+                                         const std::string& box,
+                                         bool is_listed_up);
+  // Whether a list requested at `asked` shows the box up, after the time limit
+  // of a call that was inherited at `since`.
+  bool IsListedUpAfter(const std::string& box,
+                       base::Micros since,
+                       base::Micros asked) const;
+  void ReconcileInheritedMoves(base::Micros asked);
   static bool ResolveInherited(Maintenance& maintenance,
                                InheritedCall inherited);
   static bool IsStalled(const Maintenance& maintenance, base::Micros now);
--- a/scheduler/fleet_waves.cc
+++ b/scheduler/fleet_waves.cc
@@ -96,6 +96,9 @@
           asked > maintenance.since + this->timings.maintenance_duration;
       if (is_removed || back)
         maintenance.state = MaintenanceState::kDone;
+      maintenance.is_listed_up =
+          maintenance.is_inherited &&
+          this->IsListedUpAfter(name, maintenance.since, asked);
       // Without a recorded start, the list may show that it was started.
       const bool may_begin =
           maintenance.state == MaintenanceState::kPending ||
@@ -354,7 +357,9 @@
     const auto found = boxes.find(name);
     const bool is_available = found != boxes.end() && found->second->available;
     if (maintenance.is_inherited &&
-        !ResolveInherited(maintenance, ClassifyInherited(boxes, name)))
+        !ResolveInherited(
+            maintenance,
+            ClassifyInherited(boxes, name, maintenance.is_listed_up)))
       continue;
     if (maintenance.state == MaintenanceState::kEvacuating && !is_available) {
       maintenance.state = MaintenanceState::kPending;
