--- a/testing/fleet_replay.cc
+++ b/testing/fleet_replay.cc
@@ -18,6 +18,8 @@
 constexpr base::Micros kStep = milliseconds(250);
 constexpr base::Micros kListPeriod = milliseconds(1500);
 constexpr double kBoxCores = 16.0;
+constexpr base::Micros kPinnedFor = seconds(3);
+constexpr int kMaxProceeding = 4;
 // Growth of the last second counts this many times, as in the scheduler.
 constexpr double kTrendWeight = 4.0;
 
@@ -49,6 +51,26 @@
       }));
 }
 
+void FleetReplay::BeginWave(int max_concurrent, base::Micros duration) {
+  scheduler::Wave wave{.number = 1,
+                       .boxes = {},
+                       .duration = duration,
+                       .max_concurrent = max_concurrent};
+  int index = 0;
+  for (auto& [name, box] : this->boxes) {
+    wave.boxes.push_back(name);
+    if (index++ % 3 == 0)
+      box.pinned_for = kPinnedFor;
+  }
+  this->fleet.SetWave(wave, {}, this->now);
+}
+
+int FleetReplay::CountLeftInWave() const {
+  return static_cast<int>(std::count_if(
+      this->boxes.begin(), this->boxes.end(),
+      [](const auto& entry) { return !entry.second.is_maintained; }));
+}
+
 void FleetReplay::RunUntil(base::Micros end, const Demand& demand) {
   for (; this->now < end; this->now += kStep) {
     for (auto& [name, box] : this->boxes) {
@@ -61,10 +83,15 @@
       }
     }
     this->DeliverList();
+    this->proceeding = 0;
     for (const scheduler::FleetAction& action :
          this->fleet.Plan(this->View(demand), this->now)) {
       if (const auto* move = std::get_if<MoveBox>(&action))
         this->Call(*move);
+      else if (const auto* call = std::get_if<scheduler::MaintainBox>(&action))
+        this->Call(*call);
+      else if (const auto* box = std::get_if<scheduler::EvacuateBox>(&action))
+        this->Evacuate(*box);
     }
     std::erase_if(this->open_calls, [this](const auto& entry) {
       return !this->fleet.HasPendingCall(entry.first);
@@ -112,6 +139,26 @@
       this->now);
 }
 
+void FleetReplay::Call(const scheduler::MaintainBox& call) {
+  Box& box = this->boxes.at(call.box);
+  box.is_maintained = true;
+  box.up_at = this->now + kFleetTimings.maintenance_duration;
+  this->fleet.OnMaintenanceOutcome(call, scheduler::BoxCallOutcome::kDone,
+                                   this->now);
+}
+
+void FleetReplay::Evacuate(const scheduler::EvacuateBox& action) {
+  Box& box = this->boxes.at(action.box);
+  scheduler::EvacuationStep step = scheduler::EvacuationStep::kProceeds;
+  if (box.pinned_for > base::Micros::zero()) {
+    if (++this->proceeding <= kMaxProceeding)
+      box.pinned_for -= kStep;
+    else
+      step = scheduler::EvacuationStep::kWaits;
+  }
+  this->fleet.OnEvacuationStep(action.box, step, this->now);
+}
+
 scheduler::FleetView FleetReplay::View(const Demand& demand) {
   scheduler::FleetView view;
   this->idle.clear();
@@ -137,7 +184,8 @@
         seen.busy_cores = std::min(left, kBoxCores);
         left -= seen.busy_cores;
       }
-      seen.idle = seen.busy_cores <= 0.0;
+      seen.long_running_tasks = box.pinned_for > base::Micros::zero();
+      seen.idle = seen.busy_cores <= 0.0 && seen.long_running_tasks == 0;
       if (seen.idle)
         this->idle.push_back(name);
       view.boxes.push_back(seen);
--- a/testing/fleet_replay.h
+++ b/testing/fleet_replay.h
@@ -26,6 +26,10 @@
   // The next owner inherits the calls that have no known outcome.
   void TakeOver();
   int CountPaid() const;
+  // Every third box holds long-running tasks, whose evacuation takes 3 s; at
+  // most four boxes proceed at a time.
+  void BeginWave(int max_concurrent, base::Micros duration);
+  int CountLeftInWave() const;
 
   base::Micros now = std::chrono::seconds(100);
   base::Micros list_lag{};        // between a list's request and its arrival
@@ -42,10 +46,14 @@
     int worker = 0;  // counts the incarnations
     base::Micros up_at{};
     base::Micros announced_at{};  // of the current incarnation
+    base::Micros pinned_for{};    // until its long-running tasks have moved
+    bool is_maintained = false;
   };
 
   void DeliverList();
   void Call(const scheduler::MoveBox& call);
+  void Call(const scheduler::MaintainBox& call);
+  void Evacuate(const scheduler::EvacuateBox& action);
   scheduler::FleetView View(const Demand& demand);
   static bool IsSpare(const Box& box) { return box.pool == "rest"; }
 
@@ -59,6 +67,7 @@
   std::vector<scheduler::BoxInfo> list;
   base::Micros list_asked{};
   std::vector<std::string> idle;  // by the last view
+  int proceeding = 0;             // evacuations, in this plan
 };
 
 }  // namespace quartzhoist::testing
