A move confirmed late also corrects the box list in hand

If the box had announced itself before the repeated call was confirmed, the list went on showing it in the spare pool, and it would have counted as a spare box once its worker was gone. Found on reading; no test shows it.

--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -153,6 +153,7 @@
   move.in_flight = false;
   switch (outcome) {
     case BoxCallOutcome::kDone:
+      this->SetListedMoving(command.box, move.pool);
       // An earlier call, which got no answer, moved the box; it is back
       // already.
       if (move.arrived) {
@@ -161,7 +162,6 @@
       }
       move.done = true;
       move.since = now;
-      this->SetListedMoving(command.box, move.pool);
       this->rested += this->IsSparePool(move.pool);
       break;
     case BoxCallOutcome::kUnknown:
