--- a/base/counters.h
+++ b/base/counters.h
@@ -30,6 +30,7 @@
   kStoreOutages,
   kStoreOutageMillis,
   kHeldAtStart,
+  kBoxesRested,
   kCount,
 };
 
@@ -65,6 +66,7 @@
     {"held_at_start",
      "Requests held by a daemon that had just started until it could serve "
      "them"},
+    {"boxes_rested", "Boxes moved to the spare pool"},
 }};
 
 class Counters {
--- a/base/event_log.h
+++ b/base/event_log.h
@@ -70,6 +70,7 @@
   kLongRunningWait,
   kLongRunningStalled,
   kJobFailed,
+  kBoxesRested,
   kExpectedWait,
   kStoreReturned,
 };
@@ -81,7 +82,7 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 44> kEvents{{
+inline constexpr std::array<EventInfo, 45> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
@@ -123,6 +124,7 @@
     {Event::kExpectedWait, 844, Level::kInfo, "expected_wait"},
     {Event::kLongRunningStalled, 845, Level::kWarning, "long_running_stalled"},
     {Event::kJobFailed, 846, Level::kWarning, "job_failed"},
+    {Event::kBoxesRested, 847, Level::kInfo, "boxes_rested"},
     {Event::kStoreReturned, 848, Level::kInfo, "store_returned"},
     {Event::kLinesLeftOut, 851, Level::kWarning, "lines_left_out"},
     {Event::kSettingsReloaded, 106, Level::kInfo, "settings_reloaded"},
--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -4,6 +4,7 @@
 #ifndef SCHEDULER_ACTIONS_H_
 #define SCHEDULER_ACTIONS_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -97,6 +98,10 @@
   BoxCallContext context;
 };
 
+// Time limit of a box call. A call may be in flight for as long, also after its
+// owner was replaced. The platform may be slow: 60 times its usual answer.
+inline constexpr base::Micros kBoxCallTimeLimit = std::chrono::seconds(2);
+
 // A box call is recorded before it is made. The next owner repeats it under its
 // own epoch, so that the box rejects a late call of the earlier owner.
 using BoxCall = std::variant<MoveBox, MaintainBox>;
@@ -189,6 +194,13 @@
   int count = 0;
 };
 
+// Log entry: boxes have been moved to the spare pool since the last entry.
+struct BoxesRested {
+  int boxes = 0;
+  double need_cores = 0.0;  // the highest need of the pools that counts
+  double pool_cores = 0.0;  // in pools that are not spare
+};
+
 // Log entry: this owner has saved the job's failure.
 struct JobFailed {
   std::string job;
@@ -216,6 +228,7 @@
                             LongRunningStalled,
                             CountStalls,
                             JobFailed,
+                            BoxesRested,
                             LogNote>;
 
 }  // namespace quartzhoist::scheduler
--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -1,27 +1,11 @@
 #include "scheduler/fleet.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace quartzhoist::scheduler {
 
 namespace {
 
-using std::chrono::milliseconds;
-
-// Pools get demand / kTargetUtilization cores, since tasks do not pack boxes
-// exactly.
-constexpr double kTargetUtilization = 0.85;
-
-// A pool is short of cores once it lacks this fraction of a box.
-constexpr double kShortageThreshold = 0.25;
-
-// Without any box a pool is short as soon as it needs a core: a small task
-// would wait there for good.
-double ShortageThreshold(double held_cores, double box_cores) {
-  return held_cores > 0.0 ? kShortageThreshold * box_cores : 0.0;
-}
-
 // A confirmed move is dropped if no new worker instance announces itself within
 // this time.
 constexpr base::Micros kMoveTimeout = std::chrono::seconds(8);
@@ -34,7 +18,8 @@
 
 }  // namespace
 
-FleetPlanner::FleetPlanner(const FleetTimings& initial) : timings(initial) {}
+FleetPlanner::FleetPlanner(const FleetTimings& initial, bool rest)
+    : timings(initial), idle_boxes_rest(rest) {}
 
 void FleetPlanner::Inherit(const MoveBox& call, base::Micros now) {
   this->moves[call.box] = {.pool = call.pool,
@@ -57,16 +42,51 @@
 
 // Owners call for idle boxes only and place nothing on them until the call is
 // resolved. So if the box has runs, the call was abandoned or carried out long
-// ago. If its worker has not answered, the box may be moving or going down. A
-// placement that the worker has not reported may be older than the call.
+// ago. If its worker has not answered, the box may be moving or going down,
+// until a list shows otherwise. A placement that the worker has not reported
+// may be older than the call.
 FleetPlanner::InheritedCall FleetPlanner::ClassifyInherited(
     const BoxesByName& boxes,
-    const std::string& box) {
+    const std::string& box,
+    bool is_listed_up) {
   const auto found = boxes.find(box);
-  if (found == boxes.end() || !found->second->available ||
-      found->second->has_only_inherited_runs)
+  if (found == boxes.end())
+    return is_listed_up ? InheritedCall::kRetry : InheritedCall::kUnresolved;
+  const FleetBox& seen = *found->second;
+  // Repeated, the call keeps a late one of the earlier owner from the box. But
+  // only an answer shows that runs which are presumed over have ended.
+  if (!seen.available && is_listed_up)
+    return seen.idle && !seen.runs_presumed_over ? InheritedCall::kRetry
+                                                 : InheritedCall::kObsolete;
+  if (!seen.available || seen.has_only_inherited_runs)
     return InheritedCall::kUnresolved;
-  return found->second->idle ? InheritedCall::kRetry : InheritedCall::kObsolete;
+  return seen.idle ? InheritedCall::kRetry : InheritedCall::kObsolete;
+}
+
+bool FleetPlanner::IsListedUpAfter(const std::string& box,
+                                   base::Micros since,
+                                   base::Micros asked) const {
+  const auto found = this->listed.find(box);
+  return found != this->listed.end() && found->second.state == BoxState::kUp &&
+         asked >= since + kBoxCallTimeLimit;
+}
+
+// A box that is gone or up in its destination needs no call. One that is moving
+// or in maintenance is shown up by a later list.
+void FleetPlanner::ReconcileInheritedMoves(base::Micros asked) {
+  for (auto it = this->moves.begin(); it != this->moves.end();) {
+    Move& move = it->second;
+    const auto found = this->listed.find(it->first);
+    const bool is_removed = found == this->listed.end();
+    const bool is_up = this->IsListedUpAfter(it->first, move.since, asked);
+    if (move.is_inherited &&
+        (is_removed || (is_up && found->second.pool == move.pool))) {
+      it = this->moves.erase(it);
+      continue;
+    }
+    move.is_listed_up = move.is_inherited && is_up;
+    ++it;
+  }
 }
 
 // A new worker instance alone does not show that the box is back: a crashed
@@ -110,9 +130,15 @@
   for (const BoxInfo& box : boxes)
     this->listed[box.name] = box;
   this->has_list = true;
-  // Drop inherited moves of boxes that no longer exist.
-  std::erase_if(this->moves, [this](const auto& entry) {
-    return entry.second.is_inherited && !this->listed.contains(entry.first);
+  this->ReconcileInheritedMoves(asked);
+  // No worker announces itself in a spare pool. Only a list requested after the
+  // outcome of the call shows the box after its move.
+  std::erase_if(this->moves, [this, asked](const auto& entry) {
+    const Move& move = entry.second;
+    const auto found = this->listed.find(entry.first);
+    return move.done && asked > move.since && found != this->listed.end() &&
+           found->second.state == BoxState::kUp &&
+           found->second.pool == move.pool && this->IsSparePool(move.pool);
   });
   this->ReconcileWaves(asked, now);
 }
@@ -127,6 +153,7 @@
   move.in_flight = false;
   switch (outcome) {
     case BoxCallOutcome::kDone:
+      this->SetListedMoving(command.box, move.pool);
       // An earlier call, which got no answer, moved the box; it is back
       // already.
       if (move.arrived) {
@@ -135,6 +162,7 @@
       }
       move.done = true;
       move.since = now;
+      this->rested += this->IsSparePool(move.pool);
       break;
     case BoxCallOutcome::kUnknown:
       move.next_call_at = now + kCallRetryDelay;
@@ -149,6 +177,22 @@
   }
 }
 
+// The list in hand is older than the move. Were the box still taken as shown
+// there, it would count as a spare box once its worker is gone.
+void FleetPlanner::SetListedMoving(const std::string& box,
+                                   const std::string& pool) {
+  const auto found = this->listed.find(box);
+  if (found == this->listed.end())
+    return;
+  found->second.pool = pool;
+  found->second.state = BoxState::kMoving;
+}
+
+bool FleetPlanner::IsSparePool(const std::string& pool) const {
+  return std::find(this->spare_pools.begin(), this->spare_pools.end(), pool) !=
+         this->spare_pools.end();
+}
+
 // Adds the boxes of spare pools. They run no worker that would announce itself,
 // so only the platform's list has them.
 FleetView FleetPlanner::WithSpareBoxes(const FleetView& seen) const {
@@ -159,12 +203,7 @@
   for (const auto& [name, info] : this->listed) {
     if (known.contains(name) || info.state != BoxState::kUp)
       continue;
-    const bool is_spare =
-        std::any_of(view.pools.begin(), view.pools.end(),
-                    [&info = info](const FleetPool& pool) {
-                      return pool.spare && pool.name == info.pool;
-                    });
-    if (is_spare) {
+    if (this->IsSparePool(info.pool)) {
       view.boxes.push_back({.name = name,
                             .pool = info.pool,
                             .worker = {.id = info.worker},
@@ -181,6 +220,11 @@
 
 std::vector<FleetAction> FleetPlanner::Plan(const FleetView& seen,
                                             base::Micros now) {
+  this->spare_pools.clear();
+  for (const FleetPool& pool : seen.pools) {
+    if (pool.spare)
+      this->spare_pools.push_back(pool.name);
+  }
   const FleetView view = this->WithSpareBoxes(seen);
   std::vector<FleetAction> actions;
   BoxesByName boxes;
@@ -200,9 +244,10 @@
                               std::vector<FleetAction>& actions) {
   for (auto it = this->moves.begin(); it != this->moves.end();) {
     Move& move = it->second;
-    const InheritedCall inherited = move.is_inherited
-                                        ? ClassifyInherited(boxes, it->first)
-                                        : InheritedCall::kRetry;
+    const InheritedCall inherited =
+        move.is_inherited
+            ? ClassifyInherited(boxes, it->first, move.is_listed_up)
+            : InheritedCall::kRetry;
     const bool is_lost = move.done && now > move.since + kMoveTimeout;
     if (is_lost || inherited == InheritedCall::kObsolete) {
       it = this->moves.erase(it);
@@ -220,158 +265,6 @@
   }
 }
 
-// Cores per pool; a moving box counts for its destination.
-std::map<std::string, double> FleetPlanner::CoresByPool(
-    const FleetView& view) const {
-  std::map<std::string, double> held;
-  for (const FleetPool& pool : view.pools)
-    held[pool.name] = 0.0;
-  for (const FleetBox& box : view.boxes) {
-    if (box.in_evacuated_zone)
-      continue;
-    const auto move = this->moves.find(box.name);
-    const bool moves_now = move != this->moves.end();
-    if ((box.available || moves_now) && !this->IsInMaintenance(box.name))
-      held[moves_now ? move->second.pool : box.pool] += box.cores;
-  }
-  return held;
-}
-
-// Moves idle boxes from pools above their allocation to the pool with the
-// largest shortage. Spare boxes are used last, since boxes in pools are paid
-// for anyway. Where no idle box is left, busy ones are reclaimed.
-void FleetPlanner::PlanMoves(const FleetView& view,
-                             base::Micros now,
-                             std::vector<FleetAction>& actions) {
-  this->reclaimed.clear();
-  this->allocated_cores.clear();
-  // 1. Compute each pool's surplus over its allocation.
-  const std::map<std::string, double> held = this->CoresByPool(view);
-  std::map<std::string, double> surplus = held;
-  double total_cores = 0.0;
-  double box_cores = 0.0;
-  for (const auto& [pool, cores] : surplus)
-    total_cores += cores;
-  for (const FleetBox& box : view.boxes)
-    box_cores = std::max(box_cores, box.cores);
-  if (box_cores <= 0.0)
-    return;
-  std::vector<FleetPool> requesting;
-  for (const FleetPool& pool : view.pools) {
-    if (!pool.spare)
-      requesting.push_back(pool);
-  }
-  const std::map<std::string, double> allocated =
-      AllocateCores(requesting, total_cores * kTargetUtilization,
-                    box_cores * kTargetUtilization);
-  for (const FleetPool& pool : requesting) {
-    const double cores = allocated.at(pool.name) / kTargetUtilization;
-    this->allocated_cores[pool.name] = cores;
-    surplus[pool.name] -= cores;
-  }
-  // 2. Move boxes to the pool with the largest shortage until no pool is short
-  // or no donor is left.
-  double short_cores = 0.0;
-  while (true) {
-    const FleetPool* shortest = nullptr;
-    for (const FleetPool& pool : requesting) {
-      const double threshold = ShortageThreshold(held.at(pool.name), box_cores);
-      if (surplus[pool.name] >= -threshold)
-        continue;
-      if (!shortest || surplus[pool.name] < surplus[shortest->name])
-        shortest = &pool;
-    }
-    if (!shortest)
-      break;
-    const FleetBox* donor = this->FindDonor(view, surplus, *shortest);
-    if (!donor) {
-      for (const FleetPool& pool : requesting)
-        short_cores += std::max(0.0, -surplus[pool.name]);
-      break;
-    }
-    surplus[donor->pool] -= donor->cores;
-    surplus[shortest->name] += donor->cores;
-    Move& move = this->moves[donor->name];
-    move.pool = shortest->name;
-    move.worker_before_call = donor->worker;
-    move.since = now;
-    move.first_call_at = now;
-    move.in_flight = true;
-    actions.emplace_back(MoveBox{.box = donor->name,
-                                 .pool = shortest->name,
-                                 .incarnation = donor->worker});
-  }
-  // 3. For the remaining shortage, reclaim busy boxes of pools with a surplus.
-  this->SelectReclaimed(view, surplus, short_cores);
-}
-
-const FleetBox* FleetPlanner::FindDonor(
-    const FleetView& view,
-    const std::map<std::string, double>& surplus,
-    const FleetPool& to) const {
-  // A pool that needs boxes and has none gets its first one even if the donor
-  // pool then falls short by up to one box.
-  const bool has_no_box =
-      to.min_boxes > 0 &&
-      std::none_of(view.boxes.begin(), view.boxes.end(),
-                   [this, &to](const FleetBox& box) {
-                     return box.available && !box.in_evacuated_zone &&
-                            box.pool == to.name && !this->IsLeaving(box.name);
-                   });
-  const FleetBox* best = nullptr;
-  double best_remaining = -1e9;
-  for (const FleetBox& box : view.boxes) {
-    const auto pool = surplus.find(box.pool);
-    const bool may_move =
-        box.available && !box.in_evacuated_zone && box.idle &&
-        box.pool != to.name && !this->moves.contains(box.name) &&
-        !this->IsInMaintenance(box.name) && pool != surplus.end();
-    if (!may_move)
-      continue;
-    const bool is_spare = std::any_of(
-        view.pools.begin(), view.pools.end(), [&box](const FleetPool& known) {
-          return known.name == box.pool && known.spare;
-        });
-    // Surplus that the donor pool keeps.
-    const double remaining = is_spare ? 0.0 : pool->second - box.cores;
-    const double min_remaining = has_no_box ? -box.cores : 0.0;
-    if (remaining < min_remaining || remaining <= best_remaining)
-      continue;
-    best = &box;
-    best_remaining = remaining;
-  }
-  return best;
-}
-
-void FleetPlanner::SelectReclaimed(const FleetView& view,
-                                   std::map<std::string, double>& surplus,
-                                   double short_cores) {
-  std::vector<const FleetBox*> busy;
-  for (const FleetBox& box : view.boxes) {
-    const bool may_move = box.available && !box.in_evacuated_zone &&
-                          !box.idle && box.long_running_tasks == 0 &&
-                          !this->moves.contains(box.name) &&
-                          !this->IsInMaintenance(box.name);
-    if (may_move)
-      busy.push_back(&box);
-  }
-  // Least loaded boxes first: they should become idle soonest.
-  std::stable_sort(busy.begin(), busy.end(),
-                   [](const FleetBox* a, const FleetBox* b) {
-                     return a->busy_cores < b->busy_cores;
-                   });
-  for (const FleetBox* box : busy) {
-    if (short_cores <= 0.0)
-      return;
-    const auto pool = surplus.find(box->pool);
-    if (pool == surplus.end() || pool->second < box->cores)
-      continue;
-    pool->second -= box->cores;
-    short_cores -= box->cores;
-    this->reclaimed.insert(box->name);
-  }
-}
-
 bool FleetPlanner::HasPendingCall(const std::string& box) const {
   const auto move = this->moves.find(box);
   if (move != this->moves.end() && !move->second.done)
@@ -394,10 +287,11 @@
   const auto found = this->moves.find(box);
   if (found != this->moves.end()) {
     const Move& move = found->second;
-    if (move.done)
-      return LeavingReason::kMoved;
-    return move.is_inherited ? LeavingReason::kInheritedMove
-                             : LeavingReason::kMoving;
+    if (move.is_inherited)
+      return LeavingReason::kInheritedMove;
+    if (this->IsSparePool(move.pool))
+      return LeavingReason::kResting;
+    return move.done ? LeavingReason::kMoved : LeavingReason::kMoving;
   }
   for (const auto& [number, progress] : this->waves) {
     const auto listed = progress.boxes.find(box);
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -17,6 +17,7 @@
 #include "base/enum_names.h"
 #include "scheduler/actions.h"
 #include "scheduler/facts.h"
+#include "scheduler/idle_boxes.h"
 
 namespace quartzhoist::scheduler {
 
@@ -54,6 +55,8 @@
   bool available = false;          // can be moved or taken down
   bool in_evacuated_zone = false;  // takes no tasks and stays in its pool
   bool idle = false;               // no runs
+  // Runs were presumed over when their lease expired; no answer since.
+  bool runs_presumed_over = false;
   // It has runs, all of them placed by earlier owners and not reported.
   bool has_only_inherited_runs = false;
   int long_running_tasks = 0;
@@ -84,6 +87,7 @@
   kReclaimed,          // emptied for a move to a pool that is short of cores
   kMoving,             // a move is about to be called, or has no outcome yet
   kMoved,              // the move is done; the worker has not announced itself
+  kResting,            // a move to the spare pool is called or under way
   kInheritedMove,      // an earlier owner's move, which is not resolved
   kEvacuating,         // emptied for a maintenance wave
   kMaintenanceCalled,  // maintenance called; the outcome is not known
@@ -91,10 +95,11 @@
   kInheritedMaintenance,  // an earlier owner's call, which is not resolved
 };
 
-inline constexpr base::EnumNames<LeavingReason, 8> kLeavingReasonNames{{
+inline constexpr base::EnumNames<LeavingReason, 9> kLeavingReasonNames{{
     {LeavingReason::kReclaimed, "reclaimed"},
     {LeavingReason::kMoving, "moving"},
     {LeavingReason::kMoved, "moved"},
+    {LeavingReason::kResting, "resting"},
     {LeavingReason::kInheritedMove, "inherited_move"},
     {LeavingReason::kEvacuating, "evacuating"},
     {LeavingReason::kMaintenanceCalled, "maintenance_called"},
@@ -176,7 +181,10 @@
 
 class FleetPlanner {
  public:
-  explicit FleetPlanner(const FleetTimings& initial);
+  // `idle_boxes_rest`: idle boxes return to the spare pool, and boxes leave it
+  // for the need alone. Without a spare pool it makes no difference.
+  explicit FleetPlanner(const FleetTimings& initial,
+                        bool idle_boxes_rest = true);
 
   // Zones that the operator has evacuated. Their boxes add no capacity and are
   // not moved; their maintenance goes on.
@@ -217,6 +225,10 @@
 
   std::vector<FleetAction> Plan(const FleetView& view, base::Micros now);
 
+  // The boxes that were moved to the spare pool since the last report; empty if
+  // there are none, or if the last one was made less than a second ago.
+  std::optional<BoxesRested> TakeRestReport(base::Micros now);
+
   // True while a call for the box is due or has no known outcome.
   bool HasPendingCall(const std::string& box) const;
   // True while nothing more may be placed on the box.
@@ -255,6 +267,7 @@
     bool in_flight = false;
     bool may_have_begun = false;  // a call got no answer
     bool is_inherited = false;    // a previous owner's call, unresolved
+    bool is_listed_up = false;    // of an inherited call: it had no effect
     // When the evacuation counts as stalled; empty while it proceeds.
     std::optional<base::Micros> stalls_at;
     base::Micros released_at{};  // when it last gave its slot back; 0: never
@@ -276,8 +289,21 @@
     bool done = false;          // confirmed by the platform
     bool arrived = false;       // announced in the new pool before that
     bool is_inherited = false;  // a previous owner's call, unresolved
+    bool is_listed_up = false;  // of an inherited call: it had no effect
   };
   using BoxesByName = std::map<std::string, const FleetBox*>;
+  // The fleet's cores in one planning round. Moves are applied to it.
+  struct CoreBalance {
+    std::map<std::string, double> held;     // by pool, at the beginning
+    std::map<std::string, double> surplus;  // beyond each pool's allocation
+    // The same with the growth counted at kSpareGrowthFraction.
+    std::map<std::string, double> need_surplus;
+    std::set<std::string> served;  // pools that were given a box
+    double need_cores = 0.0;       // of all pools that are not spare
+    double box_cores = 0.0;        // of the largest box
+    // No pool that lacks cores found a donor any more.
+    bool donors_exhausted = false;
+  };
 
   FleetView WithSpareBoxes(const FleetView& view) const;
   // Delay before repeating a call that got no answer or was turned down.
@@ -293,16 +319,30 @@
   struct WaveCounts {
     int away = 0;
     int pinned_evacuating = 0;  // of them, evacuating long-running tasks
+    int quick_left = 0;         // not begun, without long-running tasks
+    int max_pinned = 0;         // slots for long-running tasks first
     bool all_done = true;
     std::vector<std::pair<const FleetBox*, Maintenance*>> pending;
   };
 
-  // An inherited call is repeated once its box is available and idle.
+  // An inherited call is repeated once its box is available and idle, or a list
+  // shows the box up although the call is over (`is_listed_up`).
   enum class InheritedCall { kUnresolved, kRetry, kObsolete };
   static InheritedCall ClassifyInherited(const BoxesByName& boxes,
-                                         const std::string& box);
+                                         const std::string& box,
+                                         bool is_listed_up);
+  // Whether a list requested at `asked` shows the box up, after the time limit
+  // of a call that was inherited at `since`.
+  bool IsListedUpAfter(const std::string& box,
+                       base::Micros since,
+                       base::Micros asked) const;
+  void ReconcileInheritedMoves(base::Micros asked);
   static bool ResolveInherited(Maintenance& maintenance,
                                InheritedCall inherited);
+  static bool IsBehindItsPace(const WaveProgress& progress, base::Micros now);
+  int CountSlotsForPinned(const WaveProgress& progress,
+                          int quick_left,
+                          base::Micros now) const;
   static bool IsStalled(const Maintenance& maintenance, base::Micros now);
   ReportWave MakeReport(const WaveProgress& progress) const;
   void ReconcileWaves(base::Micros asked, base::Micros now);
@@ -334,15 +374,48 @@
                   base::Micros now,
                   std::vector<FleetAction>& actions);
   std::map<std::string, double> CoresByPool(const FleetView& view) const;
+  // Whether idle boxes return to the spare pool.
+  bool BoxesMayRest() const {
+    return this->idle_boxes_rest && !this->spare_pools.empty();
+  }
+  bool IsSparePool(const std::string& pool) const;
+  void SetListedMoving(const std::string& box, const std::string& pool);
+  // Whether the box is neither moving nor in maintenance nor evacuated.
+  bool MayMove(const FleetBox& box) const;
+  CoreBalance BalanceCores(const FleetView& view,
+                           const std::vector<FleetPool>& requesting);
+  void ServeShortages(const FleetView& view,
+                      const std::vector<FleetPool>& requesting,
+                      CoreBalance& balance,
+                      base::Micros now,
+                      std::vector<FleetAction>& actions);
+  bool MayUseSpareBox(const CoreBalance& balance, const FleetPool& to) const;
+  void RestIdleBoxes(const FleetView& view,
+                     const CoreBalance& balance,
+                     base::Micros now,
+                     std::vector<FleetAction>& actions);
+  void BeginMove(const FleetBox& box,
+                 const std::string& pool,
+                 base::Micros now,
+                 std::vector<FleetAction>& actions);
   const FleetBox* FindDonor(const FleetView& view,
                             const std::map<std::string, double>& surplus,
-                            const FleetPool& to) const;
+                            const FleetPool& to,
+                            bool may_use_spare) const;
   void SelectReclaimed(const FleetView& view,
                        std::map<std::string, double>& surplus,
                        double short_cores);
   bool IsInMaintenance(const std::string& box) const;
+  // Whether an open wave has yet to complete the box's maintenance.
+  bool IsDueInWave(const std::string& box) const;
 
   FleetTimings timings;
+  bool idle_boxes_rest;
+  IdleBoxes idle_boxes;
+  std::vector<std::string> spare_pools;  // by the last plan
+  double pool_cores = 0.0;               // by the last plan
+  int rested = 0;                        // boxes, since the last report
+  base::Micros next_rest_report{};
   std::set<std::string> evacuated_zones;
   std::map<int, WaveProgress> waves;
   std::map<std::string, Move> moves;  // by box, until it serves the new pool
