The row names a start without an answer until it can no longer begin

Cause: a given-up start left its job's row with the task's next placement. When its worker restarted, the stop was sent again, but the run was in no row and in no list of the worker. If the worker had begun it late and the placement was lost, the next owner started the task beside it, and did not count its resources.

When the worker restarts, the start becomes a run of the new incarnation: it is stopped, it takes up resources and its task waits for it. It is no suspect of that incarnation's loss unless a report has shown it. A start whose run or end was reported is not stopped again.

--- a/scheduler/crashes.cc
+++ b/scheduler/crashes.cc
@@ -80,9 +80,11 @@
   for (const auto& [id, run] : runs) {
     const Job* job = this->FindJob(id.job);
     const base::Micros ran = ConfirmedRunTime(run, worker);
-    // A long-running task that outlived the startup window is not a suspect.
+    // A long-running task that outlived the startup window is not a suspect,
+    // and neither is a run whose start was given up and that no report showed.
+    const bool has_not_begun = run.is_late_start && !run.is_confirmed;
     const bool may_be_cause =
-        run.state != RunState::kPlanned &&
+        run.state != RunState::kPlanned && !has_not_begun &&
         !(run.is_long_running && ran >= kStartupCrashWindow);
     if (!may_be_cause || !job || !HasTask(*job, PositionOf(id)))
       continue;
--- a/scheduler/inheritance.cc
+++ b/scheduler/inheritance.cc
@@ -98,6 +98,9 @@
                             const TaskPosition& position,
                             const jobs::Placement& placement,
                             base::Micros now) {
+  // The row names it for the case that it is carried out late.
+  if (this->IsOpenStart(IdOf(job, position), placement.run))
+    return true;
   Worker* worker = this->FindHolder(placement.worker);
   if (!worker || !HasTask(job, position))
     return false;
@@ -224,6 +227,7 @@
   } else {
     this->CancelPlan(job, position);
   }
+  this->KeepReplacedStart(job, position);
   job.progress.placed[KeyOf(position)] = placement;
   return task.state == TaskState::kReady;
 }
--- a/scheduler/planned_runs.cc
+++ b/scheduler/planned_runs.cc
@@ -68,6 +68,7 @@
   this->RecordLastTry(job, choice.position, run_number);
   const jobs::TaskId id = IdOf(job, choice.position);
   AddRun(worker, id, std::move(run));
+  this->KeepReplacedStart(job, choice.position);
   job.progress.placed[KeyOf(choice.position)] = {
       .worker = worker.info.incarnation, .run = run_number};
   this->MarkChanged(job);
--- a/scheduler/run_ends.cc
+++ b/scheduler/run_ends.cc
@@ -48,6 +48,7 @@
 void Scheduler::ProcessRunEnd(Worker& worker,
                               const ReportedEnd& end,
                               base::Micros now) {
+  this->MarkCarriedOut(end.task, end.run);
   // 1. Free the run's resources.
   const auto run = worker.runs.find(end.task);
   const bool is_current_run =
@@ -189,6 +190,7 @@
     task.worker = incarnation;
     task.run = run->second.number;
     task.latest_run = std::max(task.latest_run, task.run);
+    this->KeepReplacedStart(job, position);
     job.progress.placed[KeyOf(position)] = {.worker = incarnation,
                                             .run = task.run};
     // A run that has not been stopped yet goes on as the task's placement.
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -363,6 +363,7 @@
 
 void Scheduler::Advance(base::Micros now) {
   this->ExpireLeases(now);
+  this->ExpireOpenStarts(now);
   this->zone_health.Update(this->workers, now);
   this->ReleaseDueRepeats(now);
   if (!this->is_fenced && this->LeaseEnd(now) > now)
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -18,6 +18,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -374,6 +375,25 @@
                       base::Micros now);
   void DropAllRuns(Worker& worker, LossReason reason, base::Micros now);
 
+  // starts that got no answer and may still be carried out
+  struct OpenStart {
+    std::string worker;  // any incarnation of it may carry out the start
+    base::Micros until{};
+    bool was_carried_out = false;
+  };
+  void RecordOpenStart(const StartRun& command, base::Micros now);
+  void MarkCarriedOut(const jobs::TaskId& task, int run);
+  bool IsOpenStart(const jobs::TaskId& task, int run) const;
+  // Keeps a placement in the job's row that may still be carried out and is
+  // about to be replaced there.
+  void KeepReplacedStart(Job& job, const TaskPosition& position);
+  void StopOpenStarts(Worker& next, base::Micros now);
+  void StopOpenStart(Worker& next,
+                     const jobs::TaskId& id,
+                     int number,
+                     base::Micros now);
+  void ExpireOpenStarts(base::Micros now);
+
   // leases and polls
   void ExpireLeases(base::Micros now);
   void IssueDuePolls(base::Micros now);
@@ -518,6 +538,7 @@
   std::map<std::string, UnknownJob> unknown_jobs;
   std::map<std::string, ReadyTasks> ready;  // by service
   UnresolvedLosses unresolved_losses;
+  std::map<std::pair<jobs::TaskId, int>, OpenStart> open_starts;  // by run
   std::set<std::string> jobs_to_save;    // jobs with unsaved progress
   std::set<std::string> repeating_jobs;  // jobs with future repeats
   RunTimes run_times;
--- a/scheduler/stops.cc
+++ b/scheduler/stops.cc
@@ -129,7 +129,8 @@
       const bool may_work = run.is_long_running && worker.report_requested_at <=
                                                        run.start_unsettled_at;
       const bool start_open = run.state == RunState::kUnsettled && !may_work &&
-                              run.stop_answered_at == base::Micros::zero();
+                              run.stop_answered_at == base::Micros::zero() &&
+                              this->IsRecorded(task, run);
       if ((!stop_unanswered && !start_open) ||
           now < run.stop_sent_at + kStopRetryDelay)
         continue;
--- a/scheduler/worker.cc
+++ b/scheduler/worker.cc
@@ -10,9 +10,6 @@
 // How much earlier than the last reading an answer's clock may be, since
 // answers can arrive out of order.
 constexpr base::Micros kReorderTolerance = std::chrono::milliseconds(100);
-// Longest delay after which a call that got no answer may still be carried out.
-// The platform's documentation says seconds; 2 to 12 s were seen on the sites.
-constexpr base::Micros kMaxCommandDelay = std::chrono::seconds(12);
 
 void ReleaseQuota(const Run& run) {
   if (run.organisation_usage)
@@ -66,15 +63,6 @@
   worker.runs.erase(found);
 }
 
-void RecordUnansweredStart(Worker& worker, const UnansweredStart& start) {
-  while (!worker.recent_unanswered_starts.empty() &&
-         worker.recent_unanswered_starts.front().given_up_at +
-                 kMaxCommandDelay <
-             start.given_up_at)
-    worker.recent_unanswered_starts.pop_front();
-  worker.recent_unanswered_starts.push_back(start);
-}
-
 std::map<jobs::TaskId, Run> ExtractRuns(Worker& worker) {
   for (const auto& [task, run] : worker.runs)
     ReleaseQuota(run);
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -66,6 +66,9 @@
   // The worker reported an older run of the task beside it, which is being
   // stopped.
   bool has_older_run = false;
+  // Its start was given up before the worker restarted. Nothing shows that it
+  // has begun unless it is confirmed.
+  bool is_late_start = false;
   // The change of the job's row that first names the run, if this owner adopted
   // it; an earlier one does for any other run.
   std::uint64_t recorded_by = 0;
@@ -95,13 +98,6 @@
   bool awaits_job = false;  // the job has not been read, so no row records it
 };
 
-// A start that got no answer and may still be carried out.
-struct UnansweredStart {
-  jobs::TaskId task;
-  int run = 0;
-  base::Micros given_up_at{};
-};
-
 struct Worker {
   WorkerInfo info;
   bool has_reported = false;  // has answered a poll under this owner's epoch
@@ -148,7 +144,6 @@
   std::int64_t last_recorded_end = 0;
   std::int64_t last_acknowledged_end = 0;
   std::deque<PendingEnd> pending_ends;  // processed but not yet recorded
-  std::deque<UnansweredStart> recent_unanswered_starts;  // oldest first
   std::map<jobs::TaskId, Run> runs;
   jobs::Resources used;
   int long_running_tasks = 0;  // runs of long-running tasks, which pin the box
@@ -183,9 +178,6 @@
 Run& AddRun(Worker& worker, const jobs::TaskId& task, Run run);
 void RemoveRun(Worker& worker, const jobs::TaskId& task);
 void ClearSuspicion(Worker& worker, Run& run);
-// Records a start that got no answer, and drops those that are too old to be
-// carried out any more.
-void RecordUnansweredStart(Worker& worker, const UnansweredStart& start);
 // Removes all runs from the worker and returns them.
 std::map<jobs::TaskId, Run> ExtractRuns(Worker& worker);
 
--- a/scheduler/worker_incarnations.cc
+++ b/scheduler/worker_incarnations.cc
@@ -164,14 +164,7 @@
   next.latest_lease_end =
       std::max(earlier.latest_lease_end, now + this->limits.max_lease);
   this->actions.emplace_back(restarted);
-  // The earlier incarnation refuses late starts of runs that were stopped
-  // there; the next one does not know of the stops, so they are sent again.
-  for (const UnansweredStart& start : earlier.recent_unanswered_starts) {
-    if (!next.runs.contains(start.task))
-      this->actions.emplace_back(StopRun{
-          .worker = info.incarnation, .task = start.task, .run = start.run});
-  }
-  next.recent_unanswered_starts = std::move(earlier.recent_unanswered_starts);
+  this->StopOpenStarts(next, now);
   // 3. All other runs are lost.
   if (!runs.empty())
     this->HandleLostRuns(earlier, runs, losses, LossReason::kRestarted, now);
--- a/scheduler/worker_reports.cc
+++ b/scheduler/worker_reports.cc
@@ -118,6 +118,7 @@
 void Scheduler::ProcessReportedRun(Worker& worker,
                                    const ReportedRun& reported,
                                    base::Micros now) {
+  this->MarkCarriedOut(reported.task, reported.run);
   const auto found = worker.runs.find(reported.task);
   if (found == worker.runs.end() || found->second.number != reported.run) {
     // An older run beside a newer one of the same task is only stopped. The
@@ -248,6 +249,7 @@
       if (!reported.checkpoint.empty())
         task.checkpoint = reported.checkpoint;
       job->has_started = true;
+      this->KeepReplacedStart(*job, PositionOf(reported.task));
       job->progress.placed[KeyOf(PositionOf(reported.task))] = {
           .worker = worker.info.incarnation, .run = task.run};
       this->MarkChanged(*job);
@@ -407,8 +409,8 @@
     if (run.state == RunState::kStarting)
       run.state = RunState::kUnsettled;
     run.start_unsettled_at = now;
-    RecordUnansweredStart(
-        worker, {.task = command.task, .run = command.run, .given_up_at = now});
+    if (!run.is_confirmed)
+      this->RecordOpenStart(command, now);
     RecordFailedCall(worker, run.decided_at);
     this->QuarantineIfStartsUnanswered(worker, now);
     return;
