Losses of a task are counted by its runs

Cause: a worker that restarts may have begun a run in either incarnation. One owner recorded the loss of the run under the first, and the next owner, which had read the placement before that was saved, under the second. Each loss counted, although a start is carried out once, so a long-running task could be given up after three losses of two runs.

Change: AssessSuspicion and IsLastTry group the losses by run. A loss whose run is not known counts by itself, as before.

--- a/scheduler/suspects.cc
+++ b/scheduler/suspects.cc
@@ -1,5 +1,6 @@
 #include "scheduler/suspects.h"
 
+#include <map>
 #include <utility>
 
 namespace quartzhoist::scheduler {
@@ -25,26 +26,53 @@
 // occur close together.
 constexpr base::Micros kLastTryPause = std::chrono::seconds(4);
 
+// What is known of a lost run.
+struct LostRun {
+  bool has_crashed = false;
+  bool start_confirmed = false;  // on a crashed worker
+};
+
+// Groups the losses by run. A worker that restarts may have begun a run in
+// either incarnation, so one owner may record the loss of the earlier one and a
+// later owner that of the next. A start is carried out once, so only one of
+// them had the run. A loss of an unknown run counts by itself.
+std::map<std::pair<int, jobs::WorkerIncarnation>, LostRun> LostRunsOf(
+    const jobs::WorkerLosses& losses) {
+  std::map<std::pair<int, jobs::WorkerIncarnation>, LostRun> runs;
+  for (const auto& [incarnation, loss] : losses) {
+    LostRun& run = runs[{
+        loss.run, loss.run == 0 ? incarnation : jobs::WorkerIncarnation()}];
+    run.has_crashed = run.has_crashed || loss.has_crashed;
+    run.start_confirmed =
+        run.start_confirmed || (loss.has_crashed && loss.start_confirmed);
+  }
+  return runs;
+}
+
 }  // namespace
 
 bool IsLastTry(const jobs::WorkerLosses& losses) {
-  return losses.size() >= static_cast<std::size_t>(kCrashesToGiveUp);
+  return LostRunsOf(losses).size() >=
+         static_cast<std::size_t>(kCrashesToGiveUp);
 }
 
 Suspicion AssessSuspicion(const jobs::WorkerLosses& losses,
                           const jobs::RunNumbers& last_tries,
                           base::Micros since_last_loss,
                           bool is_long_running) {
-  const auto count = static_cast<int>(losses.size());
+  const auto lost_runs = LostRunsOf(losses);
+  const auto count = static_cast<int>(lost_runs.size());
   int crashes = 0;
   int reported = 0;
+  for (const auto& [key, run] : lost_runs) {
+    crashes += run.has_crashed;
+    reported += run.start_confirmed;
+  }
   bool was_alone = false;
   std::set<std::string> boxes;  // with crashed workers
   for (const auto& [incarnation, loss] : losses) {
     if (!loss.has_crashed)
       continue;
-    ++crashes;
-    reported += loss.start_confirmed;
     boxes.insert(loss.box);
     was_alone = was_alone || loss.was_sole_suspect;
   }
