The model counts losses of runs whose end no owner has received

Cause: a long-running task may be given up after losses that the scheduler rightly counts and that the model did not. A run that has ended on a worker that restarts before any owner has received the end looks to every owner like a run that its worker was lost with. A trace of LongRunningTasksSurviveWorkerRestarts shows two of four counted losses of that kind.

Change: the model counts the loss of an incarnation also for a task whose latest run there has ended, if no owner has received a report with that end. A report that a paused owner receives after the incarnation's end takes the count back. Runs whose end was received, and starts that never arrived, count as little as before, so the check is not looser than what an owner can know.

--- a/testing/scheduler_model.h
+++ b/testing/scheduler_model.h
@@ -203,6 +203,7 @@
     std::vector<scheduler::ReportedEnd> ends;
     std::int64_t last_number = 0;
     std::int64_t acknowledged = 0;
+    std::int64_t last_read_end = 0;  // in a report that an owner has received
   };
   struct StoredJob {
     ModelJob job;
@@ -219,7 +220,8 @@
         crashes;  // of workers that started it
     std::map<scheduler::TaskPosition, int> starts_since_third_crash;
     // Worker incarnations that ended without a command while the task ran
-    // there, whatever the cause.
+    // there, whatever the cause, or before an owner had received the end of the
+    // task's latest run there: no owner can tell these from the former.
     std::map<scheduler::TaskPosition, int> lost_workers;
   };
   // `available_at`: end of the current move or maintenance.
@@ -333,6 +335,8 @@
   void ScheduleCrash(const Worker& worker, const scheduler::StartRun& command);
   void CrashWorker(Worker& worker);
   void CountLosses(const Worker& worker);
+  // An owner has received the report. It counts no loss of the runs that ended.
+  void MarkEndsRead(const scheduler::WorkerReport& report);
   void Restart(Worker& worker);
   void BeginNextIncarnation(Worker& worker);
   void ChangeCapacity(Worker& worker, const jobs::Resources& capacity);
@@ -376,6 +380,8 @@
   std::map<jobs::TaskId, Presence> presence;
   bool is_confirming = true;  // the store confirms the newest owner
   base::Micros last_confirmed{};
+  // Ends that were counted as losses because no owner had received them.
+  std::set<std::pair<jobs::WorkerIncarnation, std::int64_t>> unread_losses;
   int incarnation_count = 0;
   int start_count = 0;
   int crash_count = 0;
--- a/testing/scheduler_model_messages.cc
+++ b/testing/scheduler_model_messages.cc
@@ -156,10 +156,12 @@
       },
       [this, index, command, report](CommandOutcome outcome) {
         scheduler::Scheduler& owner = *this->owners[index].scheduler;
-        if (outcome == CommandOutcome::kDone)
-          owner.WorkerReported(command.worker, *report, this->now);
-        else
+        if (outcome != CommandOutcome::kDone) {
           owner.PollFailed(command.worker, outcome, this->now);
+          return;
+        }
+        this->MarkEndsRead(*report);
+        owner.WorkerReported(command.worker, *report, this->now);
       });
 }
 
--- a/testing/scheduler_model_workers.cc
+++ b/testing/scheduler_model_workers.cc
@@ -143,6 +143,28 @@
 void SchedulerModel::CountLosses(const Worker& worker) {
   for (const auto& [task, run] : worker.running)
     ++this->jobs.at(task.job).lost_workers[scheduler::PositionOf(task)];
+  std::map<jobs::TaskId, std::int64_t> latest_ends;
+  for (const scheduler::ReportedEnd& end : worker.ends)
+    latest_ends[end.task] = end.sequence;
+  for (const auto& [task, sequence] : latest_ends) {
+    if (sequence <= worker.last_read_end || worker.running.contains(task))
+      continue;
+    ++this->jobs.at(task.job).lost_workers[scheduler::PositionOf(task)];
+    this->unread_losses.insert(
+        {{.id = worker.id, .start_ms = worker.born_ms}, sequence});
+  }
+}
+
+void SchedulerModel::MarkEndsRead(const scheduler::WorkerReport& report) {
+  Worker& worker = this->workers.at(report.incarnation.id);
+  for (const scheduler::ReportedEnd& end : report.ended) {
+    if (worker.born_ms == report.incarnation.start_ms)
+      worker.last_read_end = std::max(worker.last_read_end, end.sequence);
+    // A paused owner receives it after the worker's incarnation has ended.
+    if (this->unread_losses.erase({report.incarnation, end.sequence}) > 0)
+      --this->jobs.at(end.task.job)
+            .lost_workers[scheduler::PositionOf(end.task)];
+  }
 }
 
 // A task that has crashed three workers may be started at most twice more.
