The scheduler's model checks the expected waits

By an owner's expected waits jobs are rejected, and no check of the model covered them. The rule that an owner reports none in its first second stood in the manager, which the model does not contain.

The rule moves to the scheduler (KnowsLoad, ReportableWaits) and counts from the owner's first scheduling pass, which follows its start by milliseconds unless the store does not confirm the ownership. With each renewal the model checks that no wait is negative or shorter for a job over its rate, that no pool without boxes and without an allocation has a figure, and that nothing is reported in the first second.

--- a/entry/manager.h
+++ b/entry/manager.h
@@ -173,8 +173,6 @@
                           std::uint64_t change,
                           const platform::WriteResult& result);
   void WriteWaitingCounts();
-  // Whether the waits and the organisations over their rate are known.
-  bool KnowsLoad(base::Micros now) const;
   // Expected waits of the queues whose jobs would wait; empty while they are
   // not known.
   std::map<std::string, ReportedWait> Waits(base::Micros now) const;
@@ -208,7 +206,6 @@
 
   // Loaded during the takeover.
   bool started = false;
-  base::Micros started_at{};
   bool has_config = false;
   bool has_evacuated_zones = false;
   std::set<std::string> tables_being_read;
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -33,12 +33,6 @@
 
 // Maximum number of queues whose expected waits are logged each second.
 constexpr std::size_t kMaxExpectedWaitsLogged = 8;
-// Shorter expected waits are not reported: a pass of placement and a plan of
-// boxes take as long.
-constexpr base::Micros kMinReportedWait = milliseconds(250);
-// The takeover loads all jobs at once, while the workers' reports arrive one
-// after the other.
-constexpr base::Micros kUnknownLoadPeriod = seconds(1);
 
 // For each wait reason, the number of waiting tasks and the longest wait in ms.
 std::string FormatWaitReasons(const scheduler::PoolState& state) {
@@ -324,27 +318,18 @@
   }
   load.box_kinds = this->scheduler.BoxKinds();
   load.waits = this->Waits(now);
-  if (this->KnowsLoad(now))
+  if (this->scheduler.KnowsLoad(now))
     load.over_rate = this->scheduler.OrganisationsOverRate(now);
   return load;
 }
 
-// Right after a takeover the jobs are known and most workers are not, and the
-// inherited jobs have just been counted against their organisations' rates.
-bool ShardManager::KnowsLoad(base::Micros now) const {
-  return this->started && now - this->started_at >= kUnknownLoadPeriod;
-}
-
 std::map<std::string, ReportedWait> ShardManager::Waits(
     base::Micros now) const {
   std::map<std::string, ReportedWait> waits;
-  if (!this->KnowsLoad(now))
-    return waits;
-  for (const auto& [queue, wait] : this->scheduler.ExpectedWaits(now)) {
-    if (std::max(wait.within_rate, wait.over_rate) >= kMinReportedWait)
-      waits[queue] = {
-          .within_rate_ms = static_cast<int>(base::Millis(wait.within_rate)),
-          .over_rate_ms = static_cast<int>(base::Millis(wait.over_rate))};
+  for (const auto& [queue, wait] : this->scheduler.ReportableWaits(now)) {
+    waits[queue] = {
+        .within_rate_ms = static_cast<int>(base::Millis(wait.within_rate)),
+        .over_rate_ms = static_cast<int>(base::Millis(wait.over_rate))};
   }
   return waits;
 }
--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -144,7 +144,6 @@
   if (this->started || !complete)
     return;
   this->started = true;
-  this->started_at = base::MonotonicNow();
   this->scheduler.InheritBoxCalls(std::exchange(this->inherited_box_calls, {}),
                                   base::MonotonicNow());
   this->AddStoredWorkers();
--- a/scheduler/expected_waits.cc
+++ b/scheduler/expected_waits.cc
@@ -18,6 +18,15 @@
 // figure of a pool with hardly any cores within the range of its type.
 constexpr double kMaxWaitSeconds = 3600.0;
 
+// Shorter waits are not reported: a pass of placement and a plan of boxes take
+// as long.
+constexpr base::Micros kMinReportedWait = std::chrono::milliseconds(250);
+
+// A takeover loads all jobs at once, while the workers' reports arrive one
+// after the other, and the inherited jobs have just been counted against their
+// organisations' rates.
+constexpr base::Micros kUnknownLoadPeriod = std::chrono::seconds(1);
+
 double CoresOf(std::int64_t cpu_millis) {
   return static_cast<double>(cpu_millis) / 1000.0;
 }
@@ -160,6 +169,23 @@
   return ComputeExpectedWaits(this->config.queues, pools);
 }
 
+bool Scheduler::KnowsLoad(base::Micros now) const {
+  return this->first_pass_at &&
+         now - *this->first_pass_at >= kUnknownLoadPeriod;
+}
+
+std::map<std::string, ExpectedWait> Scheduler::ReportableWaits(
+    base::Micros now) const {
+  if (!this->KnowsLoad(now))
+    return {};
+  std::map<std::string, ExpectedWait> waits = this->ExpectedWaits(now);
+  std::erase_if(waits, [](const auto& entry) {
+    const ExpectedWait& wait = entry.second;
+    return std::max(wait.within_rate, wait.over_rate) < kMinReportedWait;
+  });
+  return waits;
+}
+
 void Scheduler::AddWorkerCapacities(std::map<std::string, PoolWork>& pools,
                                     base::Micros now) const {
   for (const auto& [name, cores] : this->fleet.AllocatedCores())
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -362,6 +362,8 @@
 // --- Time ---
 
 void Scheduler::Advance(base::Micros now) {
+  if (!this->first_pass_at)
+    this->first_pass_at = now;
   this->ExpireLeases(now);
   this->zone_health.Update(this->workers, now);
   this->ReleaseDueRepeats(now);
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -185,6 +185,16 @@
   int CountStalledTasks() const { return this->stalled_tasks.count(); }
   // By queue of the configuration; queues without a figure are left out.
   std::map<std::string, ExpectedWait> ExpectedWaits(base::Micros now) const;
+  // Whether this owner has been scheduling for long enough that its waits and
+  // the organisations over their rate may be reported.
+  bool KnowsLoad(base::Micros now) const;
+  // The expected waits that are long enough to be reported; empty while they
+  // may not be.
+  std::map<std::string, ExpectedWait> ReportableWaits(base::Micros now) const;
+  // Cores by pool, by the last plan of boxes.
+  const std::map<std::string, double>& AllocatedCores() const {
+    return this->fleet.AllocatedCores();
+  }
   // Organisations that submit more than their guaranteed rate, in the order in
   // which they exceeded it, latest first.
   std::vector<std::string> OrganisationsOverRate(base::Micros now) const {
@@ -530,6 +540,7 @@
   ZoneHealth zone_health;
   StalledTasks stalled_tasks;
   std::vector<Action> actions;
+  std::optional<base::Micros> first_pass_at;  // empty before Advance()
   base::Micros confirmed_at{};
   base::Micros ownership_until{};
   base::Micros next_save{};
--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -26,6 +26,22 @@
 constexpr double kClockDriftFactor = 1.05;
 // A task may be given up from this many crashes on (the platform's pages).
 constexpr int kMinCrashesToGiveUp = 2;
+// Owners report expected waits with each renewal.
+constexpr base::Micros kReportPeriod = milliseconds(450);
+// An owner does not know its load before this.
+constexpr base::Micros kUnknownLoadPeriod = seconds(1);
+
+// One queue for each pool, for the expected waits. They are named otherwise
+// than the queue of the model's jobs, which keeps its attempts.
+std::vector<jobs::Queue> ModelQueues() {
+  std::vector<jobs::Queue> queues;
+  for (const char* pool : {"pool", "other"}) {
+    jobs::Queue& queue = queues.emplace_back();
+    queue.name = fmt::format("waits of {}", pool);
+    queue.service = pool;
+  }
+  return queues;
+}
 
 }  // namespace
 
@@ -214,6 +230,7 @@
                   .maintenance_duration = kMaintenanceTime};
   Owner owner;
   owner.epoch = epoch;
+  owner.begun = this->now;
   owner.scheduler = std::make_unique<scheduler::Scheduler>(limits);
   scheduler::Scheduler& successor = *owner.scheduler;
   const auto bound = base::Micros(static_cast<std::int64_t>(
@@ -244,6 +261,7 @@
   }
   jobs::Config config;
   config.services = {{.name = "pool"}, {.name = "other"}};
+  config.queues = ModelQueues();
   successor.SetConfig(config, this->now);
   const std::size_t index = this->owners.size();
   for (const auto& [id, stored] : this->jobs) {
@@ -353,10 +371,46 @@
   owner.scheduler->Advance(this->now);
   for (const scheduler::Action& action : owner.scheduler->TakeActions())
     this->Dispatch(index, action);
+  this->CheckExpectedWaits(owner);
   if (owner.scheduler->fenced())
     owner.is_fenced = true;
 }
 
+// By a wait, jobs are rejected: a wrong one turns callers away.
+void SchedulerModel::CheckExpectedWaits(Owner& owner) {
+  if (this->now < owner.next_report)
+    return;
+  owner.next_report = this->now + kReportPeriod;
+  const scheduler::Scheduler& scheduler = *owner.scheduler;
+  const bool is_new = this->now - owner.begun < kUnknownLoadPeriod;
+  if (is_new && !scheduler.ReportableWaits(this->now).empty())
+    this->ReportViolation(
+        fmt::format("owner {} reports waits in its first second", owner.epoch));
+  const auto waits = scheduler.ExpectedWaits(this->now);
+  for (const jobs::Queue& queue : ModelQueues()) {
+    const auto found = waits.find(queue.name);
+    if (found == waits.end())
+      continue;
+    const auto& workers = scheduler.all_workers();
+    const bool has_boxes = std::any_of(
+        workers.begin(), workers.end(), [&queue](const auto& entry) {
+          return entry.second.info.service == queue.service;
+        });
+    const auto allocated = scheduler.AllocatedCores().find(queue.service);
+    const bool gets_boxes = allocated != scheduler.AllocatedCores().end() &&
+                            allocated->second > 0.0;
+    if (!has_boxes && !gets_boxes)
+      this->ReportViolation(fmt::format("owner {} has {} without a box",
+                                        owner.epoch, queue.name));
+    const scheduler::ExpectedWait& wait = found->second;
+    if (wait.within_rate < base::Micros::zero() ||
+        wait.over_rate < wait.within_rate)
+      this->ReportViolation(fmt::format(
+          "owner {} has {} of {} and {} us", owner.epoch, queue.name,
+          wait.within_rate.count(), wait.over_rate.count()));
+  }
+}
+
 void SchedulerModel::Dispatch(std::size_t owner,
                               const scheduler::Action& action) {
   if (const auto* start = std::get_if<scheduler::StartRun>(&action))
--- a/testing/scheduler_model.h
+++ b/testing/scheduler_model.h
@@ -240,7 +240,9 @@
     std::uint64_t epoch = 0;
     base::Micros paused_until{};
     base::Micros certain_until{};
+    base::Micros begun{};
     base::Micros next_list{};
+    base::Micros next_report{};              // of the expected waits
     std::set<std::string> partitioned_from;  // workers
     bool is_fenced = false;
   };
@@ -304,6 +306,8 @@
   // that have stored the same text both report it.
   void CheckFailureReport(std::size_t owner,
                           const scheduler::JobFailed& failed);
+  // Checks what the owner would report with its renewal.
+  void CheckExpectedWaits(Owner& owner);
   void CheckDisruption(const jobs::TaskId& task, const std::string& by);
   void UpdatePresence();
   void RecordLeaseHolders(Owner& owner);
