Soak with rejections by expected wait, and callers that return

The soak had one queue with a target latency, so that no job was rejected by its wait, and a refused job was never submitted again.

Its configuration has two queues with a target latency, and one job in 30 fills the boxes for some seconds. Half of the refused callers return when they are told to: until then their job must not have started, and the others' never. A refusal without Retry-After is a fault. Each seed prints the rejections by the wait.

--- a/testing/job_cluster.cc
+++ b/testing/job_cluster.cc
@@ -151,11 +151,12 @@
 http::Response JobCluster::Call(const std::string& daemon,
                                 const std::string& method,
                                 const std::string& job,
-                                const std::string& body) {
+                                const std::string& body,
+                                const std::string& queue) {
   http::ClientRequest request;
   request.method = method;
-  request.url =
-      fmt::format("http://{}/q/{}", this->by_id.at(daemon).callers, job);
+  request.url = fmt::format("http://{}/{}/{}", this->by_id.at(daemon).callers,
+                            queue, job);
   request.headers = {{.name = "Host", .value = "jobs.example"},
                      {.name = "Deadline-Ms", .value = "3000"}};
   if (!this->access_key.empty())
--- a/testing/job_cluster.h
+++ b/testing/job_cluster.h
@@ -63,7 +63,8 @@
   http::Response Call(const std::string& daemon,
                       const std::string& method,
                       const std::string& job,
-                      const std::string& body = "");
+                      const std::string& body = "",
+                      const std::string& queue = "q");
   // Whether its readiness check passes, after which a load balancer sends it
   // callers.
   bool IsReady(const std::string& daemon);
--- a/testing/soak.cc
+++ b/testing/soak.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 namespace quartzhoist::testing {
 
@@ -19,6 +20,24 @@
 // Generous: takeovers, leases and pauses after the last fault.
 constexpr double kOverSeconds = 60;
 
+// Two queues with a target latency, so that jobs are rejected by their expected
+// wait. Those of "urgent" are of use for 1 s.
+constexpr const char* kConfig =
+    R"({"version":2,"routes":[{"name":"q","host":"jobs.example",)"
+    R"("pathPrefix":"/q/","service":"press","attempts":3,)"
+    R"("extension":1.5,"targetLatencyMs":600},)"
+    R"({"name":"urgent","host":"jobs.example","pathPrefix":"/urgent/",)"
+    R"("service":"press","attempts":3,"extension":1.0,)"
+    R"("targetLatencyMs":130}],)"
+    R"("services":[{"name":"press"},{"name":"rest","spare":true}]})";
+// One in so many jobs fills the boxes for some seconds.
+constexpr std::uint64_t kJobsPerLargeJob = 30;
+constexpr int kTasksOfLargeJob = 150;
+constexpr int kTasksOfSmallJob = 2;
+// Half of the refused callers return, none more than this long after it was
+// told to.
+constexpr base::Micros kMaxReturnDelay = milliseconds(500);
+
 constexpr int kOk = 200;
 constexpr int kTooMany = 429;
 constexpr int kUnavailable = 503;
@@ -31,6 +50,17 @@
   return fmt::format("box-{}", number % kBoxes + 1);
 }
 
+// A job of two steps, the second of which depends on the first.
+std::string BodyOf(int tasks) {
+  nlohmann::json body = {{"spec", "work"}, {"steps", nlohmann::json::array()}};
+  for (int step = 0; step < 2; ++step) {
+    body["steps"].push_back(
+        {{"count", tasks}, {"cpu", 500}, {"memMb", 100}, {"estimateMs", 100}});
+  }
+  body["steps"][1]["dependsOn"] = {0};
+  return body.dump();
+}
+
 bool HasSpan(SoakFault fault) {
   switch (fault) {
     case SoakFault::kStoreBusy:
@@ -84,6 +114,8 @@
 Soak::Soak(const std::string& programs, std::vector<SoakEvent> events)
     : cluster(programs, kBoxes), schedule(std::move(events)) {
   this->cluster.workers().SetRunTime(milliseconds(300));
+  this->cluster.store().Put({.table = "op", .part = "", .key = "config"},
+                            kConfig);
   for (int i = 0; i < kDaemons; ++i)
     this->cluster.StartDaemonOverLink(DaemonName(i));
 }
@@ -95,6 +127,7 @@
   this->cluster.SetTicker([this] { this->Tick(); });
   while (base::MonotonicNow() < this->began + length) {
     this->HandIn();
+    this->ReturnCallers();
     const base::Micros next = base::MonotonicNow() + kBetweenJobs;
     this->cluster.WaitUntil(1, [next] { return base::MonotonicNow() > next; });
   }
@@ -201,16 +234,56 @@
   this->cluster.StartDaemon(id);
 }
 
-// One try at one daemon. What has no answer may have been accepted.
 void Soak::HandIn() {
-  const std::string job = JobId(++this->job_count);
+  const bool is_large = this->random() % kJobsPerLargeJob == 0;
+  this->Submit({.job = JobId(++this->job_count),
+                .queue = this->random() % 2 == 0 ? "q" : "urgent",
+                .tasks = is_large ? kTasksOfLargeJob : kTasksOfSmallJob});
+}
+
+// One try at one daemon. What has no answer may have been accepted. A refusal
+// that tells when to return says that the job never runs, unless it is
+// submitted again.
+void Soak::Submit(const Caller& caller) {
+  if (this->refused_jobs.erase(caller.job) > 0 &&
+      this->cluster.workers().HasStarted(caller.job))
+    this->faults.push_back(caller.job + " was refused, and runs");
   const std::string daemon =
       DaemonName(static_cast<int>(this->random() % kDaemons));
-  const int status = this->cluster.SubmitTo(daemon, job, 2, 2);
-  if (status == kOk)
-    this->accepted_jobs.insert(job);
-  if (status == kTooMany || status == kUnavailable)
-    this->refused_jobs.insert(job);
+  const http::Response response = this->cluster.Call(
+      daemon, "POST", caller.job, BodyOf(caller.tasks), caller.queue);
+  if (response.status == kOk)
+    this->accepted_jobs.insert(caller.job);
+  if (response.status != kTooMany && response.status != kUnavailable)
+    return;
+  this->refused_jobs.insert(caller.job);
+  ++this->refusal_count;
+  this->rejection_count +=
+      response.body.find("cannot be done in time") != std::string::npos;
+  const std::string* retry_after =
+      http::FindHeader(response.headers, "Retry-After");
+  if (!retry_after)
+    this->faults.push_back(caller.job + " was refused without Retry-After");
+  else if (this->random() % 2 == 0)
+    this->returning.emplace_back(
+        base::MonotonicNow() + std::chrono::seconds(std::stoi(*retry_after)) +
+            base::Micros(static_cast<std::int64_t>(
+                this->random() %
+                static_cast<std::uint64_t>(kMaxReturnDelay.count()))),
+        caller);
+}
+
+void Soak::ReturnCallers() {
+  const base::Micros now = base::MonotonicNow();
+  std::vector<Caller> callers;
+  std::erase_if(this->returning, [&](const auto& entry) {
+    if (entry.first > now)
+      return false;
+    callers.push_back(entry.second);
+    return true;
+  });
+  for (const Caller& caller : callers)
+    this->Submit(caller);
 }
 
 void Soak::Heal() {
--- a/testing/soak.h
+++ b/testing/soak.h
@@ -10,6 +10,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -70,14 +71,26 @@
   // Broken guarantees, as text.
   const std::vector<std::string>& broken() const { return this->faults; }
   int accepted() const { return static_cast<int>(this->accepted_jobs.size()); }
-  int refused() const { return static_cast<int>(this->refused_jobs.size()); }
+  // Answers that said that the job never runs.
+  int refused() const { return this->refusal_count; }
+  // Of them, those since the job could not be done in time.
+  int rejected() const { return this->rejection_count; }
 
  private:
   void Tick();
   void Begin(const SoakEvent& event);
   void End(const SoakEvent& event);
   void StartAgain(const std::string& id);
+  struct Caller {
+    std::string job;
+    std::string queue;
+    int tasks = 0;  // of each of its two steps
+  };
+
   void HandIn();
+  void Submit(const Caller& caller);
+  // Submits the refused jobs whose callers are to return now.
+  void ReturnCallers();
   void Heal();
   bool AllOver();
   void JudgeStates();
@@ -91,7 +104,10 @@
   int job_count = 0;
   std::mt19937_64 random{1};  // of the callers
   std::set<std::string> accepted_jobs;
-  std::set<std::string> refused_jobs;  // at their only try
+  std::set<std::string> refused_jobs;  // at their latest try
+  std::vector<std::pair<base::Micros, Caller>> returning;  // and when
+  int refusal_count = 0;
+  int rejection_count = 0;
   std::map<std::string, std::string> final_states;
   std::vector<std::string> faults;
 };
--- a/testing/soak_main.cc
+++ b/testing/soak_main.cc
@@ -20,9 +20,11 @@
   const auto schedule = testing::DrawSchedule(seed, length);
   testing::Soak soak(programs, schedule);
   soak.Run(length);
-  fmt::print("seed {}: {} faults, {} jobs accepted, {} refused: {}\n", seed,
-             schedule.size(), soak.accepted(), soak.refused(),
-             soak.broken().empty() ? "kept" : "BROKEN");
+  fmt::print(
+      "seed {}: {} faults, {} jobs accepted, {} refused, {} of them by "
+      "their wait: {}\n",
+      seed, schedule.size(), soak.accepted(), soak.refused(), soak.rejected(),
+      soak.broken().empty() ? "kept" : "BROKEN");
   if (!soak.broken().empty()) {
     for (const std::string& fault : soak.broken())
       fmt::print("  {}\n", fault);
