One function builds the refusals of both interfaces

`Refuse` stood in entry/caller_api.cc and entry/explain_api.cc, with the same body, headers for 503, 429 and 401 included. `MakeRefusal` in entry/refusal builds the response for both; counting, logging and closing the connection remain with the callers' interface.

No functional change.

--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -7,6 +7,7 @@
 #include "base/event_log.h"
 #include "entry/caller_rights.h"
 #include "entry/caller_status.h"
+#include "entry/refusal.h"
 #include "jobs/progress.h"
 #include "platform/records.h"
 #include "platform/table_reader.h"
@@ -103,19 +104,12 @@
                        std::string_view job,
                        std::string_view reason,
                        std::chrono::seconds retry_after) const {
-  http::Response response =
-      http::JsonResponse(status, platform::ProblemBody(reason));
-  if (status == kServiceUnavailable || status == kTooManyRequests)
-    response.headers.push_back(
-        {.name = "Retry-After", .value = std::to_string(retry_after.count())});
-  if (status == kUnauthorized)
-    response.headers.push_back({.name = "WWW-Authenticate", .value = "Token"});
   this->counters.Add(status == kGatewayTimeout
                          ? base::Counter::kRefusedMayHaveRun
                          : base::Counter::kRefusedNotRun);
   base::Log(base::Event::kJobRefused,
             {{"job", job}, {"status", status}, {"reason", reason}});
-  this->Reply(exchange, std::move(response));
+  this->Reply(exchange, MakeRefusal(status, reason, retry_after));
 }
 
 void CallerApi::Handle(const http::ExchangePtr& exchange) {
--- a/entry/explain_api.cc
+++ b/entry/explain_api.cc
@@ -4,8 +4,8 @@
 
 #include "entry/caller_rights.h"
 #include "entry/caller_status.h"
+#include "entry/refusal.h"
 #include "entry/tables.h"
-#include "platform/records.h"
 
 namespace quartzhoist::entry {
 
@@ -14,18 +14,6 @@
 constexpr std::string_view kNoSuchJob = "there is no such job";
 constexpr std::string_view kStoreIsSilent = "the store does not answer";
 
-void Refuse(const http::ExchangePtr& exchange,
-            int status,
-            std::string_view reason) {
-  http::Response response =
-      http::JsonResponse(status, platform::ProblemBody(reason));
-  if (status == kServiceUnavailable || status == kTooManyRequests)
-    response.headers.push_back({.name = "Retry-After", .value = "1"});
-  if (status == kUnauthorized)
-    response.headers.push_back({.name = "WWW-Authenticate", .value = "Token"});
-  exchange->Reply(std::move(response));
-}
-
 platform::ReadQuery QueryOf(const platform::RowKey& at) {
   return {
       .table = at.table, .part = at.part, .from = at.key, .to = {}, .limit = 1};
@@ -50,16 +38,16 @@
       std::string_view(request.path).substr(0, request.path.find('?'));
   const std::string job(path.substr(kPathPrefix.size()));
   if (request.method != "GET") {
-    Refuse(exchange, kMethodNotAllowed, "GET");
+    exchange->Reply(MakeRefusal(kMethodNotAllowed, "GET"));
     return;
   }
   if (!IsJobId(job)) {
-    Refuse(exchange, kBadRequest, "a job's id is 16 hex digits");
+    exchange->Reply(MakeRefusal(kBadRequest, "a job's id is 16 hex digits"));
     return;
   }
   const jobs::Config* config = this->sources.config();
   if (!config) {
-    Refuse(exchange, kServiceUnavailable, "no configuration yet");
+    exchange->Reply(MakeRefusal(kServiceUnavailable, "no configuration yet"));
     return;
   }
   // No queue is open here: without organisations no key is needed, else every
@@ -67,18 +55,19 @@
   const std::optional<std::string> organisation =
       AuthenticateCaller(*config, jobs::Queue(), request.headers);
   if (!organisation) {
-    Refuse(exchange, kUnauthorized, "the access key is not known");
+    exchange->Reply(MakeRefusal(kUnauthorized, "the access key is not known"));
     return;
   }
   if (this->sources.shards() == 0) {
-    Refuse(exchange, kServiceUnavailable,
-           "the number of shards is not known yet");
+    exchange->Reply(MakeRefusal(kServiceUnavailable,
+                                "the number of shards is not known yet"));
     return;
   }
   const base::Micros now = base::MonotonicNow();
   if (!this->limit.Take(now)) {
-    Refuse(exchange, kTooManyRequests,
-           "too many explanations are asked for: ask again in a second");
+    exchange->Reply(MakeRefusal(
+        kTooManyRequests,
+        "too many explanations are asked for: ask again in a second"));
     return;
   }
   const std::optional<OwnedJob> owned = this->sources.owned(job);
@@ -96,7 +85,7 @@
                          .queue = owned->job->queue.name};
   if (DecideExplainAccess(*config, *organisation, origin) !=
       JobAccess::kAllowed) {
-    Refuse(exchange, kGone, kNoSuchJob);
+    exchange->Reply(MakeRefusal(kGone, kNoSuchJob));
     return;
   }
   exchange->Reply(http::JsonResponse(kOk, ExplainOwnedJob(*owned)));
@@ -109,20 +98,21 @@
       [this, at, request = std::move(request)](
           const std::optional<platform::ReadResult>& result) mutable {
         if (!result) {
-          Refuse(request.exchange, kServiceUnavailable, kStoreIsSilent);
+          request.exchange->Reply(
+              MakeRefusal(kServiceUnavailable, kStoreIsSilent));
           return;
         }
         const platform::Row* row = RowAt(*result, at);
         if (!row) {
-          Refuse(request.exchange, kGone, kNoSuchJob);
+          request.exchange->Reply(MakeRefusal(kGone, kNoSuchJob));
           return;
         }
         const auto record = DecodeProgressRecord(row->value);
         auto progress = record ? jobs::DecodeProgress(record->text)
                                : std::optional<jobs::Progress>();
         if (!progress) {
-          Refuse(request.exchange, kServiceUnavailable,
-                 "its state cannot be read");
+          request.exchange->Reply(
+              MakeRefusal(kServiceUnavailable, "its state cannot be read"));
           return;
         }
         request.origin = OriginOf(*progress);
@@ -140,18 +130,19 @@
   const std::string job = request.stored.job;
   const Shard shard{.number = request.stored.shard,
                     .count = this->sources.shards()};
-  ReadAcceptedOrigin(this->store, job, shard,
-                     [this, request = std::move(request)](
-                         const AcceptedOrigin& accepted) mutable {
-                       if (!accepted.is_known) {
-                         Refuse(request.exchange, kServiceUnavailable,
-                                "it cannot be read whose job it is");
-                         return;
-                       }
-                       if (accepted.origin)
-                         request.origin = *accepted.origin;
-                       this->ReadOwner(std::move(request));
-                     });
+  ReadAcceptedOrigin(
+      this->store, job, shard,
+      [this,
+       request = std::move(request)](const AcceptedOrigin& accepted) mutable {
+        if (!accepted.is_known) {
+          request.exchange->Reply(MakeRefusal(
+              kServiceUnavailable, "it cannot be read whose job it is"));
+          return;
+        }
+        if (accepted.origin)
+          request.origin = *accepted.origin;
+        this->ReadOwner(std::move(request));
+      });
 }
 
 void ExplainApi::ReadOwner(Request request) {
@@ -159,7 +150,7 @@
   // Without any row that names its organisation, any known key may ask.
   if (DecideExplainAccess(*config, request.organisation, request.origin) ==
       JobAccess::kDenied) {
-    Refuse(request.exchange, kGone, kNoSuchJob);
+    request.exchange->Reply(MakeRefusal(kGone, kNoSuchJob));
     return;
   }
   request.stored.queue = request.origin.queue;
@@ -172,7 +163,8 @@
       [at, request = std::move(request)](
           const std::optional<platform::ReadResult>& result) mutable {
         if (!result) {
-          Refuse(request.exchange, kServiceUnavailable, kStoreIsSilent);
+          request.exchange->Reply(
+              MakeRefusal(kServiceUnavailable, kStoreIsSilent));
           return;
         }
         const platform::Row* row = RowAt(*result, at);
