An explanation tells when a waiting task is expected to start

Operators saw how many tasks are before a waiting one, not what that means in time. A task that waits for room now has `expected_start_ms`: the expected wait of its pool, with only the work ahead of the task (tasks before it in the queue, and steps that begun jobs will release before it). There is no figure for tasks that wait for something else, are blocked or fill gaps, in pools without cores, in an owner's first second and while the store does not confirm the owner.

--- a/entry/explain.cc
+++ b/entry/explain.cc
@@ -79,6 +79,8 @@
     entry["waits_for"] = task.waits_for;
   if (task.ahead)
     entry["ahead"] = *task.ahead;
+  if (task.expected_start)
+    entry["expected_start_ms"] = base::Millis(*task.expected_start);
   return entry;
 }
 
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -450,6 +450,8 @@
   for (scheduler::ExplainedTask& task : tasks->tasks) {
     if (this->commands_suspended && task.state == scheduler::TaskState::kReady)
       task.waits_for = scheduler::kWaitsForStore;
+    if (this->commands_suspended || !this->KnowsLoad(now))
+      task.expected_start.reset();
   }
   return OwnedJob{.job = &this->scheduler.all_jobs().at(job),
                   .tasks = std::move(*tasks),
--- a/scheduler/expected_waits.cc
+++ b/scheduler/expected_waits.cc
@@ -56,17 +56,23 @@
           .over_rate = WaitFor(over_rate, cores, pool)};
 }
 
-// Whether the task's work is still ahead of other tasks of the pool. Tasks that
-// more boxes do not help to start take no cores from others while they wait,
-// and long-running ones have no end to wait for.
-bool WaitsForCores(const ReadyTask& task, const jobs::Step& step) {
+}  // namespace
+
+// Tasks that more boxes do not help to start take no cores from others while
+// they wait, and long-running ones have no end to wait for.
+bool WaitsForCores(const ReadyTask& task) {
+  const jobs::Step& step = StepOf(*task.job, task.position);
   const Task& waiting = TaskAt(*task.job, task.position);
   return !task.job->finished() && waiting.state == TaskState::kReady &&
          MoreBoxesMayHelp(waiting.wait_reason) && !step.long_running &&
          !step.fills;
 }
 
-}  // namespace
+std::optional<base::Micros> ComputeExpectedWait(const Work& ahead,
+                                                const PoolWork& pool) {
+  const std::optional<double> cores = RateOf(pool);
+  return cores ? std::optional(WaitFor(ahead, *cores, pool)) : std::nullopt;
+}
 
 Work& Work::operator+=(const Work& other) {
   this->core_seconds += other.core_seconds;
@@ -104,23 +110,7 @@
   // 1. Capacities of the pools, and the jobs that run there.
   std::map<std::string, PoolWork> pools;
   this->AddWorkerCapacities(pools, now);
-  BegunOccurrences begun;
-  for (const auto& [id, worker] : this->workers) {
-    // Runs are sorted by job, so each job is looked up once per worker.
-    const std::string* name = nullptr;
-    const Job* job = nullptr;
-    for (const auto& [task, run] : worker.runs) {
-      if (run.is_long_running || run.fills)
-        continue;
-      if (!name || *name != task.job) {
-        const auto found = this->jobs.find(task.job);
-        job = found == this->jobs.end() ? nullptr : &found->second;
-        name = &task.job;
-      }
-      if (job && HasTask(*job, PositionOf(task)))
-        begun.emplace(job, task.occurrence);
-    }
-  }
+  BegunOccurrences begun = this->OccurrencesWithRuns();
   // 2. Ready tasks. The tasks of a step are mostly neighbours, and need the
   // same. Their classes are of the last placement pass, which leaves out pools
   // without usable workers, hence ClassAt().
@@ -131,7 +121,7 @@
     std::set<std::tuple<const Job*, int, int>> gangs;
     for (const ReadyTask& task : tasks) {
       const jobs::Step& step = StepOf(*task.job, task.position);
-      if (!WaitsForCores(task, step))
+      if (!WaitsForCores(task))
         continue;
       if (&step != latest) {
         latest = &step;
@@ -160,6 +150,27 @@
   return ComputeExpectedWaits(this->config.queues, pools);
 }
 
+BegunOccurrences Scheduler::OccurrencesWithRuns() const {
+  BegunOccurrences begun;
+  for (const auto& [id, worker] : this->workers) {
+    // Runs are sorted by job, so each job is looked up once per worker.
+    const std::string* name = nullptr;
+    const Job* job = nullptr;
+    for (const auto& [task, run] : worker.runs) {
+      if (run.is_long_running || run.fills)
+        continue;
+      if (!name || *name != task.job) {
+        const auto found = this->jobs.find(task.job);
+        job = found == this->jobs.end() ? nullptr : &found->second;
+        name = &task.job;
+      }
+      if (job && HasTask(*job, PositionOf(task)))
+        begun.emplace(job, task.occurrence);
+    }
+  }
+  return begun;
+}
+
 void Scheduler::AddWorkerCapacities(std::map<std::string, PoolWork>& pools,
                                     base::Micros now) const {
   for (const auto& [name, cores] : this->fleet.AllocatedCores())
--- a/scheduler/expected_waits.h
+++ b/scheduler/expected_waits.h
@@ -5,6 +5,7 @@
 #define SCHEDULER_EXPECTED_WAITS_H_
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -54,6 +55,14 @@
 // Occurrences of jobs of which a task has been started or placed.
 using BegunOccurrences = std::set<std::pair<const Job*, int>>;
 
+// Whether the task's work is ahead of the tasks that follow it in its queue.
+bool WaitsForCores(const ReadyTask& task);
+
+// Expected wait until the pool's cores have done the work ahead; empty if the
+// pool has no cores to wait for.
+std::optional<base::Micros> ComputeExpectedWait(const Work& ahead,
+                                                const PoolWork& pool);
+
 // `pools` is by name. Queues of pools without any cores to wait for are left
 // out.
 std::map<std::string, ExpectedWait> ComputeExpectedWaits(
--- a/scheduler/ready_tasks.cc
+++ b/scheduler/ready_tasks.cc
@@ -38,6 +38,15 @@
 
 }  // namespace
 
+bool StandsFor(const ReadyTask& queued,
+               const Job& job,
+               const TaskPosition& position) {
+  TaskPosition at = position;
+  if (StepOf(*queued.job, queued.position).gang)
+    at.index = queued.position.index;
+  return queued.job == &job && at == queued.position;
+}
+
 SchedulingClass ReadyTask::ClassAt(base::Micros now) const {
   const bool is_long_running =
       this->scheduling_class == SchedulingClass::kInterrupted ||
--- a/scheduler/ready_tasks.h
+++ b/scheduler/ready_tasks.h
@@ -60,6 +60,12 @@
   }
 };
 
+// Whether the entry stands for this task; that of a gang stands for all of its
+// tasks.
+bool StandsFor(const ReadyTask& queued,
+               const Job& job,
+               const TaskPosition& position);
+
 class ReadyTasks {
  public:
   using Set = std::set<ReadyTask>;
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -457,6 +457,7 @@
   int NextRunNumber(const Job& job, const TaskPosition& position) const;
 
   // expected waits
+  BegunOccurrences OccurrencesWithRuns() const;
   void AddWorkerCapacities(std::map<std::string, PoolWork>& pools,
                            base::Micros now) const;
   void AddWorkOfBegunJobs(std::map<std::string, PoolWork>& pools,
@@ -480,6 +481,9 @@
   bool FitsInEvacuatedZone(const Job& job, const TaskPosition& position) const;
   void AddQueuePositions(const Job& job,
                          std::vector<ExplainedTask>& tasks) const;
+  void AddExpectedStarts(const Job& job,
+                         std::vector<ExplainedTask>& tasks,
+                         base::Micros now) const;
 
   // fleet
   void RunFleet(base::Micros now);
--- a/scheduler/waiting_tasks.cc
+++ b/scheduler/waiting_tasks.cc
@@ -235,11 +235,8 @@
   for (const ReadyTask& queued : queue->second) {
     const jobs::Step& step = StepOf(*queued.job, queued.position);
     for (ExplainedTask& task : tasks) {
-      TaskPosition at = task.position;
-      if (step.gang)
-        at.index = queued.position.index;
-      if (queued.job == &job && task.state == TaskState::kReady &&
-          at == queued.position)
+      if (task.state == TaskState::kReady &&
+          StandsFor(queued, job, task.position))
         task.ahead = before;
     }
     before += step.gang ? static_cast<int>(step.tasks) : 1;
@@ -290,6 +287,7 @@
     }
   }
   this->AddQueuePositions(job, explained.tasks);
+  this->AddExpectedStarts(job, explained.tasks, now);
   return explained;
 }
 
--- a/scheduler/waiting_tasks.h
+++ b/scheduler/waiting_tasks.h
@@ -43,6 +43,8 @@
   std::string_view waits_for;
   // Tasks before it in its pool's queue; nothing if it is not in the queue.
   std::optional<int> ahead;
+  // How long it is expected to wait from now; only of tasks that wait for room.
+  std::optional<base::Micros> expected_start;
 };
 struct ExplainedTasks {
   // Those that wait, then those at work, then those blocked by other tasks.
