A failure whose text another owner has saved is not reported again

Two owners that read the same end of a run around a takeover write the same text into the job's row. The one whose save was refused took the row for its own and reported the failure a second time.

SaveOutcome::kNotWritten is told from kFailed for this.

Not complete: if the attempt of the owner whose text was not stored got no answer, both still report. The finder's epoch in the row would tell; docs/design/alerts.md, "Open".

--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -156,8 +156,9 @@
 struct UnreportedFailure {
   jobs::TaskKey task;
   FailureCause cause = FailureCause::kAttempts;
-  // Progress texts with the failure that were sent to the store.
-  std::set<std::string> sent;
+  std::string in_flight;  // progress text with the failure that is being saved
+  // Such texts whose saves got no answer.
+  std::set<std::string> unanswered;
 };
 
 struct Job {
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -209,17 +209,18 @@
                         const jobs::TaskKey& task,
                         FailureCause cause,
                         base::Micros now) {
-  job.unreported_failure = {.task = task, .cause = cause, .sent = {}};
+  job.unreported_failure = {.task = task, .cause = cause};
   this->FinishJob(job, jobs::JobState::kFailed, now);
 }
 
 // A failure is reported by the owner whose write put it into the job's row, so
 // that owners which find the same failure report it once. An owner that is
 // replaced before its write leaves the report to its successor.
-void Scheduler::ReportSavedFailure(Job& job) {
+void Scheduler::ReportSavedFailure(Job& job, const SaveResult& result) {
   if (!job.unreported_failure)
     return;
-  if (job.progress.state == jobs::JobState::kFailed) {
+  if (job.progress.state == jobs::JobState::kFailed &&
+      !result.was_saved_by_other) {
     this->actions.emplace_back(
         JobFailed{.job = job.id,
                   .queue = job.queue.name,
@@ -230,11 +231,13 @@
 }
 
 // A refused save shows a failure in the row: another owner has saved it, unless
-// this owner sent that row and the answer was lost.
+// this owner sent that row and got no answer. The text alone does not tell: two
+// owners that read the same end of a run write the same text.
 void Scheduler::DropFailureSavedByOther(Job& job,
                                         const jobs::Progress& stored) const {
   if (job.unreported_failure && stored.state == jobs::JobState::kFailed &&
-      !job.unreported_failure->sent.contains(jobs::EncodeProgress(stored)))
+      !job.unreported_failure->unanswered.contains(
+          jobs::EncodeProgress(stored)))
     job.unreported_failure.reset();
 }
 
@@ -279,13 +282,17 @@
       continue;
     job->save_in_flight = true;
     std::string text = jobs::EncodeProgress(job->progress);
-    if (job->unreported_failure)
-      job->unreported_failure->sent.insert(text);
+    bool may_be_written = false;
+    if (job->unreported_failure) {
+      job->unreported_failure->in_flight = text;
+      may_be_written = job->unreported_failure->unanswered.contains(text);
+    }
     this->actions.emplace_back(SaveProgress{.job = job->id,
                                             .text = std::move(text),
                                             .version = job->version,
                                             .change = job->change,
-                                            .is_over = job->progress.IsOver()});
+                                            .is_over = job->progress.IsOver(),
+                                            .may_be_written = may_be_written});
   }
 }
 
@@ -294,6 +301,11 @@
   if (!job)
     return;
   job->save_in_flight = false;
+  if (job->unreported_failure) {
+    std::string text = std::exchange(job->unreported_failure->in_flight, "");
+    if (result.outcome == SaveOutcome::kFailed && !text.empty())
+      job->unreported_failure->unanswered.insert(std::move(text));
+  }
   switch (result.outcome) {
     case SaveOutcome::kSaved:
       job->version = result.version;
@@ -303,7 +315,7 @@
       if (job->unsaved_failure > 0 &&
           job->saved_change >= job->unsaved_failure) {
         job->unsaved_failure = 0;
-        this->ReportSavedFailure(*job);
+        this->ReportSavedFailure(*job, result);
         this->StopAllRuns(*job, now);
       }
       break;
@@ -316,6 +328,7 @@
       this->MarkChanged(*job);
       break;
     case SaveOutcome::kFailed:
+    case SaveOutcome::kNotWritten:
       this->jobs_to_save.insert(job->id);
       this->next_save = now + kSavePeriod;
       break;
