--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -132,7 +132,11 @@
     const auto found = rows.find(save.job);
     const platform::Row* stored = found == rows.end() ? nullptr : found->second;
     if (this->ShouldRetrySave(save, result.outcome, stored)) {
-      this->save_queue.Add(save);
+      scheduler::SaveProgress retry = save;
+      if (result.outcome == platform::WriteOutcome::kUnknown ||
+          result.was_repeated)
+        retry.may_be_written = true;
+      this->save_queue.Add(std::move(retry));
       continue;
     }
     this->scheduler.ProgressSaved(MakeSaveResult(save, result, stored), now);
@@ -435,6 +439,8 @@
   for (scheduler::ExplainedTask& task : tasks->tasks) {
     if (this->commands_suspended && task.state == scheduler::TaskState::kReady)
       task.waits_for = scheduler::kWaitsForStore;
+    if (this->commands_suspended || !this->KnowsLoad(now))
+      task.expected_start.reset();
   }
   return OwnedJob{.job = &this->scheduler.all_jobs().at(job),
                   .tasks = std::move(*tasks),
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -48,8 +48,9 @@
 enum class SaveOutcome {
   kSaved,
   kConflict,
-  kFailed,    // the save is retried
-  kRejected,  // the store does not accept this content
+  kFailed,      // no answer; the save is retried
+  kNotWritten,  // certainly not carried out; the save is retried
+  kRejected,    // the store does not accept this content
 };
 
 struct SaveResult {
@@ -57,6 +58,9 @@
   std::uint64_t change = 0;
   SaveOutcome outcome = SaveOutcome::kFailed;
   std::uint64_t version = 0;  // current row version, if known
+  // With kSaved: the row held the text already, and every attempt of this owner
+  // to write it was answered.
+  bool was_saved_by_other = false;
   // With kConflict: the stored progress; empty if the row is missing or
   // unreadable.
   std::optional<jobs::Progress> stored;
@@ -256,7 +260,7 @@
                const jobs::TaskKey& task,
                FailureCause cause,
                base::Micros now);
-  void ReportSavedFailure(Job& job);
+  void ReportSavedFailure(Job& job, const SaveResult& result);
   void DropFailureSavedByOther(Job& job, const jobs::Progress& stored) const;
   void StopAllRuns(Job& job, base::Micros now);
   void SaveChangedJobs(base::Micros now);
@@ -487,6 +491,7 @@
   int NextRunNumber(const Job& job, const TaskPosition& position) const;
 
   // expected waits
+  BegunOccurrences OccurrencesWithRuns() const;
   void AddWorkerCapacities(std::map<std::string, PoolWork>& pools,
                            base::Micros now) const;
   void AddWorkOfBegunJobs(std::map<std::string, PoolWork>& pools,
@@ -510,6 +515,9 @@
   bool FitsInEvacuatedZone(const Job& job, const TaskPosition& position) const;
   void AddQueuePositions(const Job& job,
                          std::vector<ExplainedTask>& tasks) const;
+  void AddExpectedStarts(const Job& job,
+                         std::vector<ExplainedTask>& tasks,
+                         base::Micros now) const;
 
   // fleet
   void RunFleet(base::Micros now);
