Rises ask for idle boxes as before; spare boxes count those on their way

Cause: counting boxes that move for their destination ended the repeated requests for idle boxes that steep rises live on. Change: allocations leave them out as before; the need for spare boxes and the boxes that are paid for count them.

--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -374,6 +374,7 @@
                   base::Micros now,
                   std::vector<FleetAction>& actions);
   std::map<std::string, double> CoresByPool(const FleetView& view) const;
+  std::map<std::string, double> CoresWithMoves(const FleetView& view) const;
   // Whether idle boxes return to the spare pool.
   bool BoxesMayRest() const {
     return this->idle_boxes_rest && !this->spare_pools.empty();
--- a/scheduler/fleet_moves.cc
+++ b/scheduler/fleet_moves.cc
@@ -41,11 +41,17 @@
     if ((box.available || moves_now) && !this->IsInMaintenance(box.name))
       held[moves_now ? move->second.pool : box.pool] += box.cores;
   }
-  if (!this->BoxesMayRest())
-    return held;
-  // A box that moves has no worker for a while, and a box that leaves the spare
-  // pool has none before. Were these left out, further boxes would be moved in
-  // their place.
+  return held;
+}
+
+// The same with the boxes that no worker shows: a box that moves has none for a
+// while, and one that leaves the spare pool has none before. Allocations leave
+// them out, so that further idle boxes are requested for a shortage while the
+// first ones are on their way: a steep rise needs them by then. With them, 5%
+// of the first tasks waited for more than 0.5 s in rises, instead of 0.1 s.
+std::map<std::string, double> FleetPlanner::CoresWithMoves(
+    const FleetView& view) const {
+  std::map<std::string, double> held = this->CoresByPool(view);
   std::set<std::string> seen;
   for (const FleetBox& box : view.boxes)
     seen.insert(box.name);
@@ -117,7 +123,8 @@
   balance.need_surplus = balance.surplus;
   if (!this->BoxesMayRest())
     return balance;
-  balance.need_surplus = balance.held;
+  // Spare boxes are requested once: each one would have to return.
+  balance.need_surplus = this->CoresWithMoves(view);
   for (const auto& [pool, cores] :
        allocate(ScaleGrowth(requesting, kSpareGrowthFraction))) {
     balance.need_surplus[pool] -= cores;
@@ -205,7 +212,7 @@
   this->idle_boxes.Observe(balance.need_cores, idle, now);
   // With the moves of this plan.
   this->pool_cores = 0.0;
-  for (const auto& [pool, cores] : this->CoresByPool(view)) {
+  for (const auto& [pool, cores] : this->CoresWithMoves(view)) {
     if (!this->IsSparePool(pool))
       this->pool_cores += cores;
   }
