--- a/entry/ownership.cc
+++ b/entry/ownership.cc
@@ -48,6 +48,12 @@
 // After a longer gap between answers of the store, the holder's silence is
 // measured from the new answer: the holder may have renewed during the gap.
 constexpr base::Micros kMaxAnswerGap = milliseconds(2600);
+// Without an outage answers are at most this far apart: the row is read after
+// kReadRowAfter, and a slow store takes up to 0.3 s to answer.
+constexpr base::Micros kMaxNormalAnswerGap = milliseconds(1300);
+// Time that the holder gets to renew after a shorter outage than kMaxAnswerGap:
+// its calls of that time have to run out first.
+constexpr base::Micros kRenewalTimeAfterOutage = milliseconds(700);
 
 }  // namespace
 
@@ -88,8 +94,12 @@
 
 void Ownership::OnStoreAnswered() {
   const base::Micros now = base::MonotonicNow();
-  if (now - this->last_answer > kMaxAnswerGap)
+  const base::Micros gap = now - this->last_answer;
+  if (gap > kMaxAnswerGap)
     this->unchanged_since = now;
+  else if (gap > kMaxNormalAnswerGap)
+    this->unchanged_since = std::max(
+        this->unchanged_since, now - kOwnerSilence + kRenewalTimeAfterOutage);
   this->last_answer = now;
 }
 
