Spare boxes serve the growth unless the pools cover the need

Change: they are kept from it only while a whole window has shown that the pools cover its highest need with the margin.

--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -299,6 +299,7 @@
     // The same with the growth counted at kSpareGrowthFraction.
     std::map<std::string, double> need_surplus;
     std::set<std::string> served;  // pools that were given a box
+    double pool_cores = 0.0;       // not in spare pools; with boxes that move
     double need_cores = 0.0;       // of all pools that are not spare
     double box_cores = 0.0;        // of the largest box
     // No pool that lacks cores found a donor any more.
@@ -390,7 +391,9 @@
                       CoreBalance& balance,
                       base::Micros now,
                       std::vector<FleetAction>& actions);
-  bool MayUseSpareBox(const CoreBalance& balance, const FleetPool& to) const;
+  bool MayUseSpareBox(const CoreBalance& balance,
+                      const FleetPool& to,
+                      base::Micros now) const;
   void RestIdleBoxes(const FleetView& view,
                      const CoreBalance& balance,
                      base::Micros now,
--- a/scheduler/fleet_moves.cc
+++ b/scheduler/fleet_moves.cc
@@ -125,6 +125,10 @@
     return balance;
   // Spare boxes are requested once: each one would have to return.
   balance.need_surplus = this->CoresWithMoves(view);
+  for (const auto& [pool, cores] : balance.need_surplus) {
+    if (!this->IsSparePool(pool))
+      balance.pool_cores += cores;
+  }
   for (const auto& [pool, cores] :
        allocate(ScaleGrowth(requesting, kSpareGrowthFraction))) {
     balance.need_surplus[pool] -= cores;
@@ -157,7 +161,7 @@
       return;
     const FleetBox* donor =
         this->FindDonor(view, balance.surplus, *shortest,
-                        this->MayUseSpareBox(balance, *shortest));
+                        this->MayUseSpareBox(balance, *shortest, now));
     if (!donor) {
       // Without a donor only since spare boxes are kept from the growth, the
       // pool makes no other one give busy boxes away.
@@ -173,19 +177,24 @@
     balance.surplus[shortest->name] += donor->cores;
     balance.need_surplus[donor->pool] -= donor->cores;
     balance.need_surplus[shortest->name] += donor->cores;
+    if (this->IsSparePool(donor->pool))
+      balance.pool_cores += donor->cores;
     balance.served.insert(shortest->name);
     this->BeginMove(*donor, shortest->name, now, actions);
   }
 }
 
-// A box at rest is free, so that it comes for what is short without the growth.
-// The first box of a pool comes for any demand: tasks would wait there for
-// good.
+// A box at rest is free: while the pools cover the need of late, it comes only
+// for what is short without the growth. Otherwise it comes for the growth too,
+// or fleets that are nearly full would be late at each rise. The first box of a
+// pool comes for any demand: tasks would wait there for good.
 bool FleetPlanner::MayUseSpareBox(const CoreBalance& balance,
-                                  const FleetPool& to) const {
+                                  const FleetPool& to,
+                                  base::Micros now) const {
   const double held = balance.held.at(to.name);
   const bool is_first = held <= 0.0 && !balance.served.contains(to.name);
   return !this->BoxesMayRest() || is_first ||
+         !this->idle_boxes.CoversNeed(balance.pool_cores, now) ||
          balance.need_surplus.at(to.name) <
              -ShortageThreshold(held, balance.box_cores);
 }
--- a/scheduler/idle_boxes.cc
+++ b/scheduler/idle_boxes.cc
@@ -76,11 +76,20 @@
   return highest;
 }
 
+bool IdleBoxes::HasObservedWindow(base::Micros now) const {
+  return !this->needs.empty() && now - this->observed_since >= kNeedWindow;
+}
+
+bool IdleBoxes::CoversNeed(double pool_cores, base::Micros now) const {
+  return this->HasObservedWindow(now) &&
+         pool_cores >= kNeedMargin * this->HighestNeed();
+}
+
 std::vector<std::string> IdleBoxes::Select(
     double pool_cores,
     std::map<std::string, double> surplus,
     base::Micros now) const {
-  if (this->needs.empty() || now - this->observed_since < kNeedWindow)
+  if (!this->HasObservedWindow(now))
     return {};
   std::vector<const Idle*> candidates;
   for (const auto& [name, idle] : this->idle_boxes) {
--- a/scheduler/idle_boxes.h
+++ b/scheduler/idle_boxes.h
@@ -17,8 +17,9 @@
 struct FleetPool;
 
 // Share of the expected growth that counts where a box would have to be
-// switched on for it. With any growth counted, boxes at rest come for noise in
-// the arrivals, and a move costs more than a box-second.
+// switched on for it although the pools cover the need of late. With any growth
+// counted, boxes at rest come for noise in the arrivals, and a move costs more
+// than a box-second.
 inline constexpr double kSpareGrowthFraction = 0.0;
 
 // Returns the pools with their expected demand at this fraction.
@@ -44,6 +45,9 @@
                base::Micros now);
   // The highest need of the last window.
   double HighestNeed() const;
+  // Whether `pool_cores` are known to cover the needs of the last window, with
+  // some margin.
+  bool CoversNeed(double pool_cores, base::Micros now) const;
   // Selects boxes to be moved to the spare pool, the longest idle first.
   // `pool_cores`: cores in pools that are not spare. `surplus`: cores of each
   // pool beyond its allocation, which selected boxes are taken from. Empty
@@ -53,6 +57,8 @@
                                   base::Micros now) const;
 
  private:
+  bool HasObservedWindow(base::Micros now) const;
+
   struct Need {
     base::Micros at{};
     double cores = 0.0;
--- a/scheduler/idle_boxes_test.cc
+++ b/scheduler/idle_boxes_test.cc
@@ -56,6 +56,20 @@
   BOOST_TEST(resting.short_core_seconds <= 1.1 * paid.short_core_seconds);
 }
 
+// Guards against fleets that are nearly full, or of unknown need, and meet each
+// rise without their spare boxes.
+BOOST_AUTO_TEST_CASE(PoolsCoverTheNeedOnlyOnceAWindowHasShownIt) {
+  IdleBoxes idle_boxes;
+  base::Micros now = seconds(100);
+  for (; now < seconds(119); now += milliseconds(250))
+    idle_boxes.Observe(100.0, {}, now);
+  BOOST_TEST(!idle_boxes.CoversNeed(1000.0, now));
+  for (; now < seconds(121); now += milliseconds(250))
+    idle_boxes.Observe(80.0, {}, now);
+  BOOST_TEST(idle_boxes.CoversNeed(115.5, now));
+  BOOST_TEST(!idle_boxes.CoversNeed(110.0, now));
+}
+
 // Guards against a new owner that switches boxes off by a short history, and
 // against calls of the earlier one that are lost with their answers.
 BOOST_AUTO_TEST_CASE(NextOwnerObservesAWindowBeforeBoxesRest) {
