Comments begin with their subject

Cause: eight comments began with "What" or "Of", or told the measurement of a choice, which the commit of that choice tells. Change: reworded. No functional change.

--- a/entry/caller_submissions.cc
+++ b/entry/caller_submissions.cc
@@ -90,8 +90,8 @@
   if (this->admission && IsAdmissionInForce(*this->config))
     submission.admission =
         MakeAdmissionRequest(*this->config, queue, spec, organisation);
-  // Of two submissions of a job, a rejection of one would be wrong once the
-  // other is written.
+  // A job that is submitted twice is not rejected: a rejection of one
+  // submission would be wrong once the other is written.
   for (auto& [other_choice, other] : this->unassigned) {
     if (other.job != job)
       continue;
--- a/entry/process_admission_test.cc
+++ b/entry/process_admission_test.cc
@@ -26,7 +26,7 @@
     R"({"name":"ants","apiKeys":["ant-key"],"weight":900},)"
     R"({"name":"hot","apiKeys":["hot-key"],"weight":0.001}]})";
 
-// Of use for 4 s: three times the target latency plus 1.5 times the estimate.
+// Useful for 4 s: three times the target latency plus 1.5 times the estimate.
 constexpr const char* kSmallJob =
     R"({"spec":"work","steps":[{"count":1,"cpu":1000,"memMb":100,)"
     R"("estimateMs":500}]})";
--- a/entry/tables.cc
+++ b/entry/tables.cc
@@ -94,7 +94,7 @@
 std::optional<int> DecodeWaitMillis(const Json& json) {
   if (!json.is_number_integer())
     return std::nullopt;
-  // Of an unsigned number above the range this is negative.
+  // Negative for an unsigned number above the range.
   const auto wait_ms = json.get<std::int64_t>();
   if (wait_ms < 0 || wait_ms > std::numeric_limits<int>::max())
     return std::nullopt;
--- a/scheduler/expected_waits_test.cc
+++ b/scheduler/expected_waits_test.cc
@@ -139,8 +139,8 @@
   BOOST_TEST(waits.WaitMillis(1) == 3000);
 }
 
-// What waits for its quota, is long-running, fills gaps or fits on no worker
-// holds up nobody: counted, it would reject other organisations' jobs.
+// Guards against rejections of other organisations' jobs for tasks that wait
+// for their quota, are long-running, fill gaps or fit on no worker.
 BOOST_AUTO_TEST_CASE(TasksThatTakeNoCoresFromNewJobsAreNotAhead) {
   WaitBench waits({WaitBench::Tasks(4)});
   jobs::Step large = WaitBench::Tasks(100);
--- a/scheduler/fleet_moves.cc
+++ b/scheduler/fleet_moves.cc
@@ -47,8 +47,7 @@
 // The same with the boxes that no worker shows: a box that moves has none for a
 // while, and one that leaves the spare pool has none before. Allocations leave
 // them out, so that further idle boxes are requested for a shortage while the
-// first ones are on their way: a steep rise needs them by then. With them, 5%
-// of the first tasks waited for more than 0.5 s in rises, instead of 0.1 s.
+// first ones are on their way: a steep rise needs them by then.
 std::map<std::string, double> FleetPlanner::CoresWithMoves(
     const FleetView& view) const {
   std::map<std::string, double> held = this->CoresByPool(view);
--- a/scheduler/suspects.cc
+++ b/scheduler/suspects.cc
@@ -26,7 +26,7 @@
 // occur close together.
 constexpr base::Micros kLastTryPause = std::chrono::seconds(4);
 
-// What is known of a lost run.
+// A lost run and how it was lost.
 struct LostRun {
   bool has_crashed = false;
   bool start_confirmed = false;  // on a crashed worker
--- a/testing/soak.h
+++ b/testing/soak.h
@@ -73,7 +73,7 @@
   int accepted() const { return static_cast<int>(this->accepted_jobs.size()); }
   // Answers that said that the job never runs.
   int refused() const { return this->refusal_count; }
-  // Of them, those since the job could not be done in time.
+  // The refusals of jobs that could not be done in time.
   int rejected() const { return this->rejection_count; }
 
  private:
--- a/testing/tcp_link.cc
+++ b/testing/tcp_link.cc
@@ -104,7 +104,7 @@
       this->loop, to, EV_READ, [this, made](int) { this->Pass(*made, false); });
 }
 
-// What a narrow link does not pass yet stays in the sender's socket, and the
+// Bytes beyond the rate of a narrow link stay in the sender's socket, and the
 // watcher pauses until the next refill.
 void TcpLink::Pass(Connection& connection, bool from_caller) {
   const int from = from_caller ? connection.caller : connection.server;
