Process tests wait until all daemons serve the keyed configuration

Cause: ClientExplainsAJobByTheOwnerAndByTheRow asked a daemon that was not ready. Change: ClusterFixture::InstallKeyedConfig waits until each daemon is ready and asks for a key; the overload tests, which did this on their own, use it.

--- a/entry/explain_test.cc
+++ b/entry/explain_test.cc
@@ -221,8 +221,7 @@
   testing::ClusterFixture fixture(2);
   testing::JobCluster& cluster = fixture.cluster;
   cluster.workers().SetRunTime(seconds(60));
-  cluster.store().Put({.table = "op", .part = "", .key = "config"},
-                      testing::KeyedConfig(2, "key-of-bees"));
+  fixture.InstallKeyedConfig(testing::KeyedConfig(2, "key-of-bees"));
   cluster.SetKey("key-of-bees");
   const std::string job = testing::JobId(1);
   BOOST_REQUIRE(cluster.WaitUntil(
--- a/entry/process_admission_test.cc
+++ b/entry/process_admission_test.cc
@@ -40,15 +40,7 @@
 struct OverloadFixture : ClusterFixture {
   OverloadFixture() : ClusterFixture(2, 2) {
     this->cluster.workers().SetRunTime(std::chrono::seconds(8));
-    this->cluster.store().Put({.table = "op", .part = "", .key = "config"},
-                              kTwoQueues);
-    // A daemon that demands a key has the configuration.
-    for (const std::string& daemon : kDaemons) {
-      this->WaitUntilReady(daemon);
-      BOOST_REQUIRE(this->cluster.WaitUntil(kTimeoutSeconds, [&, this] {
-        return this->cluster.Call(daemon, "GET", JobId(99)).status == 401;
-      }));
-    }
+    this->InstallKeyedConfig(kTwoQueues);
   }
 
   http::Response SubmitAs(const std::string& key,
--- a/testing/cluster_fixture.h
+++ b/testing/cluster_fixture.h
@@ -71,6 +71,21 @@
         kTimeoutSeconds, [&, this] { return this->cluster.IsReady(daemon); }));
   }
 
+  // Puts a configuration in which queue "q" needs a key, and waits until all
+  // daemons are ready to serve it: they read it at different times, and the
+  // first owner may begin before the others know the number of shards.
+  void InstallKeyedConfig(const std::string& config) {
+    this->cluster.store().Put({.table = "op", .part = "", .key = "config"},
+                              config);
+    for (const auto& [id, daemon] : this->cluster.daemons()) {
+      this->WaitUntilReady(id);
+      // A daemon that asks for a key has the configuration.
+      BOOST_REQUIRE(this->cluster.WaitUntil(kTimeoutSeconds, [&, this] {
+        return this->cluster.Call(id, "GET", JobId(99)).status == 401;
+      }));
+    }
+  }
+
   void Wait(base::Micros span) {
     const base::Micros until = base::MonotonicNow() + span;
     this->cluster.WaitUntil(kTimeoutSeconds,
