Overload test submits at a bounded rate

Cause: RejectedJobRunsOnlyOnceItIsSubmittedAgain submitted without a pause until the daemons knew the wait. 380 to 1,041 jobs were accepted in 1.3 s, in most runs eight of them took all cores for 8 s, and the resubmitted job then ran behind the rest: it was completed after 8 s plus 1 s for every 80 jobs (21.5 s with 1,041). Change: one submission in 100 ms.

--- a/entry/process_admission_test.cc
+++ b/entry/process_admission_test.cc
@@ -35,6 +35,11 @@
     R"({"spec":"work","steps":[{"count":40,"cpu":1000,"memMb":100,)"
     R"("estimateMs":8000}]})";
 
+// A caller without a pause gets 300 to 1,000 jobs accepted until the wait is
+// known, and more on a slow machine: the last of them then run for longer than
+// a test waits.
+constexpr auto kSubmissionInterval = std::chrono::milliseconds(100);
+
 const std::vector<std::string> kDaemons = {"entry-1", "entry-2"};
 
 struct OverloadFixture : ClusterFixture {
@@ -72,6 +77,7 @@
     http::Response response;
     std::string job;
     BOOST_REQUIRE(this->cluster.WaitUntil(kTimeoutSeconds, [&, this] {
+      this->Wait(kSubmissionInterval);
       job = JobId(++this->last_id);
       response = this->SubmitAs(key, daemon, job);
       return response.status == status &&
