A failed job's row names the owner that found the failure

Cause: two owners that find the same failure wrote the same text, so that neither could tell from the row who had written it. Change: the finder's epoch stands with the failure in the row (failed_by), and the owner of that epoch reports it once the row is stored. The fields that told unanswered attempts apart (may_be_written, was_repeated, was_saved_by_other, kNotWritten) go. The model allows one report for each job instead of one by each owner.

--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -132,11 +132,7 @@
     const auto found = rows.find(save.job);
     const platform::Row* stored = found == rows.end() ? nullptr : found->second;
     if (this->ShouldRetrySave(save, result.outcome, stored)) {
-      scheduler::SaveProgress retry = save;
-      if (result.outcome == platform::WriteOutcome::kUnknown ||
-          result.was_repeated)
-        retry.may_be_written = true;
-      this->save_queue.Add(std::move(retry));
+      this->save_queue.Add(save);
       continue;
     }
     this->scheduler.ProgressSaved(MakeSaveResult(save, result, stored), now);
--- a/entry/save_result.cc
+++ b/entry/save_result.cc
@@ -28,7 +28,6 @@
                                      const platform::WriteResult& result,
                                      const platform::Row* stored_row) {
   scheduler::SaveResult saved{.job = save.job, .change = save.change};
-  const bool may_be_own = save.may_be_written || result.was_repeated;
   switch (result.outcome) {
     case platform::WriteOutcome::kDone:
       saved.outcome = scheduler::SaveOutcome::kSaved;
@@ -36,11 +35,9 @@
       break;
     case platform::WriteOutcome::kConflict:
       saved.version = stored_row ? stored_row->version : 0;
-      // The row holds this very text: an earlier attempt without an answer
-      // wrote it, or, if there was none, another owner that found the same.
+      // An earlier attempt without an answer wrote the row.
       if (stored_row && stored_row->value == save.text) {
         saved.outcome = scheduler::SaveOutcome::kSaved;
-        saved.was_saved_by_other = !may_be_own;
         break;
       }
       saved.outcome = scheduler::SaveOutcome::kConflict;
@@ -51,9 +48,6 @@
       saved.outcome = scheduler::SaveOutcome::kRejected;
       break;
     case platform::WriteOutcome::kNotDone:
-      if (!may_be_own)
-        saved.outcome = scheduler::SaveOutcome::kNotWritten;
-      break;
     case platform::WriteOutcome::kUnknown:
       break;
   }
--- a/jobs/jobs_test.cc
+++ b/jobs/jobs_test.cc
@@ -1,6 +1,7 @@
 // Tests stored job progress, queue routing and worker incarnations.
 
 #include <algorithm>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,8 @@
   if (*rc::gen::arbitrary<bool>())
     progress.organisation = organisation;
   progress.queue = *rc::gen::element("", "q");
+  if (progress.state == JobState::kFailed)
+    progress.failure_epoch = *rc::gen::inRange<std::uint64_t>(0, 5);
   const int done = *rc::gen::inRange(0, 6);
   for (int i = 0; i < done; ++i) {
     progress.MarkDone({.occurrence = *rc::gen::inRange(0, 3),
@@ -44,9 +47,9 @@
 }
 
 bool Same(const Progress& a, const Progress& b) {
-  return a.state == b.state && a.organisation == b.organisation &&
-         a.queue == b.queue && a.done == b.done && a.failures == b.failures &&
-         a.placed == b.placed;
+  return a.state == b.state && a.failure_epoch == b.failure_epoch &&
+         a.organisation == b.organisation && a.queue == b.queue &&
+         a.done == b.done && a.failures == b.failures && a.placed == b.placed;
 }
 
 RC_BOOST_PROP(ProgressRoundTrips, ()) {
--- a/jobs/progress.cc
+++ b/jobs/progress.cc
@@ -224,6 +224,17 @@
   return true;
 }
 
+// Rows of earlier versions lack the epoch.
+bool DecodeFailureEpoch(const Json& row, Progress& progress) {
+  const auto found = row.find("failed_by");
+  if (found == row.end())
+    return true;
+  if (!found->is_number_unsigned())
+    return false;
+  progress.failure_epoch = found->get<std::uint64_t>();
+  return true;
+}
+
 // A final state wins; of two other states, the later one.
 JobState MergeStates(JobState a, JobState b) {
   if (IsFinal(a))
@@ -294,6 +305,8 @@
 
 std::string EncodeProgress(const Progress& progress) {
   Json row = {{"state", base::NameOf(kJobStateNames, progress.state)}};
+  if (progress.failure_epoch > 0)
+    row["failed_by"] = progress.failure_epoch;
   if (progress.organisation)
     row["organisation"] = *progress.organisation;
   if (!progress.queue.empty())
@@ -328,7 +341,7 @@
     return std::nullopt;
   Progress progress;
   progress.state = *state;
-  if (!DecodeOrigin(row, progress))
+  if (!DecodeOrigin(row, progress) || !DecodeFailureEpoch(row, progress))
     return std::nullopt;
   if (row.contains("done") && !DecodeDone(row["done"], progress))
     return std::nullopt;
@@ -354,6 +367,7 @@
 Progress Merge(const Progress& a, const Progress& b) {
   Progress merged = a;
   merged.state = MergeStates(a.state, b.state);
+  merged.failure_epoch = std::max(a.failure_epoch, b.failure_epoch);
   // An earlier version that saved the row in between dropped both fields.
   merged.organisation = std::max(a.organisation, b.organisation);
   merged.queue = std::max(a.queue, b.queue);
--- a/jobs/progress.h
+++ b/jobs/progress.h
@@ -75,6 +75,9 @@
 
 struct Progress {
   JobState state = JobState::kQueued;
+  // Epoch of the shard's owner that found the job's failure; 0 if the job has
+  // not failed, and in rows of versions that did not store it.
+  std::uint64_t failure_epoch = 0;
   // The organisation whose key submitted the job; empty if it was accepted
   // without one. Nothing in rows of versions that did not store it.
   std::optional<std::string> organisation;
--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -66,9 +66,6 @@
   // No task of the job runs or will run: the caller's request is not needed any
   // more.
   bool is_over = false;
-  // An earlier attempt to write this text got no answer. Not kept for a text
-  // that holds no failure.
-  bool may_be_written = false;
 };
 
 // A worker reports a job that this owner has not loaded. The caller reads it
--- a/scheduler/failure_reports_test.cc
+++ b/scheduler/failure_reports_test.cc
@@ -1,6 +1,7 @@
-// Tests that two owners that find the same failure of a job and save the same
-// text report it once.
+// Tests that two owners that find the same failure of a job report it once.
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,7 +17,7 @@
 
 // An owner of a job with a task that is given up.
 struct FailureBench : testing::SchedulerBench {
-  FailureBench() : SchedulerBench(2) {
+  explicit FailureBench(std::uint64_t epoch) : SchedulerBench(epoch) {
     jobs::Progress progress;
     for (const int run : {1, 2, 3}) {
       progress.MarkLost({.step = {}, .index = 0},
@@ -46,42 +47,65 @@
 };
 
 // Guards against two reports by a replaced owner and its successor that have
-// read the same end of a run.
-BOOST_AUTO_TEST_CASE(OwnersThatSaveTheSameFailureReportItOnce) {
-  FailureBench other;
-  BOOST_TEST(other.Answer(other.NextSave(), {.outcome = SaveOutcome::kSaved,
-                                             .version = 5}) == 1U);
-  FailureBench bench;
-  BOOST_TEST(bench.Answer(bench.NextSave(), {.outcome = SaveOutcome::kSaved,
-                                             .version = 5,
-                                             .was_saved_by_other = true}) ==
-             0U);
-  // The save of another text is refused and shows the failure.
-  FailureBench refused;
-  const SaveProgress save = refused.NextSave();
-  BOOST_TEST(refused.Answer(save, {.outcome = SaveOutcome::kNotWritten}) == 0U);
-  const SaveProgress again = refused.NextSave();
-  BOOST_TEST(!again.may_be_written);
-  BOOST_TEST(
-      refused.Answer(again, {.outcome = SaveOutcome::kConflict,
-                             .version = 5,
-                             .stored = jobs::DecodeProgress(save.text)}) == 0U);
-  BOOST_TEST(refused.Answer(refused.NextSave(), {.outcome = SaveOutcome::kSaved,
-                                                 .version = 6}) == 0U);
+// read the same end of a run, whichever of them saves the failure first, and
+// whether or not the other's attempt got an answer.
+BOOST_AUTO_TEST_CASE(OwnersThatFindTheSameFailureReportItOnce) {
+  for (const bool replaced_is_first : {true, false}) {
+    for (const SaveOutcome attempt :
+         {SaveOutcome::kFailed, SaveOutcome::kConflict}) {
+      FailureBench first(replaced_is_first ? 1 : 2);
+      FailureBench second(replaced_is_first ? 2 : 1);
+      const SaveProgress stored = first.NextSave();
+      SaveProgress save = second.NextSave();
+      // A row that holds the text of a save counts as written by it.
+      BOOST_TEST(stored.text != save.text);
+      if (attempt == SaveOutcome::kFailed) {
+        BOOST_TEST(second.Answer(save, {.outcome = attempt}) == 0U);
+        save = second.NextSave();
+      }
+      BOOST_TEST(first.Answer(stored, {.outcome = SaveOutcome::kSaved,
+                                       .version = 5}) == 1U);
+      BOOST_TEST(second.Answer(save, {.outcome = SaveOutcome::kConflict,
+                                      .version = 5,
+                                      .stored = jobs::DecodeProgress(
+                                          stored.text)}) == 0U);
+      BOOST_TEST(
+          second.Answer(second.NextSave(),
+                        {.outcome = SaveOutcome::kSaved, .version = 6}) == 0U);
+    }
+  }
 }
 
-// Guards against no report where the first save was carried out and its answer
-// was lost: the next one says so, and so finds the owner's own row.
-BOOST_AUTO_TEST_CASE(SaveTellsThatAnEarlierAttemptGotNoAnswer) {
-  FailureBench bench;
+// Guards against no report where the first save was carried out, its answer was
+// lost, and another owner has changed the row since: the row names the finder.
+BOOST_AUTO_TEST_CASE(FinderReportsAFailureInARowThatAnotherOwnerHasChanged) {
+  FailureBench bench(2);
   const SaveProgress save = bench.NextSave();
-  BOOST_TEST(!save.may_be_written);
   BOOST_TEST(bench.Answer(save, {.outcome = SaveOutcome::kFailed}) == 0U);
   const SaveProgress again = bench.NextSave();
-  BOOST_TEST(again.may_be_written);
   BOOST_TEST(again.text == save.text);
-  BOOST_TEST(bench.Answer(
-                 again, {.outcome = SaveOutcome::kSaved, .version = 5}) == 1U);
+  std::optional<jobs::Progress> changed = jobs::DecodeProgress(save.text);
+  changed->MarkFailed({.step = {}, .index = 0}, 9);
+  BOOST_TEST(bench.Answer(again, {.outcome = SaveOutcome::kConflict,
+                                  .version = 6,
+                                  .stored = changed}) == 0U);
+  BOOST_TEST(bench.Answer(bench.NextSave(), {.outcome = SaveOutcome::kSaved,
+                                             .version = 7}) == 1U);
+}
+
+// Guards against a second report where a version that does not store the finder
+// has saved the row.
+BOOST_AUTO_TEST_CASE(FailureInARowWithoutItsFinderIsNotReported) {
+  FailureBench bench(2);
+  const SaveProgress save = bench.NextSave();
+  std::optional<jobs::Progress> stored = jobs::DecodeProgress(save.text);
+  BOOST_TEST(stored->failure_epoch == 2U);
+  stored->failure_epoch = 0;
+  BOOST_TEST(bench.Answer(save, {.outcome = SaveOutcome::kConflict,
+                                 .version = 5,
+                                 .stored = stored}) == 0U);
+  BOOST_TEST(bench.Answer(bench.NextSave(), {.outcome = SaveOutcome::kSaved,
+                                             .version = 6}) == 0U);
 }
 
 }  // namespace
--- a/scheduler/inheritance.cc
+++ b/scheduler/inheritance.cc
@@ -159,8 +159,11 @@
       this->RecordUnobservedLoss(job, position, placement, now);
   }
   const bool was_final = job.finished();
-  this->DropFailureSavedByOther(job, stored);
   job.progress = jobs::Merge(job.progress, stored);
+  // The failure in the row is the one that is reported, also if this owner has
+  // found it too.
+  if (stored.state == jobs::JobState::kFailed)
+    job.progress.failure_epoch = stored.failure_epoch;
   // The row names the run that its worker reports, also where the other writer
   // has placed a later one: that one is over.
   for (const auto& [key, placement] : stored.placed) {
--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -156,9 +156,6 @@
 struct UnreportedFailure {
   jobs::TaskKey task;
   FailureCause cause = FailureCause::kAttempts;
-  std::string in_flight;  // progress text with the failure that is being saved
-  // Such texts whose saves got no answer.
-  std::set<std::string> unanswered;
 };
 
 struct Job {
--- a/scheduler/job_failure_test.cc
+++ b/scheduler/job_failure_test.cc
@@ -119,11 +119,13 @@
 // Guards against two reports of a failure that two owners have found: the save
 // of one is refused and shows the other's.
 BOOST_AUTO_TEST_CASE(FailureSavedByAnotherOwnerIsNotReported) {
+  Bench other(1);
+  other.AddPlacedJobWithOneAttempt(1);
+  jobs::Progress stored = jobs::DecodeProgress(other.FailRun(1).text).value();
+  stored.MarkFailed({.step = {}, .index = 0}, 2);
   Bench bench(2);
   bench.AddPlacedJobWithOneAttempt(1);
   const SaveProgress save = bench.FailRun(1);
-  jobs::Progress stored = jobs::DecodeProgress(save.text).value();
-  stored.MarkFailed({.step = {}, .index = 0}, 2);
   bench.Answer(save, SaveOutcome::kConflict, stored);
   bench.Answer(bench.NextSave(), SaveOutcome::kSaved);
   BOOST_TEST(bench.TakeReports().empty());
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -211,6 +211,7 @@
                         const jobs::TaskKey& task,
                         FailureCause cause,
                         base::Micros now) {
+  job.progress.failure_epoch = this->limits.epoch;
   job.unreported_failure = {.task = task, .cause = cause};
   this->FinishJob(job, jobs::JobState::kFailed, now);
 }
@@ -218,11 +219,11 @@
 // A failure is reported by the owner whose write put it into the job's row, so
 // that owners which find the same failure report it once. An owner that is
 // replaced before its write leaves the report to its successor.
-void Scheduler::ReportSavedFailure(Job& job, const SaveResult& result) {
+void Scheduler::ReportSavedFailure(Job& job) {
   if (!job.unreported_failure)
     return;
   if (job.progress.state == jobs::JobState::kFailed &&
-      !result.was_saved_by_other) {
+      job.progress.failure_epoch == this->limits.epoch) {
     this->actions.emplace_back(
         JobFailed{.job = job.id,
                   .queue = job.queue.name,
@@ -232,17 +233,6 @@
   job.unreported_failure.reset();
 }
 
-// A refused save shows a failure in the row: another owner has saved it, unless
-// this owner sent that row and got no answer. The text alone does not tell: two
-// owners that read the same end of a run write the same text.
-void Scheduler::DropFailureSavedByOther(Job& job,
-                                        const jobs::Progress& stored) const {
-  if (job.unreported_failure && stored.state == jobs::JobState::kFailed &&
-      !job.unreported_failure->unanswered.contains(
-          jobs::EncodeProgress(stored)))
-    job.unreported_failure.reset();
-}
-
 void Scheduler::StopAllRuns(Job& job, base::Micros now) {
   for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
     for (std::size_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
@@ -283,18 +273,12 @@
     if (!job)
       continue;
     job->save_in_flight = true;
-    std::string text = jobs::EncodeProgress(job->progress);
-    bool may_be_written = false;
-    if (job->unreported_failure) {
-      job->unreported_failure->in_flight = text;
-      may_be_written = job->unreported_failure->unanswered.contains(text);
-    }
-    this->actions.emplace_back(SaveProgress{.job = job->id,
-                                            .text = std::move(text),
-                                            .version = job->version,
-                                            .change = job->change,
-                                            .is_over = job->progress.IsOver(),
-                                            .may_be_written = may_be_written});
+    this->actions.emplace_back(
+        SaveProgress{.job = job->id,
+                     .text = jobs::EncodeProgress(job->progress),
+                     .version = job->version,
+                     .change = job->change,
+                     .is_over = job->progress.IsOver()});
   }
 }
 
@@ -303,11 +287,6 @@
   if (!job)
     return;
   job->save_in_flight = false;
-  if (job->unreported_failure) {
-    std::string text = std::exchange(job->unreported_failure->in_flight, "");
-    if (result.outcome == SaveOutcome::kFailed && !text.empty())
-      job->unreported_failure->unanswered.insert(std::move(text));
-  }
   switch (result.outcome) {
     case SaveOutcome::kSaved:
       job->version = result.version;
@@ -317,7 +296,7 @@
       if (job->unsaved_failure > 0 &&
           job->saved_change >= job->unsaved_failure) {
         job->unsaved_failure = 0;
-        this->ReportSavedFailure(*job, result);
+        this->ReportSavedFailure(*job);
         this->StopAllRuns(*job, now);
       }
       break;
@@ -330,7 +309,6 @@
       this->MarkChanged(*job);
       break;
     case SaveOutcome::kFailed:
-    case SaveOutcome::kNotWritten:
       this->jobs_to_save.insert(job->id);
       this->next_save = now + kSavePeriod;
       break;
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -48,9 +48,8 @@
 enum class SaveOutcome {
   kSaved,
   kConflict,
-  kFailed,      // no answer; the save is retried
-  kNotWritten,  // certainly not carried out; the save is retried
-  kRejected,    // the store does not accept this content
+  kFailed,    // no answer; the save is retried
+  kRejected,  // the store does not accept this content
 };
 
 struct SaveResult {
@@ -58,9 +57,6 @@
   std::uint64_t change = 0;
   SaveOutcome outcome = SaveOutcome::kFailed;
   std::uint64_t version = 0;  // current row version, if known
-  // With kSaved: the row held the text already, and every attempt of this owner
-  // to write it was answered.
-  bool was_saved_by_other = false;
   // With kConflict: the stored progress; empty if the row is missing or
   // unreadable.
   std::optional<jobs::Progress> stored;
@@ -260,8 +256,7 @@
                const jobs::TaskKey& task,
                FailureCause cause,
                base::Micros now);
-  void ReportSavedFailure(Job& job, const SaveResult& result);
-  void DropFailureSavedByOther(Job& job, const jobs::Progress& stored) const;
+  void ReportSavedFailure(Job& job);
   void StopAllRuns(Job& job, base::Micros now);
   void SaveChangedJobs(base::Micros now);
   void ReleaseDueRepeats(base::Micros now);
--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -443,7 +443,7 @@
                                this->owners[owner].epoch, task->job,
                                task->task.step.step, task->task.index));
   else if (const auto* failed = std::get_if<scheduler::JobFailed>(&action))
-    this->CheckFailureReport(owner, *failed);
+    this->CheckFailureReport(*failed);
   else if (const auto* stalled =
                std::get_if<scheduler::LongRunningStalled>(&action))
     this->reported_stalls.push_back(*stalled);
@@ -452,12 +452,11 @@
                                note->subject, note->text));
 }
 
-void SchedulerModel::CheckFailureReport(std::size_t owner,
-                                        const scheduler::JobFailed& failed) {
+void SchedulerModel::CheckFailureReport(const scheduler::JobFailed& failed) {
   if (this->StateOf(failed.job) != jobs::JobState::kFailed)
     this->ReportViolation(
         fmt::format("the failure of {} is reported unsaved", failed.job));
-  if (!this->reported_failures.insert({failed.job, owner}).second)
+  if (!this->reported_failures.insert(failed.job).second)
     this->ReportViolation(
         fmt::format("the failure of {} is reported twice", failed.job));
 }
--- a/testing/scheduler_model.h
+++ b/testing/scheduler_model.h
@@ -306,8 +306,7 @@
                    base::Micros span);
   // A failure is reported once by an owner, and only if it is stored. Owners
   // that have stored the same text both report it.
-  void CheckFailureReport(std::size_t owner,
-                          const scheduler::JobFailed& failed);
+  void CheckFailureReport(const scheduler::JobFailed& failed);
   // Checks what the owner would report with its renewal.
   void CheckExpectedWaits(Owner& owner);
   void CheckDisruption(const jobs::TaskId& task, const std::string& by);
@@ -390,8 +389,7 @@
   int start_count = 0;
   int crash_count = 0;
   std::vector<scheduler::LongRunningStalled> reported_stalls;
-  // Jobs whose failure was reported, and by which owner.
-  std::set<std::pair<std::string, std::size_t>> reported_failures;
+  std::set<std::string> reported_failures;  // jobs
   std::vector<std::string> violations_found;
   std::deque<std::string> history;
 };
--- a/testing/scheduler_model_store.cc
+++ b/testing/scheduler_model_store.cc
@@ -72,8 +72,7 @@
       .text = entry::EncodeProgressRecord({.text = save.text}),
       .version = save.version,
       .change = save.change,
-      .is_over = save.is_over,
-      .may_be_written = save.may_be_written};
+      .is_over = save.is_over};
   const auto write = [this, save] {
     StoredJob& stored = this->jobs.at(save.job);
     if (stored.version != save.version)
