A wave that is behind keeps to its slots for long-running tasks

Cause: a wave that was behind gave boxes with long-running tasks all slots that its other boxes did not need. These boxes take no work while they are emptied. Change: one slot in eight, as before. The test of the rule gives way to one of the slots of a wave that is behind, which fails with the rule.

--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -320,8 +320,6 @@
   struct WaveCounts {
     int away = 0;
     int pinned_evacuating = 0;  // of them, evacuating long-running tasks
-    int quick_left = 0;         // not begun, without long-running tasks
-    int max_pinned = 0;         // slots for long-running tasks first
     bool all_done = true;
     std::vector<std::pair<const FleetBox*, Maintenance*>> pending;
   };
@@ -340,10 +338,6 @@
   void ReconcileInheritedMoves(base::Micros asked);
   static bool ResolveInherited(Maintenance& maintenance,
                                InheritedCall inherited);
-  static bool IsBehindItsPace(const WaveProgress& progress, base::Micros now);
-  int CountSlotsForPinned(const WaveProgress& progress,
-                          int quick_left,
-                          base::Micros now) const;
   static bool IsStalled(const Maintenance& maintenance, base::Micros now);
   ReportWave MakeReport(const WaveProgress& progress) const;
   void ReconcileWaves(base::Micros asked, base::Micros now);
--- a/scheduler/fleet_waves.cc
+++ b/scheduler/fleet_waves.cc
@@ -14,9 +14,6 @@
 // longest. In large fleets this reduced the boxes left at their waves'
 // deadlines from 20 to 9.
 constexpr int kPinnedDivisor = 8;
-// Time that a box without long-running tasks keeps a slot for in addition to
-// its maintenance: until it is called and until it is known to be back.
-constexpr base::Micros kSlotOverhead = std::chrono::milliseconds(500);
 
 // Assumed bound on how far a box list may lag behind the time of its request.
 // The platform documents none.
@@ -239,47 +236,10 @@
                         MayBeReselected(*box, maintenance.released_at, now);
     if (can_go)
       counts.pending.emplace_back(box, &maintenance);
-    counts.quick_left += maintenance.state == MaintenanceState::kPending &&
-                         (!box || box->long_running_tasks == 0);
   }
-  counts.max_pinned =
-      this->CountSlotsForPinned(progress, counts.quick_left, now);
   return counts;
 }
 
-// Whether the share of boxes whose maintenance has begun is less than the share
-// of the wave's time that has elapsed.
-bool FleetPlanner::IsBehindItsPace(const WaveProgress& progress,
-                                   base::Micros now) {
-  const auto begun = std::count_if(
-      progress.boxes.begin(), progress.boxes.end(), [](const auto& entry) {
-        return entry.second.state == MaintenanceState::kDown ||
-               entry.second.state == MaintenanceState::kDone;
-      });
-  return progress.wave.duration > base::Micros::zero() &&
-         begun * progress.wave.duration <
-             static_cast<std::int64_t>(progress.boxes.size()) *
-                 (now - progress.since);
-}
-
-// A wave that is behind gives boxes with long-running tasks, which would be
-// left at its end, all slots that the other boxes do not need to be done in
-// time. If these need all of them, boxes that take longer would only displace
-// more of them.
-int FleetPlanner::CountSlotsForPinned(const WaveProgress& progress,
-                                      int quick_left,
-                                      base::Micros now) const {
-  const int slots = progress.wave.max_concurrent;
-  const int reserved = slots / kPinnedDivisor;
-  const base::Micros time_left = progress.since + progress.wave.duration - now;
-  if (!IsBehindItsPace(progress, now) || time_left <= base::Micros::zero())
-    return reserved;
-  const base::Micros time_needed =
-      quick_left * (this->timings.maintenance_duration + kSlotOverhead);
-  const auto needed = (time_needed + time_left - base::Micros(1)) / time_left;
-  return std::max(reserved, slots - static_cast<int>(needed));
-}
-
 bool FleetPlanner::IsStalled(const Maintenance& maintenance, base::Micros now) {
   return maintenance.state == MaintenanceState::kEvacuating &&
          maintenance.stalls_at && now >= *maintenance.stalls_at;
@@ -336,8 +296,9 @@
 
 // Prefers idle, then lightly loaded boxes. Of those with long-running tasks,
 // the ones that gave their slot back longest ago go first, after those that
-// never did. Some slots (`max_pinned`) go to boxes with long-running tasks
-// first.
+// never did. One slot in kPinnedDivisor goes to boxes with long-running tasks
+// first. More for a wave that is behind took boxes from pools at the height of
+// their load: 0.984 of the work of a calm day in time instead of 0.995.
 void FleetPlanner::SelectNext(const Wave& wave,
                               WaveCounts& counts,
                               base::Micros now) {
@@ -360,9 +321,10 @@
     maintenance.stalls_at.reset();
     ++counts.away;
   };
+  const int max_pinned = wave.max_concurrent / kPinnedDivisor;
   for (const auto& [box, maintenance] : counts.pending) {
     if (counts.away >= wave.max_concurrent ||
-        counts.pinned_evacuating >= counts.max_pinned)
+        counts.pinned_evacuating >= max_pinned)
       break;
     if (box->long_running_tasks == 0)
       continue;
--- a/scheduler/wave_pace_test.cc
+++ b/scheduler/wave_pace_test.cc
@@ -1,33 +1,59 @@
 // Tests of the pace of maintenance waves.
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 #include <boost/test/unit_test.hpp>
 
-#include "testing/fleet_replay.h"
+#include "scheduler/fleet.h"
+#include "testing/fleet_bench.h"
+#include "testing/scheduler_bench.h"
 
 namespace quartzhoist::scheduler {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Two pools that peak in turn, so that boxes are moved all the time.
-double PeaksInTurn(int pool, base::Micros at) {
-  return at / seconds(4) % 2 == pool ? 300.0 : 100.0;
-}
+using testing::IdleBox;
+using testing::kFleetTimings;
+using testing::Only;
+
+constexpr int kPinnedBoxes = 10;  // the first ones of the wave
+constexpr int kBoxes = 40;
 
-// Guards against a wave whose boxes with long-running tasks, a third of all,
-// are left at its end: only four of them are emptied at a time. With one slot
-// in eight for them the wave takes 29 s.
-BOOST_AUTO_TEST_CASE(WaveThatIsBehindBeginsMoreBoxesWithLongRunningTasks) {
-  testing::FleetReplay replay(2, 60, false, false);
-  replay.RunUntil(seconds(103), PeaksInTurn);
-  const int calls = replay.calls;
-  replay.BeginWave(8, seconds(25));
-  replay.RunUntil(seconds(103 + 25), PeaksInTurn);
-  BOOST_TEST(replay.CountLeftInWave() <= 2);
-  replay.RunUntil(seconds(103 + 27), PeaksInTurn);
-  BOOST_TEST(replay.CountLeftInWave() == 0);
-  BOOST_TEST(replay.calls > calls);
-  BOOST_TEST(replay.violations.empty());
+// Guards against a late wave that empties several boxes with long-running tasks
+// at once: they take no other work meanwhile, and their pool is short of them
+// for as long as the tasks find no other place.
+BOOST_AUTO_TEST_CASE(WaveThatIsBehindKeepsToItsSlotsForLongRunningTasks) {
+  FleetPlanner fleet(kFleetTimings);
+  Wave wave{
+      .number = 1, .boxes = {}, .duration = seconds(14), .max_concurrent = 8};
+  FleetView view;
+  view.pools = {{.name = "pool", .spare = false, .demand = {}}};
+  std::vector<BoxInfo> listed;
+  for (int i = 0; i < kBoxes; ++i) {
+    FleetBox box = IdleBox("b" + std::to_string(i), "pool");
+    box.long_running_tasks = i < kPinnedBoxes ? 1 : 0;
+    box.idle = i >= kPinnedBoxes;
+    wave.boxes.push_back(box.name);
+    listed.push_back({.name = box.name, .pool = "pool", .cores = 16.0});
+    view.boxes.push_back(box);
+  }
+  fleet.SetWave(wave, {}, seconds(1));
+  fleet.SetBoxes(listed, seconds(1), seconds(1));
+  const auto first = Only<MaintainBox>(fleet.Plan(view, seconds(1)));
+  BOOST_REQUIRE(first.size() == 7U);
+  for (const MaintainBox& call : first)
+    fleet.OnMaintenanceOutcome(call, BoxCallOutcome::kDone, seconds(1));
+  for (const MaintainBox& call : first)
+    fleet.OnBoxAnnounced(call.box, {.id = call.box + "-next"}, "pool",
+                         milliseconds(3900));
+  // 7 of 40 boxes are done after 3 of 14 s.
+  const std::vector<FleetAction> steps = fleet.Plan(view, seconds(4));
+  BOOST_TEST(Only<EvacuateBox>(steps).size() == 1U);
+  BOOST_TEST(Only<MaintainBox>(steps).size() == 7U);
 }
 
 }  // namespace
