Idle boxes rest in fleets of 100 boxes or more

Cause: in fleets of 48 and 49 boxes a box is a large part of what a pool needs. Change: the rule is in force from kMinBoxesForRest listed boxes on. The planner's flag for tests becomes a policy of three values.

--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -18,8 +18,8 @@
 
 }  // namespace
 
-FleetPlanner::FleetPlanner(const FleetTimings& initial, bool rest)
-    : timings(initial), idle_boxes_rest(rest) {}
+FleetPlanner::FleetPlanner(const FleetTimings& initial, IdleBoxPolicy policy)
+    : timings(initial), idle_box_policy(policy) {}
 
 void FleetPlanner::Inherit(const MoveBox& call, base::Micros now) {
   this->moves[call.box] = {.pool = call.pool,
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -181,10 +181,9 @@
 
 class FleetPlanner {
  public:
-  // `idle_boxes_rest`: idle boxes return to the spare pool, and boxes leave it
-  // for the need alone. Without a spare pool it makes no difference.
-  explicit FleetPlanner(const FleetTimings& initial,
-                        bool idle_boxes_rest = true);
+  explicit FleetPlanner(
+      const FleetTimings& initial,
+      IdleBoxPolicy idle_box_policy = IdleBoxPolicy::kRestInLargeFleets);
 
   // Zones that the operator has evacuated. Their boxes add no capacity and are
   // not moved; their maintenance goes on.
@@ -371,9 +370,7 @@
   std::map<std::string, double> CoresByPool(const FleetView& view) const;
   std::map<std::string, double> CoresWithMoves(const FleetView& view) const;
   // Whether idle boxes return to the spare pool.
-  bool BoxesMayRest() const {
-    return this->idle_boxes_rest && !this->spare_pools.empty();
-  }
+  bool BoxesMayRest() const;
   bool IsSparePool(const std::string& pool) const;
   void SetListedMoving(const std::string& box, const std::string& pool);
   // Whether the box is neither moving nor in maintenance nor evacuated.
@@ -408,7 +405,7 @@
   bool IsDueInWave(const std::string& box) const;
 
   FleetTimings timings;
-  bool idle_boxes_rest;
+  IdleBoxPolicy idle_box_policy;
   IdleBoxes idle_boxes;
   std::vector<std::string> spare_pools;  // by the last plan
   double pool_cores = 0.0;               // by the last plan
--- a/scheduler/fleet_moves.cc
+++ b/scheduler/fleet_moves.cc
@@ -63,6 +63,20 @@
   return held;
 }
 
+bool FleetPlanner::BoxesMayRest() const {
+  if (this->spare_pools.empty())
+    return false;
+  switch (this->idle_box_policy) {
+    case IdleBoxPolicy::kNeverRest:
+      return false;
+    case IdleBoxPolicy::kRestInLargeFleets:
+      return this->listed.size() >= kMinBoxesForRest;
+    case IdleBoxPolicy::kAlwaysRest:
+      return true;
+  }
+  return false;
+}
+
 bool FleetPlanner::MayMove(const FleetBox& box) const {
   return box.available && !box.in_evacuated_zone &&
          !this->moves.contains(box.name) && !this->IsInMaintenance(box.name);
--- a/scheduler/idle_boxes.h
+++ b/scheduler/idle_boxes.h
@@ -4,6 +4,7 @@
 #ifndef SCHEDULER_IDLE_BOXES_H_
 #define SCHEDULER_IDLE_BOXES_H_
 
+#include <cstddef>
 #include <deque>
 #include <map>
 #include <string>
@@ -16,6 +17,20 @@
 
 struct FleetPool;
 
+// Whether idle boxes return to the spare pool, and boxes leave it for the need
+// alone. Without a spare pool it makes no difference.
+enum class IdleBoxPolicy {
+  kNeverRest,
+  kRestInLargeFleets,  // of kMinBoxesForRest
+  kAlwaysRest,
+};
+
+// In fleets of 48 and 49 boxes, where a box is a large part of what a pool
+// needs, no box-seconds were saved, and up to 0.002 less of the work was in
+// time (calm days). Fleets of 350 boxes gain 0.01 to 0.03 of the worth of such
+// days.
+inline constexpr std::size_t kMinBoxesForRest = 100;
+
 // Share of the expected growth that counts where a box would have to be
 // switched on for it although the pools cover the need of late. With any growth
 // counted, boxes at rest come for noise in the arrivals, and a move costs more
--- a/scheduler/idle_boxes_test.cc
+++ b/scheduler/idle_boxes_test.cc
@@ -114,7 +114,7 @@
 // Guards against a box that is switched off while something uses it or is about
 // to: its runs, a wave, a call, an evacuated zone, an interrupted rest.
 BOOST_AUTO_TEST_CASE(OnlyBoxesWithoutAnyUseRest) {
-  FleetPlanner fleet(kFleetTimings);
+  FleetPlanner fleet(kFleetTimings, IdleBoxPolicy::kAlwaysRest);
   FleetView view{.boxes = {},
                  .pools = {{.name = "rest", .spare = true}, {.name = "calm"}}};
   std::vector<BoxInfo> listed;
@@ -154,8 +154,8 @@
 
 // Guards against a change of what fleets without a spare pool do.
 RC_BOOST_PROP(FleetWithoutASparePoolIsPlannedAsBefore, ()) {
-  FleetPlanner with(kFleetTimings, true);
-  FleetPlanner without(kFleetTimings, false);
+  FleetPlanner with(kFleetTimings, IdleBoxPolicy::kAlwaysRest);
+  FleetPlanner without(kFleetTimings, IdleBoxPolicy::kNeverRest);
   FleetView view;
   const int pools = *rc::gen::inRange(1, 4);
   for (int i = 0; i < pools; ++i)
--- a/testing/fleet_replay.cc
+++ b/testing/fleet_replay.cc
@@ -23,6 +23,12 @@
 // Growth of the last second counts this many times, as in the scheduler.
 constexpr double kTrendWeight = 4.0;
 
+scheduler::FleetPlanner MakePlanner(bool idle_boxes_rest) {
+  return scheduler::FleetPlanner(
+      kFleetTimings, idle_boxes_rest ? scheduler::IdleBoxPolicy::kAlwaysRest
+                                     : scheduler::IdleBoxPolicy::kNeverRest);
+}
+
 std::string PoolName(int pool) {
   return fmt::format("pool-{}", pool);
 }
@@ -33,13 +39,13 @@
     : pools(count),
       has_spare_pool(has_spare),
       idle_boxes_rest(rest),
-      fleet(kFleetTimings, rest) {
+      fleet(MakePlanner(rest)) {
   for (int i = 0; i < box_count; ++i)
     this->boxes[fmt::format("box-{:03}", i)] = {.pool = PoolName(i % count)};
 }
 
 void FleetReplay::TakeOver() {
-  this->fleet = scheduler::FleetPlanner(kFleetTimings, this->idle_boxes_rest);
+  this->fleet = MakePlanner(this->idle_boxes_rest);
   for (const auto& [name, call] : this->open_calls)
     this->fleet.Inherit(call, this->now);
 }
