Test of the fleets in which idle boxes rest

Cause: no test noticed a rest in a fleet of less than kMinBoxesForRest boxes. Result: passes; none of the 99 boxes moves, and all of the 100 do.

--- a/scheduler/idle_boxes_test.cc
+++ b/scheduler/idle_boxes_test.cc
@@ -1,6 +1,7 @@
 // Tests of idle boxes that return to the spare pool.
 
 #include <algorithm>
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -152,6 +153,28 @@
   BOOST_TEST(!fleet.IsLeaving("idle"));
 }
 
+// Guards against rests in fleets in which a box is a large part of the need.
+BOOST_AUTO_TEST_CASE(IdleBoxesOfSmallFleetsStay) {
+  for (const std::size_t count : {kMinBoxesForRest - 1, kMinBoxesForRest}) {
+    FleetPlanner fleet(kFleetTimings);
+    FleetView view{
+        .boxes = {},
+        .pools = {{.name = "rest", .spare = true}, {.name = "calm"}}};
+    std::vector<BoxInfo> listed;
+    for (std::size_t i = 0; i < count; ++i) {
+      view.boxes.push_back(IdleBox("b" + std::to_string(i), "calm"));
+      listed.push_back(
+          {.name = view.boxes.back().name, .pool = "calm", .cores = 16.0});
+    }
+    fleet.SetBoxes(listed, seconds(10), seconds(10));
+    std::size_t moves = 0;
+    for (base::Micros now = seconds(10); now <= seconds(32);
+         now += milliseconds(250))
+      moves += Only<MoveBox>(fleet.Plan(view, now)).size();
+    BOOST_TEST(moves == (count < kMinBoxesForRest ? 0U : count));
+  }
+}
+
 // Guards against a change of what fleets without a spare pool do.
 RC_BOOST_PROP(FleetWithoutASparePoolIsPlannedAsBefore, ()) {
   FleetPlanner with(kFleetTimings, IdleBoxPolicy::kAlwaysRest);
