--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,13 +1,9 @@
-// The store turns one daemon away: it resets the daemon's connections and
-// answers its further calls with 503. Checks that a job whose submission was
-// answered with 429 or 503 is never started.
+// The store is down while more than 500 tasks of one minion end. Checks that no
+// task is started again after a run of it has ended `done`.
 
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
-#include <map>
-#include <mutex>
-#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -24,70 +20,22 @@
 
 constexpr int kDaemons = 3;
 constexpr int kMachines = 4;
-constexpr int kTasks = 2;
-// Submissions at each daemon.
-constexpr std::int64_t kSubmissionInterval = 100;
-constexpr std::int64_t kTrafficMillis = 24'000;
-// One of three daemons is turned away at a time, for 3 s every 6 s.
-constexpr std::int64_t kFirstEvent = 3'000;
-constexpr std::int64_t kEventInterval = 6'000;
-constexpr std::int64_t kTurnedAwayMillis = 3'000;
-constexpr std::int64_t kSettleMillis = 10'000;
-constexpr int kMaxTries = 5;  // a try and four retries
+constexpr int kJobs = 40;
+constexpr int kTasks = 32;  // of a job; the sheet's largest step
+constexpr int kCpuMillis = 12;
+constexpr int kMemoryMb = 20;
+constexpr std::int64_t kTaskMillis = 3'500;
+constexpr std::int64_t kOutageMillis = 6'000;
+constexpr std::int64_t kStartMillis = 6'000;
+constexpr std::int64_t kEndMillis = 60'000;
 
 constexpr int kKept = 0;
 constexpr int kBroken = 1;
 constexpr int kNotRun = 2;
 
-bool IsRejection(int status) {
-  return status == 429 || status == 503;
-}
-
-struct Answers {
-  std::mutex lock;
-  std::map<std::string, std::vector<int>> by_job;
-  std::set<std::string> open;  // jobs whose client waits for an answer
-};
-
-// Whether the write concerns a job whose client waits for an answer.
-bool IsSubmission(Answers& answers, const review::Request& request) {
-  if (request.path != "/rows-tx")
-    return false;
-  const auto body = nlohmann::json::parse(request.body);
-  const std::lock_guard guard(answers.lock);
-  for (const auto& put : body.at("put")) {
-    if (answers.open.contains(put.at("key").get<std::string>()))
-      return true;
-  }
-  return false;
-}
-
-// A client: takes 429 and 503 as final, and submits the same id again at
-// another daemon if the answer leaves the outcome open.
-void SubmitJob(review::Deployment& deployment,
-               Answers& answers,
-               int daemon,
-               const std::string& job) {
-  for (int i = 0; i < kMaxTries; ++i) {
-    {
-      const std::lock_guard guard(answers.lock);
-      answers.open.insert(job);
-    }
-    const int status = deployment.Submit((daemon + i) % kDaemons, job, kTasks);
-    {
-      const std::lock_guard guard(answers.lock);
-      answers.by_job[job].push_back(status);
-      answers.open.erase(job);
-    }
-    if (status == 200 || IsRejection(status))
-      return;
-    SleepMillis(200);
-  }
-}
-
-std::string JobId(int daemon, int number) {
+std::string JobId(int number) {
   char text[17];
-  std::snprintf(text, sizeof text, "%08x%08x", daemon + 1, number);
+  std::snprintf(text, sizeof text, "%016x", 0x1000 + number);
   return text;
 }
 
@@ -99,70 +47,53 @@
   review::Deployment deployment(program, settings_template, record, kDaemons);
   for (int i = 1; i <= kMachines; ++i)
     deployment.fleet().AddMachine("m-" + std::to_string(i), "work");
+  deployment.fleet().SetTaskMillis(kTaskMillis);
   deployment.Configure("work");
   if (!deployment.WaitUntilServing(20'000))
     return kNotRun;
-  Answers answers;
-  const std::int64_t began = NowMillis();
-  std::vector<std::thread> clients;
-  for (int daemon = 0; daemon < kDaemons; ++daemon) {
-    clients.emplace_back([&, daemon] {
-      std::vector<std::thread> calls;
-      for (int n = 0; n * kSubmissionInterval < kTrafficMillis; ++n) {
-        const std::int64_t due = began + n * kSubmissionInterval;
-        if (due > NowMillis())
-          SleepMillis(due - NowMillis());
-        calls.emplace_back([&, daemon, n] {
-          SubmitJob(deployment, answers, daemon, JobId(daemon, n));
-        });
-      }
-      for (std::thread& call : calls)
-        call.join();
-    });
+  const nlohmann::json body = {{"spec", "work"},
+                               {"steps",
+                                {{{"count", kTasks},
+                                  {"cpu", kCpuMillis},
+                                  {"memMb", kMemoryMb},
+                                  {"estimateMs", kTaskMillis}}}}};
+  std::vector<std::string> jobs;
+  for (int i = 0; i < kJobs; ++i) {
+    if (deployment.SubmitBody(i % kDaemons, JobId(i), body.dump()) == 200)
+      jobs.push_back(JobId(i));
   }
+  const std::int64_t started_by = NowMillis() + kStartMillis;
+  while (NowMillis() < started_by &&
+         deployment.fleet().starts() < kJobs * kTasks)
+    SleepMillis(5);
+  record.Add("starts: " + std::to_string(deployment.fleet().starts()));
   if (has_trouble) {
-    for (int event = 0; kFirstEvent + event * kEventInterval < kTrafficMillis;
-         ++event) {
-      const std::int64_t due = began + kFirstEvent + event * kEventInterval;
-      SleepMillis(due - NowMillis());
-      const int daemon = event % kDaemons;
-      record.Add("the store turns daemon " + std::to_string(daemon + 1) +
-                 " away during its next submission");
-      deployment.store_front(daemon).TurnAway(
-          [&answers](const review::Request& request) {
-            return IsSubmission(answers, request);
-          },
-          kTurnedAwayMillis);
-    }
+    record.Add("the store is down");
+    for (int daemon = 0; daemon < kDaemons; ++daemon)
+      deployment.store_front(daemon).Close(kOutageMillis);
+    SleepMillis(kOutageMillis);
+    record.Add("the store is back");
   }
-  for (std::thread& client : clients)
-    client.join();
-  SleepMillis(kSettleMillis);
-  const std::set<std::string> started = deployment.fleet().StartedJobs();
-  int accepted = 0;
-  int rejected = 0;
-  int broken = 0;
-  for (const auto& [job, statuses] : answers.by_job) {
-    bool all_rejected = true;
-    for (const int status : statuses) {
-      all_rejected = all_rejected && IsRejection(status);
-      accepted += status == 200;
-    }
-    rejected += all_rejected;
-    if (!all_rejected || !started.contains(job))
-      continue;
-    ++broken;
-    record.Add("BROKEN: every submission of job " + job +
-               " was rejected, and a task of it was started");
+  const std::int64_t until = NowMillis() + kEndMillis;
+  std::size_t completed = 0;
+  while (NowMillis() < until && completed < jobs.size()) {
+    SleepMillis(500);
+    completed = 0;
+    for (const std::string& job : jobs)
+      completed += deployment.State(1, job) == "completed";
   }
-  record.Add("jobs accepted " + std::to_string(accepted) + ", rejected " +
-             std::to_string(rejected) + ", rejected and started " +
-             std::to_string(broken));
-  std::printf("jobs accepted %d, rejected %d, rejected and started %d\n",
-              accepted, rejected, broken);
-  if (accepted == 0)
+  SleepMillis(3'000);
+  const std::vector<std::string> broken = deployment.fleet().DoubleRuns();
+  for (const std::string& text : broken)
+    record.Add("BROKEN: " + text);
+  std::printf("jobs accepted %zu, completed %zu, double runs %zu\n",
+              jobs.size(), completed, broken.size());
+  record.Add("jobs accepted " + std::to_string(jobs.size()) + ", completed " +
+             std::to_string(completed) + ", double runs " +
+             std::to_string(broken.size()));
+  if (jobs.empty())
     return kNotRun;
-  return broken > 0 ? kBroken : kKept;
+  return broken.empty() ? kKept : kBroken;
 }
 
 }  // namespace
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,16 +1,19 @@
-// The service that moves and maintains machines goes down for a moment while it
-// carries out an upkeep: it resets its connections and answers further calls
-// with 503. Checks that no upkeep of a wave begins while `maxCount` machines of
-// the wave are down for theirs.
+// The store turns one daemon away: it resets the daemon's connections and
+// answers its further calls with 503. Checks that a job whose submission was
+// answered with 429 or 503 is never started.
 
-#include <algorithm>
-#include <atomic>
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
+#include <map>
+#include <mutex>
+#include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
+#include <nlohmann/json.hpp>
+
 #include "lab/clock.hpp"
 #include "lab/deployment.hpp"
 
@@ -20,77 +23,146 @@
 using review::SleepMillis;
 
 constexpr int kDaemons = 3;
-constexpr int kMachines = 12;
-constexpr int kWave = 1;
-constexpr int kWaveMachines = 6;
-constexpr int kMaxCount = 1;
-constexpr int kWaveSeconds = 60;
-constexpr int kOutages = 3;
-constexpr std::int64_t kOutageMillis = 500;
-constexpr std::int64_t kSettleMillis = 5'000;
+constexpr int kMachines = 4;
+constexpr int kTasks = 2;
+// Submissions at each daemon.
+constexpr std::int64_t kSubmissionInterval = 100;
+constexpr std::int64_t kTrafficMillis = 24'000;
+// One of three daemons is turned away at a time, for 3 s every 6 s.
+constexpr std::int64_t kFirstEvent = 3'000;
+constexpr std::int64_t kEventInterval = 6'000;
+constexpr std::int64_t kTurnedAwayMillis = 3'000;
+constexpr std::int64_t kSettleMillis = 10'000;
+constexpr int kMaxTries = 5;  // a try and four retries
 
 constexpr int kKept = 0;
 constexpr int kBroken = 1;
 constexpr int kNotRun = 2;
 
+bool IsRejection(int status) {
+  return status == 429 || status == 503;
+}
+
+struct Answers {
+  std::mutex lock;
+  std::map<std::string, std::vector<int>> by_job;
+  std::set<std::string> open;  // jobs whose client waits for an answer
+};
+
+// Whether the write concerns a job whose client waits for an answer.
+bool IsSubmission(Answers& answers, const review::Request& request) {
+  if (request.path != "/rows-tx")
+    return false;
+  const auto body = nlohmann::json::parse(request.body);
+  const std::lock_guard guard(answers.lock);
+  for (const auto& put : body.at("put")) {
+    if (answers.open.contains(put.at("key").get<std::string>()))
+      return true;
+  }
+  return false;
+}
+
+// A client: takes 429 and 503 as final, and submits the same id again at
+// another daemon if the answer leaves the outcome open.
+void SubmitJob(review::Deployment& deployment,
+               Answers& answers,
+               int daemon,
+               const std::string& job) {
+  for (int i = 0; i < kMaxTries; ++i) {
+    {
+      const std::lock_guard guard(answers.lock);
+      answers.open.insert(job);
+    }
+    const int status = deployment.Submit((daemon + i) % kDaemons, job, kTasks);
+    {
+      const std::lock_guard guard(answers.lock);
+      answers.by_job[job].push_back(status);
+      answers.open.erase(job);
+    }
+    if (status == 200 || IsRejection(status))
+      return;
+    SleepMillis(200);
+  }
+}
+
+std::string JobId(int daemon, int number) {
+  char text[17];
+  std::snprintf(text, sizeof text, "%08x%08x", daemon + 1, number);
+  return text;
+}
+
 int Play(const std::string& program,
          const std::string& settings_template,
          const std::string& record_file,
          bool has_trouble) {
   review::Record record(record_file);
   review::Deployment deployment(program, settings_template, record, kDaemons);
-  std::vector<std::string> wave_machines;
-  for (int i = 1; i <= kMachines; ++i) {
-    const std::string machine = "m-" + std::to_string(i);
-    deployment.fleet().AddMachine(machine, "work");
-    if (i <= kWaveMachines)
-      wave_machines.push_back(machine);
-  }
-  std::atomic<int> upkeeps{0};
-  std::atomic<int> broken{0};
-  deployment.fleet().on_upkeep = [&](const std::string& machine, int wave,
-                                     const std::vector<std::string>& down) {
-    ++upkeeps;
-    if (wave != kWave || static_cast<int>(down.size()) < kMaxCount)
-      return;
-    ++broken;
-    record.Add("BROKEN: the upkeep of " + machine + " begins while " +
-               down.front() + " is down, and one may be down at once");
-  };
+  for (int i = 1; i <= kMachines; ++i)
+    deployment.fleet().AddMachine("m-" + std::to_string(i), "work");
   deployment.Configure("work");
   if (!deployment.WaitUntilServing(20'000))
     return kNotRun;
-  deployment.store().Put("op", "wave/" + std::to_string(kWave),
-                         {{"wave", kWave},
-                          {"machines", wave_machines},
-                          {"durationS", kWaveSeconds},
-                          {"maxCount", kMaxCount}});
-  const std::int64_t until = NowMillis() + kWaveSeconds * 1000;
-  int outages = 0;
-  while (NowMillis() < until && upkeeps < kWaveMachines) {
-    SleepMillis(10);
-    // The next outage begins with the upkeep after the next one.
-    const bool is_due = has_trouble && outages < kOutages &&
-                        upkeeps > 2 * outages &&
-                        deployment.cloud_front().Passes();
-    if (!is_due)
-      continue;
-    ++outages;
-    record.Add("the machines' service goes down with its next upkeep");
-    deployment.cloud_front().TurnAway(
-        [](const review::Request& request) {
-          return request.path == "/machine-upkeep";
-        },
-        kOutageMillis);
+  Answers answers;
+  const std::int64_t began = NowMillis();
+  std::vector<std::thread> clients;
+  for (int daemon = 0; daemon < kDaemons; ++daemon) {
+    clients.emplace_back([&, daemon] {
+      std::vector<std::thread> calls;
+      for (int n = 0; n * kSubmissionInterval < kTrafficMillis; ++n) {
+        const std::int64_t due = began + n * kSubmissionInterval;
+        if (due > NowMillis())
+          SleepMillis(due - NowMillis());
+        calls.emplace_back([&, daemon, n] {
+          SubmitJob(deployment, answers, daemon, JobId(daemon, n));
+        });
+      }
+      for (std::thread& call : calls)
+        call.join();
+    });
   }
+  if (has_trouble) {
+    for (int event = 0; kFirstEvent + event * kEventInterval < kTrafficMillis;
+         ++event) {
+      const std::int64_t due = began + kFirstEvent + event * kEventInterval;
+      SleepMillis(due - NowMillis());
+      const int daemon = event % kDaemons;
+      record.Add("the store turns daemon " + std::to_string(daemon + 1) +
+                 " away during its next submission");
+      deployment.store_front(daemon).TurnAway(
+          [&answers](const review::Request& request) {
+            return IsSubmission(answers, request);
+          },
+          kTurnedAwayMillis);
+    }
+  }
+  for (std::thread& client : clients)
+    client.join();
   SleepMillis(kSettleMillis);
-  std::printf("upkeeps %d of %d, begun beyond the limit %d\n", upkeeps.load(),
-              kWaveMachines, broken.load());
-  record.Add("upkeeps " + std::to_string(upkeeps) + ", beyond the limit " +
+  const std::set<std::string> started = deployment.fleet().StartedJobs();
+  int accepted = 0;
+  int rejected = 0;
+  int broken = 0;
+  for (const auto& [job, statuses] : answers.by_job) {
+    bool all_rejected = true;
+    for (const int status : statuses) {
+      all_rejected = all_rejected && IsRejection(status);
+      accepted += status == 200;
+    }
+    rejected += all_rejected;
+    if (!all_rejected || !started.contains(job))
+      continue;
+    ++broken;
+    record.Add("BROKEN: every submission of job " + job +
+               " was rejected, and a task of it was started");
+  }
+  record.Add("jobs accepted " + std::to_string(accepted) + ", rejected " +
+             std::to_string(rejected) + ", rejected and started " +
              std::to_string(broken));
-  if (broken > 0)
-    return kBroken;
-  return upkeeps == kWaveMachines ? kKept : kNotRun;
+  std::printf("jobs accepted %d, rejected %d, rejected and started %d\n",
+              accepted, rejected, broken);
+  if (accepted == 0)
+    return kNotRun;
+  return broken > 0 ? kBroken : kKept;
 }
 
 }  // namespace
--- a/review/lab/deployment.cpp
+++ b/review/lab/deployment.cpp
@@ -54,6 +54,14 @@
   this->trigger_millis = millis;
 }
 
+void Front::Close(std::int64_t millis) {
+  {
+    const std::lock_guard guard(this->lock);
+    this->away_until = NowMillis() + millis;
+  }
+  this->server.ResetConnections();
+}
+
 bool Front::Passes() {
   const std::lock_guard guard(this->lock);
   return !this->trigger && NowMillis() >= this->away_until;
--- a/review/lab/deployment.hpp
+++ b/review/lab/deployment.hpp
@@ -33,7 +33,9 @@
   // Begins with the next selected call: the service carries it out, all open
   // connections are reset without an answer, and calls get 503 for this long.
   void TurnAway(Selects selects, std::int64_t millis);
-  // Whether the last TurnAway() is over.
+  // Answers calls with 503 from now on, for this long.
+  void Close(std::int64_t millis);
+  // Whether the last TurnAway() or Close() is over.
   bool Passes();
 
  private:
@@ -71,6 +73,7 @@
 
   // The status of a client's call; 0 if no answer came.
   int Submit(int daemon, const std::string& job, int tasks);
+  // The same with a body of its own.
   int SubmitBody(int daemon, const std::string& job, const std::string& body);
   std::string State(int daemon, const std::string& job);
   int size() const { return static_cast<int>(this->daemons.size()); }
--- a/review/lab/fleet.cpp
+++ b/review/lab/fleet.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::int64_t kWorkPeriodMillis = 5;
 constexpr std::int64_t kMaxWaitMillis = 2000;
+constexpr std::size_t kMaxListedEnds = 500;
 constexpr int kRackSize = 4;
 
 Response Reply(int status, std::int64_t clock_ms, Json body = Json::object()) {
@@ -145,6 +146,7 @@
       std::max(minion.deadline_ms,
                std::min(deadline, minion.Clock() + this->bounds.max_hold_ms));
   const auto seen = body.value("lastSeen", std::int64_t{0});
+  this->NoteEnds(minion, seen);
   std::erase_if(minion.ends,
                 [seen](const Json& end) { return end[0] <= seen; });
   const auto wait =
@@ -154,9 +156,20 @@
   });
   if (!minion.alive)
     return {.status = 0};
-  Json listing = {{"running", Json::array()}, {"finished", minion.ends}};
-  for (const auto& [task, run] : minion.running)
-    listing["running"].push_back({task, run.number, "", 50});
+  Json listing = {{"running", Json::array()}, {"finished", Json::array()}};
+  for (const Json& end : minion.ends) {
+    if (listing["finished"].size() == kMaxListedEnds)
+      break;
+    listing["finished"].push_back(end);
+  }
+  const std::int64_t now = NowMillis();
+  for (const auto& [task, run] : minion.running) {
+    const std::int64_t span =
+        std::max<std::int64_t>(1, run.ends_ms - run.began_ms);
+    const std::int64_t percent = 100 * (now - run.began_ms) / span;
+    listing["running"].push_back(
+        {task, run.number, "", std::min<std::int64_t>(99, percent)});
+  }
   return Reply(200, minion.Clock(), std::move(listing));
 }
 
@@ -177,8 +190,11 @@
                       there != minion.running.end();
   if (is_old)
     return Reply(409, clock, {{"reason", "old"}});
-  minion.running[task] = {.number = run,
-                          .ends_ms = NowMillis() + this->task_ms};
+  this->JudgeStart(minion, task, run);
+  const std::int64_t now = NowMillis();
+  minion.running[task] = {
+      .number = run, .began_ms = now, .ends_ms = now + this->task_ms};
+  ++this->start_count;
   this->started.insert(task.substr(0, task.find('.')));
   this->record.Add("minion " + minion.id + " starts task " + task + " run " +
                    std::to_string(run));
@@ -201,11 +217,52 @@
   minion.running.erase(task);
   minion.over[task] = std::max(minion.over[task], run);
   minion.ends.push_back(Json::array({++minion.last_end, task, run, how, ""}));
+  if (std::string(how) == "done")
+    this->done.try_emplace(
+        task, DoneEnd{.minion = minion.id, .number = minion.last_end});
   this->record.Add("minion " + minion.id + " ends task " + task + " run " +
                    std::to_string(run) + " " + how);
   this->changed.notify_all();
 }
 
+void Fleet::JudgeStart(const Minion& minion, const std::string& task, int run) {
+  const std::string text = "task " + task + " run " + std::to_string(run) +
+                           " starts on " + minion.id;
+  for (const auto& [name, machine] : this->machines) {
+    if (machine.minion && machine.minion->running.contains(task))
+      this->overlaps.push_back(text + " while it runs on " +
+                               machine.minion->id);
+  }
+  const auto ended = this->done.find(task);
+  if (ended != this->done.end() && ended->second.later_start.empty())
+    ended->second.later_start =
+        text + " after it has ended done on " + ended->second.minion;
+}
+
+void Fleet::NoteEnds(const Minion& minion, std::int64_t seen) {
+  for (auto& [task, end] : this->done) {
+    if (end.minion == minion.id && end.number <= seen && !end.lapsed)
+      end.is_noted = true;
+  }
+}
+
+void Fleet::NoteLapse(const Minion& minion) {
+  for (auto& [task, end] : this->done) {
+    if (end.minion == minion.id && !end.is_noted)
+      end.lapsed = true;
+  }
+}
+
+std::vector<std::string> Fleet::DoubleRuns() {
+  const std::lock_guard guard(this->lock);
+  std::vector<std::string> broken = this->overlaps;
+  for (const auto& [task, end] : this->done) {
+    if (end.is_noted && !end.later_start.empty())
+      broken.push_back(end.later_start);
+  }
+  return broken;
+}
+
 void Fleet::Work() {
   std::vector<std::shared_ptr<Minion>> to_close;
   {
@@ -222,6 +279,8 @@
       }
       Minion& minion = *machine.minion;
       const bool lapsed = minion.Clock() > minion.deadline_ms;
+      if (lapsed)
+        this->NoteLapse(minion);
       std::vector<std::string> over;
       for (const auto& [task, run] : minion.running) {
         if (lapsed || now >= run.ends_ms)
@@ -321,16 +380,6 @@
           .body = Json{{"machines", list}, {"nextToken", nullptr}}.dump()};
 }
 
-std::vector<std::string> Fleet::MachinesInUpkeep() {
-  const std::lock_guard guard(this->lock);
-  std::vector<std::string> down;
-  for (const auto& [name, machine] : this->machines) {
-    if (machine.state == "upkeep")
-      down.push_back(name);
-  }
-  return down;
-}
-
 std::set<std::string> Fleet::StartedJobs() {
   const std::lock_guard guard(this->lock);
   return this->started;
--- a/review/lab/fleet.hpp
+++ b/review/lab/fleet.hpp
@@ -45,10 +45,13 @@
   // Calls to the service at `cloudApi`.
   Response HandleCloud(const Request& request);
 
+  // Starts that were carried out.
+  int starts() const { return this->start_count; }
   // The jobs of which a task has begun.
   std::set<std::string> StartedJobs();
-  // Machines that are down for their upkeep.
-  std::vector<std::string> MachinesInUpkeep();
+  // Starts of a task while another run of it is active, and starts after a run
+  // of it has ended `done`, where that end has been taken note of.
+  std::vector<std::string> DoubleRuns();
   // Called when an upkeep begins, with the machine, the wave and the machines
   // that are down for an upkeep already.
   std::function<void(const std::string&, int, const std::vector<std::string>&)>
@@ -57,7 +60,16 @@
  private:
   struct Run {
     int number = 0;
-    std::int64_t ends_ms = 0;  // on the steady clock
+    std::int64_t began_ms = 0;  // on the steady clock
+    std::int64_t ends_ms = 0;
+  };
+  // The first end `done` of a task.
+  struct DoneEnd {
+    std::string minion;
+    std::int64_t number = 0;  // in the minion's list
+    bool is_noted = false;    // the minion has been told that it was seen
+    bool lapsed = false;      // the minion's lease lapsed before that
+    std::string later_start;  // a start after it; empty if there is none
   };
   // One life of a machine.
   struct Minion {
@@ -95,6 +107,9 @@
   Response Start(Minion& minion, const nlohmann::json& body);
   Response Stop(Minion& minion, const nlohmann::json& body);
   void AddEnd(Minion& minion, const std::string& task, const char* how);
+  void JudgeStart(const Minion& minion, const std::string& task, int run);
+  void NoteEnds(const Minion& minion, std::int64_t seen);
+  void NoteLapse(const Minion& minion);
   void TakeDown(Machine& machine, const std::string& state, std::int64_t away);
   Response ListMachines();
   void Work();
@@ -109,6 +124,9 @@
   std::map<std::string, Machine> machines;
   std::vector<std::shared_ptr<Minion>> ended;  // their servers are still open
   std::set<std::string> started;
+  std::map<std::string, DoneEnd> done;  // by task
+  std::vector<std::string> overlaps;
+  std::atomic<int> start_count{0};
   int lives = 0;
   std::atomic<bool> ending{false};
   std::thread worker;
--- a/review/lab/store.cpp
+++ b/review/lab/store.cpp
@@ -14,7 +14,7 @@
 
 constexpr std::int64_t kTransactionMillis = 3;
 constexpr std::size_t kMaxEntries = 100;
-constexpr std::size_t kMaxRowBytes = 65'536;
+constexpr std::size_t kMaxRowBytes = 65'536;  // of a value, before base64
 constexpr std::size_t kMaxPageRows = 500;
 constexpr const char kDigits[] =
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
@@ -137,7 +137,7 @@
       parts.insert(entry.at("part"));
       ++entries;
       if (entry.contains("value") &&
-          entry.at("value").get<std::string>().size() > kMaxRowBytes)
+          FromBase64(entry.at("value")).size() > kMaxRowBytes)
         return Refused("a row is too large");
       if (entry.at("table") == "servers" && std::string(kind) != "expectedRev")
         return {.status = 403};
