--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,4 +1,4 @@
-// The store turns one daemon away: it resets the daemon's connections and
+// The store turns one daemon away: it closes the daemon's connections and
 // answers its further calls with 503. Checks that a job whose submission was
 // answered with 429 or 503 is never started.
 
@@ -25,8 +25,9 @@
 constexpr int kDaemons = 3;
 constexpr int kMachines = 4;
 constexpr int kTasks = 2;
-// Submissions at each daemon.
-constexpr std::int64_t kSubmissionInterval = 100;
+// Each daemon gets this many submissions at a time.
+constexpr int kSubmissionsAtOnce = 5;
+constexpr std::int64_t kSubmissionInterval = 500;
 constexpr std::int64_t kTrafficMillis = 24'000;
 // One of three daemons is turned away at a time, for 3 s every 6 s.
 constexpr std::int64_t kFirstEvent = 3'000;
@@ -112,9 +113,12 @@
         const std::int64_t due = began + n * kSubmissionInterval;
         if (due > NowMillis())
           SleepMillis(due - NowMillis());
-        calls.emplace_back([&, daemon, n] {
-          SubmitJob(deployment, answers, daemon, JobId(daemon, n));
-        });
+        for (int i = 0; i < kSubmissionsAtOnce; ++i) {
+          const std::string job = JobId(daemon, n * kSubmissionsAtOnce + i);
+          calls.emplace_back([&deployment, &answers, daemon, job] {
+            SubmitJob(deployment, answers, daemon, job);
+          });
+        }
       }
       for (std::thread& call : calls)
         call.join();
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,15 +1,13 @@
-// The service that moves and maintains machines goes down for a moment while it
-// carries out an upkeep: it resets its connections and answers further calls
-// with 503. Checks that no upkeep of a wave begins while `maxCount` machines of
-// the wave are down for theirs.
+// The process that schedules is killed once. Checks that a job that is accepted
+// after that begins to run while there is room for it twice over.
 
-#include <algorithm>
-#include <atomic>
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
+#include <set>
 #include <string>
-#include <vector>
+
+#include <nlohmann/json.hpp>
 
 #include "lab/clock.hpp"
 #include "lab/deployment.hpp"
@@ -21,76 +19,63 @@
 
 constexpr int kDaemons = 3;
 constexpr int kMachines = 12;
-constexpr int kWave = 1;
-constexpr int kWaveMachines = 6;
-constexpr int kMaxCount = 1;
-constexpr int kWaveSeconds = 60;
-constexpr int kOutages = 3;
-constexpr std::int64_t kOutageMillis = 500;
-constexpr std::int64_t kSettleMillis = 5'000;
+constexpr int kCoresOfMachine = 16;
+constexpr int kTasks = 2000;
+constexpr int kCpuMillis = 20;  // of a task; 40 cores in all
+constexpr int kMemoryMb = 10;   // of a task; 20 GB of 393 in all
+constexpr const char* kJob = "00000000000000aa";
+constexpr std::int64_t kRestartMillis = 1'000;
+constexpr std::int64_t kSettleMillis = 8'000;
+// The rule's bound is 3 s.
+constexpr std::int64_t kWaitMillis = 30'000;
 
 constexpr int kKept = 0;
 constexpr int kBroken = 1;
 constexpr int kNotRun = 2;
 
+static_assert(2 * kTasks * kCpuMillis < 1000 * kMachines * kCoresOfMachine);
+
 int Play(const std::string& program,
          const std::string& settings_template,
          const std::string& record_file,
          bool has_trouble) {
   review::Record record(record_file);
   review::Deployment deployment(program, settings_template, record, kDaemons);
-  std::vector<std::string> wave_machines;
-  for (int i = 1; i <= kMachines; ++i) {
-    const std::string machine = "m-" + std::to_string(i);
-    deployment.fleet().AddMachine(machine, "work");
-    if (i <= kWaveMachines)
-      wave_machines.push_back(machine);
-  }
-  std::atomic<int> upkeeps{0};
-  std::atomic<int> broken{0};
-  deployment.fleet().on_upkeep = [&](const std::string& machine, int wave,
-                                     const std::vector<std::string>& down) {
-    ++upkeeps;
-    if (wave != kWave || static_cast<int>(down.size()) < kMaxCount)
-      return;
-    ++broken;
-    record.Add("BROKEN: the upkeep of " + machine + " begins while " +
-               down.front() + " is down, and one may be down at once");
-  };
+  for (int i = 1; i <= kMachines; ++i)
+    deployment.fleet().AddMachine("m-" + std::to_string(i), "work");
   deployment.Configure("work");
   if (!deployment.WaitUntilServing(20'000))
     return kNotRun;
-  deployment.store().Put("op", "wave/" + std::to_string(kWave),
-                         {{"wave", kWave},
-                          {"machines", wave_machines},
-                          {"durationS", kWaveSeconds},
-                          {"maxCount", kMaxCount}});
-  const std::int64_t until = NowMillis() + kWaveSeconds * 1000;
-  int outages = 0;
-  while (NowMillis() < until && upkeeps < kWaveMachines) {
-    SleepMillis(10);
-    // The next outage begins with the upkeep after the next one.
-    const bool is_due = has_trouble && outages < kOutages &&
-                        upkeeps > 2 * outages &&
-                        deployment.cloud_front().Passes();
-    if (!is_due)
-      continue;
-    ++outages;
-    record.Add("the machines' service goes down with its next upkeep");
-    deployment.cloud_front().TurnAway(
-        [](const review::Request& request) {
-          return request.path == "/machine-upkeep";
-        },
-        kOutageMillis);
-  }
+  if (has_trouble)
+    deployment.KillLeader(kRestartMillis);
   SleepMillis(kSettleMillis);
-  std::printf("upkeeps %d of %d, begun beyond the limit %d\n", upkeeps.load(),
-              kWaveMachines, broken.load());
-  record.Add("upkeeps " + std::to_string(upkeeps) + ", beyond the limit " +
-             std::to_string(broken));
-  if (broken > 0)
-    return kBroken;
-  return upkeeps == kWaveMachines ? kKept : kNotRun;
+  if (!deployment.WaitUntilServing(20'000))
+    return kNotRun;
+  const nlohmann::json body = {{"spec", "work"},
+                               {"steps",
+                                {{{"count", kTasks},
+                                  {"cpu", kCpuMillis},
+                                  {"memMb", kMemoryMb},
+                                  {"estimateMs", 800}}}}};
+  if (deployment.SubmitBody(0, kJob, body.dump()) != 200)
+    return kNotRun;
+  const std::int64_t until = NowMillis() + kWaitMillis;
+  std::string state;
+  while (NowMillis() < until && state != "completed") {
+    SleepMillis(200);
+    state = deployment.State(0, kJob);
+  }
+  const bool has_started = deployment.fleet().StartedJobs().contains(kJob);
+  record.Add("job " + std::string(kJob) + " is shown as " + state +
+             (has_started ? "" : "; none of its tasks has been started"));
+  std::printf("job %s, %s\n", state.c_str(),
+              has_started ? "started" : "never started");
+  if (has_started)
+    return state == "completed" ? kKept : kNotRun;
+  record.Add("BROKEN: it was accepted, nothing else runs, and its tasks need " +
+             std::to_string(kTasks * kCpuMillis / 1000) + " of " +
+             std::to_string(kMachines * kCoresOfMachine) + " cores");
+  return kBroken;
 }
 
 }  // namespace
--- a/review/lab/deployment.hpp
+++ b/review/lab/deployment.hpp
@@ -6,6 +6,7 @@
 
 #include <sys/types.h>
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -31,7 +32,7 @@
 
   std::string address() const { return this->server.address(); }
   // Begins with the next selected call: the service carries it out, all open
-  // connections are reset without an answer, and calls get 503 for this long.
+  // connections are closed without an answer, and calls get 503 for this long.
   void TurnAway(Selects selects, std::int64_t millis);
   // Answers calls with 503 from now on, for this long.
   void Close(std::int64_t millis);
@@ -68,6 +69,9 @@
   Front& store_front(int daemon) { return *this->daemons.at(daemon).store; }
   // Writes the configuration: one queue of this pool.
   void Configure(const std::string& pool);
+  // Kills the process that wrote last to the store under a condition, and
+  // starts it again after this time. Returns its number.
+  int KillLeader(std::int64_t restart_millis);
   // Waits until all daemons are ready and one job has been completed.
   bool WaitUntilServing(std::int64_t millis);
 
@@ -97,6 +101,7 @@
   Fleet minions;
   std::unique_ptr<Front> cloud;
   std::vector<Daemon> daemons;
+  std::atomic<int> last_writer{0};
 };
 
 }  // namespace review
