--- a/review/lab/fleet.cpp
+++ b/review/lab/fleet.cpp
@@ -241,7 +241,12 @@
         text + " after it has ended done on " + ended->second.minion;
 }
 
-void Fleet::NoteEnds(const Minion& minion, std::int64_t seen) {
+void Fleet::NoteEnds(Minion& minion, std::int64_t seen) {
+  if (seen <= minion.last_noted)
+    return;
+  minion.last_noted = seen;
+  this->record.Add("minion " + minion.id + " is told that its ends up to " +
+                   std::to_string(seen) + " were seen");
   for (auto& [task, end] : this->done) {
     if (end.minion == minion.id && end.number <= seen && !end.lapsed)
       end.is_noted = true;
--- a/review/lab/fleet.hpp
+++ b/review/lab/fleet.hpp
@@ -83,6 +83,7 @@
     std::map<std::string, int> over;  // highest run ended or stopped, by task
     std::vector<nlohmann::json> ends;
     std::int64_t last_end = 0;
+    std::int64_t last_noted = 0;  // the highest `lastSeen`
     bool alive = true;
     std::unique_ptr<Server> server;
 
@@ -108,7 +109,7 @@
   Response Stop(Minion& minion, const nlohmann::json& body);
   void AddEnd(Minion& minion, const std::string& task, const char* how);
   void JudgeStart(const Minion& minion, const std::string& task, int run);
-  void NoteEnds(const Minion& minion, std::int64_t seen);
+  void NoteEnds(Minion& minion, std::int64_t seen);
   void NoteLapse(const Minion& minion);
   void TakeDown(Machine& machine, const std::string& state, std::int64_t away);
   Response ListMachines();
