--- a/review/build.sh
+++ b/review/build.sh
@@ -16,14 +16,14 @@
   compile "$source" "$object" &
   pids+=($!)
 done
-for source in [1-3]/case.cpp; do
+for source in */case.cpp; do
   compile "$source" "bin/case-${source%%/*}.o" &
   pids+=($!)
 done
 for pid in "${pids[@]}"; do
   wait "$pid"
 done
-for source in [1-3]/case.cpp; do
+for source in */case.cpp; do
   name="bin/case-${source%%/*}"
   g++ -pthread "$name.o" "${objects[@]}" -o "$name"
 done
--- a/review/lab/deployment.cpp
+++ b/review/lab/deployment.cpp
@@ -41,6 +41,11 @@
   return log.substr(begin, log.find_first_of(",}", begin) - begin);
 }
 
+bool IsConditionalWrite(const Request& request) {
+  return request.path == "/rows-tx" &&
+         !Json::parse(request.body).at("expectedRev").empty();
+}
+
 }  // namespace
 
 Front::Front(Service service)
@@ -179,8 +184,14 @@
 void Deployment::Start(int number) {
   Daemon& daemon = this->daemons[static_cast<std::size_t>(number)];
   const std::string node = "edge-zone-a-" + std::to_string(number + 1);
-  daemon.store = std::make_unique<Front>(
-      [this](const Request& request) { return this->rows.Handle(request); });
+  if (!daemon.store) {
+    daemon.store =
+        std::make_unique<Front>([this, number](const Request& request) {
+          if (IsConditionalWrite(request))
+            this->last_writer = number;
+          return this->rows.Handle(request);
+        });
+  }
   const std::string settings = this->folder + "/" + node + ".ini";
   const std::string log =
       this->folder + "/" + node + "-" + std::to_string(NowMillis()) + ".log";
@@ -210,6 +221,20 @@
   throw std::runtime_error(node + " does not start");
 }
 
+int Deployment::KillLeader(std::int64_t restart_millis) {
+  const int number = this->last_writer;
+  Daemon& daemon = this->daemons[static_cast<std::size_t>(number)];
+  kill(daemon.process, SIGKILL);
+  waitpid(daemon.process, nullptr, 0);
+  daemon.process = -1;
+  this->record.Add("daemon " + std::to_string(number + 1) + " is killed");
+  SleepMillis(restart_millis);
+  this->Start(number);
+  this->record.Add("daemon " + std::to_string(number + 1) +
+                   " is started again");
+  return number;
+}
+
 bool Deployment::WaitUntilServing(std::int64_t millis) {
   const std::int64_t until = NowMillis() + millis;
   const auto is_ready = [](const Daemon& daemon) {
--- a/review/lab/deployment.hpp
+++ b/review/lab/deployment.hpp
@@ -6,6 +6,7 @@
 
 #include <sys/types.h>
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -68,6 +69,9 @@
   Front& store_front(int daemon) { return *this->daemons.at(daemon).store; }
   // Writes the configuration: one queue of this pool.
   void Configure(const std::string& pool);
+  // Kills the process that wrote last to the store under a condition, and
+  // starts it again after this time. Returns its number.
+  int KillLeader(std::int64_t restart_millis);
   // Waits until all daemons are ready and one job has been completed.
   bool WaitUntilServing(std::int64_t millis);
 
@@ -97,6 +101,7 @@
   Fleet minions;
   std::unique_ptr<Front> cloud;
   std::vector<Daemon> daemons;
+  std::atomic<int> last_writer{0};
 };
 
 }  // namespace review
