Log and count repeated calls, and requests that no handler answered

Cause: nothing told that the HTTP library had sent a call twice, nor that the server had answered (503, 413) or closed a request by itself. Tests: RepeatedCallIsCounted, RequestsWithoutAHandlersAnswerAreCounted.

--- a/base/counters.h
+++ b/base/counters.h
@@ -31,6 +31,8 @@
   kStoreOutageMillis,
   kHeldAtStart,
   kBoxesRested,
+  kCallsRepeated,
+  kRequestsCut,
   kCount,
 };
 
@@ -67,6 +69,10 @@
      "Requests held by a daemon that had just started until it could serve "
      "them"},
     {"boxes_rested", "Boxes moved to the spare pool"},
+    {"calls_repeated",
+     "Calls to the platform that the HTTP library sent more than once"},
+    {"requests_cut",
+     "Callers' requests that were read whole and that no handler answered"},
 }};
 
 class Counters {
--- a/base/event_log.h
+++ b/base/event_log.h
@@ -33,7 +33,9 @@
   kDaemonStopped,
   kSettingsRejected,
   kDaemonFailed,
+  kRequestCut,
   kPlatformLost,
+  kCallRepeated,
   kPlatformAnswerBad,
   kStoreTraffic,
   kOwnershipGained,
@@ -82,13 +84,15 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 45> kEvents{{
+inline constexpr std::array<EventInfo, 47> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
     {Event::kSettingsRejected, 104, Level::kError, "settings_rejected"},
     {Event::kDaemonFailed, 105, Level::kError, "daemon_failed"},
+    {Event::kRequestCut, 201, Level::kWarning, "request_cut"},
     {Event::kPlatformLost, 301, Level::kWarning, "platform_lost"},
+    {Event::kCallRepeated, 302, Level::kWarning, "call_repeated"},
     {Event::kPlatformAnswerBad, 303, Level::kWarning, "platform_answer_bad"},
     {Event::kStoreTraffic, 305, Level::kInfo, "store_traffic"},
     {Event::kOwnershipGained, 801, Level::kInfo, "ownership_gained"},
--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -31,12 +31,14 @@
 constexpr base::Micros kDrainCheckPeriod = milliseconds(50);
 
 http::ServerOptions ServerOptionsFor(const std::string& address,
-                                     std::int64_t max_connections) {
+                                     std::int64_t max_connections,
+                                     base::Counters* counters = nullptr) {
   const auto parsed = base::ParseIpAddress(address);
   http::ServerOptions options;
   options.address = parsed->ip;
   options.port = parsed->port;
   options.max_connections = static_cast<unsigned>(max_connections);
+  options.counters = counters;
   return options;
 }
 
@@ -72,7 +74,7 @@
     : settings(chosen),
       settings_file(std::move(file)),
       settings_time(ModificationTime(this->settings_file)),
-      client(this->loop),
+      client(this->loop, {.counters = &this->counters}),
       store(this->client,
             chosen.store_address,
             chosen.deployment,
@@ -83,12 +85,13 @@
           this->counters,
           [this](const platform::Row& row) { this->ApplyOperatorRow(row); }),
       explain(this->store, this->ExplainSources()),
-      caller_server(
-          this->loop,
-          ServerOptionsFor(chosen.callers_address, chosen.max_connections),
-          [this](const http::ExchangePtr& exchange) {
-            this->callers.Handle(exchange);
-          }),
+      caller_server(this->loop,
+                    ServerOptionsFor(chosen.callers_address,
+                                     chosen.max_connections,
+                                     &this->counters),
+                    [this](const http::ExchangePtr& exchange) {
+                      this->callers.Handle(exchange);
+                    }),
       readiness_server(
           this->loop,
           ServerOptionsFor(chosen.readiness_address, kMaxMonitoringConnections),
--- a/http/client.cc
+++ b/http/client.cc
@@ -12,6 +12,8 @@
 #include <curl/curl.h>
 #include <fmt/format.h>
 
+#include "base/event_log.h"
+
 namespace quartzhoist::http {
 
 namespace {
@@ -38,6 +40,15 @@
   return url.substr(kScheme.size(), end - kScheme.size());
 }
 
+// Its "/path", without the query.
+std::string PathOf(const std::string& url) {
+  constexpr std::string_view kScheme = "http://";
+  const std::size_t begin = url.find('/', kScheme.size());
+  return begin == std::string::npos
+             ? ""
+             : url.substr(begin, url.find('?', begin) - begin);
+}
+
 bool IsChunked(const Headers& headers) {
   const std::string* coding = FindHeader(headers, "Transfer-Encoding");
   return coding && SameName(*coding, "chunked");
@@ -381,6 +392,8 @@
   }
   if (code == CURLE_OPERATION_TIMEDOUT)
     this->NoteSilence(call);
+  if (result.was_repeated)
+    this->NoteRepetition(call, result);
   const std::function<void(ClientResult)> done = std::move(call.done);
   this->Release(call.id);
   done(std::move(result));
@@ -395,6 +408,18 @@
         base::MonotonicNow() + kFreshAfterSilence;
 }
 
+void Client::NoteRepetition(const Call& call,
+                            const ClientResult& result) const {
+  if (this->options.counters)
+    this->options.counters->Add(base::Counter::kCallsRepeated);
+  base::Log(base::Event::kCallRepeated, {{"method", call.request.method},
+                                         {"path", PathOf(call.request.url)},
+                                         {"host", HostOf(call.request.url)},
+                                         {"sends", call.times_sent},
+                                         {"status", result.response.status},
+                                         {"problem", result.error}});
+}
+
 bool Client::WantsFresh(const std::string& host) {
   const auto found = this->fresh_until.find(host);
   if (found == this->fresh_until.end())
--- a/http/client.h
+++ b/http/client.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "base/counters.h"
 #include "base/loop.h"
 #include "base/verdict.h"
 #include "http/message.h"
@@ -54,6 +55,7 @@
     // A connection that is closed with bytes on their way takes them along:
     // they are not delivered later, when a cut is over.
     bool reset_on_close = false;
+    base::Counters* counters = nullptr;  // may be null
   };
 
   Client(base::Loop& loop, const Options& options);
@@ -88,6 +90,7 @@
   void Complete(Call& call, int curl_code);
   void Release(RequestId id);
   void NoteSilence(const Call& call);
+  void NoteRepetition(const Call& call, const ClientResult& result) const;
   bool WantsFresh(const std::string& host);
   long MaxIdleSeconds(const std::string& host) const;
 
--- a/http/http_test.cc
+++ b/http/http_test.cc
@@ -242,6 +242,44 @@
   BOOST_TEST(handled == 0);
 }
 
+BOOST_AUTO_TEST_CASE(RequestsWithoutAHandlersAnswerAreCounted) {
+  base::Loop loop;
+  base::Counters counters;
+  {
+    ExchangePtr unanswered;
+    Server server(loop, {.max_body = 100, .counters = &counters},
+                  [&](const ExchangePtr& exchange) { unanswered = exchange; });
+    Client client(loop);
+    Call(loop, client,
+         {.method = "POST",
+          .url = Url(server.port()),
+          .body = std::string(500, 'x')});
+    BOOST_TEST(counters.Get(base::Counter::kRequestsCut) == 1U);
+    client.Send({.url = Url(server.port()), .timeout = kLimit},
+                [](const ClientResult&) {});
+    while (!unanswered)
+      loop.RunOnce();
+  }
+  BOOST_TEST(counters.Get(base::Counter::kRequestsCut) == 2U);
+}
+
+// An answer that is given to the second of two equal sends says nothing of the
+// first.
+BOOST_AUTO_TEST_CASE(RepeatedCallIsCounted) {
+  base::Loop loop;
+  base::Counters counters;
+  RawServer server(loop, [](int number) -> RawServer::Answer {
+    if (number == 2)
+      return {.bytes = "", .close = true};
+    return {.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+  });
+  Client client(loop, {.counters = &counters});
+  for (int i = 0; i < 2; ++i)
+    Call(loop, client, {.method = "POST", .url = Url(server.port())});
+  BOOST_TEST(server.requests() == 3);
+  BOOST_TEST(counters.Get(base::Counter::kCallsRepeated) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(CallerThatHangsUpIsNoticed) {
   base::Loop loop;
   bool abandoned = false;
--- a/http/server.cc
+++ b/http/server.cc
@@ -12,6 +12,7 @@
 #include <microhttpd.h>
 
 #include "base/bound_socket.h"
+#include "base/event_log.h"
 
 namespace quartzhoist::http {
 
@@ -27,6 +28,9 @@
 // made before the loop gets its turn.
 constexpr int kMaxRunsATurn = 64;
 
+constexpr int kPayloadTooLarge = 413;
+constexpr int kUnavailable = 503;
+
 constexpr unsigned kIdleSeconds = 60;
 constexpr std::size_t kConnectionMemory = 32'768;
 
@@ -63,7 +67,7 @@
 }
 
 Response TooLarge(std::size_t limit) {
-  Response response{.status = 413, .headers = {}, .body = {}};
+  Response response{.status = kPayloadTooLarge, .headers = {}, .body = {}};
   response.headers.push_back(
       {.name = "Content-Type", .value = std::string(kProblemJson)});
   response.body = fmt::format(
@@ -133,13 +137,20 @@
   static void Completed(void*,
                         MHD_Connection*,
                         void** state,
-                        MHD_RequestTerminationCode) {
+                        MHD_RequestTerminationCode code) {
     auto* slot = static_cast<Slot*>(*state);
     if (!slot)
       return;
     if (slot->exchange) {
       Exchange& exchange = *slot->exchange;
       exchange.suspended = false;
+      // A caller that hangs up leaves its exchange abandoned before or here.
+      const bool is_cut = exchange.handed_over && !exchange.caller_gone &&
+                          code != MHD_REQUEST_TERMINATED_COMPLETED_OK &&
+                          code != MHD_REQUEST_TERMINATED_CLIENT_ABORT;
+      if (is_cut)
+        exchange.server->NoteCut(exchange.request(), 0,
+                                 exchange.cut ? "cut" : "not_sent");
       exchange.Abandon();
       if (exchange.handed_over)
         --exchange.server->open;
@@ -181,12 +192,14 @@
     exchange->since = base::MonotonicNow();
     ++server.open;
     if (exchange->too_large) {
+      server.NoteCut(exchange->request(), kPayloadTooLarge, "body_too_large");
       exchange->Reply(TooLarge(server.max_body));
       return;
     }
     // Read while the server ends: nothing may be left waiting.
     if (server.ending) {
-      exchange->Reply({.status = 503, .headers = {}, .body = {}});
+      server.NoteCut(exchange->request(), kUnavailable, "server_ends");
+      exchange->Reply({.status = kUnavailable, .headers = {}, .body = {}});
       return;
     }
     server.handler(exchange);
@@ -232,7 +245,9 @@
 Server::Server(base::Loop& loop,
                const ServerOptions& options,
                std::function<void(ExchangePtr)> on_request)
-    : handler(std::move(on_request)), max_body(options.max_body) {
+    : handler(std::move(on_request)),
+      max_body(options.max_body),
+      counters(options.counters) {
   const base::BoundSocket listener =
       base::OpenListener({.ip = options.address, .port = options.port});
   const int fd = listener.fd;
@@ -266,8 +281,12 @@
 
 Server::~Server() {
   this->ending = true;
-  for (const ExchangePtr& exchange : this->waiting)
-    exchange->Reply({.status = 503, .headers = {}, .body = {}});
+  for (const ExchangePtr& exchange : this->waiting) {
+    if (exchange->answered)
+      continue;
+    this->NoteCut(exchange->request(), kUnavailable, "unanswered");
+    exchange->Reply({.status = kUnavailable, .headers = {}, .body = {}});
+  }
   MHD_run(this->daemon);
   this->sweep.reset();
   this->prepare.reset();
@@ -297,6 +316,19 @@
   }
 }
 
+void Server::NoteCut(const Request& request,
+                     int status,
+                     std::string_view reason) const {
+  if (!this->counters)
+    return;
+  this->counters->Add(base::Counter::kRequestsCut);
+  base::Log(base::Event::kRequestCut,
+            {{"method", request.method},
+             {"path", request.path.substr(0, request.path.find('?'))},
+             {"status", status},
+             {"reason", reason}});
+}
+
 void Server::FindAbandoned() {
   const base::Micros now = base::MonotonicNow();
   std::erase_if(this->waiting,
--- a/http/server.h
+++ b/http/server.h
@@ -8,7 +8,9 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
+#include "base/counters.h"
 #include "base/loop.h"
 #include "http/message.h"
 
@@ -65,6 +67,8 @@
   unsigned max_connections = 4096;
   // Interval of checks for callers that hung up.
   base::Micros sweep_period = std::chrono::milliseconds(50);
+  // Counts and logs the requests that no handler answered; null: does neither.
+  base::Counters* counters = nullptr;
 };
 
 class Server {
@@ -89,9 +93,13 @@
 
   void RunPending();
   void FindAbandoned();
+  void NoteCut(const Request& request,
+               int status,
+               std::string_view reason) const;
 
   std::function<void(ExchangePtr)> handler;
   std::size_t max_body;
+  base::Counters* counters;
   std::uint16_t bound_port = 0;
   std::size_t open = 0;
   bool ending = false;
