Test: requests that a server reads as it ends get no answer (red)

Two tests beside it pass: exchanges that are open when the server ends are answered, and answers given right before it arrive.

--- a/http/http_test.cc
+++ b/http/http_test.cc
@@ -321,6 +321,108 @@
   close(fd);
 }
 
+// Callers on kept connections that have sent one request each.
+class RawCallers {
+ public:
+  RawCallers(std::uint16_t port, int count) {
+    const sockaddr_in kernel =
+        base::ToKernel({.ip = "127.0.0.1", .port = port});
+    for (int i = 0; i < count; ++i) {
+      const int fd = socket(AF_INET, SOCK_STREAM, 0);
+      BOOST_REQUIRE(connect(fd, reinterpret_cast<const sockaddr*>(&kernel),
+                            sizeof kernel) == 0);
+      this->sockets.push_back(fd);
+      this->Send(fd);
+    }
+  }
+  ~RawCallers() {
+    for (const int fd : this->sockets)
+      close(fd);
+  }
+  RawCallers(const RawCallers&) = delete;
+  RawCallers& operator=(const RawCallers&) = delete;
+
+  static void Send(int fd) {
+    const std::string request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+    send(fd, request.data(), request.size(), MSG_NOSIGNAL);
+  }
+  // Connections that were reset: the server has read nothing.
+  int CountResets() const {
+    int count = 0;
+    for (const int fd : this->sockets) {
+      char byte;
+      count += recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+               errno == ECONNRESET;
+    }
+    return count;
+  }
+  // Answers that have arrived whole, of requests without a body.
+  int CountAnswers() const {
+    int count = 0;
+    for (const int fd : this->sockets) {
+      char buffer[2048];
+      const ssize_t got = recv(fd, buffer, sizeof buffer, MSG_DONTWAIT);
+      const std::string text(buffer, got > 0 ? static_cast<size_t>(got) : 0);
+      count += text.starts_with("HTTP/1.1 ") &&
+               text.find("\r\n\r\n") != std::string::npos;
+    }
+    return count;
+  }
+
+ private:
+  std::vector<int> sockets;
+};
+
+// Callers would see their connections end under requests that were read.
+BOOST_AUTO_TEST_CASE(RequestsWithoutAnAnswerAreAnsweredWhenTheServerEnds) {
+  constexpr int kCallers = 100;
+  base::Loop loop;
+  std::vector<ExchangePtr> unanswered;
+  std::optional<RawCallers> callers;
+  {
+    Server server(loop, {}, [&](const ExchangePtr& exchange) {
+      unanswered.push_back(exchange);
+    });
+    callers.emplace(server.port(), kCallers);
+    while (unanswered.size() < kCallers)
+      loop.RunOnce();
+  }
+  BOOST_TEST(callers->CountAnswers() == kCallers);
+}
+
+BOOST_AUTO_TEST_CASE(AnswersGivenRightBeforeTheServerEndsArrive) {
+  constexpr int kCallers = 100;
+  base::Loop loop;
+  std::vector<ExchangePtr> open;
+  std::optional<RawCallers> callers;
+  {
+    Server server(loop, {}, [&](const ExchangePtr& exchange) {
+      open.push_back(exchange);
+    });
+    callers.emplace(server.port(), kCallers);
+    while (open.size() < kCallers)
+      loop.RunOnce();
+    for (const ExchangePtr& exchange : open)
+      exchange->Reply(JsonResponse(200, "{}"));
+  }
+  BOOST_TEST(callers->CountAnswers() == kCallers);
+}
+
+BOOST_AUTO_TEST_CASE(RequestsThatArriveAsTheServerEndsAreAnsweredOrNotRead) {
+  constexpr int kCallers = 100;
+  base::Loop loop;
+  std::optional<RawCallers> callers;
+  {
+    Server server(loop, {}, [](const ExchangePtr& exchange) {
+      exchange->Reply(JsonResponse(200, "{}"));
+    });
+    callers.emplace(server.port(), kCallers);
+  }
+  // A reset is told once, so that it is counted first.
+  const int resets = callers->CountResets();
+  BOOST_TEST(callers->CountAnswers() + resets == kCallers);
+}
+
 RC_BOOST_PROP(MalformedRequestsLeaveTheServerStanding, ()) {
   base::Loop loop;
   Server server(
