A daemon that stops answers all that it has read

What callers saw: on each stop of a daemon, requests on connections that were opened in its last moments ended without an answer. Callers cannot tell whether they were taken. Cause: the daemon listened until its end. The server's destructor let the library read what had arrived, but closed before the answers had left. Change: after the drain time the daemon stops listening, so that attempts to connect are reset, and serves the open connections until they are closed, for at most a second more. The server's destructor runs the library until each request that was read has its answer.

--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -29,6 +29,9 @@
 // The process exits this long before the platform would kill it.
 constexpr base::Micros kExitBeforeKill = milliseconds(500);
 constexpr base::Micros kDrainCheckPeriod = milliseconds(50);
+// Time that callers have, once no more of them can connect, to send a request
+// that is on its way or due on an open connection, which then closes.
+constexpr base::Micros kMaxLingerTime = milliseconds(1000);
 
 http::ServerOptions ServerOptionsFor(const std::string& address,
                                      std::int64_t max_connections,
@@ -476,8 +479,12 @@
 
 void JobDaemon::ExitIfDrained() {
   const base::Micros elapsed = base::MonotonicNow() - this->stop_requested;
-  const bool is_drained =
-      elapsed > kMinDrainTime && this->caller_server.open_exchanges() == 0;
+  if (elapsed <= kMinDrainTime)
+    return;
+  this->caller_server.StopListening();
+  const bool is_drained = this->caller_server.connections() == 0 ||
+                          (elapsed > kMinDrainTime + kMaxLingerTime &&
+                           this->caller_server.open_exchanges() == 0);
   const bool is_out_of_time =
       elapsed > this->settings.stop_grace_period - kExitBeforeKill;
   if (!is_drained && !is_out_of_time)
--- a/http/server.cc
+++ b/http/server.cc
@@ -154,6 +154,8 @@
       exchange.Abandon();
       if (exchange.handed_over)
         --exchange.server->open;
+      else
+        --exchange.server->reading;
       exchange.server = nullptr;
     }
     delete slot;
@@ -165,6 +167,7 @@
                     MHD_Connection* connection,
                     const char* method) {
     slot.exchange = std::make_shared<Exchange>(server);
+    ++server.reading;
     Exchange& exchange = *slot.exchange;
     exchange.connection = connection;
     exchange.received.method = method;
@@ -189,6 +192,7 @@
 
   static void HandOver(Server& server, const ExchangePtr& exchange) {
     exchange->handed_over = true;
+    --server.reading;
     exchange->since = base::MonotonicNow();
     ++server.open;
     if (exchange->too_large) {
@@ -279,7 +283,10 @@
   this->sweep->StartEvery(options.sweep_period);
 }
 
+// Requests that the library has read are answered; callers that connect or send
+// later find the connection reset, so that they know that nothing was read.
 Server::~Server() {
+  this->StopListening();
   this->ending = true;
   for (const ExchangePtr& exchange : this->waiting) {
     if (exchange->answered)
@@ -287,13 +294,23 @@
     this->NoteCut(exchange->request(), kUnavailable, "unanswered");
     exchange->Reply({.status = kUnavailable, .headers = {}, .body = {}});
   }
-  MHD_run(this->daemon);
+  for (int runs = 0; runs < kMaxRunsATurn; ++runs) {
+    MHD_run(this->daemon);
+    if (this->reading == 0 && this->open == 0)
+      break;
+  }
   this->sweep.reset();
   this->prepare.reset();
   this->readiness.reset();
   MHD_stop_daemon(this->daemon);
 }
 
+std::size_t Server::connections() const {
+  const MHD_DaemonInfo* info =
+      MHD_get_daemon_info(this->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+  return info ? info->num_connections : 0;
+}
+
 void Server::StopListening() {
   const MHD_socket fd = MHD_quiesce_daemon(this->daemon);
   if (fd != MHD_INVALID_SOCKET)
--- a/http/server.h
+++ b/http/server.h
@@ -84,7 +84,8 @@
   std::uint16_t port() const { return this->bound_port; }
   // Requests handed over whose answer has not been sent whole.
   std::size_t open_exchanges() const { return this->open; }
-  // Takes no further connections; those open go on.
+  std::size_t connections() const;
+  // Takes no further connections: attempts are reset. Those open go on.
   void StopListening();
 
  private:
@@ -101,6 +102,7 @@
   std::size_t max_body;
   base::Counters* counters;
   std::uint16_t bound_port = 0;
+  std::size_t reading = 0;  // requests whose body has not come whole
   std::size_t open = 0;
   bool ending = false;
   bool resumed = false;  // a connection was, since the library ran last
