Tests: answers that say "has not run" of what has run or may yet (red)

- a call to move a box has no answer and its retry is turned down: scheduler
- 503 for a job that another submission is writing or may have written: entry
- 503 for requests in service at the end of the process, and for jobs that are written afterwards: http, entry

Three tests beside them pass: RepetitionThatIsDoneOrOnlyReadsHasRun, and the two that show that a request which was sent is not called unsent when its repetition cannot connect or is not allowed any more.

testing::RawServer can stop listening while its connections stay.

No functional change.

--- a/entry/caller_access_test.cc
+++ b/entry/caller_access_test.cc
@@ -255,6 +255,17 @@
   BOOST_TEST(bench.StatusFor("ant", "GET", "/p/0000000000000002") == 410);
 }
 
+// Guards against a refusal of a job that is stored: by the daemon's old view
+// its key belongs to another organisation, and the newest one cannot be read.
+BOOST_AUTO_TEST_CASE(StoredJobOfAMovedKeyIsNotReportedAsRefused) {
+  using Mood = StoreStandin::Mood;
+  AccessBench bench;
+  bench.StatusFor("bee", "POST");
+  bench.Within(std::chrono::milliseconds(300), [] { return false; });
+  bench.standin.SetNextReads({Mood::kBusy});
+  BOOST_TEST(bench.StatusFor("ant", "POST") == 504);
+}
+
 // Its jobs are not open to others, and the other organisations' are as before.
 BOOST_AUTO_TEST_CASE(RemovedOrganisationLeavesItsJobsToNobodyElse) {
   AccessBench bench;
--- a/entry/caller_api_test.cc
+++ b/entry/caller_api_test.cc
@@ -1,10 +1,15 @@
 // Responses to callers under store faults and stale configuration.
 
+#include <algorithm>
+#include <chrono>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
+#include <fmt/format.h>
 #include <boost/test/unit_test.hpp>
 
 #include "entry/caller_api.h"
@@ -44,6 +49,51 @@
   BOOST_TEST(bench.standin.Table(std::string(kJobTable)).size() == 1U);
 }
 
+// Guards against a refused job that runs: its write was done, the connection
+// ended, and the store refused the HTTP library's repetition.
+BOOST_AUTO_TEST_CASE(JobWhoseRepeatedWriteIsRefusedIsNotReportedAsRefused) {
+  using Mood = StoreStandin::Mood;
+  CallerBench bench;
+  bench.Call("POST", "/p/0000000000000001", kBody);
+  bench.standin.SetNextWrites({Mood::kLosesAnswers, Mood::kBusy});
+  BOOST_TEST(bench.Call("POST", kJobPath, kBody).status == 200);
+  BOOST_TEST(!bench.standin.Value(JobRow(kJobId, {})).empty());
+}
+
+// Guards against a refusal that another submission of the job disproves: the
+// write of the first has no answer and is made again, that of the second is
+// refused.
+BOOST_AUTO_TEST_CASE(JobThatIsStillBeingWrittenIsNotReportedAsRefused) {
+  using Mood = StoreStandin::Mood;
+  CallerBench bench;
+  bench.standin.SetNextWrites({Mood::kCuts, Mood::kBusy});
+  std::multiset<int> statuses;
+  for (int i = 0; i < 2; ++i) {
+    bench.client.Send({.method = "POST",
+                       .url = "http://127.0.0.1:" +
+                              std::to_string(bench.server.port()) + kJobPath,
+                       .headers = {{.name = "Host", .value = "h.example"}},
+                       .body = kBody,
+                       .timeout = std::chrono::seconds(20)},
+                      [&](const http::ClientResult& got) {
+                        statuses.insert(got.response.status);
+                      });
+  }
+  bench.Until([&] { return statuses.size() == 2U; });
+  BOOST_TEST(!bench.standin.Value(JobRow(kJobId, {})).empty());
+  BOOST_TEST(statuses == (std::multiset<int>{200, 504}),
+             boost::test_tools::per_element());
+}
+
+// Guards against the same where the first submission has been answered 504.
+BOOST_AUTO_TEST_CASE(JobOfUnknownFateIsNotRefusedWhenSubmittedAgain) {
+  CallerBench bench;
+  bench.standin.SetMood(StoreStandin::Mood::kCuts);
+  BOOST_TEST(bench.Call("POST", kJobPath, kBody).status == 504);
+  BOOST_TEST(bench.Call("POST", kJobPath, kBody).status == 504);
+  BOOST_TEST(bench.Call("POST", "/p/0000000000000001", kBody).status == 503);
+}
+
 BOOST_AUTO_TEST_CASE(RefusalIsAtOnceAndTellsWhenToComeBack) {
   CallerBench bench;
   bench.standin.SetMood(StoreStandin::Mood::kBusy);
@@ -145,6 +195,45 @@
   BOOST_TEST(*status == 504);
 }
 
+// Guards against a refused job that is written all the same, by the turn of the
+// loop in which the process ends.
+BOOST_AUTO_TEST_CASE(JobRefusedAtShutdownIsNotWritten) {
+  CallerBench bench;
+  bench.standin.SetDelay(std::chrono::milliseconds(100));
+  // The rows of both lie in one part, so that the second waits for the first.
+  const std::string part = ProgressRow(kJobId).part;
+  std::string other;
+  for (int i = 0; other.empty() || ProgressRow(other).part != part; ++i)
+    other = fmt::format("{:016x}", i);
+  std::vector<int> statuses;
+  const auto submit = [&](const std::string& job) {
+    bench.client.Send({.method = "POST",
+                       .url = "http://127.0.0.1:" +
+                              std::to_string(bench.server.port()) + "/p/" + job,
+                       .headers = {{.name = "Host", .value = "h.example"}},
+                       .body = kBody,
+                       .timeout = std::chrono::seconds(20)},
+                      [&](const http::ClientResult& got) {
+                        statuses.push_back(got.response.status);
+                      });
+  };
+  submit(kJobId);
+  bench.Until([&] { return bench.server.open_exchanges() == 1U; });
+  submit(other);
+  bench.Until([&] { return bench.server.open_exchanges() == 2U; });
+  bench.api.Shutdown();
+  const std::string late = "00000000000000ff";
+  submit(late);
+  bench.Until([&] { return statuses.size() == 3U; });
+  bench.Within(std::chrono::milliseconds(300), [] { return false; });
+  std::sort(statuses.begin(), statuses.end());
+  BOOST_TEST(statuses == (std::vector<int>{503, 503, 504}),
+             boost::test_tools::per_element());
+  BOOST_TEST(!bench.standin.Value(JobRow(kJobId, {})).empty());
+  BOOST_TEST(bench.standin.Value(JobRow(other, {})).empty());
+  BOOST_TEST(bench.standin.Value(JobRow(late, {})).empty());
+}
+
 BOOST_AUTO_TEST_CASE(CancelIsStoredAndUnknownJobsAnswerGone) {
   CallerBench bench;
   BOOST_TEST(bench.Call("DELETE", kJobPath).status == 410);
--- a/http/http_test.cc
+++ b/http/http_test.cc
@@ -263,6 +263,87 @@
   BOOST_TEST(counters.Get(base::Counter::kRequestsCut) == 2U);
 }
 
+// What became of a request on a kept connection that ends without an answer,
+// and of its repetition by the HTTP library, which gets `repeated`.
+ClientResult ResultOfRepeated(const std::string& method,
+                              const std::string& repeated) {
+  base::Loop loop;
+  RawServer server(loop, [&](int number) -> RawServer::Answer {
+    if (number == 1)
+      return {.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+    if (number == 2)
+      return {.bytes = "", .close = true};
+    return {.bytes = "HTTP/1.1 " + repeated + "\r\nContent-Length: 0\r\n\r\n"};
+  });
+  Client client(loop);
+  Call(loop, client, {.url = Url(server.port())});
+  ClientResult result =
+      Call(loop, client, {.method = method, .url = Url(server.port())});
+  BOOST_TEST(server.requests() == 3);
+  return result;
+}
+
+// Guards against a refusal of the second of two equal sends that is taken for
+// the answer to both.
+BOOST_AUTO_TEST_CASE(UnsafeRequestWhoseRepetitionIsRefusedMayHaveRun) {
+  for (const char* status :
+       {"503 Service Unavailable", "429 Too Many Requests", "409 Conflict"}) {
+    const ClientResult result = ResultOfRepeated("POST", status);
+    BOOST_CHECK(result.verdict == Verdict::kMayHaveRun);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RepetitionThatIsDoneOrOnlyReadsHasRun) {
+  BOOST_CHECK(ResultOfRepeated("POST", "200 OK").verdict == Verdict::kRan);
+  const ClientResult read = ResultOfRepeated("GET", "503 Service Unavailable");
+  BOOST_CHECK(read.verdict == Verdict::kRan);
+  BOOST_TEST(read.response.status == 503);
+}
+
+// Guards against a request that counts as not sent since its repetition was
+// not: the server read the first one, closed its connection, and no longer
+// listens.
+BOOST_AUTO_TEST_CASE(RequestWhoseRepetitionCannotConnectMayHaveRun) {
+  for (const char* method : {"POST", "GET"}) {
+    base::Loop loop;
+    RawServer* listening = nullptr;
+    RawServer server(loop, [&](int number) -> RawServer::Answer {
+      if (number == 1)
+        return {.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+      listening->StopListening();
+      return {.bytes = "", .close = true};
+    });
+    listening = &server;
+    Client client(loop);
+    Call(loop, client, {.url = Url(server.port())});
+    const ClientResult result =
+        Call(loop, client, {.method = method, .url = Url(server.port())});
+    BOOST_TEST(server.requests() == 2);
+    BOOST_CHECK(result.verdict == Verdict::kMayHaveRun);
+  }
+}
+
+// Guards against the same where the repetition is not allowed any more.
+BOOST_AUTO_TEST_CASE(RequestThatMayNotBeRepeatedMayHaveRun) {
+  base::Loop loop;
+  bool may_send = true;
+  RawServer server(loop, [&](int number) -> RawServer::Answer {
+    if (number == 1)
+      return {.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+    may_send = false;
+    return {.bytes = "", .close = true};
+  });
+  Client client(loop);
+  const auto request = [&] {
+    return ClientRequest{.method = "POST",
+                         .url = Url(server.port()),
+                         .may_send = [&] { return may_send; }};
+  };
+  Call(loop, client, request());
+  BOOST_CHECK(Call(loop, client, request()).verdict == Verdict::kMayHaveRun);
+  BOOST_TEST(server.requests() == 2);
+}
+
 // An answer that is given to the second of two equal sends says nothing of the
 // first.
 BOOST_AUTO_TEST_CASE(RepeatedCallIsCounted) {
@@ -280,6 +361,26 @@
   BOOST_TEST(counters.Get(base::Counter::kCallsRepeated) == 1U);
 }
 
+// Guards against a process that ends and answers "not run" for a request that
+// its handler is still carrying out.
+BOOST_AUTO_TEST_CASE(RequestInServiceWhenTheServerEndsMayHaveRun) {
+  base::Loop loop;
+  Client client(loop);
+  std::optional<ClientResult> result;
+  {
+    ExchangePtr in_service;
+    Server server(loop, {},
+                  [&](const ExchangePtr& exchange) { in_service = exchange; });
+    client.Send({.url = Url(server.port()), .timeout = kLimit},
+                [&](ClientResult got) { result = std::move(got); });
+    while (!in_service)
+      loop.RunOnce();
+  }
+  while (!result)
+    loop.RunOnce();
+  BOOST_TEST(result->response.status == 504);
+}
+
 BOOST_AUTO_TEST_CASE(CallerThatHangsUpIsNoticed) {
   base::Loop loop;
   bool abandoned = false;
--- a/scheduler/fleet_test.cc
+++ b/scheduler/fleet_test.cc
@@ -88,6 +88,48 @@
   BOOST_TEST(again[0].pool == "busy");
 }
 
+// Guards against a box that is used where it is about to leave: a call to move
+// it had no answer, and the next one was turned down before it was looked at.
+BOOST_AUTO_TEST_CASE(UnansweredMoveWhoseRetryIsTurnedDownIsRetried) {
+  for (const BoxCallOutcome turned_down :
+       {BoxCallOutcome::kThrottled, BoxCallOutcome::kNotSent}) {
+    FleetPlanner fleet(kFleetTimings);
+    FleetView view;
+    view.boxes = {IdleBox("b1", "calm")};
+    view.pools = {{.name = "calm", .spare = false, .demand = {}},
+                  {.name = "busy", .spare = false, .demand = {}}};
+    view.pools[1].demand[0].current_cores = 10.0;
+    const auto first = Only<MoveBox>(fleet.Plan(view, seconds(1)));
+    BOOST_REQUIRE(first.size() == 1U);
+    fleet.OnMoveOutcome(first[0], BoxCallOutcome::kUnknown, seconds(2));
+    // The pool does not need the box any more.
+    view.pools[1].demand.clear();
+    const auto second = Only<MoveBox>(fleet.Plan(view, seconds(3)));
+    BOOST_REQUIRE(second.size() == 1U);
+    fleet.OnMoveOutcome(second[0], turned_down, seconds(3));
+    BOOST_TEST(fleet.IsLeaving("b1"));
+    const auto third = Only<MoveBox>(fleet.Plan(view, seconds(5)));
+    BOOST_REQUIRE(third.size() == 1U);
+    BOOST_TEST(third[0].pool == "busy");
+  }
+}
+
+// The same for a call of an earlier owner.
+BOOST_AUTO_TEST_CASE(InheritedMoveWhoseRetryIsTurnedDownIsRetried) {
+  FleetPlanner fleet(kFleetTimings);
+  FleetView view;
+  view.boxes = {IdleBox("b1", "calm")};
+  view.pools = {{.name = "calm"}, {.name = "busy"}};
+  fleet.Inherit(
+      MoveBox{.box = "b1", .pool = "busy", .incarnation = view.boxes[0].worker},
+      seconds(1));
+  const auto first = Only<MoveBox>(fleet.Plan(view, seconds(2)));
+  BOOST_REQUIRE(first.size() == 1U);
+  fleet.OnMoveOutcome(first[0], BoxCallOutcome::kThrottled, seconds(2));
+  BOOST_TEST(fleet.IsLeaving("b1"));
+  BOOST_TEST(Only<MoveBox>(fleet.Plan(view, seconds(4))).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(BusyBoxOfALessUrgentPoolIsReclaimed) {
   FleetPlanner fleet(kFleetTimings);
   FleetView view;
--- a/testing/raw_server.cc
+++ b/testing/raw_server.cc
@@ -29,6 +29,13 @@
 RawServer::~RawServer() {
   for (const auto& [fd, watcher] : this->watchers)
     close(fd);
+  this->StopListening();
+}
+
+void RawServer::StopListening() {
+  if (!this->acceptor)
+    return;
+  this->acceptor.reset();
   close(this->listener);
 }
 
--- a/testing/raw_server.h
+++ b/testing/raw_server.h
@@ -28,6 +28,9 @@
   RawServer(const RawServer&) = delete;
   RawServer& operator=(const RawServer&) = delete;
 
+  // Further connections are refused; open ones stay.
+  void StopListening();
+
   std::uint16_t port() const { return this->bound_port; }
   int requests() const { return this->count; }
   int connections() const { return this->connection_count; }
