--- a/http/client.cc
+++ b/http/client.cc
@@ -63,6 +63,15 @@
          IsChunked(response.headers);
 }
 
+// Nothing changes by it, however often it is sent.
+bool IsSafe(const std::string& method) {
+  return method == "GET" || method == "HEAD";
+}
+
+bool IsSuccess(int status) {
+  return status / 100 == 2;
+}
+
 std::uint64_t InfoBytes(CURL* easy, CURLINFO what) {
   curl_off_t bytes = 0;
   curl_easy_getinfo(easy, what, &bytes);
@@ -372,7 +381,7 @@
   const auto code = static_cast<CURLcode>(curl_code);
   ClientResult result;
   result.response.status = 0;
-  result.was_repeated = call.times_sent > 1;
+  const bool was_repeated = call.times_sent > 1;
   long status = 0;
   curl_easy_getinfo(call.easy, CURLINFO_RESPONSE_CODE, &status);
   call.response.status = static_cast<int>(status);
@@ -381,7 +390,13 @@
   this->total_received += InfoLong(call.easy, CURLINFO_HEADER_SIZE) +
                           InfoBytes(call.easy, CURLINFO_SIZE_DOWNLOAD_T);
   if (code == CURLE_OK && TellsItsEnd(call.request.method, call.response)) {
-    result.verdict = base::Verdict::kRan;
+    // The answer to the last of several sends tells that the request was done,
+    // but not that it was not.
+    const bool is_last_word = !was_repeated || IsSafe(call.request.method) ||
+                              IsSuccess(call.response.status);
+    result.verdict =
+        is_last_word ? base::Verdict::kRan : base::Verdict::kMayHaveRun;
+    result.error = is_last_word ? "" : "only the repeated request was answered";
     result.response = std::move(call.response);
   } else {
     result.verdict =
@@ -392,7 +407,7 @@
   }
   if (code == CURLE_OPERATION_TIMEDOUT)
     this->NoteSilence(call);
-  if (result.was_repeated)
+  if (was_repeated)
     this->NoteRepetition(call, result);
   const std::function<void(ClientResult)> done = std::move(call.done);
   this->Release(call.id);
--- a/http/client.h
+++ b/http/client.h
@@ -33,16 +33,16 @@
   std::function<bool()> may_send;
 };
 
-// Outcome of a request.
+// Outcome of a request, over all its sends.
 struct ClientResult {
-  // kRan: `response` is the whole answer; its status is 0 otherwise.
-  // kNotRun: no byte was sent.
+  // kRan: `response` is the whole answer. kNotRun: no byte was sent.
+  // kMayHaveRun: no whole answer, or the library sent an unsafe request more
+  // than once and the last one was not done: an earlier one may have been.
   base::Verdict verdict = base::Verdict::kNotRun;
+  // Its status is 0 without a whole answer. With kMayHaveRun it is the answer
+  // to the last send and says nothing of the earlier ones.
   Response response;
-  // The library sent the request more than once: `response` is the answer to
-  // the last one, and an earlier one may have run.
-  bool was_repeated = false;
-  std::string error;  // for people; empty with a whole answer
+  std::string error;  // for people; empty with kRan
 };
 
 using RequestId = std::uint64_t;
