Requests in service when the process ends are answered 504

What callers saw: 503, "not carried out", for a request that a handler still had when the process ended. A cancellation whose write was under way, or a submission whose stored row was being looked at, was so answered although it was or became effective.

Cause: http::Server answers what is left with 503 when it is destroyed, whatever its handler has done. CallerApi::Shutdown() answers the submissions whose writes are pending; other requests fell to the server.

Change: 504 for a request that a handler has got.

--- a/http/server.cc
+++ b/http/server.cc
@@ -30,6 +30,7 @@
 
 constexpr int kPayloadTooLarge = 413;
 constexpr int kUnavailable = 503;
+constexpr int kMayHaveRun = 504;
 
 constexpr unsigned kIdleSeconds = 60;
 constexpr std::size_t kConnectionMemory = 32'768;
@@ -284,8 +285,9 @@
   for (const ExchangePtr& exchange : this->waiting) {
     if (exchange->answered)
       continue;
-    this->NoteCut(exchange->request(), kUnavailable, "unanswered");
-    exchange->Reply({.status = kUnavailable, .headers = {}, .body = {}});
+    // Its handler may have carried it out.
+    this->NoteCut(exchange->request(), kMayHaveRun, "unanswered");
+    exchange->Reply({.status = kMayHaveRun, .headers = {}, .body = {}});
   }
   MHD_run(this->daemon);
   this->sweep.reset();
