503 and 429 are not said of a job that another submission may have written

What callers saw: 503, "it was not taken and never runs", for a job that runs: an earlier submission of the same id at this daemon was still being written or had been answered 504; or the job was stored, its key had moved to another organisation, and the configuration could not be read.

Cause: each submission was judged by its own write. Refusals before the write (the store seems away, no configuration) and after it (503 from the store) looked at nothing else.

Evidence: by reading, and three tests that were red: JobThatIsStillBeingWrittenIsNotReportedAsRefused, JobOfUnknownFateIsNotRefusedWhenSubmittedAgain, StoredJobOfAMovedKeyIsNotReportedAsRefused.

Change: CallerApi::Refuse(), which all refusals go through, answers 504 in place of 503 or 429 while the job's id has a pending write or is among those of unknown outcome. A stored job whose access is not decided at once counts among these.

--- a/entry/admission.h
+++ b/entry/admission.h
@@ -65,8 +65,8 @@
   std::mt19937_64 random;
 };
 
-// Jobs whose submission ended with an unknown outcome. Their rows may still
-// appear in the store after a read did not find them.
+// Jobs that may be stored: their submission ended with an unknown outcome, or
+// their row was found. A row may still appear after a read did not find it.
 class UnknownOutcomes {
  public:
   void Add(const std::string& job, base::Micros now);
--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -113,11 +113,27 @@
   exchange->Reply(std::move(response));
 }
 
+// 503 and 429 say that the job never runs. Another submission of it may be
+// pending, or may have been answered that its outcome is not known.
+bool CallerApi::MayClaimNotRun(const http::Request& request) {
+  if (request.method != "POST")
+    return true;
+  const std::string path = request.path.substr(0, request.path.find('?'));
+  const std::size_t begin = path.size() - std::min(path.size(), kJobIdDigits);
+  return !this->MayBeWritten(path.substr(begin));
+}
+
 void CallerApi::Refuse(const http::ExchangePtr& exchange,
                        int status,
                        std::string_view job,
                        std::string_view reason,
-                       std::chrono::seconds retry_after) const {
+                       std::chrono::seconds retry_after) {
+  const bool claims_not_run =
+      status == kServiceUnavailable || status == kTooManyRequests;
+  if (claims_not_run && !this->MayClaimNotRun(exchange->request())) {
+    this->Refuse(exchange, kGatewayTimeout, job, reason, retry_after);
+    return;
+  }
   this->counters.Add(status == kGatewayTimeout
                          ? base::Counter::kRefusedMayHaveRun
                          : base::Counter::kRefusedNotRun);
--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -131,6 +131,8 @@
   void Assign(std::uint64_t choice, int shard);
   void Admit(std::uint64_t choice);
   bool IsPendingWrite(const std::string& job) const;
+  bool MayBeWritten(const std::string& job);
+  bool MayClaimNotRun(const http::Request& request);
   void ReadBeforeRejection(std::uint64_t choice, const Rejection& rejection);
   void OnReadBeforeRejection(std::uint64_t choice,
                              const std::optional<platform::ReadResult>& result);
@@ -166,7 +168,7 @@
               int status,
               std::string_view job,
               std::string_view reason,
-              std::chrono::seconds retry_after = std::chrono::seconds(1)) const;
+              std::chrono::seconds retry_after = std::chrono::seconds(1));
 
   platform::Store& store;
   base::Counters& counters;
--- a/entry/caller_submissions.cc
+++ b/entry/caller_submissions.cc
@@ -141,6 +141,12 @@
          (queue.in_flight && contains(*queue.in_flight));
 }
 
+// Whether this or another submission of the job may be stored, or may yet be.
+bool CallerApi::MayBeWritten(const std::string& job) {
+  return this->IsPendingWrite(job) ||
+         this->unknown_outcomes.MayContain(job, base::MonotonicNow());
+}
+
 // A rejection says that the job never runs. A job that may be stored, by this
 // submission's caller or by an earlier one, is therefore admitted: its write
 // fails on the row that is there.
@@ -357,13 +363,17 @@
     return;
   }
   const auto progress = jobs::DecodeProgress(record->text);
+  const JobOrigin origin = progress ? OriginOf(*progress) : JobOrigin();
+  // Deciding may take calls whose failure is answered 503.
+  if (DecideJobAccess(*this->config, *submission.origin.organisation, origin) !=
+      JobAccess::kAllowed)
+    this->unknown_outcomes.Add(submission.job, base::MonotonicNow());
   const JobRequest request{.exchange = submission.exchange,
                            .job = submission.job,
                            .organisation = *submission.origin.organisation,
                            .config_source = submission.config_source};
   this->CheckAccess(
-      request, progress ? OriginOf(*progress) : JobOrigin(), record->shard,
-      [this, submission](JobAccess access) {
+      request, origin, record->shard, [this, submission](JobAccess access) {
         if (access == JobAccess::kAllowed)
           this->AnswerAccepted(submission, true);
         else if (access == JobAccess::kDenied)
--- a/entry/job_access.cc
+++ b/entry/job_access.cc
@@ -7,8 +7,7 @@
 namespace quartzhoist::entry {
 
 bool IsJobId(std::string_view text) {
-  constexpr std::size_t kDigits = 16;
-  return text.size() == kDigits &&
+  return text.size() == kJobIdDigits &&
          text.find_first_not_of("0123456789abcdefABCDEF") ==
              std::string_view::npos;
 }
--- a/entry/job_access.h
+++ b/entry/job_access.h
@@ -3,6 +3,7 @@
 #ifndef ENTRY_JOB_ACCESS_H_
 #define ENTRY_JOB_ACCESS_H_
 
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -16,6 +17,8 @@
 
 namespace quartzhoist::entry {
 
+inline constexpr std::size_t kJobIdDigits = 16;  // hexadecimal
+
 bool IsJobId(std::string_view text);
 
 // Organisation that submitted a job, and its queue.
