A submission that is refused at the end of the process is not written

What callers saw: 503, "this daemon leaves", for a job that may run (REFUSED). Shutdown() left the refused submissions in their queues; the answer to the write before them, or the retry timer, in the same turn of the loop wrote them. A submission that was read after Shutdown() was written as well, and answered 503 by the server's end.

Evidence: by reading, and JobRefusedAtShutdownIsNotWritten (200 and two stored rows before). In the daemon the loop stops in the same turn, so that the window is small; no run of the daemon shows it.

Change: Shutdown() empties the queues before it answers, and requests are refused from then on.

Result: the test was red and passes; all entry_tests pass (one run).

--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -81,22 +81,33 @@
   this->stopping = true;
 }
 
+// What is refused here must not be written by a later turn of the loop.
 void CallerApi::Shutdown() {
-  for (const http::ExchangePtr& exchange :
-       this->held_at_start.Take(base::Micros::max(), false))
-    this->Refuse(exchange, kServiceUnavailable, "", "this daemon leaves");
+  constexpr std::string_view kReason = "this daemon leaves";
+  this->is_shut_down = true;
+  std::vector<Submission> unwritten;
+  for (auto& [part, queue] : this->parts) {
+    for (Submission& submission : std::exchange(queue.to_retry, {}))
+      unwritten.push_back(std::move(submission));
+    for (Submission& submission : std::exchange(queue.waiting, {}))
+      unwritten.push_back(std::move(submission));
+  }
+  for (const Submission& submission : unwritten) {
+    if (submission.may_be_written)
+      this->unknown_outcomes.Add(submission.job, base::MonotonicNow());
+  }
   for (auto& [choice, submission] : std::exchange(this->unassigned, {}))
+    unwritten.push_back(std::move(submission));
+  for (const Submission& submission : unwritten)
     this->Refuse(submission.exchange, kServiceUnavailable, submission.job,
-                 "this daemon leaves");
+                 kReason);
+  std::vector<http::ExchangePtr> unserved =
+      this->held_at_start.Take(base::Micros::max(), false);
+  for (http::ExchangePtr& exchange : std::exchange(this->awaiting_config, {}))
+    unserved.push_back(std::move(exchange));
+  for (const http::ExchangePtr& exchange : unserved)
+    this->Refuse(exchange, kServiceUnavailable, "", kReason);
   for (auto& [part, queue] : this->parts) {
-    for (Submission& submission : queue.to_retry)
-      queue.waiting.push_back(std::move(submission));
-    for (Submission& submission : queue.waiting) {
-      const int status =
-          submission.may_be_written ? kGatewayTimeout : kServiceUnavailable;
-      this->Refuse(submission.exchange, status, submission.job,
-                   "this daemon leaves");
-    }
     if (!queue.in_flight)
       continue;
     for (Submission& submission : *queue.in_flight) {
@@ -255,6 +266,10 @@
 void CallerApi::Dispatch(const http::ExchangePtr& exchange,
                          ConfigSource source) {
   const http::Request& request = exchange->request();
+  if (this->is_shut_down) {
+    this->Refuse(exchange, kServiceUnavailable, "", "this daemon leaves");
+    return;
+  }
   // 1. Find the queue by host and path.
   const std::string_view path =
       std::string_view(request.path).substr(0, request.path.find('?'));
--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -64,7 +64,7 @@
   void BeginShutdown();
   void Handle(const http::ExchangePtr& exchange);
   // Answers all pending submissions: 503 if the job was certainly not written,
-  // 504 if it may have been or may still be.
+  // 504 if it may have been or may still be. Takes no requests afterwards.
   void Shutdown();
 
  private:
@@ -199,6 +199,7 @@
   base::Timer retry_timer;
   base::Timer rejection_timer;
   bool stopping = false;
+  bool is_shut_down = false;
 };
 
 }  // namespace quartzhoist::entry
