Failing tests: jobs whose progress outgrows the rows of the store

An accepted job whose row becomes larger than row_bytes is never begun: all of its tasks are planned in one pass, the store rejects the row for good, and neither the caller nor the operators are told.

The tests show the same from five sides, each red here: the scheduler with a store that rejects the row (never started; its plans stay on their worker), a process with rows of 16,384 bytes (600 tasks, never started), a submission whose progress can never fit (accepted), and failures of done tasks that stay in the row.

No functional change

--- a/entry/caller_api_test.cc
+++ b/entry/caller_api_test.cc
@@ -127,6 +127,21 @@
   BOOST_TEST(bench.standin.writes() == 0);
 }
 
+// Guards against an accepted job whose progress no row can hold: it would stand
+// still once the marks of its finished tasks fill the row.
+BOOST_AUTO_TEST_CASE(JobWhoseProgressNoRowCanHoldIsRejected) {
+  CallerBench bench;
+  const std::string repeated =
+      R"({"spec":"t","repeatCount":1000,"intervalMs":1000,"steps":[{},{}]})";
+  BOOST_TEST(bench.Call("POST", kJobPath, repeated).status == 413);
+  const std::string large_gang =
+      R"({"spec":"t","steps":[{"count":1000,"gang":true}]})";
+  BOOST_TEST(bench.Call("POST", kJobPath, large_gang).status == 413);
+  BOOST_TEST(bench.standin.writes() == 0);
+  const std::string many_tasks = R"({"spec":"t","steps":[{"count":2000}]})";
+  BOOST_TEST(bench.Call("POST", kJobPath, many_tasks).status == 200);
+}
+
 // A job whose write is in flight at shutdown may still be accepted.
 BOOST_AUTO_TEST_CASE(JobInFlightAtShutdownIsNotReportedAsRefused) {
   CallerBench bench;
--- a/entry/process_test.cc
+++ b/entry/process_test.cc
@@ -24,6 +24,17 @@
   BOOST_TEST(fixture.cluster.workers().ends_done() == kAllTasks);
 }
 
+// Guards against an accepted job that never begins, since its row would be too
+// large with all of its runs placed at a time. A row holds 16,384 bytes here.
+BOOST_AUTO_TEST_CASE(JobWhoseRowWouldBeTooLargeIsCompleted) {
+  constexpr int kManyTasks = 600;
+  ClusterFixture fixture(1, 80);
+  fixture.WaitUntilReady("entry-1");
+  BOOST_REQUIRE(fixture.cluster.Submit(JobId(0), 1, kManyTasks) == 200);
+  fixture.ExpectAllCompletedOnce(1);
+  BOOST_TEST(fixture.cluster.workers().starts() == kManyTasks);
+}
+
 BOOST_AUTO_TEST_CASE(OwnerThatIsKilledIsTakenOver) {
   ClusterFixture fixture(3);
   fixture.cluster.workers().SetRunTime(std::chrono::milliseconds(800));
--- a/jobs/jobs_test.cc
+++ b/jobs/jobs_test.cc
@@ -159,6 +159,19 @@
   BOOST_TEST(Merge(progress, kept).last_tries.empty());
 }
 
+// Guards against a row that grows with each task that has ever failed.
+BOOST_AUTO_TEST_CASE(FailuresOfDoneTasksAreNotStored) {
+  Progress progress;
+  const TaskKey task{.step = {.occurrence = 0, .step = 0}, .index = 3};
+  const TaskKey other{.step = {.occurrence = 0, .step = 0}, .index = 4};
+  progress.MarkFailed(task, 1);
+  progress.MarkFailed(other, 1);
+  progress.MarkDone(task.step, task.index);
+  const Progress stored = DecodeProgress(EncodeProgress(progress)).value();
+  BOOST_TEST(stored.FailureCount(task) == 0);
+  BOOST_TEST(stored.FailureCount(other) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(MarkDoneRemovesPlacement) {
   Progress progress;
   const TaskKey task{.step = {.occurrence = 0, .step = 0}, .index = 3};
--- /dev/null
+++ b/scheduler/row_limit_test.cc
@@ -0,0 +1,113 @@
+// Tests jobs whose progress does not fit the store's rows with all of their
+// runs placed at a time.
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "scheduler/scheduler.h"
+#include "testing/scheduler_bench.h"
+
+namespace quartzhoist::scheduler {
+namespace {
+
+using testing::Only;
+
+// A row of 65,536 bytes as it is sent.
+constexpr std::size_t kRowBytes = 49'152;
+constexpr int kTasks = 2'000;
+constexpr const char* kWorker = "i-5e86393d3a";
+// Run numbers after a takeover have four digits.
+constexpr std::uint64_t kLaterEpoch = 2;
+
+// A worker with room for all tasks, and a store that rejects rows that are too
+// large. Runs end in the pass after their start.
+struct RowBench : testing::SchedulerBench {
+  explicit RowBench(const SchedulerLimits& limits = LimitsOf(kLaterEpoch))
+      : SchedulerBench(limits) {
+    this->scheduler.UpdateWorker(Worker(kWorker), this->now);
+    this->Report(kWorker, {});
+  }
+
+  static jobs::Step ManyTasks() {
+    jobs::Step step = OneTask();
+    step.tasks = kTasks;
+    step.task_resources = {.cpu_millis = 1, .memory_mb = 1, .gpus = 0};
+    return step;
+  }
+
+  const Job& job() const { return this->scheduler.all_jobs().at("job"); }
+
+  void AnswerSave(const SaveProgress& save) {
+    this->largest_save = std::max(this->largest_save, save.text.size());
+    if (save.text.size() <= this->row_bytes) {
+      this->Save({save});
+      return;
+    }
+    ++this->rejected;
+    this->scheduler.ProgressSaved({.job = save.job,
+                                   .change = save.change,
+                                   .outcome = SaveOutcome::kRejected,
+                                   .version = 0,
+                                   .stored = {}},
+                                  this->now);
+  }
+
+  // Runs a pass, and ends the runs that it starts for this reason.
+  void Turn(RunEndReason reason) {
+    const std::vector<Action> actions = this->RunPass();
+    for (const SaveProgress& save : Only<SaveProgress>(actions))
+      this->AnswerSave(save);
+    std::vector<ReportedEnd> ended;
+    for (const StartRun& start : Only<StartRun>(actions)) {
+      ++this->starts;
+      this->scheduler.StartAnswered(start, CommandOutcome::kDone, this->now);
+      ended.push_back({.sequence = ++this->last_end,
+                       .task = start.task,
+                       .run = start.run,
+                       .reason = reason,
+                       .checkpoint = ""});
+    }
+    if (!ended.empty())
+      this->Report(kWorker, {.ended = ended});
+  }
+
+  void RunUntilOver() {
+    for (int turn = 0; turn < 400 && !this->job().finished(); ++turn)
+      this->Turn(RunEndReason::kSucceeded);
+  }
+
+  std::size_t row_bytes = kRowBytes;
+  std::size_t largest_save = 0;
+  int rejected = 0;
+  int starts = 0;
+  std::int64_t last_end = 0;
+};
+
+// Guards against an accepted job that never begins: the store rejected the row
+// that named all placed runs, which was not saved again, while the workers'
+// capacity stayed reserved.
+BOOST_AUTO_TEST_CASE(JobWhoseRowIsRejectedStartsInPortions) {
+  RowBench bench;
+  bench.AddJob("job", RowBench::ManyTasks());
+  bench.RunUntilOver();
+  BOOST_CHECK(bench.job().progress.state == jobs::JobState::kCompleted);
+  BOOST_TEST(bench.starts == kTasks);
+}
+
+// Guards against capacity that is reserved for runs that are never started.
+BOOST_AUTO_TEST_CASE(RejectedRowFreesTheCapacityOfItsPlans) {
+  RowBench bench;
+  bench.row_bytes = 0;
+  bench.AddJob("job", RowBench::ManyTasks());
+  bench.Turn(RunEndReason::kSucceeded);
+  BOOST_TEST(bench.rejected == 1);
+  BOOST_TEST(bench.scheduler.FindWorker(kWorker)->runs.empty());
+}
+
+}  // namespace
+}  // namespace quartzhoist::scheduler
