--- a/jobs/progress.cc
+++ b/jobs/progress.cc
@@ -315,8 +315,10 @@
     row["done"][fmt::format("{}.{}", step.occurrence, step.step)] =
         EncodeBits(bits);
   }
-  for (const auto& [task, runs] : progress.failures)
-    row["failed_runs"][FormatTaskKey(task)] = runs;
+  for (const auto& [task, runs] : progress.failures) {
+    if (!progress.IsDone(task.step, task.index))
+      row["failed_runs"][FormatTaskKey(task)] = runs;
+  }
   for (const auto& [task, placement] : progress.placed)
     row["placed"][FormatTaskKey(task)] = EncodePlacement(placement);
   EncodeStopping(progress, row);
