Scheduler: a job's tasks are placed in portions that its row can name

A job is answered with 200 and stays queued for good: 2,000 tasks after a takeover, 1,900 where the limit counts after base64, 600 where a row takes 16,384 bytes. Its cores stay reserved, nothing starts, and nobody is told.

Cause: a pass plans all tasks that fit the workers, and the row that is saved before the starts names each planned run. The store rejects a row that is too large for good; ProgressSaved() did not save the job again until its progress changed, which nothing did. The class of the fault: what was accepted needs a write that the store can never take, and the refusal ends in silence.

Change: - The scheduler knows how many bytes of progress a row holds (base64 and the shard's number counted), and places a task only while the row can name the run and what becomes of it: the marks of all done tasks, each placed run's loss or failures, and a quarter of the row for tasks that have begun. Further tasks start as others end (wait reason `row`). The row is measured when it is encoded for a save, and a placement adds a constant; it is encoded for this alone once a job, and once a pass in which the row seems full. - A row that is too large, or that the store rejects, withdraws the plans that it was to name and frees their capacity; the job goes on with half of the row's size. Progress that names no plans is saved again after 1 s. Each is a line (QH0849, WARN). - A job that no row holds even so (a gang that an earlier version accepted) fails with the cause `row`, without the records of its runs, in place of waiting. The row's form is unchanged.

--- a/base/event_log.h
+++ b/base/event_log.h
@@ -75,6 +75,7 @@
   kBoxesRested,
   kExpectedWait,
   kStoreReturned,
+  kProgressRejected,
 };
 
 struct EventInfo {
@@ -84,7 +85,7 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 47> kEvents{{
+inline constexpr std::array<EventInfo, 48> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
@@ -130,6 +131,7 @@
     {Event::kJobFailed, 846, Level::kWarning, "job_failed"},
     {Event::kBoxesRested, 847, Level::kInfo, "boxes_rested"},
     {Event::kStoreReturned, 848, Level::kInfo, "store_returned"},
+    {Event::kProgressRejected, 849, Level::kWarning, "progress_rejected"},
     {Event::kLinesLeftOut, 851, Level::kWarning, "lines_left_out"},
     {Event::kSettingsReloaded, 106, Level::kInfo, "settings_reloaded"},
     {Event::kWriteRefused, 304, Level::kError, "write_refused"},
--- a/entry/decision_log.cc
+++ b/entry/decision_log.cc
@@ -139,6 +139,15 @@
        {"cause", base::NameOf(scheduler::kFailureCauseNames, failed.cause)}});
 }
 
+void LogProgressRejected(const scheduler::ProgressRejected& rejected) {
+  base::Log(base::Event::kProgressRejected,
+            {{"job", rejected.job},
+             {"bytes", rejected.bytes},
+             {"limit", rejected.limit},
+             {"withdrawn", rejected.withdrawn},
+             {"rejections", rejected.rejections}});
+}
+
 void LogBoxesRested(int shard, const scheduler::BoxesRested& rested) {
   base::Log(base::Event::kBoxesRested,
             {{"shard", shard},
--- a/entry/decision_log.h
+++ b/entry/decision_log.h
@@ -16,6 +16,7 @@
 void LogLongRunningStalled(const scheduler::LongRunningStalled& stalled);
 void LogBoxesRested(int shard, const scheduler::BoxesRested& rested);
 void LogJobFailed(const scheduler::JobFailed& failed);
+void LogProgressRejected(const scheduler::ProgressRejected& rejected);
 void LogNote(const scheduler::LogNote& note);
 
 }  // namespace quartzhoist::entry
--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -49,9 +49,11 @@
   return settings.worker_heartbeat * 5 / 2;
 }
 
-scheduler::SchedulerLimits SchedulerLimitsFor(const Settings& settings,
-                                              const Shard& shard,
-                                              std::uint64_t epoch) {
+scheduler::SchedulerLimits SchedulerLimitsFor(
+    const Settings& settings,
+    const platform::Deployment& deployment,
+    const Shard& shard,
+    std::uint64_t epoch) {
   scheduler::SchedulerLimits limits;
   limits.shards = shard.count;
   limits.lease_duration = std::min(kLeaseDuration, settings.max_lease);
@@ -61,6 +63,7 @@
   limits.max_stop_time = settings.max_stop_time;
   limits.max_announcement_age = MaxAnnouncementAgeFor(settings);
   limits.epoch = epoch;
+  limits.max_progress_bytes = MaxProgressBytes(deployment.row_bytes);
   limits.fleet = {.move_duration = settings.move_duration,
                   .maintenance_duration = settings.upkeep_duration};
   return limits;
@@ -91,7 +94,7 @@
             settings.id,
             [this] { return this->IsOwnershipCertain(); }),
       advisor(this->command_client, settings.advice_address),
-      scheduler(SchedulerLimitsFor(settings, shard, epoch)),
+      scheduler(SchedulerLimitsFor(settings, store.deployment(), shard, epoch)),
       waves(store,
             shard,
             [this](const scheduler::Wave& share,
--- a/entry/manager_commands.cc
+++ b/entry/manager_commands.cc
@@ -96,6 +96,9 @@
                            static_cast<std::uint64_t>(rested.boxes));
       LogBoxesRested(manager.shard.number, rested);
     }
+    void operator()(const scheduler::ProgressRejected& rejected) const {
+      LogProgressRejected(rejected);
+    }
     void operator()(const scheduler::LogNote& note) const { LogNote(note); }
   };
   std::visit(Visitor{*this}, action);
--- a/entry/tables.cc
+++ b/entry/tables.cc
@@ -257,6 +257,13 @@
   }
 }
 
+std::size_t MaxProgressBytes(std::size_t row_bytes) {
+  // The shard's number and a space.
+  constexpr std::size_t kPrefixBytes = 11;
+  const std::size_t value = row_bytes / 4 * 3;
+  return value - std::min(value, kPrefixBytes);
+}
+
 std::string EncodeProgressRecord(const ProgressRecord& record) {
   return fmt::format("{} {}", record.shard, record.text);
 }
--- a/entry/tables.h
+++ b/entry/tables.h
@@ -4,6 +4,7 @@
 #ifndef ENTRY_TABLES_H_
 #define ENTRY_TABLES_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -107,6 +108,9 @@
   int shard = 0;
   std::string_view text;  // encoded by jobs::EncodeProgress
 };
+// Bytes of encoded progress that a row holds whose value, as it is sent, has at
+// most `row_bytes`.
+std::size_t MaxProgressBytes(std::size_t row_bytes);
 std::string EncodeProgressRecord(const ProgressRecord& record);
 // The result refers to `row`, which must outlive it; empty if `row` is
 // malformed.
--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -201,6 +201,15 @@
   double pool_cores = 0.0;  // in pools that are not spare
 };
 
+// Log entry: the job's progress did not fit its row, or the store rejected it.
+struct ProgressRejected {
+  std::string job;
+  std::size_t bytes = 0;
+  std::size_t limit = 0;
+  int withdrawn = 0;   // planned runs, which will be planned again
+  int rejections = 0;  // since the last successful save
+};
+
 // Log entry: this owner has saved the job's failure.
 struct JobFailed {
   std::string job;
@@ -228,6 +237,7 @@
                             LongRunningStalled,
                             CountStalls,
                             JobFailed,
+                            ProgressRejected,
                             BoxesRested,
                             LogNote>;
 
--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -3,7 +3,9 @@
 #ifndef SCHEDULER_JOB_H_
 #define SCHEDULER_JOB_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -45,32 +47,36 @@
   kAdvice,            // which workers are allowed to run it
   kLease,             // another owner may have renewed an expired lease
   kSuspect,           // an idle worker, or the outcome of lost workers
+  kRow,               // room in the job's row for another placement
 };
 
-inline constexpr base::EnumNames<WaitReason, 6> kWaitReasonNames{{
+inline constexpr base::EnumNames<WaitReason, 7> kWaitReasonNames{{
     {WaitReason::kCapacity, "room"},
     {WaitReason::kQuota, "quota"},
     {WaitReason::kNoSuitableWorker, "worker"},
     {WaitReason::kAdvice, "advice"},
     {WaitReason::kLease, "lease"},
     {WaitReason::kSuspect, "suspect"},
+    {WaitReason::kRow, "row"},
 }};
 
 // Whether an additional box could let the task start.
 constexpr bool MoreBoxesMayHelp(WaitReason reason) {
   return reason != WaitReason::kQuota &&
-         reason != WaitReason::kNoSuitableWorker;
+         reason != WaitReason::kNoSuitableWorker && reason != WaitReason::kRow;
 }
 
 // Cause of a job's failure.
 enum class FailureCause {
   kAttempts,  // a task's attempts are used up
   kGivenUp,   // workers crash while running a task
+  kRow,       // the store's row does not hold the job's progress
 };
 
-inline constexpr base::EnumNames<FailureCause, 2> kFailureCauseNames{{
+inline constexpr base::EnumNames<FailureCause, 3> kFailureCauseNames{{
     {FailureCause::kAttempts, "attempts"},
     {FailureCause::kGivenUp, "given_up"},
+    {FailureCause::kRow, "row"},
 }};
 
 struct Task {
@@ -158,6 +164,21 @@
   FailureCause cause = FailureCause::kAttempts;
 };
 
+inline constexpr std::size_t kNoRowLimit =
+    std::numeric_limits<std::size_t>::max();
+
+// The job's row: what it takes, and what may go into it.
+struct RowUse {
+  // Upper bound of the encoded progress, with all that the placed runs may add;
+  // 0 until measured.
+  std::size_t bytes = 0;
+  base::Micros measured_at{};
+  std::size_t saved_bytes = 0;      // of the last save
+  std::size_t limit = kNoRowLimit;  // lower once a row has been rejected
+  int rejections = 0;               // since the last successful save
+  base::Micros save_not_before{};
+};
+
 struct Job {
   std::string id;
   std::string organisation;  // charged with its quota; empty if none
@@ -178,7 +199,7 @@
   std::uint64_t version = 0;
   std::uint64_t change = 0;
   std::uint64_t saved_change = 0;
-  std::uint64_t rejected_change = 0;  // not accepted by the store
+  RowUse row;
   // The change that contains the job's failure, until it is saved; else 0.
   std::uint64_t unsaved_failure = 0;
   std::optional<UnreportedFailure> unreported_failure;
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -275,11 +275,12 @@
   if (!reason)
     return AttemptResult::kPlaced;
   TaskAt(job, task.position).wait_reason = *reason;
-  // A task that waits for quota, or for an idle worker because it is a suspect,
-  // says nothing about other tasks: it neither blocks its step nor counts as a
-  // miss.
-  const bool blocks_only_itself =
-      *reason == WaitReason::kQuota || *reason == WaitReason::kSuspect;
+  // A task that waits for quota, for an idle worker because it is a suspect, or
+  // for room in its job's row, says nothing about other tasks: it neither
+  // blocks its step nor counts as a miss.
+  const bool blocks_only_itself = *reason == WaitReason::kQuota ||
+                                  *reason == WaitReason::kSuspect ||
+                                  *reason == WaitReason::kRow;
   if (blocks_only_itself)
     return AttemptResult::kKept;
   if (*reason == WaitReason::kCapacity)
@@ -302,6 +303,8 @@
   const jobs::Step& step = StepOf(job, ready_task.position);
   if (suspicion >= Suspicion::kDeferred)
     return WaitReason::kSuspect;
+  if (!this->HasRowRoom(job, ready_task.position, now))
+    return WaitReason::kRow;
   if (!this->quotas.Allows(job.organisation, QuotaNeededBy(step)))
     return WaitReason::kQuota;
   if (this->LeaseMayHaveBeenRenewed(job, ready_task.position))
--- a/scheduler/planned_runs.cc
+++ b/scheduler/planned_runs.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "jobs/progress_size.h"
 #include "scheduler/scheduler.h"
 #include "scheduler/start_constraints.h"
 
@@ -69,6 +70,7 @@
   const jobs::TaskId id = IdOf(job, choice.position);
   AddRun(worker, id, std::move(run));
   this->KeepReplacedStart(job, choice.position);
+  job.row.bytes += jobs::kMaxRunBytes;
   job.progress.placed[KeyOf(choice.position)] = {
       .worker = worker.info.incarnation, .run = run_number};
   this->MarkChanged(job);
--- a/scheduler/row_limit_test.cc
+++ b/scheduler/row_limit_test.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -57,20 +58,23 @@
                                   this->now);
   }
 
-  // Runs a pass, and ends the runs that it starts for this reason.
-  void Turn(RunEndReason reason) {
+  // Runs a pass, and ends the runs that it starts.
+  void Turn() {
     const std::vector<Action> actions = this->RunPass();
+    this->warnings += Only<ProgressRejected>(actions).size();
     for (const SaveProgress& save : Only<SaveProgress>(actions))
       this->AnswerSave(save);
     std::vector<ReportedEnd> ended;
     for (const StartRun& start : Only<StartRun>(actions)) {
       ++this->starts;
+      const bool fails = this->failed[start.task]++ < this->failures_of_a_task;
       this->scheduler.StartAnswered(start, CommandOutcome::kDone, this->now);
-      ended.push_back({.sequence = ++this->last_end,
-                       .task = start.task,
-                       .run = start.run,
-                       .reason = reason,
-                       .checkpoint = ""});
+      ended.push_back(
+          {.sequence = ++this->last_end,
+           .task = start.task,
+           .run = start.run,
+           .reason = fails ? RunEndReason::kFailed : RunEndReason::kSucceeded,
+           .checkpoint = ""});
     }
     if (!ended.empty())
       this->Report(kWorker, {.ended = ended});
@@ -78,13 +82,16 @@
 
   void RunUntilOver() {
     for (int turn = 0; turn < 400 && !this->job().finished(); ++turn)
-      this->Turn(RunEndReason::kSucceeded);
+      this->Turn();
   }
 
   std::size_t row_bytes = kRowBytes;
   std::size_t largest_save = 0;
   int rejected = 0;
+  std::size_t warnings = 0;
   int starts = 0;
+  int failures_of_a_task = 0;
+  std::map<jobs::TaskId, int> failed;
   std::int64_t last_end = 0;
 };
 
@@ -97,6 +104,62 @@
   bench.RunUntilOver();
   BOOST_CHECK(bench.job().progress.state == jobs::JobState::kCompleted);
   BOOST_TEST(bench.starts == kTasks);
+  BOOST_TEST(bench.warnings > 0U);
+}
+
+// Guards against plans beyond what the row can name, and against tasks that the
+// portions leave behind.
+BOOST_AUTO_TEST_CASE(JobWhoseRowWouldBeTooLargeStartsInPortions) {
+  SchedulerLimits limits = RowBench::LimitsOf(kLaterEpoch);
+  limits.max_progress_bytes = kRowBytes;
+  RowBench bench(limits);
+  bench.AddJob("job", RowBench::ManyTasks());
+  bench.RunUntilOver();
+  BOOST_CHECK(bench.job().progress.state == jobs::JobState::kCompleted);
+  BOOST_TEST(bench.starts == kTasks);
+  BOOST_TEST(bench.rejected == 0);
+  BOOST_TEST(bench.warnings == 0U);
+  BOOST_TEST(bench.largest_save <= kRowBytes);
+}
+
+// Guards against records of failed runs that fill the row: tasks that have
+// failed are started again before others begin.
+BOOST_AUTO_TEST_CASE(RowHoldsTheFailuresOfAllTasks) {
+  SchedulerLimits limits = RowBench::LimitsOf(kLaterEpoch);
+  limits.max_progress_bytes = kRowBytes;
+  RowBench bench(limits);
+  jobs::Queue queue;
+  queue.service = "pool";
+  queue.attempts = 4;
+  jobs::JobSpec spec;
+  spec.steps.push_back(RowBench::ManyTasks());
+  bench.scheduler.AddJob(MakeJob("job", queue, spec, {}, bench.now, {}),
+                         bench.now);
+  bench.failures_of_a_task = 3;
+  for (int turn = 0; turn < 4'000 && !bench.job().finished(); ++turn)
+    bench.Turn();
+  BOOST_CHECK(bench.job().progress.state == jobs::JobState::kCompleted);
+  BOOST_TEST(bench.starts == 4 * kTasks);
+  BOOST_TEST(bench.rejected == 0);
+  BOOST_TEST(bench.warnings == 0U);
+  BOOST_TEST(bench.largest_save <= kRowBytes);
+}
+
+// A gang is placed as a whole, so that no smaller portion helps. Guards against
+// a job that waits for good without an answer to its caller.
+BOOST_AUTO_TEST_CASE(JobThatNoRowCanHoldFails) {
+  SchedulerLimits limits = RowBench::LimitsOf(kLaterEpoch);
+  limits.max_progress_bytes = kRowBytes;
+  RowBench bench(limits);
+  jobs::Step gang = RowBench::ManyTasks();
+  gang.gang = true;
+  bench.AddJob("job", gang);
+  for (int turn = 0; turn < 100 && !bench.job().finished(); ++turn)
+    bench.Turn();
+  BOOST_CHECK(bench.job().progress.state == jobs::JobState::kFailed);
+  bench.Turn();
+  BOOST_TEST(bench.job().end_is_saved());
+  BOOST_TEST(bench.scheduler.FindWorker(kWorker)->runs.empty());
 }
 
 // Guards against capacity that is reserved for runs that are never started.
@@ -104,7 +167,7 @@
   RowBench bench;
   bench.row_bytes = 0;
   bench.AddJob("job", RowBench::ManyTasks());
-  bench.Turn(RunEndReason::kSucceeded);
+  bench.Turn();
   BOOST_TEST(bench.rejected == 1);
   BOOST_TEST(bench.scheduler.FindWorker(kWorker)->runs.empty());
 }
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -265,20 +265,20 @@
   this->save_immediately = false;
   for (auto it = this->jobs_to_save.begin(); it != this->jobs_to_save.end();) {
     Job* job = this->FindJob(*it);
-    if (job && job->save_in_flight) {
+    if (job && (job->save_in_flight || now < job->row.save_not_before)) {
       ++it;
       continue;
     }
     it = this->jobs_to_save.erase(it);
     if (!job)
       continue;
+    std::string text = this->EncodeRow(*job, now);
     job->save_in_flight = true;
-    this->actions.emplace_back(
-        SaveProgress{.job = job->id,
-                     .text = jobs::EncodeProgress(job->progress),
-                     .version = job->version,
-                     .change = job->change,
-                     .is_over = job->progress.IsOver()});
+    this->actions.emplace_back(SaveProgress{.job = job->id,
+                                            .text = std::move(text),
+                                            .version = job->version,
+                                            .change = job->change,
+                                            .is_over = job->progress.IsOver()});
   }
 }
 
@@ -291,6 +291,9 @@
     case SaveOutcome::kSaved:
       job->version = result.version;
       job->saved_change = std::max(job->saved_change, result.change);
+      // A row without plans is smaller than the one that was rejected.
+      if (!job->progress.placed.empty())
+        job->row.rejections = 0;
       this->StartSavedPlacements(*job, now);
       this->StopSavedRuns(*job, now);
       if (job->unsaved_failure > 0 &&
@@ -313,13 +316,10 @@
       this->next_save = now + kSavePeriod;
       break;
     case SaveOutcome::kRejected:
-      job->rejected_change = result.change;
-      this->actions.emplace_back(
-          LogNote{job->id, "the store rejected the progress update"});
+      this->ShrinkRow(*job, now);
       break;
   }
-  // A rejected change is not retried until the progress changes again.
-  if (job->change != job->saved_change && job->change != job->rejected_change)
+  if (job->change != job->saved_change)
     this->jobs_to_save.insert(job->id);
 }
 
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -259,6 +259,17 @@
   void ReportSavedFailure(Job& job);
   void StopAllRuns(Job& job, base::Micros now);
   void SaveChangedJobs(base::Micros now);
+
+  // rows that hold the progress of a job
+  std::size_t RowLimitOf(const Job& job) const;
+  void MeasureRow(Job& job, std::size_t encoded_bytes, base::Micros now);
+  // Whether the job's row can name a further run of the task.
+  bool HasRowRoom(Job& job, const TaskPosition& position, base::Micros now);
+  std::string EncodeRow(Job& job, base::Micros now);
+  void ShrinkRow(Job& job, base::Micros now);
+  int WithdrawUnsavedPlans(Job& job, base::Micros now);
+
+  // repeats
   void ReleaseDueRepeats(base::Micros now);
 
   // run ends
--- a/scheduler/scheduler_limits.h
+++ b/scheduler/scheduler_limits.h
@@ -3,10 +3,12 @@
 #ifndef SCHEDULER_SCHEDULER_LIMITS_H_
 #define SCHEDULER_SCHEDULER_LIMITS_H_
 
+#include <cstddef>
 #include <cstdint>
 
 #include "base/clock.h"
 #include "scheduler/fleet.h"
+#include "scheduler/job.h"
 
 namespace quartzhoist::scheduler {
 
@@ -23,6 +25,8 @@
   base::Micros max_announcement_age = base::Micros::max();
   std::uint64_t epoch = 1;  // of this ownership, counted from 1
   int shards = 1;           // the jobs are partitioned into these
+  // Encoded progress of a job that a row of the store holds.
+  std::size_t max_progress_bytes = kNoRowLimit;
   // Durations of box moves and of box maintenance.
   FleetTimings fleet;
 };
