Submissions: a job whose progress no row can hold is rejected at once

What callers saw: such a job was answered with 200 and would stand still once its progress outgrew its row: 1,000 repeats of two tasks where a row takes 16,384 bytes, 1,000 repeats of four where it takes 65,536, a gang of some hundreds.

Cause: only the accepted row was compared with row_bytes.

Change: 413 with "the job's progress would be too large for a row" if the marks of all done tasks, and the runs that must be placed at the same time (long-running tasks, the largest gang, or one task), do not fit, after base64.

--- a/entry/caller_submissions.cc
+++ b/entry/caller_submissions.cc
@@ -12,6 +12,7 @@
 #include "entry/caller_rights.h"
 #include "entry/caller_status.h"
 #include "jobs/progress.h"
+#include "jobs/progress_size.h"
 #include "platform/base64.h"
 #include "platform/batch_room.h"
 #include "platform/records.h"
@@ -87,6 +88,12 @@
                  "the job is too large for a row");
     return;
   }
+  if (jobs::NeededBytes(spec) >
+      MaxProgressBytes(this->store.deployment().row_bytes)) {
+    this->Refuse(exchange, kPayloadTooLarge, job,
+                 "the job's progress would be too large for a row");
+    return;
+  }
   if (this->admission && IsAdmissionInForce(*this->config))
     submission.admission =
         MakeAdmissionRequest(*this->config, queue, spec, organisation);
