--- a/testing/job_cluster.cc
+++ b/testing/job_cluster.cc
@@ -78,19 +78,36 @@
   return this->StartDaemon(id);
 }
 
+JobCluster::Daemon& JobCluster::StartDaemonAtEndpoint(const std::string& id) {
+  this->rows.AddEndpoint(id);
+  return this->StartDaemon(id);
+}
+
+void JobCluster::CopyLogs(const std::string& to) const {
+  std::error_code ignored;
+  std::filesystem::create_directories(to, ignored);
+  std::filesystem::copy(this->folder, to,
+                        std::filesystem::copy_options::recursive |
+                            std::filesystem::copy_options::overwrite_existing,
+                        ignored);
+}
+
 JobCluster::Daemon& JobCluster::StartDaemon(const std::string& id) {
   const auto link = this->links.find(id);
-  const std::string store = link == this->links.end() ? this->rows.address()
-                                                      : link->second->address();
+  std::string store = this->rows.address();
+  if (link != this->links.end())
+    store = link->second->address();
+  else if (this->rows.HasEndpoint(id))
+    store = this->rows.AddressOf(id);
   const std::string settings = fmt::format("{}/{}.ini", this->folder, id);
   std::ofstream(settings) << fmt::format(
       "[daemon]\nid = {}\nzone = z\n"
       "[listen]\ncallers = 127.0.0.1:0\n"
       "readiness = 127.0.0.1:0\nmetrics = 127.0.0.1:0\n"
       "[store]\naddress = {}\n[boxes]\naddress = {}\n"
-      "[limits]\nmove_seconds = 0.4\nupkeep_seconds = 0.4\n"
-      "stop_ms = 100\nworkers_an_owner = {}\n",
-      id, store, this->fleet.boxes_address(), this->workers_an_owner);
+      "[limits]\n{}workers_an_owner = {}\n",
+      id, store, this->fleet.boxes_address(), this->limits,
+      this->workers_an_owner);
   Daemon& daemon = this->by_id[id];
   daemon.settings = settings;
   const std::string output =
--- a/testing/job_cluster.h
+++ b/testing/job_cluster.h
@@ -43,6 +43,12 @@
   Daemon& StartDaemon(const std::string& id);
   // One that reaches the store over a link of its own.
   Daemon& StartDaemonOverLink(const std::string& id);
+  // One that reaches the store at an endpoint of its own, named after it.
+  Daemon& StartDaemonAtEndpoint(const std::string& id);
+  // The [limits] of daemons started from now on.
+  void SetLimits(const std::string& lines) { this->limits = lines; }
+  // Copies the daemons' logs, of ended ones too.
+  void CopyLogs(const std::string& to) const;
   TcpLink& LinkOf(const std::string& id) { return *this->links.at(id); }
   std::map<std::string, Daemon>& daemons() { return this->by_id; }
   // The daemons' logs, of ended ones too, and the rows of the shards' owners;
@@ -51,8 +57,10 @@
   // The daemon that schedules a shard, by the store's row; empty: none.
   std::string Owner(const entry::Shard& shard = {}) const;
 
+  base::Loop& on_loop() { return this->loop; }
   StoreStandin& store() { return this->rows; }
   WorkerStandins& workers() { return this->fleet; }
+  const WorkerStandins& workers_seen() const { return this->fleet; }
 
   // Called with each turn of the loop.
   void SetTicker(std::function<void()> ticker) {
@@ -93,6 +101,8 @@
   std::function<void()> ticker;
   int workers_an_owner = 200;
   std::string access_key;
+  std::string limits =
+      "move_seconds = 0.4\nupkeep_seconds = 0.4\nstop_ms = 100\n";
 };
 
 // A job's id made of a number.
--- a/testing/soak_main.cc
+++ b/testing/soak_main.cc
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 #include <cxxopts.hpp>
 
+#include "testing/fleet_soak.h"
 #include "testing/program.h"
 #include "testing/soak.h"
 
@@ -35,6 +36,29 @@
   return soak.broken().empty();
 }
 
+bool PlayFleet(const std::string& programs,
+               const testing::SoakForm& form,
+               std::uint64_t seed,
+               base::Micros length,
+               const std::string& keep) {
+  const auto schedule = testing::DrawFleetSchedule(seed, length);
+  testing::FleetSoak soak(programs, form, schedule, seed);
+  soak.Run(length);
+  const auto broken = soak.Broken();
+  fmt::print("fleet seed {}: {}: {}\n", seed, soak.Summary(),
+             broken.empty() ? "kept" : "BROKEN");
+  for (const std::string& fault : broken)
+    fmt::print("  {}\n", fault);
+  for (const testing::FleetEvent& event : schedule) {
+    if (!broken.empty())
+      fmt::print("    {}\n", testing::TextOf(event));
+  }
+  if (!broken.empty() && !keep.empty())
+    soak.CopyLogs(fmt::format("{}/seed-{}", keep, seed));
+  std::fflush(stdout);
+  return broken.empty();
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -43,14 +67,27 @@
                         cxxopts::value<std::string>())(
       "first", "first seed", cxxopts::value<std::uint64_t>())(
       "last", "last seed", cxxopts::value<std::uint64_t>())(
-      "seconds", "length of each", cxxopts::value<int>());
+      "seconds", "length of each", cxxopts::value<int>())(
+      "form", "faults, fleet or large",
+      cxxopts::value<std::string>()->default_value("faults"))(
+      "keep", "folder for the logs of failing seeds",
+      cxxopts::value<std::string>()->default_value(""));
   try {
     const auto given = options.parse(argc, argv);
     const auto last = given["last"].as<std::uint64_t>();
     const auto length = std::chrono::seconds(given["seconds"].as<int>());
     int broken = 0;
-    for (auto seed = given["first"].as<std::uint64_t>(); seed <= last; ++seed)
-      broken += !Play(given["programs"].as<std::string>(), seed, length);
+    const auto programs = given["programs"].as<std::string>();
+    const auto form = given["form"].as<std::string>();
+    const testing::SoakForm size =
+        form == "large" ? testing::kLargeForm : testing::SoakForm{};
+    for (auto seed = given["first"].as<std::uint64_t>(); seed <= last; ++seed) {
+      if (form == "faults")
+        broken += !Play(programs, seed, length);
+      else
+        broken += !PlayFleet(programs, size, seed, length,
+                             given["keep"].as<std::string>());
+    }
     return broken == 0 ? 0 : 1;
   } catch (const std::exception& problem) {
     fmt::print(stderr, "{}\n{}", problem.what(), options.help());
--- a/testing/store_standin.cc
+++ b/testing/store_standin.cc
@@ -53,6 +53,12 @@
           .key = entry.at("key")};
 }
 
+// The fewest milliseconds that an answer takes.
+constexpr base::Micros kTimerPeriod = milliseconds(4);
+constexpr base::Micros kLeastLateness = milliseconds(1000);
+constexpr base::Micros kLatenessStep = milliseconds(700);
+constexpr int kLatenessSteps = 8;
+
 std::int64_t NowMillis() {
   return base::Millis(base::MonotonicNow());
 }
@@ -67,15 +73,55 @@
               this->AnswerWaiting();
             }),
       server(on, {.port = port}, [this](const http::ExchangePtr& exchange) {
-        this->Handle(exchange);
+        this->Handle({.exchange = exchange});
       }) {
-  this->timer.StartEvery(milliseconds(20));
+  this->timer.StartEvery(kTimerPeriod);
 }
 
 std::string StoreStandin::address() const {
   return fmt::format("127.0.0.1:{}", this->server.port());
 }
 
+std::string StoreStandin::AddEndpoint(const std::string& name) {
+  Endpoint& endpoint = this->endpoints[name];
+  endpoint.server = std::make_unique<http::Server>(
+      this->loop, http::ServerOptions{},
+      [this, &endpoint](const http::ExchangePtr& exchange) {
+        this->Handle({.exchange = exchange, .endpoint = &endpoint});
+      });
+  return this->AddressOf(name);
+}
+
+std::string StoreStandin::AddressOf(const std::string& name) const {
+  return fmt::format("127.0.0.1:{}", this->endpoints.at(name).server->port());
+}
+
+void StoreStandin::SetMoodOf(const std::string& name, Mood mood_now) {
+  this->endpoints.at(name).mood = mood_now;
+}
+
+void StoreStandin::CutCallsOf(const std::string& name) {
+  const Endpoint* endpoint = &this->endpoints.at(name);
+  std::vector<http::ExchangePtr> in_service;
+  std::erase_if(this->delayed, [&](const auto& entry) {
+    if (entry.second.endpoint != endpoint)
+      return false;
+    in_service.push_back(entry.second.exchange);
+    return true;
+  });
+  std::erase_if(this->waiting, [&](const Waiting& feed) {
+    if (feed.endpoint != endpoint)
+      return false;
+    in_service.push_back(feed.exchange);
+    return true;
+  });
+  for (const http::ExchangePtr& exchange : in_service) {
+    if (exchange->request().path == "/rows-tx")
+      this->Write(exchange, Mood::kLosesAnswers);
+    exchange->Cut();
+  }
+}
+
 void StoreStandin::ForgetHistory() {
   this->history.clear();
   this->forgotten = this->version;
@@ -137,7 +183,10 @@
   return "";
 }
 
-StoreStandin::Mood StoreStandin::MoodOf(const std::string& path) {
+StoreStandin::Mood StoreStandin::MoodOf(const Call& call) {
+  const std::string& path = call.exchange->request().path;
+  if (call.endpoint && call.endpoint->mood != Mood::kWell)
+    return call.endpoint->mood;
   std::deque<Mood> none;
   std::deque<Mood>& next_moods = path == "/rows-tx" ? this->next_writes
                                  : path.starts_with("/rows-get")
@@ -150,16 +199,17 @@
   return next;
 }
 
-void StoreStandin::Handle(const http::ExchangePtr& exchange) {
+void StoreStandin::Handle(const Call& call) {
   if (this->delay > base::Micros::zero())
-    this->delayed.emplace_back(base::MonotonicNow() + this->delay, exchange);
+    this->delayed.emplace(base::MonotonicNow() + this->delay, call);
   else
-    this->HandleNow(exchange);
+    this->HandleNow(call);
 }
 
-void StoreStandin::HandleNow(const http::ExchangePtr& exchange) {
+void StoreStandin::HandleNow(const Call& call) {
+  const http::ExchangePtr& exchange = call.exchange;
   const bool is_write = exchange->request().path == "/rows-tx";
-  const Mood now = this->MoodOf(exchange->request().path);
+  const Mood now = this->MoodOf(call);
   this->write_count += is_write;
   if (now == Mood::kCuts) {
     exchange->Cut();
@@ -169,7 +219,18 @@
     exchange->Reply(http::JsonResponse(503, "{}"));
     return;
   }
-  if (now == Mood::kSilent) {
+  if (now == Mood::kTooMany) {
+    exchange->Reply(http::JsonResponse(429, "{}"));
+    return;
+  }
+  if (now == Mood::kLate && is_write) {
+    const int steps = this->write_count % kLatenessSteps;
+    this->late.emplace(
+        base::MonotonicNow() + kLeastLateness + steps * kLatenessStep,
+        exchange);
+    return;
+  }
+  if (now == Mood::kSilent || now == Mood::kLate) {
     this->unanswered.push_back(exchange);
     return;
   }
@@ -179,7 +240,7 @@
   else if (path.starts_with("/rows-get"))
     this->Read(exchange);
   else if (path.starts_with("/rows-feed"))
-    this->Feed(exchange);
+    this->Feed(call);
   else
     exchange->Reply(http::JsonResponse(404, "{}"));
 }
@@ -255,13 +316,15 @@
   exchange->Reply(http::JsonResponse(200, answer.dump()));
 }
 
-void StoreStandin::Feed(const http::ExchangePtr& exchange) {
+void StoreStandin::Feed(const Call& call) {
+  const http::ExchangePtr& exchange = call.exchange;
   auto query = QueryOf(exchange->request().path);
   const Waiting feed{
       .exchange = exchange,
       .table = query["table"],
       .from = std::stoull(query["dependsOn"]),
-      .until = base::MonotonicNow() + milliseconds(std::stol(query["waitMs"]))};
+      .until = base::MonotonicNow() + milliseconds(std::stol(query["waitMs"])),
+      .endpoint = call.endpoint};
   if (feed.from < this->forgotten) {
     exchange->Reply(http::JsonResponse(410, "{}"));
     return;
@@ -295,10 +358,15 @@
 
 void StoreStandin::HandleDelayed() {
   const base::Micros now = base::MonotonicNow();
-  while (!this->delayed.empty() && this->delayed.front().first <= now) {
-    const http::ExchangePtr exchange = this->delayed.front().second;
-    this->delayed.pop_front();
-    this->HandleNow(exchange);
+  while (!this->delayed.empty() && this->delayed.begin()->first <= now) {
+    const Call call = this->delayed.begin()->second;
+    this->delayed.erase(this->delayed.begin());
+    this->HandleNow(call);
+  }
+  while (!this->late.empty() && this->late.begin()->first <= now) {
+    const http::ExchangePtr exchange = this->late.begin()->second;
+    this->late.erase(this->late.begin());
+    this->Write(exchange, Mood::kLosesAnswers);
   }
 }
 
--- a/testing/store_standin.h
+++ b/testing/store_standin.h
@@ -30,6 +30,8 @@
     kLosesAnswers,  // writes are done, their connection is cut
     kSilent,        // no answer, nothing is done
     kCuts,          // the connection is cut, nothing is done
+    kTooMany,       // 429: nothing is done
+    kLate,          // no answer, writes are done 1 to 6 s later
   };
 
   explicit StoreStandin(base::Loop& loop, std::uint16_t port = 0);
@@ -40,6 +42,18 @@
   }
 
   std::string address() const;
+  // A further address with a mood of its own, for callers that can be turned
+  // away while the others are served.
+  std::string AddEndpoint(const std::string& name);
+  bool HasEndpoint(const std::string& name) const {
+    return this->endpoints.contains(name);
+  }
+  std::string AddressOf(const std::string& name) const;
+  // Takes precedence over the mood of the store unless it is kWell.
+  void SetMoodOf(const std::string& name, Mood mood);
+  // Cuts the connections of the endpoint's calls in service, whose writes are
+  // carried out.
+  void CutCallsOf(const std::string& name);
   void SetMood(Mood mood) { this->mood = mood; }
   // All further calls are carried out, and answered, after this delay.
   void SetDelay(base::Micros span) { this->delay = span; }
@@ -79,19 +93,28 @@
     bool removed = false;
     std::string value;
   };
+  struct Endpoint {
+    Mood mood = Mood::kWell;
+    std::unique_ptr<http::Server> server;
+  };
+  struct Call {
+    http::ExchangePtr exchange;
+    const Endpoint* endpoint = nullptr;  // null: the store's own address
+  };
   struct Waiting {
     http::ExchangePtr exchange;
     std::string table;
     std::uint64_t from = 0;
     base::Micros until{};
+    const Endpoint* endpoint = nullptr;
   };
 
-  void Handle(const http::ExchangePtr& exchange);
-  void HandleNow(const http::ExchangePtr& exchange);
-  Mood MoodOf(const std::string& path);
+  void Handle(const Call& call);
+  void HandleNow(const Call& call);
+  Mood MoodOf(const Call& call);
   void Write(const http::ExchangePtr& exchange, Mood now);
   void Read(const http::ExchangePtr& exchange);
-  void Feed(const http::ExchangePtr& exchange);
+  void Feed(const Call& call);
   bool AnswerFeed(const Waiting& waiting, bool over);
   void HandleDelayed();
   void AnswerWaiting();
@@ -102,7 +125,9 @@
   base::Loop& loop;
   Mood mood = Mood::kWell;
   base::Micros delay{};
-  std::deque<std::pair<base::Micros, http::ExchangePtr>> delayed;  // until
+  std::multimap<base::Micros, Call> delayed;  // by the time they are due
+  std::multimap<base::Micros, http::ExchangePtr> late;  // the same, of writes
+  std::map<std::string, Endpoint> endpoints;
   std::deque<Mood> next_writes;
   std::deque<Mood> next_reads;
   platform::Deployment can;
--- a/testing/worker_standin.cc
+++ b/testing/worker_standin.cc
@@ -12,9 +12,8 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr std::int64_t kCpu = 4000;
-constexpr std::int64_t kMemory = 8000;
-constexpr base::Micros kAway = milliseconds(400);
+constexpr std::int64_t kMemoryPerCore = 2;  // MB, for a thousandth of a core
+constexpr std::uint64_t kThousand = 1000;
 constexpr base::Micros kHeartbeat = milliseconds(1000);
 
 std::int64_t NowMillis() {
@@ -64,6 +63,7 @@
   life->clock_from_ms = NowMillis() - 1;
   life->box = box;
   life->pool = pool;
+  life->cpu = this->cores;
   Life* raw = life.get();
   life->server = std::make_unique<http::Server>(
       this->loop, http::ServerOptions{},
@@ -88,7 +88,8 @@
       {"state", "ready"},
       {"machine", life.box},
       {"labels", {"a", "rack-" + life.box}},
-      {"capacity", {{"cpu", kCpu}, {"memMb", kMemory}, {"gpu", 0}}},
+      {"capacity",
+       {{"cpu", life.cpu}, {"memMb", life.cpu * kMemoryPerCore}, {"gpu", 0}}},
       {"clockMs", ClockOf(life)}};
   this->store.Put({.table = "servers", .part = "", .key = life.id}, row.dump());
 }
@@ -111,6 +112,58 @@
   this->lives[box] = this->Begin(box, life->pool);
 }
 
+void WorkerStandins::Lose(const std::string& box, base::Micros span) {
+  const auto found = this->lives.find(box);
+  if (found == this->lives.end())
+    return;
+  const std::shared_ptr<Life> life = found->second;
+  this->ended.push_back(life);
+  life->running.clear();
+  life->server.reset();
+  this->lives.erase(found);
+  const base::Micros now = base::MonotonicNow();
+  this->entries_left[life->id] = now + 3 * kHeartbeat;
+  this->away[box] = now + span;
+  this->pools[box] = life->pool;
+}
+
+void WorkerStandins::SetCut(const std::string& box, bool is_cut) {
+  const auto found = this->lives.find(box);
+  if (found != this->lives.end())
+    found->second->is_cut = is_cut;
+}
+
+std::set<std::string> WorkerStandins::Running() const {
+  std::set<std::string> tasks;
+  for (const auto& [box, life] : this->lives) {
+    for (const auto& [task, run] : life->running)
+      tasks.insert(task);
+  }
+  return tasks;
+}
+
+WorkerStandins::PoolUse WorkerStandins::UseOf(const std::string& pool) const {
+  PoolUse use;
+  for (const auto& [box, life] : this->lives) {
+    if (life->pool != pool)
+      continue;
+    use.cpu += life->cpu;
+    use.used += life->used;
+    use.most_free = std::max(use.most_free, life->cpu - life->used);
+  }
+  return use;
+}
+
+std::vector<std::string> WorkerStandins::BoxesOf(
+    const std::string& pool) const {
+  std::vector<std::string> boxes;
+  for (const auto& [box, life] : this->lives) {
+    if (life->pool == pool)
+      boxes.push_back(box);
+  }
+  return boxes;
+}
+
 void WorkerStandins::Restart(const std::string& box) {
   const std::shared_ptr<Life> life = this->lives.at(box);
   this->ended.push_back(life);
@@ -138,6 +191,10 @@
 }
 
 void WorkerStandins::Handle(Life& life, const http::ExchangePtr& exchange) {
+  if (life.is_cut) {
+    this->unheard.push_back(exchange);
+    return;
+  }
   const http::Request& request = exchange->request();
   const std::string* meant =
       http::FindHeader(request.headers, "Expect-Instance");
@@ -200,6 +257,26 @@
     this->faults.push_back(task + " starts again after its end was noted");
 }
 
+// A specification in JSON tells how the task behaves: `ms`, `lasts`, `cpu`, and
+// `fails`, how many of a thousand runs.
+WorkerStandins::Run WorkerStandins::RunOf(const std::string& task,
+                                          int number,
+                                          const std::string& spec) const {
+  Run run{.number = number, .ends = base::MonotonicNow() + this->run_time};
+  if (!spec.starts_with('{'))
+    return run;
+  const json told = json::parse(spec);
+  run.cpu = told.value("cpu", std::int64_t{0});
+  run.fails =
+      std::hash<std::string>()(fmt::format("{} {}", task, number)) % kThousand <
+      told.value("fails", std::uint64_t{0});
+  run.ends =
+      base::MonotonicNow() + milliseconds(told.value("ms", std::int64_t{100}));
+  if (told.value("lasts", false) && !run.fails)
+    run.ends = base::Micros::max();
+  return run;
+}
+
 void WorkerStandins::Start(Life& life,
                            const http::ExchangePtr& exchange,
                            const json& body) {
@@ -229,8 +306,12 @@
   for (const auto& [box, other] : this->lives)
     running += static_cast<int>(other->running.size());
   this->most_running_count = std::max(this->most_running_count, running);
-  life.running[task] = {.number = run,
-                        .ends = base::MonotonicNow() + this->run_time};
+  const Run made = this->RunOf(task, run, body.value("spec", ""));
+  life.running[task] = made;
+  life.used += made.cpu;
+  if (life.used > life.cpu)
+    this->faults.push_back(
+        fmt::format("{} starts beyond the room of {}", task, life.box));
   exchange->Reply(Answer(200, ClockOf(life), json::object()));
 }
 
@@ -252,6 +333,7 @@
                             const char* how) {
   const auto found = life.running.find(task);
   const int run = found->second.number;
+  life.used -= found->second.cpu;
   life.running.erase(found);
   life.over[task] = std::max(life.over[task], run);
   life.ends.push_back(json::array({++life.last_end, task, run, how, ""}));
@@ -268,8 +350,14 @@
         over.push_back(task);
     }
     for (const std::string& task : over) {
-      this->done_count += !lapsed;
-      this->AddEnd(*life, task, lapsed ? "lapsed" : "done");
+      const bool fails = life->running.at(task).fails;
+      if (!lapsed && fails)
+        ++this->failures[task];
+      if (!lapsed && !fails) {
+        ++this->done_count;
+        this->done.insert(task);
+      }
+      this->AddEnd(*life, task, lapsed ? "lapsed" : fails ? "failed" : "done");
     }
     std::erase_if(life->looks, [&, this](const auto& look) {
       if (life->ends.empty() && now < look.second)
@@ -278,6 +366,12 @@
       return true;
     });
   }
+  std::erase_if(this->entries_left, [this, now](const auto& entry) {
+    if (now < entry.second)
+      return false;
+    this->store.Remove({.table = "servers", .part = "", .key = entry.first});
+    return true;
+  });
   std::vector<std::string> back;
   for (const auto& [box, until] : this->away) {
     if (now >= until)
@@ -296,11 +390,15 @@
   this->ended.push_back(found->second);
   this->End(*found->second);
   this->lives.erase(found);
-  this->away[box] = base::MonotonicNow() + kAway;
+  this->away[box] = base::MonotonicNow() + this->away_time;
   this->pools[box] = pool;
 }
 
 void WorkerStandins::HandleBoxes(const http::ExchangePtr& exchange) {
+  if (this->box_mood == BoxMood::kBusy) {
+    exchange->Reply(http::JsonResponse(503, "{}"));
+    return;
+  }
   const http::Request& request = exchange->request();
   if (request.method == "GET") {
     json list = {{"machines", json::array()}, {"nextToken", nullptr}};
@@ -308,7 +406,7 @@
       list["machines"].push_back({{"machine", box},
                                   {"pool", life->pool},
                                   {"state", "up"},
-                                  {"capacity", {{"cpu", kCpu}}},
+                                  {"capacity", {{"cpu", life->cpu}}},
                                   {"id", life->id}});
     }
     for (const auto& [box, until] : this->away) {
@@ -341,7 +439,10 @@
              pool != life->second->pool) {
     this->TakeDown(box, pool);
   }
-  exchange->Reply(http::JsonResponse(200, "{}"));
+  if (this->box_mood == BoxMood::kLosesAnswers)
+    exchange->Cut();
+  else
+    exchange->Reply(http::JsonResponse(200, "{}"));
 }
 
 }  // namespace quartzhoist::testing
--- a/testing/worker_standin.h
+++ b/testing/worker_standin.h
@@ -34,7 +34,22 @@
   void Crash(const std::string& box);
   // The same, and the next life has the id of this one.
   void Restart(const std::string& box);
+  // The life ends without a word: its entry stays for three heartbeats, and
+  // the box is down for this long.
+  void Lose(const std::string& box, base::Micros span);
+  // What the life is asked has no effect and no answer, while it works on.
+  void SetCut(const std::string& box, bool is_cut);
   void SetRunTime(base::Micros span) { this->run_time = span; }
+  // Of boxes added from now on, in thousandths of a core.
+  void SetCores(std::int64_t cpu) { this->cores = cpu; }
+  void SetAwayTime(base::Micros span) { this->away_time = span; }
+
+  enum class BoxMood {
+    kWell,
+    kBusy,          // 503: nothing is done
+    kLosesAnswers,  // moves and upkeeps are done, their connection is cut
+  };
+  void SetBoxMood(BoxMood mood) { this->box_mood = mood; }
 
   // The address of the service that moves and maintains boxes.
   std::string boxes_address() const;
@@ -59,17 +74,38 @@
   // Boxes that were away at once when an upkeep began, itself included.
   std::size_t most_away() const { return this->most_away_count; }
   int RunningTasks(const std::string& job) const;
+  // All tasks at work.
+  std::set<std::string> Running() const;
+  bool HasEndedDone(const std::string& task) const {
+    return this->done.contains(task);
+  }
+  // Ends `failed` of a task.
+  int Failures(const std::string& task) const {
+    const auto found = this->failures.find(task);
+    return found == this->failures.end() ? 0 : found->second;
+  }
+  struct PoolUse {
+    std::int64_t cpu = 0;  // of boxes that are up
+    std::int64_t used = 0;
+    std::int64_t most_free = 0;  // on one box
+  };
+  PoolUse UseOf(const std::string& pool) const;
+  std::vector<std::string> BoxesOf(const std::string& pool) const;
 
  private:
   struct Run {
     int number = 0;
     base::Micros ends{};
     std::int64_t cpu = 0;
+    bool fails = false;
   };
   struct Life {
     std::string id;
     std::string box;
     std::string pool;
+    bool is_cut = false;
+    std::int64_t cpu = 0;
+    std::int64_t used = 0;           // by its runs
     std::int64_t born_ms = 0;        // since 1970
     std::int64_t clock_from_ms = 0;  // its clock counts from then on
     std::int64_t deadline_ms = 0;    // on its clock
@@ -101,6 +137,7 @@
             const nlohmann::json& body);
   void JudgeEpoch(const std::string& box, std::uint64_t epoch);
   void JudgeStart(const Life& life, const std::string& task, int run);
+  Run RunOf(const std::string& task, int number, const std::string& spec) const;
   void AddEnd(Life& life, const std::string& task, const char* how);
   void Work();
   std::string ListingText(const Life& life) const;
@@ -119,6 +156,13 @@
   std::map<std::string, std::uint64_t> box_epochs;  // highest, by box
   std::set<std::string> noted;                      // tasks whose end was noted
   std::set<std::string> started_jobs;
+  std::set<std::string> done;  // tasks that have ended so
+  std::map<std::string, int> failures;
+  std::map<std::string, base::Micros> entries_left;  // ids, until when
+  std::vector<http::ExchangePtr> unheard;
+  std::int64_t cores = 4000;
+  base::Micros away_time = std::chrono::milliseconds(400);
+  BoxMood box_mood = BoxMood::kWell;
   std::vector<std::string> faults;
   int start_count = 0;
   int most_running_count = 0;
