--- a/testing/fleet_soak.cc
+++ b/testing/fleet_soak.cc
@@ -20,6 +20,7 @@
 constexpr std::int64_t kCores = 16'000;
 constexpr base::Micros kStoreTime = milliseconds(4);
 constexpr base::Micros kSlowStoreTime = milliseconds(240);
+constexpr base::Micros kSlowBefore = milliseconds(800);
 constexpr base::Micros kAway = milliseconds(1500);
 constexpr base::Micros kGrace = seconds(6);
 constexpr base::Micros kLookPeriod = milliseconds(100);
@@ -57,7 +58,12 @@
 }  // namespace
 
 std::vector<FleetEvent> DrawFleetSchedule(std::uint64_t seed,
-                                          base::Micros length) {
+                                          base::Micros length,
+                                          std::vector<FleetFault> among) {
+  if (among.empty()) {
+    for (const auto& named : kFleetFaultNames)
+      among.push_back(named.value);
+  }
   std::mt19937_64 random(seed);
   const auto draw = [&random](std::int64_t least, std::int64_t most) {
     return std::uniform_int_distribution<std::int64_t>(least, most)(random);
@@ -66,13 +72,21 @@
   const auto add = [&](base::Micros at) {
     FleetEvent event;
     event.at = at;
-    event.fault = kFleetFaultNames[static_cast<std::size_t>(
-                                       draw(0, kFleetFaultNames.size() - 1))]
-                      .value;
+    event.fault = among[static_cast<std::size_t>(
+        draw(0, static_cast<std::int64_t>(among.size()) - 1))];
     event.target = random();
     if (HasSpan(event.fault))
       event.span = milliseconds(draw(300, 5000));
     schedule.push_back(event);
+    // A slow store has writes in service when it turns daemons away.
+    const bool turns_away = event.fault == FleetFault::kStoreRefuses ||
+                            event.fault == FleetFault::kStoreThrottles ||
+                            event.fault == FleetFault::kStoreResets;
+    if (turns_away && draw(0, 2) > 0)
+      schedule.push_back({.at = event.at - kSlowBefore,
+                          .span = kSlowBefore + event.span / 2,
+                          .fault = FleetFault::kStoreSlow,
+                          .target = 0});
   };
   const auto kind = seed % 3;
   const base::Micros between = kind == 0   ? kBetweenDense
--- a/testing/fleet_soak.h
+++ b/testing/fleet_soak.h
@@ -71,9 +71,11 @@
 };
 
 // Seeds take turns: faults all the time; a few at a time; groups of faults that
-// overlap, with calm times between them.
+// overlap, with calm times between them. Draws from `among`, or from all faults
+// if that is empty.
 std::vector<FleetEvent> DrawFleetSchedule(std::uint64_t seed,
-                                          base::Micros length);
+                                          base::Micros length,
+                                          std::vector<FleetFault> among = {});
 std::string TextOf(const FleetEvent& event);
 
 class FleetSoak {
--- a/testing/soak_main.cc
+++ b/testing/soak_main.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdio>
 #include <string>
+#include <vector>
 
 #include <fmt/format.h>
 #include <cxxopts.hpp>
@@ -40,8 +41,9 @@
                const testing::SoakForm& form,
                std::uint64_t seed,
                base::Micros length,
+               const std::vector<testing::FleetFault>& among,
                const std::string& keep) {
-  const auto schedule = testing::DrawFleetSchedule(seed, length);
+  const auto schedule = testing::DrawFleetSchedule(seed, length, among);
   testing::FleetSoak soak(programs, form, schedule, seed);
   soak.Run(length);
   const auto broken = soak.Broken();
@@ -70,6 +72,8 @@
       "seconds", "length of each", cxxopts::value<int>())(
       "form", "faults, fleet or large",
       cxxopts::value<std::string>()->default_value("faults"))(
+      "among", "faults that a fleet's schedule is drawn from; empty: all",
+      cxxopts::value<std::vector<std::string>>()->default_value(""))(
       "keep", "folder for the logs of failing seeds",
       cxxopts::value<std::string>()->default_value(""));
   try {
@@ -81,11 +85,18 @@
     const auto form = given["form"].as<std::string>();
     const testing::SoakForm size =
         form == "large" ? testing::kLargeForm : testing::SoakForm{};
+    std::vector<testing::FleetFault> among;
+    for (const auto& name : given["among"].as<std::vector<std::string>>()) {
+      for (const auto& named : testing::kFleetFaultNames) {
+        if (name == named.name)
+          among.push_back(named.value);
+      }
+    }
     for (auto seed = given["first"].as<std::uint64_t>(); seed <= last; ++seed) {
       if (form == "faults")
         broken += !Play(programs, seed, length);
       else
-        broken += !PlayFleet(programs, size, seed, length,
+        broken += !PlayFleet(programs, size, seed, length, among,
                              given["keep"].as<std::string>());
     }
     return broken == 0 ? 0 : 1;
