--- a/scheduler/starvation_test.cc
+++ b/scheduler/starvation_test.cc
@@ -139,5 +139,19 @@
   BOOST_TEST(pool.started_on == "moved");
 }
 
+// Guards against a wait that begins anew with each configuration, so that a
+// task never waits long enough for a reservation while queues come and go.
+BOOST_AUTO_TEST_CASE(LongRunningTaskStartsWhileConfigurationsKeepArriving) {
+  StarvedLargeTask pool(0);
+  jobs::Config config;
+  config.services.push_back({.name = "pool"});
+  while (pool.pass < 30 && pool.started_on.empty()) {
+    if (pool.pass % 3 == 0)
+      pool.bench.scheduler.SetConfig(config, pool.bench.now);
+    pool.RunPass();
+  }
+  BOOST_TEST(!pool.started_on.empty());
+}
+
 }  // namespace
 }  // namespace quartzhoist::scheduler
