--- a/testing/fleet_soak.cc
+++ b/testing/fleet_soak.cc
@@ -166,10 +166,12 @@
   this->is_healing = true;
   this->callers->Stop();
   this->cluster.WaitUntil(base::Seconds(kFinish), [] { return false; });
+  this->judge->JudgeStates(true);
+  this->callers->CancelLasting();
   if (!this->cluster.WaitUntil(kOverSeconds,
                                [this] { return this->judge->AllOver(); }))
     this->faults.push_back("LOST jobs are not over a minute after the end");
-  this->judge->JudgeStates();
+  this->judge->JudgeStates(false);
   this->judge->JudgeRefused();
 }
 
--- a/testing/soak_callers.cc
+++ b/testing/soak_callers.cc
@@ -20,7 +20,7 @@
 // Of a pool, in the mean; with tasks of 880 thousandths of a core, 0.8 s and
 // 1.6 steps of 6 that is two fifths of four boxes of 16 cores.
 constexpr double kJobsPerSecondAndBox = 0.95;
-constexpr double kLastingJobsPerSecond = 0.12;
+constexpr double kLastingJobsPerSecond = 0.04;
 constexpr int kFirstLastingJobs = 2;
 constexpr int kFirstTask = 2;
 constexpr int kMaxTries = 4;
@@ -102,6 +102,8 @@
   job.pool = fmt::format("pool-{}", pool);
   job.queue = fmt::format("{}-{}", lasts ? "last" : "short", pool);
   job.lasts = lasts;
+  job.memory =
+      lasts ? 1400 + static_cast<std::int64_t>(this->Draw() * 4'000) : 900;
   job.steps = lasts ? 1 : 1 + (this->Draw() < 0.5) + (this->Draw() < 0.1);
   job.tasks = lasts ? 5 : kFirstTask + static_cast<int>(this->Draw() * 9);
   job.cpu = lasts ? 1300 : 440 + static_cast<std::int64_t>(this->Draw() * 880);
@@ -113,6 +115,7 @@
   const int millis = 400 + static_cast<int>(this->Draw() * 800);
   json body = {{"spec", json{{"ms", millis},
                              {"cpu", job.cpu},
+                             {"memMb", job.memory},
                              {"lasts", lasts},
                              {"fails", lasts ? 30 : 5}}
                             .dump()},
@@ -120,7 +123,7 @@
   for (int step = 0; step < job.steps; ++step) {
     json one = {{"count", job.tasks},
                 {"cpu", job.cpu},
-                {"memMb", lasts ? 3400 : 900},
+                {"memMb", job.memory},
                 {"estimateMs", millis}};
     if (step > 0)
       one["dependsOn"] = {step - 1};
@@ -252,6 +255,13 @@
       });
 }
 
+void SoakCallers::CancelLasting() {
+  for (auto& [id, job] : this->by_id) {
+    if (job.lasts && !job.cancel_sent)
+      this->Cancel(job, 0);
+  }
+}
+
 void SoakCallers::AskForMissingQueue(const std::string& queue) {
   for (const auto& [daemon, process] : this->cluster.daemons())
     this->Send(daemon, "GET", queue + "/", "",
--- a/testing/soak_callers.h
+++ b/testing/soak_callers.h
@@ -42,6 +42,7 @@
   int steps = 1;
   int tasks = 5;  // of each step
   std::int64_t cpu = 0;
+  std::int64_t memory = 0;
   int tries = 0;
   bool is_open = false;    // a submission has no answer yet
   bool may_be_in = false;  // a submission ended without an answer
@@ -61,6 +62,7 @@
   void Tick();
   // No further submissions and cancels.
   void Stop() { this->is_stopped = true; }
+  void CancelLasting();
 
   // Called when a daemon is killed: its open calls may end without an answer.
   void NoteKilled(const std::string& daemon);
--- a/testing/worker_standin.h
+++ b/testing/worker_standin.h
@@ -87,9 +87,14 @@
   struct PoolUse {
     std::int64_t cpu = 0;  // of boxes that are up
     std::int64_t used = 0;
-    std::int64_t most_free = 0;  // on one box
+    std::int64_t memory = 0;
+    std::int64_t used_memory = 0;
   };
   PoolUse UseOf(const std::string& pool) const;
+  // Whether one box of the pool has this much free.
+  bool HasRoom(const std::string& pool,
+               std::int64_t cpu,
+               std::int64_t memory) const;
   std::vector<std::string> BoxesOf(const std::string& pool) const;
 
  private:
@@ -97,6 +102,7 @@
     int number = 0;
     base::Micros ends{};
     std::int64_t cpu = 0;
+    std::int64_t memory = 0;
     bool fails = false;
   };
   struct Life {
@@ -105,7 +111,8 @@
     std::string pool;
     bool is_cut = false;
     std::int64_t cpu = 0;
-    std::int64_t used = 0;           // by its runs
+    std::int64_t used = 0;  // by its runs
+    std::int64_t used_memory = 0;
     std::int64_t born_ms = 0;        // since 1970
     std::int64_t clock_from_ms = 0;  // its clock counts from then on
     std::int64_t deadline_ms = 0;    // on its clock
