A configuration no longer restarts the wait of ready tasks

The wait decides on reservations, on boxes for stuck tasks and on what operators are told. With a configuration a second it never grew long enough.

--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -41,8 +41,13 @@
   old.swap(this->ready);
   for (const auto& [service, tasks] : old) {
     for (const ReadyTask& task : tasks) {
-      if (TaskAt(*task.job, task.position).state == TaskState::kReady)
-        this->Enqueue(*task.job, task.position, now);
+      Task& waiting = TaskAt(*task.job, task.position);
+      if (waiting.state != TaskState::kReady)
+        continue;
+      const base::Micros since = waiting.ready_since;
+      this->Enqueue(*task.job, task.position, now);
+      // A configuration does not end the task's wait.
+      waiting.ready_since = since;
     }
   }
 }
