--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -227,6 +227,23 @@
   });
 }
 
+bool Scheduler::PlacementPass::HasLabelOf(const jobs::Step& step) {
+  if (step.label.empty())
+    return true;
+  if (this->missing_labels.contains(step.label))
+    return false;
+  const auto has_label = [&step](const Worker* worker) {
+    return HasRequiredLabel(*worker, step);
+  };
+  const bool found =
+      std::any_of(this->candidates.begin(), this->candidates.end(),
+                  has_label) ||
+      std::any_of(this->stalled.begin(), this->stalled.end(), has_label);
+  if (!found)
+    this->missing_labels.insert(step.label);
+  return found;
+}
+
 bool Scheduler::PlacementPass::IsExhausted(const jobs::Resources& takes) const {
   return std::any_of(
       this->exhausted.begin(), this->exhausted.end(),
@@ -270,6 +287,15 @@
     this->GiveUpCrashingTasks(job, now);
     return AttemptResult::kObsolete;
   }
+  // A step that no worker of the pool suits costs no search and says nothing
+  // about capacity, so that it is no miss: many of them would end each pass.
+  const jobs::Step& step_spec = StepOf(job, task.position);
+  if (!pass.HasLabelOf(step_spec)) {
+    const WaitReason unsuited = this->ReasonForNoWorker(step_spec);
+    TaskAt(job, task.position).wait_reason = unsuited;
+    pass.unplaceable_steps[step] = unsuited;
+    return AttemptResult::kKept;
+  }
   const std::optional<WaitReason> reason =
       this->PlaceTask(task, suspicion, pass, now);
   if (!reason)
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -228,8 +228,12 @@
     // Amounts that no candidate had free. Free capacity only shrinks during a
     // pass, so nothing that takes as much fits either.
     std::vector<jobs::Resources> exhausted;
+    // Labels that steps require and no candidate has.
+    std::set<std::string> missing_labels;
     int misses = 0;
 
+    // Whether a worker of the pass has the label that the step requires.
+    bool HasLabelOf(const jobs::Step& step);
     bool IsExhausted(const jobs::Resources& takes) const;
     // Remembers the amount if no candidate has it free.
     void RecordIfExhausted(const jobs::Resources& takes);
