--- a/scheduler/starvation_test.cc
+++ b/scheduler/starvation_test.cc
@@ -139,5 +139,34 @@
   BOOST_TEST(pool.started_on == "moved");
 }
 
+// Guards against a wait that begins anew with each configuration, so that a
+// task never waits long enough for a reservation while queues come and go.
+BOOST_AUTO_TEST_CASE(LongRunningTaskStartsWhileConfigurationsKeepArriving) {
+  StarvedLargeTask pool(0);
+  jobs::Config config;
+  config.services.push_back({.name = "pool"});
+  while (pool.pass < 30 && pool.started_on.empty()) {
+    if (pool.pass % 3 == 0)
+      pool.bench.scheduler.SetConfig(config, pool.bench.now);
+    pool.RunPass();
+  }
+  BOOST_TEST(!pool.started_on.empty());
+}
+
+// Guards against a pass that ends at tasks no worker of the pool can run, and
+// so never reaches those behind them.
+BOOST_AUTO_TEST_CASE(TaskStartsBehindManyJobsThatNoWorkerCanRun) {
+  Bench bench(1);
+  bench.scheduler.UpdateWorker(Bench::Worker("a"), bench.now);
+  bench.Report("a", {}, seconds(4));
+  jobs::Step unsuited = Bench::OneTask();
+  unsuited.label = "nowhere";
+  for (int i = 0; i < 40; ++i)
+    bench.AddJob("unsuited" + std::to_string(i), unsuited);
+  bench.RunPass();
+  bench.AddJob("suited");
+  BOOST_TEST(bench.NextStart().task.job == "suited");
+}
+
 }  // namespace
 }  // namespace quartzhoist::scheduler
