--- a/testing/job_cluster.cc
+++ b/testing/job_cluster.cc
@@ -87,10 +87,13 @@
       "[daemon]\nid = {}\nzone = z\n"
       "[listen]\ncallers = 127.0.0.1:0\n"
       "readiness = 127.0.0.1:0\nmetrics = 127.0.0.1:0\n"
-      "[store]\naddress = {}\n[boxes]\naddress = {}\n"
-      "[limits]\nmove_seconds = 0.4\nupkeep_seconds = 0.4\n"
+      "[store]\naddress = {}\n[boxes]\naddress = {}\nepochs_checked = {}\n"
+      "[limits]\nlongest_lease_ms = {}\n"
+      "move_seconds = 0.4\nupkeep_seconds = 0.4\n"
       "stop_ms = 100\nworkers_an_owner = {}\n",
-      id, store, this->fleet.boxes_address(), this->workers_an_owner);
+      id, store, this->fleet.boxes_address(),
+      this->epochs_checked ? "true" : "false",
+      base::Millis(this->longest_lease), this->workers_an_owner);
   Daemon& daemon = this->by_id[id];
   daemon.settings = settings;
   const std::string output =
--- a/testing/job_cluster.h
+++ b/testing/job_cluster.h
@@ -4,6 +4,7 @@
 #ifndef TESTING_JOB_CLUSTER_H_
 #define TESTING_JOB_CLUSTER_H_
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -40,6 +41,12 @@
   void SetKey(const std::string& key) { this->access_key = key; }
   // Applies to daemons started from now on.
   void SetWorkersAnOwner(int workers) { this->workers_an_owner = workers; }
+  // The daemons count on workers and boxes that check epochs, and grant leases
+  // of up to `longest_lease`. Applies to daemons started from now on.
+  void SetEpochsChecked(base::Micros longest_lease) {
+    this->epochs_checked = true;
+    this->longest_lease = longest_lease;
+  }
   Daemon& StartDaemon(const std::string& id);
   // One that reaches the store over a link of its own.
   Daemon& StartDaemonOverLink(const std::string& id);
@@ -92,6 +99,8 @@
   std::map<std::string, Daemon> by_id;
   std::function<void()> ticker;
   int workers_an_owner = 200;
+  bool epochs_checked = false;
+  base::Micros longest_lease = std::chrono::seconds(6);
   std::string access_key;
 };
 
--- a/testing/worker_standin.cc
+++ b/testing/worker_standin.cc
@@ -111,6 +111,24 @@
   this->lives[box] = this->Begin(box, life->pool);
 }
 
+void WorkerStandins::Lose(const std::string& box) {
+  const auto found = this->lives.find(box);
+  this->ended.push_back(found->second);
+  this->End(*found->second);
+  this->lives.erase(found);
+}
+
+std::set<std::string> WorkerStandins::BoxesWith(const std::string& job) const {
+  std::set<std::string> boxes;
+  for (const auto& [box, life] : this->lives) {
+    for (const auto& [task, run] : life->running) {
+      if (task.starts_with(job + "."))
+        boxes.insert(box);
+    }
+  }
+  return boxes;
+}
+
 void WorkerStandins::Restart(const std::string& box) {
   const std::shared_ptr<Life> life = this->lives.at(box);
   this->ended.push_back(life);
--- a/testing/worker_standin.h
+++ b/testing/worker_standin.h
@@ -32,6 +32,10 @@
               const std::string& zone = "z");
   // The life ends at once, without a word; another comes on the same box.
   void Crash(const std::string& box);
+  // The life ends at once, without a word, and none comes on the box.
+  void Lose(const std::string& box);
+  // The boxes on which a task of the job runs.
+  std::set<std::string> BoxesWith(const std::string& job) const;
   // The same, and the next life has the id of this one.
   void Restart(const std::string& box);
   void SetRunTime(base::Micros span) { this->run_time = span; }
