Leases of an ended owner are waited out for one lease where its daemon is back

Callers saw: a long-running task whose worker was lost for good together with the owner of its shard stood still for 11.6 s (LOST), although the owner's process was started anew within a second. Cause: ShardManager::LoadLeaseRecord() took each worker that the predecessor held as leased until 10.5 s after the predecessor's last confirmation, the longest that an owner which is cut off from the store may renew. Leases are 4 s. Change: the lease record names the daemon that wrote it. A new owner of that same daemon knows that the earlier process or term is over (a machine runs a role as one process) and grants nothing more. A worker that the earlier owner held is waited out one longest grant from then, or to its recorded end if that is later: so long as the earlier owner itself would have waited. A worker that it had only inherited keeps its recorded bound, since an owner before it may still grant there. Another daemon waits as before. The rule is a function of its own (entry/inherited_leases), which the model uses with a record as written. ownership_ready tells at how many workers leases may last, for how long, and whether their owner has ended.

--- /dev/null
+++ b/entry/inherited_leases_test.cc
@@ -0,0 +1,63 @@
+// Tests of the bounds on leases that earlier owners granted.
+
+#include <chrono>
+#include <optional>
+
+#include <boost/test/unit_test.hpp>
+
+#include "entry/inherited_leases.h"
+
+namespace quartzhoist::entry {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr base::Micros kConfirmed = seconds(100);
+constexpr GrantBounds kBounds{.after_confirmation = seconds(10),
+                              .longest_grant = seconds(4)};
+
+LeaseHolder Holder(bool held) {
+  LeaseHolder holder;
+  holder.held = held;
+  return holder;
+}
+
+// Guards against a task that is started elsewhere while its worker runs it
+// under the lease of an owner that is only cut off from the store.
+BOOST_AUTO_TEST_CASE(LeasesOfAnOwnerThatMayLiveAreBoundedByItsConfirmation) {
+  const EarlierOwners earlier{.confirmed = kConfirmed, .writer_ended = {}};
+  BOOST_CHECK(InheritedLeaseEnd(Holder(true), seconds(102), earlier, kBounds) ==
+              seconds(110));
+  BOOST_CHECK(InheritedLeaseEnd(Holder(false), seconds(102), earlier,
+                                kBounds) == seconds(102));
+  BOOST_CHECK(InheritedLeaseEnd(Holder(false), std::nullopt, earlier,
+                                kBounds) == seconds(110));
+}
+
+// Guards against the same for a worker that the owner which ended had not
+// reached: its lease is that of an owner before it.
+BOOST_AUTO_TEST_CASE(EndOfAnOwnerBoundsOnlyWhatItHeld) {
+  const EarlierOwners earlier{.confirmed = kConfirmed,
+                              .writer_ended = seconds(101)};
+  BOOST_CHECK(InheritedLeaseEnd(Holder(true), seconds(102), earlier, kBounds) ==
+              seconds(105));
+  BOOST_CHECK(InheritedLeaseEnd(Holder(false), seconds(108), earlier,
+                                kBounds) == seconds(108));
+  BOOST_CHECK(InheritedLeaseEnd(Holder(false), std::nullopt, earlier,
+                                kBounds) == seconds(110));
+}
+
+// Guards against the same for a worker that had a longer lease when it first
+// answered the owner which ended.
+BOOST_AUTO_TEST_CASE(LongerLeaseThatTheEndedOwnerKnewOfIsWaitedOut) {
+  const EarlierOwners earlier{.confirmed = kConfirmed,
+                              .writer_ended = seconds(101)};
+  BOOST_CHECK(InheritedLeaseEnd(Holder(true), seconds(107), earlier, kBounds) ==
+              seconds(107));
+  // A row of an earlier version does not tell.
+  BOOST_CHECK(InheritedLeaseEnd(Holder(true), std::nullopt, earlier, kBounds) ==
+              seconds(110));
+}
+
+}  // namespace
+}  // namespace quartzhoist::entry
--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -179,6 +179,12 @@
   return MaxLeaseAfterConfirmationFor(this->settings);
 }
 
+GrantBounds ShardManager::EarlierGrantBounds() const {
+  return {
+      .after_confirmation = WithClockDrift(this->MaxLeaseAfterConfirmation()),
+      .longest_grant = WithClockDrift(MaxGrantFor(this->settings))};
+}
+
 // Another owner may take over soon: requests in flight to workers and boxes are
 // aborted, and none is sent until the store confirms the ownership.
 void ShardManager::SuspendCommands() {
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -20,6 +20,7 @@
 #include "entry/box_calls.h"
 #include "entry/box_lister.h"
 #include "entry/explain.h"
+#include "entry/inherited_leases.h"
 #include "entry/quota_records.h"
 #include "entry/save_policy.h"
 #include "entry/save_queue.h"
@@ -106,6 +107,9 @@
   void AddStoredJobs();
   void AddStoredWorkers();
   bool LoadLeaseRecord(const platform::Row& row);
+  // What is known of the owners before this one, one of which wrote `record`.
+  EarlierOwners EarlierOwnersOf(const LeaseRecord& record) const;
+  void LogReady() const;
 
   // Changes in the store.
   void HandleJobRow(const platform::Row& row);
@@ -119,6 +123,7 @@
   void ResumeCommands();
   void ExtendLeasesBeforeExpiry();
   base::Micros MaxLeaseAfterConfirmation() const;
+  GrantBounds EarlierGrantBounds() const;
 
   // The scheduler's actions.
   void RunCycle();
@@ -236,6 +241,7 @@
   // Ends of the leases that earlier owners granted, on the store's clock, as
   // the owner that granted them recorded them; the maximum if it did not.
   std::map<jobs::WorkerIncarnation, std::int64_t> inherited_lease_ends_ms;
+  bool is_lease_writer_ended = false;  // of the record that was inherited
   bool lease_write_in_flight = false;
   std::map<std::string, int> written_counts;
   std::uint64_t count_version = 0;
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -205,7 +205,8 @@
 }
 
 LeaseRecord ShardManager::MakeLeaseRecord(base::Micros now) const {
-  LeaseRecord record{.epoch = this->epoch, .workers = {}};
+  LeaseRecord record{
+      .epoch = this->epoch, .writer = this->settings.id, .workers = {}};
   for (const auto& [id, worker] : this->scheduler.all_workers()) {
     if (!worker.has_reported && worker.latest_lease_end <= now)
       continue;
--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -150,13 +150,29 @@
   this->scheduler.SetConfig(this->config, base::MonotonicNow());
   this->AddStoredJobs();
   this->waves.Load(*this->stored_waves, base::MonotonicNow());
+  this->LogReady();
+  this->tick_timer.StartEvery(kTickPeriod);
+  this->ScheduleCycle();
+}
+
+// The tasks of an inherited worker that does not answer wait for the end of its
+// lease.
+void ShardManager::LogReady() const {
+  const base::Micros now = base::MonotonicNow();
+  int leased = 0;
+  base::Micros longest{};
+  for (const auto& [id, worker] : this->scheduler.all_workers()) {
+    leased += worker.latest_lease_end > now;
+    longest = std::max(longest, worker.latest_lease_end - now);
+  }
   base::Log(base::Event::kOwnershipReady,
             {{"shard", this->shard.number},
              {"epoch", this->epoch},
              {"jobs", this->scheduler.all_jobs().size()},
-             {"workers", this->scheduler.all_workers().size()}});
-  this->tick_timer.StartEvery(kTickPeriod);
-  this->ScheduleCycle();
+             {"workers", this->scheduler.all_workers().size()},
+             {"leased", leased},
+             {"longest_lease_ms", base::Millis(longest)},
+             {"after_end", this->is_lease_writer_ended}});
 }
 
 void ShardManager::AddStoredWorkers() {
@@ -225,14 +241,16 @@
     this->scheduler.WorkersRecorded(this->recorded_workers->held);
     return true;
   }
-  const base::Micros latest_end =
-      this->earlier_confirmed +
-      WithClockDrift(this->MaxLeaseAfterConfirmation());
+  const EarlierOwners earlier = this->EarlierOwnersOf(*record);
+  this->is_lease_writer_ended = earlier.writer_ended.has_value();
+  const GrantBounds bounds = this->EarlierGrantBounds();
   for (const LeaseHolder& holder : record->workers) {
     const auto& clock = this->store.clock_reading();
     // A time of 0 is unknown and no bound.
-    const bool is_bounded =
-        !holder.held && holder.expires_store_ms > 0 && clock;
+    std::optional<base::Micros> recorded_end;
+    if (holder.expires_store_ms > 0 && clock)
+      recorded_end = LatestLocalTime(*clock, holder.expires_store_ms);
+    const bool is_bounded = !holder.held && recorded_end;
     std::int64_t& inherited_end =
         this->inherited_lease_ends_ms[holder.worker.incarnation];
     inherited_end = std::max(
@@ -240,13 +258,21 @@
                                   : std::numeric_limits<std::int64_t>::max());
     this->scheduler.InheritWorker(
         holder.worker,
-        is_bounded ? std::min(latest_end,
-                              LatestLocalTime(*clock, holder.expires_store_ms))
-                   : latest_end);
+        InheritedLeaseEnd(holder, recorded_end, earlier, bounds));
   }
   return true;
 }
 
+// A daemon is one process at a time, and one manager of the shard in it: under
+// this daemon's id, an earlier owner is over once this one exists.
+EarlierOwners ShardManager::EarlierOwnersOf(const LeaseRecord& record) const {
+  EarlierOwners earlier{.confirmed = this->earlier_confirmed,
+                        .writer_ended = {}};
+  if (record.writer == this->settings.id)
+    earlier.writer_ended = base::MonotonicNow();
+  return earlier;
+}
+
 std::optional<scheduler::Job> ShardManager::MakeJob(
     const std::string& id,
     const AcceptedJob& accepted,
--- a/entry/tables.cc
+++ b/entry/tables.cc
@@ -318,7 +318,10 @@
                     worker.service, holder.held, holder.expires_store_ms,
                     worker.incarnation.start_ms});
   }
-  return Json{{"epoch", record.epoch}, {"workers", std::move(list)}}.dump();
+  return Json{{"epoch", record.epoch},
+              {"writer", record.writer},
+              {"workers", std::move(list)}}
+      .dump();
 }
 
 std::optional<LeaseRecord> DecodeLeases(std::string_view text) {
@@ -326,6 +329,7 @@
     const Json json = Json::parse(text);
     LeaseRecord record;
     record.epoch = json.at("epoch").get<std::uint64_t>();
+    record.writer = json.value("writer", std::string());
     for (const Json& row : json.at("workers")) {
       LeaseHolder holder;
       holder.worker.incarnation.id = row.at(0).get<std::string>();
--- a/entry/tables.h
+++ b/entry/tables.h
@@ -136,11 +136,14 @@
 struct LeaseHolder {
   scheduler::WorkerInfo worker;  // only life, address, box and service
   bool held = true;
-  // Bound for a worker that is not held, on the store's clock; 0 if unknown.
+  // Bound on the store's clock; 0 if unknown. At a worker that is held, leases
+  // that were granted after the record was written may end later.
   std::int64_t expires_store_ms = 0;
 };
 struct LeaseRecord {
   std::uint64_t epoch = 0;
+  // Id of the daemon that wrote it; empty in rows of earlier versions.
+  std::string writer;
   std::vector<LeaseHolder> workers;
 };
 std::string EncodeLeases(const LeaseRecord& record);
--- a/testing/scheduler_model.cc
+++ b/testing/scheduler_model.cc
@@ -5,6 +5,9 @@
 
 #include <fmt/format.h>
 
+#include "entry/inherited_leases.h"
+#include "entry/tables.h"
+
 namespace quartzhoist::testing {
 
 namespace {
@@ -59,7 +62,7 @@
   }
   for (int i = 0; i < worker_count; ++i)
     this->AddBox("pool");
-  this->StartNewOwner();
+  this->StartNewOwner("");
 }
 
 bool SchedulerModel::Chance(double odds) {
@@ -167,19 +170,29 @@
   }
 }
 
-// Stores the workers that have reported as held by this owner. This precedes
-// each worker's first lease from it.
+// Stores the workers that may hold a lease, when they change. This precedes
+// each worker's first lease from the owner.
 void SchedulerModel::RecordLeaseHolders(Owner& owner) {
-  if (this->IsStoreDown())
+  const std::uint64_t changes = owner.scheduler->worker_changes();
+  if (this->IsStoreDown() || owner.recorded_changes == changes)
     return;
+  owner.recorded_changes = changes;
+  entry::LeaseRecord record{
+      .epoch = owner.epoch, .writer = owner.daemon, .workers = {}};
   std::vector<jobs::WorkerIncarnation> held;
   for (const auto& [incarnation, worker] : owner.scheduler->all_workers()) {
-    if (!worker.has_reported || worker.is_lease_recorded)
+    if (!worker.has_reported && worker.latest_lease_end <= this->now)
       continue;
-    held.push_back(incarnation);
-    this->leases[incarnation.id] = {.incarnation = incarnation,
-                                    .until = std::nullopt};
+    if (worker.has_reported)
+      held.push_back(incarnation);
+    // Rounded up to whole milliseconds.
+    const std::int64_t expires =
+        base::Millis(std::max(worker.latest_lease_end, this->now)) + 1;
+    record.workers.push_back({.worker = worker.info,
+                              .held = worker.has_reported,
+                              .expires_store_ms = expires});
   }
+  this->lease_record = entry::EncodeLeases(record);
   owner.scheduler->WorkersRecorded(held);
 }
 
@@ -189,7 +202,7 @@
   this->RunFor(kTakeoverDelay);
   while (!this->TakesAnnouncements())
     this->Step();
-  this->StartNewOwner();
+  this->StartNewOwner("");
 }
 
 void SchedulerModel::BeginTakeover(base::Micros delay) {
@@ -202,9 +215,20 @@
   });
 }
 
+void SchedulerModel::RestartOwner(base::Micros delay) {
+  this->is_confirming = false;
+  this->owners.back().is_fenced = true;
+  const std::string daemon = this->owners.back().daemon;
+  this->LogEvent(fmt::format("owner {} ends", this->owners.back().epoch));
+  this->RunFor(delay);
+  while (!this->TakesAnnouncements())
+    this->Step();
+  this->StartNewOwner(daemon);
+}
+
 void SchedulerModel::StartNewOwnerFromStore() {
   if (this->TakesAnnouncements()) {
-    this->StartNewOwner();
+    this->StartNewOwner("");
     return;
   }
   this->ScheduleAfter(
@@ -212,9 +236,33 @@
       [this] { this->StartNewOwnerFromStore(); });
 }
 
+void SchedulerModel::InheritLeases(scheduler::Scheduler& successor,
+                                   const std::string& daemon) const {
+  const auto with_drift = [](base::Micros span) {
+    return base::Micros(static_cast<std::int64_t>(
+        static_cast<double>(span.count()) * kClockDriftFactor));
+  };
+  const auto record = entry::DecodeLeases(this->lease_record);
+  if (!record)
+    return;
+  entry::EarlierOwners earlier{.confirmed = this->last_confirmed,
+                               .writer_ended = {}};
+  if (record->writer == daemon)
+    earlier.writer_ended = this->now;
+  const entry::GrantBounds bounds{.after_confirmation = with_drift(kGrantBound),
+                                  .longest_grant = with_drift(kLease)};
+  for (const entry::LeaseHolder& holder : record->workers) {
+    successor.InheritWorker(
+        holder.worker,
+        entry::InheritedLeaseEnd(holder, milliseconds(holder.expires_store_ms),
+                                 earlier, bounds));
+  }
+}
+
 // Starts an owner that reads the store, including every worker that may hold a
-// lease. The previous owner isn't told: it goes on without confirmations.
-void SchedulerModel::StartNewOwner() {
+// lease. The previous owner isn't told: it goes on without confirmations. An
+// empty `daemon` stands for one that has not owned the shard.
+void SchedulerModel::StartNewOwner(const std::string& daemon) {
   const std::uint64_t epoch = this->owners.size() + 1;
   scheduler::SchedulerLimits limits;
   limits.lease_duration = kLease;
@@ -230,35 +278,18 @@
                   .maintenance_duration = kMaintenanceTime};
   Owner owner;
   owner.epoch = epoch;
+  owner.daemon = daemon.empty() ? fmt::format("daemon{}", epoch) : daemon;
   owner.begun = this->now;
   owner.scheduler = std::make_unique<scheduler::Scheduler>(limits);
   scheduler::Scheduler& successor = *owner.scheduler;
-  const auto bound = base::Micros(static_cast<std::int64_t>(
-      static_cast<double>(kGrantBound.count()) * kClockDriftFactor));
   this->calls_epoch = epoch;
   std::vector<scheduler::BoxCall> open;
   for (const auto& [box, call] : this->calls)
     open.push_back(call);
   successor.InheritBoxCalls(open, this->now);
-  for (const auto& [id, worker] : this->workers) {
-    const auto announcement = this->announcements.find(id);
-    const bool is_announced = announcement != this->announcements.end();
-    const auto lease = this->leases.find(id);
-    if (lease != this->leases.end()) {
-      // A lease of the previous owner is kept until its latest possible end.
-      std::optional<base::Micros>& until = lease->second.until;
-      if (!until)
-        until = this->last_confirmed + bound;
-      // As recorded: without capacity and announcement.
-      scheduler::WorkerInfo held = this->InfoOf(worker);
-      held.capacity = {};
-      held.announced_clock_ms = 0;
-      held.incarnation = lease->second.incarnation;
-      successor.InheritWorker(held, *until);
-    }
-    if (is_announced)
-      successor.UpdateWorker(announcement->second, this->now);
-  }
+  this->InheritLeases(successor, owner.daemon);
+  for (const auto& [id, announced] : this->announcements)
+    successor.UpdateWorker(announced, this->now);
   jobs::Config config;
   config.services = {{.name = "pool"}, {.name = "other"}};
   config.queues = ModelQueues();
--- a/testing/scheduler_model.h
+++ b/testing/scheduler_model.h
@@ -145,6 +145,12 @@
   void DropCapacities(base::Micros delay, base::Micros span, int count);
   void PauseOwner(base::Micros delay, base::Micros span);
   void BeginTakeover(base::Micros delay);
+  // Ends the newest owner's process without a word, and starts another one of
+  // the same daemon after the delay, once the store answers.
+  void RestartOwner(base::Micros delay);
+  // From now on no command of the newest owner reaches a worker with a task of
+  // the job.
+  void CutOwnerFromWorkersOf(const std::string& job);
   // Starts a maintenance wave over all boxes, at most `max_at_once` at a time.
   void BeginWave(int max_at_once);
   // Number of boxes that have had their maintenance.
@@ -240,6 +246,8 @@
   struct Owner {
     std::unique_ptr<scheduler::Scheduler> scheduler;
     std::uint64_t epoch = 0;
+    std::string daemon;                             // its id
+    std::optional<std::uint64_t> recorded_changes;  // of workers
     base::Micros paused_until{};
     base::Micros certain_until{};
     base::Micros begun{};
@@ -271,9 +279,11 @@
   void AddBox(const std::string& pool);
   scheduler::WorkerInfo InfoOf(const Worker& worker) const;
   void Confirm();
-  void StartNewOwner();
+  void StartNewOwner(const std::string& daemon);
   // Starts a new owner as soon as the store answers.
   void StartNewOwnerFromStore();
+  void InheritLeases(scheduler::Scheduler& successor,
+                     const std::string& daemon) const;
   // Runs `action` now or, if the owner is paused, when it resumes.
   void RunWhenAwake(std::size_t owner, const std::function<void()>& action);
   // Announcements.
@@ -359,13 +369,8 @@
   ModelFaults faults;
   base::Micros now = std::chrono::seconds(100);
   std::map<std::string, Worker> workers;
-  // The stored list of workers that may hold a lease. `until`: the end of the
-  // lease, until the worker has reported to the current owner.
-  struct Lease {
-    jobs::WorkerIncarnation incarnation;
-    std::optional<base::Micros> until;
-  };
-  std::map<std::string, Lease> leases;
+  // The stored record of workers that may hold a lease (entry::LeaseRecord).
+  std::string lease_record;
   // As stored, by worker.
   std::map<std::string, scheduler::WorkerInfo> announcements;
   base::Micros announcements_down_until{};
--- a/testing/scheduler_model_faults.cc
+++ b/testing/scheduler_model_faults.cc
@@ -119,6 +119,15 @@
   });
 }
 
+void SchedulerModel::CutOwnerFromWorkersOf(const std::string& job) {
+  for (const auto& [id, worker] : this->workers) {
+    for (const auto& [task, run] : worker.running) {
+      if (task.job == job)
+        this->owners.back().partitioned_from.insert(id);
+    }
+  }
+}
+
 void SchedulerModel::PauseOwner(base::Micros delay, base::Micros span) {
   this->ScheduleAfter(delay, [this, span] {
     Owner& owner = this->owners.back();
