--- a/testing/job_cluster.cc
+++ b/testing/job_cluster.cc
@@ -104,9 +104,10 @@
       "[daemon]\nid = {}\nzone = z\n"
       "[listen]\ncallers = 127.0.0.1:0\n"
       "readiness = 127.0.0.1:0\nmetrics = 127.0.0.1:0\n"
-      "[store]\naddress = {}\n[boxes]\naddress = {}\n"
+      "[store]\naddress = {}\n[boxes]\naddress = {}\nepochs_checked = {}\n"
       "[limits]\n{}workers_an_owner = {}\n",
-      id, store, this->fleet.boxes_address(), this->limits,
+      id, store, this->fleet.boxes_address(),
+      this->epochs_checked ? "true" : "false", this->limits,
       this->workers_an_owner);
   Daemon& daemon = this->by_id[id];
   daemon.settings = settings;
