A move that may have begun is not forgotten when its retry is turned down

What callers saw: a box was used, or offered for another pool, that may be moving: a call to move it had no answer, and the retry got 429 or was not sent. The same for a call of an earlier owner.

Cause: FleetPlanner::OnMoveOutcome() took the answer to the retry for the answer to both calls.

Evidence: by reading (also named by the review), and two tests that were red.

Change: such a move stays and is called again. `busy`, `fence` and 400 end it as before: the platform has looked at the box then.

--- a/scheduler/fleet.cc
+++ b/scheduler/fleet.cc
@@ -25,6 +25,7 @@
   this->moves[call.box] = {.pool = call.pool,
                            .worker_before_call = call.incarnation,
                            .since = now,
+                           .may_have_begun = true,
                            .is_inherited = true};
 }
 
@@ -165,13 +166,21 @@
       this->rested += this->IsSparePool(move.pool);
       break;
     case BoxCallOutcome::kUnknown:
+      move.may_have_begun = true;
       move.next_call_at = now + kCallRetryDelay;
       break;
     case BoxCallOutcome::kNotSent:
+    case BoxCallOutcome::kThrottled:
+      // Nobody has looked at the box: an earlier call that got no answer may
+      // have moved it.
+      if (move.may_have_begun)
+        move.next_call_at = now + kCallRetryDelay;
+      else
+        this->moves.erase(found);
+      break;
     case BoxCallOutcome::kFenced:
     case BoxCallOutcome::kBusy:
     case BoxCallOutcome::kRefused:
-    case BoxCallOutcome::kThrottled:
       this->moves.erase(found);
       break;
   }
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -285,10 +285,11 @@
     base::Micros first_call_at{};  // it has not begun before
     base::Micros next_call_at{};
     bool in_flight = false;
-    bool done = false;          // confirmed by the platform
-    bool arrived = false;       // announced in the new pool before that
-    bool is_inherited = false;  // a previous owner's call, unresolved
-    bool is_listed_up = false;  // of an inherited call: it had no effect
+    bool done = false;            // confirmed by the platform
+    bool arrived = false;         // announced in the new pool before that
+    bool may_have_begun = false;  // a call got no answer
+    bool is_inherited = false;    // a previous owner's call, unresolved
+    bool is_listed_up = false;    // of an inherited call: it had no effect
   };
   using BoxesByName = std::map<std::string, const FleetBox*>;
   // The fleet's cores in one planning round. Moves are applied to it.
