Nothing is concluded from a report that may leave out ends

Cause: a worker lists at most 500 ends at once and the others once these are acknowledged. While the store takes no writes, ends cannot be recorded and are not acknowledged. A run that was in neither list was taken for lost, though its end was behind the cut. From such a report - no missing run is taken for lost and no possible loss is recorded; - an earlier owner's placements and recorded stops are not taken for over, and a worker that leaves is not forgotten: what counts is the first complete report; - a run that is not shown as running is not moved off its worker as stalled or slow, which also counted as a failure of the worker. The list of running tasks is never cut, so that a run that is missing there for longer than a stop takes is over. It then counts as confirmed: an unanswered start would otherwise hold back the acknowledgement that brings its own end. Not covered: a job whose row the store refuses for good holds back the later ends of its workers (docs/PROMISES.md).

--- a/scheduler/run_ends.cc
+++ b/scheduler/run_ends.cc
@@ -280,7 +280,10 @@
   std::vector<jobs::TaskId> slow;
   for (const auto& [id, run] : worker.runs) {
     const Job* job = this->FindJob(id.job);
-    const bool unseen = run.progress_changed_at == base::Micros::zero();
+    // A run that the last report does not show is over, though its end may not
+    // be listed yet.
+    const bool unseen = run.progress_changed_at == base::Micros::zero() ||
+                        run.missing_since > base::Micros::zero();
     if (run.state != RunState::kRunning || unseen || run.pace < 100 || !job ||
         !HasTask(*job, PositionOf(id)) || StepOf(*job, PositionOf(id)).gang)
       continue;
--- a/scheduler/worker.cc
+++ b/scheduler/worker.cc
@@ -78,13 +78,14 @@
 bool MayHideRuns(const Worker& worker,
                  base::Micros max_stop_time,
                  base::Micros now) {
-  return !worker.has_reported ||
-         now <= worker.first_reported_at + max_stop_time;
+  return worker.first_complete_report_at == base::Micros::zero() ||
+         now <= worker.first_complete_report_at + max_stop_time;
 }
 
 bool IsVacated(const Worker& worker, base::Micros now) {
   return !worker.is_announced && worker.idle() && !worker.poll_in_flight &&
-         (worker.has_reported || now > worker.latest_lease_end);
+         (worker.first_complete_report_at > base::Micros::zero() ||
+          now > worker.latest_lease_end);
 }
 
 bool CanAcknowledgeEnds(const Worker& worker) {
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -74,8 +74,9 @@
   std::uint64_t recorded_by = 0;
   // The job or its task is not known, so neither is the resource usage.
   bool has_unknown_resources = false;
-  // The current incarnation of the worker is known to have the run. Until then
-  // the start may have reached a later incarnation instead.
+  // The current incarnation of the worker is known to have the run, or to have
+  // had it if it had any. Until then the start may have reached a later
+  // incarnation instead.
   bool is_confirmed = false;
   // Loss of the previous incarnation, recorded if the current one never had the
   // run.
@@ -101,7 +102,8 @@
 struct Worker {
   WorkerInfo info;
   bool has_reported = false;  // has answered a poll under this owner's epoch
-  base::Micros first_reported_at{};
+  // When the first report arrived that lists all ends; 0: never.
+  base::Micros first_complete_report_at{};
   // The stored list of lease holders names this worker for this owner.
   bool is_lease_recorded = false;
   bool is_announced = true;  // its announcement is in the store
@@ -182,15 +184,15 @@
 std::map<jobs::TaskId, Run> ExtractRuns(Worker& worker);
 
 // Whether the worker may have a run of an earlier owner that its reports do not
-// show: none has arrived, or the run was being stopped at the first one.
-// `max_stop_time` bounds the duration of a stop.
+// show: none with all ends has arrived, or the run was being stopped at the
+// first of these. `max_stop_time` bounds the duration of a stop.
 bool MayHideRuns(const Worker& worker,
                  base::Micros max_stop_time,
                  base::Micros now);
 
 // Whether the worker is leaving and can have no run of this or an earlier
-// owner. Before it has reported to this owner, only the end of its lease shows
-// that an earlier owner's runs are over.
+// owner. Before it has reported all ends to this owner, only the end of its
+// lease shows that an earlier owner's runs are over.
 bool IsVacated(const Worker& worker, base::Micros now);
 
 // Whether ends may be acknowledged to the worker. Ends are numbered per
--- a/scheduler/worker_reports.cc
+++ b/scheduler/worker_reports.cc
@@ -65,12 +65,14 @@
     this->actions.emplace_back(
         LogNote{worker.info.incarnation.id, "answers again"});
   if (!worker.has_reported) {
-    worker.first_reported_at = now;
     ++this->worker_change_count;
     this->fleet.OnBoxAnswered(worker.info.box);
     this->BoundInheritedLease(worker, report.clock_ms, now);
   }
   worker.has_reported = true;
+  if (worker.first_complete_report_at == base::Micros::zero() &&
+      !report.may_omit_ends)
+    worker.first_complete_report_at = now;
   RecordContact(worker, now);
   worker.runs_presumed_over = false;
   worker.last_answer_at = now;
@@ -313,10 +315,18 @@
     // has been missing for longer than a stop can take. A stop that this owner
     // does not know of, or whose answer was lost, may have been carried out
     // while the worker held the poll open.
-    if (run.missing_since == base::Micros::zero())
+    if (run.missing_since == base::Micros::zero()) {
       run.missing_since = stop_settled ? worker.poll_sent_at : now;
-    else if (worker.poll_sent_at >
-             run.missing_since + this->limits.max_stop_time)
+      continue;
+    }
+    if (worker.poll_sent_at <= run.missing_since + this->limits.max_stop_time)
+      continue;
+    // The run is over, but its end may be one that the report leaves out. Later
+    // ends are listed once these are acknowledged, which an unconfirmed run
+    // would prevent.
+    if (report.may_omit_ends)
+      run.is_confirmed = true;
+    else
       missing.emplace_back(task, run);
   }
   for (const auto& [task, run] : missing) {
