--- a/testing/worker_standin.cc
+++ b/testing/worker_standin.cc
@@ -15,6 +15,7 @@
 constexpr std::int64_t kMemoryPerCore = 2;  // MB, for a thousandth of a core
 constexpr std::uint64_t kThousand = 1000;
 constexpr base::Micros kHeartbeat = milliseconds(1000);
+constexpr std::size_t kMaxListedEnds = 500;
 
 std::int64_t NowMillis() {
   return base::Millis(base::MonotonicNow());
@@ -267,7 +268,10 @@
   json listing = {{"born", life.born_ms},
                   {"clockMs", ClockOf(life)},
                   {"running", json::array()},
-                  {"finished", life.ends}};
+                  {"finished", json::array()}};
+  const std::size_t listed = std::min(life.ends.size(), kMaxListedEnds);
+  for (std::size_t i = 0; i < listed; ++i)
+    listing["finished"].push_back(life.ends[i]);
   for (const auto& [task, run] : life.running)
     listing["running"].push_back({task, run.number, "", 100});
   return listing.dump();
