Refusals name their job also before its queue is looked up

Cause: rejections such as "the store is away" were logged without an id, so that no line told which job they were of. In the users' record no line names the two jobs that were rejected and run. Change: the id at the end of the request's path is logged. The decision whether a refusal may say "not run" uses the same function. Test: RefusedRequestNamesItsJob.

--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -129,9 +129,7 @@
 bool CallerApi::MayClaimNotRun(const http::Request& request) {
   if (request.method != "POST")
     return true;
-  const std::string path = request.path.substr(0, request.path.find('?'));
-  const std::size_t begin = path.size() - std::min(path.size(), kJobIdDigits);
-  return !this->MayBeWritten(path.substr(begin));
+  return !this->MayBeWritten(JobIdIn(request.path));
 }
 
 void CallerApi::Refuse(const http::ExchangePtr& exchange,
@@ -148,8 +146,12 @@
   this->counters.Add(status == kGatewayTimeout
                          ? base::Counter::kRefusedMayHaveRun
                          : base::Counter::kRefusedNotRun);
+  // A request that is refused before its queue is looked up names its job too.
   base::Log(base::Event::kJobRefused,
-            {{"job", job}, {"status", status}, {"reason", reason}});
+            {{"job", job.empty() ? JobIdIn(exchange->request().path)
+                                 : std::string(job)},
+             {"status", status},
+             {"reason", reason}});
   this->Reply(exchange, MakeRefusal(status, reason, retry_after));
 }
 
--- a/entry/job_access.cc
+++ b/entry/job_access.cc
@@ -12,6 +12,15 @@
              std::string_view::npos;
 }
 
+std::string JobIdIn(std::string_view path) {
+  const std::string_view without_query = path.substr(0, path.find('?'));
+  if (without_query.size() < kJobIdDigits)
+    return "";
+  const std::string_view last =
+      without_query.substr(without_query.size() - kJobIdDigits);
+  return IsJobId(last) ? std::string(last) : std::string();
+}
+
 JobOrigin OriginOf(const jobs::Progress& progress) {
   return {.organisation = progress.organisation, .queue = progress.queue};
 }
--- a/entry/job_access.h
+++ b/entry/job_access.h
@@ -21,6 +21,9 @@
 
 bool IsJobId(std::string_view text);
 
+// The id of the job that a request's path names; empty if it names none.
+std::string JobIdIn(std::string_view path);
+
 // Organisation that submitted a job, and its queue.
 struct JobOrigin {
   // Empty if the job was accepted without one; nothing if it is not known.
--- a/entry/job_access_test.cc
+++ b/entry/job_access_test.cc
@@ -28,6 +28,16 @@
   return config;
 }
 
+// Guards against refusals whose log line names no job.
+BOOST_AUTO_TEST_CASE(RefusedRequestNamesItsJob) {
+  BOOST_TEST(JobIdIn("/wy166/0123456789abcdef") == "0123456789abcdef");
+  BOOST_TEST(JobIdIn("/a/b/0123456789ABCDEF?x=/y") == "0123456789ABCDEF");
+  BOOST_TEST(JobIdIn("/wy166/") == "");
+  BOOST_TEST(JobIdIn("/prefix-0123456789abcdef") == "0123456789abcdef");
+  BOOST_TEST(JobIdIn("0123456789abcdef") == "0123456789abcdef");
+  BOOST_TEST(JobIdIn("") == "");
+}
+
 BOOST_AUTO_TEST_CASE(AccessIsDecidedByOrganisationAndOwnQueue) {
   const jobs::Config config = ConfigWithOpenQueue();
   struct Case {
