The soak's callers judge a repeated submission by its verdict

The verdict covers all sends of a request since the field was_repeated is gone: a submission whose repetition is refused may be in. As strict as before.

No functional change.

--- a/testing/soak_callers.cc
+++ b/testing/soak_callers.cc
@@ -185,8 +185,7 @@
                               const http::ClientResult& result) {
   SoakJob& job = this->by_id.at(id);
   const base::Micros now = base::MonotonicNow();
-  job.may_be_in = job.may_be_in || result.was_repeated ||
-                  result.verdict == base::Verdict::kMayHaveRun;
+  job.may_be_in = job.may_be_in || result.verdict == base::Verdict::kMayHaveRun;
   job.not_sent += result.verdict == base::Verdict::kNotRun;
   const int status = result.response.status;
   if (status == 200) {
