A short grace time ends the drain

Cause: since the daemon closes its open connections before it leaves, the drain time was looked at before the grace time: with a grace time of up to 3.5 s the platform's kill came first and cut requests. Found by review of the change. Change: out of time is looked at first. No test of its own: the fixture's daemons have the default of 6 s.

--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -479,14 +479,14 @@
 
 void JobDaemon::ExitIfDrained() {
   const base::Micros elapsed = base::MonotonicNow() - this->stop_requested;
-  if (elapsed <= kMinDrainTime)
+  const bool is_out_of_time =
+      elapsed > this->settings.stop_grace_period - kExitBeforeKill;
+  if (!is_out_of_time && elapsed <= kMinDrainTime)
     return;
   this->caller_server.StopListening();
   const bool is_drained = this->caller_server.connections() == 0 ||
                           (elapsed > kMinDrainTime + kMaxLingerTime &&
                            this->caller_server.open_exchanges() == 0);
-  const bool is_out_of_time =
-      elapsed > this->settings.stop_grace_period - kExitBeforeKill;
   if (!is_drained && !is_out_of_time)
     return;
   this->callers.Shutdown();
