The writer of a lease record is a daemon at an address

What callers could see: two runs of one task. A box that takes the place of another under the same id took the other for ended, and waited for one lease where the other, cut off from the store, renews its workers' for up to 10 s. Found by review; whether the platform gives an id again is not on its pages. Change: the record names the id and the callers' address. Two processes cannot listen on one address, so the same name proves that the earlier one has ended. Records of the form before (the id alone) are not known as one's own and keep the old bound. Test: DaemonAtAnotherAddressIsAnotherWriter.

--- a/entry/inherited_leases.cc
+++ b/entry/inherited_leases.cc
@@ -4,6 +4,10 @@
 
 namespace quartzhoist::entry {
 
+std::string LeaseWriterOf(const Settings& settings) {
+  return settings.id + "@" + settings.callers_address;
+}
+
 // The end of the record's writer bounds the leases that it granted itself,
 // which are those of the workers that it held. The workers that it had only
 // inherited may be reached by an owner before it, which is cut off and still
--- a/entry/inherited_leases.h
+++ b/entry/inherited_leases.h
@@ -5,8 +5,10 @@
 #define ENTRY_INHERITED_LEASES_H_
 
 #include <optional>
+#include <string>
 
 #include "base/clock.h"
+#include "entry/settings.h"
 #include "entry/tables.h"
 
 namespace quartzhoist::entry {
@@ -27,6 +29,11 @@
   base::Micros longest_grant{};
 };
 
+// Name of the daemon in the lease records that it writes. With its address: a
+// box that takes the place of another may have the other's id, while that one
+// is only cut off.
+std::string LeaseWriterOf(const Settings& settings);
+
 // Upper bound on the end of the lease of a worker in the lease record.
 // `recorded_end` is the recorded bound on this process's clock, if it is known.
 base::Micros InheritedLeaseEnd(const LeaseHolder& holder,
--- a/entry/inherited_leases_test.cc
+++ b/entry/inherited_leases_test.cc
@@ -59,5 +59,17 @@
               seconds(110));
 }
 
+// Guards against two runs of one task: a daemon that takes the place of another
+// under its id took it for ended, while it was cut off and renewed its leases.
+BOOST_AUTO_TEST_CASE(DaemonAtAnotherAddressIsAnotherWriter) {
+  Settings replaced;
+  replaced.id = "entry-1";
+  replaced.callers_address = "10.1.0.9:80";
+  Settings successor = replaced;
+  BOOST_TEST(LeaseWriterOf(successor) == LeaseWriterOf(replaced));
+  successor.callers_address = "10.1.0.10:80";
+  BOOST_TEST(LeaseWriterOf(successor) != LeaseWriterOf(replaced));
+}
+
 }  // namespace
 }  // namespace quartzhoist::entry
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -205,8 +205,9 @@
 }
 
 LeaseRecord ShardManager::MakeLeaseRecord(base::Micros now) const {
-  LeaseRecord record{
-      .epoch = this->epoch, .writer = this->settings.id, .workers = {}};
+  LeaseRecord record{.epoch = this->epoch,
+                     .writer = LeaseWriterOf(this->settings),
+                     .workers = {}};
   for (const auto& [id, worker] : this->scheduler.all_workers()) {
     if (!worker.has_reported && worker.latest_lease_end <= now)
       continue;
--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -263,12 +263,13 @@
   return true;
 }
 
-// A daemon is one process at a time, and one manager of the shard in it: under
-// this daemon's id, an earlier owner is over once this one exists.
+// Two processes cannot listen on one address, and a process has one manager of
+// the shard: an earlier owner with this daemon's id and address is over once
+// this one exists.
 EarlierOwners ShardManager::EarlierOwnersOf(const LeaseRecord& record) const {
   EarlierOwners earlier{.confirmed = this->earlier_confirmed,
                         .writer_ended = {}};
-  if (record.writer == this->settings.id)
+  if (record.writer == LeaseWriterOf(this->settings))
     earlier.writer_ended = base::MonotonicNow();
   return earlier;
 }
