Tasks that wait for advice or an earlier lease no longer end a placement pass

What callers could see: tasks that stand still beside free workers. 24 steps that waited for advice, or for the confirmation after lapsed leases, ended each pass of their pool. Same class as the steps whose label no worker has; found by review. Change: only a search that found no capacity is a miss. Test: TaskStartsBehindManyJobsThatWaitForAdvice failed before (nothing starts).

--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -312,6 +312,12 @@
   if (*reason == WaitReason::kCapacity)
     this->ReserveIfStarved(task, pass.candidates, now);
   pass.unplaceable_steps[step] = *reason;
+  // Waiting for advice or for the end of an earlier lease costs no search and
+  // says nothing about capacity.
+  const bool is_miss = *reason == WaitReason::kCapacity ||
+                       *reason == WaitReason::kNoSuitableWorker;
+  if (!is_miss)
+    return AttemptResult::kKept;
   const jobs::Resources takes = ReservedBy(StepOf(job, task.position));
   if (pass.IsExhausted(takes))
     return AttemptResult::kKept;
--- a/scheduler/starvation_test.cc
+++ b/scheduler/starvation_test.cc
@@ -168,5 +168,17 @@
   BOOST_TEST(bench.NextStart().task.job == "suited");
 }
 
+// The same for tasks that wait for advice.
+BOOST_AUTO_TEST_CASE(TaskStartsBehindManyJobsThatWaitForAdvice) {
+  Bench bench(1);
+  bench.scheduler.UpdateWorker(Bench::Worker("a"), bench.now);
+  bench.Report("a", {}, seconds(4));
+  for (int i = 0; i < 40; ++i)
+    bench.AddJob("advised" + std::to_string(i), Bench::OneTask(), true);
+  bench.RunPass();
+  bench.AddJob("suited");
+  BOOST_TEST(bench.NextStart().task.job == "suited");
+}
+
 }  // namespace
 }  // namespace quartzhoist::scheduler
