A job's row limit rises again after a saved row

What callers could see: a job of long-running tasks of which one runs, for as long as its owner lasts, after a single rejected save, which may have had another cause than the row's size. Found by review. Change: each saved row that names placements doubles a lowered limit.

--- a/scheduler/row_limit_test.cc
+++ b/scheduler/row_limit_test.cc
@@ -64,6 +64,9 @@
     this->warnings += Only<ProgressRejected>(actions).size();
     for (const SaveProgress& save : Only<SaveProgress>(actions))
       this->AnswerSave(save);
+    this->most_placed =
+        std::max(this->most_placed,
+                 static_cast<int>(this->job().progress.placed.size()));
     std::vector<ReportedEnd> ended;
     for (const StartRun& start : Only<StartRun>(actions)) {
       ++this->starts;
@@ -90,6 +93,7 @@
   int rejected = 0;
   std::size_t warnings = 0;
   int starts = 0;
+  int most_placed = 0;
   int failures_of_a_task = 0;
   std::map<jobs::TaskId, int> failed;
   std::int64_t last_end = 0;
@@ -107,6 +111,27 @@
   BOOST_TEST(bench.warnings > 0U);
 }
 
+// Guards against a job that stays in small portions for good after one
+// rejection, which may have had another cause than the row's size.
+BOOST_AUTO_TEST_CASE(LongRunningTasksAllStartAfterOneRejectedRow) {
+  constexpr int kLongRunning = 10;
+  SchedulerLimits limits = RowBench::LimitsOf(kLaterEpoch);
+  limits.max_progress_bytes = kRowBytes;
+  RowBench bench(limits);
+  jobs::Step step = RowBench::ManyTasks();
+  step.tasks = kLongRunning;
+  step.long_running = true;
+  bench.AddJob("job", step);
+  bench.row_bytes = 1;
+  bench.Turn();
+  BOOST_TEST(bench.rejected > 0);
+  bench.row_bytes = kRowBytes;
+  // Each run ends at once, so that the tasks are started again and again.
+  for (int turn = 0; turn < 40; ++turn)
+    bench.Turn();
+  BOOST_TEST(bench.most_placed == kLongRunning);
+}
+
 // Guards against plans beyond what the row can name, and against tasks that the
 // portions leave behind.
 BOOST_AUTO_TEST_CASE(JobWhoseRowWouldBeTooLargeStartsInPortions) {
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -297,8 +297,13 @@
       job->version = result.version;
       job->saved_change = std::max(job->saved_change, result.change);
       // A row without plans is smaller than the one that was rejected.
-      if (!job->progress.placed.empty())
+      if (!job->progress.placed.empty()) {
         job->row.rejections = 0;
+        // The rejection may have had another cause than the row's size.
+        job->row.limit = job->row.limit < this->limits.max_progress_bytes / 2
+                             ? 2 * job->row.limit
+                             : kNoRowLimit;
+      }
       this->StartSavedPlacements(*job, now);
       this->StopSavedRuns(*job, now);
       if (job->unsaved_failure > 0 &&
