--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -81,7 +81,7 @@
   this->stopping = true;
 }
 
-// What is refused here must not be written by a later turn of the loop.
+// Refused submissions must not be written by a later turn of the loop.
 void CallerApi::Shutdown() {
   constexpr std::string_view kReason = "this daemon leaves";
   this->is_shut_down = true;
--- a/entry/inherited_leases.h
+++ b/entry/inherited_leases.h
@@ -13,7 +13,7 @@
 
 namespace quartzhoist::entry {
 
-// What a new owner knows of the owners before it.
+// A new owner's knowledge of the owners before it.
 struct EarlierOwners {
   // The ownership of none of them was confirmed later.
   base::Micros confirmed{};
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -107,7 +107,7 @@
   void AddStoredJobs();
   void AddStoredWorkers();
   bool LoadLeaseRecord(const platform::Row& row);
-  // What is known of the owners before this one, one of which wrote `record`.
+  // Knowledge of the owners before this one, one of which wrote `record`.
   EarlierOwners EarlierOwnersOf(const LeaseRecord& record) const;
   void LogReady() const;
 
--- a/http/http_test.cc
+++ b/http/http_test.cc
@@ -263,7 +263,7 @@
   BOOST_TEST(counters.Get(base::Counter::kRequestsCut) == 2U);
 }
 
-// What became of a request on a kept connection that ends without an answer,
+// The outcome of a request on a kept connection that ends without an answer,
 // and of its repetition by the HTTP library, which gets `repeated`.
 ClientResult ResultOfRepeated(const std::string& method,
                               const std::string& repeated) {
--- a/jobs/progress_size.cc
+++ b/jobs/progress_size.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-// Of "999.63":"", with the comma.
+// Bytes of "999.63":"", with the comma.
 constexpr std::size_t kStepKeyBytes = 12;
 // State, epoch, names of the organisation and the queue, names of the fields.
 constexpr std::size_t kHeaderBytes = 512;
--- a/jobs/progress_size.h
+++ b/jobs/progress_size.h
@@ -10,9 +10,9 @@
 
 namespace quartzhoist::jobs {
 
-// What a placed run adds to the encoded progress at most: its placement, and
-// then its failures or the loss of its worker. Holds for workers and boxes with
-// names of up to 16 bytes, and for up to 9,999 owners of the shard.
+// Bytes that a placed run adds to the encoded progress at most: its placement,
+// and then its failures or the loss of its worker. Holds for workers and boxes
+// with names of up to 16 bytes, and for up to 9,999 owners of the shard.
 inline constexpr std::size_t kMaxPlacementBytes = 57;
 inline constexpr std::size_t kMaxOutcomeBytes = 84;
 inline constexpr std::size_t kMaxRunBytes =
--- a/scheduler/row_limit.cc
+++ b/scheduler/row_limit.cc
@@ -77,7 +77,7 @@
     return false;
   const jobs::Progress& progress = job.progress;
   const jobs::Step& step = StepOf(job, position);
-  // That all of these fit is checked when the job is submitted.
+  // The submission was checked: all of these fit.
   const bool runs_all_at_once = step.gang || step.long_running;
   const bool is_first = progress.placed.empty() && progress.stopping.empty();
   if (is_first || (runs_all_at_once && job.row.limit == kNoRowLimit))
--- a/testing/soak_callers.cc
+++ b/testing/soak_callers.cc
@@ -17,8 +17,8 @@
 constexpr base::Micros kTurn = seconds(4);
 constexpr double kInTurn = 5;
 constexpr double kBetweenTurns = 0.05;
-// Of a pool, in the mean; with tasks of 880 thousandths of a core, 0.8 s and
-// 1.6 steps of 6 that is two fifths of four boxes of 16 cores.
+// Mean rate in a pool. With tasks of 880 thousandths of a core, 0.8 s and 1.6
+// steps of 6 it takes two fifths of four boxes of 16 cores.
 constexpr double kJobsPerSecondAndBox = 0.95;
 constexpr double kLastingJobsPerSecond = 0.04;
 constexpr int kFirstLastingJobs = 2;
@@ -173,7 +173,7 @@
   this->Send(daemon, "POST", job.queue + "/" + id, job.body,
              [this, id, daemon, sent, again](const http::ClientResult& result) {
                this->by_id.at(id).is_open = false;
-               // What follows an acceptance changes nothing.
+               // Answers after an acceptance change nothing.
                if (!again)
                  this->OnSubmitted(id, daemon, sent, result);
              });
--- a/testing/worker_standin.h
+++ b/testing/worker_standin.h
@@ -41,10 +41,10 @@
   // The life ends without a word: its entry stays for three heartbeats, and
   // the box is down for this long.
   void Lose(const std::string& box, base::Micros span);
-  // What the life is asked has no effect and no answer, while it works on.
+  // Calls to the life have no effect and no answer, while it works on.
   void SetCut(const std::string& box, bool is_cut);
   void SetRunTime(base::Micros span) { this->run_time = span; }
-  // Of boxes added from now on, in thousandths of a core.
+  // Capacity of boxes added from now on, in thousandths of a core.
   void SetCores(std::int64_t cpu) { this->cores = cpu; }
   void SetAwayTime(base::Micros span) { this->away_time = span; }
 
