--- a/entry/job_access.cc
+++ b/entry/job_access.cc
@@ -66,7 +66,7 @@
         read.origin = OriginOf(*accepted);
       else
         base::Log(base::Event::kRowMalformed, {{"row", job}});
-      // Whose job it is cannot be told from a malformed row.
+      // A malformed row does not tell the job's organisation.
       read.is_known = accepted.has_value();
     }
     on_read(read);
--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -29,8 +29,7 @@
 // The process exits this long before the platform would kill it.
 constexpr base::Micros kExitBeforeKill = milliseconds(500);
 constexpr base::Micros kDrainCheckPeriod = milliseconds(50);
-// Time that callers have, once no more of them can connect, to send a request
-// that is on its way or due on an open connection, which then closes.
+// Time for open connections to close once no more callers can connect.
 constexpr base::Micros kMaxLingerTime = milliseconds(1000);
 
 http::ServerOptions ServerOptionsFor(const std::string& address,
