A server's listening descriptor is closed once

What callers saw: from 3 s after SIGTERM a daemon closed connections as soon as they were opened (readiness, metrics, its own to the store and to workers), and ended by SIGABRT in place of exit code 0. Cause: ExitIfDrained() calls Server::StopListening() every 50 ms, and the HTTP library returns the same descriptor each time. From the second call on, its number belongs to another socket. Change: StopListening() does nothing when it is called again.

No functional change of the scheduler.

--- a/entry/process_test.cc
+++ b/entry/process_test.cc
@@ -2,6 +2,9 @@
 // suspended, stopped or disconnected from the store, crashing workers, and
 // maintenance waves.
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <csignal>
 #include <fstream>
@@ -10,12 +13,23 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "base/ip_address.h"
 #include "entry/tables.h"
 #include "testing/cluster_fixture.h"
 
 namespace quartzhoist::testing {
 namespace {
 
+// A connection to "ip:port"; -1 if it is refused.
+int ConnectTo(const std::string& address) {
+  const sockaddr_in to = base::ToKernel(base::ParseIpAddress(address).value());
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0)
+    return fd;
+  close(fd);
+  return -1;
+}
+
 BOOST_AUTO_TEST_CASE(JobsRunOnce) {
   ClusterFixture fixture(3);
   fixture.SubmitAll();
@@ -121,6 +135,32 @@
   fixture.ExpectAllCompletedOnce();
 }
 
+// Guards against a daemon that closes connections other than its callers' while
+// it waits for those to leave.
+BOOST_AUTO_TEST_CASE(StoppingDaemonKeepsConnectionsThatBeganMeanwhile) {
+  constexpr auto kBetweenTries = std::chrono::milliseconds(60);
+  ClusterFixture fixture(1);
+  fixture.WaitUntilReady("entry-1");
+  // The cluster keeps this connection open.
+  fixture.cluster.Call("entry-1", "GET", JobId(0));
+  JobCluster::Daemon& daemon = fixture.cluster.daemons().at("entry-1");
+  Process& stopping = *daemon.process;
+  stopping.Signal(SIGTERM);
+  int cut = 0;
+  while (stopping.running()) {
+    const int fd = ConnectTo(daemon.metrics);
+    if (fd < 0)
+      break;
+    fixture.Wait(kBetweenTries);
+    char byte;
+    const bool has_ended = recv(fd, &byte, 1, MSG_DONTWAIT) == 0;
+    close(fd);
+    cut += has_ended && stopping.running();
+  }
+  BOOST_TEST(cut == 0);
+  BOOST_TEST(stopping.Wait(kTimeoutSeconds).value_or(-1) == 0);
+}
+
 // Guards against tasks of a worker lost under a stopped owner that wait for the
 // longest lease which that owner could have granted.
 BOOST_AUTO_TEST_CASE(StoppedOwnerRecordsWhenItsLeasesEnd) {
--- a/http/http_test.cc
+++ b/http/http_test.cc
@@ -381,6 +381,25 @@
   BOOST_TEST(result->response.status == 504);
 }
 
+// Guards against a server that stops listening twice and closes a descriptor
+// that has been reused since.
+BOOST_AUTO_TEST_CASE(ListenerIsClosedOnce) {
+  constexpr int kDescriptors = 64;
+  base::Loop loop;
+  std::optional<Server> server;
+  server.emplace(loop, ServerOptions{}, [](const ExchangePtr&) {});
+  server->StopListening();
+  std::vector<int> reused;
+  for (int i = 0; i < kDescriptors; ++i)
+    reused.push_back(dup(STDOUT_FILENO));
+  server->StopListening();
+  server.reset();
+  int open = 0;
+  for (const int fd : reused)
+    open += close(fd) == 0;
+  BOOST_TEST(open == kDescriptors);
+}
+
 BOOST_AUTO_TEST_CASE(CallerThatHangsUpIsNoticed) {
   base::Loop loop;
   bool abandoned = false;
--- a/http/server.cc
+++ b/http/server.cc
@@ -313,7 +313,11 @@
   return info ? info->num_connections : 0;
 }
 
+// The library returns the same descriptor again when asked again; its number
+// may belong to another connection by then.
 void Server::StopListening() {
+  if (!std::exchange(this->is_listening, false))
+    return;
   const MHD_socket fd = MHD_quiesce_daemon(this->daemon);
   if (fd != MHD_INVALID_SOCKET)
     close(fd);
--- a/http/server.h
+++ b/http/server.h
@@ -104,6 +104,7 @@
   std::uint16_t bound_port = 0;
   std::size_t reading = 0;  // requests whose body has not come whole
   std::size_t open = 0;
+  bool is_listening = true;
   bool ending = false;
   bool resumed = false;  // a connection was, since the library ran last
   MHD_Daemon* daemon = nullptr;
