A server whose handler threw ends without an abort

Cause: an exception leaves a handler through the library. Its request is neither answered nor waiting; while the server's destructor runs the library, it is suspended, and the library aborts on it before anybody sees the exception. The worker stand-in threw on a body that is no JSON: a box may listen at the former port of a daemon whose callers still come. Change: a server that ends answers such a request with 504; the stand-in answers 400 where it threw.

--- a/entry/process_test.cc
+++ b/entry/process_test.cc
@@ -8,13 +8,16 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 #include "base/ip_address.h"
 #include "entry/tables.h"
+#include "http/client.h"
 #include "testing/cluster_fixture.h"
 
 namespace quartzhoist::testing {
@@ -30,6 +33,26 @@
   return -1;
 }
 
+// Guards against a test process that a stray request ends: a box may listen at
+// the former port of a daemon whose callers still come.
+BOOST_AUTO_TEST_CASE(WorkerStandinSurvivesARequestForADaemon) {
+  ClusterFixture fixture(0, 1);
+  const auto workers = fixture.cluster.store().Table("servers");
+  BOOST_REQUIRE(workers.size() == 1U);
+  const auto address = nlohmann::json::parse(workers.front().value)
+                           .at("address")
+                           .get<std::string>();
+  http::Client client(fixture.cluster.on_loop());
+  std::optional<int> status;
+  client.Send({.url = "http://" + address + "/q/" + JobId(1)},
+              [&](const http::ClientResult& result) {
+                status = result.response.status;
+              });
+  BOOST_TEST(fixture.cluster.WaitUntil(kTimeoutSeconds,
+                                       [&] { return status.has_value(); }));
+  BOOST_TEST(status.value_or(0) == 400);
+}
+
 BOOST_AUTO_TEST_CASE(JobsRunOnce) {
   ClusterFixture fixture(3);
   fixture.SubmitAll();
--- a/http/http_test.cc
+++ b/http/http_test.cc
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -381,6 +382,29 @@
   BOOST_TEST(result->response.status == 504);
 }
 
+// Guards against a process that aborts, and hides the exception, where a
+// handler's exception ends it: the request is neither answered nor waiting.
+BOOST_AUTO_TEST_CASE(ServerWhoseHandlerThrewEndsWithItsRequestAnswered) {
+  base::Loop loop;
+  Client client(loop);
+  std::optional<ClientResult> result;
+  {
+    Server server(loop, {}, [](const ExchangePtr&) {
+      throw std::runtime_error("a handler's");
+    });
+    client.Send({.url = Url(server.port()), .timeout = kLimit},
+                [&](ClientResult got) { result = std::move(got); });
+    const auto run = [&loop] {
+      for (;;)
+        loop.RunOnce();
+    };
+    BOOST_CHECK_THROW(run(), std::runtime_error);
+  }
+  while (!result)
+    loop.RunOnce();
+  BOOST_TEST(result->response.status == 504);
+}
+
 // Guards against a server that stops listening twice and closes a descriptor
 // that has been reused since.
 BOOST_AUTO_TEST_CASE(ListenerIsClosedOnce) {
--- a/http/server.cc
+++ b/http/server.cc
@@ -117,6 +117,9 @@
     // 3. The request is whole: hand it over, once.
     if (!exchange.handed_over)
       HandOver(*server, slot->exchange);
+    // A handler that threw has ended the server without an answer.
+    if (server->ending && !exchange.answered)
+      server->ReplyUnanswered(exchange);
     // 4. Answer, or wait for the answer with the connection suspended.
     if (exchange.answered) {
       if (exchange.queued)
@@ -290,11 +293,8 @@
   this->StopListening();
   this->ending = true;
   for (const ExchangePtr& exchange : this->waiting) {
-    if (exchange->answered)
-      continue;
-    // Its handler may have carried it out.
-    this->NoteCut(exchange->request(), kMayHaveRun, "unanswered");
-    exchange->Reply({.status = kMayHaveRun, .headers = {}, .body = {}});
+    if (!exchange->answered)
+      this->ReplyUnanswered(*exchange);
   }
   for (int runs = 0; runs < kMaxRunsATurn; ++runs) {
     MHD_run(this->daemon);
@@ -339,6 +339,12 @@
   }
 }
 
+// Its handler may have carried it out.
+void Server::ReplyUnanswered(Exchange& exchange) const {
+  this->NoteCut(exchange.request(), kMayHaveRun, "unanswered");
+  exchange.Reply({.status = kMayHaveRun, .headers = {}, .body = {}});
+}
+
 void Server::NoteCut(const Request& request,
                      int status,
                      std::string_view reason) const {
--- a/http/server.h
+++ b/http/server.h
@@ -94,6 +94,7 @@
 
   void RunPending();
   void FindAbandoned();
+  void ReplyUnanswered(Exchange& exchange) const;
   void NoteCut(const Request& request,
                int status,
                std::string_view reason) const;
--- a/testing/worker_standin.cc
+++ b/testing/worker_standin.cc
@@ -233,7 +233,12 @@
     exchange->Reply(Answer(421, ClockOf(life), json::object()));
     return;
   }
-  const json body = json::parse(request.body);
+  // A caller of a daemon that has ended may meet its port here.
+  const json body = json::parse(request.body, nullptr, false);
+  if (!body.is_object()) {
+    exchange->Reply(Answer(400, ClockOf(life), json::object()));
+    return;
+  }
   const auto fence = body.value("fencingToken", std::uint64_t{0});
   this->JudgeEpoch(life.box, fence);
   if (request.path == "/hold")
