Soak: a daemon that ends by itself must end with exit code 0

A stopped daemon that aborted was started again and nothing was said. Both soaks now judge how each daemon's process ended (0, or SIGKILL by the soak).

No functional change.

--- a/testing/fleet_soak.cc
+++ b/testing/fleet_soak.cc
@@ -173,6 +173,8 @@
     this->faults.push_back("LOST jobs are not over a minute after the end");
   this->judge->JudgeStates(false);
   this->judge->JudgeRefused();
+  for (const std::string& crash : this->cluster.CrashedDaemons())
+    this->faults.push_back(crash);
 }
 
 void FleetSoak::Tick() {
@@ -276,8 +278,10 @@
   }
   if (process.running() && now < this->restart_at + kGrace)
     return;
-  if (process.running())
+  if (process.running()) {
     this->Kill(daemon);
+    process.Wait(base::Seconds(kGrace));
+  }
   this->cluster.StartDaemon(daemon);
   this->to_restart.pop_back();
   this->restart_at = base::Micros::zero();
--- a/testing/job_cluster.cc
+++ b/testing/job_cluster.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -110,6 +111,8 @@
       this->epochs_checked ? "true" : "false", this->limits,
       this->workers_an_owner);
   Daemon& daemon = this->by_id[id];
+  if (daemon.process)
+    this->NoteExit(id, *daemon.process);
   daemon.settings = settings;
   const std::string output =
       fmt::format("{}/{}-{}", this->folder, id, std::rand());
@@ -124,6 +127,22 @@
   return daemon;
 }
 
+void JobCluster::NoteExit(const std::string& id, Process& process) {
+  constexpr int kKilled = 128 + SIGKILL;
+  if (process.running())
+    return;
+  const int code = process.Wait(0).value_or(0);
+  if (code != 0 && code != kKilled)
+    this->crashes.push_back(
+        fmt::format("CRASH the process of {} ended with {}", id, code));
+}
+
+std::vector<std::string> JobCluster::CrashedDaemons() {
+  for (auto& [id, daemon] : this->by_id)
+    this->NoteExit(id, *daemon.process);
+  return this->crashes;
+}
+
 std::string JobCluster::Logs() const {
   std::set<std::filesystem::path> files;
   std::error_code ignored;
--- a/testing/job_cluster.h
+++ b/testing/job_cluster.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "base/loop.h"
 #include "entry/shards.h"
@@ -56,6 +57,9 @@
   Daemon& StartDaemonAtEndpoint(const std::string& id);
   // The [limits] of daemons started from now on.
   void SetLimits(const std::string& lines) { this->limits = lines; }
+  // The daemons whose process has ended otherwise than with exit code 0 or by
+  // SIGKILL, in words.
+  std::vector<std::string> CrashedDaemons();
   // Copies the daemons' logs, of ended ones too.
   void CopyLogs(const std::string& to) const;
   TcpLink& LinkOf(const std::string& id) { return *this->links.at(id); }
@@ -98,6 +102,7 @@
  private:
   // The response, with status 0 if there is none.
   http::Response Await(http::ClientRequest request);
+  void NoteExit(const std::string& id, Process& process);
 
   std::string folder;
   std::string programs;
@@ -107,6 +112,7 @@
   http::Client client;
   std::map<std::string, std::unique_ptr<TcpLink>> links;  // by daemon
   std::map<std::string, Daemon> by_id;
+  std::vector<std::string> crashes;  // of processes that were replaced
   std::function<void()> ticker;
   int workers_an_owner = 200;
   bool epochs_checked = false;
--- a/testing/soak.cc
+++ b/testing/soak.cc
@@ -19,6 +19,7 @@
 constexpr base::Micros kBetweenJobs = milliseconds(150);
 // Generous: takeovers, leases and pauses after the last fault.
 constexpr double kOverSeconds = 60;
+constexpr double kExitSeconds = 20;
 
 // Two queues with a target latency, so that jobs are rejected by their expected
 // wait. Those of "urgent" are of use for 1 s.
@@ -230,7 +231,9 @@
 // Kills the process if it still runs, as the platform does after its grace
 // period.
 void Soak::StartAgain(const std::string& id) {
-  this->cluster.daemons().at(id).process.reset();
+  Process& process = *this->cluster.daemons().at(id).process;
+  process.Signal(SIGKILL);
+  process.Wait(kExitSeconds);
   this->cluster.StartDaemon(id);
 }
 
@@ -327,6 +330,8 @@
   }
   for (const std::string& fault : this->cluster.workers().broken())
     this->faults.push_back(fault);
+  for (const std::string& crash : this->cluster.CrashedDaemons())
+    this->faults.push_back(crash);
 }
 
 }  // namespace quartzhoist::testing
