--- a/testing/fleet_soak.cc
+++ b/testing/fleet_soak.cc
@@ -118,6 +118,8 @@
       schedule(std::move(events)),
       seed(drawn) {
   this->cluster.SetLimits(kLimits);
+  if (this->form.epochs_checked)
+    this->cluster.SetEpochsChecked();
   this->cluster.store().SetDelay(kStoreTime);
   this->cluster.workers().SetCores(kCores);
   this->cluster.workers().SetAwayTime(kAway);
--- a/testing/job_cluster.h
+++ b/testing/job_cluster.h
@@ -42,10 +42,15 @@
   void SetKey(const std::string& key) { this->access_key = key; }
   // Applies to daemons started from now on.
   void SetWorkersAnOwner(int workers) { this->workers_an_owner = workers; }
-  // The daemons count on workers and boxes that check epochs, and grant leases
-  // of up to `longest_lease`. Applies to daemons started from now on.
-  void SetEpochsChecked(base::Micros longest_lease) {
+  // Workers and boxes check epochs, and daemons started from now on count on
+  // it.
+  void SetEpochsChecked() {
     this->epochs_checked = true;
+    this->fleet.CheckEpochs();
+  }
+  // The same, and they grant leases of up to `longest_lease`.
+  void SetEpochsChecked(base::Micros longest_lease) {
+    this->SetEpochsChecked();
     this->limits +=
         "longest_lease_ms = " + std::to_string(base::Millis(longest_lease)) +
         "\n";
--- a/testing/soak_callers.h
+++ b/testing/soak_callers.h
@@ -25,7 +25,8 @@
   int pools = 3;  // each with a queue of short tasks and one that lasts
   int boxes = 4;  // of each pool
   int spare_boxes = 3;
-  int groups = 3;  // of callers
+  int groups = 3;               // of callers
+  bool epochs_checked = false;  // by workers and boxes
 };
 
 inline constexpr SoakForm kLargeForm{.daemons = 9,
--- a/testing/soak_main.cc
+++ b/testing/soak_main.cc
@@ -70,7 +70,7 @@
       "first", "first seed", cxxopts::value<std::uint64_t>())(
       "last", "last seed", cxxopts::value<std::uint64_t>())(
       "seconds", "length of each", cxxopts::value<int>())(
-      "form", "faults, fleet or large",
+      "form", "faults, fleet, epochs (a fleet that checks them) or large",
       cxxopts::value<std::string>()->default_value("faults"))(
       "among", "faults that a fleet's schedule is drawn from; empty: all",
       cxxopts::value<std::vector<std::string>>()->default_value(""))(
@@ -83,8 +83,9 @@
     int broken = 0;
     const auto programs = given["programs"].as<std::string>();
     const auto form = given["form"].as<std::string>();
-    const testing::SoakForm size =
+    testing::SoakForm size =
         form == "large" ? testing::kLargeForm : testing::SoakForm{};
+    size.epochs_checked = form == "epochs";
     std::vector<testing::FleetFault> among;
     for (const auto& name : given["among"].as<std::vector<std::string>>()) {
       for (const auto& named : testing::kFleetFaultNames) {
--- a/testing/worker_standin.cc
+++ b/testing/worker_standin.cc
@@ -16,6 +16,7 @@
 constexpr std::uint64_t kThousand = 1000;
 constexpr base::Micros kHeartbeat = milliseconds(1000);
 constexpr std::size_t kMaxListedEnds = 500;
+constexpr int kRejected = 409;
 
 std::int64_t NowMillis() {
   return base::Millis(base::MonotonicNow());
@@ -212,6 +213,19 @@
   return count;
 }
 
+bool WorkerStandins::Obeys(std::uint64_t& highest,
+                           const std::string& box,
+                           std::uint64_t epoch) {
+  if (!this->checks_epochs) {
+    this->JudgeEpoch(box, epoch);
+    return true;
+  }
+  if (epoch < highest)
+    return false;
+  highest = epoch;
+  return true;
+}
+
 // They carry out what comes under an earlier epoch: an owner must stop itself.
 void WorkerStandins::JudgeEpoch(const std::string& box, std::uint64_t epoch) {
   std::uint64_t& highest = this->box_epochs[box];
@@ -240,7 +254,10 @@
     return;
   }
   const auto fence = body.value("fencingToken", std::uint64_t{0});
-  this->JudgeEpoch(life.box, fence);
+  if (!this->Obeys(life.epoch, life.box, fence)) {
+    exchange->Reply(Answer(kRejected, ClockOf(life), {{"reason", "fence"}}));
+    return;
+  }
   if (request.path == "/hold")
     this->Hold(life, exchange, body);
   else if (request.path == "/run-start")
@@ -461,7 +478,11 @@
   const json body = json::parse(request.body);
   const auto box = body.at("machine").get<std::string>();
   const std::string* token = http::FindHeader(request.headers, "Fence-Token");
-  this->JudgeEpoch(box, token ? std::stoull(*token) : 0);
+  const std::uint64_t epoch = token ? std::stoull(*token) : 0;
+  if (!this->Obeys(this->box_epochs[box], box, epoch)) {
+    exchange->Reply(http::JsonResponse(kRejected, R"({"reason":"fence"})"));
+    return;
+  }
   const auto life = this->lives.find(box);
   if (life == this->lives.end()) {
     exchange->Reply(http::JsonResponse(409, R"({"reason":"busy"})"));
--- a/testing/worker_standin.h
+++ b/testing/worker_standin.h
@@ -47,6 +47,9 @@
   // Capacity of boxes added from now on, in thousandths of a core.
   void SetCores(std::int64_t cpu) { this->cores = cpu; }
   void SetAwayTime(base::Micros span) { this->away_time = span; }
+  // Boxes and their lives refuse what comes under an earlier epoch. Else they
+  // carry it out, and it counts as a broken promise.
+  void CheckEpochs() { this->checks_epochs = true; }
 
   enum class BoxMood {
     kWell,
@@ -120,6 +123,7 @@
     std::int64_t born_ms = 0;        // since 1970
     std::int64_t clock_from_ms = 0;  // its clock counts from then on
     std::int64_t deadline_ms = 0;    // on its clock
+    std::uint64_t epoch = 0;         // the highest, if epochs are checked
     std::map<std::string, Run> running;
     std::map<std::string, int> over;
     std::vector<nlohmann::json> ends;
@@ -147,6 +151,11 @@
             const http::ExchangePtr& exchange,
             const nlohmann::json& body);
   void JudgeEpoch(const std::string& box, std::uint64_t epoch);
+  // Whether the epoch is not lower than `highest`, which it raises. Always true
+  // if epochs are not checked.
+  bool Obeys(std::uint64_t& highest,
+             const std::string& box,
+             std::uint64_t epoch);
   void JudgeStart(const Life& life, const std::string& task, int run);
   Run RunOf(const std::string& task, int number, const std::string& spec) const;
   void AddEnd(Life& life, const std::string& task, const char* how);
@@ -171,6 +180,7 @@
   std::map<std::string, int> failures;
   std::map<std::string, base::Micros> entries_left;  // ids, until when
   std::vector<http::ExchangePtr> unheard;
+  bool checks_epochs = false;
   std::int64_t cores = 4000;
   base::Micros away_time = std::chrono::milliseconds(400);
   BoxMood box_mood = BoxMood::kWell;
