--- a/entry/process_test.cc
+++ b/entry/process_test.cc
@@ -162,6 +162,7 @@
 // it waits for those to leave.
 BOOST_AUTO_TEST_CASE(StoppingDaemonKeepsConnectionsThatBeganMeanwhile) {
   constexpr auto kBetweenTries = std::chrono::milliseconds(60);
+  constexpr auto kExitTime = std::chrono::milliseconds(300);
   ClusterFixture fixture(1);
   fixture.WaitUntilReady("entry-1");
   // The cluster keeps this connection open.
@@ -178,6 +179,9 @@
     char byte;
     const bool has_ended = recv(fd, &byte, 1, MSG_DONTWAIT) == 0;
     close(fd);
+    // The exit closes connections too.
+    if (has_ended)
+      fixture.Wait(kExitTime);
     cut += has_ended && stopping.running();
   }
   BOOST_TEST(cut == 0);
