404 and 401 need a configuration that was asked for lately

Cause: a confirmation counted from the arrival of the feed's answer, which a slow store gave before the queue was added. Installing a configuration counted as a confirmation too, and so did the answer that the feed's history is lost. Change: what rejects a queue or a key as unknown goes by the time at which the configuration was asked for; a 410 confirms nothing. StateQueryTakesOneReadWhereTheRowNamesTheOrganisation now confirms the configuration right before it counts reads: a job that is withheld costs a read of the configuration otherwise, four a second and daemon at most. What it asks of the reads is as before.

No functional change of the scheduler.

--- a/entry/caller_access_test.cc
+++ b/entry/caller_access_test.cc
@@ -186,6 +186,8 @@
 BOOST_AUTO_TEST_CASE(StateQueryTakesOneReadWhereTheRowNamesTheOrganisation) {
   AccessBench bench;
   bench.StatusFor("bee", "POST");
+  // Else a job that is withheld costs a read of the configuration.
+  bench.api.OnConfigConfirmed(base::MonotonicNow(), base::MonotonicNow());
   const int before = bench.standin.reads();
   BOOST_TEST(bench.StatusFor("bee", "GET") == 200);
   BOOST_TEST(bench.StatusFor("ant", "GET") == 410);
--- a/entry/caller_admission_test.cc
+++ b/entry/caller_admission_test.cc
@@ -89,7 +89,7 @@
   // A read without an answer ends after 1.5 s.
   BOOST_CHECK(base::MonotonicNow() - start < std::chrono::milliseconds(1400));
   bench.standin.SetMood(StoreStandin::Mood::kBusy);
-  bench.api.OnConfigConfirmed(base::MonotonicNow());
+  bench.api.OnConfigConfirmed(base::MonotonicNow(), base::MonotonicNow());
   const http::Response refused =
       bench.Call("POST", "/p/5c0e7a21d94b36f9", kBody);
   BOOST_TEST(refused.body.find("does not take writes") != std::string::npos,
--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -22,9 +22,10 @@
 constexpr std::string_view kNoSuchJob = "there is no such job";
 constexpr int kCancelAttempts = 3;
 // A queue or access key is rejected as unknown, and another organisation's job
-// withheld, only under a configuration that was confirmed this recently;
-// otherwise the store is read first, which takes a few ms. Limits the reads
-// under a flood of such requests to four a second.
+// withheld, only under a configuration that was asked for this recently: an
+// answer may have been on its way while a newer one came into force. Otherwise
+// the store is read first, which takes a few ms. Limits the reads under a flood
+// of such requests to four a second.
 constexpr base::Micros kMaxConfigAge = milliseconds(250);
 // A read of the configuration without an answer is made once more after this,
 // so that one that was lost at the end of an outage does not hold up requests
@@ -57,7 +58,7 @@
 
 void CallerApi::SetConfig(const jobs::Config& next) {
   this->config = next;
-  this->OnConfigConfirmed(base::MonotonicNow());
+  this->config_confirmed = base::MonotonicNow();
   this->ScheduleHeld();
 }
 
@@ -73,8 +74,9 @@
   this->random.seed(seed + 1);
 }
 
-void CallerApi::OnConfigConfirmed(base::Micros time) {
-  this->config_confirmed = std::max(this->config_confirmed, time);
+void CallerApi::OnConfigConfirmed(base::Micros asked, base::Micros answered) {
+  this->config_asked = std::max(this->config_asked, asked);
+  this->config_confirmed = std::max(this->config_confirmed, answered);
 }
 
 void CallerApi::BeginShutdown() {
@@ -249,7 +251,7 @@
   if (row_found)
     this->on_config_row(result->rows.front());
   if (result)
-    this->OnConfigConfirmed(sent_at);
+    this->OnConfigConfirmed(sent_at, sent_at);
   for (const http::ExchangePtr& exchange :
        std::exchange(this->awaiting_config, {})) {
     if (result)
@@ -262,7 +264,7 @@
 
 bool CallerApi::MayConfigBeOutdated(ConfigSource source) const {
   return source == ConfigSource::kFeed &&
-         base::MonotonicNow() - this->config_confirmed > kMaxConfigAge;
+         base::MonotonicNow() - this->config_asked > kMaxConfigAge;
 }
 
 void CallerApi::Dispatch(const http::ExchangePtr& exchange,
--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -58,8 +58,9 @@
   // Rejects jobs that cannot be done in time by these loads. Until this is
   // called no job is rejected for its expected wait.
   void SetAdmission(LoadSource loads, std::uint64_t seed);
-  // The store confirmed that the configuration was the newest at `time`.
-  void OnConfigConfirmed(base::Micros time);
+  // The store answered at `answered` that the configuration was the newest when
+  // it was asked at `asked`.
+  void OnConfigConfirmed(base::Micros asked, base::Micros answered);
   // Makes all further responses close their connections.
   void BeginShutdown();
   void Handle(const http::ExchangePtr& exchange);
@@ -176,7 +177,8 @@
   std::optional<jobs::Config> config;
   int shards = 0;  // 0: not known
   ChooseShard choose_shard;
-  base::Micros config_confirmed{};
+  base::Micros config_confirmed{};  // when the store last answered so
+  base::Micros config_asked{};      // when it was asked for that answer
   // Requests waiting for a read of the configuration.
   std::vector<http::ExchangePtr> awaiting_config;
   StartHold<http::ExchangePtr> held_at_start;
--- a/entry/caller_api_test.cc
+++ b/entry/caller_api_test.cc
@@ -331,6 +331,19 @@
   BOOST_TEST(bench.Call("POST", kJobPath, kBody).status == 404);
 }
 
+// Guards against a daemon that serves a new queue and then answers 404 for it:
+// an answer of a slow store that was given before the queue was added counted
+// as confirmation from its arrival on.
+BOOST_AUTO_TEST_CASE(QueueAddedWhileAnAnswerWasOnItsWayIsServed) {
+  CallerBench bench;
+  bench.standin.Put(kConfigRow, R"({"version":2,"routes":[{"name":"new",)"
+                                R"("host":"h.example","pathPrefix":"/new/",)"
+                                R"("service":"s"}],"services":[]})");
+  const base::Micros now = base::MonotonicNow();
+  bench.api.OnConfigConfirmed(now - std::chrono::milliseconds(600), now);
+  BOOST_TEST(bench.Call("GET", "/new/").status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(OldViewThatTheStoreDoesNotRenewDecidesNothing) {
   CallerBench bench;
   bench.WaitUntilConfigIsStale();
--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -143,8 +143,9 @@
                 this->ApplyOperatorChanges(changes);
               },
           .on_contact =
-              [this](base::Micros) {
-                this->callers.OnConfigConfirmed(base::MonotonicNow());
+              [this](base::Micros asked) {
+                if (asked > base::Micros::zero())
+                  this->callers.OnConfigConfirmed(asked, base::MonotonicNow());
               },
           .on_lost = [] {}},
       platform::TableFollower::Pace{.wait = chosen.deployment.config_in_force /
