--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -367,8 +367,10 @@
                             std::function<void(JobAccess)> on_decided) {
   const JobAccess access =
       DecideJobAccess(*this->config, request.organisation, origin);
-  if (access == JobAccess::kDenied &&
-      this->MayConfigBeOutdated(request.config_source)) {
+  const bool is_old =
+      request.config_source == ConfigSource::kFeed &&
+      base::MonotonicNow() - this->config_confirmed > kMaxConfigAge;
+  if (access == JobAccess::kDenied && is_old) {
     this->ReadConfig(request.exchange);
     return;
   }
