Read-through: one rule for a configuration's age, typed absence, a query without effect

Why withheld jobs go by its arrival is traced: a read of the configuration submits the job anew, and a taken id that a read had found is then found by a write (504 for 409 while the store takes no writes). - TableFollower::on_contact tells an absent time by an empty optional, not by 0. - JobCluster::CrashedDaemons() added to a list each time it was asked. - StoppingDaemonKeepsConnectionsThatBeganMeanwhile passed where no connection could be opened; it counts them now.

No functional change of the scheduler.

--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -21,18 +21,6 @@
 
 constexpr std::string_view kNoSuchJob = "there is no such job";
 constexpr int kCancelAttempts = 3;
-// A queue or access key is rejected as unknown, and another organisation's job
-// withheld, only under a configuration that was asked for this recently: an
-// answer may have been on its way while a newer one came into force. Otherwise
-// the store is read first, which takes a few ms. Limits the reads under a flood
-// of such requests to four a second.
-constexpr base::Micros kMaxConfigAge = milliseconds(250);
-// A read of the configuration without an answer is made once more after this,
-// so that one that was lost at the end of an outage does not hold up requests
-// for the time limit of reads. A slow store (80 times 4 ms) stays below it.
-constexpr base::Micros kFirstConfigReadTimeout = milliseconds(450);
-// The HTTP library ends a call in whole milliseconds of its own clock.
-constexpr base::Micros kTimeoutPrecision = milliseconds(5);
 // Reads of progress rows before rejections. More would cost a store that serves
 // 6,000 reads a second, shared by some 30 daemons, too much under overload.
 constexpr std::size_t kMaxReadsBeforeRejectionPerSecond = 100;
@@ -74,11 +62,6 @@
   this->random.seed(seed + 1);
 }
 
-void CallerApi::OnConfigConfirmed(base::Micros asked, base::Micros answered) {
-  this->config_asked = std::max(this->config_asked, asked);
-  this->config_confirmed = std::max(this->config_confirmed, answered);
-}
-
 void CallerApi::BeginShutdown() {
   this->stopping = true;
 }
@@ -214,59 +197,6 @@
     this->Dispatch(exchange, ConfigSource::kFeed);
 }
 
-// Requests that arrive while a read is in flight share its result.
-void CallerApi::ReadConfig(const http::ExchangePtr& exchange) {
-  this->awaiting_config.push_back(exchange);
-  if (this->awaiting_config.size() == 1)
-    this->SendConfigRead(kFirstConfigReadTimeout);
-}
-
-void CallerApi::SendConfigRead(std::optional<base::Micros> timeout) {
-  const platform::ReadQuery query{
-      .table = std::string(platform::kOperatorTable),
-      .part = "",
-      .from = std::string(platform::kConfigKey),
-      .to = {},
-      .limit = 1,
-      .fresh_connection = true,
-      .timeout = timeout};
-  const base::Micros sent_at = base::MonotonicNow();
-  this->store.Read(
-      query, [this, sent_at,
-              timeout](const std::optional<platform::ReadResult>& result) {
-        const base::Micros took = base::MonotonicNow() - sent_at;
-        const bool is_lost =
-            !result && timeout && took >= *timeout - kTimeoutPrecision;
-        if (is_lost && !this->store.SeemsAway())
-          this->SendConfigRead(std::nullopt);
-        else
-          this->OnConfigRead(result, sent_at);
-      });
-}
-
-void CallerApi::OnConfigRead(const std::optional<platform::ReadResult>& result,
-                             base::Micros sent_at) {
-  const bool row_found = result && !result->rows.empty() &&
-                         result->rows.front().at.key == platform::kConfigKey;
-  if (row_found)
-    this->on_config_row(result->rows.front());
-  if (result)
-    this->OnConfigConfirmed(sent_at, sent_at);
-  for (const http::ExchangePtr& exchange :
-       std::exchange(this->awaiting_config, {})) {
-    if (result)
-      this->Dispatch(exchange, ConfigSource::kStoreRead);
-    else
-      this->Refuse(exchange, kServiceUnavailable, "",
-                   "it is not known which configuration is in force");
-  }
-}
-
-bool CallerApi::MayConfigBeOutdated(ConfigSource source) const {
-  return source == ConfigSource::kFeed &&
-         base::MonotonicNow() - this->config_asked > kMaxConfigAge;
-}
-
 void CallerApi::Dispatch(const http::ExchangePtr& exchange,
                          ConfigSource source) {
   const http::Request& request = exchange->request();
@@ -284,7 +214,9 @@
   const std::optional<std::string> organisation =
       queue ? AuthenticateCaller(*this->config, *queue, request.headers)
             : std::nullopt;
-  if (!organisation && this->MayConfigBeOutdated(source)) {
+  // An answer of the feed may have been on its way while a newer configuration
+  // came into force, so that it counts from when it was asked for.
+  if (!organisation && this->MayConfigBeOutdated(source, this->config_asked)) {
     this->ReadConfig(exchange);
     return;
   }
@@ -367,10 +299,12 @@
                             std::function<void(JobAccess)> on_decided) {
   const JobAccess access =
       DecideJobAccess(*this->config, request.organisation, origin);
-  const bool is_old =
-      request.config_source == ConfigSource::kFeed &&
-      base::MonotonicNow() - this->config_confirmed > kMaxConfigAge;
-  if (access == JobAccess::kDenied && is_old) {
+  // Reading the configuration submits the job anew, which takes a write where
+  // this decision takes none. An answer of the feed therefore counts from its
+  // arrival here.
+  if (access == JobAccess::kDenied &&
+      this->MayConfigBeOutdated(request.config_source,
+                                this->config_confirmed)) {
     this->ReadConfig(request.exchange);
     return;
   }
--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -127,7 +127,8 @@
   void SendConfigRead(std::optional<base::Micros> timeout);
   void OnConfigRead(const std::optional<platform::ReadResult>& result,
                     base::Micros sent_at);
-  bool MayConfigBeOutdated(ConfigSource source) const;
+  // `confirmed`: since when the feed confirms the configuration.
+  bool MayConfigBeOutdated(ConfigSource source, base::Micros confirmed) const;
   void Submit(const JobRequest& job_request, const jobs::Queue& queue);
   void Assign(std::uint64_t choice, int shard);
   void Admit(std::uint64_t choice);
--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -23,14 +23,6 @@
 // The daemon is not ready if the store has not responded for this long. The
 // feed of the owner rows responds every 0.7 to 1.5 s.
 constexpr base::Micros kStoreTimeout = milliseconds(2600);
-// Time to keep serving after a stop signal. The load balancer routes new
-// connections here until two readiness checks, a second apart, have failed.
-constexpr base::Micros kMinDrainTime = milliseconds(3000);
-// The process exits this long before the platform would kill it.
-constexpr base::Micros kExitBeforeKill = milliseconds(500);
-constexpr base::Micros kDrainCheckPeriod = milliseconds(50);
-// Time for open connections to close once no more callers can connect.
-constexpr base::Micros kMaxLingerTime = milliseconds(1000);
 
 http::ServerOptions ServerOptionsFor(const std::string& address,
                                      std::int64_t max_connections,
@@ -143,9 +135,9 @@
                 this->ApplyOperatorChanges(changes);
               },
           .on_contact =
-              [this](base::Micros asked) {
-                if (asked > base::Micros::zero())
-                  this->callers.OnConfigConfirmed(asked, base::MonotonicNow());
+              [this](std::optional<base::Micros> asked) {
+                if (asked)
+                  this->callers.OnConfigConfirmed(*asked, base::MonotonicNow());
               },
           .on_lost = [] {}},
       platform::TableFollower::Pace{.wait = chosen.deployment.config_in_force /
@@ -464,35 +456,6 @@
              {"total", this->store.traffic().Summary()}});
 }
 
-// Releases all shards, so that other daemons take over at once. Requests that
-// the load balancer still routes here are served until the process exits.
-void JobDaemon::Stop() {
-  if (this->stop_requested > base::Micros::zero())
-    return;
-  this->stop_requested = base::MonotonicNow();
-  base::Log(base::Event::kDaemonStopping, {});
-  this->callers.BeginShutdown();
-  if (this->ownerships)
-    this->ownerships->Release();
-  this->stop_timer.StartEvery(kDrainCheckPeriod);
-}
-
-void JobDaemon::ExitIfDrained() {
-  const base::Micros elapsed = base::MonotonicNow() - this->stop_requested;
-  const bool is_out_of_time =
-      elapsed > this->settings.stop_grace_period - kExitBeforeKill;
-  if (!is_out_of_time && elapsed <= kMinDrainTime)
-    return;
-  this->caller_server.StopListening();
-  const bool is_drained = this->caller_server.connections() == 0 ||
-                          (elapsed > kMinDrainTime + kMaxLingerTime &&
-                           this->caller_server.open_exchanges() == 0);
-  if (!is_drained && !is_out_of_time)
-    return;
-  this->callers.Shutdown();
-  this->loop.Stop();
-}
-
 void JobDaemon::Run() {
   this->loop.Run();
   base::Log(base::Event::kDaemonStopped, {});
--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <chrono>
 #include <limits>
+#include <optional>
 #include <utility>
 
 #include "base/event_log.h"
@@ -64,7 +65,7 @@
                 }
                 this->ScheduleCycle();
               },
-          .on_contact = [](base::Micros) {},
+          .on_contact = [](std::optional<base::Micros>) {},
           .on_lost = [] {}});
   this->worker_follower = std::make_unique<platform::TableFollower>(
       this->loop, this->store, std::string(platform::kWorkerTable),
@@ -97,7 +98,7 @@
                   this->HandleWorkerRow(changed);
                 this->ScheduleCycle();
               },
-          .on_contact = [](base::Micros) {},
+          .on_contact = [](std::optional<base::Micros>) {},
           .on_lost = [] {}},
       platform::TableFollower::Pace{.pause = [] { return kWorkerFeedPause; }});
 }
--- a/entry/ownerships.cc
+++ b/entry/ownerships.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <optional>
 #include <utility>
 
 #include "entry/renewal_schedule.h"
@@ -115,7 +116,7 @@
                   this->ApplyRow(changed.row, changed.removed);
               },
           .on_contact =
-              [this](base::Micros) {
+              [this](std::optional<base::Micros>) {
                 for (const auto& ownership : this->rows)
                   ownership->OnStoreAnswered();
                 this->events.on_store_answered();
--- a/entry/process_test.cc
+++ b/entry/process_test.cc
@@ -170,11 +170,13 @@
   JobCluster::Daemon& daemon = fixture.cluster.daemons().at("entry-1");
   Process& stopping = *daemon.process;
   stopping.Signal(SIGTERM);
+  int opened = 0;
   int cut = 0;
   while (stopping.running()) {
     const int fd = ConnectTo(daemon.metrics);
     if (fd < 0)
       break;
+    ++opened;
     fixture.Wait(kBetweenTries);
     char byte;
     const bool has_ended = recv(fd, &byte, 1, MSG_DONTWAIT) == 0;
@@ -184,6 +186,7 @@
       fixture.Wait(kExitTime);
     cut += has_ended && stopping.running();
   }
+  BOOST_TEST(opened > 0);
   BOOST_TEST(cut == 0);
   BOOST_TEST(stopping.Wait(kTimeoutSeconds).value_or(-1) == 0);
 }
--- a/entry/quota_records.cc
+++ b/entry/quota_records.cc
@@ -103,7 +103,7 @@
                     this->ApplyRow(changed.row);
                 }
               },
-          .on_contact = [](base::Micros) {},
+          .on_contact = [](std::optional<base::Micros>) {},
           .on_lost = [] {}});
 }
 
--- a/testing/job_cluster.cc
+++ b/testing/job_cluster.cc
@@ -51,6 +51,18 @@
   return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
 }
 
+// What is told of a process that has ended otherwise than with exit code 0 or
+// by SIGKILL. There may be no process.
+std::optional<std::string> CrashOf(const std::string& id, Process* process) {
+  constexpr int kKilled = 128 + SIGKILL;
+  if (!process || process->running())
+    return std::nullopt;
+  const int code = process->Wait(0).value_or(0);
+  if (code == 0 || code == kKilled)
+    return std::nullopt;
+  return fmt::format("CRASH the process of {} ended with {}", id, code);
+}
+
 }  // namespace
 
 std::string JobId(int number) {
@@ -111,8 +123,8 @@
       this->epochs_checked ? "true" : "false", this->limits,
       this->workers_an_owner);
   Daemon& daemon = this->by_id[id];
-  if (daemon.process)
-    this->NoteExit(id, *daemon.process);
+  if (const auto crash = CrashOf(id, daemon.process.get()))
+    this->crashes.push_back(*crash);
   daemon.settings = settings;
   const std::string output =
       fmt::format("{}/{}-{}", this->folder, id, std::rand());
@@ -127,20 +139,13 @@
   return daemon;
 }
 
-void JobCluster::NoteExit(const std::string& id, Process& process) {
-  constexpr int kKilled = 128 + SIGKILL;
-  if (process.running())
-    return;
-  const int code = process.Wait(0).value_or(0);
-  if (code != 0 && code != kKilled)
-    this->crashes.push_back(
-        fmt::format("CRASH the process of {} ended with {}", id, code));
-}
-
-std::vector<std::string> JobCluster::CrashedDaemons() {
-  for (auto& [id, daemon] : this->by_id)
-    this->NoteExit(id, *daemon.process);
-  return this->crashes;
+std::vector<std::string> JobCluster::CrashedDaemons() const {
+  std::vector<std::string> all = this->crashes;
+  for (const auto& [id, daemon] : this->by_id) {
+    if (const auto crash = CrashOf(id, daemon.process.get()))
+      all.push_back(*crash);
+  }
+  return all;
 }
 
 std::string JobCluster::Logs() const {
--- a/testing/job_cluster.h
+++ b/testing/job_cluster.h
@@ -64,7 +64,7 @@
   void SetLimits(const std::string& lines) { this->limits = lines; }
   // The daemons whose process has ended otherwise than with exit code 0 or by
   // SIGKILL, in words.
-  std::vector<std::string> CrashedDaemons();
+  std::vector<std::string> CrashedDaemons() const;
   // Copies the daemons' logs, of ended ones too.
   void CopyLogs(const std::string& to) const;
   TcpLink& LinkOf(const std::string& id) { return *this->links.at(id); }
@@ -107,7 +107,6 @@
  private:
   // The response, with status 0 if there is none.
   http::Response Await(http::ClientRequest request);
-  void NoteExit(const std::string& id, Process& process);
 
   std::string folder;
   std::string programs;
