--- a/scheduler/model_test.cc
+++ b/scheduler/model_test.cc
@@ -19,31 +19,6 @@
 
 using std::chrono::seconds;
 
-std::vector<ModelJob> DrawJobs(int count) {
-  std::vector<ModelJob> jobs;
-  for (int i = 0; i < count; ++i) {
-    ModelJob job;
-    job.id = "job" + std::to_string(i);
-    job.attempts = *rc::gen::inRange(1, 4);
-    job.spec.text = "text";
-    job.spec.steps.push_back(
-        MakeStep(*rc::gen::inRange(1, 5), *rc::gen::inRange(500, 2500)));
-    if (*rc::gen::arbitrary<bool>()) {
-      job.spec.steps.push_back(
-          MakeStep(*rc::gen::inRange(1, 4), *rc::gen::inRange(500, 2500)));
-      job.spec.steps.back().depends_on = {0};
-    } else if (*rc::gen::arbitrary<bool>()) {
-      MakeLongRunning(job.spec.steps.back());
-    }
-    jobs.push_back(job);
-  }
-  return jobs;
-}
-
-base::Micros DrawMillis(int least, int most) {
-  return std::chrono::milliseconds(DrawBetween(least, most));
-}
-
 // More tasks than the workers can do in the time of a test.
 std::vector<ModelJob> DrawBacklog(int workers) {
   std::vector<ModelJob> jobs(4);
@@ -123,104 +98,6 @@
   BOOST_TEST(model.starts() == 3 + 2 + 4);
 }
 
-// Guards against takeovers in short succession that restart the wait for a dead
-// worker's lease each time, so that its tasks never start elsewhere.
-BOOST_AUTO_TEST_CASE(TakeoversDoNotDelayTasksOfDeadWorkers) {
-  ModelJob job;
-  job.id = "lasting";
-  job.spec.steps = {MakeStep(2, 1000)};
-  MakeLongRunning(job.spec.steps[0]);
-  SchedulerModel model(1, {}, 3, {job});
-  model.RunFor(seconds(3));
-  BOOST_REQUIRE(model.RunningTasks("lasting") == 2);
-  model.SilenceWorkersOf("lasting");
-  for (int i = 0; i < 5; ++i) {
-    model.TakeOver();
-    model.RunFor(seconds(4));
-  }
-  BOOST_TEST(Joined(model.violations()) == "");
-  BOOST_TEST(model.RunningTasks("lasting") == 2);
-}
-
-// Guards against tasks of a worker lost together with its owner that wait for
-// the longest lease an owner without the store may grant, although the owner's
-// daemon is back: its process granted nothing after its end.
-BOOST_AUTO_TEST_CASE(TasksLostWithARestartedOwnerWaitForOneLease) {
-  ModelJob job;
-  job.id = "lasting";
-  job.spec.steps = {MakeStep(2, 1000)};
-  MakeLongRunning(job.spec.steps[0]);
-  SchedulerModel model(1, {}, 3, {job});
-  model.RunFor(seconds(3));
-  BOOST_REQUIRE(model.RunningTasks("lasting") == 2);
-  model.SilenceWorkersOf("lasting");
-  model.RestartOwner(std::chrono::milliseconds(500));
-  model.RunFor(seconds(7));
-  BOOST_TEST(Joined(model.violations()) == "");
-  BOOST_TEST(model.RunningTasks("lasting") == 2);
-}
-
-// Guards against a task that is started while it runs beyond a cut: the second
-// owner only carried the first one's grants there, and its end was taken for
-// their bound.
-BOOST_AUTO_TEST_CASE(EndOfASecondOwnerDoesNotBoundGrantsOfTheFirst) {
-  ModelJob job;
-  job.id = "lasting";
-  job.spec.steps = {MakeStep(2, 1000)};
-  MakeLongRunning(job.spec.steps[0]);
-  SchedulerModel model(1, {}, 4, {job});
-  model.RunFor(seconds(3));
-  BOOST_REQUIRE(model.RunningTasks("lasting") == 2);
-  model.TakeOver();
-  model.CutOwnerFromWorkersOf("lasting");
-  model.RunFor(seconds(1));
-  model.RestartOwner(std::chrono::milliseconds(300));
-  model.CutOwnerFromWorkersOf("lasting");
-  model.RunFor(seconds(12));
-  BOOST_TEST(Joined(model.violations()) == "");
-  BOOST_TEST(model.RunningTasks("lasting") == 2);
-}
-
-// Owners are replaced and restarted in a row, and each may be cut off from the
-// workers with long-running tasks, which earlier owners still reach.
-BOOST_AUTO_TEST_CASE(LongRunningTasksRunOnceAcrossRestartedOwners) {
-  const bool holds = rc::check("a long-running task runs once", [] {
-    ModelJob job;
-    job.id = "lasting";
-    job.spec.steps = {MakeStep(*rc::gen::inRange(1, 5), 500)};
-    MakeLongRunning(job.spec.steps[0]);
-    std::vector<ModelJob> jobs = DrawJobs(2);
-    jobs.push_back(job);
-    ModelFaults faults;
-    faults.partition = *rc::gen::inRange(0, 1000) / 1000.0;
-    faults.crash = *rc::gen::inRange(0, 100) / 1000.0;
-    faults.restart = *rc::gen::inRange(0, 200) / 1000.0;
-    faults.lost_answer = *rc::gen::inRange(0, 150) / 1000.0;
-    faults.lost_save = *rc::gen::inRange(0, 200) / 1000.0;
-    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
-    SchedulerModel model(seed, faults, *rc::gen::inRange(3, 7), jobs);
-    model.RunFor(DrawMillis(500, 4000));
-    for (int i = 0; i < 4; ++i) {
-      if (DrawBetween(0, 1) == 1)
-        model.TakeOver();
-      else
-        model.RestartOwner(DrawMillis(300, 1500));
-      if (DrawBetween(0, 1) == 1)
-        model.CutOwnerFromWorkersOf(job.id);
-      model.RunFor(DrawMillis(200, 5000));
-    }
-    model.RunFor(seconds(12));
-    model.Heal();
-    model.RunFor(seconds(40));
-    RC_LOG() << Joined(model.violations()) << model.History();
-    RC_ASSERT(model.violations().empty());
-    const int missing = job.spec.steps[0].tasks - model.RunningTasks(job.id);
-    RC_ASSERT(missing >= 0);
-    RC_ASSERT(missing <= model.TasksThatMayBeGivenUp(job.id));
-  });
-  BOOST_TEST(holds);
-}
-
 // Guards against a second start of a finished task: an owner that doesn't know
 // of its takeover saves an end, and acknowledges it to the worker, after the
 // new owner has read the row. Parts of the store are unavailable meanwhile.
--- a/scheduler/worker_reports_test.cc
+++ b/scheduler/worker_reports_test.cc
@@ -106,11 +106,14 @@
   return jobs::DecodeProgress(saves.back().text)->state;
 }
 
-// Tasks that had completed were started again: their ends could not be recorded
-// during an outage of the store, so that later ends on the worker were not
-// listed.
-BOOST_AUTO_TEST_CASE(EndsBehindACutListAreNotTakenForLostRuns) {
-  Bench bench(1);
+struct TwoRuns {
+  StartRun first;
+  StartRun second;
+};
+
+// Two jobs of one task each on worker "w"; the start of the second is answered
+// with `second_outcome`.
+TwoRuns StartTwoRuns(Bench& bench, CommandOutcome second_outcome) {
   bench.scheduler.UpdateWorker(Bench::Worker("w"), bench.now);
   bench.Report("w", {}, bench.now + seconds(8));
   bench.AddJob("first");
@@ -118,7 +121,16 @@
   bench.scheduler.StartAnswered(first, CommandOutcome::kDone, bench.now);
   bench.AddJob("second");
   const StartRun second = bench.NextStart();
-  bench.scheduler.StartAnswered(second, CommandOutcome::kDone, bench.now);
+  bench.scheduler.StartAnswered(second, second_outcome, bench.now);
+  return {.first = first, .second = second};
+}
+
+// Tasks that had completed were started again: their ends could not be recorded
+// during an outage of the store, so that later ends on the worker were not
+// listed.
+BOOST_AUTO_TEST_CASE(EndsBehindACutListAreNotTakenForLostRuns) {
+  Bench bench(1);
+  const auto [first, second] = StartTwoRuns(bench, CommandOutcome::kDone);
   WorkerReport running;
   for (const StartRun& start : {first, second})
     running.running.push_back({.task = start.task, .run = start.run});
@@ -137,14 +149,7 @@
 // A run is lost if a complete list of ends does not name it.
 BOOST_AUTO_TEST_CASE(RunMissingFromACompleteListAfterACutOneIsLost) {
   Bench bench(1);
-  bench.scheduler.UpdateWorker(Bench::Worker("w"), bench.now);
-  bench.Report("w", {}, bench.now + seconds(8));
-  bench.AddJob("first");
-  const StartRun first = bench.NextStart();
-  bench.scheduler.StartAnswered(first, CommandOutcome::kDone, bench.now);
-  bench.AddJob("second");
-  const StartRun second = bench.NextStart();
-  bench.scheduler.StartAnswered(second, CommandOutcome::kDone, bench.now);
+  const auto [first, second] = StartTwoRuns(bench, CommandOutcome::kDone);
   const WorkerReport cut = CutAfter(Done(1, first.task, first.run));
   RepeatWithoutSaves(bench, cut);
   BOOST_TEST(AcknowledgedAfterSaves(bench, cut) == 1);
@@ -160,14 +165,7 @@
 // would then never be listed.
 BOOST_AUTO_TEST_CASE(UnansweredStartBehindACutListLetsEndsBeAcknowledged) {
   Bench bench(1);
-  bench.scheduler.UpdateWorker(Bench::Worker("w"), bench.now);
-  bench.Report("w", {}, bench.now + seconds(8));
-  bench.AddJob("first");
-  const StartRun first = bench.NextStart();
-  bench.scheduler.StartAnswered(first, CommandOutcome::kDone, bench.now);
-  bench.AddJob("second");
-  const StartRun second = bench.NextStart();
-  bench.scheduler.StartAnswered(second, CommandOutcome::kUnknown, bench.now);
+  const auto [first, second] = StartTwoRuns(bench, CommandOutcome::kUnknown);
 
   const WorkerReport cut = CutAfter(Done(1, first.task, first.run));
   RepeatWithoutSaves(bench, cut);
--- a/testing/model_draws.h
+++ b/testing/model_draws.h
@@ -40,6 +40,31 @@
   return text;
 }
 
+inline std::vector<ModelJob> DrawJobs(int count) {
+  std::vector<ModelJob> jobs;
+  for (int i = 0; i < count; ++i) {
+    ModelJob job;
+    job.id = "job" + std::to_string(i);
+    job.attempts = *rc::gen::inRange(1, 4);
+    job.spec.text = "text";
+    job.spec.steps.push_back(
+        MakeStep(*rc::gen::inRange(1, 5), *rc::gen::inRange(500, 2500)));
+    if (*rc::gen::arbitrary<bool>()) {
+      job.spec.steps.push_back(
+          MakeStep(*rc::gen::inRange(1, 4), *rc::gen::inRange(500, 2500)));
+      job.spec.steps.back().depends_on = {0};
+    } else if (*rc::gen::arbitrary<bool>()) {
+      MakeLongRunning(job.spec.steps.back());
+    }
+    jobs.push_back(job);
+  }
+  return jobs;
+}
+
+inline base::Micros DrawMillis(int least, int most) {
+  return std::chrono::milliseconds(DrawBetween(least, most));
+}
+
 }  // namespace quartzhoist::testing
 
 #endif  // TESTING_MODEL_DRAWS_H_
