--- /dev/null
+++ b/testing/crowd_test.cc
@@ -0,0 +1,328 @@
+// Clients outside the limits, against a daemon process: it lives, its memory
+// and descriptors stay bounded, and an ordinary request is answered beside the
+// crowd and after it.
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <fmt/format.h>
+#include <boost/test/unit_test.hpp>
+
+#include "entry/tables.h"
+#include "http/client.h"
+#include "testing/client_crowd.h"
+#include "testing/cluster_fixture.h"
+#include "testing/process_usage.h"
+#include "testing/raw_server.h"
+
+namespace quartzhoist::testing {
+namespace {
+
+constexpr const char* kDaemon = "entry-1";
+
+// Half of the memory of an entry box, 260 MB.
+constexpr std::int64_t kMaxMemory = 130'000'000;
+// An entry box allows 4,100, of which 200 are kept for files.
+constexpr int kMaxDescriptors = 3900;
+
+// A body of legal size for each would take 300 MB.
+constexpr int kManyClients = 300;
+constexpr std::size_t kLegalBody = (1 << 20) - 64;
+
+// More than a server with these limits takes.
+constexpr const char* kFewConnections = "max_connections = 64\n";
+constexpr int kMoreThanAllConnections = 100;
+
+constexpr base::Micros kObservationInterval = std::chrono::milliseconds(50);
+
+// How long a crowd that neither sends nor is closed is waited for.
+constexpr double kMaxAttackSeconds = 60;
+
+std::string HeadOf(std::string_view framing) {
+  return fmt::format(
+      "POST /q/{} HTTP/1.1\r\nHost: jobs.example\r\n"
+      "Content-Type: application/json\r\nDeadline-Ms: 3000\r\n{}\r\n\r\n",
+      JobId(7000), framing);
+}
+
+std::string AnnouncedBody(std::size_t announced, std::size_t sent) {
+  return HeadOf(fmt::format("Content-Length: {}", announced)) +
+         std::string(sent, 'x');
+}
+
+// A body in chunks, without the chunk that ends it.
+std::string UnendedChunks(std::size_t chunk, std::size_t size) {
+  const std::string piece =
+      fmt::format("{:x}\r\n{}\r\n", chunk, std::string(chunk, 'x'));
+  std::string message = HeadOf("Transfer-Encoding: chunked");
+  message.reserve(message.size() + size / chunk * piece.size());
+  for (std::size_t sent = 0; sent + chunk <= size; sent += chunk)
+    message += piece;
+  return message;
+}
+
+// A daemon under its default limits, but for those given.
+struct CrowdFixture : ClusterFixture {
+  explicit CrowdFixture(const std::string& limits = "") : ClusterFixture(0, 2) {
+    this->cluster.SetLimits(limits);
+    this->cluster.StartDaemon(kDaemon);
+    this->WaitForOwner();
+    this->WaitUntilReady(kDaemon);
+  }
+
+  JobCluster::Daemon& Target() { return this->cluster.daemons().at(kDaemon); }
+
+  void Observe() {
+    const base::Micros now = base::MonotonicNow();
+    if (now - this->observed < kObservationInterval)
+      return;
+    this->observed = now;
+    const JobCluster::Daemon& daemon = this->Target();
+    const pid_t process = daemon.process->pid();
+    this->most_unread = std::max(
+        this->most_unread,
+        UnreadBytes(process,
+                    {daemon.callers, daemon.readiness, daemon.metrics}));
+    this->most_descriptors =
+        std::max(this->most_descriptors, OpenDescriptors(process));
+  }
+
+  // Turns the loop until the crowd has sent what it can.
+  void WaitUntilSettled(const ClientCrowd& crowd) {
+    this->cluster.WaitUntil(kMaxAttackSeconds, [&, this] {
+      this->Observe();
+      return crowd.settled();
+    });
+  }
+
+  // The status of the answer on a connection of its own; 0: there was none.
+  int StatusOf(const std::string& address,
+               const std::string& method,
+               const std::string& path,
+               const std::string& body = "") {
+    http::Client client(this->cluster.on_loop());
+    std::optional<int> status;
+    client.Send({.method = method,
+                 .url = "http://" + address + path,
+                 .headers = {{.name = "Host", .value = "jobs.example"},
+                             {.name = "Deadline-Ms", .value = "3000"}},
+                 .body = body,
+                 .timeout = std::chrono::seconds(5)},
+                [&](const http::ClientResult& result) {
+                  status = result.response.status;
+                });
+    this->cluster.WaitUntil(kTimeoutSeconds,
+                            [&] { return status.has_value(); });
+    return status.value_or(0);
+  }
+
+  // A caller repeats what got no answer.
+  void ExpectAnswer(const std::string& address, const std::string& path) {
+    BOOST_TEST(this->cluster.WaitUntil(kTimeoutSeconds, [&, this] {
+      this->Observe();
+      return this->StatusOf(address, "GET", path) != 0;
+    }));
+  }
+
+  // A job that is handed in now is accepted.
+  void ExpectJobIsAccepted() {
+    constexpr const char* kJob =
+        R"({"spec":"work","steps":[{"count":1,"cpu":500,"memMb":100,)"
+        R"("estimateMs":100}]})";
+    const std::string path = "/q/" + JobId(++this->last_job);
+    BOOST_TEST(this->cluster.WaitUntil(kTimeoutSeconds, [&, this] {
+      return this->StatusOf(this->Target().callers, "POST", path, kJob) == 200;
+    }));
+  }
+
+  void ExpectBounds() {
+    JobCluster::Daemon& daemon = this->Target();
+    BOOST_TEST(daemon.process->running());
+    const std::int64_t memory = PeakMemory(daemon.process->pid());
+    BOOST_TEST_MESSAGE(fmt::format(
+        "peak {} MB, unread {} MB, descriptors {}", memory / 1'000'000,
+        this->most_unread / 1'000'000, this->most_descriptors));
+    BOOST_TEST(memory + this->most_unread < kMaxMemory);
+    BOOST_TEST(this->most_descriptors < kMaxDescriptors);
+  }
+
+  // All that must hold while a crowd that sends this stays, and after it.
+  void ExpectServiceUnder(CrowdPlan plan) {
+    {
+      const ClientCrowd crowd(std::move(plan));
+      this->WaitUntilSettled(crowd);
+      const JobCluster::Daemon& daemon = this->Target();
+      this->ExpectAnswer(daemon.callers, "/q/" + JobId(1));
+      this->ExpectAnswer(daemon.readiness, "/ready");
+      this->ExpectAnswer(daemon.metrics, "/metrics");
+      BOOST_TEST_MESSAGE(fmt::format("closed {}", crowd.closed()));
+    }
+    this->ExpectJobIsAccepted();
+    this->ExpectBounds();
+  }
+
+  void ExpectServiceUnderBodies(const std::string& message) {
+    this->ExpectServiceUnder({.address = this->Target().callers,
+                              .connections = kManyClients,
+                              .message = message});
+  }
+
+  void ExpectServiceWhereAllConnectionsSend(const std::string& message) {
+    const JobCluster::Daemon& daemon = this->Target();
+    for (const std::string& address :
+         {daemon.callers, daemon.readiness, daemon.metrics})
+      this->ExpectServiceUnder({.address = address,
+                                .connections = kMoreThanAllConnections,
+                                .message = message});
+  }
+
+  base::Micros observed{};
+  std::int64_t most_unread = 0;
+  int most_descriptors = 0;
+  int last_job = 0;
+};
+
+// Guards against a process that runs out of memory by bodies of legal size that
+// are announced and stop short of their end.
+BOOST_AUTO_TEST_CASE(AnnouncedBodiesThatStopShortStayBounded) {
+  CrowdFixture().ExpectServiceUnderBodies(
+      AnnouncedBody(kLegalBody, kLegalBody - 1));
+}
+
+// The same by bodies in large chunks.
+BOOST_AUTO_TEST_CASE(ChunkedBodiesThatStopShortStayBounded) {
+  CrowdFixture().ExpectServiceUnderBodies(UnendedChunks(65'536, kLegalBody));
+}
+
+// The same by bodies in very small chunks.
+BOOST_AUTO_TEST_CASE(BodiesInTinyChunksThatStopShortStayBounded) {
+  CrowdFixture().ExpectServiceUnderBodies(UnendedChunks(8, kLegalBody));
+}
+
+// Guards against bodies that are announced far over the limit and kept.
+BOOST_AUTO_TEST_CASE(BodiesAnnouncedFarOverTheLimitStayBounded) {
+  CrowdFixture().ExpectServiceUnderBodies(
+      AnnouncedBody(900'000'000, 2'000'000));
+}
+
+// Guards against bodies that grow far over the limit and keep their memory.
+BOOST_AUTO_TEST_CASE(ChunkedBodiesFarOverTheLimitStayBounded) {
+  CrowdFixture().ExpectServiceUnderBodies(UnendedChunks(65'536, 3 << 20));
+}
+
+// Guards against clients that hold all connections, so that no other is
+// answered: silent ones.
+BOOST_AUTO_TEST_CASE(SilentConnectionsDoNotKeepOthersOut) {
+  CrowdFixture(kFewConnections).ExpectServiceWhereAllConnectionsSend("");
+}
+
+// The same by heads without an end.
+BOOST_AUTO_TEST_CASE(UnendedHeadsDoNotKeepOthersOut) {
+  std::string head = HeadOf("X-Filler: yes");
+  head.resize(head.size() - 4);
+  CrowdFixture(kFewConnections).ExpectServiceWhereAllConnectionsSend(head);
+}
+
+// The same by bodies without an end.
+BOOST_AUTO_TEST_CASE(UnendedBodiesDoNotKeepOthersOut) {
+  CrowdFixture(kFewConnections)
+      .ExpectServiceWhereAllConnectionsSend(AnnouncedBody(1000, 999));
+}
+
+// The same by clients that leave their answers unread.
+BOOST_AUTO_TEST_CASE(UnreadAnswersDoNotKeepOthersOut) {
+  constexpr int kRequests = 5000;
+  std::string requests;
+  for (int i = 0; i < kRequests; ++i)
+    requests += "GET /metrics HTTP/1.1\r\nHost: jobs.example\r\n\r\n";
+  CrowdFixture(kFewConnections).ExpectServiceWhereAllConnectionsSend(requests);
+}
+
+// The same by clients that come back as soon as they are closed.
+BOOST_AUTO_TEST_CASE(ReturningClientsDoNotKeepOthersOut) {
+  CrowdFixture fixture(kFewConnections);
+  fixture.ExpectServiceUnder({.address = fixture.Target().callers,
+                              .connections = kMoreThanAllConnections,
+                              .message = AnnouncedBody(kLegalBody, 100'000),
+                              .reconnects = true});
+}
+
+// Servers that begin an answer of 3 MB to each request and never end it; the
+// kernel takes most of it.
+class UnendedAnswers {
+ public:
+  UnendedAnswers(base::Loop& loop, int servers) {
+    for (int i = 0; i < servers; ++i)
+      this->servers.push_back(std::make_unique<RawServer>(
+          loop, [](int) -> RawServer::Answer { return {.bytes = Bytes()}; }));
+  }
+
+  std::string AddressOf(std::size_t server) const {
+    return fmt::format("127.0.0.1:{}", this->servers[server]->port());
+  }
+  int requests() const {
+    int sum = 0;
+    for (const auto& server : this->servers)
+      sum += server->requests();
+    return sum;
+  }
+
+ private:
+  static std::string Bytes() {
+    constexpr std::size_t kAnswer = 3'000'000;
+    return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n",
+                       2 * kAnswer) +
+           std::string(kAnswer, 'x');
+  }
+
+  std::vector<std::unique_ptr<RawServer>> servers;
+};
+
+// Guards against a process that runs out of memory by answers of workers that
+// do not end.
+BOOST_AUTO_TEST_CASE(AnswersOfWorkersThatStopShortStayBounded) {
+  constexpr int kWorkers = 150;
+  CrowdFixture fixture;
+  const UnendedAnswers workers(fixture.cluster.on_loop(), kWorkers);
+  for (std::size_t i = 0; i < kWorkers; ++i) {
+    const std::string row = fmt::format(
+        R"({{"service":"press","address":"{}","zone":"z","state":"ready",)"
+        R"("machine":"other-{}","labels":["a"],)"
+        R"("capacity":{{"cpu":4000,"memMb":4000,"gpu":0}}}})",
+        workers.AddressOf(i), i);
+    fixture.cluster.store().Put(
+        {.table = "servers", .part = "", .key = fmt::format("other-{}", i)},
+        row);
+  }
+  BOOST_TEST(fixture.cluster.WaitUntil(kTimeoutSeconds, [&] {
+    fixture.Observe();
+    return workers.requests() >= 3 * kWorkers;
+  }));
+  fixture.ExpectJobIsAccepted();
+  fixture.ExpectBounds();
+}
+
+// The same by answers of the store.
+BOOST_AUTO_TEST_CASE(LargeAnswersOfTheStoreStayBounded) {
+  constexpr int kCallers = 100;
+  constexpr std::size_t kRow = 4'000'000;
+  CrowdFixture fixture;
+  const std::string job = JobId(8000);
+  const platform::RowKey at = entry::ProgressRow(job);
+  fixture.cluster.store().Put(at, std::string(kRow, 'x'));
+  fixture.ExpectServiceUnder(
+      {.address = fixture.Target().callers,
+       .connections = kCallers,
+       .message = fmt::format(
+           "GET /q/{} HTTP/1.1\r\nHost: jobs.example\r\n\r\n", job)});
+}
+
+}  // namespace
+}  // namespace quartzhoist::testing
