What clients' requests and unread answers hold together is bounded

What callers see: many bodies of legal size at once, most stopping just short of their end, take all memory of an entry box and end the process; so do bodies far over the limit, whether announced or just sent.

Cause: the server bounded each body and not their sum. Whether a body was too large was decided when it was whole; one found too large was cleared, which keeps its memory; the announced length was never looked at. The kernel's buffers were left at defaults that grow to megabytes a connection.

Change: http/connection_table keeps what each connection holds and since when. Over [limits] request_bytes (24 MB) the oldest unfinished request or unread answer is closed: an ordinary request takes milliseconds and is among the youngest, while a client that stalls grows old however many bytes it sends. What handlers have is never closed; while it takes the room, an announced body is refused at its head (503 with Retry-After, not handed over). A request whose caller has left counts until its handler is done. A body announced over max_body_bytes gets its 413 at once; one in chunks is read on to twice the limit without being kept. Socket buffers are 16 KB each way. New: connection_closed (QH0202), quartzhoist_connections_closed_total.

--- a/base/counters.h
+++ b/base/counters.h
@@ -33,6 +33,7 @@
   kBoxesRested,
   kCallsRepeated,
   kRequestsCut,
+  kConnectionsClosed,
   kCount,
 };
 
@@ -73,6 +74,9 @@
      "Calls to the platform that the HTTP library sent more than once"},
     {"requests_cut",
      "Callers' requests that were read whole and that no handler answered"},
+    {"connections_closed",
+     "Connections that were closed for a limit amid a request or its answer, "
+     "or while idle since there were too many"},
 }};
 
 class Counters {
--- a/base/event_log.h
+++ b/base/event_log.h
@@ -34,6 +34,7 @@
   kSettingsRejected,
   kDaemonFailed,
   kRequestCut,
+  kConnectionClosed,
   kPlatformLost,
   kCallRepeated,
   kPlatformAnswerBad,
@@ -85,13 +86,14 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 48> kEvents{{
+inline constexpr std::array<EventInfo, 49> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
     {Event::kSettingsRejected, 104, Level::kError, "settings_rejected"},
     {Event::kDaemonFailed, 105, Level::kError, "daemon_failed"},
     {Event::kRequestCut, 201, Level::kWarning, "request_cut"},
+    {Event::kConnectionClosed, 202, Level::kWarning, "connection_closed"},
     {Event::kPlatformLost, 301, Level::kWarning, "platform_lost"},
     {Event::kCallRepeated, 302, Level::kWarning, "call_repeated"},
     {Event::kPlatformAnswerBad, 303, Level::kWarning, "platform_answer_bad"},
--- a/entry/caller_api.cc
+++ b/entry/caller_api.cc
@@ -102,11 +102,15 @@
   }
 }
 
-void CallerApi::Reply(const http::ExchangePtr& exchange,
-                      http::Response response) const {
+http::Response CallerApi::Finished(http::Response response) const {
   if (this->stopping)
     response.headers.push_back({.name = "Connection", .value = "close"});
-  exchange->Reply(std::move(response));
+  return response;
+}
+
+void CallerApi::Reply(const http::ExchangePtr& exchange,
+                      http::Response response) const {
+  exchange->Reply(this->Finished(std::move(response)));
 }
 
 // 503 and 429 say that the job never runs. Another submission of it may be
@@ -117,27 +121,42 @@
   return !this->MayBeWritten(JobIdIn(request.path));
 }
 
-void CallerApi::Refuse(const http::ExchangePtr& exchange,
-                       int status,
-                       std::string_view job,
-                       std::string_view reason,
-                       std::chrono::seconds retry_after) {
+http::Response CallerApi::Refusal(const http::Request& request,
+                                  int status,
+                                  std::string_view job,
+                                  std::string_view reason,
+                                  std::chrono::seconds retry_after) {
   const bool claims_not_run =
       status == kServiceUnavailable || status == kTooManyRequests;
-  if (claims_not_run && !this->MayClaimNotRun(exchange->request())) {
-    this->Refuse(exchange, kGatewayTimeout, job, reason, retry_after);
-    return;
-  }
+  if (claims_not_run && !this->MayClaimNotRun(request))
+    status = kGatewayTimeout;
   this->counters.Add(status == kGatewayTimeout
                          ? base::Counter::kRefusedMayHaveRun
                          : base::Counter::kRefusedNotRun);
   // A request that is refused before its queue is looked up names its job too.
   base::Log(base::Event::kJobRefused,
-            {{"job", job.empty() ? JobIdIn(exchange->request().path)
-                                 : std::string(job)},
+            {{"job", job.empty() ? JobIdIn(request.path) : std::string(job)},
              {"status", status},
              {"reason", reason}});
-  this->Reply(exchange, MakeRefusal(status, reason, retry_after));
+  return this->Finished(MakeRefusal(status, reason, retry_after));
+}
+
+void CallerApi::Refuse(const http::ExchangePtr& exchange,
+                       int status,
+                       std::string_view job,
+                       std::string_view reason,
+                       std::chrono::seconds retry_after) {
+  exchange->Reply(
+      this->Refusal(exchange->request(), status, job, reason, retry_after));
+}
+
+// Requests of handlers take the room until they are answered, within the time
+// that their callers wait; the random part spreads those who come back.
+http::Response CallerApi::RefuseForRoom(const http::Request& request) {
+  this->counters.Add(base::Counter::kRequests);
+  return this->Refusal(request, kServiceUnavailable, "",
+                       "too many requests are in progress",
+                       OutageRetryAfter(std::chrono::seconds(1), this->random));
 }
 
 void CallerApi::Handle(const http::ExchangePtr& exchange) {
--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -64,6 +64,8 @@
   // Makes all further responses close their connections.
   void BeginShutdown();
   void Handle(const http::ExchangePtr& exchange);
+  // The response to a request whose body there is no room for.
+  http::Response RefuseForRoom(const http::Request& request);
   // Answers all pending submissions: 503 if the job was certainly not written,
   // 504 if it may have been or may still be. Takes no requests afterwards.
   void Shutdown();
@@ -165,7 +167,14 @@
   void WriteCancel(const Cancellation& cancel);
   void AnswerCount(const http::ExchangePtr& exchange, const std::string& queue);
   std::chrono::seconds RetryAfterOutage();
+  http::Response Finished(http::Response response) const;
   void Reply(const http::ExchangePtr& exchange, http::Response response) const;
+  // The response, counted and logged.
+  http::Response Refusal(const http::Request& request,
+                         int status,
+                         std::string_view job,
+                         std::string_view reason,
+                         std::chrono::seconds retry_after);
   void Refuse(const http::ExchangePtr& exchange,
               int status,
               std::string_view job,
--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -25,14 +25,14 @@
 constexpr base::Micros kStoreTimeout = milliseconds(2600);
 
 http::ServerOptions ServerOptionsFor(const std::string& address,
-                                     std::int64_t max_connections,
-                                     base::Counters* counters = nullptr) {
+                                     const http::ConnectionLimits& limits,
+                                     base::Counters& counters) {
   const auto parsed = base::ParseIpAddress(address);
   http::ServerOptions options;
   options.address = parsed->ip;
   options.port = parsed->port;
-  options.max_connections = static_cast<unsigned>(max_connections);
-  options.counters = counters;
+  options.limits = limits;
+  options.counters = &counters;
   return options;
 }
 
@@ -41,9 +41,33 @@
 // detected and polled again within the limit.
 constexpr int kConfigPollsPerLimit = 4;
 
-// Connection limit of the readiness and metrics endpoints, which serve only the
-// load balancer and a metrics scraper.
-constexpr std::int64_t kMaxMonitoringConnections = 64;
+// Limits of the readiness and metrics endpoints, which serve only the load
+// balancer, metrics scrapers and operators. Their requests have no body.
+constexpr std::size_t kMaxMonitoringConnections = 64;
+constexpr std::size_t kMaxMonitoringBytes = 8'000'000;
+constexpr std::size_t kMaxMonitoringBody = 4096;
+
+http::ServerOptions MonitoringOptionsFor(const std::string& address,
+                                         base::Counters& counters) {
+  http::ServerOptions options =
+      ServerOptionsFor(address,
+                       {.connections = kMaxMonitoringConnections,
+                        .held_bytes = kMaxMonitoringBytes},
+                       counters);
+  options.max_body = kMaxMonitoringBody;
+  return options;
+}
+
+http::ServerOptions CallerOptionsFor(
+    const Settings& settings,
+    base::Counters& counters,
+    std::function<http::Response(const http::Request&)> on_no_room) {
+  http::ServerOptions options = ServerOptionsFor(
+      settings.callers_address, settings.caller_limits, counters);
+  options.max_body = settings.max_body;
+  options.on_no_room = std::move(on_no_room);
+  return options;
+}
 
 constexpr base::Micros kTrafficLogPeriod = std::chrono::seconds(10);
 
@@ -79,16 +103,19 @@
           this->counters,
           [this](const platform::Row& row) { this->ApplyOperatorRow(row); }),
       explain(this->store, this->ExplainSources()),
-      caller_server(this->loop,
-                    ServerOptionsFor(chosen.callers_address,
-                                     chosen.max_connections,
-                                     &this->counters),
-                    [this](const http::ExchangePtr& exchange) {
-                      this->callers.Handle(exchange);
-                    }),
+      caller_server(
+          this->loop,
+          CallerOptionsFor(chosen,
+                           this->counters,
+                           [this](const http::Request& request) {
+                             return this->callers.RefuseForRoom(request);
+                           }),
+          [this](const http::ExchangePtr& exchange) {
+            this->callers.Handle(exchange);
+          }),
       readiness_server(
           this->loop,
-          ServerOptionsFor(chosen.readiness_address, kMaxMonitoringConnections),
+          MonitoringOptionsFor(chosen.readiness_address, this->counters),
           [this](const http::ExchangePtr& exchange) {
             this->AnswerReadiness(exchange);
           }),
@@ -104,7 +131,7 @@
   if (!chosen.metrics_address.empty()) {
     this->metrics_server = std::make_unique<http::Server>(
         this->loop,
-        ServerOptionsFor(chosen.metrics_address, kMaxMonitoringConnections),
+        MonitoringOptionsFor(chosen.metrics_address, this->counters),
         [this](const http::ExchangePtr& exchange) {
           this->AnswerMetrics(exchange);
         });
@@ -235,6 +262,8 @@
     return;
   }
   this->store.SetAddress(this->settings.store_address);
+  this->caller_server.SetLimits(this->settings.caller_limits,
+                                this->settings.max_body);
   base::Log(base::Event::kSettingsReloaded, {{"file", this->settings_file}});
 }
 
--- a/entry/settings.cc
+++ b/entry/settings.cc
@@ -25,7 +25,7 @@
   return base::TakeSeconds(value, 0.001, 3600.0);
 }
 
-constexpr std::array<Key, 22> kKeys{{
+constexpr std::array<Key, 26> kKeys{{
     {"daemon", "id", true,
      [](Settings& s, const std::string& v) { s.id = TakeIdentifier(v); }},
     {"daemon", "zone", true,
@@ -105,7 +105,27 @@
      }},
     {"limits", "max_connections", false,
      [](Settings& s, const std::string& v) {
-       s.max_connections = base::TakeWhole(v, 8, 65'536);
+       s.caller_limits.connections =
+           static_cast<std::size_t>(base::TakeWhole(v, 8, 65'536));
+     }},
+    // A body may take twice its size, and must fit in `request_bytes`.
+    {"limits", "max_body_bytes", false,
+     [](Settings& s, const std::string& v) {
+       s.max_body =
+           static_cast<std::size_t>(base::TakeWhole(v, 1024, 4'194'304));
+     }},
+    {"limits", "request_bytes", false,
+     [](Settings& s, const std::string& v) {
+       s.caller_limits.held_bytes = static_cast<std::size_t>(
+           base::TakeWhole(v, 10'000'000, 10'000'000'000));
+     }},
+    {"limits", "transfer_seconds", false,
+     [](Settings& s, const std::string& v) {
+       s.caller_limits.transfer_time = base::TakeSeconds(v, 0.5, 3600.0);
+     }},
+    {"limits", "idle_seconds", false,
+     [](Settings& s, const std::string& v) {
+       s.caller_limits.idle_time = base::TakeSeconds(v, 0.5, 3600.0);
      }},
     {"limits", "workers_an_owner", false,
      [](Settings& s, const std::string& v) {
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "base/clock.h"
+#include "http/connection_table.h"
 #include "platform/deployment.h"
 
 namespace quartzhoist::entry {
@@ -38,7 +39,9 @@
   base::Micros upkeep_duration = std::chrono::milliseconds(2000);
   // From the stop signal until the platform kills the process.
   base::Micros stop_grace_period = std::chrono::milliseconds(6000);
-  std::int64_t max_connections = 2000;
+  // Of callers.
+  std::size_t max_body = 1 << 20;  // bytes of a request's body
+  http::ConnectionLimits caller_limits = {.connections = 2000};
   // A larger fleet is partitioned into shards with an owner each. With 540
   // workers, a single owner uses half a core and 57% of a day's work, weighted
   // by value, completes in time; with four owners 87% (five days with failures
--- a/http/http_test.cc
+++ b/http/http_test.cc
@@ -46,15 +46,17 @@
 
 BOOST_AUTO_TEST_CASE(ConnectionsUsedOnceDoNotPileUp) {
   base::Loop loop;
-  Server server(loop, {.max_connections = 4}, [](const ExchangePtr& exchange) {
-    exchange->Reply({.body = "ok"});
-  });
+  base::Counters counters;
+  Server server(
+      loop, {.limits = {.connections = 4}, .counters = &counters},
+      [](const ExchangePtr& exchange) { exchange->Reply({.body = "ok"}); });
   Client client(loop);
   for (int i = 0; i < 20; ++i) {
     const ClientResult result = Call(
         loop, client, {.url = Url(server.port()), .fresh_connection = true});
     BOOST_REQUIRE(result.response.status == 200);
   }
+  BOOST_TEST(counters.Get(base::Counter::kConnectionsClosed) == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(AnswerCutShortIsNotWhole) {
--- a/http/message.cc
+++ b/http/message.cc
@@ -37,6 +37,11 @@
   return false;
 }
 
+// An assignment or clear() would keep the memory.
+void FreeText(std::string& text) {
+  std::string().swap(text);
+}
+
 Response JsonResponse(int status, std::string body) {
   Response response{.status = status, .headers = {}, .body = std::move(body)};
   response.headers.push_back(
--- a/http/message.h
+++ b/http/message.h
@@ -42,6 +42,9 @@
 // are never passed on.
 bool IsHopByHop(std::string_view name);
 
+// Empties the text and frees its memory.
+void FreeText(std::string& text);
+
 Response JsonResponse(int status, std::string body);
 
 }  // namespace quartzhoist::http
--- a/http/server.cc
+++ b/http/server.cc
@@ -4,8 +4,10 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <charconv>
 #include <chrono>
 #include <stdexcept>
+#include <system_error>
 #include <utility>
 
 #include <fmt/format.h>
@@ -32,9 +34,19 @@
 constexpr int kUnavailable = 503;
 constexpr int kMayHaveRun = 504;
 
-constexpr unsigned kIdleSeconds = 60;
+// The library's memory for a connection: the head of a request must fit.
 constexpr std::size_t kConnectionMemory = 32'768;
 
+// Of the kernel, for bytes of a connection that this process has not read, and
+// for those that its client has not. The kernel doubles it for its own records.
+constexpr int kSocketBuffer = 16'384;
+
+constexpr unsigned kIdleSeconds = 60;
+
+// A body over the limit is read on for this many times the limit, so that its
+// sender gets an answer; one that is longer has its connection closed.
+constexpr std::size_t kDiscardedTimesLimit = 2;
+
 // Has the other side closed its connection?
 bool HungUp(int fd) {
   char byte;
@@ -53,6 +65,24 @@
   return MHD_YES;
 }
 
+// Bytes that the process keeps of a request's head.
+std::size_t HeadSize(const Request& request) {
+  std::size_t size = sizeof(Exchange) + request.path.size();
+  for (const Header& header : request.headers)
+    size += sizeof(Header) + header.name.size() + header.value.size();
+  return size;
+}
+
+// The length that the request announces; 0: none, the body comes in chunks or
+// there is none. The library has refused what is no number.
+std::size_t AnnouncedBody(const Headers& headers) {
+  const std::string* text = FindHeader(headers, "Content-Length");
+  std::size_t length = 0;
+  if (text)
+    std::from_chars(text->data(), text->data() + text->size(), length);
+  return length;
+}
+
 MHD_Result Queue(MHD_Connection* connection, const Response& response) {
   MHD_Response* raw = MHD_create_response_from_buffer(
       response.body.size(), const_cast<char*>(response.body.data()),
@@ -78,8 +108,28 @@
   return response;
 }
 
+Response NoRoom() {
+  Response response{.status = kUnavailable, .headers = {}, .body = {}};
+  response.headers.push_back({.name = "Retry-After", .value = "1"});
+  return response;
+}
+
 }  // namespace
 
+// A connection as the server sees it; the library keeps it from the beginning
+// to the end.
+struct Server::Connection {
+  ConnectionTable::Handle entry;
+  ExchangePtr exchange;     // null between requests
+  bool is_closing = false;  // no longer in the table
+
+  static Connection& Of(MHD_Connection* connection) {
+    return *static_cast<Connection*>(
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+            ->socket_context);
+  }
+};
+
 // The library's callbacks, apart so that its types stay out of the header.
 struct Server::Callbacks {
   // State that the library keeps for one request.
@@ -88,7 +138,33 @@
     ExchangePtr exchange;
   };
 
-  static void* BeginUri(void*, const char* uri, MHD_Connection*) {
+  static void OnConnection(void* cls,
+                           MHD_Connection* connection,
+                           void** context,
+                           MHD_ConnectionNotificationCode code) {
+    auto* server = static_cast<Server*>(cls);
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+      const int fd =
+          MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+              ->connect_fd;
+      const auto entry = server->table->Add(fd, base::MonotonicNow());
+      entry->owner = *context =
+          new Connection{.entry = entry, .exchange = nullptr};
+      server->CloseOverLimits();
+      return;
+    }
+    auto* ended = static_cast<Connection*>(*context);
+    if (!ended->is_closing)
+      server->table->Remove(ended->entry);
+    delete ended;
+    *context = nullptr;
+  }
+
+  static void* BeginUri(void* cls,
+                        const char* uri,
+                        MHD_Connection* connection) {
+    static_cast<Server*>(cls)->SetPhase(Connection::Of(connection),
+                                        Phase::kReceiving);
     return new Slot{.path = uri, .exchange = nullptr};
   }
 
@@ -105,18 +181,21 @@
     // 1. The first call for a request: only its head has been read.
     if (!slot->exchange) {
       Begin(*server, *slot, connection, method);
-      return MHD_YES;
+      if (!slot->exchange->answered)
+        return MHD_YES;
     }
     Exchange& exchange = *slot->exchange;
+    if (exchange.dropped)
+      return MHD_NO;
     // 2. A piece of the body.
     if (*upload_size > 0) {
-      TakeBody(*server, exchange, upload, *upload_size);
+      TakeBody(*server, Connection::Of(connection), upload, *upload_size);
       *upload_size = 0;
-      return MHD_YES;
+      return exchange.dropped ? MHD_NO : MHD_YES;
     }
     // 3. The request is whole: hand it over, once.
     if (!exchange.handed_over)
-      HandOver(*server, slot->exchange);
+      HandOver(*server, Connection::Of(connection));
     // A handler that threw has ended the server without an answer.
     if (server->ending && !exchange.answered)
       server->ReplyUnanswered(exchange);
@@ -128,7 +207,7 @@
       // The library closes a connection whose callback says no.
       if (exchange.cut)
         return MHD_NO;
-      return Queue(connection, exchange.answer);
+      return Send(*server, Connection::Of(connection), connection);
     }
     if (!exchange.suspended) {
       exchange.suspended = true;
@@ -138,10 +217,11 @@
     return MHD_YES;
   }
 
-  static void Completed(void*,
-                        MHD_Connection*,
+  static void Completed(void* cls,
+                        MHD_Connection* connection,
                         void** state,
                         MHD_RequestTerminationCode code) {
+    auto* server = static_cast<Server*>(cls);
     auto* slot = static_cast<Slot*>(*state);
     if (!slot)
       return;
@@ -157,15 +237,32 @@
                                  exchange.cut ? "cut" : "not_sent");
       exchange.Abandon();
       if (exchange.handed_over)
-        --exchange.server->open;
+        --server->open;
       else
-        --exchange.server->reading;
+        --server->reading;
       exchange.server = nullptr;
+      Detach(*server, exchange, Connection::Of(connection));
     }
+    server->SetHeld(Connection::Of(connection), 0);
+    server->SetPhase(Connection::Of(connection), Phase::kIdle);
     delete slot;
     *state = nullptr;
   }
 
+  // A handler whose caller has gone keeps what the request was made into until
+  // it is done.
+  static void Detach(Server& server,
+                     Exchange& exchange,
+                     Connection& connection) {
+    constexpr int kOwnReferences = 2;
+    if (exchange.caller_gone &&
+        connection.exchange.use_count() > kOwnReferences) {
+      exchange.charged = server.table;
+      server.table->AddDetached(exchange.size);
+    }
+    connection.exchange = nullptr;
+  }
+
   static void Begin(Server& server,
                     Slot& slot,
                     MHD_Connection* connection,
@@ -179,29 +276,82 @@
     exchange.received.headers.reserve(8);
     MHD_get_connection_values(connection, MHD_HEADER_KIND, CollectHeader,
                               &exchange.received.headers);
+    exchange.body_limit = server.max_body;
+    Connection& on = Connection::Of(connection);
+    on.exchange = slot.exchange;
+    server.SetHeld(on, HeadSize(exchange.received));
+    // What cannot be taken is refused before its body is read.
+    const std::size_t announced = AnnouncedBody(exchange.received.headers);
+    exchange.too_large = announced > exchange.body_limit;
+    if (exchange.too_large)
+      HandOver(server, on);
+    else if (announced > 0 && !server.table->HasRoomFor(announced))
+      RefuseForRoom(server, on);
   }
 
-  static void TakeBody(const Server& server,
-                       Exchange& exchange,
+  static void TakeBody(Server& server,
+                       Connection& connection,
                        const char* data,
                        std::size_t size) {
+    Exchange& exchange = *connection.exchange;
     std::string& body = exchange.received.body;
-    if (body.size() + size > server.max_body) {
+    exchange.received_body += size;
+    if (exchange.received_body > exchange.body_limit && !exchange.too_large) {
       exchange.too_large = true;
-      body.clear();
+      exchange.ReleaseBody();
+    }
+    if (exchange.received_body > kDiscardedTimesLimit * exchange.body_limit) {
+      server.Close(connection.entry, CloseReason::kBodyTooLarge);
+      return;
     }
     if (!exchange.too_large)
       body.append(data, size);
+    server.SetHeld(connection, HeadSize(exchange.received) + body.capacity());
+    server.CloseOverLimits();
   }
 
-  static void HandOver(Server& server, const ExchangePtr& exchange) {
-    exchange->handed_over = true;
+  static void Accept(Server& server, Connection& connection) {
+    Exchange& exchange = *connection.exchange;
+    exchange.handed_over = true;
     --server.reading;
-    exchange->since = base::MonotonicNow();
+    exchange.since = base::MonotonicNow();
     ++server.open;
+    exchange.size =
+        HeadSize(exchange.received) + exchange.received.body.capacity();
+    server.SetPhase(connection, Phase::kServing);
+  }
+
+  static void RefuseForRoom(Server& server, Connection& connection) {
+    Accept(server, connection);
+    Exchange& exchange = *connection.exchange;
+    if (server.on_no_room) {
+      exchange.Reply(server.on_no_room(exchange.request()));
+      return;
+    }
+    server.NoteCut(exchange.request(), kUnavailable, "no_room");
+    exchange.Reply(NoRoom());
+  }
+
+  static MHD_Result Send(Server& server,
+                         Connection& on,
+                         MHD_Connection* connection) {
+    Exchange& exchange = *on.exchange;
+    const MHD_Result result = Queue(connection, exchange.answer);
+    // The library has its own copy.
+    const std::size_t size = exchange.answer.body.size();
+    FreeText(exchange.answer.body);
+    server.SetHeld(on, HeadSize(exchange.received) + size);
+    server.SetPhase(on, Phase::kSending);
+    server.CloseOverLimits();
+    return result;
+  }
+
+  static void HandOver(Server& server, Connection& connection) {
+    const ExchangePtr exchange = connection.exchange;
+    Accept(server, connection);
     if (exchange->too_large) {
       server.NoteCut(exchange->request(), kPayloadTooLarge, "body_too_large");
-      exchange->Reply(TooLarge(server.max_body));
+      exchange->Reply(TooLarge(exchange->body_limit));
       return;
     }
     // Read while the server ends: nothing may be left waiting.
@@ -216,12 +366,22 @@
 
 Exchange::Exchange(Server& of) : server(&of) {}
 
+Exchange::~Exchange() {
+  if (const auto table = this->charged.lock())
+    table->RemoveDetached(this->size);
+}
+
+void Exchange::ReleaseBody() {
+  FreeText(this->received.body);
+}
+
 void Exchange::Reply(Response response) {
   if (this->answered)
     return;
   this->answered = true;
   // The action may hold this exchange: keeping it would keep both for ever.
   this->on_abandoned = nullptr;
+  this->ReleaseBody();
   if (!this->server)
     return;
   this->answer = std::move(response);
@@ -254,18 +414,25 @@
                const ServerOptions& options,
                std::function<void(ExchangePtr)> on_request)
     : handler(std::move(on_request)),
+      on_no_room(options.on_no_room),
       max_body(options.max_body),
-      counters(options.counters) {
+      counters(options.counters),
+      table(std::make_shared<ConnectionTable>(options.limits)) {
   const base::BoundSocket listener =
       base::OpenListener({.ip = options.address, .port = options.port});
   const int fd = listener.fd;
   this->bound_port = listener.address.port;
+  // Accepted connections inherit them.
+  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kSocketBuffer, sizeof kSocketBuffer);
+  setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &kSocketBuffer, sizeof kSocketBuffer);
   this->daemon = MHD_start_daemon(
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr,
       &Callbacks::Access, this, MHD_OPTION_LISTEN_SOCKET, fd,
-      MHD_OPTION_URI_LOG_CALLBACK, &Callbacks::BeginUri, nullptr,
-      MHD_OPTION_NOTIFY_COMPLETED, &Callbacks::Completed, nullptr,
-      MHD_OPTION_CONNECTION_LIMIT, options.max_connections,
+      MHD_OPTION_NOTIFY_CONNECTION, &Callbacks::OnConnection, this,
+      MHD_OPTION_URI_LOG_CALLBACK, &Callbacks::BeginUri, this,
+      MHD_OPTION_NOTIFY_COMPLETED, &Callbacks::Completed, this,
+      MHD_OPTION_CONNECTION_LIMIT,
+      static_cast<unsigned>(options.limits.connections),
       MHD_OPTION_CONNECTION_TIMEOUT, kIdleSeconds,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemory, MHD_OPTION_END);
   if (!this->daemon) {
@@ -323,6 +490,57 @@
     close(fd);
 }
 
+void Server::SetPhase(const Connection& connection, Phase phase) {
+  if (!connection.is_closing)
+    this->table->SetPhase(connection.entry, phase, base::MonotonicNow());
+}
+
+void Server::SetHeld(const Connection& connection, std::size_t bytes) {
+  if (!connection.is_closing)
+    this->table->SetHeld(connection.entry, bytes);
+}
+
+void Server::CloseOverLimits() {
+  while (const auto entry = this->table->OverBytes())
+    this->Close(*entry, CloseReason::kBytes);
+}
+
+// The library finds the connection shut down at its next run and ends it. What
+// its request holds is freed here, since many may be closed before that.
+void Server::Close(ConnectionTable::Handle entry, CloseReason reason) {
+  auto& connection = *static_cast<Connection*>(entry->owner);
+  connection.is_closing = true;
+  shutdown(entry->fd, SHUT_RDWR);
+  if (connection.exchange) {
+    connection.exchange->dropped = true;
+    connection.exchange->ReleaseBody();
+  }
+  this->NoteClosed(*entry, reason);
+  this->table->Remove(entry);
+}
+
+void Server::SetLimits(const ConnectionLimits& limits, std::size_t body) {
+  this->table->SetLimits(limits);
+  this->max_body = body;
+}
+
+// Idle connections end all the time.
+void Server::NoteClosed(const ConnectionTable::Entry& entry,
+                        CloseReason reason) const {
+  const bool is_routine =
+      reason == CloseReason::kTime && entry.phase == Phase::kIdle;
+  if (!this->counters || is_routine)
+    return;
+  this->counters->Add(base::Counter::kConnectionsClosed);
+  const auto age = base::MonotonicNow() - entry.since;
+  base::Log(base::Event::kConnectionClosed,
+            {{"port", this->bound_port},
+             {"reason", base::NameOf(kCloseReasonNames, reason)},
+             {"phase", base::NameOf(kPhaseNames, entry.phase)},
+             {"phase_ms", base::Millis(age)},
+             {"bytes", entry.held}});
+}
+
 // A resumed connection shows neither in the epoll descriptor nor in the
 // library's own time-out: without the flag its answer leaves with the next
 // sweep.
--- a/http/server.h
+++ b/http/server.h
@@ -1,5 +1,8 @@
 // An HTTP/1.1 server on a loop: libmicrohttpd, driven through its epoll
 // descriptor. Every request is read whole, handed over once, answered once.
+// What connections hold and for how long is bounded: those over a limit are
+// closed, the oldest first, before their request has been handed over or while
+// its answer is being sent.
 
 #ifndef HTTP_SERVER_H_
 #define HTTP_SERVER_H_
@@ -9,9 +12,11 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/counters.h"
 #include "base/loop.h"
+#include "http/connection_table.h"
 #include "http/message.h"
 
 struct MHD_Connection;
@@ -26,7 +31,11 @@
 class Exchange {
  public:
   explicit Exchange(Server& server);
+  ~Exchange();
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
 
+  // The body is gone once the request has been answered.
   const Request& request() const { return this->received; }
   // The caller has gone away: nobody will read an answer.
   bool abandoned() const { return this->caller_gone; }
@@ -42,14 +51,21 @@
   friend class Server;
 
   void Abandon();
+  void ReleaseBody();
 
   Server* server;  // null once the connection has ended
+  // Where `size` is charged after that, if at all.
+  std::weak_ptr<ConnectionTable> charged;
+  std::size_t size = 0;  // bytes of the request when it was handed over
   MHD_Connection* connection = nullptr;
   Request received;
   Response answer;
   std::function<void()> on_abandoned;
   base::Micros since{};
+  std::size_t body_limit = 0;     // bytes to be kept of the body
+  std::size_t received_body = 0;  // bytes of the body, those dropped included
   bool too_large = false;
+  bool dropped = false;  // its connection is being closed for a limit
   bool handed_over = false;
   bool suspended = false;
   bool answered = false;
@@ -64,10 +80,14 @@
   std::string address = "127.0.0.1";  // an IP number
   std::uint16_t port = 0;             // 0: the kernel chooses
   std::size_t max_body = 1 << 20;     // bytes; more is answered with 413
-  unsigned max_connections = 4096;
+  ConnectionLimits limits;
+  // The answer to a request whose body there is no room for; it has not run.
+  // Unset: 503.
+  std::function<Response(const Request&)> on_no_room;
   // Interval of checks for callers that hung up.
   base::Micros sweep_period = std::chrono::milliseconds(50);
-  // Counts and logs the requests that no handler answered; null: does neither.
+  // Counts and logs the requests that no handler answered and the connections
+  // that were closed for a limit; null: does neither.
   base::Counters* counters = nullptr;
 };
 
@@ -87,21 +107,33 @@
   std::size_t connections() const;
   // Takes no further connections: attempts are reset. Those open go on.
   void StopListening();
+  // For connections and requests from now on.
+  void SetLimits(const ConnectionLimits& limits, std::size_t max_body);
 
  private:
   friend class Exchange;
   struct Callbacks;
+  struct Connection;
 
   void RunPending();
   void FindAbandoned();
+  void CloseOverLimits();
+  void Close(ConnectionTable::Handle entry, CloseReason reason);
+  void SetPhase(const Connection& connection, Phase phase);
+  void SetHeld(const Connection& connection, std::size_t bytes);
   void ReplyUnanswered(Exchange& exchange) const;
   void NoteCut(const Request& request,
                int status,
                std::string_view reason) const;
+  void NoteClosed(const ConnectionTable::Entry& entry,
+                  CloseReason reason) const;
 
   std::function<void(ExchangePtr)> handler;
+  std::function<Response(const Request&)> on_no_room;
   std::size_t max_body;
   base::Counters* counters;
+  // Shared with exchanges that outlive their connection.
+  std::shared_ptr<ConnectionTable> table;
   std::uint16_t bound_port = 0;
   std::size_t reading = 0;  // requests whose body has not come whole
   std::size_t open = 0;
--- a/testing/crowd_test.cc
+++ b/testing/crowd_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <cstdlib>
 #include <memory>
 #include <optional>
 #include <string>
@@ -32,8 +33,16 @@
 // An entry box allows 4,100, of which 200 are kept for files.
 constexpr int kMaxDescriptors = 3900;
 
-// A body of legal size for each would take 300 MB.
+// A body of legal size for each would take 300 MB. By hand, QUARTZHOIST_CROWD
+// sets a larger number, with all of a box's memory as the bound.
 constexpr int kManyClients = 300;
+constexpr std::int64_t kMachineMemory = 260'000'000;
+
+std::optional<int> CrowdByHand() {
+  const char* text = std::getenv("QUARTZHOIST_CROWD");
+  return text ? std::optional(std::stoi(text)) : std::nullopt;
+}
+
 constexpr std::size_t kLegalBody = (1 << 20) - 64;
 
 // More than a server with these limits takes.
@@ -149,7 +158,8 @@
     BOOST_TEST_MESSAGE(fmt::format(
         "peak {} MB, unread {} MB, descriptors {}", memory / 1'000'000,
         this->most_unread / 1'000'000, this->most_descriptors));
-    BOOST_TEST(memory + this->most_unread < kMaxMemory);
+    const std::int64_t bound = CrowdByHand() ? kMachineMemory : kMaxMemory;
+    BOOST_TEST(memory + this->most_unread < bound);
     BOOST_TEST(this->most_descriptors < kMaxDescriptors);
   }
 
@@ -169,9 +179,10 @@
   }
 
   void ExpectServiceUnderBodies(const std::string& message) {
-    this->ExpectServiceUnder({.address = this->Target().callers,
-                              .connections = kManyClients,
-                              .message = message});
+    this->ExpectServiceUnder(
+        {.address = this->Target().callers,
+         .connections = CrowdByHand().value_or(kManyClients),
+         .message = message});
   }
 
   void ExpectServiceWhereAllConnectionsSend(const std::string& message) {
