The oldest connection makes room for a new one, and each has its time

What callers see: clients that hold all connections of a daemon, silent, amid a head or a body, or leaving answers unread, keep every other caller out; at the readiness and metrics addresses likewise, so that the balancer takes the daemon for dead.

Cause: the limit of connections was the library's. At it, the library stops accepting: who has a connection keeps it. Its only time-out is for silence (60 s), and one byte renews it.

--- a/http/server.cc
+++ b/http/server.cc
@@ -41,7 +41,9 @@
 // for those that its client has not. The kernel doubles it for its own records.
 constexpr int kSocketBuffer = 16'384;
 
-constexpr unsigned kIdleSeconds = 60;
+// Never reached: the library would leave further ones waiting, while the oldest
+// one makes room for them here.
+constexpr unsigned kLibraryConnections = 1U << 20U;
 
 // A body over the limit is read on for this many times the limit, so that its
 // sender gets an answer; one that is longer has its connection closed.
@@ -425,15 +427,14 @@
   // Accepted connections inherit them.
   setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kSocketBuffer, sizeof kSocketBuffer);
   setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &kSocketBuffer, sizeof kSocketBuffer);
+  // The library's own limit of time is not used: each byte prolongs it.
   this->daemon = MHD_start_daemon(
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr,
       &Callbacks::Access, this, MHD_OPTION_LISTEN_SOCKET, fd,
       MHD_OPTION_NOTIFY_CONNECTION, &Callbacks::OnConnection, this,
       MHD_OPTION_URI_LOG_CALLBACK, &Callbacks::BeginUri, this,
       MHD_OPTION_NOTIFY_COMPLETED, &Callbacks::Completed, this,
-      MHD_OPTION_CONNECTION_LIMIT,
-      static_cast<unsigned>(options.limits.connections),
-      MHD_OPTION_CONNECTION_TIMEOUT, kIdleSeconds,
+      MHD_OPTION_CONNECTION_LIMIT, kLibraryConnections,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemory, MHD_OPTION_END);
   if (!this->daemon) {
     close(fd);
@@ -449,6 +450,7 @@
       loop, [this] { this->RunPending(); });
   this->sweep = std::make_unique<base::Timer>(loop, [this] {
     this->FindAbandoned();
+    this->CloseExpired();
     MHD_run(this->daemon);
   });
   this->sweep->StartEvery(options.sweep_period);
@@ -501,10 +503,18 @@
 }
 
 void Server::CloseOverLimits() {
+  while (const auto entry = this->table->OverConnections())
+    this->Close(*entry, CloseReason::kConnections);
   while (const auto entry = this->table->OverBytes())
     this->Close(*entry, CloseReason::kBytes);
 }
 
+void Server::CloseExpired() {
+  const base::Micros now = base::MonotonicNow();
+  while (const auto entry = this->table->Expired(now))
+    this->Close(*entry, CloseReason::kTime);
+}
+
 // The library finds the connection shut down at its next run and ends it. What
 // its request holds is freed here, since many may be closed before that.
 void Server::Close(ConnectionTable::Handle entry, CloseReason reason) {
--- a/http/server.h
+++ b/http/server.h
@@ -118,6 +118,7 @@
   void RunPending();
   void FindAbandoned();
   void CloseOverLimits();
+  void CloseExpired();
   void Close(ConnectionTable::Handle entry, CloseReason reason);
   void SetPhase(const Connection& connection, Phase phase);
   void SetHeld(const Connection& connection, std::size_t bytes);
--- a/http/server_limits_test.cc
+++ b/http/server_limits_test.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -218,6 +219,40 @@
       [&] { return fixture.StatusOfCall(std::string(40'000, 'x')) == 200; });
 }
 
+// Guards against clients that hold all connections.
+BOOST_AUTO_TEST_CASE(OldestConnectionMakesRoomForANewOne) {
+  LimitsFixture fixture({.limits = {.connections = 4}});
+  std::vector<std::unique_ptr<RawClient>> crowd;
+  for (int i = 0; i < 8; ++i)
+    crowd.push_back(std::make_unique<RawClient>(fixture.server->port(),
+                                                i % 2 == 0 ? "" : "GET / HT"));
+  BOOST_TEST(fixture.StatusOfCall() == 200);
+  BOOST_TEST(crowd.front()->HasEnded());
+  BOOST_TEST(!crowd.back()->HasEnded());
+  BOOST_TEST(fixture.server->connections() <= 5U);
+}
+
+// Guards against a client that keeps its request going by a byte now and then.
+BOOST_AUTO_TEST_CASE(RequestThatTakesTooLongIsClosedHoweverItsBytesCome) {
+  LimitsFixture fixture(
+      {.limits = {.transfer_time = std::chrono::milliseconds(200)}});
+  const RawClient client(fixture.server->port(), PostHead(1'000'000));
+  fixture.RunUntil([&] {
+    client.Send("x");
+    return client.HasEnded();
+  });
+  BOOST_TEST(fixture.handled == 0);
+  BOOST_TEST(fixture.closed() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(IdleConnectionIsClosedAndNotCounted) {
+  LimitsFixture fixture(
+      {.limits = {.idle_time = std::chrono::milliseconds(200)}});
+  const RawClient client(fixture.server->port(), "");
+  fixture.RunUntil([&] { return client.HasEnded(); });
+  BOOST_TEST(fixture.closed() == 0U);
+}
+
 // Guards against answers that nobody reads and that are kept.
 BOOST_AUTO_TEST_CASE(OldestUnreadAnswerMakesRoom) {
   LimitsFixture fixture({.limits = {.held_bytes = 20'000'000}});
@@ -231,6 +266,18 @@
   BOOST_TEST(fixture.StatusOfCall() == 200);
 }
 
+// Guards against an answer that its client does not read and that keeps its
+// connection for good.
+BOOST_AUTO_TEST_CASE(UnreadAnswerIsClosedInTime) {
+  LimitsFixture fixture(
+      {.limits = {.transfer_time = std::chrono::milliseconds(200)}});
+  fixture.answer = std::string(8'000'000, 'x');
+  const RawClient client(fixture.server->port(),
+                         "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  fixture.RunUntil([&] { return fixture.closed() == 1; });
+  fixture.RunUntil([&] { return fixture.server->connections() == 0; });
+}
+
 // Callers may send heads of 16,384 bytes.
 BOOST_AUTO_TEST_CASE(LongHeadIsServed) {
   LimitsFixture fixture({});
