Answers being received share a budget; postmortem

What callers see: workers that begin answers and do not end them, or many callers whose reads of the store bring large answers, take a daemon's memory.

Cause: http::Client bounded each answer (8 MiB) and not their sum, its headers not at all, and its sockets' buffers grew to megabytes each. A daemon opened as many connections to the store as callers asked.

Change: the clients of a daemon have two budgets of [limits] answer_bytes (24 MB), one for the store and one that all managers share, so that workers cannot take the store's. Over it the longest answer is given up, as if none had come. Headers are bounded to 64 KB an answer, an answer of workers and boxes to 4 MiB, receive buffers to 128 KB, connections to the store to 1,024.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -75,18 +75,19 @@
   std::istringstream in(
       WithReplacement("[limits]",
                       "[limits]\nmax_connections = 9\nmax_body_bytes = 2048\n"
-                      "request_bytes = 10000000\n"
+                      "request_bytes = 10000000\nanswer_bytes = 20000000\n"
                       "transfer_seconds = 2.5\nidle_seconds = 7"));
   const Settings settings = ReadSettings(in, "f.ini");
   BOOST_TEST(settings.caller_limits.connections == 9U);
   BOOST_TEST(settings.max_body == 2048U);
   BOOST_TEST(settings.caller_limits.held_bytes == 10'000'000U);
+  BOOST_TEST(settings.max_answers == 20'000'000U);
   BOOST_TEST(settings.caller_limits.transfer_time.count() == 2'500'000);
   BOOST_TEST(settings.caller_limits.idle_time.count() == 7'000'000);
-  for (const char* line :
-       {"max_connections = 7", "max_body_bytes = 1023",
-        "max_body_bytes = 4194305", "request_bytes = 9999999",
-        "transfer_seconds = 0", "idle_seconds = x"}) {
+  for (const char* line : {"max_connections = 7", "max_body_bytes = 1023",
+                           "max_body_bytes = 4194305",
+                           "request_bytes = 9999999", "answer_bytes = 19999999",
+                           "transfer_seconds = 0", "idle_seconds = x"}) {
     const std::string key(line, std::string_view(line).find(' '));
     BOOST_TEST(ParseError(WithReplacement("[limits]",
                                           std::string("[limits]\n") + line))
--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -69,6 +69,10 @@
   return options;
 }
 
+// Of a daemon's descriptors, 4,100 on an entry box. Each caller's request may
+// need one.
+constexpr long kMaxStoreConnections = 1024;
+
 constexpr base::Micros kTrafficLogPeriod = std::chrono::seconds(10);
 
 // Interval of checks for a changed settings file; the platform may change it
@@ -92,7 +96,14 @@
     : settings(chosen),
       settings_file(std::move(file)),
       settings_time(ModificationTime(this->settings_file)),
-      client(this->loop, {.counters = &this->counters}),
+      command_answers(std::make_shared<http::ByteBudget>(
+          http::ByteBudget{.limit = chosen.max_answers})),
+      store_answers(std::make_shared<http::ByteBudget>(
+          http::ByteBudget{.limit = chosen.max_answers})),
+      client(this->loop,
+             {.answers = this->store_answers,
+              .max_connections = kMaxStoreConnections,
+              .counters = &this->counters}),
       store(this->client,
             chosen.store_address,
             chosen.deployment,
@@ -264,6 +275,8 @@
   this->store.SetAddress(this->settings.store_address);
   this->caller_server.SetLimits(this->settings.caller_limits,
                                 this->settings.max_body);
+  this->store_answers->limit = this->settings.max_answers;
+  this->command_answers->limit = this->settings.max_answers;
   base::Log(base::Event::kSettingsReloaded, {{"file", this->settings_file}});
 }
 
@@ -363,7 +376,8 @@
                              shard] { return this->CommandsUntil(shard); },
           .certain_until = [this, shard] { return this->CertainUntil(shard); },
           .on_fenced = [this,
-                        shard] { this->ownerships->At(shard).OnFenced(); }});
+                        shard] { this->ownerships->At(shard).OnFenced(); }},
+      this->command_answers);
   for (const auto& [number, wave] : this->waves)
     managed.manager->SetWave(wave);
   if (this->evacuated_zones)
--- a/entry/job_daemon.h
+++ b/entry/job_daemon.h
@@ -84,6 +84,9 @@
   std::filesystem::file_time_type settings_time;
   base::Loop loop;
   base::Counters counters;
+  // Shared by the managers' clients.
+  std::shared_ptr<http::ByteBudget> command_answers;
+  std::shared_ptr<http::ByteBudget> store_answers;
   http::Client client;
   platform::Store store;
   CallerApi callers;
--- a/entry/manager.cc
+++ b/entry/manager.cc
@@ -69,6 +69,11 @@
   return limits;
 }
 
+// Bytes of an answer of a worker, a box or the advice service; the longest are
+// pages of the list of boxes. Once parsed it may take some forty times its
+// size.
+constexpr std::size_t kMaxCommandAnswer = 4u << 20U;
+
 }  // namespace
 
 ShardManager::ShardManager(base::Loop& loop,
@@ -78,7 +83,8 @@
                            const Shard& shard,
                            std::uint64_t epoch,
                            base::Micros earlier_confirmed,
-                           Authority authority)
+                           Authority authority,
+                           std::shared_ptr<http::ByteBudget> command_answers)
     : loop(loop),
       store(store),
       counters(counters),
@@ -87,7 +93,11 @@
       epoch(epoch),
       earlier_confirmed(earlier_confirmed),
       authority(std::move(authority)),
-      command_client(loop, {.reset_on_close = true, .counters = &counters}),
+      command_client(loop,
+                     {.max_answer = kMaxCommandAnswer,
+                      .answers = std::move(command_answers),
+                      .reset_on_close = true,
+                      .counters = &counters}),
       workers(this->command_client, [this] { return this->MaySendCommands(); }),
       boxes(this->command_client,
             settings.boxes_address,
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -58,7 +58,8 @@
                const Shard& shard,
                std::uint64_t epoch,
                base::Micros earlier_confirmed,
-               Authority authority);
+               Authority authority,
+               std::shared_ptr<http::ByteBudget> command_answers = nullptr);
   ~ShardManager();
   ShardManager(const ShardManager&) = delete;
   ShardManager& operator=(const ShardManager&) = delete;
--- a/entry/settings.cc
+++ b/entry/settings.cc
@@ -25,7 +25,7 @@
   return base::TakeSeconds(value, 0.001, 3600.0);
 }
 
-constexpr std::array<Key, 26> kKeys{{
+constexpr std::array<Key, 27> kKeys{{
     {"daemon", "id", true,
      [](Settings& s, const std::string& v) { s.id = TakeIdentifier(v); }},
     {"daemon", "zone", true,
@@ -119,6 +119,11 @@
        s.caller_limits.held_bytes = static_cast<std::size_t>(
            base::TakeWhole(v, 10'000'000, 10'000'000'000));
      }},
+    {"limits", "answer_bytes", false,
+     [](Settings& s, const std::string& v) {
+       s.max_answers = static_cast<std::size_t>(
+           base::TakeWhole(v, 20'000'000, 10'000'000'000));
+     }},
     {"limits", "transfer_seconds", false,
      [](Settings& s, const std::string& v) {
        s.caller_limits.transfer_time = base::TakeSeconds(v, 0.5, 3600.0);
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -42,6 +42,9 @@
   // Of callers.
   std::size_t max_body = 1 << 20;  // bytes of a request's body
   http::ConnectionLimits caller_limits = {.connections = 2000};
+  // Bytes of answers that are being received, of the store and, as many again,
+  // of workers, boxes and the advice service.
+  std::size_t max_answers = 24'000'000;
   // A larger fleet is partitioned into shards with an owner each. With 540
   // workers, a single owner uses half a core and 57% of a day's work, weighted
   // by value, completes in time; with four owners 87% (five days with failures
--- a/http/client.cc
+++ b/http/client.cc
@@ -33,6 +33,13 @@
 // The library's own limit: an idle connection is not used after so long.
 constexpr long kMaxIdleSeconds = 118;
 
+// Headers of an answer, in bytes.
+constexpr std::size_t kMaxHeaders = 65'536;
+
+// Of the kernel, for bytes of a connection that this process has not read. The
+// kernel doubles it for its own records.
+constexpr int kReceiveBuffer = 131'072;
+
 // The "ip:port" of "http://ip:port/path".
 std::string HostOf(const std::string& url) {
   constexpr std::string_view kScheme = "http://";
@@ -95,6 +102,8 @@
   std::function<void(ClientResult)> done;
   curl_slist* header_list = nullptr;
   Response response;
+  std::size_t header_bytes = 0;
+  std::size_t held = 0;  // bytes of the answer
   bool over_limit = false;
   int times_sent = 0;
 };
@@ -146,12 +155,14 @@
   static std::size_t Body(char* data, std::size_t, std::size_t n, void* user) {
     auto* call = static_cast<Call*>(user);
     std::string& body = call->response.body;
-    if (body.size() + n > call->client->options.max_answer) {
+    if (body.size() + n > call->client->options.max_answer)
       call->over_limit = true;
+    if (call->over_limit)
       return 0;
-    }
+    const std::size_t capacity = body.capacity();
     body.append(data, n);
-    return n;
+    call->client->TakeBytes(*call, body.capacity() - capacity);
+    return call->over_limit ? 0 : n;
   }
 
   static std::size_t HeaderLine(char* data,
@@ -159,6 +170,14 @@
                                 std::size_t n,
                                 void* user) {
     auto* call = static_cast<Call*>(user);
+    call->header_bytes += n;
+    if (call->header_bytes > kMaxHeaders)
+      call->over_limit = true;
+    if (call->over_limit)
+      return 0;
+    call->client->TakeBytes(*call, n + sizeof(Header));
+    if (call->over_limit)
+      return 0;
     std::string_view line(data, n);
     while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
       line.remove_suffix(1);
@@ -190,6 +209,8 @@
                sizeof kKeepAliveSeconds);
     setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMillis,
                sizeof kUserTimeoutMillis);
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kReceiveBuffer,
+               sizeof kReceiveBuffer);
     if (client->options.reset_on_close) {
       const linger reset{.l_onoff = 1, .l_linger = 0};
       setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
@@ -288,6 +309,10 @@
   curl_multi_setopt(this->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
   curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS,
                     this->options.max_idle_connections);
+  curl_multi_setopt(this->multi, CURLMOPT_MAX_TOTAL_CONNECTIONS,
+                    this->options.max_connections);
+  if (!this->options.answers)
+    this->options.answers = std::make_shared<ByteBudget>();
 }
 
 Client::Client(base::Loop& on) : Client(on, Options()) {}
@@ -389,7 +414,8 @@
   this->total_sent += sent;
   this->total_received += InfoLong(call.easy, CURLINFO_HEADER_SIZE) +
                           InfoBytes(call.easy, CURLINFO_SIZE_DOWNLOAD_T);
-  if (code == CURLE_OK && TellsItsEnd(call.request.method, call.response)) {
+  if (code == CURLE_OK && !call.over_limit &&
+      TellsItsEnd(call.request.method, call.response)) {
     // The answer to the last of several sends tells that the request was done,
     // but not that it was not.
     const bool is_last_word = !was_repeated || IsSafe(call.request.method) ||
@@ -456,12 +482,40 @@
   return std::clamp(static_cast<long>(since.count()) - 1, 1L, kMaxIdleSeconds);
 }
 
+void Client::TakeBytes(Call& call, std::size_t bytes) {
+  call.held += bytes;
+  this->receiving += bytes;
+  ByteBudget& budget = *this->options.answers;
+  budget.used += bytes;
+  while (budget.used > budget.limit && this->receiving > 0)
+    this->GiveUpLongest();
+}
+
+// The library ends the request when its next bytes come, or at its time-out.
+void Client::GiveUpLongest() {
+  const auto longest = std::max_element(
+      this->calls.begin(), this->calls.end(), [](const auto& a, const auto& b) {
+        return a.second->held < b.second->held;
+      });
+  Call& call = *longest->second;
+  call.over_limit = true;
+  FreeText(call.response.body);
+  call.response.headers = Headers();
+  this->ReturnBytes(call);
+}
+
+void Client::ReturnBytes(Call& call) {
+  this->options.answers->used -= call.held;
+  this->receiving -= std::exchange(call.held, 0);
+}
+
 void Client::Release(RequestId id) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end())
     return;
   const std::unique_ptr<Call> call = std::move(found->second);
   this->calls.erase(found);
+  this->ReturnBytes(*call);
   // Removing an unfinished transfer closes its connection.
   curl_multi_remove_handle(this->multi, call->easy);
   curl_slist_free_all(call->header_list);
--- a/http/client.h
+++ b/http/client.h
@@ -47,10 +47,22 @@
 
 using RequestId = std::uint64_t;
 
+// Bytes that may be held together.
+struct ByteBudget {
+  std::size_t limit = 24'000'000;
+  std::size_t used = 0;
+};
+
 class Client {
  public:
   struct Options {
     std::size_t max_answer = 8u << 20;  // bytes; a longer answer is an error
+    // For all answers that are being received, shared by several clients; null:
+    // one of its own. While it is exceeded, the client that receives gives its
+    // longest answer up, like one that is longer than `max_answer`.
+    std::shared_ptr<ByteBudget> answers;
+    // Open at a time; further requests wait for one. 0: any number.
+    long max_connections = 0;
     long max_idle_connections = 1024;
     // A connection that is closed with bytes on their way takes them along:
     // they are not delivered later, when a cut is over.
@@ -89,6 +101,9 @@
   void Finish();
   void Complete(Call& call, int curl_code);
   void Release(RequestId id);
+  void TakeBytes(Call& call, std::size_t bytes);
+  void ReturnBytes(Call& call);
+  void GiveUpLongest();
   void NoteSilence(const Call& call);
   void NoteRepetition(const Call& call, const ClientResult& result) const;
   bool WantsFresh(const std::string& host);
@@ -109,6 +124,7 @@
   RequestId last_id = 0;
   std::uint64_t total_sent = 0;
   std::uint64_t total_received = 0;
+  std::size_t receiving = 0;  // bytes of answers that are not whole
 };
 
 }  // namespace quartzhoist::http
--- a/http/http_test.cc
+++ b/http/http_test.cc
@@ -214,6 +214,74 @@
   BOOST_CHECK(result.verdict == Verdict::kMayHaveRun);
 }
 
+// Guards against a process that keeps the headers of an answer without end.
+BOOST_AUTO_TEST_CASE(AnswerWhoseHeadersAreOverTheLimitIsNotWhole) {
+  constexpr int kHeaders = 3000;
+  base::Loop loop;
+  RawServer server(loop, [](int) {
+    std::string bytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+    for (int i = 0; i < kHeaders; ++i)
+      bytes += "X-Filler: 01234567890123456789\r\n";
+    return RawServer::Answer{bytes + "\r\n"};
+  });
+  Client client(loop);
+  const ClientResult result = Call(loop, client, {.url = Url(server.port())});
+  BOOST_CHECK(result.verdict == Verdict::kMayHaveRun);
+}
+
+// Guards against answers that together take more than each may.
+BOOST_AUTO_TEST_CASE(LongestAnswerIsGivenUpWhereAllTakeTooMuch) {
+  base::Loop loop;
+  RawServer unended(loop, [](int) {
+    return RawServer::Answer{"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n" +
+                             std::string(800, 'x')};
+  });
+  Server server(loop, {}, [](const ExchangePtr& exchange) {
+    exchange->Reply({.body = std::string(200, 'y')});
+  });
+  const auto budget = std::make_shared<ByteBudget>(ByteBudget{.limit = 3000});
+  Client client(loop, {.answers = budget});
+  int ended = 0;
+  for (int i = 0; i < 8; ++i)
+    client.Send({.url = Url(unended.port()), .timeout = kLimit},
+                [&](const ClientResult& result) {
+                  ++ended;
+                  BOOST_CHECK(result.verdict == Verdict::kMayHaveRun);
+                });
+  while (unended.requests() < 8)
+    loop.RunOnce();
+  const ClientResult result = Call(loop, client, {.url = Url(server.port())});
+  BOOST_CHECK(result.verdict == Verdict::kRan);
+  BOOST_TEST(result.response.body.size() == 200U);
+  BOOST_TEST(budget->used <= budget->limit);
+  client.GiveUpAll();
+  BOOST_TEST(ended == 8);
+  BOOST_TEST(budget->used == 0U);
+}
+
+// Guards against a process that opens a connection for each of its requests.
+BOOST_AUTO_TEST_CASE(RequestsOverTheConnectionsOfAClientWait) {
+  constexpr int kRequests = 12;
+  base::Loop loop;
+  std::size_t most = 0;
+  std::optional<Server> server;
+  server.emplace(loop, ServerOptions{}, [&](const ExchangePtr& exchange) {
+    most = std::max(most, server->connections());
+    exchange->Reply({});
+  });
+  Client client(loop, {.max_connections = 3});
+  int ran = 0;
+  for (int i = 0; i < kRequests; ++i)
+    client.Send({.url = Url(server->port()), .timeout = kLimit},
+                [&](const ClientResult& result) {
+                  ran += result.verdict == Verdict::kRan;
+                  if (ran == kRequests)
+                    loop.Stop();
+                });
+  loop.Run();
+  BOOST_TEST(most <= 3U);
+}
+
 BOOST_AUTO_TEST_CASE(BodyOverTheLimitIsRefusedAsNotRun) {
   base::Loop loop;
   int handled = 0;
