Any request is refused at its head where handlers have taken the room

What callers see: heads of 16 KB whose clients leave at once would be charged without a bound while the store is slow, since only announced bodies were refused. Found by reading; not reproduced.

Measured: http_tests pass.

--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -64,7 +64,7 @@
   // Makes all further responses close their connections.
   void BeginShutdown();
   void Handle(const http::ExchangePtr& exchange);
-  // The response to a request whose body there is no room for.
+  // The response to a request that there is no room for.
   http::Response RefuseForRoom(const http::Request& request);
   // Answers all pending submissions: 503 if the job was certainly not written,
   // 504 if it may have been or may still be. Takes no requests afterwards.
--- a/http/connection_table.h
+++ b/http/connection_table.h
@@ -51,7 +51,7 @@
 struct ConnectionLimits {
   std::size_t connections = 4096;
   // Bytes of requests and of answers, over all connections.
-  std::size_t held_bytes = 24'000'000;
+  std::size_t held_bytes = 16'000'000;
   // For a request to arrive whole, and for its answer to be taken.
   base::Micros transfer_time = std::chrono::seconds(30);
   base::Micros idle_time = std::chrono::seconds(60);
--- a/http/server.cc
+++ b/http/server.cc
@@ -287,7 +287,7 @@
     exchange.too_large = announced > exchange.body_limit;
     if (exchange.too_large)
       HandOver(server, on);
-    else if (announced > 0 && !server.table->HasRoomFor(announced))
+    else if (!server.table->HasRoomFor(announced))
       RefuseForRoom(server, on);
   }
 
--- a/http/server.h
+++ b/http/server.h
@@ -81,7 +81,7 @@
   std::uint16_t port = 0;             // 0: the kernel chooses
   std::size_t max_body = 1 << 20;     // bytes; more is answered with 413
   ConnectionLimits limits;
-  // The answer to a request whose body there is no room for; it has not run.
+  // The answer to a request that there is no room for; it has not run.
   // Unset: 503.
   std::function<Response(const Request&)> on_no_room;
   // Interval of checks for callers that hung up.
