A request of a connection closed for a limit is not handed over; a finding

What callers would see: a connection that is closed to make room is shut down, but the kernel still hands out what had come before. A whole request among it was handed over and carried out, though its caller sees the connection end.

Change: a request that begins on a connection that is being closed is dropped.

Measured: http_tests pass, with RequestOfAClosedConnectionIsNotHandedOver, which accepts two connections under a limit of one before a request is read. It was written with the fix and was not run without it.

--- a/http/server.cc
+++ b/http/server.cc
@@ -183,7 +183,7 @@
     // 1. The first call for a request: only its head has been read.
     if (!slot->exchange) {
       Begin(*server, *slot, connection, method);
-      if (!slot->exchange->answered)
+      if (!slot->exchange->answered && !slot->exchange->dropped)
         return MHD_YES;
     }
     Exchange& exchange = *slot->exchange;
@@ -281,6 +281,10 @@
     exchange.body_limit = server.max_body;
     Connection& on = Connection::Of(connection);
     on.exchange = slot.exchange;
+    // The kernel still has what came before the connection was shut down.
+    exchange.dropped = on.is_closing;
+    if (exchange.dropped)
+      return;
     server.SetHeld(on, HeadSize(exchange.received));
     // What cannot be taken is refused before its body is read.
     const std::size_t announced = AnnouncedBody(exchange.received.headers);
--- a/http/server_limits_test.cc
+++ b/http/server_limits_test.cc
@@ -232,6 +232,21 @@
   BOOST_TEST(fixture.server->connections() <= 5U);
 }
 
+// Guards against a request that is carried out, unanswered, after its
+// connection has been closed for a limit.
+BOOST_AUTO_TEST_CASE(RequestOfAClosedConnectionIsNotHandedOver) {
+  LimitsFixture fixture({.limits = {.connections = 1}});
+  const RawClient first(fixture.server->port(),
+                        PostHead(10) + std::string(10, 'x'));
+  // The loop has not run: both connections are accepted before a request is
+  // read.
+  const RawClient second(fixture.server->port(), "");
+  fixture.RunUntil([&] { return first.HasEnded(); });
+  BOOST_TEST(fixture.closed() == 1U);
+  BOOST_TEST(fixture.handled == 0);
+  BOOST_TEST(first.Received() == "");
+}
+
 // Guards against a client that keeps its request going by a byte now and then.
 BOOST_AUTO_TEST_CASE(RequestThatTakesTooLongIsClosedHoweverItsBytesCome) {
   LimitsFixture fixture(
