--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -69,8 +69,8 @@
   return options;
 }
 
-// Of a daemon's descriptors, 4,100 on an entry box. Each caller's request may
-// need one.
+// Open connections to the store. A caller's request may need one, and an entry
+// box allows a daemon 4,100 descriptors.
 constexpr long kMaxStoreConnections = 1024;
 
 constexpr base::Micros kTrafficLogPeriod = std::chrono::seconds(10);
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -39,7 +39,7 @@
   base::Micros upkeep_duration = std::chrono::milliseconds(2000);
   // From the stop signal until the platform kills the process.
   base::Micros stop_grace_period = std::chrono::milliseconds(6000);
-  // Of callers.
+  // Limits of the callers' interface.
   std::size_t max_body = 1 << 20;  // bytes of a request's body
   http::ConnectionLimits caller_limits = {.connections = 2000};
   // Bytes of answers that are being received, of the store and, as many again,
--- a/http/client.cc
+++ b/http/client.cc
@@ -36,8 +36,8 @@
 // Headers of an answer, in bytes.
 constexpr std::size_t kMaxHeaders = 65'536;
 
-// Of the kernel, for bytes of a connection that this process has not read. The
-// kernel doubles it for its own records.
+// The kernel's buffer for bytes that this process has not read, for each
+// connection. The kernel doubles it for its own records.
 constexpr int kReceiveBuffer = 131'072;
 
 // The "ip:port" of "http://ip:port/path".
--- a/http/connection_table_test.cc
+++ b/http/connection_table_test.cc
@@ -97,8 +97,8 @@
   BOOST_TEST((*table.Expired(Micros(21)) == idle));
 }
 
-// Whatever connections do, closing what the table names restores the limits,
-// but for what handlers have and one transfer alone.
+// After any sequence of changes, closing the connections that the table names
+// restores the limits, except for requests in service and one transfer alone.
 BOOST_AUTO_TEST_CASE(LimitsHoldAfterAnySequence) {
   BOOST_TEST(rc::check([] {
     ConnectionTable table(kLimits);
--- a/http/server.cc
+++ b/http/server.cc
@@ -37,8 +37,9 @@
 // The library's memory for a connection: the head of a request must fit.
 constexpr std::size_t kConnectionMemory = 32'768;
 
-// Of the kernel, for bytes of a connection that this process has not read, and
-// for those that its client has not. The kernel doubles it for its own records.
+// The kernel's buffers of a connection, for bytes that this process has not
+// read and for those that its client has not. The kernel doubles them for its
+// own records.
 constexpr int kSocketBuffer = 16'384;
 
 // Never reached: the library would leave further ones waiting, while the oldest
@@ -286,7 +287,7 @@
     if (exchange.dropped)
       return;
     server.SetHeld(on, HeadSize(exchange.received));
-    // What cannot be taken is refused before its body is read.
+    // A request that cannot be taken is refused before its body is read.
     const std::size_t announced = AnnouncedBody(exchange.received.headers);
     exchange.too_large = announced > exchange.body_limit;
     if (exchange.too_large)
--- a/http/server.h
+++ b/http/server.h
@@ -1,8 +1,8 @@
 // An HTTP/1.1 server on a loop: libmicrohttpd, driven through its epoll
 // descriptor. Every request is read whole, handed over once, answered once.
-// What connections hold and for how long is bounded: those over a limit are
-// closed, the oldest first, before their request has been handed over or while
-// its answer is being sent.
+// Connections, the bytes they hold and their time are bounded: those over a
+// limit are closed, the oldest first, before their request has been handed over
+// or while its answer is being sent.
 
 #ifndef HTTP_SERVER_H_
 #define HTTP_SERVER_H_
--- a/http/server_end_test.cc
+++ b/http/server_end_test.cc
@@ -1,4 +1,4 @@
-// What callers of a server see as it ends.
+// A server that ends, as its callers see it.
 
 #include <sys/socket.h>
 #include <unistd.h>
--- a/http/server_limits_test.cc
+++ b/http/server_limits_test.cc
@@ -1,4 +1,4 @@
-// What clients of a server see when they, or others, are over its limits.
+// Limits of a server: clients over them are refused or closed, others served.
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -172,8 +172,8 @@
   BOOST_TEST(fixture.handled == 1);
 }
 
-// What handlers have cannot be taken back: what there is no room for is refused
-// before it has run, and with a time to come back.
+// Requests in service keep their room: a further one that does not fit is
+// refused before it has run, with a time to come back.
 BOOST_AUTO_TEST_CASE(BodyWithoutRoomIsRefusedAtOnce) {
   LimitsFixture fixture(
       {.max_body = 60'000, .limits = {.held_bytes = 115'000}});
--- a/testing/job_cluster.cc
+++ b/testing/job_cluster.cc
@@ -51,8 +51,8 @@
   return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
 }
 
-// What is told of a process that has ended otherwise than with exit code 0 or
-// by SIGKILL. There may be no process.
+// Describes a process that has ended otherwise than with exit code 0 or by
+// SIGKILL. There may be no process.
 std::optional<std::string> CrashOf(const std::string& id, Process* process) {
   constexpr int kKilled = 128 + SIGKILL;
   if (!process || process->running())
--- a/testing/process_usage.cc
+++ b/testing/process_usage.cc
@@ -44,7 +44,7 @@
   return socket;
 }
 
-// What the process's descriptors refer to.
+// The targets of the process's descriptors, as in /proc/PID/fd.
 std::vector<std::string> DescriptorTargets(pid_t process) {
   std::vector<std::string> targets;
   std::error_code gone;
--- a/testing/process_usage.h
+++ b/testing/process_usage.h
@@ -1,4 +1,4 @@
-// What the kernel says of a process's memory and descriptors.
+// A process's memory, descriptors and unread bytes, as the kernel counts them.
 
 #ifndef TESTING_PROCESS_USAGE_H_
 #define TESTING_PROCESS_USAGE_H_
--- a/testing/scheduler_model_results.cc
+++ b/testing/scheduler_model_results.cc
@@ -1,4 +1,4 @@
-// What became of the model's jobs.
+// Final checks of the model's jobs.
 
 #include <algorithm>
 
