Reading as a newcomer: a request's size in one place, limits at a reload proved

The size of a request was added up in two places (SizeOf). The steps of a request stand in the order in which they are taken, and say what they do; Accept(), which read like the acceptance of a connection, is BeginService().

Tests of what was promised and not proved: changed limits come into force (http ChangedLimitsAreInForce, testing LimitsOfAChangedSettingsFileComeIntoForce), a refusal for want of room does not call a job of unknown fate "not run" (entry RefusalForRoomOfAJobOfUnknownFateIsNotCalledNotRun), and its answer is its owner's (http RequestWithoutRoomGetsTheAnswerThatItsOwnerGives).

--- a/entry/caller_api_test.cc
+++ b/entry/caller_api_test.cc
@@ -85,6 +85,21 @@
              boost::test_tools::per_element());
 }
 
+// Guards against a refusal for want of room that says "not run" of a job whose
+// earlier submission may have been written.
+BOOST_AUTO_TEST_CASE(RefusalForRoomOfAJobOfUnknownFateIsNotCalledNotRun) {
+  CallerBench bench;
+  bench.standin.SetMood(StoreStandin::Mood::kCuts);
+  BOOST_TEST(bench.Call("POST", kJobPath, kBody).status == 504);
+  const auto refusal = [&bench](const std::string& path) {
+    return bench.api.RefuseForRoom({.method = "POST", .path = path});
+  };
+  BOOST_TEST(refusal(kJobPath).status == 504);
+  const http::Response other = refusal("/p/0000000000000001");
+  BOOST_TEST(other.status == 503);
+  BOOST_TEST(http::FindHeader(other.headers, "Retry-After"));
+}
+
 // Guards against the same where the first submission has been answered 504.
 BOOST_AUTO_TEST_CASE(JobOfUnknownFateIsNotRefusedWhenSubmittedAgain) {
   CallerBench bench;
--- a/http/server_callbacks.cc
+++ b/http/server_callbacks.cc
@@ -27,9 +27,10 @@
   return MHD_YES;
 }
 
-// Bytes that the process keeps of a request's head.
-std::size_t HeadSize(const Request& request) {
-  std::size_t size = sizeof(Exchange) + request.path.size();
+// Bytes that a request takes in this process.
+std::size_t SizeOf(const Request& request) {
+  std::size_t size =
+      sizeof(Exchange) + request.path.size() + request.body.capacity();
   for (const Header& header : request.headers)
     size += sizeof(Header) + header.name.size() + header.value.size();
   return size;
@@ -189,48 +190,34 @@
   *state = nullptr;
 }
 
-// A handler whose caller has gone keeps what the request was made into until
-// it is done.
-void Server::Callbacks::Detach(Server& server,
-                               Exchange& exchange,
-                               Connection& connection) {
-  constexpr int kOwnReferences = 2;
-  if (exchange.caller_gone &&
-      connection.exchange.use_count() > kOwnReferences) {
-    exchange.charged = server.table;
-    server.table->AddDetached(exchange.size);
-  }
-  connection.exchange = nullptr;
-}
-
 void Server::Callbacks::Begin(Server& server,
                               Slot& slot,
-                              MHD_Connection* connection,
+                              MHD_Connection* raw,
                               const char* method) {
   slot.exchange = std::make_shared<Exchange>(server);
   ++server.reading;
   Exchange& exchange = *slot.exchange;
-  exchange.connection = connection;
+  exchange.connection = raw;
   exchange.received.method = method;
   exchange.received.path = std::move(slot.path);
   exchange.received.headers.reserve(8);
-  MHD_get_connection_values(connection, MHD_HEADER_KIND, CollectHeader,
+  MHD_get_connection_values(raw, MHD_HEADER_KIND, CollectHeader,
                             &exchange.received.headers);
   exchange.body_limit = server.max_body;
-  Connection& on = Connection::Of(connection);
-  on.exchange = slot.exchange;
+  Connection& connection = Connection::Of(raw);
+  connection.exchange = slot.exchange;
   // The kernel still has what came before the connection was shut down.
-  exchange.dropped = on.is_closing;
+  exchange.dropped = connection.is_closing;
   if (exchange.dropped)
     return;
-  server.SetHeld(on, HeadSize(exchange.received));
+  server.SetHeld(connection, SizeOf(exchange.received));
   // A request that cannot be taken is refused before its body is read.
   const std::size_t announced = AnnouncedBody(exchange.received.headers);
   exchange.too_large = announced > exchange.body_limit;
   if (exchange.too_large)
-    HandOver(server, on);
+    HandOver(server, connection);
   else if (!server.table->HasRoomFor(announced))
-    RefuseForRoom(server, on);
+    RefuseForRoom(server, connection);
 }
 
 void Server::Callbacks::TakeBody(Server& server,
@@ -250,23 +237,29 @@
   }
   if (!exchange.too_large)
     body.append(data, size);
-  server.SetHeld(connection, HeadSize(exchange.received) + body.capacity());
+  server.SetHeld(connection, SizeOf(exchange.received));
   server.CloseOverLimits();
 }
 
-void Server::Callbacks::Accept(Server& server, Connection& connection) {
-  Exchange& exchange = *connection.exchange;
-  exchange.handed_over = true;
-  --server.reading;
-  exchange.since = base::MonotonicNow();
-  ++server.open;
-  exchange.size =
-      HeadSize(exchange.received) + exchange.received.body.capacity();
-  server.SetPhase(connection, Phase::kServing);
+void Server::Callbacks::HandOver(Server& server, Connection& connection) {
+  const ExchangePtr exchange = connection.exchange;
+  BeginService(server, connection);
+  if (exchange->too_large) {
+    server.NoteCut(exchange->request(), kPayloadTooLarge, "body_too_large");
+    exchange->Reply(TooLarge(exchange->body_limit));
+    return;
+  }
+  // Read while the server ends: nothing may be left waiting.
+  if (server.ending) {
+    server.NoteCut(exchange->request(), kUnavailable, "server_ends");
+    exchange->Reply({.status = kUnavailable, .headers = {}, .body = {}});
+    return;
+  }
+  server.handler(exchange);
 }
 
 void Server::Callbacks::RefuseForRoom(Server& server, Connection& connection) {
-  Accept(server, connection);
+  BeginService(server, connection);
   Exchange& exchange = *connection.exchange;
   if (server.on_no_room) {
     exchange.Reply(server.on_no_room(exchange.request()));
@@ -276,35 +269,42 @@
   exchange.Reply(NoRoom());
 }
 
+void Server::Callbacks::BeginService(Server& server, Connection& connection) {
+  Exchange& exchange = *connection.exchange;
+  exchange.handed_over = true;
+  --server.reading;
+  exchange.since = base::MonotonicNow();
+  ++server.open;
+  exchange.size = SizeOf(exchange.received);
+  server.SetPhase(connection, Phase::kServing);
+}
+
 MHD_Result Server::Callbacks::Send(Server& server,
-                                   Connection& on,
-                                   MHD_Connection* connection) {
-  Exchange& exchange = *on.exchange;
-  const MHD_Result result = Queue(connection, exchange.answer);
+                                   Connection& connection,
+                                   MHD_Connection* raw) {
+  Exchange& exchange = *connection.exchange;
+  const MHD_Result result = Queue(raw, exchange.answer);
   // The library has its own copy.
   const std::size_t size = exchange.answer.body.size();
   FreeText(exchange.answer.body);
-  server.SetHeld(on, HeadSize(exchange.received) + size);
-  server.SetPhase(on, Phase::kSending);
+  server.SetHeld(connection, SizeOf(exchange.received) + size);
+  server.SetPhase(connection, Phase::kSending);
   server.CloseOverLimits();
   return result;
 }
 
-void Server::Callbacks::HandOver(Server& server, Connection& connection) {
-  const ExchangePtr exchange = connection.exchange;
-  Accept(server, connection);
-  if (exchange->too_large) {
-    server.NoteCut(exchange->request(), kPayloadTooLarge, "body_too_large");
-    exchange->Reply(TooLarge(exchange->body_limit));
-    return;
-  }
-  // Read while the server ends: nothing may be left waiting.
-  if (server.ending) {
-    server.NoteCut(exchange->request(), kUnavailable, "server_ends");
-    exchange->Reply({.status = kUnavailable, .headers = {}, .body = {}});
-    return;
+// A handler whose caller has gone keeps what the request was made into until
+// it is done.
+void Server::Callbacks::Detach(Server& server,
+                               Exchange& exchange,
+                               Connection& connection) {
+  constexpr int kOwnReferences = 2;
+  if (exchange.caller_gone &&
+      connection.exchange.use_count() > kOwnReferences) {
+    exchange.charged = server.table;
+    server.table->AddDetached(exchange.size);
   }
-  server.handler(exchange);
+  connection.exchange = nullptr;
 }
 
 }  // namespace quartzhoist::http
--- a/http/server_callbacks.h
+++ b/http/server_callbacks.h
@@ -54,23 +54,28 @@
                         MHD_RequestTerminationCode code);
 
   // --- Steps of a request ---
-  static void Detach(Server& server,
-                     Exchange& exchange,
-                     Connection& connection);
+  // Its head has been read: creates its exchange, or refuses it.
   static void Begin(Server& server,
                     Slot& slot,
-                    MHD_Connection* connection,
+                    MHD_Connection* raw,
                     const char* method);
   static void TakeBody(Server& server,
                        Connection& connection,
                        const char* data,
                        std::size_t size);
-  static void Accept(Server& server, Connection& connection);
+  // It is whole, or cannot be taken.
+  static void HandOver(Server& server, Connection& connection);
   static void RefuseForRoom(Server& server, Connection& connection);
+  // From here on its connection is not closed for a limit.
+  static void BeginService(Server& server, Connection& connection);
+  // Passes its answer to the library.
   static MHD_Result Send(Server& server,
-                         Connection& on,
-                         MHD_Connection* connection);
-  static void HandOver(Server& server, Connection& connection);
+                         Connection& connection,
+                         MHD_Connection* raw);
+  // Its connection has no more to do with it.
+  static void Detach(Server& server,
+                     Exchange& exchange,
+                     Connection& connection);
 };
 
 }  // namespace quartzhoist::http
--- a/http/server_limits_test.cc
+++ b/http/server_limits_test.cc
@@ -200,6 +200,33 @@
   BOOST_TEST(fixture.StatusOfCall(std::string(40'000, 'x')) == 200);
 }
 
+BOOST_AUTO_TEST_CASE(RequestWithoutRoomGetsTheAnswerThatItsOwnerGives) {
+  LimitsFixture fixture(
+      {.max_body = 60'000,
+       .limits = {.held_bytes = 30'000},
+       .on_no_room = [](const Request& request) {
+         return Response{.status = 504, .headers = {}, .body = request.method};
+       }});
+  BOOST_TEST(fixture.StatusOfCall(std::string(40'000, 'x')) == 504);
+  BOOST_TEST(fixture.handled == 0);
+}
+
+// Guards against limits that are read again and not in force.
+BOOST_AUTO_TEST_CASE(ChangedLimitsAreInForce) {
+  LimitsFixture fixture({.max_body = 60'000});
+  BOOST_TEST(fixture.StatusOfCall(std::string(200, 'x')) == 200);
+  fixture.server->SetLimits(
+      {.connections = 1, .idle_time = std::chrono::milliseconds(200)}, 100);
+  BOOST_TEST(fixture.StatusOfCall(std::string(200, 'x')) == 413);
+  fixture.RunUntil([&] { return fixture.server->connections() == 0; });
+  const std::uint64_t closed_before = fixture.closed();
+  const RawClient first(fixture.server->port(), "");
+  const RawClient second(fixture.server->port(), "");
+  fixture.RunUntil([&] { return first.HasEnded(); });
+  BOOST_TEST(fixture.closed() == closed_before + 1);
+  fixture.RunUntil([&] { return second.HasEnded(); });
+}
+
 // Guards against requests whose clients have left and that count for nothing
 // while a handler has them.
 BOOST_AUTO_TEST_CASE(BodyOfAClientThatLeftTakesRoomUntilItsHandlerIsDone) {
--- a/testing/crowd_test.cc
+++ b/testing/crowd_test.cc
@@ -2,6 +2,8 @@
 // and descriptors stay bounded, and an ordinary request is answered beside the
 // crowd and after it.
 
+#include <csignal>
+#include <fstream>
 #include <memory>
 #include <string>
 #include <vector>
@@ -112,6 +114,23 @@
   std::vector<std::unique_ptr<RawServer>> servers;
 };
 
+// Guards against limits that a settings file changes and that are not in force.
+BOOST_AUTO_TEST_CASE(LimitsOfAChangedSettingsFileComeIntoForce) {
+  constexpr int kClients = 20;
+  constexpr int kLimit = 8;
+  CrowdFixture fixture;
+  const JobCluster::Daemon& daemon = fixture.Target();
+  std::ofstream(daemon.settings, std::ios::app)
+      << fmt::format("max_connections = {}\n", kLimit);
+  daemon.process->Signal(SIGHUP);
+  daemon.process->WaitForWord("settings_reloaded");
+  const ClientCrowd crowd(
+      {.address = daemon.callers, .connections = kClients, .message = ""});
+  BOOST_TEST(fixture.cluster.WaitUntil(
+      kTimeoutSeconds, [&] { return crowd.closed() >= kClients - kLimit; }));
+  fixture.ExpectAnswer(daemon.callers, "/q/" + JobId(1));
+}
+
 // Guards against a process that runs out of memory by answers of workers that
 // do not end.
 BOOST_AUTO_TEST_CASE(AnswersOfWorkersThatStopShortStayBounded) {
