--- a/scheduler/box_planning.cc
+++ b/scheduler/box_planning.cc
@@ -45,6 +45,20 @@
           MoreBoxesMayHelp(task.wait_reason));
 }
 
+bool IsStuck(const ReadyTask& task, bool has_cores, base::Micros now) {
+  const Task& waiting = TaskAt(*task.job, task.position);
+  return waiting.state == TaskState::kReady &&
+         waiting.wait_reason == WaitReason::kCapacity &&
+         now - waiting.ready_since > kStuckAfter &&
+         (StepOf(*task.job, task.position).long_running || has_cores);
+}
+
+int PriorityOf(const std::unordered_map<std::string, Job>& jobs,
+               const jobs::TaskId& task) {
+  const auto job = jobs.find(task.job);
+  return job == jobs.end() ? 0 : job->second.queue.priority;
+}
+
 }  // namespace
 
 FleetView Scheduler::BuildFleetView(base::Micros now) {
@@ -74,7 +88,7 @@
     box.busy_cores = static_cast<double>(worker.used.cpu_millis) / 1000.0;
     box.long_running_tasks = worker.long_running_tasks;
     for (const auto& [task, run] : worker.runs) {
-      demand_by_pool[box.pool][this->PriorityOf(task)].current_cores +=
+      demand_by_pool[box.pool][PriorityOf(this->jobs, task)].current_cores +=
           static_cast<double>(run.reserved.cpu_millis) / 1000.0;
     }
     view.boxes.push_back(std::move(box));
@@ -129,16 +143,6 @@
   return min_boxes;
 }
 
-bool Scheduler::IsStuck(const ReadyTask& task,
-                        bool has_cores,
-                        base::Micros now) const {
-  const Task& waiting = TaskAt(*task.job, task.position);
-  return waiting.state == TaskState::kReady &&
-         waiting.wait_reason == WaitReason::kCapacity &&
-         now - waiting.ready_since > kStuckAfter &&
-         (StepOf(*task.job, task.position).long_running || has_cores);
-}
-
 // Raises the minimum of pools whose boxes are exhausted in something other than
 // cores, which core demand does not show, to one box more than they have.
 void Scheduler::AddBoxesForStuckTasks(base::Micros now,
@@ -166,10 +170,9 @@
     // While boxes are leaving, the pool's allocation decides how many it keeps.
     const bool has_cores =
         (boxes == 0 && !has_leaving) || taken < kFullPoolUtilization * cores;
-    const bool is_stuck =
-        std::any_of(tasks.begin(), tasks.end(), [&](const ReadyTask& task) {
-          return this->IsStuck(task, has_cores, now);
-        });
+    const bool is_stuck = std::any_of(
+        tasks.begin(), tasks.end(),
+        [&](const ReadyTask& task) { return IsStuck(task, has_cores, now); });
     if (!is_stuck) {
       this->box_requests.Clear(service);
       continue;
@@ -180,11 +183,6 @@
   }
 }
 
-int Scheduler::PriorityOf(const jobs::TaskId& task) const {
-  const auto job = this->jobs.find(task.job);
-  return job == this->jobs.end() ? 0 : job->second.queue.priority;
-}
-
 void Scheduler::SetWave(const Wave& wave,
                         const std::vector<std::string>& begun,
                         base::Micros now) {
@@ -262,7 +260,7 @@
 
 // Free capacity of the usable workers, less what interrupted long-running tasks
 // will take: stopped ones that have not ended yet, and those that wait.
-std::vector<Scheduler::WorkerRoom> Scheduler::RoomBesideInterrupted(
+std::vector<WorkerRoom> Scheduler::RoomBesideInterrupted(
     base::Micros now) const {
   std::vector<WorkerRoom> room;
   for (const auto& [id, worker] : this->workers) {
--- a/scheduler/crashes.cc
+++ b/scheduler/crashes.cc
@@ -11,6 +11,7 @@
 #include <algorithm>
 
 #include "scheduler/scheduler.h"
+#include "scheduler/task_suspicion.h"
 
 namespace quartzhoist::scheduler {
 
@@ -144,7 +145,7 @@
     const auto run = worker->second.runs.find(IdOf(job, start.position));
     const bool is_outdated =
         run != worker->second.runs.end() &&
-        run->second.suspicion < this->SuspicionOf(job, start.position, now);
+        run->second.suspicion < SuspicionOf(job, start.position, now);
     if (!is_outdated)
       continue;
     this->CancelPlan(job, start.position);
@@ -205,57 +206,6 @@
   }
 }
 
-// Called when the run is planned, so that the row has it before the start.
-void Scheduler::RecordLastTry(Job& job, const TaskPosition& position, int run) {
-  const auto found = job.progress.losses.find(KeyOf(position));
-  if (found != job.progress.losses.end() && IsLastTry(found->second))
-    job.progress.last_tries[KeyOf(position)].insert(run);
-}
-
-// Undoes RecordLastTry for a run that was not started.
-void Scheduler::RevokeLastTry(Job& job, const TaskPosition& position, int run) {
-  const auto found = job.progress.last_tries.find(KeyOf(position));
-  if (found == job.progress.last_tries.end())
-    return;
-  found->second.erase(run);
-  if (found->second.empty())
-    job.progress.last_tries.erase(found);
-}
-
-Suspicion Scheduler::SuspicionOf(const Job& job,
-                                 const TaskPosition& position,
-                                 base::Micros now) const {
-  if (job.progress.losses.empty())
-    return Suspicion::kNone;
-  const auto found = job.progress.losses.find(KeyOf(position));
-  if (found == job.progress.losses.end())
-    return Suspicion::kNone;
-  const auto index = static_cast<std::size_t>(position.index);
-  const Task& task = StepAt(job, position).tasks[index];
-  const auto tries = job.progress.last_tries.find(KeyOf(position));
-  return AssessSuspicion(
-      found->second,
-      tries == job.progress.last_tries.end() ? jobs::RunNumbers()
-                                             : tries->second,
-      now - task.latest_loss_at, StepOf(job, position).long_running);
-}
-
-// The members of a gang start together, so the highest suspicion applies.
-Suspicion Scheduler::SuspicionOfStart(const Job& job,
-                                      const TaskPosition& position,
-                                      base::Micros now) const {
-  if (job.progress.losses.empty() || !StepOf(job, position).gang)
-    return this->SuspicionOf(job, position, now);
-  Suspicion worst = Suspicion::kNone;
-  const auto members = static_cast<int>(StepAt(job, position).tasks.size());
-  for (int i = 0; i < members; ++i) {
-    const TaskPosition member{
-        .occurrence = position.occurrence, .step = position.step, .index = i};
-    worst = std::max(worst, this->SuspicionOf(job, member, now));
-  }
-  return worst;
-}
-
 // Fails a job with a task that crashes its workers. In a job with a
 // long-running step only the task itself is given up: stopping all long-running
 // tasks at once would exceed the number that may be away. If that task is
@@ -272,7 +222,7 @@
     const bool may_start =
         task.state == TaskState::kReady || task.state == TaskState::kBlocked;
     if ((keeps_running && !may_start) || task.state == TaskState::kGivenUp ||
-        this->SuspicionOf(job, position, now) != Suspicion::kGiveUp)
+        SuspicionOf(job, position, now) != Suspicion::kGiveUp)
       continue;
     this->actions.emplace_back(
         TaskGivenUp{.job = job.id, .task = key, .losses = losses});
--- a/scheduler/inheritance.cc
+++ b/scheduler/inheritance.cc
@@ -99,7 +99,7 @@
                             const jobs::Placement& placement,
                             base::Micros now) {
   // The row names it for the case that it is carried out late.
-  if (this->IsOpenStart(IdOf(job, position), placement.run))
+  if (this->open_starts.Contains(IdOf(job, position), placement.run))
     return true;
   Worker* worker = this->FindHolder(placement.worker);
   if (!worker || !HasTask(job, position))
--- a/scheduler/open_starts.cc
+++ b/scheduler/open_starts.cc
@@ -7,6 +7,8 @@
 // of it from the job's row alone: the row names the run until it can no longer
 // begin.
 
+#include "scheduler/open_starts.h"
+
 #include "scheduler/scheduler.h"
 
 namespace quartzhoist::scheduler {
@@ -19,26 +21,26 @@
 
 }  // namespace
 
-void Scheduler::RecordOpenStart(const StartRun& command, base::Micros now) {
-  this->open_starts[{command.task, command.run}] = {
-      .worker = command.worker.id, .until = now + kMaxCommandDelay};
+void OpenStarts::Record(const StartRun& command, base::Micros now) {
+  this->by_run[{command.task, command.run}] = {.worker = command.worker.id,
+                                               .until = now + kMaxCommandDelay};
 }
 
-void Scheduler::MarkCarriedOut(const jobs::TaskId& task, int run) {
-  const auto found = this->open_starts.find({task, run});
-  if (found != this->open_starts.end())
+void OpenStarts::MarkCarriedOut(const jobs::TaskId& task, int run) {
+  const auto found = this->by_run.find({task, run});
+  if (found != this->by_run.end())
     found->second.was_carried_out = true;
 }
 
-bool Scheduler::IsOpenStart(const jobs::TaskId& task, int run) const {
-  const auto found = this->open_starts.find({task, run});
-  return found != this->open_starts.end() && !found->second.was_carried_out;
+bool OpenStarts::Contains(const jobs::TaskId& task, int run) const {
+  const auto found = this->by_run.find({task, run});
+  return found != this->by_run.end() && !found->second.was_carried_out;
 }
 
 void Scheduler::KeepReplacedStart(Job& job, const TaskPosition& position) {
   const auto placed = job.progress.placed.find(KeyOf(position));
   if (placed != job.progress.placed.end() &&
-      this->IsOpenStart(IdOf(job, position), placed->second.run))
+      this->open_starts.Contains(IdOf(job, position), placed->second.run))
     job.progress.stopping[KeyOf(position)].insert(placed->second);
 }
 
@@ -104,7 +106,7 @@
     if (!is_known && job && HasTask(*job, PositionOf(id)) &&
         job->progress.MarkStopEnded(KeyOf(PositionOf(id)), number))
       this->MarkChanged(*job);
-    it = this->open_starts.erase(it);
+    it = this->open_starts.Erase(it);
   }
 }
 
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -8,6 +8,7 @@
 
 #include "scheduler/scheduler.h"
 #include "scheduler/start_constraints.h"
+#include "scheduler/task_suspicion.h"
 
 namespace quartzhoist::scheduler {
 
@@ -144,6 +145,21 @@
   return cost;
 }
 
+// A later owner may have renewed a lease that this owner sees as expired,
+// unless the store has confirmed this ownership since.
+bool LeaseMayHaveBeenRenewed(const Job& job,
+                             const TaskPosition& position,
+                             base::Micros confirmed_at) {
+  const StepState& step_state = StepAt(job, position);
+  const bool gang = StepOf(job, position).gang;
+  for (std::size_t i = 0; i < step_state.tasks.size(); ++i) {
+    const bool counts = gang || static_cast<int>(i) == position.index;
+    if (counts && step_state.tasks[i].lease_expired_at > confirmed_at)
+      return true;
+  }
+  return false;
+}
+
 }  // namespace
 
 bool Scheduler::IsUsable(const Worker& worker, base::Micros now) const {
@@ -166,20 +182,6 @@
   return AnnouncementAge(worker, now) <= this->limits.max_announcement_age;
 }
 
-// A later owner may have renewed a lease that this owner sees as expired,
-// unless the store has confirmed this ownership since.
-bool Scheduler::LeaseMayHaveBeenRenewed(const Job& job,
-                                        const TaskPosition& position) const {
-  const StepState& step_state = StepAt(job, position);
-  const bool gang = StepOf(job, position).gang;
-  for (std::size_t i = 0; i < step_state.tasks.size(); ++i) {
-    const bool counts = gang || static_cast<int>(i) == position.index;
-    if (counts && step_state.tasks[i].lease_expired_at > this->confirmed_at)
-      return true;
-  }
-  return false;
-}
-
 int Scheduler::NextRunNumber(const Job& job,
                              const TaskPosition& position) const {
   const StepState& step_state = StepAt(job, position);
@@ -227,41 +229,6 @@
   });
 }
 
-bool Scheduler::PlacementPass::HasLabelOf(const jobs::Step& step) {
-  if (step.label.empty())
-    return true;
-  if (this->missing_labels.contains(step.label))
-    return false;
-  const auto has_label = [&step](const Worker* worker) {
-    return HasRequiredLabel(*worker, step);
-  };
-  const bool found =
-      std::any_of(this->candidates.begin(), this->candidates.end(),
-                  has_label) ||
-      std::any_of(this->stalled.begin(), this->stalled.end(), has_label);
-  if (!found)
-    this->missing_labels.insert(step.label);
-  return found;
-}
-
-bool Scheduler::PlacementPass::IsExhausted(const jobs::Resources& takes) const {
-  return std::any_of(
-      this->exhausted.begin(), this->exhausted.end(),
-      [&](const jobs::Resources& amount) { return jobs::Fits(amount, takes); });
-}
-
-void Scheduler::PlacementPass::RecordIfExhausted(const jobs::Resources& takes) {
-  const bool fits =
-      std::any_of(this->candidates.begin(), this->candidates.end(),
-                  [&](const Worker* worker) {
-                    return jobs::Fits(takes, worker->free_capacity());
-                  });
-  if (!fits)
-    this->exhausted.push_back(takes);
-}
-
-// After one task of a step fits no worker, the step's other tasks are skipped
-// for this pass: they have the same requirements.
 ReadyTasks::AttemptResult Scheduler::TryPlace(const ReadyTask& task,
                                               PlacementPass& pass,
                                               base::Micros now) {
@@ -282,7 +249,7 @@
     TaskAt(job, task.position).wait_reason = nowhere->second;
     return AttemptResult::kKept;
   }
-  const Suspicion suspicion = this->SuspicionOfStart(job, task.position, now);
+  const Suspicion suspicion = SuspicionOfStart(job, task.position, now);
   if (suspicion == Suspicion::kGiveUp) {
     this->GiveUpCrashingTasks(job, now);
     return AttemptResult::kObsolete;
@@ -339,7 +306,7 @@
     return WaitReason::kRow;
   if (!this->quotas.Allows(job.organisation, QuotaNeededBy(step)))
     return WaitReason::kQuota;
-  if (this->LeaseMayHaveBeenRenewed(job, ready_task.position))
+  if (LeaseMayHaveBeenRenewed(job, ready_task.position, this->confirmed_at))
     return WaitReason::kLease;
   if (job.queue.advice.required &&
       !this->EnsureAdvice(job, ready_task.position, pass.candidates, now))
@@ -404,7 +371,7 @@
 
 // Chooses one worker for the task, or one for each member of a gang. Returns
 // nothing if the task or any member fits no worker.
-std::vector<Scheduler::Assignment> Scheduler::ChooseWorkers(
+std::vector<Assignment> Scheduler::ChooseWorkers(
     const Job& job,
     const TaskPosition& position,
     const std::vector<Worker*>& candidates,
@@ -425,7 +392,7 @@
       continue;
     const TaskPosition member{
         .occurrence = position.occurrence, .step = position.step, .index = i};
-    const Suspicion suspicion = this->SuspicionOf(job, member, now);
+    const Suspicion suspicion = SuspicionOf(job, member, now);
     const bool must_run_alone = suspicion == Suspicion::kProbe;
     const bool waits_for_idle =
         must_run_alone && now - task.ready_since < kIdleWorkerWait;
--- a/scheduler/planned_runs.cc
+++ b/scheduler/planned_runs.cc
@@ -7,6 +7,7 @@
 #include "jobs/progress_size.h"
 #include "scheduler/scheduler.h"
 #include "scheduler/start_constraints.h"
+#include "scheduler/task_suspicion.h"
 
 namespace quartzhoist::scheduler {
 
@@ -65,8 +66,8 @@
   task.is_serving = false;
   Run run = this->MakeRun(job, step, run_number, RunState::kPlanned);
   run.decided_at = now;
-  run.suspicion = this->SuspicionOf(job, choice.position, now);
-  this->RecordLastTry(job, choice.position, run_number);
+  run.suspicion = SuspicionOf(job, choice.position, now);
+  RecordLastTry(job, choice.position, run_number);
   const jobs::TaskId id = IdOf(job, choice.position);
   AddRun(worker, id, std::move(run));
   this->KeepReplacedStart(job, choice.position);
--- a/scheduler/pool_state.cc
+++ b/scheduler/pool_state.cc
@@ -41,6 +41,26 @@
   return cores;
 }
 
+void CountWorker(const Reservations& reservations,
+                 const Worker& worker,
+                 const ReadyTask& task,
+                 LongRunningWait& wait) {
+  const Job& job = *task.job;
+  const jobs::Step& step = StepOf(job, task.position);
+  const jobs::Resources free = worker.free_capacity();
+  ++wait.usable;
+  wait.with_cores += free.cpu_millis >= wait.takes.cpu_millis;
+  wait.with_memory += free.memory_mb >= wait.takes.memory_mb;
+  if (!jobs::Fits(wait.takes, free))
+    return;
+  ++wait.fitting;
+  wait.at_limit += !IsBelowStepLimit(worker, job, task.position);
+  wait.unlabelled += !HasRequiredLabel(worker, step);
+  const jobs::Resources held =
+      reservations.HeldFrom(job, task.position, worker);
+  wait.reserved += !jobs::Fits(wait.takes + held, free);
+}
+
 }  // namespace
 
 std::vector<PoolState> Scheduler::PoolStates(base::Micros now) const {
@@ -132,7 +152,7 @@
       continue;
     for (const auto& [id, worker] : this->workers) {
       if (worker.info.service == service && this->IsUsable(worker, now))
-        this->CountWorker(worker, *first, wait);
+        CountWorker(this->reservations, worker, *first, wait);
     }
     list.push_back(std::move(wait));
   }
@@ -140,25 +160,6 @@
 }
 
 // Adds the worker to the counts of what keeps the task off its pool's workers.
-void Scheduler::CountWorker(const Worker& worker,
-                            const ReadyTask& task,
-                            LongRunningWait& wait) const {
-  const Job& job = *task.job;
-  const jobs::Step& step = StepOf(job, task.position);
-  const jobs::Resources free = worker.free_capacity();
-  ++wait.usable;
-  wait.with_cores += free.cpu_millis >= wait.takes.cpu_millis;
-  wait.with_memory += free.memory_mb >= wait.takes.memory_mb;
-  if (!jobs::Fits(wait.takes, free))
-    return;
-  ++wait.fitting;
-  wait.at_limit += !IsBelowStepLimit(worker, job, task.position);
-  wait.unlabelled += !HasRequiredLabel(worker, step);
-  const jobs::Resources held =
-      this->reservations.HeldFrom(job, task.position, worker);
-  wait.reserved += !jobs::Fits(wait.takes + held, free);
-}
-
 // A worker's first label is the kind of its box.
 std::vector<std::string> Scheduler::BoxKinds() const {
   std::set<std::string> kinds;
--- a/scheduler/row_limit.cc
+++ b/scheduler/row_limit.cc
@@ -7,6 +7,7 @@
 
 #include "jobs/progress_size.h"
 #include "scheduler/scheduler.h"
+#include "scheduler/task_suspicion.h"
 
 namespace quartzhoist::scheduler {
 
@@ -48,15 +49,7 @@
   progress.last_tries.clear();
 }
 
-}  // namespace
-
-std::size_t Scheduler::RowLimitOf(const Job& job) const {
-  return std::min(this->limits.max_progress_bytes, job.row.limit);
-}
-
-void Scheduler::MeasureRow(Job& job,
-                           std::size_t encoded_bytes,
-                           base::Micros now) {
+void MeasureRow(Job& job, std::size_t encoded_bytes, base::Micros now) {
   const std::size_t growth =
       jobs::MaxDoneBytes(job.spec) -
       std::min(jobs::MaxDoneBytes(job.spec), jobs::DoneBytes(job.progress));
@@ -65,6 +58,12 @@
   job.row.measured_at = now;
 }
 
+}  // namespace
+
+std::size_t Scheduler::RowLimitOf(const Job& job) const {
+  return std::min(this->limits.max_progress_bytes, job.row.limit);
+}
+
 // The row is measured by its text only when it is saved, and when it seems full
 // but has not been measured at this time.
 bool Scheduler::HasRowRoom(Job& job,
@@ -95,7 +94,7 @@
     return true;
   if (job.row.bytes > 0 && job.row.measured_at == now)
     return false;
-  this->MeasureRow(job, jobs::EncodeProgress(progress).size(), now);
+  MeasureRow(job, jobs::EncodeProgress(progress).size(), now);
   return job.row.bytes + needed <= room;
 }
 
@@ -108,7 +107,7 @@
   }
   job.row.saved_bytes = text.size();
   if (this->limits.max_progress_bytes != kNoRowLimit)
-    this->MeasureRow(job, text.size(), now);
+    MeasureRow(job, text.size(), now);
   return text;
 }
 
@@ -151,7 +150,7 @@
   }
   for (const PendingStart& start : unsaved) {
     this->CancelPlan(job, start.position);
-    this->RevokeLastTry(job, start.position, start.run);
+    RevokeLastTry(job, start.position, start.run);
     job.progress.placed.erase(KeyOf(start.position));
   }
   for (const PendingStart& start : unsaved) {
--- a/scheduler/run_ends.cc
+++ b/scheduler/run_ends.cc
@@ -43,12 +43,31 @@
     task.failed_on.erase(task.failed_on.begin());
 }
 
+// Whether the run is so slow that it would end sooner if restarted elsewhere.
+bool IsSlow(const RunTimes& run_times,
+            const Job& job,
+            const jobs::TaskId& id,
+            const Run& run,
+            base::Micros now) {
+  const jobs::Step& step = StepOf(job, PositionOf(id));
+  if (step.long_running || run.adopted || run.percent <= 0 ||
+      run.percent >= 100)
+    return false;
+  const base::Micros expected = run_times.Estimate(
+      step.image.empty() ? job.queue.name : step.image, base::Micros::zero());
+  const base::Micros elapsed = now - run.decided_at;
+  if (expected <= base::Micros::zero() || elapsed < kSlowFactor * expected)
+    return false;
+  const base::Micros left = elapsed * (100 - run.percent) / run.percent;
+  return left > kSlowFactor * expected + kSlowSlack;
+}
+
 }  // namespace
 
 void Scheduler::ProcessRunEnd(Worker& worker,
                               const ReportedEnd& end,
                               base::Micros now) {
-  this->MarkCarriedOut(end.task, end.run);
+  this->open_starts.MarkCarriedOut(end.task, end.run);
   // 1. Free the run's resources.
   const auto run = worker.runs.find(end.task);
   const bool is_current_run =
@@ -289,7 +308,7 @@
       continue;
     if (run.percent < 100 && now - run.progress_changed_at > kStallTimeout)
       stalled.push_back(id);
-    else if (this->IsSlow(*job, id, run, now))
+    else if (IsSlow(this->run_times, *job, id, run, now))
       slow.push_back(id);
   }
   for (const jobs::TaskId& id : stalled) {
@@ -302,24 +321,6 @@
   }
 }
 
-// Whether the run is so slow that it would end sooner if restarted elsewhere.
-bool Scheduler::IsSlow(const Job& job,
-                       const jobs::TaskId& id,
-                       const Run& run,
-                       base::Micros now) const {
-  const jobs::Step& step = StepOf(job, PositionOf(id));
-  if (step.long_running || run.adopted || run.percent <= 0 ||
-      run.percent >= 100)
-    return false;
-  const base::Micros expected = this->run_times.Estimate(
-      step.image.empty() ? job.queue.name : step.image, base::Micros::zero());
-  const base::Micros elapsed = now - run.decided_at;
-  if (expected <= base::Micros::zero() || elapsed < kSlowFactor * expected)
-    return false;
-  const base::Micros left = elapsed * (100 - run.percent) / run.percent;
-  return left > kSlowFactor * expected + kSlowSlack;
-}
-
 void Scheduler::MigrateTask(Worker& worker,
                             const jobs::TaskId& id,
                             const char* why,
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -408,4 +408,31 @@
   return known ? DeadlineFor(*known, end) : 0;
 }
 
+// --- Parts ---
+
+void Scheduler::SetEvacuatedZones(const std::set<std::string>& zones) {
+  this->fleet.SetEvacuatedZones(zones);
+}
+
+void Scheduler::SetQuotaShare(const std::string& organisation, int share) {
+  this->quotas.SetShare(organisation, share);
+}
+
+bool Scheduler::HasOpenBoxCall(const std::string& box) const {
+  return this->fleet.HasPendingCall(box);
+}
+
+const std::map<std::string, double>& Scheduler::AllocatedCores() const {
+  return this->fleet.AllocatedCores();
+}
+
+std::vector<std::string> Scheduler::OrganisationsOverRate(
+    base::Micros now) const {
+  return this->guaranteed_rates.OverRate(now);
+}
+
+std::map<std::string, QuotaNeed> Scheduler::QuotaNeeds() const {
+  return this->quotas.Needs();
+}
+
 }  // namespace quartzhoist::scheduler
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -18,7 +18,6 @@
 #include <set>
 #include <string>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -32,10 +31,13 @@
 #include "scheduler/fleet.h"
 #include "scheduler/guaranteed_rates.h"
 #include "scheduler/job.h"
+#include "scheduler/open_starts.h"
+#include "scheduler/placement_pass.h"
 #include "scheduler/quotas.h"
 #include "scheduler/ready_tasks.h"
 #include "scheduler/reservations.h"
 #include "scheduler/run_times.h"
+#include "scheduler/save_result.h"
 #include "scheduler/scheduler_limits.h"
 #include "scheduler/stalled_tasks.h"
 #include "scheduler/suspects.h"
@@ -45,23 +47,6 @@
 
 namespace quartzhoist::scheduler {
 
-enum class SaveOutcome {
-  kSaved,
-  kConflict,
-  kFailed,    // no answer; the save is retried
-  kRejected,  // the store does not accept this content
-};
-
-struct SaveResult {
-  std::string job;
-  std::uint64_t change = 0;
-  SaveOutcome outcome = SaveOutcome::kFailed;
-  std::uint64_t version = 0;  // current row version, if known
-  // With kConflict: the stored progress; empty if the row is missing or
-  // unreadable.
-  std::optional<jobs::Progress> stored;
-};
-
 class Scheduler {
  public:
   explicit Scheduler(const SchedulerLimits& limits);
@@ -69,9 +54,7 @@
   // --- Configuration and worker events ---
   void SetConfig(const jobs::Config& config, base::Micros now);
   // No run is started in these zones any more; those that are active go on.
-  void SetEvacuatedZones(const std::set<std::string>& zones) {
-    this->fleet.SetEvacuatedZones(zones);
-  }
+  void SetEvacuatedZones(const std::set<std::string>& zones);
   void UpdateWorker(const WorkerInfo& info, base::Micros now);
   // The worker's registration was removed; its runs may still be active.
   void WorkerDeregistered(const std::string& id, base::Micros now);
@@ -83,9 +66,7 @@
   void WorkersRecorded(
       const std::vector<jobs::WorkerIncarnation>& incarnations);
   // This shard's share of an organisation's quota, in thousandths.
-  void SetQuotaShare(const std::string& organisation, int share) {
-    this->quotas.SetShare(organisation, share);
-  }
+  void SetQuotaShare(const std::string& organisation, int share);
   // The store confirmed the ownership in response to a request sent at `at`. No
   // other owner takes over before `certain_until`.
   void OwnershipConfirmed(base::Micros at, base::Micros certain_until);
@@ -167,9 +148,7 @@
   std::uint64_t worker_changes() const { return this->worker_change_count; }
   bool needs_box_list() const { return this->fleet.NeedsBoxList(); }
   // A call for the box is pending, or its outcome is unknown.
-  bool HasOpenBoxCall(const std::string& box) const {
-    return this->fleet.HasPendingCall(box);
-  }
+  bool HasOpenBoxCall(const std::string& box) const;
   // A higher epoch was seen at a worker or in a row: this ownership is over.
   bool fenced() const { return this->is_fenced; }
   // Number of accepted jobs without a started task, by queue.
@@ -193,23 +172,17 @@
   // may not be.
   std::map<std::string, ExpectedWait> ReportableWaits(base::Micros now) const;
   // Cores by pool, by the last plan of boxes.
-  const std::map<std::string, double>& AllocatedCores() const {
-    return this->fleet.AllocatedCores();
-  }
+  const std::map<std::string, double>& AllocatedCores() const;
   // Organisations that submit more than their guaranteed rate, in the order in
   // which they exceeded it, latest first.
-  std::vector<std::string> OrganisationsOverRate(base::Micros now) const {
-    return this->guaranteed_rates.OverRate(now);
-  }
+  std::vector<std::string> OrganisationsOverRate(base::Micros now) const;
   // The job's tasks that are not over, at most `most`; nothing if the job is
   // not known.
   std::optional<ExplainedTasks> ExplainJob(const std::string& id,
                                            std::size_t most,
                                            base::Micros now) const;
   // Quota needs in this shard of the organisations that have a quota.
-  std::map<std::string, QuotaNeed> QuotaNeeds() const {
-    return this->quotas.Needs();
-  }
+  std::map<std::string, QuotaNeed> QuotaNeeds() const;
   // Every worker that may hold a lease has reported to this owner, so that all
   // active runs are known.
   bool KnowsAllRuns(base::Micros now) const;
@@ -217,34 +190,6 @@
   std::vector<std::string> BoxKinds() const;
 
  private:
-  // State of one placement pass over a pool: its usable workers and the steps
-  // that could not be placed.
-  struct PlacementPass {
-    std::vector<Worker*> candidates;
-    // Workers on boxes that a wave can't evacuate.
-    std::vector<Worker*> stalled;
-    // Steps that could not be placed in this pass, with the reason.
-    std::map<std::pair<const Job*, int>, WaitReason> unplaceable_steps;
-    // Amounts that no candidate had free. Free capacity only shrinks during a
-    // pass, so nothing that takes as much fits either.
-    std::vector<jobs::Resources> exhausted;
-    // Labels that steps require and no candidate has.
-    std::set<std::string> missing_labels;
-    int misses = 0;
-
-    // Whether a worker of the pass has the label that the step requires.
-    bool HasLabelOf(const jobs::Step& step);
-    bool IsExhausted(const jobs::Resources& takes) const;
-    // Remembers the amount if no candidate has it free.
-    void RecordIfExhausted(const jobs::Resources& takes);
-  };
-
-  // A task of a step and the worker selected for it.
-  struct Assignment {
-    TaskPosition position;
-    Worker* worker = nullptr;
-  };
-
   // jobs
   Job* FindJob(const std::string& id);
   void Enqueue(Job& job, const TaskPosition& position, base::Micros now);
@@ -266,7 +211,6 @@
 
   // rows that hold the progress of a job
   std::size_t RowLimitOf(const Job& job) const;
-  void MeasureRow(Job& job, std::size_t encoded_bytes, base::Micros now);
   // Whether the job's row can name a further run of the task.
   bool HasRowRoom(Job& job, const TaskPosition& position, base::Micros now);
   std::string EncodeRow(Job& job, base::Micros now);
@@ -293,10 +237,6 @@
   bool WaitForOtherRun(Job& job, const TaskPosition& position);
   void ThrottleFillers(Worker& worker);
   void MigrateOffUnhealthyWorker(Worker& worker, base::Micros now);
-  bool IsSlow(const Job& job,
-              const jobs::TaskId& id,
-              const Run& run,
-              base::Micros now) const;
   void MigrateTask(Worker& worker,
                    const jobs::TaskId& id,
                    const char* why,
@@ -320,17 +260,9 @@
   std::vector<TaskPosition> CancelSuspectPlans(Job& job,
                                                const jobs::Progress& stored,
                                                base::Micros now);
-  void RecordLastTry(Job& job, const TaskPosition& position, int run);
-  void RevokeLastTry(Job& job, const TaskPosition& position, int run);
   void InheritLosses(Job& job, base::Micros now);
   void ResolveLosses(const Worker& worker, base::Micros now);
   void GiveUpCrashingTasks(Job& job, base::Micros now);
-  Suspicion SuspicionOf(const Job& job,
-                        const TaskPosition& position,
-                        base::Micros now) const;
-  Suspicion SuspicionOfStart(const Job& job,
-                             const TaskPosition& position,
-                             base::Micros now) const;
   void UpdateSuspicion(Worker& worker, const jobs::TaskId& id, Run& run);
 
   // reports about jobs that have not been loaded
@@ -352,13 +284,6 @@
   void BoundInheritedLease(Worker& worker,
                            std::int64_t clock_ms,
                            base::Micros now) const;
-  void LogIgnoredEnd(const Worker& worker, const ReportedEnd& end);
-  void CheckClock(Worker& worker,
-                  const StartRun& command,
-                  Run& run,
-                  std::int64_t clock_ms,
-                  base::Micros now);
-  void QuarantineIfStartsUnanswered(Worker& worker, base::Micros now);
   void DropSupersededRun(Worker& worker, const jobs::TaskId& id);
   void AdoptRun(Worker& worker, const ReportedRun& reported, base::Micros now);
   void RecordStop(Job& job, Worker& worker, const jobs::TaskId& id);
@@ -400,14 +325,6 @@
   void DropAllRuns(Worker& worker, LossReason reason, base::Micros now);
 
   // starts that got no answer and may still be carried out
-  struct OpenStart {
-    std::string worker;  // any incarnation of it may carry out the start
-    base::Micros until{};
-    bool was_carried_out = false;
-  };
-  void RecordOpenStart(const StartRun& command, base::Micros now);
-  void MarkCarriedOut(const jobs::TaskId& task, int run);
-  bool IsOpenStart(const jobs::TaskId& task, int run) const;
   // Keeps a placement in the job's row that may still be carried out and is
   // about to be replaced there.
   void KeepReplacedStart(Job& job, const TaskPosition& position);
@@ -445,9 +362,6 @@
                         base::Micros now);
   WaitReason ReasonForNoWorker(const jobs::Step& step) const;
   bool HasSuitableWorker(const jobs::Step& step) const;
-  void CountWorker(const Worker& worker,
-                   const ReadyTask& task,
-                   LongRunningWait& wait) const;
   std::vector<Assignment> ChooseWorkers(const Job& job,
                                         const TaskPosition& position,
                                         const std::vector<Worker*>& candidates,
@@ -496,8 +410,6 @@
                     const TaskPosition& position,
                     const std::vector<Worker*>& candidates,
                     base::Micros now);
-  bool LeaseMayHaveBeenRenewed(const Job& job,
-                               const TaskPosition& position) const;
   int NextRunNumber(const Job& job, const TaskPosition& position) const;
 
   // expected waits
@@ -533,16 +445,9 @@
   void RunFleet(base::Micros now);
   FleetView BuildFleetView(base::Micros now);
   std::map<std::string, int> MinBoxes() const;
-  bool IsStuck(const ReadyTask& task, bool has_cores, base::Micros now) const;
   void AddBoxesForStuckTasks(base::Micros now,
                              const FleetView& view,
                              std::map<std::string, int>& min_boxes);
-  int PriorityOf(const jobs::TaskId& task) const;
-  // Free capacity of a worker that is not yet spoken for.
-  struct WorkerRoom {
-    const Worker* worker = nullptr;
-    jobs::Resources free;
-  };
   std::vector<WorkerRoom> RoomBesideInterrupted(base::Micros now) const;
   bool TakeRoomElsewhere(const jobs::TaskId& task,
                          std::vector<WorkerRoom>& room) const;
@@ -566,7 +471,7 @@
   std::map<std::string, UnknownJob> unknown_jobs;
   std::map<std::string, ReadyTasks> ready;  // by service
   UnresolvedLosses unresolved_losses;
-  std::map<std::pair<jobs::TaskId, int>, OpenStart> open_starts;  // by run
+  OpenStarts open_starts;
   std::set<std::string> jobs_to_save;    // jobs with unsaved progress
   std::set<std::string> repeating_jobs;  // jobs with future repeats
   RunTimes run_times;
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -237,6 +237,12 @@
 // documentation.
 inline constexpr double kMinClockRate = 0.98;
 
+// Free capacity of a worker that is not yet spoken for.
+struct WorkerRoom {
+  const Worker* worker = nullptr;
+  jobs::Resources free;
+};
+
 }  // namespace quartzhoist::scheduler
 
 #endif  // SCHEDULER_WORKER_H_
--- a/scheduler/worker_reports.cc
+++ b/scheduler/worker_reports.cc
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "scheduler/scheduler.h"
+#include "scheduler/task_suspicion.h"
 
 namespace quartzhoist::scheduler {
 
@@ -45,6 +46,60 @@
              : fmt::format(" ({})", state);
 }
 
+// Confirms the run if the answer's clock shows that the known incarnation,
+// rather than a later one, answered the start. If the clock leaves both
+// possible, the next report confirms it.
+void CheckClock(Worker& worker,
+                const StartRun& command,
+                Run& run,
+                std::int64_t clock_ms,
+                base::Micros now) {
+  if (worker.info.incarnation != command.worker)
+    return;
+  RecordContact(worker, now);
+  if (clock_ms <= 0)
+    return;
+  const bool is_consistent =
+      IsClockConsistent(worker, clock_ms, run.decided_at);
+  run.is_confirmed =
+      is_consistent && !MayBeLaterIncarnationsClock(worker, clock_ms, now);
+  if (run.is_confirmed) {
+    BoundClockLead(worker, clock_ms, run.decided_at);
+    return;
+  }
+  worker.may_have_restarted = worker.may_have_restarted || !is_consistent;
+  worker.next_poll_at = std::min(worker.next_poll_at, now);
+}
+
+void LogIgnoredEnd(std::vector<Action>& actions,
+                   const Worker& worker,
+                   const ReportedEnd& end) {
+  const auto run = worker.runs.find(end.task);
+  if (run == worker.runs.end() || run->second.number != end.run)
+    return;
+  actions.emplace_back(
+      RunEndIgnored{.worker = worker.info.incarnation,
+                    .end = end,
+                    .last_end_sequence = worker.last_processed_end});
+}
+
+// Without this limit, a worker that answers polls but no starts would be given
+// task after task.
+void QuarantineIfStartsUnanswered(std::vector<Action>& actions,
+                                  Worker& worker,
+                                  base::Micros now) {
+  if (++worker.consecutive_unanswered_starts < kMaxUnansweredStarts)
+    return;
+  worker.consecutive_unanswered_starts = 0;
+  worker.quarantined_until = now + kUnansweredStartsQuarantine;
+  actions.emplace_back(
+      LogNote{worker.info.incarnation.id,
+              fmt::format("did not answer {} starts in a row; placing nothing "
+                          "on it for {:.0f} s",
+                          kMaxUnansweredStarts,
+                          base::Seconds(kUnansweredStartsQuarantine))});
+}
+
 }  // namespace
 
 void Scheduler::WorkerReported(const jobs::WorkerIncarnation& asked,
@@ -85,7 +140,7 @@
   bool has_new_ends = false;
   for (const ReportedEnd& end : report.ended) {
     if (end.sequence <= worker.last_processed_end) {
-      this->LogIgnoredEnd(worker, end);
+      LogIgnoredEnd(this->actions, worker, end);
       continue;
     }
     this->ProcessRunEnd(worker, end, now);
@@ -107,20 +162,10 @@
       has_new_ends || has_unacknowledged_ends ? now + kPollDelayAfterEnds : now;
 }
 
-void Scheduler::LogIgnoredEnd(const Worker& worker, const ReportedEnd& end) {
-  const auto run = worker.runs.find(end.task);
-  if (run == worker.runs.end() || run->second.number != end.run)
-    return;
-  this->actions.emplace_back(
-      RunEndIgnored{.worker = worker.info.incarnation,
-                    .end = end,
-                    .last_end_sequence = worker.last_processed_end});
-}
-
 void Scheduler::ProcessReportedRun(Worker& worker,
                                    const ReportedRun& reported,
                                    base::Micros now) {
-  this->MarkCarriedOut(reported.task, reported.run);
+  this->open_starts.MarkCarriedOut(reported.task, reported.run);
   const auto found = worker.runs.find(reported.task);
   if (found == worker.runs.end() || found->second.number != reported.run) {
     // An older run beside a newer one of the same task is only stopped. The
@@ -407,7 +452,7 @@
         std::max(worker.latest_lease_end, now + this->limits.max_lease);
   if (outcome == CommandOutcome::kDone) {
     run.start_answered_at = now;
-    this->CheckClock(worker, command, run, clock_ms, now);
+    CheckClock(worker, command, run, clock_ms, now);
     worker.consecutive_unanswered_starts = 0;
     if (job)
       job->has_started = true;
@@ -420,9 +465,9 @@
       run.state = RunState::kUnsettled;
     run.start_unsettled_at = now;
     if (!run.is_confirmed)
-      this->RecordOpenStart(command, now);
+      this->open_starts.Record(command, now);
     RecordFailedCall(worker, run.decided_at);
-    this->QuarantineIfStartsUnanswered(worker, now);
+    QuarantineIfStartsUnanswered(this->actions, worker, now);
     return;
   }
   // The task waits for its older run there as it would for this one.
@@ -435,7 +480,7 @@
   const base::Micros decided_at = run.decided_at;
   RemoveRun(worker, command.task);
   if (job && HasTask(*job, PositionOf(command.task)))
-    this->RevokeLastTry(*job, PositionOf(command.task), command.run);
+    RevokeLastTry(*job, PositionOf(command.task), command.run);
   if (outcome == CommandOutcome::kNotSent)
     RecordFailedCall(worker, decided_at);
   if (outcome == CommandOutcome::kBusy)
@@ -450,44 +495,4 @@
   this->HandleLostRun(command.task, command.run, now);
 }
 
-// Confirms the run if the answer's clock shows that the known incarnation,
-// rather than a later one, answered the start. If the clock leaves both
-// possible, the next report confirms it.
-void Scheduler::CheckClock(Worker& worker,
-                           const StartRun& command,
-                           Run& run,
-                           std::int64_t clock_ms,
-                           base::Micros now) {
-  if (worker.info.incarnation != command.worker)
-    return;
-  RecordContact(worker, now);
-  if (clock_ms <= 0)
-    return;
-  const bool is_consistent =
-      IsClockConsistent(worker, clock_ms, run.decided_at);
-  run.is_confirmed =
-      is_consistent && !MayBeLaterIncarnationsClock(worker, clock_ms, now);
-  if (run.is_confirmed) {
-    BoundClockLead(worker, clock_ms, run.decided_at);
-    return;
-  }
-  worker.may_have_restarted = worker.may_have_restarted || !is_consistent;
-  worker.next_poll_at = std::min(worker.next_poll_at, now);
-}
-
-// Without this limit, a worker that answers polls but no starts would be given
-// task after task.
-void Scheduler::QuarantineIfStartsUnanswered(Worker& worker, base::Micros now) {
-  if (++worker.consecutive_unanswered_starts < kMaxUnansweredStarts)
-    return;
-  worker.consecutive_unanswered_starts = 0;
-  worker.quarantined_until = now + kUnansweredStartsQuarantine;
-  this->actions.emplace_back(
-      LogNote{worker.info.incarnation.id,
-              fmt::format("did not answer {} starts in a row; placing nothing "
-                          "on it for {:.0f} s",
-                          kMaxUnansweredStarts,
-                          base::Seconds(kUnansweredStartsQuarantine))});
-}
-
 }  // namespace quartzhoist::scheduler
