A test that could not fail, and limits together: two proofs mended

Cause: the test's connection was closed before the HTTP library had polled it, so that its request was never read.

Some comments that opened with a pronoun name their subject.

No functional change.

--- a/http/server_limits_test.cc
+++ b/http/server_limits_test.cc
@@ -200,6 +200,18 @@
   BOOST_TEST(fixture.StatusOfCall(std::string(40'000, 'x')) == 200);
 }
 
+// Guards against heads in service that are bounded by no limit, since only
+// bodies are announced.
+BOOST_AUTO_TEST_CASE(RequestWithoutABodyIsRefusedWhereThereIsNoRoom) {
+  LimitsFixture fixture({.limits = {.held_bytes = 100}});
+  fixture.keeps = true;
+  const RawClient first(fixture.server->port(),
+                        "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  fixture.RunUntil([&] { return fixture.kept.size() == 1; });
+  BOOST_TEST(fixture.StatusOfCall() == 503);
+  BOOST_TEST(fixture.handled == 1);
+}
+
 BOOST_AUTO_TEST_CASE(RequestWithoutRoomGetsTheAnswerThatItsOwnerGives) {
   LimitsFixture fixture(
       {.max_body = 60'000,
@@ -263,10 +275,10 @@
 // connection has been closed for a limit.
 BOOST_AUTO_TEST_CASE(RequestOfAClosedConnectionIsNotHandedOver) {
   LimitsFixture fixture({.limits = {.connections = 1}});
-  const RawClient first(fixture.server->port(),
-                        PostHead(10) + std::string(10, 'x'));
-  // The loop has not run: both connections are accepted before a request is
-  // read.
+  const RawClient first(fixture.server->port(), "");
+  fixture.RunUntil([&] { return fixture.server->connections() == 1; });
+  // The loop sees the request and the connection that takes its place at once.
+  first.Send(PostHead(10) + std::string(10, 'x'));
   const RawClient second(fixture.server->port(), "");
   fixture.RunUntil([&] { return first.HasEnded(); });
   BOOST_TEST(fixture.closed() == 1U);
--- a/scheduler/task_suspicion.h
+++ b/scheduler/task_suspicion.h
@@ -13,7 +13,7 @@
 Suspicion SuspicionOf(const Job& job,
                       const TaskPosition& position,
                       base::Micros now);
-// That of the task's run: the members of a gang start together.
+// The suspicion of the run that would start: members of a gang start together.
 Suspicion SuspicionOfStart(const Job& job,
                            const TaskPosition& position,
                            base::Micros now);
--- a/scheduler/waiting_tasks.h
+++ b/scheduler/waiting_tasks.h
@@ -47,7 +47,7 @@
   std::optional<base::Micros> expected_start;
 };
 struct ExplainedTasks {
-  // Those that wait, then those at work, then those blocked by other tasks.
+  // First waiting tasks, then those at work, then those blocked by other tasks.
   std::vector<ExplainedTask> tasks;
   int left_out = 0;
 };
--- a/table/snapshot.h
+++ b/table/snapshot.h
@@ -1,5 +1,5 @@
-// All that a daemon follows of the platform's table, at one commit. Immutable;
-// the next one is made by a delta and never has a smaller revision.
+// The rows of the platform's table that a daemon follows, at one commit.
+// Immutable; the next one is made by a delta and never has a smaller revision.
 
 #ifndef TABLE_SNAPSHOT_H_
 #define TABLE_SNAPSHOT_H_
--- a/testing/crowd_fixture.h
+++ b/testing/crowd_fixture.h
@@ -162,7 +162,8 @@
     BOOST_TEST(this->most_descriptors < kMaxDescriptors);
   }
 
-  // All that must hold while a crowd that sends this stays, and after it.
+  // Checks service and bounds while a crowd that sends this stays, and after
+  // it.
   void ExpectServiceUnder(CrowdPlan plan) {
     {
       const ClientCrowd crowd(std::move(plan));
--- a/testing/crowd_test.cc
+++ b/testing/crowd_test.cc
@@ -131,25 +131,45 @@
   fixture.ExpectAnswer(daemon.callers, "/q/" + JobId(1));
 }
 
+// Servers of unended answers that announce themselves as workers of the pool.
+struct UnendedWorkers : UnendedAnswers {
+  static constexpr int kWorkers = 150;
+
+  explicit UnendedWorkers(JobCluster& cluster)
+      : UnendedAnswers(cluster.on_loop(), kWorkers) {
+    for (std::size_t i = 0; i < kWorkers; ++i) {
+      const std::string row = fmt::format(
+          R"({{"service":"press","address":"{}","zone":"z","state":"ready",)"
+          R"("machine":"other-{}","labels":["a"],)"
+          R"("capacity":{{"cpu":4000,"memMb":4000,"gpu":0}}}})",
+          this->AddressOf(i), i);
+      cluster.store().Put(
+          {.table = "servers", .part = "", .key = fmt::format("other-{}", i)},
+          row);
+    }
+  }
+};
+
+// Callers that ask for a job whose row in the store is large.
+CrowdPlan ReadersOfALargeRow(CrowdFixture& fixture) {
+  constexpr int kCallers = 100;
+  constexpr std::size_t kRow = 4'000'000;
+  const std::string job = JobId(8000);
+  fixture.cluster.store().Put(entry::ProgressRow(job), std::string(kRow, 'x'));
+  return {.address = fixture.Target().callers,
+          .connections = kCallers,
+          .message = fmt::format(
+              "GET /q/{} HTTP/1.1\r\nHost: jobs.example\r\n\r\n", job)};
+}
+
 // Guards against a process that runs out of memory by answers of workers that
 // do not end.
 BOOST_AUTO_TEST_CASE(AnswersOfWorkersThatStopShortStayBounded) {
-  constexpr int kWorkers = 150;
   CrowdFixture fixture;
-  const UnendedAnswers workers(fixture.cluster.on_loop(), kWorkers);
-  for (std::size_t i = 0; i < kWorkers; ++i) {
-    const std::string row = fmt::format(
-        R"({{"service":"press","address":"{}","zone":"z","state":"ready",)"
-        R"("machine":"other-{}","labels":["a"],)"
-        R"("capacity":{{"cpu":4000,"memMb":4000,"gpu":0}}}})",
-        workers.AddressOf(i), i);
-    fixture.cluster.store().Put(
-        {.table = "servers", .part = "", .key = fmt::format("other-{}", i)},
-        row);
-  }
+  const UnendedWorkers workers(fixture.cluster);
   BOOST_TEST(fixture.cluster.WaitUntil(kTimeoutSeconds, [&] {
     fixture.Observe();
-    return workers.requests() >= 3 * kWorkers;
+    return workers.requests() >= 3 * UnendedWorkers::kWorkers;
   }));
   fixture.ExpectJobIsAccepted();
   fixture.ExpectBounds();
@@ -157,17 +177,16 @@
 
 // The same by answers of the store.
 BOOST_AUTO_TEST_CASE(LargeAnswersOfTheStoreStayBounded) {
-  constexpr int kCallers = 100;
-  constexpr std::size_t kRow = 4'000'000;
   CrowdFixture fixture;
-  const std::string job = JobId(8000);
-  const platform::RowKey at = entry::ProgressRow(job);
-  fixture.cluster.store().Put(at, std::string(kRow, 'x'));
-  fixture.ExpectServiceUnder(
-      {.address = fixture.Target().callers,
-       .connections = kCallers,
-       .message = fmt::format(
-           "GET /q/{} HTTP/1.1\r\nHost: jobs.example\r\n\r\n", job)});
+  fixture.ExpectServiceUnder(ReadersOfALargeRow(fixture));
+}
+
+// Guards against limits that hold one by one and not together.
+BOOST_AUTO_TEST_CASE(UnendedBodiesAndAnswersTogetherStayBounded) {
+  CrowdFixture fixture;
+  const UnendedWorkers workers(fixture.cluster);
+  const ClientCrowd readers(ReadersOfALargeRow(fixture));
+  fixture.ExpectServiceUnderBodies(UnendedChunks(65'536, kLegalBody));
 }
 
 }  // namespace
