--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -72,11 +72,12 @@
 }
 
 BOOST_AUTO_TEST_CASE(LimitsOfClientsAreReadAndChecked) {
-  std::istringstream in(
-      WithReplacement("[limits]",
-                      "[limits]\nmax_connections = 9\nmax_body_bytes = 2048\n"
-                      "request_bytes = 10000000\nanswer_bytes = 20000000\n"
-                      "transfer_seconds = 2.5\nidle_seconds = 7"));
+  std::istringstream in(WithReplacement(
+      "[limits]",
+      "[limits]\nmax_connections = 9\nmax_body_bytes = 2048\n"
+      "request_bytes = 10000000\nanswer_bytes = 20000000\n"
+      "transfer_seconds = 2.5\nidle_seconds = 7\nstore_connections = 300\n"
+      "monitoring_connections = 9\nmonitoring_bytes = 2000000"));
   const Settings settings = ReadSettings(in, "f.ini");
   BOOST_TEST(settings.caller_limits.connections == 9U);
   BOOST_TEST(settings.max_body == 2048U);
@@ -84,10 +85,15 @@
   BOOST_TEST(settings.max_answers == 20'000'000U);
   BOOST_TEST(settings.caller_limits.transfer_time.count() == 2'500'000);
   BOOST_TEST(settings.caller_limits.idle_time.count() == 7'000'000);
-  for (const char* line : {"max_connections = 7", "max_body_bytes = 1023",
-                           "max_body_bytes = 4194305",
-                           "request_bytes = 9999999", "answer_bytes = 19999999",
-                           "transfer_seconds = 0", "idle_seconds = x"}) {
+  BOOST_TEST(settings.max_store_connections == 300);
+  BOOST_TEST(settings.max_monitoring_connections == 9U);
+  BOOST_TEST(settings.max_monitoring_bytes == 2'000'000U);
+  for (const char* line :
+       {"max_connections = 7", "max_body_bytes = 1023",
+        "max_body_bytes = 4194305", "request_bytes = 9999999",
+        "answer_bytes = 19999999", "store_connections = 255",
+        "monitoring_connections = 7", "monitoring_bytes = 999999",
+        "transfer_seconds = 0", "idle_seconds = x"}) {
     const std::string key(line, std::string_view(line).find(' '));
     BOOST_TEST(ParseError(WithReplacement("[limits]",
                                           std::string("[limits]\n") + line))
--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -37,19 +37,22 @@
 // detected and polled again within the limit.
 constexpr int kConfigPollsPerLimit = 4;
 
-// Limits of the readiness and metrics endpoints, which serve only the load
-// balancer, metrics scrapers and operators. Their requests have no body.
-constexpr std::size_t kMaxMonitoringConnections = 64;
-constexpr std::size_t kMaxMonitoringBytes = 8'000'000;
+// The readiness and metrics endpoints serve only the load balancer, metrics
+// scrapers and operators. Their requests have no body.
 constexpr std::size_t kMaxMonitoringBody = 4096;
 
+http::ConnectionLimits MonitoringLimits(const Settings& settings) {
+  http::ConnectionLimits limits = settings.caller_limits;
+  limits.connections = settings.max_monitoring_connections;
+  limits.held_bytes = settings.max_monitoring_bytes;
+  return limits;
+}
+
 http::ServerOptions MonitoringOptionsFor(const std::string& address,
+                                         const Settings& settings,
                                          base::Counters& counters) {
   http::ServerOptions options =
-      ServerOptionsFor(address,
-                       {.connections = kMaxMonitoringConnections,
-                        .held_bytes = kMaxMonitoringBytes},
-                       counters);
+      ServerOptionsFor(address, MonitoringLimits(settings), counters);
   options.max_body = kMaxMonitoringBody;
   return options;
 }
@@ -65,10 +68,6 @@
   return options;
 }
 
-// Open connections to the store. A caller's request may need one, and an entry
-// box allows a daemon 4,100 descriptors.
-constexpr long kMaxStoreConnections = 1024;
-
 constexpr base::Micros kTrafficLogPeriod = std::chrono::seconds(10);
 
 // Interval of checks for a changed settings file; the platform may change it
@@ -98,7 +97,7 @@
           http::ByteBudget{.limit = chosen.max_answers})),
       client(this->loop,
              {.answers = this->store_answers,
-              .max_connections = kMaxStoreConnections,
+              .max_connections = chosen.max_store_connections,
               .counters = &this->counters}),
       store(this->client,
             chosen.store_address,
@@ -120,12 +119,13 @@
           [this](const http::ExchangePtr& exchange) {
             this->callers.Handle(exchange);
           }),
-      readiness_server(
-          this->loop,
-          MonitoringOptionsFor(chosen.readiness_address, this->counters),
-          [this](const http::ExchangePtr& exchange) {
-            this->AnswerReadiness(exchange);
-          }),
+      readiness_server(this->loop,
+                       MonitoringOptionsFor(chosen.readiness_address,
+                                            chosen,
+                                            this->counters),
+                       [this](const http::ExchangePtr& exchange) {
+                         this->AnswerReadiness(exchange);
+                       }),
       shard_choice(MakeSeed(chosen.id)),
       stop_timer(this->loop, [this] { this->ExitIfDrained(); }),
       stop_signal(this->loop, SIGTERM, [this] { this->Stop(); }),
@@ -138,7 +138,7 @@
   if (!chosen.metrics_address.empty()) {
     this->metrics_server = std::make_unique<http::Server>(
         this->loop,
-        MonitoringOptionsFor(chosen.metrics_address, this->counters),
+        MonitoringOptionsFor(chosen.metrics_address, chosen, this->counters),
         [this](const http::ExchangePtr& exchange) {
           this->AnswerMetrics(exchange);
         });
@@ -271,6 +271,10 @@
   this->store.SetAddress(this->settings.store_address);
   this->caller_server.SetLimits(this->settings.caller_limits,
                                 this->settings.max_body);
+  const http::ConnectionLimits monitoring = MonitoringLimits(this->settings);
+  this->readiness_server.SetLimits(monitoring, kMaxMonitoringBody);
+  if (this->metrics_server)
+    this->metrics_server->SetLimits(monitoring, kMaxMonitoringBody);
   this->store_answers->limit = this->settings.max_answers;
   this->command_answers->limit = this->settings.max_answers;
   base::Log(base::Event::kSettingsReloaded, {{"file", this->settings_file}});
--- a/entry/settings.cc
+++ b/entry/settings.cc
@@ -25,7 +25,7 @@
   return base::TakeSeconds(value, 0.001, 3600.0);
 }
 
-constexpr std::array<Key, 27> kKeys{{
+constexpr std::array<Key, 30> kKeys{{
     {"daemon", "id", true,
      [](Settings& s, const std::string& v) { s.id = TakeIdentifier(v); }},
     {"daemon", "zone", true,
@@ -124,6 +124,22 @@
        s.max_answers = static_cast<std::size_t>(
            base::TakeWhole(v, 20'000'000, 10'000'000'000));
      }},
+    {"limits", "monitoring_connections", false,
+     [](Settings& s, const std::string& v) {
+       s.max_monitoring_connections =
+           static_cast<std::size_t>(base::TakeWhole(v, 8, 65'536));
+     }},
+    {"limits", "monitoring_bytes", false,
+     [](Settings& s, const std::string& v) {
+       s.max_monitoring_bytes = static_cast<std::size_t>(
+           base::TakeWhole(v, 1'000'000, 10'000'000'000));
+     }},
+    // The feeds of a daemon that owns all shards take some two hundred.
+    {"limits", "store_connections", false,
+     [](Settings& s, const std::string& v) {
+       s.max_store_connections =
+           static_cast<long>(base::TakeWhole(v, 256, 65'536));
+     }},
     {"limits", "transfer_seconds", false,
      [](Settings& s, const std::string& v) {
        s.caller_limits.transfer_time = base::TakeSeconds(v, 0.5, 3600.0);
