Review case 4: recurring jobs take all daemons' memory for good

260 jobs that repeat each hour for a month are accepted; all their occurrences are expanded in memory. The owner passes memoryMb (260 MB) and is killed, and so is each daemon that takes over, without an end; nothing is started any more.

--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -738,6 +738,53 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+async def enforce_memory(deployment, down_s=1.0):
+    """The platform: it kills what is over memoryMb, and starts what has ended."""
+    async def restart(daemon):
+        await asyncio.sleep(down_s)
+        daemon.start()
+
+    while True:
+        for daemon in deployment.daemons:
+            used = daemon.memory_mb() if daemon.is_up() else 0
+            daemon.peak_mb = max(daemon.peak_mb, used)
+            if used > MEMORY_MB:
+                deployment.record.add(f"{daemon.name} takes {used:.0f} MB, over "
+                                      f"memoryMb = {MEMORY_MB}: killed")
+                daemon.own_ends += 1
+                daemon.kill()
+                asyncio.ensure_future(restart(daemon))
+        await asyncio.sleep(0.02)
+
+
+async def enforce_cpu(deployment, share=0.25, period_s=0.1):
+    """A quota of the processor: `share` of each period, then nothing until its end."""
+    def used(daemon):
+        try:
+            with open(f"/proc/{daemon.process.pid}/schedstat", encoding="utf-8") as f:
+                return int(f.read().split()[0]) / 1e9
+        except (OSError, ValueError):
+            return 0.0
+
+    stopped = set()
+    while True:
+        begin = time.monotonic()
+        at_begin = {}
+        for daemon in deployment.daemons:
+            if daemon.is_up():
+                if daemon in stopped:
+                    daemon.process.send_signal(signal.SIGCONT)
+                at_begin[daemon] = (daemon.process.pid, used(daemon))
+        stopped.clear()
+        while time.monotonic() < begin + period_s:
+            await asyncio.sleep(0.004)
+            for daemon, (pid, before) in at_begin.items():
+                if (daemon not in stopped and daemon.is_up() and daemon.process.pid == pid
+                        and used(daemon) - before > share * period_s):
+                    daemon.process.send_signal(signal.SIGSTOP)
+                    stopped.add(daemon)
+
+
 class CannotRun(Exception):
     pass
 
