--- a/review/5/case.py
+++ b/review/7/case.py
@@ -55,25 +55,6 @@
             await asyncio.sleep(0.001)
 
 
-async def enforce_memory(deployment):
-    """The platform: it kills what is over memoryMb, and starts what has ended."""
-    async def restart(daemon):
-        await asyncio.sleep(DOWN_S)
-        daemon.start()
-
-    while True:
-        for daemon in deployment.daemons:
-            used = daemon.memory_mb() if daemon.is_up() else 0
-            daemon.peak_mb = max(daemon.peak_mb, used)
-            if used > lab.MEMORY_MB:
-                deployment.record.add(f"{daemon.name} takes {used:.0f} MB, over "
-                                      f"memoryMb = {lab.MEMORY_MB}: killed")
-                daemon.own_ends += 1
-                daemon.kill()
-                asyncio.ensure_future(restart(daemon))
-        await asyncio.sleep(0.02)
-
-
 async def submit_quick(deployment, job):
     body = {"spec": '{"ms":300}',
             "steps": [{"count": 2, "cpu": 500, "memMb": 64, "estimateMs": 300}]}
@@ -110,7 +91,7 @@
     await add_finished(store, patterns, random.Random(5))
     record.add(f"{FINISHED_JOBS} such rows of the last 12 hours are in the store")
     await asyncio.sleep(3)
-    enforcing = asyncio.ensure_future(enforce_memory(deployment))
+    enforcing = asyncio.ensure_future(lab.enforce_memory(deployment, DOWN_S))
     await deployment.wait(lambda: deployment.owner() is not None, 5, "an owner")
 
     struck = lab.now()
