Review case 7: a queue with advice asks for the same wrong workers for ever

The six least loaded workers of a pool of 12 are asked for each time. While the four that the policy allows have some work, an accepted job is never started.

--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -404,10 +404,11 @@
 class Worker:
     """One life of a box's worker, as PROTOCOL.md tells it."""
 
-    def __init__(self, fleet, box, service, zone, rack):
+    def __init__(self, fleet, box, service, zone, rack, kind):
         fleet.lives += 1
         self.fleet, self.box, self.service, self.zone, self.rack = (
             fleet, box, service, zone, rack)
+        self.kind = kind
         self.id = f"i-{fleet.lives:08x}"
         self.born = time.monotonic()
         self.fence = 0
@@ -436,7 +437,7 @@
             "zone": self.zone, "version": "v1", "slots": 8, "state": "ready",
             "coldRemainingMs": 0, "machine": self.box,
             "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
-            "labels": ["a", self.rack], "clockMs": self.clock(),
+            "labels": [self.kind, self.rack], "clockMs": self.clock(),
             "sequence": self.sequence})
 
     async def work(self):
@@ -525,6 +526,8 @@
         there = self.running.get(task)
         if there and there[0] == run:
             return self.answer()
+        if not self.fleet.is_ticket_valid(self, task, body.get("ticket", "")):
+            return self.answer(409, reason="ticket")
         if run <= self.over.get(task, 0):
             return self.answer(409, reason="old")
         spec = json.loads(body["spec"].strip())
@@ -558,20 +561,22 @@
         self.started = []
         self.ended = []
         self.quiet = False
+        self.is_ticket_valid = lambda worker, task, ticket: True
 
     def note(self, text):
         if not self.quiet:
             self.record.add(text)
 
-    async def start(self, service, count):
-        for i in range(count):
+    async def start(self, service, kinds):
+        """A worker for each letter of `kinds`, or so many of kind "a"."""
+        for i, kind in enumerate(kinds if isinstance(kinds, str) else "a" * kinds):
             box = f"m-{service}-{i}"
-            await self.begin(box, service, ZONES[i % 3], f"r-{i // 4}")
+            await self.begin(box, service, ZONES[i % 3], f"r-{i // 4}", kind)
         if not hasattr(self, "cloud"):
             self.cloud = await Server(self.handle).start()
 
-    async def begin(self, box, service, zone, rack):
-        self.workers[box] = await Worker(self, box, service, zone, rack).start()
+    async def begin(self, box, service, zone, rack, kind="a"):
+        self.workers[box] = await Worker(self, box, service, zone, rack, kind).start()
         return self.workers[box]
 
     async def crash(self, box, away_s):
@@ -585,7 +590,7 @@
 
         async def back():
             await asyncio.sleep(away_s)
-            await self.begin(box, life.service, life.zone, life.rack)
+            await self.begin(box, life.service, life.zone, life.rack, life.kind)
 
         asyncio.ensure_future(forget())
         asyncio.ensure_future(back())
@@ -594,7 +599,7 @@
         if request.path == "/machines":
             return 200, {"machines": [
                 {"machine": box, "pool": w.service, "state": "up", "zone": w.zone,
-                 "labels": ["a", w.rack], "id": w.id,
+                 "labels": [w.kind, w.rack], "id": w.id,
                  "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0}}
                 for box, w in self.workers.items()], "nextToken": None}
         return 409, {"reason": "busy"}
@@ -608,7 +613,8 @@
 
 class Daemon:
     def __init__(self, name, zone, store_address, cloud_address, folder, record,
-                 cores=0.25):
+                 cores=0.25, advice_address=""):
+        self.advice_address = advice_address
         self.name, self.zone, self.record = name, zone, record
         self.folder, self.cores = folder, cores
         self.store_address, self.cloud_address = store_address, cloud_address
@@ -629,7 +635,7 @@
             "platform.address": self.store_address, "platform.across": "true",
             "platform.row_bytes": 65536, "bounds.enforceFencing": "true",
             "cloudApi.address": self.cloud_address, "cloudApi.ratePerS": 64.0,
-            "advice": "", "heartbeatMs": HEARTBEAT_MS,
+            "advice": self.advice_address, "heartbeatMs": HEARTBEAT_MS,
         }
         for name, value in BOUNDS.items():
             values.setdefault("bounds." + name, value)
@@ -688,16 +694,17 @@
         self.fleet = Fleet(self.store, record)
         self.daemons = []
 
-    async def start(self, services, routes, daemons=3):
+    async def start(self, services, routes, daemons=3, advice_address=""):
         self.store.put("op", "", "config", {
             "version": 1, "routes": routes, "limits": {"maxBodyBytes": 262144},
             "services": [{"name": s, "enforcesCapacity": False} for s in services]})
-        for service, count in services.items():
-            await self.fleet.start(service, count)
+        for service, kinds in services.items():
+            await self.fleet.start(service, kinds)
         for i in range(daemons):
             self.daemons.append(Daemon(
                 f"edge-{i}", ZONES[i % 3], await self.store.endpoint(),
-                self.fleet.cloud.address, self.folder, self.record))
+                self.fleet.cloud.address, self.folder, self.record,
+                advice_address=advice_address))
         for daemon in self.daemons:
             daemon.start()
         for daemon in self.daemons:
@@ -794,8 +801,8 @@
          "priority": 0, "service": "svc", "attempts": 4, "extension": 1.6}
 
 
-async def submit(daemon, job, body, timeout=3.0):
-    return await call(daemon.frontend, "POST", ROUTE["pathPrefix"] + job, body,
+async def submit(daemon, job, body, timeout=3.0, prefix=ROUTE["pathPrefix"]):
+    return await call(daemon.frontend, "POST", prefix + job, body,
                       {"Host": ROUTE["host"], "Deadline-Ms": int(timeout * 1000)},
                       timeout)
 
