Advice: steps ask for other workers once some have been denied

Cause: EnsureAdvice() named the least loaded 2 x tasks + 4 workers in each request and remembered no denial, so that the same ones were named for ever. On the same path: workers that the step can never run on were named, and while any ticket was valid nobody else was asked for, full or lost as its worker might be.

--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -18,6 +18,7 @@
 #include "jobs/job.h"
 #include "jobs/progress.h"
 #include "jobs/queue.h"
+#include "scheduler/step_advice.h"
 
 namespace quartzhoist::scheduler {
 
@@ -101,14 +102,6 @@
   bool has_other_run = false;
 };
 
-// Cached advice on which workers are allowed to run a step.
-struct StepAdvice {
-  std::map<jobs::WorkerIncarnation, std::string> tickets;
-  base::Micros valid_until{};   // expiry of the tickets
-  base::Micros requested_at{};  // last request
-  bool in_flight = false;
-};
-
 // State of one step in one repeat of the job.
 struct StepState {
   std::vector<Task> tasks;
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -308,18 +308,25 @@
     return WaitReason::kQuota;
   if (LeaseMayHaveBeenRenewed(job, ready_task.position, this->confirmed_at))
     return WaitReason::kLease;
-  if (job.queue.advice.required &&
-      !this->EnsureAdvice(job, ready_task.position, pass.candidates, now))
+  const bool needs_advice = job.queue.advice.required;
+  if (needs_advice &&
+      !this->HasTicket(job, ready_task.position, pass.candidates, now)) {
+    this->RequestAdviceFor(job, ready_task.position, pass.candidates, now);
     return WaitReason::kAdvice;
+  }
   std::vector<Assignment> choices;
-  if (!pass.IsExhausted(ReservedBy(step)))
+  if (!pass.IsExhausted(ReservedBy(step))) {
     choices =
         this->ChooseWorkers(job, ready_task.position, pass.candidates, now);
+    // Workers that have not been asked for may have the room that those with a
+    // ticket lack.
+    if (choices.empty() && needs_advice)
+      this->RequestAdviceFor(job, ready_task.position, pass.candidates, now);
+  }
   // A box that a wave can't empty keeps its long-running tasks, so that another
   // one does not put the wave off any further.
   const bool may_use_stalled = suspicion == Suspicion::kNone &&
-                               step.long_running && !step.gang &&
-                               !job.queue.advice.required;
+                               step.long_running && !step.gang && !needs_advice;
   if (choices.empty() && may_use_stalled)
     choices = this->ChooseWorkers(job, ready_task.position, pass.stalled, now);
   if (choices.empty() && suspicion == Suspicion::kProbe)
@@ -420,7 +427,7 @@
       if (conflicts_with_probe)
         continue;
       if (job.queue.advice.required &&
-          !step_state.advice.tickets.contains(worker->info.incarnation))
+          !step_state.advice.HasTicket(worker->info.incarnation, now))
         continue;
       if (!IsBelowStepLimit(*worker, job, member, allocated.members))
         continue;
--- a/scheduler/planned_runs.cc
+++ b/scheduler/planned_runs.cc
@@ -17,13 +17,6 @@
 // counts as covered by a lease.
 constexpr base::Micros kMaxCommandQueueTime = std::chrono::seconds(1);
 
-std::string TicketFor(const StepState& step_state,
-                      const jobs::WorkerIncarnation& worker) {
-  const auto found = step_state.advice.tickets.find(worker);
-  return found == step_state.advice.tickets.end() ? std::string()
-                                                  : found->second;
-}
-
 // False if the worker's capacity has shrunk below what its current and planned
 // runs take.
 bool FitsItsCapacity(const Worker& worker) {
@@ -122,7 +115,7 @@
         .run = start.run,
         .text = job.spec.text,
         .checkpoint = resumes ? task.checkpoint : std::string(),
-        .ticket = TicketFor(StepAt(job, start.position), task.worker)});
+        .ticket = StepAt(job, start.position).advice.TicketFor(task.worker)});
   }
   job.pending_starts = std::move(not_yet_saved);
 }
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -406,10 +406,15 @@
   // As IsUsable, also while the worker's box is leaving.
   bool IsOperational(const Worker& worker, base::Micros now) const;
   bool HasCurrentAnnouncement(const Worker& worker, base::Micros now) const;
-  bool EnsureAdvice(Job& job,
-                    const TaskPosition& position,
-                    const std::vector<Worker*>& candidates,
-                    base::Micros now);
+  // Whether a candidate has a ticket for the step.
+  bool HasTicket(const Job& job,
+                 const TaskPosition& position,
+                 const std::vector<Worker*>& candidates,
+                 base::Micros now) const;
+  void RequestAdviceFor(Job& job,
+                        const TaskPosition& position,
+                        const std::vector<Worker*>& candidates,
+                        base::Micros now);
   int NextRunNumber(const Job& job, const TaskPosition& position) const;
 
   // expected waits
--- /dev/null
+++ b/scheduler/step_advice.cc
@@ -0,0 +1,157 @@
+#include "scheduler/step_advice.h"
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <iterator>
+#include <tuple>
+#include <utility>
+
+namespace quartzhoist::scheduler {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Number of workers named in a first request: twice the number of tasks plus
+// kSpareWorkers, at most kMaxFirstWorkers. Each named worker adds to the
+// service's processing time; the platform documentation gives 30 per step as
+// usual and 100 as the limit.
+constexpr std::size_t kSpareWorkers = 4;
+constexpr std::size_t kMaxFirstWorkers = 30;
+constexpr std::size_t kMaxWorkers = 100;
+// Each fruitless request doubles the next one, up to kMaxWorkers.
+constexpr int kMaxDoublings = 5;
+// Interval between requests, unless the last one was answered without a worker.
+constexpr base::Micros kRetryInterval = milliseconds(500);
+// Once all workers have been denied, they are asked for again after this time:
+// the service may not have known a worker that has just started.
+constexpr base::Micros kForgetDeniedAfter = milliseconds(2000);
+// Tickets are not used within this time before they expire, since saving the
+// placement and sending the start take some ms.
+constexpr base::Micros kTicketMargin = milliseconds(150);
+
+// A step may be denied a whole pool, so that each entry takes 8 bytes.
+std::uint64_t Fingerprint(const jobs::WorkerIncarnation& worker) {
+  constexpr std::uint64_t kMultiplier = 0x9E3779B97F4A7C15;
+  return std::hash<std::string>()(worker.id) ^
+         static_cast<std::uint64_t>(worker.start_ms) * kMultiplier;
+}
+
+}  // namespace
+
+bool StepAdvice::HasTicket(const jobs::WorkerIncarnation& worker,
+                           base::Micros now) const {
+  const auto found = this->tickets.find(worker);
+  return found != this->tickets.end() &&
+         now + kTicketMargin < found->second.valid_until;
+}
+
+std::string StepAdvice::TicketFor(const jobs::WorkerIncarnation& worker) const {
+  const auto found = this->tickets.find(worker);
+  return found == this->tickets.end() ? std::string() : found->second.text;
+}
+
+void StepAdvice::DropTicket(const jobs::WorkerIncarnation& worker) {
+  this->tickets.erase(worker);
+}
+
+bool StepAdvice::MayRequest(base::Micros now) const {
+  return !this->in_flight && now >= this->not_before;
+}
+
+std::vector<jobs::WorkerIncarnation> StepAdvice::Request(
+    std::vector<AdviceCandidate> candidates,
+    std::size_t tasks,
+    bool has_ticket,
+    base::Micros now) {
+  if (now >= this->forget_denied_at) {
+    this->denied.clear();
+    this->forget_denied_at = base::Micros::max();
+  }
+  const bool is_denied_everywhere =
+      !this->denied.empty() &&
+      std::none_of(candidates.begin(), candidates.end(),
+                   [this](const AdviceCandidate& candidate) {
+                     return this->tickets.contains(candidate.worker);
+                   });
+  // 1. Leave out what a request would not add to. With tickets at hand, only a
+  // worker with room helps.
+  std::erase_if(candidates, [&](const AdviceCandidate& candidate) {
+    return (has_ticket && !candidate.has_room) ||
+           this->HasTicket(candidate.worker, now) ||
+           this->IsDenied(candidate.worker);
+  });
+  if (candidates.empty()) {
+    this->not_before = now + kRetryInterval;
+    if (is_denied_everywhere && this->forget_denied_at == base::Micros::max())
+      this->forget_denied_at = now + kForgetDeniedAfter;
+    return {};
+  }
+  // 2. Those with room first, then those known to be allowed, then the least
+  // loaded: they are most likely to have room when the answer arrives.
+  const auto rank = [this](const AdviceCandidate& candidate) {
+    return std::make_tuple(!candidate.has_room,
+                           !this->tickets.contains(candidate.worker),
+                           candidate.used_cpu_millis);
+  };
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [&rank](const AdviceCandidate& a, const AdviceCandidate& b) {
+                     return rank(a) < rank(b);
+                   });
+  const std::size_t count =
+      std::min(candidates.size(), this->NextCount(tasks, has_ticket));
+  std::vector<jobs::WorkerIncarnation> named;
+  for (std::size_t i = 0; i < count; ++i)
+    named.push_back(std::move(candidates[i].worker));
+  this->in_flight = true;
+  this->requested_at = now;
+  return named;
+}
+
+// A request is fruitless if all that it names are denied, or have no room.
+std::size_t StepAdvice::NextCount(std::size_t tasks, bool has_ticket) {
+  const bool is_fruitless = this->denied_all || has_ticket;
+  this->fruitless_requests =
+      is_fruitless ? std::min(this->fruitless_requests + 1, kMaxDoublings) : 0;
+  const std::size_t first =
+      std::min(kMaxFirstWorkers, 2 * tasks + kSpareWorkers);
+  return std::min(kMaxWorkers, first << this->fruitless_requests);
+}
+
+void StepAdvice::RequestFailed(base::Micros now) {
+  this->in_flight = false;
+  this->not_before = now + kRetryInterval;
+}
+
+// The next request follows a denial at once: it names other workers, so that
+// they end.
+void StepAdvice::RequestAnswered(
+    const std::vector<jobs::WorkerIncarnation>& asked,
+    const Advice& answer,
+    base::Micros now) {
+  this->in_flight = false;
+  this->denied_all = answer.tickets.empty();
+  this->not_before =
+      this->denied_all ? now : this->requested_at + kRetryInterval;
+  // Counted from the request, as the service may have decided immediately.
+  const base::Micros valid_until = this->requested_at + answer.valid_for;
+  for (const jobs::WorkerIncarnation& worker : asked) {
+    const auto ticket = answer.tickets.find(worker);
+    if (ticket == answer.tickets.end()) {
+      this->tickets.erase(worker);
+      this->denied.push_back(Fingerprint(worker));
+    } else {
+      this->tickets[worker] = {.text = ticket->second,
+                               .valid_until = valid_until};
+    }
+  }
+  std::sort(this->denied.begin(), this->denied.end());
+}
+
+bool StepAdvice::IsDenied(const jobs::WorkerIncarnation& worker) const {
+  return std::binary_search(this->denied.begin(), this->denied.end(),
+                            Fingerprint(worker));
+}
+
+}  // namespace quartzhoist::scheduler
--- /dev/null
+++ b/scheduler/step_advice.h
@@ -0,0 +1,75 @@
+// Which workers are allowed to run a step, as far as the advice service has
+// answered, and which of them to ask for next.
+
+#ifndef SCHEDULER_STEP_ADVICE_H_
+#define SCHEDULER_STEP_ADVICE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "jobs/worker_incarnation.h"
+#include "scheduler/facts.h"
+
+namespace quartzhoist::scheduler {
+
+// A worker that may be named in a request for advice.
+struct AdviceCandidate {
+  jobs::WorkerIncarnation worker;
+  std::int64_t used_cpu_millis = 0;
+  bool has_room = false;  // for a task of the step
+};
+
+class StepAdvice {
+ public:
+  // Whether the worker holds a ticket that a start can still use.
+  bool HasTicket(const jobs::WorkerIncarnation& worker, base::Micros now) const;
+  // Empty if the worker has none.
+  std::string TicketFor(const jobs::WorkerIncarnation& worker) const;
+  // The worker rejected its ticket.
+  void DropTicket(const jobs::WorkerIncarnation& worker);
+
+  // Whether a request may be sent: none is in flight and the retry interval is
+  // over.
+  bool MayRequest(base::Micros now) const;
+  // Workers to name in the next request, which counts as sent. None if all
+  // candidates have been answered for. `tasks` is the number of tasks of the
+  // step; `has_ticket`, whether a candidate has a ticket, which then had no
+  // room.
+  std::vector<jobs::WorkerIncarnation> Request(
+      std::vector<AdviceCandidate> candidates,
+      std::size_t tasks,
+      bool has_ticket,
+      base::Micros now);
+  void RequestFailed(base::Micros now);
+  void RequestAnswered(const std::vector<jobs::WorkerIncarnation>& asked,
+                       const Advice& answer,
+                       base::Micros now);
+
+ private:
+  struct Ticket {
+    std::string text;
+    base::Micros valid_until{};
+  };
+
+  bool IsDenied(const jobs::WorkerIncarnation& worker) const;
+  std::size_t NextCount(std::size_t tasks, bool has_ticket);
+
+  // Of the allowed workers. Expired tickets are kept, since the service never
+  // changes its mind: they tell whom to ask for a new one.
+  std::map<jobs::WorkerIncarnation, Ticket> tickets;
+  std::vector<std::uint64_t> denied;  // fingerprints, sorted
+  base::Micros requested_at{};
+  base::Micros not_before{};  // the next request
+  base::Micros forget_denied_at = base::Micros::max();
+  int fruitless_requests = 0;  // in a row
+  bool denied_all = false;     // those named in the latest request
+  bool in_flight = false;
+};
+
+}  // namespace quartzhoist::scheduler
+
+#endif  // SCHEDULER_STEP_ADVICE_H_
--- a/scheduler/worker_reports.cc
+++ b/scheduler/worker_reports.cc
@@ -487,7 +487,7 @@
     this->UpdateFailureRate(worker, true, now);
   if (outcome == CommandOutcome::kNoTicket && job &&
       HasTask(*job, PositionOf(command.task)))
-    StepAt(*job, PositionOf(command.task)).advice.tickets.erase(command.worker);
+    StepAt(*job, PositionOf(command.task)).advice.DropTicket(command.worker);
   if (outcome == CommandOutcome::kNoCapacity ||
       outcome == CommandOutcome::kLeaseExpired)
     worker.quarantined_until =
