Takeover: the new owner asks the earlier one's process whether it still owns the shard

Callers saw: a worker is lost for good together with the daemon that schedules it, and its long-running tasks stand still for 10.6 s, though there is room.

Cause: an owner that the store does not answer renews leases until 10 s after its last confirmation. A new owner could not tell it from one that had ended, unless it took the shard under the same id, and waited for the longest lease (10.5 s).

Evidence: ownership_ready names longest_lease_ms of some 9,000 and after_end false; TaskLostWithItsOwnerRunsAgainUnderAnotherDaemonInTime failed before (10.75 s, bound 9 s).

Change: the record of leases names where its writer answers monitoring requests. The new owner asks there; a refused connection, or the answer that the process does not own the shard, ends the wait one usual lease later.

--- a/base/event_log.h
+++ b/base/event_log.h
@@ -77,6 +77,7 @@
   kExpectedWait,
   kStoreReturned,
   kProgressRejected,
+  kEarlierOwnerEnded,
 };
 
 struct EventInfo {
@@ -86,7 +87,7 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 49> kEvents{{
+inline constexpr std::array<EventInfo, 50> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
@@ -104,6 +105,7 @@
     {Event::kOrdersHeld, 804, Level::kWarning, "orders_held"},
     {Event::kOrdersResumed, 805, Level::kInfo, "orders_resumed"},
     {Event::kShardsKnown, 806, Level::kInfo, "shards_known"},
+    {Event::kEarlierOwnerEnded, 807, Level::kInfo, "earlier_owner_ended"},
     {Event::kJobAccepted, 811, Level::kInfo, "job_accepted"},
     {Event::kJobRefused, 812, Level::kInfo, "job_refused"},
     {Event::kJobCancelled, 813, Level::kInfo, "job_cancelled"},
--- a/entry/job_daemon.cc
+++ b/entry/job_daemon.cc
@@ -142,6 +142,11 @@
         [this](const http::ExchangePtr& exchange) {
           this->AnswerMetrics(exchange);
         });
+    // Other daemons find it there; the settings may leave the port to the
+    // system.
+    this->settings.metrics_address =
+        fmt::format("{}:{}", base::ParseIpAddress(chosen.metrics_address)->ip,
+                    this->metrics_server->port());
   }
   const std::uint64_t seed = MakeSeed(chosen.id);
   // The feed of the owner rows answers later, after its wait.
@@ -263,6 +268,7 @@
       throw base::TextError(this->settings_file, 0, "", "cannot be opened");
     Settings next = ReadSettings(in, this->settings_file);
     next.id = this->settings.id;
+    next.metrics_address = this->settings.metrics_address;
     this->settings = std::move(next);
   } catch (const base::TextError& error) {
     base::Log(base::Event::kSettingsRejected, {{"problem", error.what()}});
--- a/entry/job_daemon.h
+++ b/entry/job_daemon.h
@@ -74,6 +74,8 @@
   void ExitIfDrained();
   void AnswerReadiness(const http::ExchangePtr& exchange) const;
   void AnswerMetrics(const http::ExchangePtr& exchange);
+  // To the owner of a later epoch.
+  void AnswerOwnerQuestion(const http::ExchangePtr& exchange) const;
   ExplainApi::Sources ExplainSources() const;
   void LogTraffic() const;
   bool IsReady() const;
--- a/entry/job_daemon_monitoring.cc
+++ b/entry/job_daemon_monitoring.cc
@@ -9,7 +9,10 @@
 #include <fmt/format.h>
 
 #include "base/event_log.h"
+#include "entry/caller_status.h"
+#include "entry/earlier_owner.h"
 #include "entry/job_daemon.h"
+#include "entry/refusal.h"
 
 namespace quartzhoist::entry {
 
@@ -65,11 +68,33 @@
           }};
 }
 
+// Once a shard is lost, its manager sends nothing more.
+void JobDaemon::AnswerOwnerQuestion(const http::ExchangePtr& exchange) const {
+  const auto question = ParseOwnerQuestion(exchange->request().path);
+  const auto shards = static_cast<int>(this->managed_shards.size());
+  const bool is_valid = question && question->shard >= 0 &&
+                        (!this->ownerships || question->shard < shards);
+  if (!is_valid) {
+    exchange->Reply(MakeRefusal(kBadRequest, "shard=NUMBER&epoch=NUMBER"));
+    return;
+  }
+  bool is_owner = false;
+  if (this->ownerships) {
+    const Ownership& ownership = this->ownerships->At(question->shard);
+    is_owner = ownership.holds() && ownership.epoch() < question->epoch;
+  }
+  exchange->Reply(http::JsonResponse(kOk, FormatOwnerAnswer(is_owner)));
+}
+
 void JobDaemon::AnswerMetrics(const http::ExchangePtr& exchange) {
   if (exchange->request().path.starts_with(ExplainApi::kPathPrefix)) {
     this->explain.Handle(exchange);
     return;
   }
+  if (exchange->request().path.starts_with(kOwnerPath)) {
+    this->AnswerOwnerQuestion(exchange);
+    return;
+  }
   if (exchange->request().path == "/dump") {
     exchange->Reply(http::JsonResponse(200, this->Dump()));
     return;
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -19,6 +19,7 @@
 #include "base/loop.h"
 #include "entry/box_calls.h"
 #include "entry/box_lister.h"
+#include "entry/earlier_owner.h"
 #include "entry/explain.h"
 #include "entry/inherited_leases.h"
 #include "entry/quota_records.h"
@@ -108,8 +109,12 @@
   void AddStoredJobs();
   void AddStoredWorkers();
   bool LoadLeaseRecord(const platform::Row& row);
+  std::optional<base::Micros> RecordedEnd(const LeaseHolder& holder) const;
   // Knowledge of the owners before this one, one of which wrote `record`.
   EarlierOwners EarlierOwnersOf(const LeaseRecord& record) const;
+  // Asks the writer of the record whether its leases may still be renewed.
+  void AskLeaseWriter(const LeaseRecord& record);
+  void OnLeaseWriterEnded(OwnerEnd end);
   void LogReady() const;
 
   // Changes in the store.
@@ -243,6 +248,8 @@
   // the owner that granted them recorded them; the maximum if it did not.
   std::map<jobs::WorkerIncarnation, std::int64_t> inherited_lease_ends_ms;
   bool is_lease_writer_ended = false;  // of the record that was inherited
+  std::unique_ptr<EarlierOwner> lease_writer;  // null: it is not asked
+  std::vector<LeaseHolder> writer_held;        // until it is known to be over
   bool lease_write_in_flight = false;
   std::map<std::string, int> written_counts;
   std::uint64_t count_version = 0;
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -207,6 +207,7 @@
 LeaseRecord ShardManager::MakeLeaseRecord(base::Micros now) const {
   LeaseRecord record{.epoch = this->epoch,
                      .writer = LeaseWriterOf(this->settings),
+                     .writer_address = this->settings.metrics_address,
                      .workers = {}};
   for (const auto& [id, worker] : this->scheduler.all_workers()) {
     if (!worker.has_reported && worker.latest_lease_end <= now)
--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -244,13 +244,10 @@
   }
   const EarlierOwners earlier = this->EarlierOwnersOf(*record);
   this->is_lease_writer_ended = earlier.writer_ended.has_value();
+  this->AskLeaseWriter(*record);
   const GrantBounds bounds = this->EarlierGrantBounds();
   for (const LeaseHolder& holder : record->workers) {
-    const auto& clock = this->store.clock_reading();
-    // A time of 0 is unknown and no bound.
-    std::optional<base::Micros> recorded_end;
-    if (holder.expires_store_ms > 0 && clock)
-      recorded_end = LatestLocalTime(*clock, holder.expires_store_ms);
+    const std::optional<base::Micros> recorded_end = this->RecordedEnd(holder);
     const bool is_bounded = !holder.held && recorded_end;
     std::int64_t& inherited_end =
         this->inherited_lease_ends_ms[holder.worker.incarnation];
@@ -264,6 +261,55 @@
   return true;
 }
 
+// Empty if the end is not recorded, or the store's clock is not known.
+std::optional<base::Micros> ShardManager::RecordedEnd(
+    const LeaseHolder& holder) const {
+  const auto& clock = this->store.clock_reading();
+  if (holder.expires_store_ms == 0 || !clock)
+    return std::nullopt;
+  return LatestLocalTime(*clock, holder.expires_store_ms);
+}
+
+// An owner that the store does not answer renews leases for as long as workers
+// may hold them, so that a long outage interrupts no run. Unless it is known to
+// be over, the tasks of a worker that is lost with it wait that long.
+void ShardManager::AskLeaseWriter(const LeaseRecord& record) {
+  this->lease_writer.reset();
+  this->writer_held.clear();
+  for (const LeaseHolder& holder : record.workers) {
+    if (holder.held)
+      this->writer_held.push_back(holder);
+  }
+  const bool is_worth_asking = !this->is_lease_writer_ended &&
+                               !record.writer_address.empty() &&
+                               !this->writer_held.empty();
+  if (!is_worth_asking)
+    return;
+  this->lease_writer = std::make_unique<EarlierOwner>(
+      this->loop, this->command_client, record.writer_address,
+      OwnerQuestion{.shard = this->shard.number, .epoch = this->epoch},
+      this->earlier_confirmed + this->EarlierGrantBounds().after_confirmation,
+      [this](OwnerEnd end) { this->OnLeaseWriterEnded(end); });
+}
+
+void ShardManager::OnLeaseWriterEnded(OwnerEnd end) {
+  const base::Micros now = base::MonotonicNow();
+  this->is_lease_writer_ended = true;
+  const EarlierOwners earlier{.confirmed = this->earlier_confirmed,
+                              .writer_ended = now};
+  const GrantBounds bounds = this->EarlierGrantBounds();
+  for (const LeaseHolder& holder : std::exchange(this->writer_held, {}))
+    this->scheduler.InheritedLeaseEndsBy(
+        holder.worker.incarnation,
+        InheritedLeaseEnd(holder, this->RecordedEnd(holder), earlier, bounds));
+  base::Log(base::Event::kEarlierOwnerEnded,
+            {{"shard", this->shard.number},
+             {"epoch", this->epoch},
+             {"how", end == OwnerEnd::kNoProcess ? "no_process" : "not_owner"},
+             {"renewed_ago_ms", base::Millis(now - this->earlier_confirmed)}});
+  this->ScheduleCycle();
+}
+
 // Two processes cannot listen on one address, and a process has one manager of
 // the shard: an earlier owner with this daemon's id and address is over once
 // this one exists.
--- a/entry/tables.cc
+++ b/entry/tables.cc
@@ -327,6 +327,7 @@
   }
   return Json{{"epoch", record.epoch},
               {"writer", record.writer},
+              {"at", record.writer_address},
               {"workers", std::move(list)}}
       .dump();
 }
@@ -337,6 +338,7 @@
     LeaseRecord record;
     record.epoch = json.at("epoch").get<std::uint64_t>();
     record.writer = json.value("writer", std::string());
+    record.writer_address = json.value("at", std::string());
     for (const Json& row : json.at("workers")) {
       LeaseHolder holder;
       holder.worker.incarnation.id = row.at(0).get<std::string>();
--- a/entry/tables.h
+++ b/entry/tables.h
@@ -148,6 +148,8 @@
   std::uint64_t epoch = 0;
   // Id of the daemon that wrote it; empty in rows of earlier versions.
   std::string writer;
+  // Where it answers monitoring requests; empty if it does not.
+  std::string writer_address;
   std::vector<LeaseHolder> workers;
 };
 std::string EncodeLeases(const LeaseRecord& record);
--- a/http/client.h
+++ b/http/client.h
@@ -43,6 +43,8 @@
   // to the last send and says nothing of the earlier ones.
   Response response;
   std::string error;  // for people; empty with kRan
+  // The peer's box rejected the connection: no process listens there.
+  bool refused = false;
 };
 
 using RequestId = std::uint64_t;
--- a/scheduler/leases.cc
+++ b/scheduler/leases.cc
@@ -24,6 +24,16 @@
 
 }  // namespace
 
+// Once the worker has reported, its lease is that of this owner. A restarted
+// one may hold a lease that was granted on the clock of the one before.
+void Scheduler::InheritedLeaseEndsBy(const jobs::WorkerIncarnation& incarnation,
+                                     base::Micros end) {
+  Worker* worker = this->FindIncarnation(incarnation);
+  if (!worker || worker->has_reported || worker->may_hold_earlier_lease)
+    return;
+  worker->latest_lease_end = std::min(worker->latest_lease_end, end);
+}
+
 // From the first report on, the worker refuses grants of earlier owners.
 // Without this bound, the long-running tasks of a worker that died 3 s after a
 // takeover waited another 7 s. A young incarnation may hold a lease that was
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -62,6 +62,9 @@
   // `lease_end`. This owner grants it no lease until it has reported and has
   // been recorded again.
   void InheritWorker(const WorkerInfo& info, base::Micros lease_end);
+  // The leases that earlier owners granted to the incarnation end by `end`.
+  void InheritedLeaseEndsBy(const jobs::WorkerIncarnation& incarnation,
+                            base::Micros end);
   // The stored worker list names `incarnations` as held by this owner.
   void WorkersRecorded(
       const std::vector<jobs::WorkerIncarnation>& incarnations);
