Cancel: the cancel of an unknown job leaves a row on which its submission fails

Cause: the cancel took the absence of the progress row for the absence of the job and wrote nothing, so that nothing kept a submission that was on its way (in the socket of a daemon that stood still, or as a write that the store carries out late) from being stored.

Change: DELETE of an id without a progress row writes cancelled/ID!ORGANISATION, on condition that there is still none, before it answers 410. The submission's write needs that this row is not there, else it is answered 410.

The stand-in of the store threw on a late write whose caller had given up, as the exchange had dropped its body; it keeps a copy.

--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -103,6 +103,12 @@
     int tries_left = 0;
     bool may_be_written = false;  // by an earlier attempt
   };
+  // A cancellation of a job that is not stored.
+  struct UnknownCancellation {
+    JobRequest request;
+    int tries_left = 0;
+    bool may_be_written = false;  // by an earlier attempt
+  };
   // A submission that is to be rejected unless its job is stored already.
   struct PendingRejection {
     Rejection rejection;
@@ -143,6 +149,7 @@
   void AdmitOverdue();
   void Enqueue(std::uint64_t choice);
   void WritePart(const std::string& part);
+  static platform::RowKey CancelledRowOf(const Submission& submission);
   void OnWriteResult(const std::string& part,
                      std::vector<Submission> batch,
                      const platform::WriteResult& result);
@@ -153,7 +160,10 @@
   void RetryWrites();
   void ReadProgress(const http::ExchangePtr& exchange,
                     const std::string& job,
-                    std::function<void(const ProgressRecord& stored)> on_found);
+                    std::function<void(const ProgressRecord& stored)> on_found,
+                    std::function<void()> on_absent);
+  void RefuseUnknownJob(const http::ExchangePtr& exchange,
+                        const std::string& job);
   void CheckAccess(const JobRequest& request,
                    const JobOrigin& origin,
                    int shard,
@@ -163,8 +173,13 @@
                  int shard,
                  std::function<void()> on_allowed);
   void AnswerState(const JobRequest& request);
-  void Cancel(const JobRequest& request);
+  void Cancel(const JobRequest& request, int tries_left);
   void WriteCancel(const Cancellation& cancel);
+  void CancelUnknownJob(const UnknownCancellation& cancel);
+  void WriteCancelledId(const UnknownCancellation& cancel,
+                        const std::vector<platform::Row>& listed);
+  void OnCancelledIdWritten(UnknownCancellation cancel,
+                            const platform::WriteResult& result);
   void AnswerCount(const http::ExchangePtr& exchange, const std::string& queue);
   std::chrono::seconds RetryAfterOutage();
   http::Response Finished(http::Response response) const;
--- a/entry/caller_submissions.cc
+++ b/entry/caller_submissions.cc
@@ -23,8 +23,8 @@
 
 using std::chrono::milliseconds;
 
-// A write contains a condition and two rows for each job.
-constexpr std::size_t kEntriesPerJob = 3;
+// A write contains two conditions and two rows for each job.
+constexpr std::size_t kEntriesPerJob = 4;
 // Maximum delay before a write of unknown outcome is retried.
 constexpr base::Micros kMaxWriteRetryDelay = milliseconds(480);
 // A submission waits this long at most for the read before its rejection, and
@@ -279,6 +279,7 @@
     // The condition is on the progress row, since it outlives the job's own
     // row, which is removed when the job finishes.
     write.conditions.push_back({.at = ProgressRow(next.job), .version = 0});
+    write.conditions.push_back({.at = CancelledRowOf(next), .version = 0});
     write.puts.push_back(
         {.at = JobRow(next.job, next.shard), .value = next.row});
     jobs::Progress queued;
@@ -304,25 +305,38 @@
       });
 }
 
+platform::RowKey CallerApi::CancelledRowOf(const Submission& submission) {
+  return CancelledIdRow(submission.job,
+                        submission.origin.organisation.value_or(""));
+}
+
 void CallerApi::OnWriteResult(const std::string& part,
                               std::vector<Submission> batch,
                               const platform::WriteResult& result) {
-  std::map<std::string, const platform::Row*> stored_jobs;
+  std::map<platform::RowKey, const platform::Row*> stored;
   for (const platform::Row& row : result.rows) {
     if (row.version > 0)
-      stored_jobs[row.at.key] = &row;
+      stored[row.at] = &row;
   }
   for (Submission& submission : batch) {
     const bool written = result.outcome == platform::WriteOutcome::kDone;
-    const bool already_stored =
-        result.outcome == platform::WriteOutcome::kConflict &&
-        stored_jobs.contains(submission.job);
+    const bool is_conflict =
+        result.outcome == platform::WriteOutcome::kConflict;
+    const auto job_row = stored.find(ProgressRow(submission.job));
+    const bool already_stored = is_conflict && job_row != stored.end();
+    const bool was_cancelled =
+        is_conflict && stored.contains(CancelledRowOf(submission));
     if (written) {
       this->AnswerAccepted(submission, false);
       continue;
     }
     if (already_stored) {
-      this->AnswerStoredJob(submission, *stored_jobs.at(submission.job));
+      this->AnswerStoredJob(submission, *job_row->second);
+      continue;
+    }
+    if (was_cancelled) {
+      this->Refuse(submission.exchange, kGone, submission.job,
+                   "the job was cancelled before it was stored");
       continue;
     }
     if (result.outcome == platform::WriteOutcome::kUnknown)
--- a/entry/tables.cc
+++ b/entry/tables.cc
@@ -217,6 +217,13 @@
       .table = std::string(kProgressTable), .part = PartOf(job), .key = job};
 }
 
+platform::RowKey CancelledIdRow(const std::string& job,
+                                const std::string& organisation) {
+  return {.table = std::string(kCancelledTable),
+          .part = PartOf(job),
+          .key = job + "!" + organisation};
+}
+
 JobKey ParseJobKey(std::string_view key) {
   if (!key.ends_with(kCancelSuffix))
     return {.job = std::string(key), .is_cancel = false};
--- a/entry/tables.h
+++ b/entry/tables.h
@@ -31,6 +31,10 @@
 // Its location depends on the job id alone, so that a resubmitted job is found
 // whichever shard has it.
 inline constexpr std::string_view kProgressTable = "progress";
+// Ids of which a cancellation was acknowledged before any job was stored under
+// them, so that a submission that is still on its way does not run. In a table
+// of its own: no takeover reads it.
+inline constexpr std::string_view kCancelledTable = "cancelled";
 // The owner of each shard and its epoch.
 inline constexpr std::string_view kOwnerTable = "owner";
 inline constexpr std::string_view kOwnerKey = "scheduler";
@@ -84,6 +88,10 @@
 platform::RowKey JobRow(const std::string& job, const Shard& shard);
 platform::RowKey CancelRow(const std::string& job, const Shard& shard);
 platform::RowKey ProgressRow(const std::string& job);
+// In the part of the progress row. Each organisation has rows of its own, so
+// that none can keep another from an id.
+platform::RowKey CancelledIdRow(const std::string& job,
+                                const std::string& organisation);
 // Key of a row of kJobTable: the job, or the cancellation request for it.
 struct JobKey {
   std::string job;
--- a/testing/store_standin.cc
+++ b/testing/store_standin.cc
@@ -59,12 +59,12 @@
 constexpr base::Micros kLatenessStep = milliseconds(700);
 constexpr int kLatenessSteps = 8;
 
-std::int64_t NowMillis() {
-  return base::Millis(base::MonotonicNow());
-}
-
 }  // namespace
 
+std::int64_t StoreStandin::NowMillis() const {
+  return base::Millis(base::MonotonicNow() + this->clock_ahead);
+}
+
 StoreStandin::StoreStandin(base::Loop& on, std::uint16_t port)
     : loop(on),
       timer(on,
@@ -117,7 +117,7 @@
   });
   for (const http::ExchangePtr& exchange : in_service) {
     if (exchange->request().path == "/rows-tx")
-      this->Write(exchange, Mood::kLosesAnswers);
+      this->Write(exchange, exchange->request().body, Mood::kLosesAnswers);
     exchange->Cut();
   }
 }
@@ -227,7 +227,7 @@
     const int steps = this->write_count % kLatenessSteps;
     this->late.emplace(
         base::MonotonicNow() + kLeastLateness + steps * kLatenessStep,
-        exchange);
+        LateWrite{.exchange = exchange, .body = exchange->request().body});
     return;
   }
   if (now == Mood::kSilent || now == Mood::kLate) {
@@ -236,7 +236,7 @@
   }
   const std::string& path = exchange->request().path;
   if (is_write)
-    this->Write(exchange, now);
+    this->Write(exchange, exchange->request().body, now);
   else if (path.starts_with("/rows-get"))
     this->Read(exchange);
   else if (path.starts_with("/rows-feed"))
@@ -245,8 +245,10 @@
     exchange->Reply(http::JsonResponse(404, "{}"));
 }
 
-void StoreStandin::Write(const http::ExchangePtr& exchange, Mood now) {
-  const json body = json::parse(exchange->request().body);
+void StoreStandin::Write(const http::ExchangePtr& exchange,
+                         const std::string& content,
+                         Mood now) {
+  const json body = json::parse(content);
   const std::string refusal = this->WhyRefused(body);
   if (!refusal.empty()) {
     exchange->Reply(http::JsonResponse(400, json{{"error", refusal}}.dump()));
@@ -364,9 +366,9 @@
     this->HandleNow(call);
   }
   while (!this->late.empty() && this->late.begin()->first <= now) {
-    const http::ExchangePtr exchange = this->late.begin()->second;
+    const LateWrite write = this->late.begin()->second;
     this->late.erase(this->late.begin());
-    this->Write(exchange, Mood::kLosesAnswers);
+    this->Write(write.exchange, write.body, Mood::kLosesAnswers);
   }
 }
 
--- a/testing/store_standin.h
+++ b/testing/store_standin.h
@@ -64,6 +64,8 @@
   void SetNextReads(std::deque<Mood> moods) {
     this->next_reads = std::move(moods);
   }
+  // The store's clock is ahead of this process's by this time.
+  void SetClockAhead(base::Micros span) { this->clock_ahead = span; }
   // Feeds from before now answer that history is lost.
   void ForgetHistory();
   // Rows of a page at most.
@@ -101,6 +103,11 @@
     http::ExchangePtr exchange;
     const Endpoint* endpoint = nullptr;  // null: the store's own address
   };
+  // With a copy of the body: an exchange that was given up drops its own.
+  struct LateWrite {
+    http::ExchangePtr exchange;
+    std::string body;
+  };
   struct Waiting {
     http::ExchangePtr exchange;
     std::string table;
@@ -112,7 +119,10 @@
   void Handle(const Call& call);
   void HandleNow(const Call& call);
   Mood MoodOf(const Call& call);
-  void Write(const http::ExchangePtr& exchange, Mood now);
+  void Write(const http::ExchangePtr& exchange,
+             const std::string& content,
+             Mood now);
+  std::int64_t NowMillis() const;
   void Read(const http::ExchangePtr& exchange);
   void Feed(const Call& call);
   bool AnswerFeed(const Waiting& waiting, bool over);
@@ -125,8 +135,9 @@
   base::Loop& loop;
   Mood mood = Mood::kWell;
   base::Micros delay{};
-  std::multimap<base::Micros, Call> delayed;  // by the time they are due
-  std::multimap<base::Micros, http::ExchangePtr> late;  // the same, of writes
+  base::Micros clock_ahead{};
+  std::multimap<base::Micros, Call> delayed;    // by the time they are due
+  std::multimap<base::Micros, LateWrite> late;  // by the time they are due
   std::map<std::string, Endpoint> endpoints;
   std::deque<Mood> next_writes;
   std::deque<Mood> next_reads;
