Workers: starts, leases and acknowledgements reach no other incarnation

Cause: the header of a call names the worker's id, and the HTTP library opens a new connection when the kept one has ended with the worker's process. The next incarnation thus carried out starts for the former one. Their deadline lies far ahead on its new clock, so that its lease lasted up to 10 s, while its owner, who had no answer from it any more, went by the former incarnation's 4 s. Acknowledgements for the former one dropped unread ends.

Change: a connection is marked with the incarnation that has answered a look on it, and starts, and polls that grant or acknowledge, go only over a connection with the mark of the incarnation that is meant, also when the library repeats them.

--- a/entry/suspension_test.cc
+++ b/entry/suspension_test.cc
@@ -48,11 +48,13 @@
 BOOST_AUTO_TEST_CASE(CommandDecidedBeforeASuspensionIsNotSent) {
   const SuspendableClock clock;
   base::Loop loop;
+  // The answer to a start, and to the look before the first one.
   testing::RawServer server(loop, [](int) {
     return testing::RawServer::Answer{
         .bytes =
             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-            "Content-Length: 13\r\n\r\n{\"clockMs\":1}"};
+            "Content-Length: 40\r\n\r\n"
+            R"({"clockMs":1,"running":[],"finished":[]})"};
   });
   http::Client client(loop);
   base::Micros valid_until{};
@@ -83,7 +85,7 @@
   BOOST_CHECK(send({}) == scheduler::CommandOutcome::kDone);
   for (const seconds suspension : kSuspensions)
     BOOST_CHECK(send(suspension) == scheduler::CommandOutcome::kNotSent);
-  BOOST_TEST(server.requests() == 1);
+  BOOST_TEST(server.requests() == 2);
 }
 
 // After a suspension the ownership must not count as valid, even before any
--- a/http/client.cc
+++ b/http/client.cc
@@ -26,6 +26,11 @@
   return coding && SameName(*coding, "chunked");
 }
 
+bool SaysClose(const Headers& headers) {
+  const std::string* connection = FindHeader(headers, "Connection");
+  return connection && SameName(*connection, "close");
+}
+
 // Does the answer itself tell where it ends? One that ends with its
 // connection cannot be told from one cut short.
 bool TellsItsEnd(const std::string& method, const Response& response) {
@@ -175,6 +180,11 @@
   this->total_sent += sent;
   this->total_received += InfoLong(call.easy, CURLINFO_HEADER_SIZE) +
                           InfoBytes(call.easy, CURLINFO_SIZE_DOWNLOAD_T);
+  call.is_connection_kept = code == CURLE_OK && !call.over_limit &&
+                            !call.closes_connection &&
+                            !SaysClose(call.response.headers);
+  result.local_port = call.is_connection_kept ? call.local_port : 0;
+  result.lacks_mark = call.lacks_mark;
   if (code == CURLE_OK && !call.over_limit &&
       TellsItsEnd(call.request.method, call.response)) {
     // The answer to the last of several sends tells that the request was done,
@@ -207,9 +217,72 @@
 void Client::NoteSilence(const Call& call) {
   long connects = 0;
   curl_easy_getinfo(call.easy, CURLINFO_NUM_CONNECTS, &connects);
-  if (connects == 0)
-    this->fresh_until[HostOf(call.request.url)] =
-        base::MonotonicNow() + kFreshAfterSilence;
+  if (connects > 0)
+    return;
+  const std::string host = HostOf(call.request.url);
+  this->fresh_until[host] = base::MonotonicNow() + kFreshAfterSilence;
+  this->marked.erase(host);
+}
+
+void Client::MarkConnection(const std::string& host,
+                            int local_port,
+                            const std::string& mark) {
+  if (local_port > 0)
+    this->marked[host][local_port].mark = mark;
+}
+
+bool Client::HasIdleConnection(const std::string& host,
+                               const std::string& mark) const {
+  const auto found = this->marked.find(host);
+  return found != this->marked.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [&mark](const auto& entry) {
+                       return !entry.second.is_in_use &&
+                              entry.second.mark == mark;
+                     });
+}
+
+Client::MarkedConnection* Client::FindMarked(const std::string& host,
+                                             int local_port) {
+  const auto connections = this->marked.find(host);
+  if (connections == this->marked.end())
+    return nullptr;
+  const auto found = connections->second.find(local_port);
+  return found == connections->second.end() ? nullptr : &found->second;
+}
+
+// False if the request may not go out on this connection. A new connection may
+// have the port of one that was closed.
+bool Client::UseConnection(Call& call, int local_port) {
+  long connects = 0;
+  curl_easy_getinfo(call.easy, CURLINFO_NUM_CONNECTS, &connects);
+  this->ReleaseConnection(call);
+  call.local_port = local_port;
+  if (connects > 0)
+    this->ReleaseConnection(call);
+  MarkedConnection* connection =
+      this->FindMarked(HostOf(call.request.url), local_port);
+  if (connection)
+    connection->is_in_use = true;
+  call.lacks_mark = !call.request.mark.empty() &&
+                    (!connection || connection->mark != call.request.mark);
+  return !call.lacks_mark;
+}
+
+// Forgets the mark of a connection that is closed.
+void Client::ReleaseConnection(const Call& call) {
+  const auto connections = this->marked.find(HostOf(call.request.url));
+  if (call.local_port == 0 || connections == this->marked.end())
+    return;
+  const auto found = connections->second.find(call.local_port);
+  if (found == connections->second.end())
+    return;
+  if (call.is_connection_kept)
+    found->second.is_in_use = false;
+  else
+    connections->second.erase(found);
+  if (connections->second.empty())
+    this->marked.erase(connections);
 }
 
 void Client::NoteRepetition(const Call& call,
@@ -279,6 +352,7 @@
   const std::unique_ptr<Call> call = std::move(found->second);
   this->calls.erase(found);
   this->ReturnBytes(*call);
+  this->ReleaseConnection(*call);
   // Removing an unfinished transfer closes its connection.
   curl_multi_remove_handle(this->multi, call->easy);
   curl_slist_free_all(call->header_list);
--- a/http/client.h
+++ b/http/client.h
@@ -31,6 +31,12 @@
   // Asked right before it goes out on its connection, also when the library
   // repeats it: false gives it up. Unset: it may always go.
   std::function<bool()> may_send;
+  // Goes out only on a connection that MarkConnection() has given this mark,
+  // also when the library repeats it. Empty: on any.
+  std::string mark;
+  // Its connection is kept and will be marked, also where used connections are
+  // not trusted.
+  bool opens_marked_connection = false;
 };
 
 // Outcome of a request, over all its sends.
@@ -45,6 +51,9 @@
   std::string error;  // for people; empty with kRan
   // The peer's box rejected the connection: no process listens there.
   bool refused = false;
+  // The request was given up because its connection lacked the mark.
+  bool lacks_mark = false;
+  int local_port = 0;  // of the connection, if it is kept; else 0
 };
 
 using RequestId = std::uint64_t;
@@ -90,6 +99,16 @@
   // before now: all of them may have fallen silent.
   void GiveUpSilent(const std::string& host, base::Micros limit);
 
+  // Marks the connection to `host` ("ip:port") from this port. What a peer has
+  // said of itself holds for as long as its connection lasts.
+  void MarkConnection(const std::string& host,
+                      int local_port,
+                      const std::string& mark);
+  // Whether a connection to `host` with this mark is in no request's use. It
+  // may have been closed by the peer.
+  bool HasIdleConnection(const std::string& host,
+                         const std::string& mark) const;
+
   std::size_t in_flight() const { return this->calls.size(); }
   std::uint64_t bytes_sent() const { return this->total_sent; }
   std::uint64_t bytes_received() const { return this->total_received; }
@@ -98,6 +117,10 @@
   struct Call;
   struct Callbacks;
   struct Watched;
+  struct MarkedConnection {
+    std::string mark;
+    bool is_in_use = false;
+  };
 
   void Act(int fd, int events);
   void Finish();
@@ -109,6 +132,9 @@
   void NoteSilence(const Call& call);
   void NoteRepetition(const Call& call, const ClientResult& result) const;
   bool WantsFresh(const std::string& host);
+  bool UseConnection(Call& call, int local_port);
+  void ReleaseConnection(const Call& call);
+  MarkedConnection* FindMarked(const std::string& host, int local_port);
   long MaxIdleSeconds(const std::string& host) const;
 
   base::Loop& loop;
@@ -121,6 +147,9 @@
   std::unordered_map<std::string, base::Micros> fresh_until;
   // By "ip:port": connections to it that were last used before are not trusted.
   std::unordered_map<std::string, base::Micros> silent_at;
+  // By "ip:port" and local port.
+  std::unordered_map<std::string, std::unordered_map<int, MarkedConnection>>
+      marked;
   std::vector<void*> idle_handles;
   std::vector<std::unique_ptr<Watched>> retired;
   RequestId last_id = 0;
--- a/http/client_callbacks.cc
+++ b/http/client_callbacks.cc
@@ -142,8 +142,14 @@
   return CURL_SOCKOPT_OK;
 }
 
-int Client::Callbacks::BeforeSending(void* user, char*, char*, int, int) {
+int Client::Callbacks::BeforeSending(void* user,
+                                     char*,
+                                     char*,
+                                     int,
+                                     int local_port) {
   auto* call = static_cast<Call*>(user);
+  if (!call->client->UseConnection(*call, local_port))
+    return CURL_PREREQFUNC_ABORT;
   if (call->request.may_send && !call->request.may_send())
     return CURL_PREREQFUNC_ABORT;
   ++call->times_sent;
@@ -212,11 +218,16 @@
       static_cast<long>(std::max<std::int64_t>(1, millis.count())));
   curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
                    call.client->MaxIdleSeconds(HostOf(call.request.url)));
-  if (call.request.fresh_connection ||
-      call.client->WantsFresh(HostOf(call.request.url))) {
+  // A marked connection has been answered on since others fell silent.
+  const bool wants_fresh = call.request.mark.empty() &&
+                           (call.request.fresh_connection ||
+                            call.client->WantsFresh(HostOf(call.request.url)));
+  if (wants_fresh) {
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
     // Kept, each would stay open until the server has no room for more.
-    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    call.closes_connection = !call.request.opens_marked_connection;
+    if (call.closes_connection)
+      curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
   }
 }
 
--- a/http/client_callbacks.h
+++ b/http/client_callbacks.h
@@ -30,6 +30,10 @@
   std::size_t held = 0;  // bytes of the answer
   bool over_limit = false;
   int times_sent = 0;
+  int local_port = 0;  // of its connection; 0: it has none yet
+  bool lacks_mark = false;
+  bool closes_connection = false;   // whatever the answer is
+  bool is_connection_kept = false;  // known once the request is over
 };
 
 // A socket of the library's that the loop watches.
--- a/testing/worker_standin.cc
+++ b/testing/worker_standin.cc
@@ -55,7 +55,8 @@
 std::shared_ptr<WorkerStandins::Life> WorkerStandins::Begin(
     const std::string& box,
     const std::string& pool,
-    const std::string& id) {
+    const std::string& id,
+    std::uint16_t port) {
   auto life = std::make_shared<Life>();
   ++this->life_count;
   life->id = id.empty() ? fmt::format("i-{}", this->life_count) : id;
@@ -68,19 +69,28 @@
   life->cpu = this->cores;
   Life* raw = life.get();
   life->server = std::make_unique<http::Server>(
-      this->loop, http::ServerOptions{},
+      this->loop, http::ServerOptions{.port = port},
       [this, raw](const http::ExchangePtr& exchange) {
         this->Handle(*raw, exchange);
       });
+  life->is_announced = port == 0;
   this->Announce(*life);
   return life;
 }
 
+// A longer lease is cut to the longest.
+void WorkerStandins::Extend(Life& life, std::int64_t deadline_ms) const {
+  const std::int64_t longest = ClockOf(life) + base::Millis(this->max_lease);
+  life.deadline_ms = std::max(life.deadline_ms, std::min(deadline_ms, longest));
+}
+
 std::int64_t WorkerStandins::ClockOf(const Life& life) {
   return NowMillis() - life.clock_from_ms;
 }
 
 void WorkerStandins::Announce(const Life& life) {
+  if (!life.is_announced)
+    return;
   const auto zone = this->zones.find(life.box);
   const json row = {
       {"born", life.born_ms},
@@ -131,8 +141,14 @@
 
 void WorkerStandins::SetCut(const std::string& box, bool is_cut) {
   const auto found = this->lives.find(box);
-  if (found != this->lives.end())
-    found->second->is_cut = is_cut;
+  if (found == this->lives.end())
+    return;
+  found->second->is_cut = is_cut;
+  // Answers do not get through either.
+  if (is_cut) {
+    for (auto& [exchange, until] : std::exchange(found->second->looks, {}))
+      this->unheard.push_back(std::move(exchange));
+  }
 }
 
 std::set<std::string> WorkerStandins::Running() const {
@@ -204,6 +220,21 @@
   this->lives[box] = this->Begin(box, life->pool, life->id);
 }
 
+void WorkerStandins::RestartUnannounced(const std::string& box) {
+  const std::shared_ptr<Life> life = this->lives.at(box);
+  this->ended.push_back(life);
+  life->running.clear();
+  const std::uint16_t port = life->server->port();
+  life->server.reset();
+  this->lives[box] = this->Begin(box, life->pool, life->id, port);
+}
+
+void WorkerStandins::AnnounceAgain(const std::string& box) {
+  Life& life = *this->lives.at(box);
+  life.is_announced = true;
+  this->Announce(life);
+}
+
 int WorkerStandins::RunningTasks(const std::string& job) const {
   int count = 0;
   for (const auto& [box, life] : this->lives) {
@@ -271,8 +302,7 @@
 void WorkerStandins::Hold(Life& life,
                           const http::ExchangePtr& exchange,
                           const json& body) {
-  life.deadline_ms =
-      std::max(life.deadline_ms, body.value("deadlineMs", std::int64_t{0}));
+  this->Extend(life, body.value("deadlineMs", std::int64_t{0}));
   const auto seen = body.value("lastSeen", std::int64_t{0});
   for (const json& end : life.ends) {
     if (end[0] <= seen && end[3] == "done")
@@ -344,7 +374,7 @@
     exchange->Reply(Answer(409, ClockOf(life), {{"reason", "late"}}));
     return;
   }
-  life.deadline_ms = std::max(life.deadline_ms, deadline);
+  this->Extend(life, deadline);
   const auto there = life.running.find(task);
   if (there != life.running.end() && there->second.number == run) {
     exchange->Reply(Answer(200, ClockOf(life), json::object()));
--- a/testing/worker_standin.h
+++ b/testing/worker_standin.h
@@ -38,6 +38,10 @@
   std::set<std::string> BoxesWith(const std::string& job) const;
   // The same, and the next life has the id of this one.
   void Restart(const std::string& box);
+  // The same, at the same address, and the next life announces nothing before
+  // AnnounceAgain().
+  void RestartUnannounced(const std::string& box);
+  void AnnounceAgain(const std::string& box);
   // The life ends without a word: its entry stays for three heartbeats, and
   // the box is down for this long.
   void Lose(const std::string& box, base::Micros span);
@@ -117,6 +121,7 @@
     std::string box;
     std::string pool;
     bool is_cut = false;
+    bool is_announced = true;
     std::int64_t cpu = 0;
     std::int64_t used = 0;  // by its runs
     std::int64_t used_memory = 0;
@@ -136,10 +141,13 @@
   void Announce(const Life& life);
   void AnnounceAll();
   void End(Life& life);
-  // Under a new id if that is empty.
+  // Under a new id if that is empty. With a port, it announces nothing.
   std::shared_ptr<Life> Begin(const std::string& box,
                               const std::string& pool,
-                              const std::string& id = {});
+                              const std::string& id = {},
+                              std::uint16_t port = 0);
+  // The lease lasts until the deadline, on its clock.
+  void Extend(Life& life, std::int64_t deadline_ms) const;
   void Handle(Life& life, const http::ExchangePtr& exchange);
   void Hold(Life& life,
             const http::ExchangePtr& exchange,
@@ -182,6 +190,7 @@
   std::vector<http::ExchangePtr> unheard;
   bool checks_epochs = false;
   std::int64_t cores = 4000;
+  base::Micros max_lease = std::chrono::seconds(10);
   base::Micros away_time = std::chrono::milliseconds(400);
   BoxMood box_mood = BoxMood::kWell;
   std::vector<std::string> faults;
