Takeover: a refused connection does not prove that the earlier owner is over

A cut that rejects connections in the box's place refuses them too, while the owner lives and renews leases behind it.

The new owner's line earlier_owner_ended says no_process at 34.56 s; the owner that it means logs until 39.17 s that it lost the shard then.

Change: only the answer of the process at that address, that it does not own the shard, ends the wait.

Tests: RefusedConnectionDoesNotProveThatAnOwnerIsOver guards this. OnlyARefusalOrAnAnswerProves... held the wrong belief and is replaced by OnlyAnAnswerProvesThatAnOwnerIsOver.

--- a/entry/earlier_owner.cc
+++ b/entry/earlier_owner.cc
@@ -57,18 +57,14 @@
   return Json{{"owner", is_owner}}.dump();
 }
 
-// Only a refused connection shows that no process is left: a box that is cut
-// off or has no power does not answer at all, and a connection that was made is
-// reset by others as well.
-std::optional<OwnerEnd> OwnerEndOf(const http::ClientResult& result) {
-  if (result.refused)
-    return OwnerEnd::kNoProcess;
+// A connection that is refused proves nothing: the box may be cut off by
+// something that rejects connections in its place.
+bool SaysNotOwner(const http::ClientResult& result) {
   if (result.verdict != base::Verdict::kRan || result.response.status != kOk)
-    return std::nullopt;
+    return false;
   const Json answer = Json::parse(result.response.body, nullptr, false);
-  const bool is_not_owner = answer.is_object() && answer.contains("owner") &&
-                            answer["owner"] == false;
-  return is_not_owner ? std::optional(OwnerEnd::kNotOwner) : std::nullopt;
+  return answer.is_object() && answer.contains("owner") &&
+         answer["owner"] == false;
 }
 
 EarlierOwner::EarlierOwner(base::Loop& loop,
@@ -76,7 +72,7 @@
                            std::string address,
                            const OwnerQuestion& question,
                            base::Micros give_up_at,
-                           std::function<void(OwnerEnd)> on_ended)
+                           std::function<void()> on_ended)
     : client(client),
       address(std::move(address)),
       question(question),
@@ -108,9 +104,8 @@
 
 // The process may be started again, or lose the shard, at any time.
 void EarlierOwner::OnResult(const http::ClientResult& result) {
-  const std::optional<OwnerEnd> end = OwnerEndOf(result);
-  if (end)
-    this->on_ended(*end);
+  if (SaysNotOwner(result))
+    this->on_ended();
   else
     this->retry_timer.StartOnce(kRetryInterval);
 }
--- a/entry/earlier_owner.h
+++ b/entry/earlier_owner.h
@@ -34,14 +34,8 @@
 // epoch.
 std::string FormatOwnerAnswer(bool is_owner);
 
-// How an owner is known to be over.
-enum class OwnerEnd {
-  kNoProcess,  // nothing listens at its address any more
-  kNotOwner,   // the process there does not own the shard
-};
-
-// Empty if the result does not tell.
-std::optional<OwnerEnd> OwnerEndOf(const http::ClientResult& result);
+// Whether the process that answered says that it does not own the shard.
+bool SaysNotOwner(const http::ClientResult& result);
 
 class EarlierOwner {
  public:
@@ -52,7 +46,7 @@
                std::string address,
                const OwnerQuestion& question,
                base::Micros give_up_at,
-               std::function<void(OwnerEnd)> on_ended);
+               std::function<void()> on_ended);
   ~EarlierOwner();
   EarlierOwner(const EarlierOwner&) = delete;
   EarlierOwner& operator=(const EarlierOwner&) = delete;
@@ -65,7 +59,7 @@
   std::string address;
   OwnerQuestion question;
   base::Micros give_up_at;
-  std::function<void(OwnerEnd)> on_ended;
+  std::function<void()> on_ended;
   base::Timer retry_timer;
   std::shared_ptr<bool> alive;
 };
--- a/entry/earlier_owner_test.cc
+++ b/entry/earlier_owner_test.cc
@@ -26,22 +26,17 @@
 
 // Guards against a task that runs twice: an owner that is cut off, slow or on a
 // box without power was taken for one that grants no more leases.
-BOOST_AUTO_TEST_CASE(OnlyARefusalOrAnAnswerProvesThatAnOwnerIsOver) {
-  http::ClientResult refused;
-  refused.refused = true;
-  BOOST_CHECK(OwnerEndOf(refused) == OwnerEnd::kNoProcess);
-  BOOST_CHECK(OwnerEndOf(Answer(200, FormatOwnerAnswer(false))) ==
-              OwnerEnd::kNotOwner);
-  BOOST_CHECK(!OwnerEndOf(Answer(200, FormatOwnerAnswer(true))));
-  http::ClientResult silent;
-  BOOST_CHECK(!OwnerEndOf(silent));
+BOOST_AUTO_TEST_CASE(OnlyAnAnswerProvesThatAnOwnerIsOver) {
+  BOOST_TEST(SaysNotOwner(Answer(200, FormatOwnerAnswer(false))));
+  BOOST_TEST(!SaysNotOwner(Answer(200, FormatOwnerAnswer(true))));
+  BOOST_TEST(!SaysNotOwner(http::ClientResult()));
   http::ClientResult cut = Answer(200, FormatOwnerAnswer(false));
   cut.verdict = base::Verdict::kMayHaveRun;
-  BOOST_CHECK(!OwnerEndOf(cut));
+  BOOST_TEST(!SaysNotOwner(cut));
   for (const char* body : {"", "{}", "[]", "{\"owner\":0}", "{\"owner\":null}"})
-    BOOST_CHECK(!OwnerEndOf(Answer(200, body)));
+    BOOST_TEST(!SaysNotOwner(Answer(200, body)));
   // Another program, or an earlier version, at that address.
-  BOOST_CHECK(!OwnerEndOf(Answer(404, FormatOwnerAnswer(false))));
+  BOOST_TEST(!SaysNotOwner(Answer(404, FormatOwnerAnswer(false))));
 }
 
 BOOST_AUTO_TEST_CASE(OwnerQuestionIsReadAsItIsWritten) {
@@ -69,14 +64,13 @@
     port = server->port();
     if (!has_server)
       server.reset();
-    const EarlierOwner asked(this->loop, this->client,
-                             "127.0.0.1:" + std::to_string(port), {},
-                             base::MonotonicNow() + patience,
-                             [this](OwnerEnd end) { this->ended = end; });
+    const EarlierOwner asked(
+        this->loop, this->client, "127.0.0.1:" + std::to_string(port), {},
+        base::MonotonicNow() + patience, [this] { this->has_ended = true; });
     const base::Micros until =
         base::MonotonicNow() + patience + milliseconds(600);
     base::Timer tick(this->loop, [&] {
-      if (this->ended || base::MonotonicNow() > until)
+      if (this->has_ended || base::MonotonicNow() > until)
         this->loop.Stop();
       this->is_owner = this->is_owner && this->questions < this->owner_until;
     });
@@ -89,13 +83,15 @@
   bool is_owner = true;
   int owner_until = 1000;
   int questions = 0;
-  std::optional<OwnerEnd> ended;
+  bool has_ended = false;
 };
 
-BOOST_AUTO_TEST_CASE(OwnerWithoutAProcessIsOver) {
+// Guards against a task that runs twice: the owner was cut off by something
+// that refused connections in its place, and renewed its leases.
+BOOST_AUTO_TEST_CASE(RefusedConnectionDoesNotProveThatAnOwnerIsOver) {
   AskedOwner asked;
-  asked.Ask(false, seconds(5));
-  BOOST_CHECK(asked.ended == OwnerEnd::kNoProcess);
+  asked.Ask(false, milliseconds(1200));
+  BOOST_TEST(!asked.has_ended);
 }
 
 // An owner that lives is asked again, until it has lost the shard.
@@ -103,14 +99,14 @@
   AskedOwner asked;
   asked.owner_until = 2;
   asked.Ask(true, seconds(10));
-  BOOST_CHECK(asked.ended == OwnerEnd::kNotOwner);
+  BOOST_TEST(asked.has_ended);
   BOOST_TEST(asked.questions == 3);
 }
 
 BOOST_AUTO_TEST_CASE(OwnerIsNotAskedOnceItsLeasesAreOver) {
   AskedOwner asked;
   asked.Ask(true, milliseconds(700));
-  BOOST_CHECK(!asked.ended);
+  BOOST_TEST(!asked.has_ended);
   BOOST_TEST(asked.questions == 2);
 }
 
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -114,7 +114,7 @@
   EarlierOwners EarlierOwnersOf(const LeaseRecord& record) const;
   // Asks the writer of the record whether its leases may still be renewed.
   void AskLeaseWriter(const LeaseRecord& record);
-  void OnLeaseWriterEnded(OwnerEnd end);
+  void OnLeaseWriterEnded();
   void LogReady() const;
 
   // Changes in the store.
--- a/entry/manager_takeover.cc
+++ b/entry/manager_takeover.cc
@@ -289,10 +289,10 @@
       this->loop, this->command_client, record.writer_address,
       OwnerQuestion{.shard = this->shard.number, .epoch = this->epoch},
       this->earlier_confirmed + this->EarlierGrantBounds().after_confirmation,
-      [this](OwnerEnd end) { this->OnLeaseWriterEnded(end); });
+      [this] { this->OnLeaseWriterEnded(); });
 }
 
-void ShardManager::OnLeaseWriterEnded(OwnerEnd end) {
+void ShardManager::OnLeaseWriterEnded() {
   const base::Micros now = base::MonotonicNow();
   this->is_lease_writer_ended = true;
   const EarlierOwners earlier{.confirmed = this->earlier_confirmed,
@@ -305,7 +305,6 @@
   base::Log(base::Event::kEarlierOwnerEnded,
             {{"shard", this->shard.number},
              {"epoch", this->epoch},
-             {"how", end == OwnerEnd::kNoProcess ? "no_process" : "not_owner"},
              {"renewed_ago_ms", base::Millis(now - this->earlier_confirmed)}});
   this->ScheduleCycle();
 }
--- a/entry/worker_lost_with_owner_test.cc
+++ b/entry/worker_lost_with_owner_test.cc
@@ -72,6 +72,23 @@
   BOOST_TEST(JoinLines(fixture.workers.broken()) == "");
 }
 
+// Guards against a long-running task that stands still for 10.6 s, where
+// another daemon has taken the shard by the time its owner is started again:
+// the owner's new process knows that it is not the owner.
+BOOST_AUTO_TEST_CASE(TaskLostWithItsOwnerRunsAgainOnceTheOwnersBoxAnswers) {
+  LossFixture fixture(2);
+  fixture.cluster.KeepMetricsAddresses();
+  fixture.StartLongRunningTask();
+  const std::string owner = fixture.cluster.Owner();
+  fixture.LoseOwnerAndWorker();
+  BOOST_REQUIRE(fixture.WaitForOwnerOtherThan(owner));
+  fixture.cluster.StartDaemon(owner);
+  fixture.WaitUntilTaskRuns();
+  // LOST: a task that lasts has 6 s after its last run, and 3 s more.
+  BOOST_TEST(fixture.SecondsSinceLoss() < 9.0);
+  BOOST_TEST(JoinLines(fixture.workers.broken()) == "");
+}
+
 // Guards against a long-running task that stands still for 10.6 s, where
 // another daemon takes the shard and cannot tell that its owner has ended.
 BOOST_AUTO_TEST_CASE(TaskLostWithItsOwnerRunsAgainUnderAnotherDaemonInTime) {
--- a/http/client.cc
+++ b/http/client.cc
@@ -1,7 +1,6 @@
 #include "http/client.h"
 
 #include <algorithm>
-#include <cerrno>
 #include <utility>
 
 #include <curl/curl.h>
@@ -202,8 +201,6 @@
                    : code == CURLE_OK ? "the answer does not tell its length"
                                       : curl_easy_strerror(code);
   }
-  if (code == CURLE_COULDNT_CONNECT)
-    result.refused = InfoLong(call.easy, CURLINFO_OS_ERRNO) == ECONNREFUSED;
   if (code == CURLE_OPERATION_TIMEDOUT)
     this->NoteSilence(call);
   if (was_repeated)
--- a/http/client.h
+++ b/http/client.h
@@ -49,8 +49,6 @@
   // to the last send and says nothing of the earlier ones.
   Response response;
   std::string error;  // for people; empty with kRan
-  // The peer's box rejected the connection: no process listens there.
-  bool refused = false;
   // The request was given up because its connection lacked the mark.
   bool lacks_mark = false;
   int local_port = 0;  // of the connection, if it is kept; else 0
--- a/http/http_test.cc
+++ b/http/http_test.cc
@@ -202,7 +202,6 @@
   Client client(loop);
   const ClientResult result = Call(loop, client, {.url = Url(port)});
   BOOST_CHECK(result.verdict == Verdict::kNotRun);
-  BOOST_TEST(result.refused);
 }
 
 BOOST_AUTO_TEST_CASE(AnswerOverTheLimitIsNotWhole) {
--- a/testing/job_cluster.cc
+++ b/testing/job_cluster.cc
@@ -113,13 +113,16 @@
   else if (this->rows.HasEndpoint(id))
     store = this->rows.AddressOf(id);
   const std::string settings = fmt::format("{}/{}.ini", this->folder, id);
+  std::string metrics = this->by_id[id].metrics;
+  if (metrics.empty() || !this->keeps_metrics_addresses)
+    metrics = "127.0.0.1:0";
   std::ofstream(settings) << fmt::format(
       "[daemon]\nid = {}\nzone = z\n"
       "[listen]\ncallers = 127.0.0.1:0\n"
-      "readiness = 127.0.0.1:0\nmetrics = 127.0.0.1:0\n"
+      "readiness = 127.0.0.1:0\nmetrics = {}\n"
       "[store]\naddress = {}\n[boxes]\naddress = {}\nepochs_checked = {}\n"
       "[limits]\n{}workers_an_owner = {}\n",
-      id, store, this->fleet.boxes_address(),
+      id, metrics, store, this->fleet.boxes_address(),
       this->epochs_checked ? "true" : "false", this->limits,
       this->workers_an_owner);
   Daemon& daemon = this->by_id[id];
--- a/testing/job_cluster.h
+++ b/testing/job_cluster.h
@@ -55,6 +55,8 @@
         "longest_lease_ms = " + std::to_string(base::Millis(longest_lease)) +
         "\n";
   }
+  // Daemons that are started again keep the address of their metrics.
+  void KeepMetricsAddresses() { this->keeps_metrics_addresses = true; }
   Daemon& StartDaemon(const std::string& id);
   // One that reaches the store over a link of its own.
   Daemon& StartDaemonOverLink(const std::string& id);
@@ -120,6 +122,7 @@
   std::function<void()> ticker;
   int workers_an_owner = 200;
   bool epochs_checked = false;
+  bool keeps_metrics_addresses = false;
   std::string access_key;
   std::string limits =
       "move_seconds = 0.4\nupkeep_seconds = 0.4\nstop_ms = 100\n";
