--- a/scheduler/advice_test.cc
+++ b/scheduler/advice_test.cc
@@ -31,8 +31,11 @@
 
   static std::string IdOf(int number) { return fmt::format("w{:04}", number); }
 
+  // A worker whose label is its id.
   void AddWorker(const std::string& id) {
-    this->scheduler.UpdateWorker(Bench::Worker(id), this->now);
+    WorkerInfo info = Bench::Worker(id);
+    info.labels = {id};
+    this->scheduler.UpdateWorker(info, this->now);
     this->Report(id, {});
   }
 
@@ -101,13 +104,7 @@
 // Guards against an accepted job that is never started: the least loaded
 // workers were asked for again and again, and the policy allows only others.
 BOOST_AUTO_TEST_CASE(StepStartsWhereItsPolicyAllowsOnlyTheMostLoadedWorker) {
-  AdvisedPool pool(0);
-  for (int i = 0; i < 12; ++i) {
-    WorkerInfo info = Bench::Worker(AdvisedPool::IdOf(i));
-    info.labels = {info.incarnation.id};
-    pool.scheduler.UpdateWorker(info, pool.now);
-    pool.Report(info.incarnation.id, {});
-  }
+  AdvisedPool pool(12);
   pool.Occupy(AdvisedPool::IdOf(0), 1000);
   pool.allowed = {AdvisedPool::IdOf(0)};
   pool.AddJob("job", Bench::OneTask(), true);
@@ -120,13 +117,7 @@
 // Guards against a job that waits although an allowed worker has room: those
 // with tickets were full, and no others were asked for.
 BOOST_AUTO_TEST_CASE(StepStartsWhereTheWorkersWithTicketsAreFull) {
-  AdvisedPool pool(0);
-  for (int i = 0; i < 12; ++i) {
-    WorkerInfo info = Bench::Worker(AdvisedPool::IdOf(i));
-    info.labels = {info.incarnation.id};
-    pool.scheduler.UpdateWorker(info, pool.now);
-    pool.Report(info.incarnation.id, {});
-  }
+  AdvisedPool pool(12);
   pool.Occupy(AdvisedPool::IdOf(11), 1000);
   pool.allowed = {AdvisedPool::IdOf(0), AdvisedPool::IdOf(11)};
   jobs::Step step = Bench::OneTask();
@@ -147,12 +138,9 @@
 // on.
 BOOST_AUTO_TEST_CASE(OnlyWorkersThatTheStepCanRunOnAreAskedFor) {
   AdvisedPool pool(6);
-  WorkerInfo labelled = Bench::Worker("labelled");
-  labelled.labels = {"label"};
-  pool.scheduler.UpdateWorker(labelled, pool.now);
-  pool.Report("labelled", {});
+  pool.AddWorker("labelled");
   jobs::Step step = Bench::OneTask();
-  step.label = "label";
+  step.label = "labelled";
   pool.allowed = {"labelled"};
   pool.AddJob("job", step, true);
   BOOST_TEST(pool.StartWithin(seconds(1)).has_value());
