--- a/entry/settings.h
+++ b/entry/settings.h
@@ -42,7 +42,8 @@
   // Limits of the callers' interface.
   std::size_t max_body = 1 << 20;  // bytes of a request's body
   http::ConnectionLimits caller_limits = {.connections = 2000};
-  // Of the readiness and the metrics endpoint, each. Times are the callers'.
+  // The readiness and the metrics endpoint have these limits each, and the
+  // callers' time limits.
   std::size_t max_monitoring_connections = 64;
   std::size_t max_monitoring_bytes = 8'000'000;
   long max_store_connections = 1024;
--- a/http/marked_connection_test.cc
+++ b/http/marked_connection_test.cc
@@ -1,4 +1,4 @@
-// Requests that go only over a connection with a mark.
+// Tests of marked connections and of the requests bound to them.
 
 #include <cstdint>
 #include <memory>
--- a/scheduler/step_advice.h
+++ b/scheduler/step_advice.h
@@ -1,5 +1,5 @@
-// Which workers are allowed to run a step, as far as the advice service has
-// answered, and which of them to ask for next.
+// Advice on a step: the workers that are allowed to run it, as far as the
+// service has answered, and the workers to name in the next request.
 
 #ifndef SCHEDULER_STEP_ADVICE_H_
 #define SCHEDULER_STEP_ADVICE_H_
@@ -58,8 +58,8 @@
   bool IsDenied(const jobs::WorkerIncarnation& worker) const;
   std::size_t NextCount(std::size_t tasks, bool has_ticket);
 
-  // Of the allowed workers. Expired tickets are kept, since the service never
-  // changes its mind: they tell whom to ask for a new one.
+  // By allowed worker. Expired tickets are kept: the service's answer for a
+  // worker does not change, so these workers are asked for first.
   std::map<jobs::WorkerIncarnation, Ticket> tickets;
   std::vector<std::uint64_t> denied;  // fingerprints, sorted
   base::Micros requested_at{};
