Advice: calls are bounded by what the service answers, and its answers are used

Cause: the validity of a ticket counted from the call, and nothing bounded the calls of all steps together. 33 were open at any time, each answer had waited for 3.6 s when it came, its tickets of 3 s counted as expired, and the step asked again. Lost answers and rejected starts were ruled out by the service's record: nine answers a second, and no start at all.

Change: an owner keeps few calls open (as many as keep the service busy for 100 ms), and the next one goes to the most urgent step that needs one. Validity counts from the answer, less the service time of the call. Time limits follow what the service takes and double with silence, after which one call is open; a rejection pauses all steps. Steps that could not use an answer (no room, tickets that expired unused, denied everywhere) have one open call at most, and ask again at growing intervals. A call whose end is never noted expires. New log event advice_calls (QH0852).

TicketIsUsedHoweverLongItsCallHasWaited. StepThatNeedsAdviceStartsOnlyWithATicket and advice_test pass the answer in its new type.

--- a/base/event_log.h
+++ b/base/event_log.h
@@ -78,6 +78,7 @@
   kStoreReturned,
   kProgressRejected,
   kEarlierOwnerEnded,
+  kAdviceCalls,
 };
 
 struct EventInfo {
@@ -87,7 +88,7 @@
   std::string_view name;
 };
 
-inline constexpr std::array<EventInfo, 50> kEvents{{
+inline constexpr std::array<EventInfo, 51> kEvents{{
     {Event::kDaemonStarted, 101, Level::kInfo, "daemon_started"},
     {Event::kDaemonStopping, 102, Level::kInfo, "daemon_stopping"},
     {Event::kDaemonStopped, 103, Level::kInfo, "daemon_stopped"},
@@ -136,6 +137,7 @@
     {Event::kBoxesRested, 847, Level::kInfo, "boxes_rested"},
     {Event::kStoreReturned, 848, Level::kInfo, "store_returned"},
     {Event::kProgressRejected, 849, Level::kWarning, "progress_rejected"},
+    {Event::kAdviceCalls, 852, Level::kInfo, "advice_calls"},
     {Event::kLinesLeftOut, 851, Level::kWarning, "lines_left_out"},
     {Event::kSettingsReloaded, 106, Level::kInfo, "settings_reloaded"},
     {Event::kWriteRefused, 304, Level::kError, "write_refused"},
--- a/entry/manager.h
+++ b/entry/manager.h
@@ -188,6 +188,7 @@
   // not known.
   std::map<std::string, ReportedWait> Waits(base::Micros now) const;
   void LogExpectedWaits(base::Micros now) const;
+  void LogAdviceCalls();
   void LogPoolStates();
   void LogLongRunningWaits(base::Micros now);
   void LogLongestWaits(base::Micros now) const;
@@ -256,6 +257,7 @@
   base::Micros confirmed_at{};
   base::Micros next_count_write{};
   base::Micros next_pool_log{};
+  scheduler::AdviceCalls::Counts logged_advice_calls;
   base::Micros next_lease_write{};
   bool commands_suspended = false;  // commands_until() has passed
   bool leases_extended = false;     // since the last confirmation
--- a/entry/manager_commands.cc
+++ b/entry/manager_commands.cc
@@ -267,14 +267,13 @@
 }
 
 void ShardManager::RequestAdvice(const scheduler::RequestAdvice& request) {
-  this->advisor.Ask(
-      request, [this, request, alive = this->alive](
-                   const std::optional<scheduler::Advice>& advice) {
-        if (!*alive)
-          return;
-        this->scheduler.AdviceAnswered(request, advice, base::MonotonicNow());
-        this->ScheduleCycle();
-      });
+  this->advisor.Ask(request, [this, request, alive = this->alive](
+                                 const scheduler::AdviceResult& result) {
+    if (!*alive)
+      return;
+    this->scheduler.AdviceAnswered(request, result, base::MonotonicNow());
+    this->ScheduleCycle();
+  });
 }
 
 }  // namespace quartzhoist::entry
--- a/entry/manager_records.cc
+++ b/entry/manager_records.cc
@@ -384,6 +384,23 @@
   }
   this->LogLongRunningWaits(now);
   this->LogExpectedWaits(now);
+  this->LogAdviceCalls();
+}
+
+// Only while calls are made.
+void ShardManager::LogAdviceCalls() {
+  const scheduler::AdviceCalls& calls = this->scheduler.advice();
+  if (calls.counts() == this->logged_advice_calls)
+    return;
+  this->logged_advice_calls = calls.counts();
+  base::Log(base::Event::kAdviceCalls,
+            {{"shard", this->shard.number},
+             {"sent", calls.counts().sent},
+             {"answered", calls.counts().answered},
+             {"rejected", calls.counts().rejected},
+             {"unanswered", calls.counts().unanswered},
+             {"open", calls.open()},
+             {"answer_ms", base::Millis(calls.expected_answer_time())}});
 }
 
 void ShardManager::LogLongRunningWaits(base::Micros now) {
--- a/scheduler/actions.h
+++ b/scheduler/actions.h
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "jobs/job.h"
+#include "scheduler/advice_calls.h"
 #include "scheduler/facts.h"
 #include "scheduler/job.h"
 
@@ -32,6 +33,8 @@
   int occurrence = 0;
   int step = 0;
   std::vector<jobs::WorkerIncarnation> workers;
+  AdviceCallId call = 0;
+  base::Micros time_limit{};
 };
 
 struct StopRun {
--- a/scheduler/advice_test.cc
+++ b/scheduler/advice_test.cc
@@ -81,7 +81,9 @@
       if (this->allowed.contains(worker.id))
         advice.tickets[worker] = "ticket-" + worker.id;
     }
-    this->scheduler.AdviceAnswered(request, advice, this->now);
+    this->scheduler.AdviceAnswered(
+        request, {.outcome = AdviceOutcome::kAnswered, .advice = advice},
+        this->now);
   }
 
   // The first start within this time.
@@ -187,5 +189,20 @@
   BOOST_TEST(pool.named == named + 1);
 }
 
+// Guards against an answer that is thrown away because its call waited for
+// longer than a ticket is valid.
+BOOST_AUTO_TEST_CASE(TicketIsUsedHoweverLongItsCallHasWaited) {
+  const jobs::WorkerIncarnation worker{.id = "w"};
+  const base::Micros sent = seconds(100);
+  const base::Micros answered = sent + seconds(9);
+  StepAdvice advice;
+  advice.RequestSent(seconds(10), sent);
+  advice.RequestAnswered(
+      {worker}, {.tickets = {{worker, "ticket"}}, .valid_for = seconds(3)},
+      milliseconds(100), answered);
+  BOOST_TEST(advice.HasTicket(worker, answered + milliseconds(2700)));
+  BOOST_TEST(!advice.HasTicket(worker, answered + milliseconds(2800)));
+}
+
 }  // namespace
 }  // namespace quartzhoist::scheduler
--- a/scheduler/facts.h
+++ b/scheduler/facts.h
@@ -146,7 +146,19 @@
 // Workers that are allowed to run a step, each with its authorising ticket.
 struct Advice {
   std::map<jobs::WorkerIncarnation, std::string> tickets;
-  base::Micros valid_for{};  // counted from the request
+  base::Micros valid_for{};  // counted from the answer
+};
+
+enum class AdviceOutcome {
+  kAnswered,
+  kRejected,  // not handled: too many calls are waiting, or it was not reached
+  kUnanswered,  // within the time limit
+  kUnusable,    // answered with something else
+};
+
+struct AdviceResult {
+  AdviceOutcome outcome = AdviceOutcome::kUnanswered;
+  Advice advice;  // if answered
 };
 
 // Maintenance wave over a set of boxes with limited concurrency.
--- a/scheduler/failed_search.h
+++ b/scheduler/failed_search.h
@@ -24,11 +24,11 @@
 
 struct FailedSearch {
   std::uint64_t pass = 0;  // the latest pass that it holds for; 0: none
-  // Of a gang: upper bound of the members that the workers have room for.
+  // For a gang: upper bound of the members that the workers have room for.
   std::int64_t room = 0;
 };
 
-// What the placement passes have found out about a step's waiting tasks.
+// Findings of the placement passes about a step's waiting tasks.
 struct StepSearches {
   // The latest pass in which a task of the step could not be placed, and why.
   // The step's other tasks need the same, so that they are not tried in it.
--- a/scheduler/fleet.h
+++ b/scheduler/fleet.h
@@ -108,7 +108,7 @@
     {LeavingReason::kInheritedMaintenance, "inherited_maintenance"},
 }};
 
-// What the placement passes of this owner have cost in a pool.
+// Cost of this owner's placement passes over a pool.
 struct PlacementEffort {
   // Workers that searches for a place have visited without finding one.
   std::uint64_t vain_visits = 0;
--- a/scheduler/placement.cc
+++ b/scheduler/placement.cc
@@ -204,7 +204,7 @@
     return WaitReason::kLease;
   if (job.queue.advice.required &&
       this->CandidatesWithTickets(job, position, now).empty()) {
-    this->RequestAdviceFor(job, position, pass.candidates.all(), now);
+    this->RequestAdviceFor(job, position, pass, now);
     return WaitReason::kAdvice;
   }
   const std::vector<Assignment> choices =
--- a/scheduler/placement_pass.h
+++ b/scheduler/placement_pass.h
@@ -40,7 +40,7 @@
   // Amounts that no candidate had free. Free capacity only shrinks during a
   // pass, so nothing that takes as much fits either.
   std::vector<jobs::Resources> exhausted;
-  // Of all workers of the pass; empty until needed.
+  // All workers' labels; empty until needed.
   std::optional<std::set<std::string_view>> labels;
   std::size_t visits = 0;  // of workers, by searches that found none
 
--- a/scheduler/planned_runs.cc
+++ b/scheduler/planned_runs.cc
@@ -57,6 +57,7 @@
   task.run = run_number;
   task.latest_run = run_number;
   task.is_serving = false;
+  StepAt(job, choice.position).advice.NoteUse();
   Run run = this->MakeRun(job, step, run_number, RunState::kPlanned);
   run.decided_at = now;
   run.suspicion = SuspicionOf(job, choice.position, now);
--- a/scheduler/scheduler.cc
+++ b/scheduler/scheduler.cc
@@ -375,6 +375,7 @@
   this->ExpireOpenStarts(now);
   this->zone_health.Update(this->workers, now);
   this->ReleaseDueRepeats(now);
+  this->advice_calls.Expire(now);
   if (!this->is_fenced && this->LeaseEnd(now) > now)
     this->PlaceTasks(now);
   // If another owner has taken over, a placement fails on the row version. A
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -25,6 +25,7 @@
 #include "jobs/job.h"
 #include "jobs/queue.h"
 #include "scheduler/actions.h"
+#include "scheduler/advice_calls.h"
 #include "scheduler/box_requests.h"
 #include "scheduler/demand.h"
 #include "scheduler/expected_waits.h"
@@ -98,9 +99,9 @@
   void StopAnswered(const StopRun& command,
                     CommandOutcome outcome,
                     base::Micros now);
-  // Response to RequestAdvice; empty if there was none.
+  // Response to RequestAdvice.
   void AdviceAnswered(const RequestAdvice& asked,
-                      const std::optional<Advice>& advice,
+                      const AdviceResult& result,
                       base::Micros now);
   // A command that grants a lease until `end` is about to be sent.
   void LeaseGranted(const jobs::WorkerIncarnation& worker, base::Micros end);
@@ -175,6 +176,7 @@
   // The expected waits that are long enough to be reported; empty while they
   // may not be.
   std::map<std::string, ExpectedWait> ReportableWaits(base::Micros now) const;
+  const AdviceCalls& advice() const { return this->advice_calls; }
   // Cores by pool, by the last plan of boxes.
   const std::map<std::string, double>& AllocatedCores() const;
   // Organisations that submit more than their guaranteed rate, in the order in
@@ -445,8 +447,17 @@
                                              base::Micros now);
   void RequestAdviceFor(Job& job,
                         const TaskPosition& position,
-                        const std::vector<Worker*>& candidates,
+                        PlacementPass& pass,
                         base::Micros now);
+  std::vector<AdviceCandidate> AdviceCandidatesFor(const Job& job,
+                                                   const TaskPosition& position,
+                                                   PlacementPass& pass) const;
+  // Whether the candidates, allowed or not, have room for a task of the step,
+  // or for all members of its gang.
+  bool HasRoomForStep(const Job& job,
+                      const TaskPosition& position,
+                      const PlacementPass& pass,
+                      const std::vector<AdviceCandidate>& candidates) const;
   int NextRunNumber(const Job& job, const TaskPosition& position) const;
 
   // expected waits
@@ -518,6 +529,7 @@
   FleetPlanner fleet;
   BoxRequests box_requests;
   Reservations reservations;
+  AdviceCalls advice_calls;
   ZoneHealth zone_health;
   StalledTasks stalled_tasks;
   std::vector<Action> actions;
--- a/scheduler/scheduler_test.cc
+++ b/scheduler/scheduler_test.cc
@@ -256,7 +256,8 @@
   BOOST_TEST(Only<RequestAdvice>(bench.RunPass()).empty());
   bench.scheduler.AdviceAnswered(
       Only<RequestAdvice>(asked)[0],
-      Advice{.tickets = {{{.id = "b"}, "t"}}, .valid_for = seconds(3)},
+      {.outcome = AdviceOutcome::kAnswered,
+       .advice = {.tickets = {{{.id = "b"}, "t"}}, .valid_for = seconds(3)}},
       bench.now);
   const StartRun start = bench.NextStart();
   BOOST_TEST(start.worker.id == "b");
--- a/scheduler/step_advice.cc
+++ b/scheduler/step_advice.cc
@@ -30,6 +30,16 @@
 // Tickets are not used within this time before they expire, since saving the
 // placement and sending the start take some ms.
 constexpr base::Micros kTicketMargin = milliseconds(150);
+// The same for short-lived ones, as the inverse of a share of their validity.
+constexpr int kMarginShare = 4;
+// A step that has been denied everywhere, or whose requests fail, asks at
+// intervals that double up to 32 and 8 s.
+constexpr int kMaxForgetDoublings = 4;
+constexpr int kMaxRetryDoublings = 4;
+// Until a step asks again that was passed over for others.
+constexpr base::Micros kPostponement = milliseconds(100);
+// The end of a request is noted this long after its time limit at the latest.
+constexpr base::Micros kEndSlack = milliseconds(2000);
 
 // A step may be denied a whole pool, so that each entry takes 8 bytes.
 std::uint64_t Fingerprint(const jobs::WorkerIncarnation& worker) {
@@ -43,8 +53,7 @@
 bool StepAdvice::HasTicket(const jobs::WorkerIncarnation& worker,
                            base::Micros now) const {
   const auto found = this->tickets.find(worker);
-  return found != this->tickets.end() &&
-         now + kTicketMargin < found->second.valid_until;
+  return found != this->tickets.end() && now < found->second.usable_until;
 }
 
 std::vector<jobs::WorkerIncarnation> StepAdvice::WorkersWithTickets(
@@ -63,11 +72,42 @@
 }
 
 void StepAdvice::DropTicket(const jobs::WorkerIncarnation& worker) {
-  this->tickets.erase(worker);
+  const auto found = this->tickets.find(worker);
+  if (found == this->tickets.end())
+    return;
+  const base::Micros age = found->second.usable_until;
+  this->tickets.erase(found);
+  // The others stay known as allowed.
+  for (auto& [other, ticket] : this->tickets) {
+    if (ticket.usable_until <= age)
+      ticket.usable_until = {};
+  }
 }
 
 bool StepAdvice::MayRequest(base::Micros now) const {
-  return !this->in_flight && now >= this->not_before;
+  const bool is_open = this->in_flight && now < this->in_flight_until;
+  return !is_open && now >= this->not_before;
+}
+
+AdviceUse StepAdvice::UseOfRequest(
+    const std::vector<AdviceCandidate>& candidates,
+    bool has_room) const {
+  const bool may_start = has_room && !this->is_unused &&
+                         this->denied_rounds == 0 &&
+                         std::any_of(candidates.begin(), candidates.end(),
+                                     [this](const AdviceCandidate& candidate) {
+                                       return candidate.has_room &&
+                                              !this->IsDenied(candidate.worker);
+                                     });
+  return may_start ? AdviceUse::kStart : AdviceUse::kSpeculative;
+}
+
+bool StepAdvice::WaitsForRoom(bool has_room) const {
+  return !has_room && !this->tickets.empty();
+}
+
+void StepAdvice::Postpone(base::Micros now) {
+  this->not_before = now + kPostponement;
 }
 
 std::vector<jobs::WorkerIncarnation> StepAdvice::Request(
@@ -94,8 +134,11 @@
   });
   if (candidates.empty()) {
     this->not_before = now + kRetryInterval;
-    if (is_denied_everywhere && this->forget_denied_at == base::Micros::max())
-      this->forget_denied_at = now + kForgetDeniedAfter;
+    if (is_denied_everywhere && this->forget_denied_at == base::Micros::max()) {
+      const int doublings =
+          std::min(this->denied_rounds++, kMaxForgetDoublings);
+      this->forget_denied_at = now + kForgetDeniedAfter * (1 << doublings);
+    }
     return {};
   }
   // 2. Those with room first, then those known to be allowed, then the least
@@ -114,9 +157,13 @@
   std::vector<jobs::WorkerIncarnation> named;
   for (std::size_t i = 0; i < count; ++i)
     named.push_back(std::move(candidates[i].worker));
+  return named;
+}
+
+void StepAdvice::RequestSent(base::Micros time_limit, base::Micros now) {
   this->in_flight = true;
+  this->in_flight_until = now + time_limit + kEndSlack;
   this->requested_at = now;
-  return named;
 }
 
 // A request is fruitless if all that it names are denied, or have no room.
@@ -131,7 +178,8 @@
 
 void StepAdvice::RequestFailed(base::Micros now) {
   this->in_flight = false;
-  this->not_before = now + kRetryInterval;
+  const int doublings = std::min(this->failed_requests++, kMaxRetryDoublings);
+  this->not_before = now + kRetryInterval * (1 << doublings);
 }
 
 // The next request follows a denial at once: it names other workers, so that
@@ -139,13 +187,25 @@
 void StepAdvice::RequestAnswered(
     const std::vector<jobs::WorkerIncarnation>& asked,
     const Advice& answer,
+    base::Micros service_time,
     base::Micros now) {
   this->in_flight = false;
+  this->failed_requests = 0;
   this->denied_all = answer.tickets.empty();
   this->not_before =
       this->denied_all ? now : this->requested_at + kRetryInterval;
-  // Counted from the request, as the service may have decided immediately.
-  const base::Micros valid_until = this->requested_at + answer.valid_for;
+  // Counted from the earliest time at which the service can have decided,
+  // however long the request waited for its turn. If it had decided before, the
+  // worker rejects the ticket.
+  const base::Micros decided_at =
+      std::max(this->requested_at, now - service_time);
+  const base::Micros margin =
+      std::min(kTicketMargin, answer.valid_for / kMarginShare);
+  const base::Micros usable_until = decided_at + answer.valid_for - margin;
+  if (!answer.tickets.empty()) {
+    this->is_unused = true;
+    this->denied_rounds = 0;
+  }
   for (const jobs::WorkerIncarnation& worker : asked) {
     const auto ticket = answer.tickets.find(worker);
     if (ticket == answer.tickets.end()) {
@@ -153,7 +213,7 @@
       this->denied.push_back(Fingerprint(worker));
     } else {
       this->tickets[worker] = {.text = ticket->second,
-                               .valid_until = valid_until};
+                               .usable_until = usable_until};
     }
   }
   std::sort(this->denied.begin(), this->denied.end());
--- a/scheduler/worker.h
+++ b/scheduler/worker.h
@@ -99,8 +99,8 @@
   bool awaits_job = false;  // the job has not been read, so no row records it
 };
 
-// What decides which tasks a worker takes, apart from runs that are added to
-// it: these only take room.
+// State of a worker that decides which tasks it takes. Runs that are added are
+// left out: they only take room.
 struct PlacementView {
   bool is_candidate = false;
   bool is_stalled =
--- a/scheduler/worker_search.cc
+++ b/scheduler/worker_search.cc
@@ -146,7 +146,7 @@
   pass.visits += visited.size();
   // Workers that have not been asked for may have the room that those with a
   // ticket lack.
-  this->RequestAdviceFor(job, position, pass.candidates.all(), now);
+  this->RequestAdviceFor(job, position, pass, now);
   return {};
 }
 
--- a/testing/scheduler_bench.h
+++ b/testing/scheduler_bench.h
@@ -88,6 +88,7 @@
     jobs::Queue queue;
     queue.name = "queue";
     queue.service = "pool";
+    queue.advice = this->advice;
     queue.advice.required = needs_advice;
     jobs::JobSpec spec;
     spec.steps.push_back(step);
@@ -186,6 +187,7 @@
 
   base::Micros now = std::chrono::seconds(100);
   std::uint64_t version = 1;
+  jobs::AdviceConfig advice;  // of queues that need advice
   scheduler::Scheduler scheduler;
 };
 
