Gangs: all members of a run resume from the same checkpoint

Cause: each task kept the checkpoint that was last reported of it, and its start brought that one. Members save at different moments, and the one whose worker has crashed has reported an older one or none, so that the members of one run brought different ones.

Change: a gang has one checkpoint, the latest that any member has saved. It is chosen when the run is planned, so that all starts of a run bring the same whatever is reported meanwhile. A checkpoint of an earlier run than the known one is passed over, for single tasks too.

--- a/scheduler/job.cc
+++ b/scheduler/job.cc
@@ -190,6 +190,34 @@
          });
 }
 
+void RecordCheckpoint(Job& job,
+                      const TaskPosition& position,
+                      const Checkpoint& reported) {
+  Task& task = TaskAt(job, position);
+  if (reported.text.empty() || reported.run < task.checkpoint.run)
+    return;
+  // A member that has not saved again reports an older one than those that
+  // have.
+  const bool is_new = reported.text != task.checkpoint.text;
+  task.checkpoint = reported;
+  Checkpoint& of_gang = StepAt(job, position).gang_checkpoint;
+  if (StepOf(job, position).gang && is_new && reported.run >= of_gang.run)
+    of_gang = reported;
+}
+
+// Any member's checkpoint serves for its gang, but all members must bring the
+// same.
+std::string CheckpointFor(const Job& job, const TaskPosition& position) {
+  const jobs::Step& step = StepOf(job, position);
+  const StepState& step_state = StepAt(job, position);
+  if (!step.checkpoints)
+    return {};
+  return step.gang
+             ? step_state.gang_checkpoint.text
+             : step_state.tasks.at(static_cast<std::size_t>(position.index))
+                   .checkpoint.text;
+}
+
 void ForgetSearches(Job& job) {
   for (Occurrence& occurrence : job.occurrences) {
     for (StepState& step : occurrence.steps)
--- a/scheduler/job.h
+++ b/scheduler/job.h
@@ -55,6 +55,12 @@
     {FailureCause::kRow, "row"},
 }};
 
+// Saved work that a run can resume from.
+struct Checkpoint {
+  std::string text;  // empty: there is none
+  int run = 0;       // that saved it, or a later one that resumed from it
+};
+
 struct Task {
   TaskState state = TaskState::kBlocked;
   jobs::WorkerIncarnation worker;  // while placed
@@ -63,7 +69,7 @@
   int inherited_run = 0;           // latest run of earlier owners accounted for
   bool is_serving = false;        // long-running task: reported in full service
   base::Micros last_served_at{};  // latest report that showed it so
-  std::string checkpoint;         // latest reported; empty if none
+  Checkpoint checkpoint;          // latest reported
   base::Micros ready_since{};
   // When the latest run was presumed over because its lease had expired.
   // Another owner may have renewed that lease unless the store has confirmed
@@ -82,6 +88,8 @@
   std::vector<Task> tasks;
   bool released = false;  // its predecessors are done and it is due
   int tasks_done = 0;
+  // The latest that any member of the gang has saved.
+  Checkpoint gang_checkpoint;
   StepAdvice advice;  // used if the queue requires advice
   StepSearches searches;
 };
@@ -118,6 +126,7 @@
   TaskPosition position;
   int run = 0;
   std::uint64_t change = 0;
+  std::string checkpoint;  // to resume from; the same for all of a gang
 };
 
 // A run that is stopped once `change` is saved, which first names it.
@@ -227,6 +236,14 @@
 // Whether the task belongs to a gang of which a member is placed.
 bool IsGangWithPlacedMember(const Job& job, const TaskPosition& position);
 
+// Records what a run of the task has reported as saved. That of an earlier run
+// than the one recorded is passed over: it may have been reported late.
+void RecordCheckpoint(Job& job,
+                      const TaskPosition& position,
+                      const Checkpoint& reported);
+// Checkpoint that the next run of the task resumes from; empty if from none.
+std::string CheckpointFor(const Job& job, const TaskPosition& position);
+
 // To be called when the job's queue has changed: what earlier searches found
 // may not hold for another pool or priority.
 void ForgetSearches(Job& job);
--- a/scheduler/planned_runs.cc
+++ b/scheduler/planned_runs.cc
@@ -71,7 +71,10 @@
   this->MarkChanged(job);
   this->save_immediately = true;
   job.pending_starts.push_back(
-      {.position = choice.position, .run = run_number, .change = job.change});
+      {.position = choice.position,
+       .run = run_number,
+       .change = job.change,
+       .checkpoint = CheckpointFor(job, choice.position)});
 }
 
 void Scheduler::StartSavedPlacements(Job& job, base::Micros now) {
@@ -109,13 +112,12 @@
     worker.latest_lease_end =
         std::max(worker.latest_lease_end, now + kMaxCommandQueueTime);
     worker.next_poll_at = std::min(worker.next_poll_at, now);
-    const bool resumes = StepOf(job, start.position).checkpoints;
     this->actions.emplace_back(StartRun{
         .worker = worker.info.incarnation,
         .task = id,
         .run = start.run,
         .text = job.spec.text,
-        .checkpoint = resumes ? task.checkpoint : std::string(),
+        .checkpoint = start.checkpoint,
         .ticket = StepAt(job, start.position).advice.TicketFor(task.worker)});
   }
   job.pending_starts = std::move(not_yet_saved);
--- a/scheduler/run_ends.cc
+++ b/scheduler/run_ends.cc
@@ -110,8 +110,7 @@
   const TaskPosition position = PositionOf(end.task);
   job.has_started = true;
   Task& task = TaskAt(job, position);
-  if (!end.checkpoint.empty())
-    task.checkpoint = end.checkpoint;
+  RecordCheckpoint(job, position, {.text = end.checkpoint, .run = end.run});
   const bool is_long_running = StepOf(job, position).long_running;
   const bool done = end.reason == RunEndReason::kSucceeded && !is_long_running;
   const bool failed = end.reason == RunEndReason::kFailed;
--- a/scheduler/worker_reports.cc
+++ b/scheduler/worker_reports.cc
@@ -203,8 +203,8 @@
     return;
   job->has_started = true;
   Task& task = TaskAt(*job, PositionOf(reported.task));
-  if (!reported.checkpoint.empty())
-    task.checkpoint = reported.checkpoint;
+  RecordCheckpoint(*job, PositionOf(reported.task),
+                   {.text = reported.checkpoint, .run = reported.run});
   // A run that is being stopped does not count as at work, even if an older
   // report shows it at 100%.
   task.is_serving = reported.percent >= 100 && run.state == RunState::kRunning;
@@ -293,8 +293,8 @@
       task.is_serving = reported.percent >= 100;
       if (task.is_serving)
         task.last_served_at = now;
-      if (!reported.checkpoint.empty())
-        task.checkpoint = reported.checkpoint;
+      RecordCheckpoint(*job, PositionOf(reported.task),
+                       {.text = reported.checkpoint, .run = reported.run});
       job->has_started = true;
       this->KeepReplacedStart(*job, PositionOf(reported.task));
       job->progress.placed[KeyOf(PositionOf(reported.task))] = {
