--- a/scheduler/unplaceable_tasks_test.cc
+++ b/scheduler/unplaceable_tasks_test.cc
@@ -45,7 +45,8 @@
   std::vector<StartRun> RunPassAndReport() {
     const std::vector<Action> actions = this->RunPass();
     this->Save(Only<SaveProgress>(actions));
-    const auto starts = Only<StartRun>(this->scheduler.TakeActions());
+    std::vector<StartRun> starts =
+        Only<StartRun>(this->scheduler.TakeActions());
     for (const StartRun& start : starts) {
       this->scheduler.StartAnswered(start, CommandOutcome::kDone, this->now,
                                     this->now.count() / 1000);
@@ -306,9 +307,10 @@
 jobs::Step DrawStep() {
   jobs::Step step = Pool::OneTask();
   step.tasks = *rc::gen::inRange(1, 6);
-  step.task_resources = {.cpu_millis = 500 * *rc::gen::inRange(1, 8),
-                         .memory_mb = 500 * *rc::gen::inRange(1, 8),
-                         .gpus = 0};
+  step.task_resources = {
+      .cpu_millis = 500 * *rc::gen::inRange<std::int64_t>(1, 8),
+      .memory_mb = 500 * *rc::gen::inRange<std::int64_t>(1, 8),
+      .gpus = 0};
   const int shape = *rc::gen::inRange(0, 4);
   step.gang = shape == 0;
   step.max_per_worker = shape == 1 ? 1 : 0;
@@ -342,7 +344,8 @@
         case 6: {
           // The worker's capacity or label changes.
           WorkerInfo info = Pool::Worker(Pool::IdOf(0));
-          info.capacity.cpu_millis = 1000 * *rc::gen::inRange(4, 9);
+          info.capacity.cpu_millis =
+              1000 * *rc::gen::inRange<std::int64_t>(4, 9);
           if (*rc::gen::arbitrary<bool>())
             info.labels = {"label"};
           pool.scheduler.UpdateWorker(info, pool.now);
