Advice: a mute service delays no step for longer than others

Callers saw, by reading: after the advice service was mute, the most urgent steps could wait for up to 8 s after it answers again, as their own requests were among those without an answer and each doubled the step's own interval.

Change: only answers that can't be used, which are the step's own matter, double its interval. Silence and rejections are bounded for all steps together by AdviceCalls.

Test: SilenceOfTheServiceDelaysNoStepForLong was written with the change; the code before has the interval that it forbids (500 ms x 16).

--- a/scheduler/advice.cc
+++ b/scheduler/advice.cc
@@ -119,7 +119,7 @@
                            ServiceTime(job->queue.advice, asked.workers.size()),
                            now);
   else
-    advice.RequestFailed(now);
+    advice.RequestFailed(result.outcome, now);
 }
 
 }  // namespace quartzhoist::scheduler
--- a/scheduler/advice_test.cc
+++ b/scheduler/advice_test.cc
@@ -189,6 +189,23 @@
   BOOST_TEST(pool.named == named + 1);
 }
 
+// Guards against an urgent step that waits for seconds after its service was
+// mute, because its own requests were among those that were not answered.
+BOOST_AUTO_TEST_CASE(SilenceOfTheServiceDelaysNoStepForLong) {
+  StepAdvice silent;
+  StepAdvice unusable;
+  const base::Micros now = seconds(100);
+  for (int i = 0; i < 6; ++i) {
+    silent.RequestSent(seconds(1), now);
+    silent.RequestFailed(AdviceOutcome::kUnanswered, now);
+    unusable.RequestSent(seconds(1), now);
+    unusable.RequestFailed(AdviceOutcome::kUnusable, now);
+  }
+  BOOST_TEST(silent.MayRequest(now + milliseconds(500)));
+  BOOST_TEST(!unusable.MayRequest(now + seconds(7)));
+  BOOST_TEST(unusable.MayRequest(now + seconds(8)));
+}
+
 // Guards against an answer that is thrown away because its call waited for
 // longer than a ticket is valid.
 BOOST_AUTO_TEST_CASE(TicketIsUsedHoweverLongItsCallHasWaited) {
--- a/scheduler/step_advice.cc
+++ b/scheduler/step_advice.cc
@@ -32,7 +32,7 @@
 constexpr base::Micros kTicketMargin = milliseconds(150);
 // The same for short-lived ones, as the inverse of a share of their validity.
 constexpr int kMarginShare = 4;
-// A step that has been denied everywhere, or whose requests fail, asks at
+// A step that has been denied everywhere, or gets unusable answers, asks at
 // intervals that double up to 32 and 8 s.
 constexpr int kMaxForgetDoublings = 4;
 constexpr int kMaxRetryDoublings = 4;
@@ -176,9 +176,13 @@
   return std::min(kMaxWorkers, first << this->fruitless_requests);
 }
 
-void StepAdvice::RequestFailed(base::Micros now) {
+// A service that is mute or full delays no step more than others: AdviceCalls
+// bounds the calls of all.
+void StepAdvice::RequestFailed(AdviceOutcome outcome, base::Micros now) {
   this->in_flight = false;
-  const int doublings = std::min(this->failed_requests++, kMaxRetryDoublings);
+  const bool is_unusable = outcome == AdviceOutcome::kUnusable;
+  const int doublings =
+      is_unusable ? std::min(this->unusable_answers++, kMaxRetryDoublings) : 0;
   this->not_before = now + kRetryInterval * (1 << doublings);
 }
 
@@ -190,7 +194,7 @@
     base::Micros service_time,
     base::Micros now) {
   this->in_flight = false;
-  this->failed_requests = 0;
+  this->unusable_answers = 0;
   this->denied_all = answer.tickets.empty();
   this->not_before =
       this->denied_all ? now : this->requested_at + kRetryInterval;
--- a/scheduler/step_advice.h
+++ b/scheduler/step_advice.h
@@ -60,7 +60,7 @@
       base::Micros now);
   // The request has been sent and ends within the time limit.
   void RequestSent(base::Micros time_limit, base::Micros now);
-  void RequestFailed(base::Micros now);
+  void RequestFailed(AdviceOutcome outcome, base::Micros now);
   // The service has taken `service_time` at most for the answer itself.
   void RequestAnswered(const std::vector<jobs::WorkerIncarnation>& asked,
                        const Advice& answer,
@@ -86,7 +86,7 @@
   int fruitless_requests = 0;  // in a row
   bool denied_all = false;     // those named in the latest request
   int denied_rounds = 0;       // all candidates were denied, in a row
-  int failed_requests = 0;     // in a row
+  int unusable_answers = 0;    // in a row
   bool is_unused = false;      // no task was started with the latest tickets
   bool in_flight = false;
   base::Micros in_flight_until{};  // by then it has ended, whatever is noted
