--- a/scheduler/advice_overload_test.cc
+++ b/scheduler/advice_overload_test.cc
@@ -283,7 +283,7 @@
   queue.Play(kWorkedOffIn, 0.0);
   BOOST_TEST(queue.CountOpenJobs() == 0);
   BOOST_TEST(queue.refused_tickets == 0);
-  // What is answered is used, and nothing is asked that can't be answered.
+  // All answers are used, and no call is made that can't be answered.
   BOOST_TEST(queue.service.answered <= 2 * queue.submitted * 11 / 10);
   BOOST_TEST(queue.service.rejected == 0);
   BOOST_TEST(queue.service.longest_queue <= 8U);
--- a/scheduler/unplaceable_tasks_test.cc
+++ b/scheduler/unplaceable_tasks_test.cc
@@ -360,7 +360,7 @@
       }
       pool.RunPassAndReport();
     }
-    // What has changed in the last round is seen by the next pass.
+    // The next pass sees the changes of the last round.
     pool.RunPassAndReport();
     pool.RunPassAndReport();
     CheckThatNoTaskIsPassedOver(pool);
